Thin whole path: daemons, fenced grants, stand-ins, demo

Cause: nothing runs yet; every later part needs a path to grow on. Change: a workspace of four packages. Decisions (tables, grants, moves, replica, configuration, errors) are in the core; the daemon is a kernel of services over replaceable ports; stand-ins serve the same ports in memory under virtual time and over HTTP.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# mimosastile: the commands a newcomer needs. `make help` lists them.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+PACKAGES := core entry ctl standins
+SRC := $(foreach p,$(PACKAGES),packages/mimosastile-$(p)/src)
+empty :=
+space := $(empty) $(empty)
+# The tree at hand goes before whatever the environment has installed, so that
+# one environment can serve several work trees.
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SRC)))
+export PYTHONDONTWRITEBYTECODE := 1
+SEEDS ?= 20
+
+.PHONY: help env format lint types unit test demo bench measure fuzz
+help: ## list the commands
+	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
+
+env: $(VENV)/.ready ## make the environment from the pinned requirements
+$(VENV)/.ready:
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements.txt
+	$(PY) -m pip install -q --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/mimosastile-$(p))
+	touch $@
+
+format: env ## rewrite the sources in the house format
+	$(VENV)/bin/ruff format -q --no-cache packages tests
+	$(VENV)/bin/ruff check -q --no-cache --fix packages tests
+
+lint: env ## formatter check and linter
+	$(VENV)/bin/ruff format -q --no-cache --check packages tests
+	$(VENV)/bin/ruff check -q --no-cache packages tests
+
+types: env ## strict typing
+	$(VENV)/bin/mypy
+
+unit: env ## tests alone
+	$(PY) -m pytest
+
+test: lint types unit ## everything CI runs
+
+demo: env ## the main job in one command
+	$(PY) -m mimosastile_standins demo $(ARGS)
+
+bench: env ## cost of the request path, compared in one run
+	$(PY) -m mimosastile_standins bench $(ARGS)
+
+measure: env ## imbalance, churn and unavailable time with baselines
+	$(PY) -m mimosastile_standins measure $(ARGS)
+
+fuzz: env ## the stateful fuzz over SEEDS seeds
+	$(PY) -m mimosastile_standins fuzz --seeds $(SEEDS) $(ARGS)
--- /dev/null
+++ b/packages/mimosastile-core/src/mimosastile_core/config.py
@@ -0,0 +1,203 @@
+"""The configuration document that operators keep in the store.
+
+One schema for everything operators decide. Decoding checks types and bounds;
+`problems` checks what spans several fields.
+"""
+
+from collections.abc import Iterator
+import enum
+from typing import Annotated
+
+import msgspec
+import result
+
+from mimosastile_core import grants
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class Priority(enum.Enum):
+    """Class of a request, from most to least urgent."""
+
+    INTERACTIVE = "interactive"
+    SUBMISSION = "submission"
+    BULK = "bulk"
+
+
+class KeyPlace(enum.Enum):
+    """Part of a request that carries the key."""
+
+    PATH = "path"
+    HEADER = "header"
+    QUERY = "query"
+
+
+class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all configuration structures: unknown fields are mistakes."""
+
+
+class KeySource(_Strict, frozen=True):
+    """Where a service finds the key in a request.
+
+    Attributes:
+        place: Part of the request.
+        name: Name of the header or query parameter.
+        segment: For paths, the segment after the service's name, from 0.
+    """
+
+    place: KeyPlace
+    name: str = ""
+    segment: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
+class Route(_Strict, frozen=True):
+    """How requests under a path prefix are treated.
+
+    Attributes:
+        prefix: Path prefix after the service's name, beginning with a slash.
+        methods: HTTP methods; empty for all.
+        priority: Class of these requests.
+        idempotent: Whether running one twice does no harm; None takes it from
+            the method (GET, HEAD and OPTIONS are).
+    """
+
+    prefix: Annotated[str, msgspec.Meta(pattern=r"^/")] = "/"
+    methods: tuple[str, ...] = ()
+    priority: Priority = Priority.INTERACTIVE
+    idempotent: bool | None = None
+
+
+class Service(_Strict, frozen=True):
+    """One service behind the router.
+
+    Attributes:
+        key: Where the key is; None for a service not divided by key.
+        slots: Requests that one target runs at a time.
+        connections: Connections that one target accepts.
+        slices: Slices per block at the start.
+        blocks: Blocks of the table; each stays well under a megabyte.
+        checks_orders: Targets refuse lower fences and foreign requests.
+        checks_expiry: Targets refuse requests once their grant has run out.
+        grant: Times of the grant protocol in seconds.
+        routes: Treatment by path; the longest matching prefix wins.
+        timeout: Seconds that a request may take when it names no deadline.
+    """
+
+    key: KeySource | None = None
+    slots: Positive = 4
+    connections: Positive = 120
+    slices: Positive = 64
+    blocks: Positive = 1
+    checks_orders: bool = False
+    checks_expiry: bool = False
+    grant: grants.Timing = grants.Timing()
+    routes: tuple[Route, ...] = (Route(),)
+    timeout: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+
+
+class Member(_Strict, frozen=True):
+    """A member or client account.
+
+    Attributes:
+        credentials: SHA-256 digests, in hex, of its bearer tokens.
+        share: Weight in fair queueing.
+        concurrency: Requests under way over all entry VMs; 0 for no limit.
+        rate: Requests a second over all entry VMs; 0 for no limit.
+    """
+
+    credentials: tuple[Digest, ...] = ()
+    share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    concurrency: Annotated[int, msgspec.Meta(ge=0)] = 0
+    rate: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+class Document(_Strict, frozen=True):
+    """The whole configuration.
+
+    Attributes:
+        services: By name; the name is the first segment of a request's path.
+        members: By name.
+    """
+
+    services: dict[Name, Service] = {}
+    members: dict[Name, Member] = {}
+
+
+class Version(msgspec.Struct, frozen=True):
+    """A numbered configuration; numbers only rise."""
+
+    number: int
+    document: Document
+
+
+_DOCUMENT = msgspec.json.Decoder(Document)
+_VERSION = msgspec.json.Decoder(Version)
+
+
+def problems(document: Document) -> Iterator[str]:
+    """Yields each fault that spans several fields, with path and mend."""
+    for name, service in document.services.items():
+        at = f"services.{name}"
+        timing = service.grant
+        if timing.renew * 2 > timing.ttl:
+            yield (
+                f"{at}.grant.renew: {timing.renew} s leaves no second try"
+                f" within ttl {timing.ttl} s; set at most half of ttl"
+            )
+        if service.checks_expiry and not service.checks_orders:
+            yield (
+                f"{at}.checks_expiry: needs checks_orders; a target that"
+                " checks the expiry of grants checks grants"
+            )
+        key = service.key
+        if key and key.place is not KeyPlace.PATH and not key.name:
+            yield f"{at}.key.name: missing; name the {key.place.value}"
+    owners: dict[str, str] = {}
+    for name, member in document.members.items():
+        for digest in member.credentials:
+            if digest in owners:
+                yield (
+                    f"members.{name}.credentials: {digest[:8]}… belongs to"
+                    f" {owners[digest]} already; give each member its own"
+                )
+            owners[digest] = name
+
+
+def decode_document(value: bytes) -> result.Result[Document, str]:
+    """Decodes and checks a document; Err names path and mend."""
+    try:
+        document = _DOCUMENT.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Err(str(error))
+    faults = list(problems(document))
+    return result.Err("; ".join(faults)) if faults else result.Ok(document)
+
+
+def decode_version(value: bytes) -> result.Result[Version, str]:
+    """Decodes the store's value of a numbered configuration."""
+    try:
+        return result.Ok(_VERSION.decode(value))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Err(str(error))
+
+
+def route_for(service: Service, path: str, method: str) -> Route:
+    """Returns the route with the longest prefix that fits, or a default."""
+    fitting = (
+        r
+        for r in service.routes
+        if path.startswith(r.prefix) and (not r.methods or method in r.methods)
+    )
+    return max(fitting, key=lambda r: len(r.prefix), default=Route())
+
+
+_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+
+def is_idempotent(route: Route, method: str) -> bool:
+    """Whether running a request of this route twice does no harm."""
+    if route.idempotent is None:
+        return method in _SAFE_METHODS
+    return route.idempotent
--- /dev/null
+++ b/packages/mimosastile-core/src/mimosastile_core/fleet.py
@@ -0,0 +1,87 @@
+"""The platform's list of VMs, which lags behind what is true."""
+
+import enum
+
+import msgspec
+
+
+class Role(enum.Enum):
+    """What a VM runs."""
+
+    ENTRY = "entry"
+    TARGET = "target"
+
+
+class VmState(enum.Enum):
+    """What the platform intends with a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """One VM as the platform lists it.
+
+    Attributes:
+        id: Identifier, never used for another VM.
+        role: What it runs.
+        region: Region of the zone.
+        zone: Availability zone.
+        host: IP number.
+        port: Port of a target; port for peers of an entry VM.
+        service: Service of a target, empty for an entry VM.
+        state: Live or leaving.
+    """
+
+    id: str
+    role: Role
+    region: str
+    zone: str
+    host: str
+    port: int
+    service: str = ""
+    state: VmState = VmState.LIVE
+
+
+class Fleet:
+    """One reading of the list, indexed."""
+
+    __slots__ = ("_entries", "_targets", "_vms")
+
+    def __init__(self, vms: tuple[Vm, ...] = ()) -> None:
+        self._vms = {vm.id: vm for vm in vms}
+        self._entries = {vm.id: vm for vm in vms if vm.role is Role.ENTRY}
+        self._targets: dict[str, dict[str, Vm]] = {}
+        for vm in vms:
+            if vm.role is Role.TARGET:
+                self._targets.setdefault(vm.service, {})[vm.id] = vm
+
+    @property
+    def vms(self) -> dict[str, Vm]:
+        """All VMs by identifier."""
+        return self._vms
+
+    @property
+    def entries(self) -> dict[str, Vm]:
+        """Entry VMs by identifier, leaving ones included."""
+        return self._entries
+
+    def targets(self, service: str) -> dict[str, Vm]:
+        """Returns a service's targets by identifier, leaving ones included."""
+        return self._targets.get(service, {})
+
+    def live_targets(self, service: str) -> dict[str, Vm]:
+        """Returns a service's targets that may get new work."""
+        return {
+            vm.id: vm
+            for vm in self.targets(service).values()
+            if vm.state is VmState.LIVE
+        }
+
+    def live_entries(self, zone: str | None = None) -> dict[str, Vm]:
+        """Returns entry VMs that are not leaving, of one zone or of all."""
+        return {
+            vm.id: vm
+            for vm in self._entries.values()
+            if vm.state is VmState.LIVE and zone in (None, vm.zone)
+        }
--- /dev/null
+++ b/packages/mimosastile-core/src/mimosastile_core/tables.py
@@ -0,0 +1,217 @@
+"""Tables: which target owns which slice of a service's keys.
+
+A service's table comes in blocks. A block is one value in the store and the
+unit of atomic change: it holds its slices, their owners and the keepers of the
+targets named in it, so that one compare-and-swap decides on an owner and on
+the keeper whose proof allowed the change, together.
+"""
+
+import bisect
+from collections.abc import Iterable
+
+import msgspec
+import result
+
+from mimosastile_core import keys
+
+
+class Slice(msgspec.Struct, frozen=True):
+    """A range of the hash space with one owner.
+
+    Attributes:
+        first: Lowest hash of the range.
+        last: Highest hash of the range, inclusive.
+        owner: Target that owns the slice, empty for none.
+        fence: Block version at which the owner was set; it only rises.
+        next: Target that the slice is moving to, empty for none.
+    """
+
+    first: int
+    last: int
+    owner: str = ""
+    fence: int = 0
+    next: str = ""
+
+
+class KeeperRef(msgspec.Struct, frozen=True):
+    """The entry VM that speaks to a target.
+
+    Attributes:
+        vm: Identifier of the entry VM.
+        boot: Identifier of the daemon's run on that VM. A restarted daemon has
+            forgotten what it granted and must become keeper anew.
+        fence: Rises with every change of keeper of this target.
+    """
+
+    vm: str
+    boot: str
+    fence: int
+
+
+class Block(msgspec.Struct, frozen=True):
+    """One store value of a service's table.
+
+    Attributes:
+        service: Name of the service.
+        index: Number of the block within the service, from 0.
+        version: Rises by one with each change; owners take it as their fence.
+        slices: The slices in order; empty for a service not divided by key.
+        keepers: Target to keeper.
+    """
+
+    service: str
+    index: int
+    version: int
+    slices: tuple[Slice, ...] = ()
+    keepers: dict[str, KeeperRef] = {}
+
+    @property
+    def id(self) -> "BlockId":
+        """Service and index."""
+        return BlockId(self.service, self.index)
+
+    def owned_by(self, target: str) -> tuple[Slice, ...]:
+        """Returns the slices that a target owns, moving ones included."""
+        return tuple(s for s in self.slices if s.owner == target)
+
+    def slice_at(self, first: int) -> Slice | None:
+        """Returns the slice that begins at a hash, if there is one."""
+        return next((s for s in self.slices if s.first == first), None)
+
+
+class BlockId(msgspec.Struct, frozen=True, order=True):
+    """Names a block; also the last parts of its store key."""
+
+    service: str
+    index: int
+
+
+class Location(msgspec.Struct, frozen=True):
+    """Where a key lives according to one state of the table."""
+
+    block: BlockId
+    slice: Slice
+    keeper: KeeperRef | None
+
+
+class Table:
+    """All known blocks of one service, indexed for look-up.
+
+    Built anew on each change of a block; look-ups are two bisections with no
+    allocation but the result.
+    """
+
+    __slots__ = ("_blocks", "_edges", "_homes", "_service")
+
+    def __init__(self, service: str, blocks: Iterable[Block]) -> None:
+        self._service = service
+        self._blocks = {b.index: b for b in blocks}
+        homes = sorted(
+            (
+                (s.first, Location(b.id, s, b.keepers.get(s.owner)))
+                for b in self._blocks.values()
+                for s in b.slices
+            ),
+            key=lambda pair: pair[0],
+        )
+        self._edges = [edge for edge, _ in homes]
+        self._homes = [home for _, home in homes]
+
+    @property
+    def blocks(self) -> dict[int, Block]:
+        """The blocks by index."""
+        return self._blocks
+
+    @property
+    def service(self) -> str:
+        """Name of the service."""
+        return self._service
+
+    def locate(self, position: int) -> Location | None:
+        """Returns the slice over a hash, None if its block is missing."""
+        at = bisect.bisect_right(self._edges, position) - 1
+        if at < 0:
+            return None
+        home = self._homes[at]
+        return home if position <= home.slice.last else None
+
+    def keepers(self) -> dict[str, KeeperRef]:
+        """Returns target to keeper over all blocks."""
+        return {
+            target: keeper
+            for block in self._blocks.values()
+            for target, keeper in block.keepers.items()
+        }
+
+
+def empty_block(service: str, index: int, count: int, blocks: int) -> Block:
+    """Returns the first version of a block, with no owners yet.
+
+    Args:
+        service: Name of the service.
+        index: Number of the block.
+        count: Slices in this block; 0 for a service not divided by key.
+        blocks: How many blocks the service has.
+    """
+    first, last = keys.even_ranges(blocks)[index]
+    ranges = keys.even_ranges(count, first, last) if count else []
+    return Block(service, index, 1, tuple(Slice(a, b) for a, b in ranges))
+
+
+def check_successor(old: Block, new: Block) -> result.Result[Block, str]:
+    """Checks the rules that every change of a block keeps.
+
+    The version rises by one, the slices cover the same range without a gap,
+    no slice's fence falls and a changed owner has a higher fence, no keeper's
+    fence falls.
+
+    Args:
+        old: The block before the change.
+        new: The block after it.
+
+    Returns:
+        The new block, or the rule that it breaks.
+    """
+    if new.version != old.version + 1:
+        return result.Err("version does not rise by one")
+    if not _same_cover(old, new):
+        return result.Err("slices leave a gap or overlap")
+    before = Table(old.service, [old])
+    for piece in new.slices:
+        home = before.locate(piece.first)
+        if home is None or piece.fence < home.slice.fence:
+            return result.Err("a slice fence falls")
+        if piece.owner != home.slice.owner and piece.fence != new.version:
+            return result.Err("an owner changes without a new fence")
+    for target, keeper in old.keepers.items():
+        now = new.keepers.get(target)
+        if now is not None and now.fence < keeper.fence:
+            return result.Err("a keeper fence falls")
+    return result.Ok(new)
+
+
+def _same_cover(old: Block, new: Block) -> bool:
+    if not old.slices or not new.slices:
+        return len(old.slices) == len(new.slices)
+    ends = zip(new.slices, new.slices[1:], strict=False)
+    return (
+        new.slices[0].first == old.slices[0].first
+        and new.slices[-1].last == old.slices[-1].last
+        and all(a.last + 1 == b.first for a, b in ends)
+    )
+
+
+def encode(block: Block) -> bytes:
+    """Returns the store value of a block."""
+    return msgspec.json.encode(block)
+
+
+_DECODER = msgspec.json.Decoder(Block)
+
+
+def decode(value: bytes) -> result.Result[Block, str]:
+    """Reads a block from its store value; Err carries what is wrong."""
+    try:
+        return result.Ok(_DECODER.decode(value))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Err(str(error))
--- /dev/null
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of mimosastile."""
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -0,0 +1,70 @@
+"""The listeners service: the two HTTP servers of a daemon."""
+
+import asyncio
+from typing import Any
+
+from absl import logging
+
+from mimosastile_entry import _asgi
+from mimosastile_entry import _operations
+from mimosastile_entry import kernel
+from mimosastile_entry import serving
+from mimosastile_entry import settings
+
+_PREFIX = "listeners:"
+
+
+class ListenersService:
+    """Runs the server for callers and the one for peers and operators."""
+
+    __slots__ = ("_callers", "_listeners", "_settings", "name", "needs")
+
+    def __init__(self, configured: settings.Settings) -> None:
+        """Makes the service.
+
+        Args:
+            configured: The daemon's settings.
+        """
+        self.name = "listeners"
+        self.needs: tuple[str, ...] = ("router", "state", "clock")
+        self._settings = configured
+        self._callers: _asgi.CallersApp | None = None
+        self._listeners: dict[str, serving.Listener] = {}
+
+    @property
+    def ports(self) -> dict[str, int]:
+        """Bound ports by side: "callers" and "peers"."""
+        return {side: at.port for side, at in self._listeners.items()}
+
+    async def start(self, kernel: kernel.Kernel) -> None:
+        """Binds both ports and begins to serve."""
+        router = kernel.find("router")
+        clock = kernel.find("clock")
+        limits = self._settings.limits
+        self._callers = _asgi.CallersApp(router, clock, limits)
+        forward = _asgi.ForwardApp(router, clock, limits)
+        inner = _operations.application(kernel, forward)
+        vm = self._settings.vm
+        await self._serve("peers", inner, vm.peer_port)
+        await self._serve("callers", self._callers, vm.port)
+
+    async def stop(self) -> None:
+        """Lets requests in flight end and closes both servers."""
+        if self._callers is not None:
+            self._callers.begin_stop()
+        stops = (listener.stop() for listener in self._listeners.values())
+        await asyncio.gather(*stops)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the bound ports."""
+        return {"ports": self.ports}
+
+    async def _serve(self, side: str, app: _asgi.App, port: int) -> None:
+        listener = await serving.listen(
+            app,
+            self._settings.vm.host,
+            port,
+            self._settings.limits.shutdown_seconds,
+        )
+        self._listeners[side] = listener
+        logging.info("%s %s on port %d.", _PREFIX, side, listener.port)
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_platform_http.py
@@ -0,0 +1,149 @@
+"""Adapters to the platform's key-value service and list of VMs over HTTP."""
+
+from typing import Any
+from urllib import parse
+
+import aiohttp
+import msgspec
+import result
+
+from mimosastile_core import errors
+from mimosastile_core import fleet
+from mimosastile_entry import _client
+from mimosastile_entry import kernel
+from mimosastile_entry import ports
+
+_HTTP_OK = 200
+_HTTP_NOT_FOUND = 404
+_HTTP_CONFLICT = 409
+
+_ENTRY = msgspec.json.Decoder(ports.Entry)
+_BATCH = msgspec.json.Decoder(ports.WatchBatch)
+_CONFLICT = msgspec.json.Decoder(ports.Conflict)
+_VMS = msgspec.json.Decoder(tuple[fleet.Vm, ...])
+
+
+def _unavailable(detail: str) -> result.Err[errors.Failure]:
+    return result.Err(
+        errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE, detail)
+    )
+
+
+class _HttpAdapter(kernel.Passive):
+    """Base of the adapters: address, time limit and client."""
+
+    __slots__ = ("_base", "_client", "_timeout")
+
+    def __init__(self, name: str, base: str, timeout: float) -> None:
+        super().__init__(name, ("client",))
+        self._base = base.rstrip("/")
+        self._timeout = timeout
+        self._client: _client.HttpClient | None = None
+
+    async def start(self, kernel: kernel.Kernel) -> None:
+        """Finds the client."""
+        self._client = kernel.find("client")
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the address."""
+        return {"address": self._base}
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", wait: float = 0.0
+    ) -> tuple[int, bytes]:
+        assert self._client is not None
+        limit = aiohttp.ClientTimeout(total=self._timeout + wait)
+        async with self._client.session.request(
+            method, self._base + path, data=body, timeout=limit
+        ) as response:
+            return response.status, await response.read()
+
+
+class HttpStore(_HttpAdapter):
+    """The key-value service over HTTP with JSON."""
+
+    __slots__ = ()
+
+    def __init__(self, base: str, timeout: float) -> None:
+        super().__init__("store", base, timeout)
+
+    async def get(
+        self, key: str
+    ) -> result.Result[ports.Entry | None, errors.Failure]:
+        """Reads one key."""
+        try:
+            status, body = await self._call("GET", f"/kv/{parse.quote(key)}")
+            if status == _HTTP_NOT_FOUND:
+                return result.Ok(None)
+            if status != _HTTP_OK:
+                return _unavailable(f"status {status}")
+            return result.Ok(_ENTRY.decode(body))
+        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+            return _unavailable(str(error))
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[ports.WatchBatch, errors.Failure]:
+        """Reads all keys with a prefix."""
+        return await self._batch("/kv?" + parse.urlencode({"prefix": prefix}))
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, revision: int
+    ) -> result.Result[int, errors.Failure | ports.Conflict]:
+        """Writes a key if its revision is the expected one."""
+        path = f"/kv/{parse.quote(key)}?revision={revision}"
+        try:
+            status, body = await self._call("PUT", path, value)
+            if status == _HTTP_OK:
+                return result.Ok(_ENTRY.decode(body).revision)
+            if status == _HTTP_CONFLICT:
+                return result.Err(_CONFLICT.decode(body))
+            return _unavailable(f"status {status}")
+        except _client.CONNECT_ERRORS as error:
+            return _unavailable(str(error))
+        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+            # The write may have taken effect although its answer is lost.
+            return result.Err(
+                errors.Failure(errors.ErrorKind.STORE_UNKNOWN, str(error))
+            )
+
+    async def watch(
+        self, prefix: str, revision: int, wait: float
+    ) -> result.Result[ports.WatchBatch, errors.Failure]:
+        """Waits for a change under a prefix after a revision."""
+        query = parse.urlencode(
+            {"prefix": prefix, "revision": revision, "wait": wait}
+        )
+        return await self._batch(f"/watch?{query}", wait)
+
+    async def _batch(
+        self, path: str, wait: float = 0.0
+    ) -> result.Result[ports.WatchBatch, errors.Failure]:
+        try:
+            status, body = await self._call("GET", path, wait=wait)
+            if status != _HTTP_OK:
+                return _unavailable(f"status {status}")
+            return result.Ok(_BATCH.decode(body))
+        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+            return _unavailable(str(error))
+
+
+class HttpFleet(_HttpAdapter):
+    """The list of VMs over HTTP with JSON."""
+
+    __slots__ = ()
+
+    def __init__(self, base: str, timeout: float) -> None:
+        super().__init__("fleet_port", base, timeout)
+
+    async def vms(
+        self,
+    ) -> result.Result[tuple[fleet.Vm, ...], errors.Failure]:
+        """Reads the list."""
+        try:
+            status, body = await self._call("GET", "/vms")
+            if status != _HTTP_OK:
+                return _unavailable(f"status {status}")
+            return result.Ok(_VMS.decode(body))
+        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+            return _unavailable(str(error))
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -0,0 +1,238 @@
+"""The state service: this VM's replica and how it learns and changes it."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+import result
+
+from mimosastile_core import config
+from mimosastile_core import errors
+from mimosastile_core import messages
+from mimosastile_core import replica
+from mimosastile_core import tables
+from mimosastile_entry import _fleet
+from mimosastile_entry import kernel
+from mimosastile_entry import ports
+
+CONFIG_KEY = "config/current"
+"""Store key of the numbered configuration in force."""
+
+TABLE_PREFIX = "table/"
+"""Prefix of the store keys of table blocks."""
+
+_PREFIX = "state:"
+_WATCH_SECONDS = 20.0
+_RETRY_SECONDS = 0.5
+_PEER_SECONDS = 0.5
+_MAX_TRIES = 8
+
+Change = Callable[[tables.Block], result.Result[tables.Block, str]]
+
+
+def block_key(block: tables.BlockId) -> str:
+    """Returns the store key of a block."""
+    return f"{TABLE_PREFIX}{block.service}/{block.index}"
+
+
+class StateService:
+    """Keeps the replica up to date and makes changes by compare-and-swap."""
+
+    __slots__ = (
+        "_fleet",
+        "_peers",
+        "_replica",
+        "_revision",
+        "_store",
+        "_synced",
+        "_task",
+        "_vm",
+        "name",
+        "needs",
+    )
+
+    def __init__(self, vm: str) -> None:
+        """Makes the service.
+
+        Args:
+            vm: Identifier of this VM.
+        """
+        self.name = "state"
+        self.needs: tuple[str, ...] = ("store", "peers", "fleet")
+        self._vm = vm
+        self._replica = replica.Replica()
+        self._store: ports.StorePort
+        self._peers: ports.PeerPort
+        self._fleet: _fleet.FleetService
+        self._revision = 0
+        self._synced = False
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def replica(self) -> replica.Replica:
+        """The VM's copy of configuration and tables."""
+        return self._replica
+
+    @property
+    def synced(self) -> bool:
+        """Whether the store has been read once since the start."""
+        return self._synced
+
+    async def start(self, kernel: kernel.Kernel) -> None:
+        """Reads the store, or the peers while it is down, and watches."""
+        self._store = kernel.find("store")
+        self._peers = kernel.find("peers")
+        self._fleet = kernel.find("fleet")
+        if not await self._read_all():
+            await self.pull_from_peers()
+        self._task = asyncio.create_task(self._watch(), name="state-watch")
+
+    async def stop(self) -> None:
+        """Ends the watch."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns numbers and versions."""
+        return {
+            "config_number": self._replica.config.number,
+            "store_revision": self._revision,
+            "synced": self._synced,
+            "blocks": {
+                block_key(at): block.version
+                for at, block in self._replica.blocks.items()
+            },
+        }
+
+    async def pull_from_peers(self) -> None:
+        """Asks every listed peer for anything newer, all at once."""
+        pull = self._replica.pull(self._vm)
+        calls = (
+            self._peers.call(vm, pull, _PEER_SECONDS)
+            for vm in self._fleet.peers().values()
+        )
+        for reply in await asyncio.gather(*calls):
+            delta = reply.ok()
+            if isinstance(delta, messages.Delta):
+                self._replica.merge(delta)
+
+    def answer(self, message: messages.PeerMessage) -> messages.PeerMessage:
+        """Answers a peer's message about state."""
+        if isinstance(message, messages.Pull):
+            return self._replica.delta(self._vm, message)
+        if isinstance(message, messages.Delta):
+            self._replica.merge(message)
+        return messages.Ack(self._vm)
+
+    async def create(self, block: tables.Block) -> None:
+        """Writes a block that does not exist yet; losing a race is fine."""
+        outcome = await self._store.compare_and_swap(
+            block_key(block.id), tables.encode(block), 0
+        )
+        if outcome.is_ok():
+            self._replica.offer_blocks((block,))
+
+    async def change(
+        self, block: tables.BlockId, change: Change
+    ) -> result.Result[tables.Block, errors.Failure]:
+        """Changes a block by compare-and-swap.
+
+        The change is applied to what the store holds, never to a memory of
+        it, and reported as made only after a write or a read that shows it.
+
+        Args:
+            block: The block.
+            change: Returns the successor or why there is nothing to change.
+
+        Returns:
+            The block as stored, or why it was not changed.
+        """
+        for _ in range(_MAX_TRIES):
+            read = await self._store.get(block_key(block))
+            if isinstance(read, result.Err):
+                return read
+            if read.ok_value is None:
+                return _failed(errors.ErrorKind.NOT_FOUND, "no such block")
+            current = tables.decode(read.ok_value.value)
+            if isinstance(current, result.Err):
+                return _failed(errors.ErrorKind.INTERNAL, current.err_value)
+            self._replica.offer_blocks((current.ok_value,))
+            successor = change(current.ok_value)
+            if isinstance(successor, result.Err):
+                return _failed(errors.ErrorKind.CONFLICT, successor.err_value)
+            checked = tables.check_successor(
+                current.ok_value, successor.ok_value
+            )
+            if isinstance(checked, result.Err):
+                return _failed(errors.ErrorKind.INTERNAL, checked.err_value)
+            wrote = await self._store.compare_and_swap(
+                block_key(block),
+                tables.encode(checked.ok_value),
+                read.ok_value.revision,
+            )
+            if wrote.is_ok():
+                self._replica.offer_blocks((checked.ok_value,))
+                return checked
+            # A lost race or a lost answer: the next read tells which.
+        return _failed(errors.ErrorKind.STORE_UNKNOWN, "no try succeeded")
+
+    async def _watch(self) -> None:
+        while True:
+            if not self._synced and not await self._read_all():
+                await self.pull_from_peers()
+                await asyncio.sleep(_RETRY_SECONDS)
+                continue
+            batch = await self._store.watch("", self._revision, _WATCH_SECONDS)
+            if isinstance(batch, result.Err):
+                logging.warning(
+                    "%s watch failed: %s.", _PREFIX, batch.err_value.detail
+                )
+                self._synced = False
+                await asyncio.sleep(_RETRY_SECONDS)
+                continue
+            self._take(batch.ok_value)
+
+    async def _read_all(self) -> bool:
+        batch = await self._store.list("")
+        if isinstance(batch, result.Err):
+            return False
+        self._take(batch.ok_value)
+        self._synced = True
+        return True
+
+    def _take(self, batch: ports.WatchBatch) -> None:
+        self._revision = max(self._revision, batch.revision)
+        blocks = []
+        for entry in batch.entries:
+            if entry.key == CONFIG_KEY:
+                self._take_config(entry.value)
+            elif entry.key.startswith(TABLE_PREFIX):
+                decoded = tables.decode(entry.value)
+                if isinstance(decoded, result.Ok):
+                    blocks.append(decoded.ok_value)
+                else:
+                    logging.error(
+                        "%s %s is damaged: %s.",
+                        _PREFIX,
+                        entry.key,
+                        decoded.err_value,
+                    )
+        self._replica.offer_blocks(tuple(blocks))
+
+    def _take_config(self, value: bytes) -> None:
+        decoded = config.decode_version(value)
+        if isinstance(decoded, result.Err):
+            logging.error(
+                "%s configuration is damaged: %s.", _PREFIX, decoded.err_value
+            )
+        elif self._replica.offer_config(decoded.ok_value):
+            logging.info(
+                "%s configuration %d is in force.",
+                _PREFIX,
+                decoded.ok_value.number,
+            )
+
+
+def _failed(kind: errors.ErrorKind, detail: str) -> result.Err[errors.Failure]:
+    return result.Err(errors.Failure(kind, detail))
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -0,0 +1,91 @@
+"""Assembles a daemon from its services and runs it until it is told to stop."""
+
+import asyncio
+from collections.abc import Iterable
+import signal
+
+from absl import logging
+
+from mimosastile_entry import _client
+from mimosastile_entry import _clock
+from mimosastile_entry import _fleet
+from mimosastile_entry import _keeper
+from mimosastile_entry import _listeners
+from mimosastile_entry import _peers_http
+from mimosastile_entry import _planner
+from mimosastile_entry import _platform_http
+from mimosastile_entry import _router
+from mimosastile_entry import _state
+from mimosastile_entry import _targets_http
+from mimosastile_entry import kernel
+from mimosastile_entry import ports
+from mimosastile_entry import settings
+
+_PREFIX = "daemon:"
+
+
+def decisions(vm: str) -> list[kernel.Service]:
+    """Returns the services that decide; they know nothing of HTTP.
+
+    Args:
+        vm: Identifier of the VM.
+    """
+    return [
+        _fleet.FleetService(vm),
+        _state.StateService(vm),
+        _keeper.KeeperService(vm),
+        _planner.PlannerService(vm),
+        _router.RouterService(vm),
+    ]
+
+
+def adapters(configured: settings.Settings) -> list[kernel.Service]:
+    """Returns the adapters that speak HTTP to everything outside."""
+    platform = configured.platform
+    return [
+        _clock.LoopClock(),
+        _client.HttpClient(),
+        _platform_http.HttpStore(platform.store, platform.timeout),
+        _platform_http.HttpFleet(platform.fleet, platform.timeout),
+        _targets_http.HttpTargets(),
+        _peers_http.HttpPeers(),
+        _listeners.ListenersService(configured),
+    ]
+
+
+def assemble(
+    configured: settings.Settings, replaced: Iterable[kernel.Service] = ()
+) -> kernel.Kernel:
+    """Returns a kernel with all services of a daemon, not yet started.
+
+    Args:
+        configured: The daemon's settings.
+        replaced: Services that take the place of those of the same name.
+    """
+    made = kernel.Kernel()
+    for service in (
+        *adapters(configured),
+        *decisions(configured.vm.id),
+        *replaced,
+    ):
+        made.register(service)
+    return made
+
+
+def clock(seed: int | None = None) -> ports.ClockPort:
+    """Returns the clock service; a seed makes it repeatable."""
+    return _clock.LoopClock(seed)
+
+
+async def run(configured: settings.Settings) -> None:
+    """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully."""
+    made = assemble(configured)
+    await made.start()
+    logging.info("%s %s is up.", _PREFIX, configured.vm.id)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stop.wait()
+    logging.info("%s %s stops.", _PREFIX, configured.vm.id)
+    await made.stop()
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -0,0 +1,129 @@
+"""Settings of one daemon, read from a TOML file and checked."""
+
+import ipaddress
+import pathlib
+import tomllib
+from typing import Annotated
+
+import msgspec
+import result
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
+
+class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all settings: unknown keys are mistakes."""
+
+
+class VmSettings(_Strict, frozen=True):
+    """Who this VM is.
+
+    Attributes:
+        id: Identifier as the platform lists it.
+        region: Region of the availability zone.
+        zone: Availability zone.
+        host: IP number to listen on.
+        port: Port for callers, 0 for any free one.
+        peer_port: Port for peers and operators, 0 for any free one.
+    """
+
+    id: Annotated[str, msgspec.Meta(min_length=1)]
+    region: Annotated[str, msgspec.Meta(min_length=1)]
+    zone: Annotated[str, msgspec.Meta(min_length=1)]
+    host: str = "127.0.0.1"
+    port: Port = 8080
+    peer_port: Port = 8081
+
+
+class PlatformSettings(_Strict, frozen=True):
+    """Where the platform is.
+
+    Attributes:
+        store: Base address of the key-value service.
+        fleet: Base address of the list of VMs.
+        timeout: Seconds to wait for one call.
+    """
+
+    store: Annotated[str, msgspec.Meta(pattern=r"^https?://")]
+    fleet: Annotated[str, msgspec.Meta(pattern=r"^https?://")]
+    timeout: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+
+
+class LogSettings(_Strict, frozen=True):
+    """How the daemon logs.
+
+    Attributes:
+        level: Least severe level that is written.
+    """
+
+    level: Annotated[
+        str, msgspec.Meta(pattern=r"^(debug|info|warning|error)$")
+    ] = "info"
+
+
+class LimitSettings(_Strict, frozen=True):
+    """Bounds on what one caller may send.
+
+    Attributes:
+        body_bytes: Largest body.
+        replay_bytes: Largest body that is held to be sent again.
+        header_bytes: Largest sum of header names and values.
+        shutdown_seconds: Longest wait for work in flight at a stop.
+    """
+
+    body_bytes: Annotated[int, msgspec.Meta(ge=1)] = 64 << 20
+    replay_bytes: Annotated[int, msgspec.Meta(ge=0)] = 64 << 10
+    header_bytes: Annotated[int, msgspec.Meta(ge=256)] = 16 << 10
+    shutdown_seconds: Annotated[float, msgspec.Meta(ge=0)] = 600.0
+
+
+class Settings(_Strict, frozen=True):
+    """All settings of a daemon."""
+
+    vm: VmSettings
+    platform: PlatformSettings
+    log: LogSettings = LogSettings()
+    limits: LimitSettings = LimitSettings()
+
+
+def load(path: pathlib.Path) -> result.Result[Settings, str]:
+    """Reads and checks a settings file.
+
+    Args:
+        path: The TOML file.
+
+    Returns:
+        The settings, or one line that names file, key, value and what was
+        expected.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Err(f"{path}: cannot be read: {error}")
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return result.Err(f"{path}: not TOML: {error}")
+    try:
+        settings = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as error:
+        return result.Err(f"{path}: {_with_value(str(error), raw)}")
+    try:
+        ipaddress.ip_address(settings.vm.host)
+    except ValueError:
+        return result.Err(
+            f"{path}: vm.host = {settings.vm.host!r}: expected an IP number"
+        )
+    return result.Ok(settings)
+
+
+def _with_value(message: str, raw: object) -> str:
+    """Turns the library's message into "key = value: expectation"."""
+    text, _, path = message.partition(" - at `$")
+    keys = path.rstrip("`").strip(".")
+    if not keys:
+        return text
+    value: object = raw
+    for key in keys.split("."):
+        value = value.get(key) if isinstance(value, dict) else None
+    return f"{keys} = {value!r}: {text}"
--- /dev/null
+++ b/tests/core/test_tables.py
@@ -0,0 +1,90 @@
+"""Tests of tables."""
+
+import msgspec
+import pytest
+
+from mimosastile_core import keys
+from mimosastile_core import tables
+
+
+def _block(*owners: str) -> tables.Block:
+    ranges = keys.even_ranges(len(owners))
+    slices = tuple(
+        tables.Slice(a, b, owner, 1)
+        for (a, b), owner in zip(ranges, owners, strict=True)
+    )
+    keepers = {o: tables.KeeperRef("e", "b", 1) for o in owners if o}
+    return tables.Block("s", 0, 1, slices, keepers)
+
+
+class TestLocate:
+    """Looking up the owner of a hash."""
+
+    @pytest.mark.parametrize(
+        ("position", "owner"),
+        [
+            (0, "a"),
+            ((1 << 63) - 1, "a"),
+            (1 << 63, "b"),
+            (keys.LAST_HASH, "b"),
+        ],
+    )
+    def test_finds_the_covering_slice(self, position, owner):
+        """Both ends of a range belong to it."""
+        found = tables.Table("s", [_block("a", "b")]).locate(position)
+        assert found is not None
+        assert found.slice.owner == owner
+        assert found.keeper is not None
+
+    def test_missing_block_has_no_location(self):
+        """A hash in a block that is not known yet has no owner."""
+        block = tables.empty_block("s", 1, 4, 2)
+        assert tables.Table("s", [block]).locate(0) is None
+
+
+class TestCheckSuccessor:
+    """The rules that every change keeps."""
+
+    @pytest.mark.parametrize(
+        ("change", "rule"),
+        [
+            ({"version": 3}, "rise by one"),
+            ({"version": 2, "slices": ()}, "gap"),
+            ({"version": 2, "slices": _block("b", "a").slices}, "new fence"),
+            (
+                {"version": 2, "keepers": {"a": tables.KeeperRef("x", "y", 0)}},
+                "keeper fence",
+            ),
+        ],
+    )
+    def test_refuses_a_broken_rule(self, change, rule):
+        """The reason names the rule."""
+        old = _block("a", "b")
+        new = msgspec.structs.replace(old, **change)
+        assert rule in tables.check_successor(old, new).unwrap_err()
+
+    def test_takes_a_good_change(self):
+        """A split that keeps owner and fence is fine."""
+        old = _block("a", "b")
+        first, second = old.slices
+        middle = first.last // 2
+        halves = (
+            msgspec.structs.replace(first, last=middle),
+            msgspec.structs.replace(first, first=middle + 1),
+        )
+        new = msgspec.structs.replace(old, version=2, slices=(*halves, second))
+        assert tables.check_successor(old, new).unwrap() == new
+
+
+class TestEncoding:
+    """Store values."""
+
+    def test_round_trip(self):
+        """What is written is what is read."""
+        block = _block("a", "b")
+        assert tables.decode(tables.encode(block)).unwrap() == block
+
+    @pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"service": 1}'])
+    def test_damaged_value_is_an_error(self, value):
+        """Damage is reported, never raised."""
+        assert tables.decode(value).is_err()
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,83 @@
+"""House rules that no linter checks: import direction and module imports."""
+
+import ast
+import importlib.util
+import pathlib
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent
+SOURCES = sorted((ROOT / "packages").glob("*/src/**/*.py"))
+INPUT_OUTPUT = {
+    "aiohttp",
+    "asyncio",
+    "http",
+    "os",
+    "random",
+    "requests",
+    "socket",
+    "ssl",
+    "starlette",
+    "time",
+    "urllib.request",
+    "uvicorn",
+}
+ALLOWED = {
+    "mimosastile_core": {"mimosastile_core"},
+    "mimosastile_entry": {"mimosastile_core", "mimosastile_entry"},
+    "mimosastile_ctl": {"mimosastile_core", "mimosastile_ctl"},
+    "mimosastile_standins": {
+        "mimosastile_core",
+        "mimosastile_entry",
+        "mimosastile_standins",
+    },
+}
+NAMES_ALLOWED = {"typing", "collections.abc"}
+
+
+def _imports(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from ((alias.name, "") for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield from ((node.module, alias.name) for alias in node.names)
+
+
+def _package(path):
+    return path.relative_to(ROOT).parts[3]
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda p: p.stem)
+class TestImports:
+    """What a source file may import."""
+
+    def test_direction(self, path):
+        """Packages import only those below them."""
+        used = {
+            module.split(".")[0]
+            for module, _ in _imports(path)
+            if module.startswith("mimosastile_")
+        }
+        assert used <= ALLOWED[_package(path)]
+
+    def test_core_does_no_input_or_output(self, path):
+        """Decisions must run under any clock and any network."""
+        if _package(path) == "mimosastile_core":
+            assert not INPUT_OUTPUT & {m for m, _ in _imports(path)}
+
+    def test_stand_ins_use_the_public_face(self, path):
+        """Stand-ins know nothing of the daemon's private modules."""
+        if _package(path) == "mimosastile_standins":
+            private = [
+                name
+                for module, name in _imports(path)
+                if module == "mimosastile_entry" and name.startswith("_")
+            ]
+            assert private == []
+
+    def test_modules_are_imported_not_names(self, path):
+        """`from package import module` only; typing is excepted."""
+        for module, name in _imports(path):
+            if name and module not in NAMES_ALLOWED:
+                spec = importlib.util.find_spec(f"{module}.{name}")
+                assert spec is not None, f"{module}.{name} is no module"
