--- a/packages/mimosastile-entry/src/mimosastile_entry/_operations.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_operations.py
@@ -10,6 +10,7 @@
 from mimosastile_core import messages
 from mimosastile_core import tables
 from mimosastile_entry import _asgi
+from mimosastile_entry import _inbox
 from mimosastile_entry import _state
 from mimosastile_entry import _wire
 from mimosastile_entry import kernel
@@ -24,13 +25,14 @@
             reached without Starlette's routing.
     """
     state: _state.StateService = kernel.find("state")
+    inbox: _inbox.InboxService = kernel.find("inbox")
 
     async def message(request: requests.Request) -> responses.Response:
         try:
             received = messages.decode(await request.body())
         except msgspec.DecodeError as error:
             return responses.PlainTextResponse(str(error), 400)
-        return _json(messages.encode(state.answer(received)))
+        return _json(messages.encode(inbox.receive(received)))
 
     async def dump(request: requests.Request) -> responses.Response:
         del request
--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -13,6 +13,7 @@
 from mimosastile_core import replica
 from mimosastile_core import tables
 from mimosastile_entry import _fleet
+from mimosastile_entry import _inbox
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
@@ -59,7 +60,7 @@
             vm: Identifier of this VM.
         """
         self.name = "state"
-        self.needs: tuple[str, ...] = ("store", "peers", "fleet")
+        self.needs: tuple[str, ...] = ("store", "peers", "fleet", "inbox")
         self._vm = vm
         self._replica = replica.Replica()
         self._store: ports.StorePort
@@ -84,6 +85,9 @@
         self._store = kernel.find("store")
         self._peers = kernel.find("peers")
         self._fleet = kernel.find("fleet")
+        inbox: _inbox.InboxService = kernel.find("inbox")
+        inbox.handle(messages.Pull, self._answer_pull)
+        inbox.handle(messages.Delta, self._take_delta)
         if not await self._read_all():
             await self.pull_from_peers()
         self._task = asyncio.create_task(self._watch(), name="state-watch")
@@ -117,14 +121,6 @@
             if isinstance(delta, messages.Delta):
                 self._replica.merge(delta)
 
-    def answer(self, message: messages.PeerMessage) -> messages.PeerMessage:
-        """Answers a peer's message about state."""
-        if isinstance(message, messages.Pull):
-            return self._replica.delta(self._vm, message)
-        if isinstance(message, messages.Delta):
-            self._replica.merge(message)
-        return messages.Ack(self._vm)
-
     async def create(self, block: tables.Block) -> None:
         """Writes a block that does not exist yet; losing a race is fine."""
         outcome = await self._store.compare_and_swap(
@@ -177,6 +173,13 @@
             # A lost race or a lost answer: the next read tells which.
         return _failed(errors.ErrorKind.STORE_UNKNOWN, "no try succeeded")
 
+    def _answer_pull(self, pull: messages.Pull) -> messages.Delta:
+        return self._replica.delta(self._vm, pull)
+
+    def _take_delta(self, delta: messages.Delta) -> messages.Ack:
+        self._replica.merge(delta)
+        return messages.Ack(self._vm)
+
     async def _watch(self) -> None:
         while True:
             if not self._synced and not await self._read_all():
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -9,6 +9,7 @@
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
 from mimosastile_entry import _fleet
+from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
 from mimosastile_entry import _listeners
 from mimosastile_entry import _peers_http
@@ -24,18 +25,19 @@
 _PREFIX = "daemon:"
 
 
-def decisions(vm: str) -> list[kernel.Service]:
+def decisions(place: settings.VmSettings) -> list[kernel.Service]:
     """Returns the services that decide; they know nothing of HTTP.
 
     Args:
-        vm: Identifier of the VM.
+        place: Identifier, region and zone of the VM.
     """
     return [
-        _fleet.FleetService(vm),
-        _state.StateService(vm),
-        _keeper.KeeperService(vm),
-        _planner.PlannerService(vm),
-        _router.RouterService(vm),
+        _inbox.InboxService(place.id),
+        _fleet.FleetService(place.id),
+        _state.StateService(place.id),
+        _keeper.KeeperService(place.id),
+        _planner.PlannerService(place.id),
+        _router.RouterService(place.id),
     ]
 
 
@@ -65,7 +67,7 @@
     made = kernel.Kernel()
     for service in (
         *adapters(configured),
-        *decisions(configured.vm.id),
+        *decisions(configured.vm),
         *replaced,
     ):
         made.register(service)
--- a/packages/mimosastile-standins/src/mimosastile_standins/memory.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/memory.py
@@ -137,7 +137,7 @@
         await asyncio.sleep(2 * self._network.latency)
         if peer is None:
             return result.Err(_UNREACHABLE)
-        answer: messages.PeerMessage = peer.find("state").answer(message)
+        answer: messages.PeerMessage = peer.find("inbox").receive(message)
         return result.Ok(answer)
 
     async def forward(self, vm: fleet.Vm, request: ports.Request) -> SendResult:
--- a/packages/mimosastile-standins/src/mimosastile_standins/world.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/world.py
@@ -15,6 +15,7 @@
 from mimosastile_entry import daemon
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
+from mimosastile_entry import settings
 from mimosastile_standins import memory
 from mimosastile_standins import store
 from mimosastile_standins import target
@@ -98,7 +99,7 @@
             self.fleet,
             memory.MemoryTargets(vm, self.network),
             memory.MemoryPeers(vm, self.network),
-            *daemon.decisions(vm),
+            *daemon.decisions(settings.VmSettings(vm, *self._places[vm])),
         ]
         for service in services:
             made.register(service)
