Configuration by patches, with history, conflicts and settled answers

Cause: a configuration could only be written as a whole by hand, and nothing said who changed what. Change: JSON Patch against a numbered base, accepted by one compare-and-swap on the value in force, which carries its own change; the change moves into the history before the next one takes its place. Daemons list tables and configuration only, so that a start does not read the history. The stand-in store's watch no longer loses a cancellation (asyncio.wait_for in Python 3.11 drops one that comes in the moment of a change; the tests hung in their end). Weighed: RFC 7386 cannot test, cannot reach into lists and cannot say null. Conclusion: racing operators, lost, late and missing writes and a death at each write leave each number given once and the history whole.

--- a/packages/mimosastile-core/src/mimosastile_core/config.py
+++ b/packages/mimosastile-core/src/mimosastile_core/config.py
@@ -4,9 +4,11 @@
 `problems` checks what spans several fields.
 """
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 import enum
 from typing import Annotated
+from typing import Any
 
 import msgspec
 import result
@@ -16,6 +18,10 @@
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+VmId = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+ALL = "*"
+"""In a scope: every service or every member."""
 
 
 class Priority(enum.Enum):
@@ -83,6 +89,12 @@
         grant: Times of the grant protocol in seconds.
         routes: Treatment by path; the longest matching prefix wins.
         timeout: Seconds that a request may take when it names no deadline.
+        drains: Targets that operators take out of use: they get no new work
+            and their slices move away, as if the platform listed them as
+            leaving.
+        moves: Key to the target that operators want as its owner; the slice
+            of the key, or a new one of its own, moves there while that target
+            is live and not drained.
     """
 
     key: KeySource | None = None
@@ -95,6 +107,8 @@
     grant: grants.Timing = grants.Timing()
     routes: tuple[Route, ...] = (Route(),)
     timeout: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+    drains: tuple[VmId, ...] = ()
+    moves: dict[str, VmId] = {}
 
 
 class Member(_Strict, frozen=True):
@@ -113,26 +127,88 @@
     rate: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
+class Role(enum.Enum):
+    """What an operator's token allows."""
+
+    READ = "read"
+    PROPOSE = "propose"
+    APPROVE = "approve"
+    OPERATE = "operate"
+
+
+class Operator(_Strict, frozen=True):
+    """A person, team or program that administers some services and members.
+
+    Attributes:
+        tokens: SHA-256 digests, in hex, of its bearer tokens; two while one
+            takes the other's place.
+        roles: What it may do: read; propose (check a patch without applying
+            it); approve (apply patches); operate (apply patches that only
+            drain targets, move keys or clear quarantine).
+        services: Services that its patches may touch; "*" for all.
+        members: Members that its patches may touch; "*" for all.
+    """
+
+    tokens: tuple[Digest, ...] = ()
+    roles: tuple[Role, ...] = (Role.READ,)
+    services: tuple[str, ...] = ()
+    members: tuple[str, ...] = ()
+
+
 class Document(_Strict, frozen=True):
     """The whole configuration.
 
     Attributes:
         services: By name; the name is the first segment of a request's path.
         members: By name.
+        operators: Who administers what, by name; only an operator with all
+            services and all members may change it.
     """
 
     services: dict[Name, Service] = {}
     members: dict[Name, Member] = {}
+    operators: dict[Name, Operator] = {}
 
 
-class Version(msgspec.Struct, frozen=True):
-    """A numbered configuration; numbers only rise."""
+class Change(msgspec.Struct, frozen=True):
+    """How one number came about.
+
+    Attributes:
+        number: The number; the base of the patch is the one before it.
+        id: Identifier of the patch.
+        author: Operator whose token it came with.
+        reason: Why.
+        ticket: Reference into the operators' own tracker, may be empty.
+        time: Seconds since 1970 UTC on the clock of the accepting VM.
+        operations: The operations of the patch, as submitted.
+        paths: JSON pointers to what it changed.
+    """
+
+    number: int
+    id: str
+    author: str
+    reason: str
+    ticket: str
+    time: float
+    operations: tuple[Any, ...]
+    paths: tuple[str, ...]
+
+
+class Version(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A numbered configuration; numbers only rise.
+
+    Attributes:
+        number: The number.
+        document: The configuration.
+        change: What made this number out of the one before; None if it was
+            put into the store without a patch.
+    """
 
     number: int
     document: Document
+    change: Change | None = None
 
 
-_DOCUMENT = msgspec.json.Decoder(Document)
 _VERSION = msgspec.json.Decoder(Version)
 
 
@@ -154,25 +230,121 @@
         key = service.key
         if key and key.place is not KeyPlace.PATH and not key.name:
             yield f"{at}.key.name: missing; name the {key.place.value}"
+        yield from _operation_problems(at, service)
+    yield from _shared_digests(
+        (f"members.{name}.credentials", m.credentials)
+        for name, m in document.members.items()
+    )
+    yield from _operator_problems(document)
+
+
+def _operation_problems(at: str, service: Service) -> Iterator[str]:
+    if service.moves and service.key is None:
+        yield (
+            f"{at}.moves: the service is not divided by key; remove the moves"
+            " or set key"
+        )
+    for key, target in service.moves.items():
+        if target in service.drains:
+            yield (
+                f"{at}.moves.{key}: {target} is drained; name another target"
+                " or end the drain"
+            )
+
+
+def _operator_problems(document: Document) -> Iterator[str]:
+    yield from _shared_digests(
+        (f"operators.{name}.tokens", o.tokens)
+        for name, o in document.operators.items()
+    )
+    for name, operator in document.operators.items():
+        for part, known in (
+            ("services", document.services),
+            ("members", document.members),
+        ):
+            scope: tuple[str, ...] = getattr(operator, part)
+            for unknown in (s for s in scope if s != ALL and s not in known):
+                # Left in place, the scope would apply to whoever gets the
+                # name next.
+                yield (
+                    f"operators.{name}.{part}: no {part[:-1]} {unknown!r};"
+                    f" add it first or take it out of the scope"
+                )
+    if document.operators and not any(
+        is_administrator(o) for o in document.operators.values()
+    ):
+        yield (
+            "operators: nobody could change them any more; keep one with"
+            ' a token, role approve, services ["*"] and members ["*"]'
+        )
+
+
+def is_administrator(operator: Operator) -> bool:
+    """Whether an operator may change everything, operators included."""
+    return (
+        bool(operator.tokens)
+        and Role.APPROVE in operator.roles
+        and ALL in operator.services
+        and ALL in operator.members
+    )
+
+
+def _shared_digests(
+    holders: Iterable[tuple[str, tuple[Digest, ...]]],
+) -> Iterator[str]:
     owners: dict[str, str] = {}
-    for name, member in document.members.items():
-        for digest in member.credentials:
+    for at, digests in holders:
+        for digest in digests:
             if digest in owners:
                 yield (
-                    f"members.{name}.credentials: {digest[:8]}… belongs to"
-                    f" {owners[digest]} already; give each member its own"
+                    f"{at}: {digest[:8]}… belongs to {owners[digest]}"
+                    " already; give each its own"
                 )
-            owners[digest] = name
+            owners[digest] = at
+
+
+_SECTIONS: tuple[tuple[str, Any], ...] = (
+    ("services", Service),
+    ("members", Member),
+    ("operators", Operator),
+)
+
+
+def convert_document(raw: Any) -> result.Result[Document, str]:
+    """Checks a plain JSON document; Err names path and mend."""
+    try:
+        document = msgspec.convert(raw, Document)
+    except msgspec.ValidationError as error:
+        return result.Err("; ".join(_misfits(raw)) or str(error))
+    faults = list(problems(document))
+    return result.Err("; ".join(faults)) if faults else result.Ok(document)
+
+
+def _misfits(raw: Any) -> Iterator[str]:
+    """Yields mistakes of type or bound by section and name.
+
+    The library's own message says `$.services[...]` for every service.
+    """
+    for section, kind in _SECTIONS:
+        part = raw.get(section) if isinstance(raw, dict) else None
+        for name, value in part.items() if isinstance(part, dict) else ():
+            for at, item, wanted in (
+                (f"{section} {name!r}", name, Name),
+                (f"{section}.{name}", value, kind),
+            ):
+                try:
+                    msgspec.convert(item, wanted)
+                except msgspec.ValidationError as error:
+                    text, _, path = str(error).partition(" - at `$")
+                    yield f"{at}{path.rstrip('`')}: {text}"
 
 
 def decode_document(value: bytes) -> result.Result[Document, str]:
     """Decodes and checks a document; Err names path and mend."""
     try:
-        document = _DOCUMENT.decode(value)
+        return convert_document(msgspec.json.decode(value))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return result.Err(str(error))
-    faults = list(problems(document))
-    return result.Err("; ".join(faults)) if faults else result.Ok(document)
 
 
 def decode_version(value: bytes) -> result.Result[Version, str]:
--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -47,7 +47,20 @@
     vm: str
 
 
-PeerMessage = Pull | Delta | Ack
+class NumberRequest(msgspec.Struct, frozen=True, tag="number_request"):
+    """Asks which configuration is in force at a peer."""
+
+    vm: str
+
+
+class NumberReply(msgspec.Struct, frozen=True, tag="number_reply"):
+    """Says which configuration is in force at the sender."""
+
+    vm: str
+    number: int
+
+
+PeerMessage = Pull | Delta | Ack | NumberRequest | NumberReply
 
 _DECODER = msgspec.json.Decoder(PeerMessage)
 
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_archive.py
@@ -0,0 +1,242 @@
+"""The archive service: the configuration's history in the store."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+import result
+
+from mimosastile_core import config
+from mimosastile_core import errors
+from mimosastile_core import history
+from mimosastile_core import patches
+from mimosastile_entry import kernel
+from mimosastile_entry import ports
+
+_MAX_TRIES = 8
+
+Failed = result.Err[errors.Failure]
+
+
+class ArchiveService(kernel.Passive):
+    """Writes changes into the history and reads them back."""
+
+    __slots__ = ("_recorded", "_store")
+
+    def __init__(self) -> None:
+        super().__init__("archive", ("store",))
+        self._store: ports.StorePort
+        self._recorded = 0
+
+    async def start(self, kernel: kernel.Kernel) -> None:
+        """Finds the store."""
+        self._store = kernel.find("store")
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the highest number that this VM has recorded."""
+        return {"recorded": self._recorded}
+
+    async def record(
+        self, version: config.Version
+    ) -> result.Result[None, errors.Failure]:
+        """Makes sure that the change of a version is in the history.
+
+        Called before the version's value is overwritten: a VM that dies in
+        between leaves the change twice, never nowhere. The block is written
+        last, so that whatever it refers to is there.
+
+        Args:
+            version: The version in force.
+        """
+        if version.number == 0:
+            return result.Ok(None)
+        change = history.change_of(version)
+        key = history.block_key(history.block_of(version.number))
+        for _ in range(_MAX_TRIES):
+            read = await self._block(key)
+            if isinstance(read, result.Err):
+                return read
+            block, revision = read.ok_value
+            if block.last >= version.number:
+                self._recorded = max(self._recorded, version.number)
+                return result.Ok(None)
+            ready = await self._prepare(version, change)
+            if isinstance(ready, result.Err):
+                return ready
+            value = history.encode(history.append(block, change))
+            wrote = await self._store.compare_and_swap(key, value, revision)
+            if wrote.is_ok():
+                await self._thin(version.number)
+                self._recorded = max(self._recorded, version.number)
+                return result.Ok(None)
+            # After a lost race or a lost answer the next read tells.
+        return _failed(errors.ErrorKind.STORE_UNKNOWN, "No write succeeded.")
+
+    async def change(
+        self, number: int
+    ) -> result.Result[config.Change | None, errors.Failure]:
+        """Reads one change with its operations; None if there is none."""
+        read = await self._block(history.block_key(history.block_of(number)))
+        if isinstance(read, result.Err):
+            return read
+        for change in read.ok_value[0].changes:
+            if change.number == number:
+                return await self._whole(change)
+        return result.Ok(None)
+
+    async def changes(
+        self, before: int
+    ) -> AsyncIterator[result.Result[config.Change, errors.Failure]]:
+        """Yields changes with lower numbers, newest first.
+
+        Long operations are left out; `change` reads them. Ends after a
+        failure.
+        """
+        for index in range(history.block_of(max(before - 1, 0)), -1, -1):
+            read = await self._block(history.block_key(index))
+            if isinstance(read, result.Err):
+                yield read
+                return
+            for change in reversed(read.ok_value[0].changes):
+                if change.number < before:
+                    yield result.Ok(change)
+
+    async def document(
+        self, number: int
+    ) -> result.Result[config.Document, errors.Failure]:
+        """Rebuilds the document of an earlier number."""
+        found: list[config.Change] = []
+        raw: Any = None
+        for index in range(history.block_of(number), -1, -1):
+            start = index * history.SPAN
+            read = await self._block(history.block_key(index))
+            snapshot = await self._snapshot(index)
+            for outcome in (read, snapshot):
+                if isinstance(outcome, result.Err):
+                    return outcome
+            raw = snapshot.unwrap()
+            found[:0] = [
+                change
+                for change in read.unwrap()[0].changes
+                if change.number <= number
+                and (raw is None or change.number > start)
+            ]
+            whole = bool(found) and found[0].paths == ("",)
+            if raw is not None or whole:
+                break
+        first = number % history.SPAN == 0 and raw is not None
+        reached = bool(found) and found[-1].number == number
+        if number and not first and not reached:
+            return _failed(errors.ErrorKind.NOT_FOUND, f"number {number}")
+        return await self._replay(raw, found)
+
+    async def _replay(
+        self, raw: Any, found: list[config.Change]
+    ) -> result.Result[config.Document, errors.Failure]:
+        whole = []
+        for change in found:
+            read = await self._whole(change)
+            if isinstance(read, result.Err):
+                return read
+            whole.append(read.ok_value)
+        if raw is None:
+            raw = patches.to_raw(config.Document())
+        replayed = history.replay(raw, whole)
+        if isinstance(replayed, result.Err):
+            return _failed(errors.ErrorKind.INTERNAL, replayed.err_value)
+        return replayed
+
+    async def _whole(
+        self, change: config.Change
+    ) -> result.Result[config.Change, errors.Failure]:
+        if change.operations:
+            return result.Ok(change)
+        key = history.operations_key(change.number)
+        read = await self._store.get(key)
+        if isinstance(read, result.Err):
+            return read
+        if read.ok_value is None:
+            return _failed(errors.ErrorKind.INTERNAL, f"{key} is missing")
+        decoded = history.decode_operations(read.ok_value.value)
+        if isinstance(decoded, result.Err):
+            return _failed(errors.ErrorKind.INTERNAL, decoded.err_value)
+        return result.Ok(
+            msgspec.structs.replace(change, operations=decoded.ok_value)
+        )
+
+    async def _prepare(
+        self, version: config.Version, change: config.Change
+    ) -> result.Result[None, errors.Failure]:
+        """Writes what the block will refer to."""
+        if version.number % history.SPAN == 0:
+            key = history.snapshot_key(history.block_of(version.number))
+            raw = patches.to_raw(version.document)
+            wrote = await self._create(key, history.encode_json(raw))
+            if isinstance(wrote, result.Err):
+                return wrote
+        if history.is_long(change):
+            key = history.operations_key(change.number)
+            value = history.encode_json(change.operations)
+            return await self._create(key, value)
+        return result.Ok(None)
+
+    async def _create(
+        self, key: str, value: bytes
+    ) -> result.Result[None, errors.Failure]:
+        """Writes a value that is the same whoever writes it."""
+        outcome = await self._store.compare_and_swap(key, value, 0)
+        if isinstance(outcome, result.Err):
+            failure = outcome.err_value
+            if isinstance(failure, errors.Failure):
+                # An unknown outcome counts as a failure here: the block must
+                # not refer to a value that may be missing.
+                return result.Err(failure)
+        return result.Ok(None)
+
+    async def _thin(self, number: int) -> None:
+        """Empties a snapshot that others make up for.
+
+        Left undone by a crash it costs space and nothing else.
+        """
+        index = history.thinned_by(number)
+        if index is None:
+            return
+        key = history.snapshot_key(index)
+        read = await self._store.get(key)
+        if isinstance(read, result.Ok) and read.ok_value is not None:
+            await self._store.compare_and_swap(
+                key, history.thinned(), read.ok_value.revision
+            )
+
+    async def _block(
+        self, key: str
+    ) -> result.Result[tuple[history.Block, int], errors.Failure]:
+        read = await self._store.get(key)
+        if isinstance(read, result.Err):
+            return read
+        if read.ok_value is None:
+            return result.Ok((history.Block(), 0))
+        decoded = history.decode(read.ok_value.value)
+        if isinstance(decoded, result.Err):
+            return _failed(
+                errors.ErrorKind.INTERNAL, f"{key}: {decoded.err_value}"
+            )
+        return result.Ok((decoded.ok_value, read.ok_value.revision))
+
+    async def _snapshot(self, index: int) -> result.Result[Any, errors.Failure]:
+        key = history.snapshot_key(index)
+        read = await self._store.get(key)
+        if isinstance(read, result.Err):
+            return read
+        if read.ok_value is None:
+            return result.Ok(None)
+        decoded = history.decode_snapshot(read.ok_value.value)
+        if isinstance(decoded, result.Err):
+            return _failed(
+                errors.ErrorKind.INTERNAL, f"{key}: {decoded.err_value}"
+            )
+        return decoded
+
+
+def _failed(kind: errors.ErrorKind, detail: str) -> Failed:
+    return result.Err(errors.Failure(kind, detail))
--- a/packages/mimosastile-entry/src/mimosastile_entry/_clock.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_clock.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from typing import Any
 import uuid
 
@@ -11,7 +12,7 @@
 class LoopClock(kernel.Passive):
     """Takes time from the running loop, so that a virtual loop sets it."""
 
-    __slots__ = ("_random",)
+    __slots__ = ("_random", "_seeded")
 
     def __init__(self, seed: int | None = None) -> None:
         """Makes a clock.
@@ -21,6 +22,7 @@
         """
         super().__init__("clock")
         self._random = random.Random(seed)
+        self._seeded = seed is not None
 
     def dump(self) -> dict[str, Any]:
         """Returns the present loop time."""
@@ -30,6 +32,10 @@
         """Returns the loop's monotonic seconds."""
         return asyncio.get_running_loop().time()
 
+    def wall(self) -> float:
+        """Returns seconds since 1970 UTC; loop time if seeded."""
+        return self.now() if self._seeded else time.time()
+
     def new_id(self) -> str:
         """Returns an identifier that is never used again."""
         return uuid.UUID(int=self._random.getrandbits(128), version=4).hex
--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -23,6 +23,9 @@
 TABLE_PREFIX = "table/"
 """Prefix of the store keys of table blocks."""
 
+CONFIG_PREFIX = "config/"
+"""Prefix of the store keys that all daemons read of the configuration."""
+
 _PREFIX = "state:"
 _WATCH_SECONDS = 20.0
 _RETRY_SECONDS = 0.5
@@ -197,15 +200,19 @@
             self._take(batch.ok_value)
 
     async def _read_all(self) -> bool:
-        batch = await self._store.list("")
-        if isinstance(batch, result.Err):
-            return False
-        self._take(batch.ok_value)
+        # Not everything: the history of years stands in the same store.
+        # Tables first, so that the watch goes on from the older reading.
+        for prefix in (TABLE_PREFIX, CONFIG_PREFIX):
+            batch = await self._store.list(prefix)
+            if isinstance(batch, result.Err):
+                return False
+            self._take(batch.ok_value, resume=prefix == TABLE_PREFIX)
         self._synced = True
         return True
 
-    def _take(self, batch: ports.WatchBatch) -> None:
-        self._revision = max(self._revision, batch.revision)
+    def _take(self, batch: ports.WatchBatch, resume: bool = True) -> None:
+        if resume:
+            self._revision = max(self._revision, batch.revision)
         blocks = []
         for entry in batch.entries:
             if entry.key == CONFIG_KEY:
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -6,8 +6,10 @@
 
 from absl import logging
 
+from mimosastile_entry import _archive
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
+from mimosastile_entry import _configuration
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
@@ -38,6 +40,8 @@
         _keeper.KeeperService(place.id),
         _planner.PlannerService(place.id),
         _router.RouterService(place.id),
+        _archive.ArchiveService(),
+        _configuration.ConfigurationService(place.id),
     ]
 
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/ports.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/ports.py
@@ -245,6 +245,9 @@
     def now(self) -> float:
         """Returns monotonic seconds."""
 
+    def wall(self) -> float:
+        """Returns seconds since 1970 UTC, for records alone; it may jump."""
+
     def new_id(self) -> str:
         """Returns an identifier that is never used again."""
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/store.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/store.py
@@ -94,8 +94,11 @@
             left = end - asyncio.get_running_loop().time()
             if left <= 0 or self.down:
                 break
+            # Not `wait_for`: in Python 3.11 it loses a cancellation that comes
+            # in the moment of a change, and the watcher then never ends.
             try:
-                await asyncio.wait_for(self._changed.wait(), left)
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
             except TimeoutError:
                 break
         return result.Err(_UNAVAILABLE) if self.down else result.Ok(batch)
