--- a/packages/mimosastile-standins/src/mimosastile_standins/memory.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/memory.py
@@ -1,12 +1,15 @@
-"""Targets and peers in memory, over a network that can be cut.
+"""A daemon's adapters in memory, over a network with faults.
 
-The adapters have the same interface as those over HTTP, so that the daemon's
-services run unchanged under virtual time.
+They have the same interface as those over HTTP, so that the daemon's services
+run unchanged under virtual time. Each daemon has its own, which know its
+process: a paused process sends nothing, and what it has sent before arrives.
 """
 
 import asyncio
 from collections.abc import AsyncIterator
-import itertools
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
 
 import result
 
@@ -17,70 +20,166 @@
 from mimosastile_core import messages
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
+from mimosastile_standins import network
+from mimosastile_standins import store
 from mimosastile_standins import target
+from mimosastile_standins import vms
 
+_T = TypeVar("_T")
 SendResult = result.Result[ports.Response, errors.Failure]
 _UNREACHABLE = errors.Failure(errors.ErrorKind.UNREACHABLE)
 _LOST = errors.Failure(errors.ErrorKind.ANSWER_LOST)
+_DOWN = errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
+_UNKNOWN = errors.Failure(errors.ErrorKind.STORE_UNKNOWN)
+_CALL_SECONDS = 1.0
+_ERROR_HEADER = "x-mimosastile-error"
 
 
-class Network:
-    """Who can reach whom, and how long it takes.
+class Sites:
+    """Everything that the adapters can reach.
 
     Attributes:
-        latency: Seconds one way between any two places.
+        network: Who can reach whom.
+        store: The key-value service.
+        fleet: The list of VMs.
         targets: The stand-in targets by VM.
-        daemons: The kernels of running entry VMs by VM.
+        processes: The running daemons by VM.
     """
 
-    __slots__ = ("_cuts", "daemons", "latency", "targets")
+    __slots__ = ("fleet", "network", "processes", "store", "targets")
 
-    def __init__(self, latency: float = 0.0005) -> None:
-        self.latency = latency
+    def __init__(
+        self,
+        between: network.Network,
+        kept: store.MemoryStore,
+        listed: vms.MemoryFleet,
+    ) -> None:
+        self.network = between
+        self.store = kept
+        self.fleet = listed
         self.targets: dict[str, target.Target] = {}
-        self.daemons: dict[str, kernel.Kernel] = {}
-        self._cuts: set[frozenset[str]] = set()
+        self.processes: dict[str, network.Process] = {}
+
+
+class _Adapter(kernel.Passive):
+    """Base: the sites and the process that calls."""
+
+    __slots__ = ("_process", "_sites")
+
+    def __init__(
+        self, name: str, sites: Sites, process: network.Process
+    ) -> None:
+        super().__init__(name)
+        self._sites = sites
+        self._process = process
+
+    async def _round_trip(
+        self, receiver: str, work: Coroutine[Any, Any, _T]
+    ) -> _T:
+        """Carries a call there, runs it and carries the answer back.
+
+        The work goes on if the caller gives up: what has left arrives.
+        """
+        try:
+            await self._process.gate()
+            await self._sites.network.cross(self._process.vm, receiver)
+        except asyncio.CancelledError:
+            work.close()
+            raise
+        done = await asyncio.shield(asyncio.ensure_future(work))
+        await self._sites.network.cross(receiver, self._process.vm)
+        await self._process.gate()
+        return done
+
+
+class MemoryStorePort(_Adapter):
+    """A daemon's way to the key-value service."""
+
+    __slots__ = ()
+
+    def __init__(self, sites: Sites, process: network.Process) -> None:
+        super().__init__("store", sites, process)
 
-    def cut(self, group: set[str], others: set[str]) -> None:
-        """Separates two groups of VMs."""
-        self._cuts |= {
-            frozenset(pair) for pair in itertools.product(group, others)
-        }
+    async def get(
+        self, key: str
+    ) -> result.Result[ports.Entry | None, errors.Failure]:
+        """Reads one key."""
+        return await self._read(self._sites.store.get(key))
 
-    def heal(self) -> None:
-        """Joins everything again."""
-        self._cuts.clear()
+    async def list(
+        self, prefix: str
+    ) -> result.Result[ports.WatchBatch, errors.Failure]:
+        """Reads all keys with a prefix."""
+        return await self._read(self._sites.store.list(prefix))
 
-    def reaches(self, sender: str, receiver: str) -> bool:
-        """Whether a message from one VM arrives at another."""
-        return frozenset((sender, receiver)) not in self._cuts
+    async def watch(
+        self, prefix: str, revision: int, wait: float
+    ) -> result.Result[ports.WatchBatch, errors.Failure]:
+        """Waits for a change under a prefix after a revision."""
+        work = self._sites.store.watch(prefix, revision, wait)
+        return await self._read(work, wait)
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, revision: int
+    ) -> result.Result[int, errors.Failure | ports.Conflict]:
+        """Writes a key if its revision is the expected one."""
+        work = self._sites.store.compare_and_swap(key, value, revision)
+        try:
+            async with asyncio.timeout(_CALL_SECONDS):
+                return await self._round_trip(network.STORE, work)
+        except TimeoutError:
+            return result.Err(_UNKNOWN)
+
+    async def _read(
+        self,
+        work: Coroutine[Any, Any, result.Result[_T, errors.Failure]],
+        wait: float = 0.0,
+    ) -> result.Result[_T, errors.Failure]:
+        try:
+            async with asyncio.timeout(_CALL_SECONDS + wait):
+                return await self._round_trip(network.STORE, work)
+        except TimeoutError:
+            return result.Err(_DOWN)
+
+
+class MemoryFleetPort(_Adapter):
+    """A daemon's way to the list of VMs."""
+
+    __slots__ = ()
+
+    def __init__(self, sites: Sites, process: network.Process) -> None:
+        super().__init__("fleet_port", sites, process)
+
+    async def vms(
+        self,
+    ) -> result.Result[tuple[fleet.Vm, ...], errors.Failure]:
+        """Reads the list."""
+        try:
+            async with asyncio.timeout(_CALL_SECONDS):
+                work = self._sites.fleet.vms()
+                return await self._round_trip(network.FLEET, work)
+        except TimeoutError:
+            return result.Err(_DOWN)
 
 
-class MemoryTargets(kernel.Passive):
-    """Sends grants and requests to stand-in targets."""
+class MemoryTargets(_Adapter):
+    """A daemon's way to targets."""
 
-    __slots__ = ("_network", "_vm")
+    __slots__ = ()
 
-    def __init__(self, vm: str, network: Network) -> None:
-        super().__init__("targets")
-        self._vm = vm
-        self._network = network
+    def __init__(self, sites: Sites, process: network.Process) -> None:
+        super().__init__("targets", sites, process)
 
     async def grant(
         self, vm: fleet.Vm, grant: grants.Grant, timeout: float
     ) -> result.Result[grants.GrantReply, errors.Failure]:
         """Sends a grant and waits for the reply."""
-        run = self._network.targets.get(vm.id)
+        run = self._sites.targets.get(vm.id)
+        if run is None:
+            return result.Err(_UNREACHABLE)
         try:
             async with asyncio.timeout(timeout):
-                await self._cross(vm.id)
-                if run is None:
-                    return result.Err(_UNREACHABLE)
-                # Arrives even if the keeper no longer waits for the answer.
-                reply = await asyncio.shield(
-                    asyncio.ensure_future(run.grant(grant))
-                )
-                await self._cross(vm.id)
+                reply = await self._round_trip(vm.id, run.grant(grant))
                 return result.Ok(reply)
         except (TimeoutError, target.CrashedError):
             return result.Err(_LOST)
@@ -92,60 +191,81 @@
         fence: holder.RequestFence | None,
     ) -> SendResult:
         """Sends a request once."""
-        run = self._network.targets.get(vm.id)
+        run = self._sites.targets.get(vm.id)
         if run is None or run.crashed:
             return result.Err(_UNREACHABLE)
-        left = request.deadline - asyncio.get_running_loop().time()
+        left = request.deadline - self._process.now()
+        work = run.handle(
+            request.method, request.path, request.request_id, fence
+        )
         try:
             async with asyncio.timeout(left):
-                await self._cross(vm.id)
-                work = run.handle(
-                    request.method, request.path, request.request_id, fence
-                )
-                outcome = await asyncio.shield(asyncio.ensure_future(work))
-                await self._cross(vm.id)
+                outcome = await self._round_trip(vm.id, work)
         except (TimeoutError, target.CrashedError):
             return result.Err(_LOST)
         if outcome.refused is not None:
             return result.Err(errors.Failure(outcome.refused))
         return result.Ok(ports.Response(200, (), _once(outcome.body)))
 
-    async def _cross(self, receiver: str) -> None:
-        await asyncio.sleep(self._network.latency)
-        if not self._network.reaches(self._vm, receiver):
-            await asyncio.Event().wait()
-
 
-class MemoryPeers(kernel.Passive):
-    """Sends messages and forwarded requests to other kernels."""
+class MemoryPeers(_Adapter):
+    """A daemon's way to other daemons."""
 
-    __slots__ = ("_network", "_vm")
+    __slots__ = ()
 
-    def __init__(self, vm: str, network: Network) -> None:
-        super().__init__("peers")
-        self._vm = vm
-        self._network = network
+    def __init__(self, sites: Sites, process: network.Process) -> None:
+        super().__init__("peers", sites, process)
 
     async def call(
         self, vm: fleet.Vm, message: messages.PeerMessage, timeout: float
     ) -> result.Result[messages.PeerMessage, errors.Failure]:
         """Sends a message and returns the peer's reply."""
-        peer = self._network.daemons.get(vm.id)
-        if not self._network.reaches(self._vm, vm.id):
-            await asyncio.sleep(timeout)
-            return result.Err(_LOST)
-        await asyncio.sleep(2 * self._network.latency)
-        if peer is None:
+        peer = self._sites.processes.get(vm.id)
+        if peer is None or peer.kernel is None:
             return result.Err(_UNREACHABLE)
-        answer: messages.PeerMessage = peer.find("inbox").receive(message)
-        return result.Ok(answer)
+        try:
+            async with asyncio.timeout(timeout):
+                work = self._receive(peer, peer.kernel, message)
+                return result.Ok(await self._round_trip(vm.id, work))
+        except TimeoutError:
+            return result.Err(_LOST)
 
     async def forward(self, vm: fleet.Vm, request: ports.Request) -> SendResult:
         """Passes a request to the keeper of its target."""
-        peer = self._network.daemons.get(vm.id)
-        if peer is None or not self._network.reaches(self._vm, vm.id):
+        peer = self._sites.processes.get(vm.id)
+        if peer is None or peer.kernel is None:
             return result.Err(_UNREACHABLE)
-        await asyncio.sleep(self._network.latency)
+        left = request.deadline - self._process.now()
+        try:
+            async with asyncio.timeout(left):
+                work = self._handle(peer, peer.kernel, request)
+                response = await self._round_trip(vm.id, work)
+        except TimeoutError:
+            return result.Err(_LOST)
+        named = dict(response.headers).get(_ERROR_HEADER)
+        if named is not None:
+            await response.close()
+            return result.Err(errors.Failure(errors.ErrorKind(named)))
+        return result.Ok(response)
+
+    async def _receive(
+        self,
+        peer: network.Process,
+        there: kernel.Kernel,
+        message: messages.PeerMessage,
+    ) -> messages.PeerMessage:
+        await peer.gate()
+        answer: messages.PeerMessage = there.find("inbox").receive(message)
+        await peer.gate()
+        return answer
+
+    async def _handle(
+        self,
+        peer: network.Process,
+        there: kernel.Kernel,
+        request: ports.Request,
+    ) -> ports.Response:
+        await peer.gate()
         inner = ports.Request(
             request.method,
             request.path,
@@ -159,13 +279,9 @@
             True,
             request.target,
         )
-        response: ports.Response = await peer.find("router").handle(inner)
-        await asyncio.sleep(self._network.latency)
-        named = dict(response.headers).get("x-mimosastile-error")
-        if named is not None:
-            await response.close()
-            return result.Err(errors.Failure(errors.ErrorKind(named)))
-        return result.Ok(response)
+        response: ports.Response = await there.find("router").handle(inner)
+        await peer.gate()
+        return response
 
 
 async def _once(body: bytes) -> AsyncIterator[bytes]:
--- a/packages/mimosastile-standins/src/mimosastile_standins/store.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/store.py
@@ -21,6 +21,9 @@
         down: Whether every call fails without effect.
         lost_answers: How many of the next writes take effect although the
             caller is told nothing.
+        late_writes: How many of the next writes are told nothing of and take
+            effect `late_seconds` later, if the revision still fits then.
+        late_seconds: How much later.
         calls: Calls by kind; a waiting watch counts as one.
     """
 
@@ -30,6 +33,8 @@
         "_revision",
         "calls",
         "down",
+        "late_seconds",
+        "late_writes",
         "latency",
         "lost_answers",
     )
@@ -39,6 +44,8 @@
         self.latency = latency
         self.down = False
         self.lost_answers = 0
+        self.late_writes = 0
+        self.late_seconds = 1.0
         self.calls: collections.Counter[str] = collections.Counter()
         self._entries: dict[str, ports.Entry] = {}
         self._revision = 0
@@ -71,17 +78,17 @@
         """Writes a key if its revision is the expected one."""
         if not await self._answers("compare_and_swap"):
             return result.Err(_UNAVAILABLE)
-        current = self._entries.get(key)
-        if (current.revision if current else 0) != revision:
-            return result.Err(ports.Conflict(current))
-        self._revision += 1
-        self._entries[key] = ports.Entry(key, value, self._revision)
-        self._changed.set()
-        self._changed = asyncio.Event()
-        if self.lost_answers > 0:
+        if self.late_writes > 0:
+            self.late_writes -= 1
+            asyncio.get_running_loop().call_later(
+                self.late_seconds, self._swap, key, value, revision
+            )
+            return result.Err(_UNKNOWN)
+        swapped = self._swap(key, value, revision)
+        if swapped.is_ok() and self.lost_answers > 0:
             self.lost_answers -= 1
             return result.Err(_UNKNOWN)
-        return result.Ok(self._revision)
+        return swapped
 
     async def watch(
         self, prefix: str, revision: int, wait: float
@@ -110,6 +117,18 @@
         """Answers again, with everything that was stored."""
         self.down = False
 
+    def _swap(
+        self, key: str, value: bytes, revision: int
+    ) -> result.Result[int, errors.Failure | ports.Conflict]:
+        current = self._entries.get(key)
+        if (current.revision if current else 0) != revision:
+            return result.Err(ports.Conflict(current))
+        self._revision += 1
+        self._entries[key] = ports.Entry(key, value, self._revision)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return result.Ok(self._revision)
+
     def _since(self, prefix: str, revision: int) -> ports.WatchBatch:
         newer = tuple(
             e
--- a/packages/mimosastile-standins/src/mimosastile_standins/target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import json
 from typing import Any
 
@@ -21,6 +22,7 @@
         method: HTTP method.
         path: Path of the request.
         position: Hash of its key, None if it came without an order.
+        fence: Fence under which it came, 0 without an order.
         began: Loop time at which the run began.
     """
 
@@ -29,6 +31,7 @@
     method: str
     path: str
     position: int | None
+    fence: int
     began: float
 
 
@@ -41,6 +44,8 @@
 
 # The property `holder` hides the module of that name inside the class.
 RequestFence = holder.RequestFence
+HeldSlice = grants.HeldSlice
+_NEVER_EXPIRED = 0.0
 
 
 class CrashedError(Exception):
@@ -55,7 +60,9 @@
         service_time: Seconds that a request takes.
         draining: Whether it refuses new work.
         checks_orders: Whether it refuses requests without a valid grant.
+        checks_expiry: Whether it refuses requests once its grant has run out.
         executions: Every run, in order.
+        observer: Told of every run as it begins, None for nobody.
     """
 
     __slots__ = (
@@ -65,10 +72,12 @@
         "_crashed",
         "_holder",
         "_incarnations",
+        "checks_expiry",
         "checks_orders",
         "draining",
         "executions",
         "id",
+        "observer",
         "service_time",
     )
 
@@ -92,6 +101,8 @@
         self.service_time = service_time
         self.draining = False
         self.checks_orders = checks_orders
+        self.checks_expiry = checks_orders
+        self.observer: Callable[[Execution], None] | None = None
         self.executions: list[Execution] = []
         self._clock_offset = clock_offset
         self._incarnations = 0
@@ -161,7 +172,7 @@
             return Outcome(errors.ErrorKind.DRAINING)
         checked = fence if self.checks_orders else None
         if checked is not None:
-            refused = self._holder.check(checked, self.now())
+            refused = self._holder.check(checked, self._checked_at())
             if refused is not None:
                 return Outcome(refused)
             self._holder.begin(checked)
@@ -179,10 +190,18 @@
         fence: RequestFence | None,
     ) -> Outcome:
         began = asyncio.get_running_loop().time()
-        position = fence.position if fence else None
-        self.executions.append(
-            Execution(self.id, request_id, method, path, position, began)
+        run = Execution(
+            target=self.id,
+            request_id=request_id,
+            method=method,
+            path=path,
+            position=fence.position if fence else None,
+            fence=fence.fence if fence else 0,
+            began=began,
         )
+        self.executions.append(run)
+        if self.observer is not None:
+            self.observer(run)
         self._counts[path] += method != "GET"
         await asyncio.sleep(self.service_time)
         await self._run()
@@ -194,6 +213,16 @@
         }
         return Outcome(None, json.dumps(answer).encode())
 
+    def served(self) -> list[HeldSlice]:
+        """Returns the slices whose requests this target would run now."""
+        if self._crashed or not self.checks_orders:
+            return []
+        return [s for _, s in self._holder.owned(self._checked_at())]
+
+    def _checked_at(self) -> float:
+        # A target that does not check the expiry believes its grant for ever.
+        return self.now() if self.checks_expiry else _NEVER_EXPIRED
+
     async def _run(self) -> None:
         await self._alive.wait()
         if self._crashed:
