Scenario language, oracle and fuzz in virtual time

Cause: the promises were tried one by one in tests that knew the code. Change: scenarios in TOML with a closed list of verbs, run over the daemons' own services; one oracle that looks from outside at runs, holdings, numbers and answers; a fuzz that draws scenarios from the same verbs and shrinks what it finds to a file. Conclusion: every later change is judged by the same oracle.

--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import contextlib
+import pathlib
+import sys
 
 from absl import logging
 import fire
 
+from mimosastile_standins import _scenarios
 from mimosastile_standins import demo as demo_module
+from mimosastile_standins import fuzzing
 
 _DEMO_SECONDS = 6.0
 
@@ -28,6 +32,37 @@
         with contextlib.suppress(KeyboardInterrupt):
             asyncio.run(demo_module.run(float(seconds), keep))
 
+    def scenario(
+        self, *files: str, seed: int | None = None, trace: bool = False
+    ) -> None:
+        """Runs scenarios in virtual time and prints the oracle's verdicts.
+
+        Args:
+            *files: Scenario files.
+            seed: Replaces the scenarios' own seeds.
+            trace: Prints what was done, step by step.
+        """
+        logging.set_verbosity(logging.ERROR)
+        sys.exit(_scenarios.report(files, seed, trace))
+
+    def fuzz(
+        self,
+        seeds: int = 20,
+        first: int = 0,
+        examples: int = 20,
+        out: str = "scenarios/found",
+    ) -> None:
+        """Looks for scenarios that break a promise and shrinks them.
+
+        Args:
+            seeds: How many seeds to try.
+            first: The first seed.
+            examples: Scenarios tried for each seed.
+            out: Folder for the scenarios found.
+        """
+        logging.set_verbosity(logging.ERROR)
+        sys.exit(fuzzing.search(first, seeds, examples, pathlib.Path(out)))
+
 
 if __name__ == "__main__":
     fire.Fire(Commands(), name="mimosastile_standins")
--- /dev/null
+++ b/packages/mimosastile-standins/src/mimosastile_standins/runner.py
@@ -0,0 +1,555 @@
+"""Runs a scenario in virtual time and reports the oracle's verdict."""
+
+import asyncio
+import collections
+from collections.abc import Coroutine
+import functools
+import random
+from typing import Any
+
+import msgspec
+
+from mimosastile_core import config
+from mimosastile_core import fleet
+from mimosastile_core import keys
+from mimosastile_standins import deployments
+from mimosastile_standins import network
+from mimosastile_standins import oracle
+from mimosastile_standins import scenario
+from mimosastile_standins import target
+from mimosastile_standins import virtual
+from mimosastile_standins import world
+
+_TICK_SECONDS = 0.02
+_COOL_SECONDS = 6.0
+_CALL_SECONDS = 4.0
+_NEVER = float("inf")
+_RESEND_SECONDS = 0.5
+
+
+class Measures(msgspec.Struct, frozen=True):
+    """The three measures, and what callers saw.
+
+    Attributes:
+        imbalance: Most slices on a target divided by the mean.
+        churn: Slices that changed owner divided by all slices.
+        unavailable: Longest time in seconds without a good answer for a key
+            that was asked for, over all keys.
+        unavailable_p99: The same, 99 of 100 keys.
+        sent: Requests sent.
+        failed: Requests not answered as asked.
+        p99: Seconds to the answer, 99 of 100 good ones.
+        store_calls: Store calls a second.
+    """
+
+    imbalance: float
+    churn: float
+    unavailable: float
+    unavailable_p99: float
+    sent: int
+    failed: int
+    p99: float
+    store_calls: float
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What a run showed.
+
+    Attributes:
+        title: Title of the scenario.
+        violations: Broken promises.
+        missed: Expectations that did not hold.
+        measures: The measures.
+        trace: What was done, if a trace was asked for.
+    """
+
+    title: str
+    violations: tuple[oracle.Violation, ...]
+    missed: tuple[str, ...]
+    measures: Measures
+    trace: tuple[str, ...]
+
+    @property
+    def good(self) -> bool:
+        """Whether every promise and every expectation held."""
+        return not self.violations and not self.missed
+
+
+def run(story: scenario.Scenario, seed: int | None = None) -> Verdict:
+    """Runs a scenario.
+
+    Args:
+        story: The scenario.
+        seed: Replaces the scenario's own seed.
+    """
+    number = story.seed if seed is None else seed
+    return virtual.run(_Run(story, number).play())
+
+
+class _Run:
+    """One run of a scenario."""
+
+    __slots__ = (
+        "_began",
+        "_calls_before",
+        "_checked",
+        "_deployment",
+        "_frozen",
+        "_keyed",
+        "_load",
+        "_missed",
+        "_number",
+        "_oracle",
+        "_owners",
+        "_random",
+        "_services",
+        "_story",
+        "_tasks",
+        "_trace",
+        "_world",
+    )
+
+    def __init__(self, story: scenario.Scenario, seed: int) -> None:
+        self._story = story
+        self._random = random.Random(seed)
+        self._deployment = deployments.DEPLOYMENTS[story.deployment]
+        between = network.Network(
+            self._deployment.in_zone,
+            self._deployment.between_zones,
+            self._deployment.between_regions,
+        )
+        self._world = world.World(seed, between)
+        self._oracle = oracle.Oracle(self._world, self._now)
+        self._load = scenario.Load(at=0.0)
+        self._services = sorted(self._deployment.backends)
+        self._keyed = next(
+            name
+            for name, backend in self._deployment.backends.items()
+            if backend.service.key is not None
+        )
+        self._owners: dict[int, str] = {}
+        self._frozen: set[str] = set()
+        self._missed: list[str] = []
+        self._trace: list[str] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._began = 0.0
+        self._calls_before = 0
+        self._checked = 0
+        self._number = 1
+
+    async def play(self) -> Verdict:
+        """Plays the whole story."""
+        await self._world.deploy(self._deployment)
+        for run_ in self._world.targets.values():
+            self._oracle.watch(run_)
+        self._began = virtual.now()
+        self._calls_before = self._world.store.calls.total()
+        self._owners = self._slice_owners()
+        background = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self._send()),
+        ]
+        for step in self._story.steps:
+            await asyncio.sleep(max(0.0, step.at - self._now()))
+            self._note(f"{step}")
+            await self._apply(step)
+        await asyncio.sleep(max(0.0, self._story.seconds - self._now()))
+        background[1].cancel()
+        await asyncio.sleep(_COOL_SECONDS)
+        background[0].cancel()
+        for task in background:
+            self._raise(task)
+        self._oracle.finish()
+        return self._verdict()
+
+    def _now(self) -> float:
+        return virtual.now() - self._began
+
+    def _note(self, line: str) -> None:
+        self._trace.append(f"{self._now():8.3f} {line}")
+
+    @staticmethod
+    def _raise(task: asyncio.Task[None]) -> None:
+        if task.done() and not task.cancelled():
+            task.result()
+
+    async def _tick(self) -> None:
+        while True:
+            self._oracle.tick()
+            await asyncio.sleep(_TICK_SECONDS)
+
+    # Load.
+
+    async def _send(self) -> None:
+        for number in range(1 << 30):
+            rate = self._load.rate
+            if rate <= 0:
+                await asyncio.sleep(_TICK_SECONDS)
+                continue
+            await asyncio.sleep(self._random.expovariate(rate))
+            entries = sorted(self._world.daemons)
+            if entries:
+                self.spawn(self._call(number, self._random.choice(entries)))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs something beside the story."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _call(self, number: int, entry: str) -> None:
+        service = self._random.choice((self._keyed, *self._services))
+        key = f"k{self._random.randrange(self._load.keys)}"
+        method = "POST" if self._random.random() < self._load.writes else "GET"
+        path, request_id = f"/{service}/{key}", f"r{number}"
+        began = virtual.now()
+        status, body = await self._world.call(
+            entry, method, path, request_id, _CALL_SECONDS
+        )
+        keyed = key if service == self._keyed else ""
+        record = oracle.CallRecord(
+            request_id,
+            method,
+            path,
+            keyed,
+            began,
+            virtual.now(),
+            status,
+            body,
+        )
+        self._oracle.call_ended(record)
+        if not record.good:
+            self._note(f"{entry} {method} {path}: {status} {body!r}")
+
+    async def send_deadly(self, step: scenario.Deadly) -> None:
+        """Sends a deadly request again and again, as its caller would."""
+        path = f"/{self._keyed}/{step.key}{target.DEADLY}"
+        for _ in range(step.times):
+            entry = self._random.choice(sorted(self._world.daemons))
+            status, body = await self._world.call(entry, "POST", path)
+            self._note(f"{entry} {path}: {status} {body!r}")
+            crashed = [r for r in self._world.targets.values() if r.crashed]
+            for run_ in crashed if step.restart else ():
+                run_.restart()
+            await asyncio.sleep(_RESEND_SECONDS)
+
+    # Verbs.
+
+    async def _apply(self, step: scenario.Verb) -> None:
+        await _do(step, self)
+
+    def resolve(self, name: str) -> str:
+        """Returns the VM that `owner:KEY` or `keeper:KEY` names now."""
+        kind, _, key = name.partition(":")
+        if not key:
+            return name
+        position = keys.key_hash(key)
+        for block in self._world.blocks(self._keyed):
+            for piece in block.slices:
+                if piece.first <= position <= piece.last:
+                    if kind == "owner":
+                        return piece.owner
+                    return block.keepers[piece.owner].vm
+        return name
+
+    @property
+    def world(self) -> world.World:
+        """The world of this run."""
+        return self._world
+
+    @property
+    def oracle(self) -> oracle.Oracle:
+        """The oracle of this run."""
+        return self._oracle
+
+    @property
+    def frozen(self) -> set[str]:
+        """VMs that are frozen now."""
+        return self._frozen
+
+    def set_load(self, load: scenario.Load) -> None:
+        """Changes what callers send."""
+        self._load = load
+
+    async def configure(self, member: str) -> None:
+        """Stores the next configuration, with one more member."""
+        self._number += 1
+        document = self._deployment.document()
+        members = document.members | {member: config.Member()}
+        await self._world.configure(
+            msgspec.structs.replace(document, members=members), self._number
+        )
+
+    def check(self, expected: scenario.Expect) -> None:
+        """Notes every expectation that does not hold."""
+        calls = self._oracle.calls[self._checked :]
+        self._checked = len(self._oracle.calls)
+        failed = sum(not record.good for record in calls)
+        self._expect(
+            expected.failed is None or failed <= expected.failed,
+            f"{failed} requests failed, allowed are {expected.failed}",
+        )
+        for key, changed in (
+            (expected.owner_changed, True),
+            (expected.owner_kept, False),
+        ):
+            if key:
+                self._check_owner(key, changed)
+        if expected.in_force:
+            self._check_in_force()
+        if expected.settled:
+            self._expect(
+                self._world.is_settled(self._keyed),
+                "an owner does not hold its slices",
+            )
+        self._check_limits(expected)
+
+    def _check_owner(self, key: str, changed: bool) -> None:
+        position = keys.key_hash(key)
+        before = _covering(self._owners, position)
+        now = _covering(self._slice_owners(), position)
+        self._expect(
+            bool(now) and (now != before) is changed,
+            f"owner of {key} was {before} and is {now}",
+        )
+
+    def _check_in_force(self) -> None:
+        behind = [
+            vm
+            for vm, made in self._world.daemons.items()
+            if made.find("state").replica.config.number != self._number
+        ]
+        self._expect(not behind, f"{self._number} is not in force on {behind}")
+
+    def _check_limits(self, expected: scenario.Expect) -> None:
+        if expected.unavailable is not None:
+            longest = max(self._gaps().values(), default=0.0)
+            self._expect(
+                longest <= expected.unavailable,
+                f"a key was unavailable for {longest:.2f} s",
+            )
+        if expected.deaths is not None:
+            deaths = sum(r.deaths for r in self._world.targets.values())
+            self._expect(
+                deaths <= expected.deaths, f"{deaths} targets were crashed"
+            )
+        if expected.store_calls is not None:
+            rate = self._store_rate()
+            self._expect(
+                rate <= expected.store_calls, f"{rate:.1f} store calls a second"
+            )
+
+    def _expect(self, held: bool, otherwise: str) -> None:
+        if not held:
+            self._missed.append(f"{self._now():.1f} s: {otherwise}")
+
+    # Measures.
+
+    def _slice_owners(self) -> dict[int, str]:
+        return {
+            s.first: s.owner
+            for b in self._world.blocks(self._keyed)
+            for s in b.slices
+        }
+
+    def _fair_share(self, owners: dict[int, str]) -> float:
+        """Returns the slices of each target that may own some, evenly dealt."""
+        listed = self._world.fleet.read(virtual.now())
+        usable = sum(
+            vm.service == self._keyed
+            and vm.state is fleet.VmState.LIVE
+            and not self._world.targets[vm.id].crashed
+            for vm in listed
+        )
+        return len(owners) / max(1, usable)
+
+    def _store_rate(self) -> float:
+        calls = self._world.store.calls.total() - self._calls_before
+        return calls / max(self._now(), 1e-9)
+
+    def _gaps(self) -> dict[str, float]:
+        """Returns the longest time of each key without a good answer.
+
+        For each request: from its sending to the first good answer that a
+        request sent then or later got, or to now if there was none.
+        """
+        gaps: dict[str, float] = collections.defaultdict(float)
+        answered: dict[str, float] = {}
+        keyed = (r for r in self._oracle.calls if r.key)
+        for record in sorted(keyed, key=lambda r: r.began, reverse=True):
+            key = record.key
+            if record.good:
+                answered[key] = min(answered.get(key, _NEVER), record.ended)
+            end = answered.get(key, virtual.now())
+            gaps[key] = max(gaps[key], end - record.began)
+        return gaps
+
+    def _verdict(self) -> Verdict:
+        owners = self._slice_owners()
+        counts = collections.Counter(owners.values())
+        calls = self._oracle.calls
+        gaps = sorted(self._gaps().values())
+        good = sorted(r.ended - r.began for r in calls if r.good)
+        moved = sum(owners[at] != self._owners.get(at) for at in owners)
+        return Verdict(
+            title=self._story.title,
+            violations=tuple(self._oracle.violations),
+            missed=tuple(self._missed),
+            measures=Measures(
+                imbalance=max(counts.values()) / self._fair_share(owners),
+                churn=moved / len(owners),
+                unavailable=_percentile(gaps, 1.0),
+                unavailable_p99=_percentile(gaps, 0.99),
+                sent=len(calls),
+                failed=sum(not r.good for r in calls),
+                p99=_percentile(good, 0.99),
+                store_calls=self._store_rate(),
+            ),
+            trace=tuple(self._trace),
+        )
+
+
+def _percentile(ordered: list[float], share: float) -> float:
+    if not ordered:
+        return 0.0
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
+
+
+def _covering(owners: dict[int, str], position: int) -> str:
+    first = max((f for f in owners if f <= position), default=None)
+    return owners[first] if first is not None else ""
+
+
+@functools.singledispatch
+async def _do(step: scenario.Step, run: _Run) -> None:
+    """Carries out one verb."""
+    raise TypeError(f"no such verb: {step!r}")
+
+
+@_do.register
+async def _(step: scenario.Start, run: _Run) -> None:
+    if step.vm in run.world.targets:
+        run.world.targets[step.vm].restart()
+    elif step.vm not in run.world.daemons:
+        await run.world.start_daemon(step.vm)
+
+
+@_do.register
+async def _(step: scenario.Stop, run: _Run) -> None:
+    if step.vm in run.world.daemons:
+        await run.world.stop_daemon(step.vm)
+
+
+@_do.register
+async def _(step: scenario.Crash, run: _Run) -> None:
+    vm = run.resolve(step.vm)
+    if vm in run.world.targets:
+        run.world.targets[vm].crash()
+    elif vm in run.world.daemons:
+        run.world.kill_daemon(vm)
+
+
+@_do.register
+async def _(step: scenario.Freeze, run: _Run) -> None:
+    vm = run.resolve(step.vm)
+    run.frozen.add(vm)
+    if vm in run.world.targets:
+        run.world.targets[vm].freeze()
+    elif vm in run.world.daemons:
+        run.world.process(vm).pause()
+
+
+@_do.register
+async def _(step: scenario.Thaw, run: _Run) -> None:
+    for vm in [step.vm] if step.vm else sorted(run.frozen):
+        run.frozen.discard(vm)
+        if vm in run.world.targets:
+            run.world.targets[vm].thaw()
+        elif vm in run.world.daemons:
+            run.world.process(vm).resume()
+
+
+@_do.register
+async def _(step: scenario.Drain, run: _Run) -> None:
+    vm = run.resolve(step.vm)
+    run.world.fleet.leave(vm)
+    run.oracle.leaving(vm)
+
+
+@_do.register
+async def _(step: scenario.Remove, run: _Run) -> None:
+    vm = run.resolve(step.vm)
+    if vm in run.world.targets:
+        run.world.targets[vm].crash()
+    elif vm in run.world.daemons:
+        run.world.kill_daemon(vm)
+    run.world.fleet.remove(vm)
+
+
+@_do.register
+async def _(step: scenario.Cut, run: _Run) -> None:
+    between = run.world.network
+    group = set().union(*(between.named(n) for n in step.group))
+    if not step.others:
+        between.isolate(group)
+        return
+    others = set().union(*(between.named(n) for n in step.others))
+    if step.one_way:
+        between.cut_one_way(group, others)
+    else:
+        between.cut(group, others)
+
+
+@_do.register
+async def _(step: scenario.Heal, run: _Run) -> None:
+    run.world.network.heal()
+
+
+@_do.register
+async def _(step: scenario.StoreDown, run: _Run) -> None:
+    run.world.store.go_down()
+
+
+@_do.register
+async def _(step: scenario.StoreUp, run: _Run) -> None:
+    run.world.store.come_back()
+
+
+@_do.register
+async def _(step: scenario.Slow, run: _Run) -> None:
+    run.world.store.latency = step.seconds
+
+
+@_do.register
+async def _(step: scenario.LoseAnswer, run: _Run) -> None:
+    if step.late:
+        run.world.store.late_seconds = step.late
+        run.world.store.late_writes += step.writes
+    else:
+        run.world.store.lost_answers += step.writes
+
+
+@_do.register
+async def _(step: scenario.Lie, run: _Run) -> None:
+    run.world.fleet.lag = step.lag
+    run.world.fleet.down = step.down
+
+
+@_do.register
+async def _(step: scenario.Patch, run: _Run) -> None:
+    await run.configure(step.member)
+
+
+@_do.register
+async def _(step: scenario.Load, run: _Run) -> None:
+    run.set_load(step)
+
+
+@_do.register
+async def _(step: scenario.Deadly, run: _Run) -> None:
+    run.spawn(run.send_deadly(step))
+
+
+@_do.register
+async def _(step: scenario.Expect, run: _Run) -> None:
+    run.check(step)
--- a/packages/mimosastile-standins/src/mimosastile_standins/target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/target.py
@@ -46,6 +46,8 @@
 RequestFence = holder.RequestFence
 HeldSlice = grants.HeldSlice
 _NEVER_EXPIRED = 0.0
+DEADLY = "/deadly"
+"""End of the path of a request that crashes each target that runs it."""
 
 
 class CrashedError(Exception):
@@ -61,6 +63,7 @@
         draining: Whether it refuses new work.
         checks_orders: Whether it refuses requests without a valid grant.
         checks_expiry: Whether it refuses requests once its grant has run out.
+        deaths: How often a deadly request has crashed it.
         executions: Every run, in order.
         observer: Told of every run as it begins, None for nobody.
     """
@@ -74,6 +77,7 @@
         "_incarnations",
         "checks_expiry",
         "checks_orders",
+        "deaths",
         "draining",
         "executions",
         "id",
@@ -102,6 +106,7 @@
         self.draining = False
         self.checks_orders = checks_orders
         self.checks_expiry = checks_orders
+        self.deaths = 0
         self.observer: Callable[[Execution], None] | None = None
         self.executions: list[Execution] = []
         self._clock_offset = clock_offset
@@ -170,6 +175,7 @@
         await self._run()
         if self.draining:
             return Outcome(errors.ErrorKind.DRAINING)
+        deadly = path.endswith(DEADLY)
         checked = fence if self.checks_orders else None
         if checked is not None:
             refused = self._holder.check(checked, self._checked_at())
@@ -177,6 +183,10 @@
                 return Outcome(refused)
             self._holder.begin(checked)
         try:
+            if deadly:
+                self.deaths += 1
+                self.crash()
+                await self._run()
             return await self._execute(method, path, request_id, fence)
         finally:
             if checked is not None:
