--- a/packages/mimosastile-core/src/mimosastile_core/grants.py
+++ b/packages/mimosastile-core/src/mimosastile_core/grants.py
@@ -80,6 +80,8 @@
         releasing: Hashes of the keys of running requests that no granted
             slice covers any more; the slices around them are not yet released.
         in_flight: Requests running on the target.
+        valid_for: Seconds on the target's clock for which a grant that it
+            holds, perhaps of a former keeper, goes on to be valid.
     """
 
     status: GrantStatus
@@ -88,6 +90,7 @@
     sequence: int
     releasing: tuple[int, ...] = ()
     in_flight: int = 0
+    valid_for: float = 0.0
 
 
 class Timing(msgspec.Struct, frozen=True):
@@ -122,13 +125,18 @@
 
     __slots__ = (
         "_acked",
+        "_acknowledged",
         "_block",
+        "_confirmed",
         "_heard_at",
         "_keeper_fence",
-        "_lapse_from",
+        "_lapses_at",
+        "_met_at",
+        "_prepare",
         "_releasing",
         "_replaced",
         "_sequence",
+        "_silent",
         "_stamp",
         "_target",
         "_timing",
@@ -142,6 +150,7 @@
         keeper_fence: int,
         timing: Timing,
         now: float,
+        silent: bool = True,
     ) -> None:
         """Starts keeping a target.
 
@@ -151,18 +160,24 @@
             keeper_fence: Fence under which this VM is the keeper.
             timing: Times of the protocol.
             now: Present time; no message of this keeper was quoted before it.
+            silent: Whether all former keepers are known to send nothing more.
         """
         self._block = block
         self._target = target
         self._keeper_fence = keeper_fence
         self._timing = timing
         self._wanted: tuple[HeldSlice, ...] = ()
+        self._prepare: tuple[HeldSlice, ...] = ()
         self._sequence = 1
         self._acked = 0
+        self._acknowledged = False
         self._releasing: frozenset[int] = frozenset()
         self._stamp: Stamp | None = None
         self._heard_at: float | None = None
-        self._lapse_from = now
+        self._met_at = now
+        self._confirmed = False
+        self._silent = silent
+        self._lapses_at = now + timing.lapse
         self._replaced = False
 
     @property
@@ -195,6 +210,32 @@
         """Whether the target has acknowledged the wanted set."""
         return self._acked == self._sequence and not self._releasing
 
+    @property
+    def acknowledged(self) -> bool:
+        """Whether the target knows this keeper's fence and refuses lower."""
+        return self._acknowledged
+
+    @property
+    def awaits_silence(self) -> bool:
+        """Whether a former keeper might still renew grants at the target."""
+        return not (self._silent or self._acknowledged)
+
+    @property
+    def needs_confirmation(self) -> bool:
+        """Whether the target's present run is new to this keeper.
+
+        A run that has just begun knows no fence. A keeper that was replaced
+        without noticing would be obeyed by it, and a key that has moved on
+        would be served by two targets. So nothing is granted to a new run
+        before `confirm`.
+        """
+        return self._stamp is not None and not self._confirmed
+
+    @property
+    def lapses_at(self) -> float:
+        """When no grant is valid any more if no answer comes until then."""
+        return self._lapses_at
+
     def want(self, slices: tuple[HeldSlice, ...]) -> bool:
         """Sets the slices that the target should own; True if they changed."""
         if slices == self._wanted:
@@ -203,34 +244,73 @@
         self._sequence += 1
         return True
 
+    def prepare(self, slices: tuple[HeldSlice, ...]) -> None:
+        """Sets the slices that the target may soon get."""
+        self._prepare = slices
+
+    def retime(self, timing: Timing) -> None:
+        """Takes times from a new configuration for what is sent from now on."""
+        self._timing = timing
+
     def message(self) -> Grant:
-        """Returns the next message to send and starts the lapse from it."""
+        """Returns the next message to send."""
         full = self._acked != self._sequence
         if self._heard_at is not None:
-            self._lapse_from = self._heard_at
+            self._lapse_not_before(self._heard_at + self._timing.lapse)
         return Grant(
             block=self._block,
             target=self._target,
             keeper_fence=self._keeper_fence,
             sequence=self._sequence,
-            quoted=self._stamp,
+            quoted=self._stamp if self._confirmed else None,
             ttl=self._timing.ttl,
             slices=self._wanted if full else None,
+            prepare=self._prepare,
         )
 
     def answered(self, sent: Grant, reply: GrantReply, now: float) -> None:
         """Takes the target's reply to a message."""
-        self._heard_at = now
-        self._stamp = reply.stamp
         if reply.keeper_fence > self._keeper_fence:
             self._replaced = True
             return
+        self._heard_at = now
+        self._meet(reply.stamp, now)
+        # The answer that names this fence may come long after this keeper
+        # began, with a former keeper's grant accepted just before it. The
+        # lapse counts from here, or the target would serve on after it.
+        self._acknowledged |= reply.keeper_fence == self._keeper_fence
+        held_for = max(self._timing.ttl, reply.valid_for)
+        self._lapse_not_before(now + held_for * (1 + self._timing.drift))
         if reply.status is GrantStatus.ACCEPTED:
             self._acked = sent.sequence
             self._releasing = frozenset(reply.releasing)
         elif reply.status is not GrantStatus.EXPIRED:
             self._acked = 0
 
+    def confirm(self, asked_at: float) -> None:
+        """Notes that this VM was still the keeper.
+
+        Args:
+            asked_at: When the question was asked whose answer says so. One
+                that was asked before the target's run was met proves nothing.
+        """
+        if asked_at >= self._met_at:
+            self._confirmed = True
+
+    def silenced(self, now: float) -> None:
+        """Notes that no former keeper sends anything from now on."""
+        if not self._silent:
+            self._silent = True
+            self._lapse_not_before(now + self._timing.lapse)
+
+    def resumed(self, now: float) -> None:
+        """Gives the target time to answer after a pause of the keeper.
+
+        Without this each pause of a keeper would end with its targets'
+        slices being moved, although every one of them would answer.
+        """
+        self._lapse_not_before(now + self._timing.lapse)
+
     def has_released(self, piece: tables.Slice) -> bool:
         """Whether the target acknowledged that it let a slice go.
 
@@ -245,9 +325,25 @@
         )
 
     def has_lapsed(self, now: float) -> bool:
-        """Whether no grant of this keeper can be valid on the target.
+        """Whether no grant of any keeper can be valid on the target.
 
-        Sound only for targets that check the expiry before each request, and
-        only if the keepers before this one are silent since this one began.
+        Sound only for targets that check the expiry before each request.
+        False while a former keeper might still renew: one that is cut off
+        from this VM, but not from the target, keeps the target serving.
         """
-        return now - self._lapse_from > self._timing.lapse
+        return (
+            not self._replaced
+            and not self.awaits_silence
+            and now > self._lapses_at
+        )
+
+    def _meet(self, stamp: Stamp, now: float) -> None:
+        known = self._stamp
+        if known is None or known.incarnation != stamp.incarnation:
+            self._met_at = now
+            self._confirmed = False
+            self._acked = 0
+        self._stamp = stamp
+
+    def _lapse_not_before(self, at: float) -> None:
+        self._lapses_at = max(self._lapses_at, at)
--- a/packages/mimosastile-core/src/mimosastile_core/holder.py
+++ b/packages/mimosastile-core/src/mimosastile_core/holder.py
@@ -146,6 +146,7 @@
             sequence=holding.sequence,
             releasing=tuple(p for p in running if not _covering(holding, p)),
             in_flight=self._running.total(),
+            valid_for=max(0.0, holding.expires - now),
         )
 
 
--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -47,7 +47,53 @@
     vm: str
 
 
-PeerMessage = Pull | Delta | Ack
+class Role(msgspec.Struct, frozen=True, array_like=True):
+    """The keeping of one target in one block, under one fence."""
+
+    block: tables.BlockId
+    target: str
+    fence: int
+
+
+class Handover(msgspec.Struct, frozen=True, tag="handover"):
+    """A stopping keeper asks the receiver to take roles over.
+
+    Attributes:
+        vm: The sender, which goes on until each role has a new keeper.
+        roles: The roles with the sender's fences.
+    """
+
+    vm: str
+    roles: tuple[Role, ...]
+
+
+class StandDown(msgspec.Struct, frozen=True, tag="stand_down"):
+    """A new keeper asks a former one to send nothing more.
+
+    Attributes:
+        vm: The sender.
+        roles: The roles with the sender's fences, above the receiver's.
+    """
+
+    vm: str
+    roles: tuple[Role, ...]
+
+
+class StoodDown(msgspec.Struct, frozen=True, tag="stood_down"):
+    """Says which roles a former keeper has ended.
+
+    Attributes:
+        vm: The sender.
+        boot: Identifier of the sender's run.
+        roles: Roles of the question under which it sends nothing any more.
+    """
+
+    vm: str
+    boot: str
+    roles: tuple[Role, ...]
+
+
+PeerMessage = Pull | Delta | Ack | Handover | StandDown | StoodDown
 
 _DECODER = msgspec.json.Decoder(PeerMessage)
 
--- a/packages/mimosastile-core/src/mimosastile_core/moves.py
+++ b/packages/mimosastile-core/src/mimosastile_core/moves.py
@@ -41,13 +41,17 @@
 
 
 class Gone(msgspec.Struct, frozen=True):
-    """The platform listed the VM as live once and lists it no longer.
+    """The platform listed the VM once and lists it no longer.
+
+    To be given only when every grant that the VM can hold has run out.
 
     Attributes:
         target: The former owner.
+        keeper_fence: Fence of the keeper that saw it; it sends no grant.
     """
 
     target: str
+    keeper_fence: int
 
 
 Proof = Released | Lapsed | Gone
@@ -73,19 +77,14 @@
     )
 
 
-@proves.register
-def _(proof: Lapsed, block: tables.Block, piece: tables.Slice) -> bool:
+@proves.register(Lapsed)
+@proves.register(Gone)
+def _(proof: Lapsed | Gone, block: tables.Block, piece: tables.Slice) -> bool:
     return piece.owner == proof.target and _is_keeper(
         block, proof.target, proof.keeper_fence
     )
 
 
-@proves.register
-def _(proof: Gone, block: tables.Block, piece: tables.Slice) -> bool:
-    del block
-    return piece.owner == proof.target
-
-
 def _is_keeper(block: tables.Block, target: str, fence: int) -> bool:
     keeper = block.keepers.get(target)
     return keeper is not None and keeper.fence == fence
@@ -143,22 +142,64 @@
 
 
 def set_keepers(
-    block: tables.Block, keepers: dict[str, tuple[str, str]]
+    block: tables.Block,
+    keepers: dict[str, tuple[str, str]],
+    checks_orders: bool = True,
 ) -> BlockResult:
     """Names new keepers; their fences rise above the former ones.
 
     Args:
         block: The block as it is.
         keepers: Target to entry VM and boot identifier.
+        checks_orders: Whether the targets refuse former keepers. If not, what
+            an ended run of a daemon has sent may run at any later time.
 
     Returns:
         The next version, or why nothing changes.
     """
     changed = {
-        target: tables.KeeperRef(vm, boot, _keeper_fence(block, target) + 1)
+        target: tables.KeeperRef(
+            vm,
+            boot,
+            _keeper_fence(block, target) + 1,
+            _former(block.keepers.get(target), vm, checks_orders),
+        )
         for target, (vm, boot) in keepers.items()
         if not _is_kept_by(block, target, vm, boot)
     }
+    return _with_keepers(block, changed)
+
+
+def forget_former(block: tables.Block, fences: dict[str, int]) -> BlockResult:
+    """Drops the former keepers of targets that refuse them by now.
+
+    Args:
+        block: The block as it is.
+        fences: Target to the keeper fence that it acknowledged.
+
+    Returns:
+        The next version, or why nothing changes.
+    """
+    changed = {
+        target: msgspec.structs.replace(keeper, former=())
+        for target, keeper in block.keepers.items()
+        if keeper.former and fences.get(target) == keeper.fence
+    }
+    return _with_keepers(block, changed)
+
+
+def barrier(block: tables.Block) -> tables.Block:
+    """Returns a successor that changes nothing but the version.
+
+    Once it is stored, no write that was made for this version can take
+    effect any more.
+    """
+    return msgspec.structs.replace(block, version=block.version + 1)
+
+
+def _with_keepers(
+    block: tables.Block, changed: dict[str, tables.KeeperRef]
+) -> BlockResult:
     if not changed:
         return result.Err("nothing to change")
     return result.Ok(
@@ -170,6 +211,26 @@
     )
 
 
+def _former(
+    replaced: tables.KeeperRef | None, successor: str, checks_orders: bool
+) -> tuple[tables.FormerKeeper, ...]:
+    """Returns the replaced keepers that might still speak to a target.
+
+    One run of a VM stands for all. Where targets check orders it is the last,
+    as the earlier ones have ended; and if the successor is on the same VM,
+    the last has ended too. Where they do not, it is the first: it can
+    acknowledge nothing any more, so nothing later is needed.
+    """
+    if replaced is None:
+        return ()
+    last = tables.FormerKeeper(replaced.vm, replaced.boot)
+    every = (*replaced.former, last)
+    if not checks_orders:
+        return tuple({f.vm: f for f in reversed(every)}.values())
+    runs = {f.vm: f for f in every}
+    return tuple(f for vm, f in runs.items() if vm != successor)
+
+
 def _is_kept_by(block: tables.Block, target: str, vm: str, boot: str) -> bool:
     keeper = block.keepers.get(target)
     return keeper is not None and (keeper.vm, keeper.boot) == (vm, boot)
--- a/packages/mimosastile-core/src/mimosastile_core/tables.py
+++ b/packages/mimosastile-core/src/mimosastile_core/tables.py
@@ -33,7 +33,19 @@
     next: str = ""
 
 
-class KeeperRef(msgspec.Struct, frozen=True):
+class FormerKeeper(msgspec.Struct, frozen=True, array_like=True):
+    """A replaced keeper that might still speak to its target.
+
+    Attributes:
+        vm: Identifier of the entry VM.
+        boot: Identifier of the daemon's run on that VM.
+    """
+
+    vm: str
+    boot: str
+
+
+class KeeperRef(msgspec.Struct, frozen=True, omit_defaults=True):
     """The entry VM that speaks to a target.
 
     Attributes:
@@ -41,11 +53,14 @@
         boot: Identifier of the daemon's run on that VM. A restarted daemon has
             forgotten what it granted and must become keeper anew.
         fence: Rises with every change of keeper of this target.
+        former: Replaced keepers that were not known to be silent when the
+            next one was named.
     """
 
     vm: str
     boot: str
     fence: int
+    former: tuple[FormerKeeper, ...] = ()
 
 
 class Block(msgspec.Struct, frozen=True):
@@ -187,9 +202,15 @@
         now = new.keepers.get(target)
         if now is not None and now.fence < keeper.fence:
             return result.Err("a keeper fence falls")
+        if now is not None and _other_keeper_same_fence(keeper, now):
+            return result.Err("a keeper changes without a new fence")
     return result.Ok(new)
 
 
+def _other_keeper_same_fence(old: KeeperRef, new: KeeperRef) -> bool:
+    return old.fence == new.fence and (old.vm, old.boot) != (new.vm, new.boot)
+
+
 def _same_cover(old: Block, new: Block) -> bool:
     if not old.slices or not new.slices:
         return len(old.slices) == len(new.slices)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
@@ -1,37 +1,86 @@
 """The keeper service: grants to the targets that this VM keeps."""
 
 import asyncio
+from collections.abc import Iterator
 import contextlib
+import functools
 from typing import Any
 
 from absl import logging
 import result
 
 from mimosastile_core import config
+from mimosastile_core import errors
 from mimosastile_core import fleet
+from mimosastile_core import gates
 from mimosastile_core import grants
+from mimosastile_core import holder
+from mimosastile_core import keeping
+from mimosastile_core import messages
 from mimosastile_core import moves
+from mimosastile_core import pauses
 from mimosastile_core import placement
 from mimosastile_core import tables
+from mimosastile_entry import _catchup
 from mimosastile_entry import _fleet
+from mimosastile_entry import _gating
 from mimosastile_entry import _state
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
 _PREFIX = "keeper:"
+_PAUSE_SECONDS = 0.5
+"""Longest gap between two looks at the clock that is not a pause."""
+_RETRY_SECONDS = 0.5
+"""Wait after the store did not take a change."""
+_SHORTEST_REST = 0.002
 
 KeptId = tuple[tables.BlockId, str]
 
 
 class _Kept:
-    """A kept target, the task that renews it and what wakes the task."""
+    """A kept target and what goes on about it.
 
-    __slots__ = ("state", "task", "wake")
+    Attributes:
+        state: What is known of the target.
+        former: Former keepers that are not known to be silent.
+        proof: Proof of release that is being handed in. While it is, its
+            slices are not granted, whatever the target answers meanwhile.
+        gone_since: Since when the list has lacked the target's VM.
+        retry_at: No change is tried before this time.
+        task: The task that renews.
+        write: The task that hands the proof in.
+        wake: Ends a rest.
+    """
 
-    def __init__(self, state: grants.KeptTarget) -> None:
+    __slots__ = (
+        "former",
+        "gone_since",
+        "proof",
+        "retry_at",
+        "state",
+        "task",
+        "wake",
+        "write",
+    )
+
+    def __init__(
+        self, state: keeping.Kept, former: tuple[tables.FormerKeeper, ...]
+    ) -> None:
         self.state = state
+        self.former = set(former)
+        self.proof: moves.Proof | None = None
+        self.gone_since: float | None = None
+        self.retry_at = 0.0
         self.wake = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
+        self.write: asyncio.Task[None] | None = None
+
+    def cancel(self) -> None:
+        """Ends both tasks."""
+        for task in (self.task, self.write):
+            if task is not None:
+                task.cancel()
 
 
 class KeeperService:
@@ -39,31 +88,54 @@
 
     __slots__ = (
         "_boot",
+        "_catch_up",
         "_clock",
         "_fleet",
+        "_guard",
         "_kept",
+        "_lock",
+        "_outranked",
+        "_retiring",
+        "_settling",
         "_state",
         "_targets",
+        "_tick",
         "_vm",
+        "_zone",
         "name",
         "needs",
     )
 
-    def __init__(self, vm: str) -> None:
+    def __init__(self, vm: str, zone: str) -> None:
         """Makes the service.
 
         Args:
             vm: Identifier of this VM.
+            zone: Availability zone of this VM.
         """
         self.name = "keeper"
-        self.needs: tuple[str, ...] = ("state", "fleet", "targets", "clock")
+        self.needs: tuple[str, ...] = (
+            "state",
+            "fleet",
+            "fleet_port",
+            "targets",
+            "clock",
+        )
         self._vm = vm
+        self._zone = zone
         self._boot = ""
         self._kept: dict[KeptId, _Kept] = {}
+        self._outranked: dict[KeptId, int] = {}
+        self._retiring: dict[KeptId, gates.GatedTarget] = {}
+        self._settling: set[tables.BlockId] = set()
+        self._lock = asyncio.Lock()
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
         self._targets: ports.TargetPort
         self._clock: ports.ClockPort
+        self._catch_up: _catchup.CatchUp
+        self._guard: pauses.PauseGuard
+        self._tick: asyncio.Task[None] | None = None
 
     @property
     def boot(self) -> str:
@@ -84,14 +156,18 @@
         self._fleet = kernel.find("fleet")
         self._targets = kernel.find("targets")
         self._boot = self._clock.new_id()
+        self._catch_up = _catchup.CatchUp(self._vm, self._zone, kernel)
+        self._guard = pauses.PauseGuard(_PAUSE_SECONDS, self._clock.now())
+        self._tick = asyncio.create_task(self._look(), name="keeper-clock")
         self._state.replica.subscribe(self.reconcile)
         self.reconcile()
 
     async def stop(self) -> None:
         """Stops renewing."""
+        if self._tick is not None:
+            self._tick.cancel()
         for kept in self._kept.values():
-            if kept.task is not None:
-                kept.task.cancel()
+            kept.cancel()
         self._kept.clear()
 
     def dump(self) -> dict[str, Any]:
@@ -99,9 +175,9 @@
         return {
             f"{_state.block_key(block)}/{target}": {
                 "keeper_fence": kept.state.keeper_fence,
-                "settled": kept.state.settled,
-                "replaced": kept.state.replaced,
-                "heard_at": kept.state.heard_at,
+                "awaits_silence": kept.state.awaits_silence,
+                "proof": type(kept.proof).__name__ if kept.proof else None,
+                "gone_since": kept.gone_since,
             }
             for (block, target), kept in self._kept.items()
         }
@@ -114,6 +190,7 @@
             if block.slices
             for target, keeper in block.keepers.items()
             if self.is_keeper(keeper)
+            and keeper.fence > self._outranked.get((block.id, target), 0)
         }
         for at in [at for at in self._kept if at not in wanted]:
             self._end(at)
@@ -127,100 +204,296 @@
             else:
                 kept.wake.set()
 
+    def awaited(self) -> Iterator[tuple[messages.Role, tables.FormerKeeper]]:
+        """Yields each role with a former keeper that is to be silent first."""
+        for at, kept in self._kept.items():
+            if kept.state.awaits_silence:
+                role = messages.Role(*at, kept.state.keeper_fence)
+                yield from ((role, former) for former in kept.former)
+
+    def silence(self, role: messages.Role, former: tables.FormerKeeper) -> None:
+        """Notes that a former keeper is known to send nothing more."""
+        kept = self._kept.get((role.block, role.target))
+        if kept is None or kept.state.keeper_fence != role.fence:
+            return
+        kept.former.discard(former)
+        if not kept.former:
+            kept.state.silenced(self._clock.now())
+            kept.wake.set()
+
+    def settled_fences(self, block: tables.BlockId) -> dict[str, int]:
+        """Returns target to fence where no former keeper matters any more."""
+        return {
+            target: kept.state.keeper_fence
+            for (at, target), kept in self._kept.items()
+            if at == block and not kept.state.awaits_silence
+        }
+
+    def stand_down(self, role: messages.Role) -> bool:
+        """Ends a role because another VM has it under a higher fence.
+
+        Returns:
+            Whether nothing of it can reach the target any more, or whatever
+            does is refused there.
+        """
+        at = (role.block, role.target)
+        known = self._outranked.get(at, 0)
+        # The role with this very fence is the sender's, all below are over.
+        self._outranked[at] = max(known, role.fence)
+        kept = self._kept.get(at)
+        if kept is not None and kept.state.keeper_fence < role.fence:
+            self._end(at)
+        retiring = self._retiring.get(at)
+        return retiring is None or retiring.idle
+
+    async def send(
+        self,
+        vm: fleet.Vm,
+        request: ports.Request,
+        fence: holder.RequestFence | None,
+    ) -> result.Result[ports.Response, errors.Failure]:
+        """Sends a request to a kept target, as `TargetPort.send` does.
+
+        Requests for a key of a target that checks nothing pass a gate here.
+        """
+        kept = self._kept.get((fence.block, vm.id)) if fence else None
+        if fence is not None and not self._may_send(kept):
+            return result.Err(errors.Failure(errors.ErrorKind.WRONG_FENCE))
+        if kept is None or not isinstance(kept.state, gates.GatedTarget):
+            return await self._targets.send(vm, request, fence)
+        assert fence is not None
+        return await _gating.send(
+            self._targets, vm, request, fence, kept.state, kept.wake.set
+        )
+
+    def _may_send(self, kept: _Kept | None) -> bool:
+        return kept is not None and self._guard.is_open(self._clock.now())
+
     def _begin(self, at: KeptId, keeper: tables.KeeperRef) -> None:
         block, target = at
         service = self._service(block.service)
         if service is None:
             return
-        state = grants.KeptTarget(
-            block, target, keeper.fence, service.grant, self._clock.now()
-        )
-        kept = _Kept(state)
+        silent = not keeper.former
+        state: keeping.Kept
+        if service.checks_orders:
+            now = self._clock.now()
+            state = grants.KeptTarget(
+                block, target, keeper.fence, service.grant, now, silent
+            )
+        else:
+            state = gates.GatedTarget(block, target, keeper.fence, silent)
+        kept = _Kept(state, keeper.former)
         self._kept[at] = kept
         kept.task = asyncio.create_task(
-            self._renew(kept, block, service), name=f"keep-{target}"
+            self._keep(kept, block), name=f"keep-{target}"
         )
         logging.info("%s keeps %s for %s.", _PREFIX, target, block.service)
 
     def _end(self, at: KeptId) -> None:
         kept = self._kept.pop(at)
-        if kept.task is not None:
-            kept.task.cancel()
+        kept.cancel()
+        if isinstance(kept.state, gates.GatedTarget):
+            kept.state.want(())
+            if not kept.state.idle:
+                self._retiring[at] = kept.state
+        logging.info("%s keeps %s no longer.", _PREFIX, at[1])
 
     def _service(self, name: str) -> config.Service | None:
         return self._state.replica.config.document.services.get(name)
 
-    async def _renew(
+    async def _look(self) -> None:
+        while True:
+            self._guard.is_open(self._clock.now())
+            await asyncio.sleep(_PAUSE_SECONDS / 5)
+
+    async def _awake(self) -> None:
+        """Returns once this VM may speak as a keeper."""
+        if self._guard.is_open(self._clock.now()):
+            return
+        async with self._lock:
+            while not self._guard.is_open(self._clock.now()):
+                began = await self._catch_up.everything()
+                if began is None:
+                    await asyncio.sleep(_RETRY_SECONDS)
+                    continue
+                self._guard.caught_up(began)
+                logging.warning("%s was paused, has caught up.", _PREFIX)
+                for kept in self._kept.values():
+                    _resume(kept.state, self._clock.now())
+
+    async def _keep(self, kept: _Kept, at: tables.BlockId) -> None:
+        while not _is_replaced(kept.state):
+            kept.wake.clear()
+            await self._awake()
+            service = self._service(at.service) or config.Service()
+            self._order(kept, at, service)
+            await self._exchange(kept, at, service)
+            self._conclude(kept, at, service)
+            await self._rest(kept, service)
+
+    def _order(
         self, kept: _Kept, at: tables.BlockId, service: config.Service
     ) -> None:
-        while not kept.state.replaced:
-            kept.wake.clear()
-            block = self._state.replica.blocks[at]
-            kept.state.want(_wanted(block, kept.state.target))
-            await self._exchange(kept.state, service)
-            await self._settle(kept.state, at, service)
-            if not kept.state.settled and kept.state.heard_at is not None:
-                await asyncio.sleep(service.grant.renew / 10)
-                continue
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(kept.wake.wait(), service.grant.renew)
+        """Sets what the target should own as the block now says."""
+        block = self._state.replica.blocks[at]
+        proof = kept.proof
+
+        def withheld(piece: tables.Slice) -> bool:
+            handed_in = proof is not None and moves.proves(proof, block, piece)
+            return handed_in or self._state.writes.withholds(at, piece)
+
+        target = kept.state.target
+        kept.state.want(keeping.wanted(block, target, withheld))
+        if isinstance(kept.state, grants.KeptTarget):
+            kept.state.prepare(keeping.prepared(block, target))
+            kept.state.retime(service.grant)
 
     async def _exchange(
-        self, state: grants.KeptTarget, service: config.Service
+        self, kept: _Kept, at: tables.BlockId, service: config.Service
     ) -> None:
-        vm = self._fleet.fleet.targets(state.block.service).get(state.target)
-        if vm is None:
+        vm = self._fleet.fleet.targets(at.service).get(kept.state.target)
+        state = kept.state
+        if vm is None or not isinstance(state, grants.KeptTarget):
             return
         message = state.message()
-        reply = await self._targets.grant(vm, message, service.grant.timeout)
+        left = state.lapses_at - self._clock.now()
+        longest = service.grant.timeout
+        timeout = min(longest, left) if left > 0 else longest
+        reply = await self._targets.grant(vm, message, timeout)
         if isinstance(reply, result.Ok):
             state.answered(message, reply.ok_value, self._clock.now())
+        if state.needs_confirmation:
+            await self._confirm(state, at)
 
-    async def _settle(
-        self,
-        state: grants.KeptTarget,
-        at: tables.BlockId,
-        service: config.Service,
+    async def _confirm(
+        self, state: grants.KeptTarget, at: tables.BlockId
     ) -> None:
-        """Finishes moves that the target's state now proves."""
-        block = self._state.replica.blocks[at]
-        proof = self._proof(state, block, service)
-        if proof is None:
+        began = await self._catch_up.block(at)
+        if began is None:
             return
-        chosen = _chooser(block, self._fleet.fleet, state.target)
-        await self._state.change(
-            at, lambda b: moves.finish_moves(b, proof, chosen)
-        )
+        keeper = self._state.replica.blocks[at].keepers.get(state.target)
+        if keeper is not None and keeper.fence == state.keeper_fence:
+            state.confirm(began)
+
+    def _conclude(
+        self, kept: _Kept, at: tables.BlockId, service: config.Service
+    ) -> None:
+        """Hands in a proof if there is one, or ends doubts about a write."""
+        now = self._clock.now()
+        if kept.write is not None and not kept.write.done():
+            return
+        if now < kept.retry_at or not self._guard.is_open(now):
+            return
+        proof = self._proof(kept, at, service)
+        if proof is not None:
+            kept.proof = proof
+            kept.write = asyncio.create_task(
+                self._hand_in(kept, at, proof), name=f"prove-{proof.target}"
+            )
+        elif self._state.writes.is_pending(at) and at not in self._settling:
+            self._settling.add(at)
+            kept.write = asyncio.create_task(
+                self._settle(kept, at), name=f"settle-{at.service}"
+            )
 
     def _proof(
-        self,
-        state: grants.KeptTarget,
-        block: tables.Block,
-        service: config.Service,
+        self, kept: _Kept, at: tables.BlockId, service: config.Service
     ) -> moves.Proof | None:
-        owned = block.owned_by(state.target)
-        lapses = bool(owned) and service.checks_expiry
-        if lapses and state.has_lapsed(self._clock.now()):
-            logging.warning("%s %s lapsed.", _PREFIX, state.target)
-            return moves.Lapsed(state.target, state.keeper_fence)
-        released = frozenset(
-            s.first for s in owned if s.next and state.has_released(s)
+        now = self._clock.now()
+        target = kept.state.target
+        if not self._fleet.is_gone(target):
+            kept.gone_since = None
+        elif kept.gone_since is None:
+            kept.gone_since = now
+        sight = keeping.Sight(
+            now, service.checks_expiry, service.grant.lapse, kept.gone_since
         )
-        if released:
-            return moves.Released(state.target, state.keeper_fence, released)
-        return None
+        owned = self._state.replica.blocks[at].owned_by(target)
+        return keeping.proof(kept.state, owned, sight)
+
+    async def _hand_in(
+        self, kept: _Kept, at: tables.BlockId, proof: moves.Proof
+    ) -> None:
+        def change(block: tables.Block) -> moves.BlockResult:
+            chosen = self._chooser(block, proof.target)
+            return moves.finish_moves(block, proof, chosen)
+
+        try:
+            outcome = await self._state.change(at, change)
+            if isinstance(outcome, result.Ok):
+                kind = type(proof).__name__.lower()
+                logging.info("%s %s is %s.", _PREFIX, proof.target, kind)
+            else:
+                kept.retry_at = self._clock.now() + _RETRY_SECONDS
+        finally:
+            kept.proof = None
+            kept.wake.set()
 
+    async def _settle(self, kept: _Kept, at: tables.BlockId) -> None:
+        try:
+            await self._state.settle(at)
+            kept.retry_at = self._clock.now() + _RETRY_SECONDS
+        finally:
+            self._settling.discard(at)
 
-def _wanted(block: tables.Block, target: str) -> tuple[grants.HeldSlice, ...]:
-    return tuple(
-        grants.HeldSlice(s.first, s.last, s.fence)
-        for s in block.owned_by(target)
-        if not s.next
-    )
+    def _chooser(self, block: tables.Block, lost: str) -> placement.Chooser:
+        live = set(self._fleet.fleet.live_targets(block.service)) - {lost}
+        now = self._clock.now()
+        unheard = {
+            target
+            for (at, target), kept in self._kept.items()
+            if at == block.id and _is_unheard(kept.state, now)
+        }
+        kept_ones = (live & set(block.keepers)) - unheard
+        return placement.chooser(block, kept_ones or live)
+
+    async def _rest(self, kept: _Kept, service: config.Service) -> None:
+        rest = _rest_seconds(kept.state, service.grant.renew, self._clock.now())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(kept.wake.wait(), rest)
+
+
+@functools.singledispatch
+def _is_replaced(state: keeping.Kept) -> bool:
+    raise TypeError(f"not a kept target: {state!r}")
+
+
+@_is_replaced.register
+def _(state: grants.KeptTarget) -> bool:
+    return state.replaced
+
+
+@_is_replaced.register
+def _(state: gates.GatedTarget) -> bool:
+    del state
+    return False
+
+
+@functools.singledispatch
+def _rest_seconds(state: keeping.Kept, renew: float, now: float) -> float:
+    raise TypeError(f"not a kept target: {state!r}")
+
+
+@_rest_seconds.register
+def _(state: grants.KeptTarget, renew: float, now: float) -> float:
+    if state.heard_at is not None and not state.settled:
+        return renew if state.needs_confirmation else renew / 10
+    # A lapse is noticed when it happens, not at the next renewal.
+    left = state.lapses_at - now
+    return min(renew, left + _SHORTEST_REST) if left > 0 else renew
+
+
+@_rest_seconds.register
+def _(state: gates.GatedTarget, renew: float, now: float) -> float:
+    del state, now
+    return renew
+
+
+def _is_unheard(state: keeping.Kept, now: float) -> bool:
+    return isinstance(state, grants.KeptTarget) and now > state.lapses_at
 
 
-def _chooser(
-    block: tables.Block, listed: fleet.Fleet, lost: str
-) -> placement.Chooser:
-    others = set(listed.live_targets(block.service)) - {lost}
-    return placement.chooser(block, others)
+def _resume(state: keeping.Kept, now: float) -> None:
+    if isinstance(state, grants.KeptTarget):
+        state.resumed(now)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
@@ -1,4 +1,4 @@
-"""The planner service: proposes owners and keepers; the store decides."""
+"""The planner service: proposes owners; the store decides."""
 
 import asyncio
 from typing import Any
@@ -8,7 +8,6 @@
 from mimosastile_core import placement
 from mimosastile_core import tables
 from mimosastile_entry import _fleet
-from mimosastile_entry import _keeper
 from mimosastile_entry import _state
 from mimosastile_entry import kernel
 
@@ -20,7 +19,6 @@
 
     __slots__ = (
         "_fleet",
-        "_keeper",
         "_planned",
         "_state",
         "_task",
@@ -36,19 +34,17 @@
             vm: Identifier of this VM.
         """
         self.name = "planner"
-        self.needs: tuple[str, ...] = ("state", "fleet", "keeper")
+        self.needs: tuple[str, ...] = ("state", "fleet")
         self._vm = vm
         self._planned = 0
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
-        self._keeper: _keeper.KeeperService
         self._task: asyncio.Task[None] | None = None
 
     async def start(self, kernel: kernel.Kernel) -> None:
         """Begins to plan."""
         self._state = kernel.find("state")
         self._fleet = kernel.find("fleet")
-        self._keeper = kernel.find("keeper")
         self._task = asyncio.create_task(self._plan(), name="planner")
 
     async def stop(self) -> None:
@@ -75,7 +71,6 @@
         if usual:
             await self._create_blocks(name, service, blocks)
         for block in list(blocks.values()):
-            await self._claim(block)
             if usual and block.slices:
                 await self._place(block)
 
@@ -92,31 +87,6 @@
                 tables.empty_block(name, index, count, service.blocks)
             )
 
-    async def _claim(self, block: tables.Block) -> None:
-        """Becomes keeper of the targets that are this VM's to keep."""
-        mine = self._mine(block)
-        if not mine:
-            return
-        self._planned += 1
-        named = dict.fromkeys(mine, (self._vm, self._keeper.boot))
-        await self._state.change(
-            block.id, lambda b: moves.set_keepers(b, named)
-        )
-
-    def _mine(self, block: tables.Block) -> list[str]:
-        plan = placement.keepers(
-            block,
-            self._fleet.fleet.targets(block.service).values(),
-            self._fleet.fleet.live_entries(),
-        )
-        restarted = (
-            target
-            for target, keeper in block.keepers.items()
-            if keeper.vm == self._vm and not self._keeper.is_keeper(keeper)
-        )
-        planned = (t for t, vm in plan.items() if vm == self._vm)
-        return [*planned, *restarted]
-
     async def _place(self, block: tables.Block) -> None:
         kept = set(block.keepers)
         live = kept & set(self._fleet.fleet.live_targets(block.service))
--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -259,7 +259,7 @@
             return _failed(errors.ErrorKind.QUEUE_TIMEOUT)
         sent: SendResult | None = None
         try:
-            sent = await self._targets.send(target, call.request, fence)
+            sent = await self._keeper.send(target, call.request, fence)
         finally:
             if sent is None or sent.is_err():
                 self._admission.leave(target.id)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -2,16 +2,21 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 
 from absl import logging
+import msgspec
 import result
 
 from mimosastile_core import config
 from mimosastile_core import errors
+from mimosastile_core import fleet
 from mimosastile_core import messages
+from mimosastile_core import moves
 from mimosastile_core import replica
 from mimosastile_core import tables
+from mimosastile_core import writes
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import kernel
@@ -32,11 +37,22 @@
 Change = Callable[[tables.Block], result.Result[tables.Block, str]]
 
 
+class _Stored(msgspec.Struct, frozen=True):
+    """A block as it was read, with its revision in the store."""
+
+    block: tables.Block
+    revision: int
+
+
 def block_key(block: tables.BlockId) -> str:
     """Returns the store key of a block."""
     return f"{TABLE_PREFIX}{block.service}/{block.index}"
 
 
+# The property `writes` hides the module of that name inside the class.
+PendingWrites = writes.PendingWrites
+
+
 class StateService:
     """Keeps the replica up to date and makes changes by compare-and-swap."""
 
@@ -49,6 +65,7 @@
         "_synced",
         "_task",
         "_vm",
+        "_writes",
         "name",
         "needs",
     )
@@ -63,6 +80,9 @@
         self.needs: tuple[str, ...] = ("store", "peers", "fleet", "inbox")
         self._vm = vm
         self._replica = replica.Replica()
+        self._writes = writes.PendingWrites()
+        # Before all other listeners, so that these find the doubts settled.
+        self._replica.subscribe(self._note_seen)
         self._store: ports.StorePort
         self._peers: ports.PeerPort
         self._fleet: _fleet.FleetService
@@ -75,6 +95,11 @@
         """The VM's copy of configuration and tables."""
         return self._replica
 
+    @property
+    def writes(self) -> PendingWrites:
+        """Writes of this VM whose outcome is not known."""
+        return self._writes
+
     @property
     def synced(self) -> bool:
         """Whether the store has been read once since the start."""
@@ -103,6 +128,7 @@
             "config_number": self._replica.config.number,
             "store_revision": self._revision,
             "synced": self._synced,
+            "pending_writes": [block_key(at) for at in self._writes.blocks()],
             "blocks": {
                 block_key(at): block.version
                 for at, block in self._replica.blocks.items()
@@ -142,37 +168,90 @@
             change: Returns the successor or why there is nothing to change.
 
         Returns:
-            The block as stored, or why it was not changed.
+            The block as stored, or why it was not changed. `STORE_UNKNOWN`
+            says that it may still be changed later; `writes` knows of it.
         """
+        proposed: tables.Block | None = None
         for _ in range(_MAX_TRIES):
-            read = await self._store.get(block_key(block))
+            read = await self._read_block(block)
             if isinstance(read, result.Err):
-                return read
-            if read.ok_value is None:
-                return _failed(errors.ErrorKind.NOT_FOUND, "no such block")
-            current = tables.decode(read.ok_value.value)
-            if isinstance(current, result.Err):
-                return _failed(errors.ErrorKind.INTERNAL, current.err_value)
-            self._replica.offer_blocks((current.ok_value,))
-            successor = change(current.ok_value)
+                return self._doubted(block, read.err_value)
+            stored = read.ok_value
+            if stored.block == proposed:
+                return result.Ok(stored.block)
+            successor = _successor(stored.block, change)
             if isinstance(successor, result.Err):
-                return _failed(errors.ErrorKind.CONFLICT, successor.err_value)
-            checked = tables.check_successor(
-                current.ok_value, successor.ok_value
-            )
-            if isinstance(checked, result.Err):
-                return _failed(errors.ErrorKind.INTERNAL, checked.err_value)
-            wrote = await self._store.compare_and_swap(
-                block_key(block),
-                tables.encode(checked.ok_value),
-                read.ok_value.revision,
-            )
-            if wrote.is_ok():
-                self._replica.offer_blocks((checked.ok_value,))
-                return checked
+                return self._doubted(block, successor.err_value)
+            proposed = successor.ok_value
+            if await self._write(stored, proposed):
+                return successor
             # A lost race or a lost answer: the next read tells which.
         return _failed(errors.ErrorKind.STORE_UNKNOWN, "no try succeeded")
 
+    async def settle(self, block: tables.BlockId) -> None:
+        """Ends the doubt about a block's writes with a write of its own.
+
+        While the block stays at its version, a write whose answer was lost
+        can still take effect. A further version, whoever writes it, ends that.
+        """
+        await self.change(block, lambda b: result.Ok(moves.barrier(b)))
+
+    async def refresh(self, block: tables.BlockId) -> bool:
+        """Reads one block anew; whether the store answered."""
+        return (await self._read_block(block)).is_ok()
+
+    async def refresh_all(self) -> bool:
+        """Reads everything anew; whether the store answered."""
+        return await self._read_all()
+
+    async def refresh_from(self, peers: Iterable[fleet.Vm]) -> bool:
+        """Asks peers for anything newer; whether every one answered."""
+        pull = self._replica.pull(self._vm)
+        calls = [self._peers.call(vm, pull, _PEER_SECONDS) for vm in peers]
+        deltas = [reply.ok() for reply in await asyncio.gather(*calls)]
+        heard = [d for d in deltas if isinstance(d, messages.Delta)]
+        for delta in heard:
+            self._replica.merge(delta)
+        return len(heard) == len(calls)
+
+    async def _read_block(
+        self, block: tables.BlockId
+    ) -> result.Result[_Stored, errors.Failure]:
+        read = await self._store.get(block_key(block))
+        if isinstance(read, result.Err):
+            return read
+        if read.ok_value is None:
+            return _failed(errors.ErrorKind.NOT_FOUND, "no such block")
+        decoded = tables.decode(read.ok_value.value)
+        if isinstance(decoded, result.Err):
+            return _failed(errors.ErrorKind.INTERNAL, decoded.err_value)
+        self._replica.offer_blocks((decoded.ok_value,))
+        return result.Ok(_Stored(decoded.ok_value, read.ok_value.revision))
+
+    async def _write(self, stored: _Stored, proposed: tables.Block) -> bool:
+        # Noted before it is sent: a task that is cancelled while it waits
+        # for the answer leaves a write behind that may still take effect.
+        self._writes.sent(stored.block, proposed)
+        wrote = await self._store.compare_and_swap(
+            block_key(proposed.id), tables.encode(proposed), stored.revision
+        )
+        if wrote.is_ok():
+            self._replica.offer_blocks((proposed,))
+        elif isinstance(wrote.err(), ports.Conflict):
+            self._writes.failed(proposed)
+        return wrote.is_ok()
+
+    def _doubted(
+        self, block: tables.BlockId, failure: errors.Failure
+    ) -> result.Err[errors.Failure]:
+        if self._writes.is_pending(block):
+            return _failed(errors.ErrorKind.STORE_UNKNOWN, failure.detail)
+        return result.Err(failure)
+
+    def _note_seen(self) -> None:
+        for at in self._writes.blocks():
+            self._writes.seen(self._replica.blocks[at])
+
     def _answer_pull(self, pull: messages.Pull) -> messages.Delta:
         return self._replica.delta(self._vm, pull)
 
@@ -237,5 +316,17 @@
             )
 
 
+def _successor(
+    stored: tables.Block, change: Change
+) -> result.Result[tables.Block, errors.Failure]:
+    changed = change(stored)
+    if isinstance(changed, result.Err):
+        return _failed(errors.ErrorKind.CONFLICT, changed.err_value)
+    checked = tables.check_successor(stored, changed.ok_value)
+    if isinstance(checked, result.Err):
+        return _failed(errors.ErrorKind.INTERNAL, checked.err_value)
+    return checked
+
+
 def _failed(kind: errors.ErrorKind, detail: str) -> result.Err[errors.Failure]:
     return result.Err(errors.Failure(kind, detail))
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -15,6 +15,7 @@
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
+from mimosastile_entry import _roles
 from mimosastile_entry import _router
 from mimosastile_entry import _state
 from mimosastile_entry import _targets_http
@@ -35,7 +36,8 @@
         _inbox.InboxService(place.id),
         _fleet.FleetService(place.id),
         _state.StateService(place.id),
-        _keeper.KeeperService(place.id),
+        _keeper.KeeperService(place.id, place.zone),
+        _roles.RolesService(place.id),
         _planner.PlannerService(place.id),
         _router.RouterService(place.id),
     ]
@@ -79,6 +81,12 @@
     return _clock.LoopClock(seed)
 
 
+async def stop_gracefully(made: kernel.Kernel) -> None:
+    """Stops a daemon gracefully: its roles go to peers of its zone first."""
+    await made.find("roles").hand_over()
+    await made.stop()
+
+
 async def run(configured: settings.Settings) -> None:
     """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully."""
     made = assemble(configured)
@@ -90,4 +98,4 @@
         loop.add_signal_handler(number, stop.set)
     await stop.wait()
     logging.info("%s %s stops.", _PREFIX, configured.vm.id)
-    await made.stop()
+    await stop_gracefully(made)
--- a/packages/mimosastile-standins/src/mimosastile_standins/world.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/world.py
@@ -160,7 +160,7 @@
         """Stops a daemon gracefully."""
         made = self.daemons[vm]
         async with asyncio.timeout(_STOP_SECONDS):
-            await made.stop()
+            await daemon.stop_gracefully(made)
         self.sites.processes.pop(vm, None)
 
     def kill_daemon(self, vm: str) -> None:
--- a/tests/core/test_holder.py
+++ b/tests/core/test_holder.py
@@ -24,6 +24,7 @@
     message = kept.message()
     reply = held.receive(message, now)
     kept.answered(message, reply, now)
+    kept.confirm(now)
     return reply.status
 
 
--- a/tests/core/test_moves.py
+++ b/tests/core/test_moves.py
@@ -25,7 +25,7 @@
         [
             moves.Released("a", 3, frozenset({FIRST})),
             moves.Lapsed("a", 3),
-            moves.Gone("a"),
+            moves.Gone("a", 3),
         ],
     )
     def test_proof_moves_the_slice(self, proof):
@@ -41,7 +41,8 @@
             moves.Released("b", 3, frozenset({FIRST})),
             moves.Lapsed("a", 2),
             moves.Lapsed("b", 3),
-            moves.Gone("b"),
+            moves.Gone("a", 2),
+            moves.Gone("b", 3),
         ],
     )
     def test_void_proof_moves_nothing(self, proof):
@@ -75,7 +76,8 @@
     def test_fence_rises(self):
         """The former keeper's messages are refused from then on."""
         block = moves.set_keepers(OWNED, {"a": ("f", "boot")}).unwrap()
-        assert block.keepers["a"] == tables.KeeperRef("f", "boot", 4)
+        former = (tables.FormerKeeper("e", "boot"),)
+        assert block.keepers["a"] == tables.KeeperRef("f", "boot", 4, former)
 
     def test_restarted_daemon_is_a_new_keeper(self):
         """It has forgotten what it granted."""
