Keeper faults in virtual time; a lapse is noticed when it happens

Forwarded answers that nobody waited for kept their slots in the stand-in peers: after the loss of a keeper its successor had no slot left.

Excluded: the keeper's claim and grants were done 0.1 s after the list said so; only the slots were missing.

Guards were taken out one by one on a scratch copy: seal, silence, pause, running and unsure requests, gate and stand-down each turn a test of test_keeper red; the confirmation of the role is caught by test_keeping.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
@@ -359,7 +359,8 @@
         message = state.message()
         left = state.lapses_at - self._clock.now()
         longest = service.grant.timeout
-        timeout = min(longest, left) if left > 0 else longest
+        # Waits no longer than it takes to know that the grant has lapsed.
+        timeout = min(longest, left + _SHORTEST_REST) if left > 0 else longest
         reply = await self._targets.grant(vm, message, timeout)
         if isinstance(reply, result.Ok):
             state.answered(message, reply.ok_value, self._clock.now())
--- a/packages/mimosastile-standins/src/mimosastile_standins/memory.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/memory.py
@@ -236,12 +236,17 @@
         if peer is None or peer.kernel is None:
             return result.Err(_UNREACHABLE)
         left = request.deadline - self._process.now()
+        answer = _Answer()
         try:
             async with asyncio.timeout(left):
-                work = self._handle(peer, peer.kernel, request)
+                work = self._handle(peer, peer.kernel, request, answer)
                 response = await self._round_trip(vm.id, work)
         except TimeoutError:
+            await answer.drop()
             return result.Err(_LOST)
+        except asyncio.CancelledError:
+            await answer.drop()
+            raise
         named = dict(response.headers).get(_ERROR_HEADER)
         if named is not None:
             await response.close()
@@ -264,6 +269,7 @@
         peer: network.Process,
         there: kernel.Kernel,
         request: ports.Request,
+        answer: "_Answer",
     ) -> ports.Response:
         await peer.gate()
         inner = ports.Request(
@@ -280,9 +286,36 @@
             request.target,
         )
         response: ports.Response = await there.find("router").handle(inner)
+        await answer.arrive(response)
         await peer.gate()
         return response
 
 
+class _Answer:
+    """A peer's answer that its receiver may give up before it comes.
+
+    A server closes an answer whose receiver has gone. Without that here, the
+    slot that it holds on the peer would be lost for good.
+    """
+
+    __slots__ = ("_dropped", "_response")
+
+    def __init__(self) -> None:
+        self._dropped = False
+        self._response: ports.Response | None = None
+
+    async def arrive(self, response: ports.Response) -> None:
+        """Takes the answer, or closes it if nobody waits any more."""
+        self._response = response
+        if self._dropped:
+            await response.close()
+
+    async def drop(self) -> None:
+        """Gives the answer up, now or when it comes."""
+        self._dropped = True
+        if self._response is not None:
+            await self._response.close()
+
+
 async def _once(body: bytes) -> AsyncIterator[bytes]:
     yield body
