--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -64,6 +64,7 @@
         "_store",
         "_synced",
         "_task",
+        "_tellings",
         "_vm",
         "_writes",
         "name",
@@ -89,6 +90,7 @@
         self._revision = 0
         self._synced = False
         self._task: asyncio.Task[None] | None = None
+        self._tellings: set[asyncio.Future[Any]] = set()
 
     @property
     def replica(self) -> replica.Replica:
@@ -121,6 +123,8 @@
         """Ends the watch."""
         if self._task is not None:
             self._task.cancel()
+        for telling in self._tellings:
+            telling.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns numbers and versions."""
@@ -184,6 +188,7 @@
                 return self._doubted(block, successor.err_value)
             proposed = successor.ok_value
             if await self._write(stored, proposed):
+                self._tell(proposed)
                 return successor
             # A lost race or a lost answer: the next read tells which.
         return _failed(errors.ErrorKind.STORE_UNKNOWN, "no try succeeded")
@@ -241,6 +246,22 @@
             self._writes.failed(proposed)
         return wrote.is_ok()
 
+    def _tell(self, block: tables.Block) -> None:
+        """Sends a changed block to the keepers that it names.
+
+        A watch can stop without a word. A keeper that learned only by its
+        watch would grant what its target was given when the watch has run
+        out, and the keys would have no server for that long.
+        """
+        delta = messages.Delta(self._vm, None, (block,))
+        named = {keeper.vm for keeper in block.keepers.values()}
+        for vm in self._fleet.peers().values():
+            if vm.id in named:
+                call = self._peers.call(vm, delta, _PEER_SECONDS)
+                task = asyncio.ensure_future(call)
+                self._tellings.add(task)
+                task.add_done_callback(self._tellings.discard)
+
     def _doubted(
         self, block: tables.BlockId, failure: errors.Failure
     ) -> result.Err[errors.Failure]:
--- a/packages/mimosastile-standins/src/mimosastile_standins/losses.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/losses.py
@@ -13,7 +13,6 @@
 
 import msgspec
 
-from mimosastile_core import config
 from mimosastile_core import grants
 from mimosastile_core import keys
 from mimosastile_standins import deployments
@@ -110,10 +109,6 @@
         longest = max((b - a for a, b in pairs), default=0.0)
         return max(0.0, longest - _SEND_SECONDS)
 
-    def slowest(self) -> float:
-        """Returns how long the callers wait at most."""
-        return self._patience
-
     def _entry(self, number: int) -> str | None:
         # The platform's balancer knows which VMs take connections.
         up = sorted(self._made.daemons)
@@ -272,11 +267,6 @@
     return virtual.run(_case(fault, setting, seed))
 
 
-def document(setting: Setting) -> config.Document:
-    """Returns the configuration that a setting stands for."""
-    return deployment(setting).document()
-
-
 def served_by(body: bytes) -> str:
     """Returns the target that an answer names."""
     named: str = json.loads(body)["target"]
--- a/tests/entry/test_keeper.py
+++ b/tests/entry/test_keeper.py
@@ -217,7 +217,9 @@
     while a label was being issued would have its serial issued twice.
     """
 
-    @pytest.mark.parametrize(("answered", "moves"), [(True, True), (False, False)])
+    @pytest.mark.parametrize(
+        ("answered", "moves"), [(True, True), (False, False)]
+    )
     def test_key_moves_only_after_the_whole_answer(self, answered, moves):
         """A request whose answer was lost may run at any later time."""
 
