--- a/packages/mimosastile-core/src/mimosastile_core/gates.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gates.py
@@ -22,6 +22,7 @@
     __slots__ = (
         "_block",
         "_keeper_fence",
+        "_orphaned",
         "_running",
         "_silent",
         "_target",
@@ -49,6 +50,7 @@
         self._target = target
         self._keeper_fence = keeper_fence
         self._silent = silent
+        self._orphaned = False
         self._wanted: tuple[grants.HeldSlice, ...] = ()
         self._running: collections.Counter[int] = collections.Counter()
         self._unsure: set[int] = set()
@@ -89,6 +91,21 @@
         del now
         self._silent = True
 
+    def orphaned(self) -> None:
+        """Notes that a former keeper ended without acknowledging anything."""
+        self._orphaned = True
+
+    def never_releases(self, piece: tables.Slice) -> bool:
+        """Whether a slice cannot be proved released while the VM exists.
+
+        Something of it may lie in the target's buffers and run at any time,
+        sent by a former keeper that has ended or by this one, which has lost
+        the answer.
+        """
+        return self._orphaned or any(
+            piece.first <= p <= piece.last for p in self._unsure
+        )
+
     def enter(self, position: int, fence: int) -> bool:
         """Lets a request pass and counts it; False if it must not run.
 
--- a/packages/mimosastile-core/src/mimosastile_core/keeping.py
+++ b/packages/mimosastile-core/src/mimosastile_core/keeping.py
@@ -92,6 +92,29 @@
     return _released(kept, owned)
 
 
+@functools.singledispatch
+def stuck(kept: Kept, owned: tuple[tables.Slice, ...]) -> dict[int, str]:
+    """Returns a plan that takes back moves which can never finish.
+
+    A slice that is moving is not served. If nothing can ever prove that its
+    owner let it go, it would not be served again before the owner's VM is
+    gone, although the owner is well.
+
+    Args:
+        kept: The kept target, which is to stay.
+        owned: Slices that the table says are the target's.
+    """
+    del kept, owned
+    return {}
+
+
+@stuck.register
+def _(
+    kept: gates.GatedTarget, owned: tuple[tables.Slice, ...]
+) -> dict[int, str]:
+    return {s.first: "" for s in owned if s.next and kept.never_releases(s)}
+
+
 def is_gone(sight: Sight, not_before: float) -> bool:
     """Whether a target's VM has left the list for longer than any grant.
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
@@ -221,6 +221,12 @@
             kept.state.silenced(self._clock.now())
             kept.wake.set()
 
+    def orphan(self, role: messages.Role) -> None:
+        """Notes that a former keeper ended and acknowledged nothing."""
+        kept = self._kept.get((role.block, role.target))
+        if kept is not None and isinstance(kept.state, gates.GatedTarget):
+            kept.state.orphaned()
+
     def settled_fences(self, block: tables.BlockId) -> dict[str, int]:
         """Returns target to fence where no former keeper matters any more."""
         return {
@@ -392,12 +398,30 @@
             kept.write = asyncio.create_task(
                 self._hand_in(kept, at, proof), name=f"prove-{proof.target}"
             )
+        elif plan := self._stuck(kept, at):
+            kept.write = asyncio.create_task(
+                self._take_back(kept, at, plan), name=f"stay-{at.service}"
+            )
         elif self._state.writes.is_pending(at) and at not in self._settling:
             self._settling.add(at)
             kept.write = asyncio.create_task(
                 self._settle(kept, at), name=f"settle-{at.service}"
             )
 
+    def _stuck(self, kept: _Kept, at: tables.BlockId) -> dict[int, str]:
+        target = kept.state.target
+        if target not in self._fleet.fleet.live_targets(at.service):
+            return {}
+        owned = self._state.replica.blocks[at].owned_by(target)
+        return keeping.stuck(kept.state, owned)
+
+    async def _take_back(
+        self, kept: _Kept, at: tables.BlockId, plan: dict[int, str]
+    ) -> None:
+        kept.retry_at = self._clock.now() + _RETRY_SECONDS
+        await self._state.change(at, lambda b: moves.start_moves(b, plan))
+        kept.wake.set()
+
     def _proof(
         self, kept: _Kept, at: tables.BlockId, service: config.Service
     ) -> moves.Proof | None:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_roles.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_roles.py
@@ -323,3 +323,5 @@
         for role, former in pairs:
             if self._service(role.block).checks_orders:
                 self._keeper.silence(role, former)
+            else:
+                self._keeper.orphan(role)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -204,7 +204,10 @@
         if peer is None or peer.id == self._vm:
             return _failed(errors.ErrorKind.NO_OWNER, "The keeper changes.")
         call.request.target = target.id
-        return await self._peers.forward(peer, call.request)
+        sent = await self._peers.forward(peer, call.request)
+        if sent.is_err() and _knows_better(sent.err()):
+            await self._state.learn_from(peer)
+        return sent
 
     def _next_hop(self, call: Call) -> result.Result[Hop, errors.Failure]:
         table = self._state.replica.table(call.name)
@@ -268,6 +271,11 @@
         return sent
 
 
+def _knows_better(failure: errors.Failure | None) -> bool:
+    wrong = errors.ErrorKind.WRONG_FENCE
+    return failure is not None and failure.kind is wrong
+
+
 def request_key(
     source: config.KeySource, request: ports.Request, rest: str
 ) -> str:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -32,6 +32,8 @@
 _WATCH_SECONDS = 20.0
 _RETRY_SECONDS = 0.5
 _PEER_SECONDS = 0.5
+_ASK_SECONDS = 0.1
+"""Shortest time between two questions to the same peer."""
 _MAX_TRIES = 8
 
 Change = Callable[[tables.Block], result.Result[tables.Block, str]]
@@ -57,6 +59,7 @@
     """Keeps the replica up to date and makes changes by compare-and-swap."""
 
     __slots__ = (
+        "_asked_at",
         "_fleet",
         "_peers",
         "_replica",
@@ -91,6 +94,7 @@
         self._synced = False
         self._task: asyncio.Task[None] | None = None
         self._tellings: set[asyncio.Future[Any]] = set()
+        self._asked_at: dict[str, float] = {}
 
     @property
     def replica(self) -> replica.Replica:
@@ -219,6 +223,17 @@
             self._replica.merge(delta)
         return len(heard) == len(calls)
 
+    async def learn_from(self, peer: fleet.Vm) -> None:
+        """Asks a peer for anything newer, unless it was asked just before.
+
+        For whoever meets a peer that knows better: a watch can stop without
+        a word, and this VM would go by its old tables until it runs out.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - self._asked_at.get(peer.id, -_ASK_SECONDS) >= _ASK_SECONDS:
+            self._asked_at[peer.id] = now
+            await self.refresh_from((peer,))
+
     async def _read_block(
         self, block: tables.BlockId
     ) -> result.Result[_Stored, errors.Failure]:
--- a/tests/core/test_keeping.py
+++ b/tests/core/test_keeping.py
@@ -75,6 +75,27 @@
         assert proof == moves.Released("t", 3, frozenset({0}))
 
 
+class TestStuckMove:
+    """A move away from a target that checks nothing can never be proved.
+
+    An answer was lost, or a former keeper was. While the move waits, its keys
+    are not served, and the platform may keep the target's VM for months.
+    """
+
+    @pytest.mark.parametrize("cause", ["nothing", "unsure", "orphaned"])
+    def test_move_is_taken_back(self, cause):
+        """Only if nothing else can end it."""
+        gate = gates.GatedTarget(BLOCK, "t", 3)
+        gate.want((grants.HeldSlice(0, 9, 2),))
+        gate.enter(5, 2)
+        gate.leave(5, answered=cause != "unsure")
+        if cause == "orphaned":
+            gate.orphaned()
+        plan = {} if cause == "nothing" else {0: ""}
+        assert keeping.stuck(gate, MOVING) == plan
+        assert keeping.stuck(_heard(), MOVING) == {}
+
+
 class TestFormerKeeper:
     """A keeper is replaced, and its successor hears nothing from the target.
 
--- a/tests/entry/test_roles.py
+++ b/tests/entry/test_roles.py
@@ -192,6 +192,35 @@
         assert outcome.longest < 1.0
 
 
+class TestStuckMove:
+    """A target that checks nothing is to leave and then is not.
+
+    Its keeper was lost meanwhile, so its move can never be proved.
+    """
+
+    def test_keys_are_served_by_it_again(self):
+        """The move is taken back when the list says that it stays."""
+
+        async def fault(made, target):
+            _watch(made)
+            listed = next(
+                v for v in made.fleet.read(virtual.now()) if v.id == target
+            )
+            keeper = losses.keeper_of(made, target)
+            made.kill_daemon(keeper)
+            made.fleet.remove(keeper)
+            made.fleet.leave(target)
+            await virtual.pause(2.0)
+            made.fleet.put(listed)
+            await virtual.pause(2.0)
+            assert losses.owner_of(made, KEY) == target
+            vm = losses.keeper_of(made, target)
+            assert (await made.call(vm, "GET", f"/citaonica/{KEY}"))[0] == 200
+
+        outcome = _run(fault, checks_orders=False, checks_expiry=False)
+        assert outcome.violations == ()
+
+
 class TestSilentWatch:
     """The watch of an entry VM stops without a word.
 
@@ -206,6 +235,12 @@
             for daemon in made.daemons.values():
                 daemon.find("state")._task.cancel()
             made.targets[target].crash()
+            await virtual.pause(1.5)
+            answers = [
+                await made.call(vm, "GET", f"/{losses.KEYED}/{KEY}")
+                for vm in made.daemons
+            ]
+            assert {status for status, _ in answers} == {200}
 
         outcome = _run(fault)
         assert outcome.violations == ()
