--- a/tests/entry/test_configuration.py
+++ b/tests/entry/test_configuration.py
@@ -79,7 +79,7 @@
 
 async def _world(vms=2):
     made = world.World()
-    made.store = FaultyStore()
+    made.store = made.sites.store = FaultyStore()
     for i in range(vms):
         await made.add_daemon(f"e{i}", *PLACES[i % 2])
     return made
