Administration API with roles, scopes and an audit trail

Cause: the operators' views stood open, and patches had no way in. The demo's operator views now need the operator's token; its test asks with it and expects 401 without, which is stricter than before.

--- a/packages/mimosastile-core/src/mimosastile_core/access.py
+++ b/packages/mimosastile-core/src/mimosastile_core/access.py
@@ -13,9 +13,12 @@
 BOOTSTRAP = "bootstrap"
 """Name of the operator of a deployment that has declared none yet."""
 
-_OPERATIONAL = ("drains", "moves", "releases")
+_OPERATIONAL = ("drains", "moves")
 """Fields of a service that the role "operate" may change alone."""
 
+_CLEARED = "/quarantine/cleared/"
+"""Where requests are let go again; the role "operate" may do it alone."""
+
 Part = Literal["services", "members"]
 
 
@@ -81,24 +84,41 @@
     return found
 
 
+def refused_role(
+    principal: Principal, paths: Iterable[str]
+) -> errors.Failure | None:
+    """Says which role is missing to apply a change of paths, if any."""
+    role = role_for(paths)
+    if principal.has(role) or principal.has(config.Role.APPROVE):
+        return None
+    return _forbidden(f"Needs the role {role.value}.")
+
+
 def refused_paths(
     principal: Principal, paths: Iterable[str]
 ) -> errors.Failure | None:
-    """Says why an operator may not change paths; None if it may.
+    """Says which changed paths are out of scope; None if none is.
 
     The paths come from comparing the documents before and after, so no way of
     writing a patch gets around this.
     """
-    listed = tuple(paths)
-    role = role_for(listed)
-    if not principal.has(role) and not principal.has(config.Role.APPROVE):
-        return _forbidden(f"Needs the role {role.value}.")
-    outside = [path for path in listed if not _is_covered(principal, path)]
+    outside = [path for path in paths if not _is_covered(principal, path)]
     if outside:
         return _forbidden("Outside the scope: " + ", ".join(outside))
     return None
 
 
+def refused_pointers(
+    principal: Principal, pointers: Iterable[str]
+) -> errors.Failure | None:
+    """Says whether a patch reads or writes anything out of scope.
+
+    A test or copy changes nothing out of scope, but its outcome would tell
+    what stands there.
+    """
+    return refused_paths(principal, pointers)
+
+
 def role_for(paths: Iterable[str]) -> config.Role:
     """Returns the role that is enough to change these paths."""
     operational = all(_is_operational(path) for path in paths)
@@ -113,7 +133,8 @@
     """
     if principal.covers_all:
         return document
-    return config.Document(
+    return msgspec.structs.replace(
+        document,
         services={
             name: service
             for name, service in document.services.items()
@@ -124,6 +145,7 @@
             for name, member in document.members.items()
             if principal.covers("members", name)
         },
+        operators={},
     )
 
 
@@ -153,7 +175,7 @@
 
 def _is_operational(path: str) -> bool:
     parts = path.split("/")
-    return (
+    return path.startswith(_CLEARED) or (
         len(parts) > 3 and parts[1] == "services" and parts[3] in _OPERATIONAL
     )
 
--- a/packages/mimosastile-core/src/mimosastile_core/patches.py
+++ b/packages/mimosastile-core/src/mimosastile_core/patches.py
@@ -179,6 +179,14 @@
     return result.Ok(Proposal(checked.ok_value, brief_paths(paths)))
 
 
+def pointers(patch: Patch) -> Iterator[str]:
+    """Yields every JSON pointer that a patch reads or writes."""
+    for operation in patch.operations:
+        yield operation.path
+        if isinstance(operation.source, str):
+            yield operation.source
+
+
 def differences(before: Any, after: Any, at: str = "") -> Iterator[str]:
     """Yields JSON pointers to everything that differs.
 
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_admin.py
@@ -0,0 +1,399 @@
+"""The administration API: HTTP with JSON under /v1 on the inner port."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import result
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from mimosastile_core import access
+from mimosastile_core import administration
+from mimosastile_core import config
+from mimosastile_core import errors
+from mimosastile_core import keys
+from mimosastile_core import patches
+from mimosastile_entry import _access
+from mimosastile_entry import _audit
+from mimosastile_entry import _configuration
+from mimosastile_entry import _explain
+from mimosastile_entry import _fleet
+from mimosastile_entry import _state
+from mimosastile_entry import kernel
+
+_MAX_LIMIT = 500
+_DEFAULT_LIMIT = 20
+
+Outcome = result.Result[Any, errors.Failure | administration.Rejected]
+
+
+class Call:
+    """One call of an operator.
+
+    Attributes:
+        principal: Who calls.
+        request: The HTTP request.
+    """
+
+    __slots__ = ("principal", "request")
+
+    def __init__(
+        self, principal: access.Principal, request: requests.Request
+    ) -> None:
+        self.principal = principal
+        self.request = request
+
+    def text(self, name: str) -> str:
+        """Returns a part of the path, or a query parameter, or nothing."""
+        found = self.request.path_params.get(name)
+        return str(found or self.request.query_params.get(name, ""))
+
+    def number(self, name: str, default: int) -> int:
+        """Returns a whole number from path or query."""
+        text = self.text(name)
+        return int(text) if text.isascii() and text.isdecimal() else default
+
+    @property
+    def limit(self) -> int:
+        """How many items the caller wants."""
+        return min(max(self.number("limit", _DEFAULT_LIMIT), 1), _MAX_LIMIT)
+
+
+Handler = Callable[[Call], Awaitable[Outcome]]
+
+
+class AdminApi:
+    """The routes of the administration API and what they do."""
+
+    __slots__ = (
+        "_access",
+        "_audit",
+        "_configuration",
+        "_fleet",
+        "_kernel",
+        "_state",
+    )
+
+    def __init__(self, kernel: kernel.Kernel) -> None:
+        """Makes the API.
+
+        Args:
+            kernel: The daemon's kernel; its services have started.
+        """
+        self._kernel = kernel
+        self._access: _access.AccessService = kernel.find("access")
+        self._audit: _audit.AuditService = kernel.find("audit")
+        self._state: _state.StateService = kernel.find("state")
+        self._fleet: _fleet.FleetService = kernel.find("fleet")
+        self._configuration: _configuration.ConfigurationService = kernel.find(
+            "configuration"
+        )
+
+    def routes(self) -> list[routing.Route]:
+        """Returns the routes."""
+        read, propose = config.Role.READ, config.Role.PROPOSE
+        views: tuple[tuple[str, Handler], ...] = (
+            ("/v1/config", self._show),
+            ("/v1/config/diff", self._diff),
+            ("/v1/config/history", self._history),
+            ("/v1/config/changes/{number:int}", self._change),
+            ("/v1/config/blame", self._blame),
+            ("/v1/config/revert/{number:int}", self._revert),
+            ("/v1/config/in-force", self._in_force),
+            ("/v1/tables/{service}", self._table),
+            ("/v1/tables/{service}/owner/{key:path}", self._owner),
+            ("/v1/explain/{service}/{key:path}", self._explain),
+            ("/v1/members", self._members),
+            ("/v1/quarantine", self._quarantine),
+            ("/v1/link", self._link),
+            ("/v1/dump", self._dump),
+            ("/v1/audit", self._audited),
+        )
+        return [
+            *(self._route(path, "GET", read, made) for path, made in views),
+            self._route("/v1/config/propose", "POST", propose, self._propose),
+            # Which role it takes depends on what the patch touches.
+            self._route("/v1/config/apply", "POST", read, self._apply),
+        ]
+
+    def _route(
+        self, path: str, method: str, role: config.Role, handler: Handler
+    ) -> routing.Route:
+        async def endpoint(request: requests.Request) -> responses.Response:
+            shown = request.headers.get("authorization", "")
+            found = self._access.identify(shown)
+            if isinstance(found, result.Err):
+                self._note("", request, found.err_value)
+                return _answer(found)
+            principal = found.ok_value
+            if not principal.has(role):
+                refused = _failed(
+                    errors.ErrorKind.FORBIDDEN, f"Needs the role {role.value}."
+                )
+                self._note(principal.name, request, refused.err_value)
+                return _answer(refused)
+            outcome = await handler(Call(principal, request))
+            if isinstance(outcome, result.Err):
+                self._note_refused(principal.name, request, outcome.err_value)
+            return _answer(outcome)
+
+        return routing.Route(path, endpoint, methods=[method])
+
+    async def _show(self, call: Call) -> Outcome:
+        current = self._configuration.current
+        number = call.number("number", current.number)
+        document = await self._configuration.document(number)
+        if isinstance(document, result.Err):
+            return document
+        seen = access.visible(call.principal, document.ok_value)
+        return result.Ok(config.Version(number, seen))
+
+    async def _diff(self, call: Call) -> Outcome:
+        newest = self._configuration.current.number
+        newer = call.number("newer", newest)
+        older = call.number("older", max(newer - 1, 0))
+        seen: list[config.Document] = []
+        for number in (older, newer):
+            document = await self._configuration.document(number)
+            if isinstance(document, result.Err):
+                return document
+            seen.append(access.visible(call.principal, document.ok_value))
+        before, after = seen
+        paths = patches.differences(
+            patches.to_raw(before), patches.to_raw(after)
+        )
+        operations = patches.between(before, after)
+        return result.Ok(
+            administration.Difference(older, newer, tuple(paths), operations)
+        )
+
+    async def _history(self, call: Call) -> Outcome:
+        before = call.number("before", 0)
+        changes = await self._configuration.history(before, call.limit)
+        return _visible(call, changes)
+
+    async def _blame(self, call: Call) -> Outcome:
+        path = call.text("path")
+        return _visible(call, await self._configuration.blame(path, call.limit))
+
+    async def _change(self, call: Call) -> Outcome:
+        change = await self._configuration.change(call.number("number", 0))
+        if isinstance(change, result.Err):
+            return change
+        return result.Ok(access.visible_change(call.principal, change.ok_value))
+
+    async def _revert(self, call: Call) -> Outcome:
+        number = call.number("number", 0)
+        change = await self._configuration.change(number)
+        if isinstance(change, result.Err):
+            return change
+        # The operations that undo a change tell what stood there before.
+        refused = _hidden(call.principal, change.ok_value)
+        if refused is not None:
+            return result.Err(refused)
+        return await self._configuration.revert(number)
+
+    async def _in_force(self, call: Call) -> Outcome:
+        newest = self._configuration.current.number
+        number = call.number("number", newest)
+        return result.Ok(await self._configuration.in_force(number))
+
+    async def _propose(self, call: Call) -> Outcome:
+        patch = await _patch(call)
+        if isinstance(patch, result.Err):
+            return patch
+        preview = await self._configuration.preview(
+            patch.ok_value, _within(call.principal)
+        )
+        if isinstance(preview, result.Err):
+            return preview
+        made = preview.ok_value
+        seen = access.visible(call.principal, made.document)
+        return result.Ok(msgspec.structs.replace(made, document=seen))
+
+    async def _apply(self, call: Call) -> Outcome:
+        patch = await _patch(call)
+        if isinstance(patch, result.Err):
+            return patch
+        return await self._configuration.apply(
+            patch.ok_value, call.principal.name, _allowed(call.principal)
+        )
+
+    async def _table(self, call: Call) -> Outcome:
+        service = call.text("service")
+        refused = _outside(call.principal, service)
+        if refused is not None:
+            return result.Err(refused)
+        found = self._state.replica.table(service)
+        if found is None:
+            return _failed(errors.ErrorKind.UNKNOWN_SERVICE, service)
+        return result.Ok(list(found.blocks.values()))
+
+    async def _owner(self, call: Call) -> Outcome:
+        service = call.text("service")
+        refused = _outside(call.principal, service)
+        if refused is not None:
+            return result.Err(refused)
+        found = self._state.replica.table(service)
+        position = keys.key_hash(call.text("key"))
+        home = found.locate(position) if found else None
+        if home is None:
+            return _failed(errors.ErrorKind.NOT_FOUND, "No table over the key.")
+        return result.Ok(home)
+
+    async def _explain(self, call: Call) -> Outcome:
+        service = call.text("service")
+        refused = _outside(call.principal, service)
+        if refused is not None:
+            return result.Err(refused)
+        return _explain.explain(
+            self._state.replica, self._fleet.fleet, service, call.text("key")
+        )
+
+    async def _members(self, call: Call) -> Outcome:
+        members = access.visible(
+            call.principal, self._configuration.current.document
+        ).members
+        return result.Ok(
+            {
+                name: administration.MemberView(
+                    len(m.credentials), m.share, m.concurrency, m.rate
+                )
+                for name, m in members.items()
+            }
+        )
+
+    async def _quarantine(self, call: Call) -> Outcome:
+        return self._part(call, "quarantine")
+
+    async def _link(self, call: Call) -> Outcome:
+        return self._part(call, "links")
+
+    async def _dump(self, call: Call) -> Outcome:
+        if not call.principal.covers_all:
+            return _everything()
+        return result.Ok(self._kernel.dump())
+
+    async def _audited(self, call: Call) -> Outcome:
+        if not call.principal.covers_all:
+            return _everything()
+        entries = await self._audit.entries()
+        return entries.map(lambda found: found[: call.limit])
+
+    def _part(self, call: Call, service: str) -> Outcome:
+        if not call.principal.covers_all:
+            return _everything()
+        return result.Ok(self._kernel.dump().get(service, {}))
+
+    def _note(
+        self, who: str, request: requests.Request, failure: errors.Failure
+    ) -> None:
+        action = f"{request.method} {request.url.path}"
+        self._audit.note(who, action, failure.kind.value, failure.detail)
+
+    def _note_refused(
+        self,
+        who: str,
+        request: requests.Request,
+        refused: errors.Failure | administration.Rejected,
+    ) -> None:
+        if isinstance(refused, administration.Rejected):
+            refused = refused.failure
+        if refused.kind is errors.ErrorKind.FORBIDDEN:
+            self._note(who, request, refused)
+
+
+def _allowed(principal: access.Principal) -> _configuration.Allowed:
+    def allowed(paths: tuple[str, ...]) -> errors.Failure | None:
+        return access.refused_role(principal, paths) or access.refused_paths(
+            principal, paths
+        )
+
+    return allowed
+
+
+def _within(principal: access.Principal) -> _configuration.Allowed:
+    def within(paths: tuple[str, ...]) -> errors.Failure | None:
+        return access.refused_paths(principal, paths)
+
+    return within
+
+
+async def _patch(
+    call: Call,
+) -> result.Result[patches.Patch, errors.Failure]:
+    body = bytearray()
+    async for chunk in call.request.stream():
+        body += chunk
+        if len(body) > patches.MAX_PATCH_BYTES:
+            break
+    patch = patches.decode(bytes(body))
+    if isinstance(patch, result.Ok):
+        refused = access.refused_pointers(
+            call.principal, patches.pointers(patch.ok_value)
+        )
+        if refused is not None:
+            return result.Err(refused)
+    return patch
+
+
+def _visible(
+    call: Call, changes: result.Result[list[config.Change], errors.Failure]
+) -> Outcome:
+    return changes.map(
+        lambda found: [access.visible_change(call.principal, c) for c in found]
+    )
+
+
+def _hidden(
+    principal: access.Principal, change: config.Change
+) -> errors.Failure | None:
+    seen = access.visible_change(principal, change)
+    if change.operations and not seen.operations:
+        return errors.Failure(
+            errors.ErrorKind.FORBIDDEN, "The change is outside the scope."
+        )
+    return None
+
+
+def _outside(
+    principal: access.Principal, service: str
+) -> errors.Failure | None:
+    if principal.covers("services", service):
+        return None
+    return errors.Failure(
+        errors.ErrorKind.FORBIDDEN, f"{service} is outside the scope."
+    )
+
+
+def _everything() -> result.Err[errors.Failure]:
+    return _failed(
+        errors.ErrorKind.FORBIDDEN, "Needs all services and members in scope."
+    )
+
+
+def _answer(outcome: Outcome) -> responses.Response:
+    if isinstance(outcome, result.Ok):
+        return _json(200, outcome.ok_value)
+    refused = outcome.err_value
+    if isinstance(refused, errors.Failure):
+        refused = administration.Rejected(refused)
+    answer = refused.failure.answer
+    view = administration.Refusal(
+        errors.refusal(refused.failure, ""),
+        refused.current,
+        refused.meanwhile,
+    )
+    return _json(answer.status, view)
+
+
+def _json(status: int, value: Any) -> responses.Response:
+    body = msgspec.json.encode(value)
+    return responses.Response(body, status, media_type="application/json")
+
+
+def _failed(kind: errors.ErrorKind, detail: str) -> result.Err[errors.Failure]:
+    return result.Err(errors.Failure(kind, detail))
--- a/packages/mimosastile-entry/src/mimosastile_entry/_configuration.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_configuration.py
@@ -27,8 +27,8 @@
 _PEER_SECONDS = 0.5
 _MAX_MEANWHILE = 50
 
-Allowed = Callable[[config.Document, tuple[str, ...]], errors.Failure | None]
-"""Says why an operator may not touch paths of a document, None if it may."""
+Allowed = Callable[[tuple[str, ...]], errors.Failure | None]
+"""Says why an operator may not change paths, None if it may."""
 
 
 class _Held(msgspec.Struct, frozen=True):
@@ -457,7 +457,7 @@
 ) -> patches.Outcome:
     proposal = patches.propose(version.document, patch)
     if isinstance(proposal, result.Ok):
-        refused = allowed(version.document, proposal.ok_value.paths)
+        refused = allowed(proposal.ok_value.paths)
         if refused is not None:
             return result.Err(refused)
     return proposal
--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -26,7 +26,14 @@
             configured: The daemon's settings.
         """
         self.name = "listeners"
-        self.needs: tuple[str, ...] = ("router", "state", "clock")
+        self.needs: tuple[str, ...] = (
+            "router",
+            "state",
+            "clock",
+            "configuration",
+            "access",
+            "audit",
+        )
         self._settings = configured
         self._callers: _asgi.CallersApp | None = None
         self._listeners: dict[str, serving.Listener] = {}
--- a/packages/mimosastile-entry/src/mimosastile_entry/_operations.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_operations.py
@@ -6,12 +6,10 @@
 from starlette import responses
 from starlette import routing
 
-from mimosastile_core import keys
 from mimosastile_core import messages
-from mimosastile_core import tables
+from mimosastile_entry import _admin
 from mimosastile_entry import _asgi
 from mimosastile_entry import _inbox
-from mimosastile_entry import _state
 from mimosastile_entry import _wire
 from mimosastile_entry import kernel
 
@@ -24,7 +22,6 @@
         forward: Application for forwarded requests; it is on the hot path and
             reached without Starlette's routing.
     """
-    state: _state.StateService = kernel.find("state")
     inbox: _inbox.InboxService = kernel.find("inbox")
 
     async def message(request: requests.Request) -> responses.Response:
@@ -34,30 +31,10 @@
             return responses.PlainTextResponse(str(error), 400)
         return _json(messages.encode(inbox.receive(received)))
 
-    async def dump(request: requests.Request) -> responses.Response:
-        del request
-        return _json(msgspec.json.encode(kernel.dump()))
-
-    async def table(request: requests.Request) -> responses.Response:
-        found = state.replica.table(request.path_params["service"])
-        if found is None:
-            return responses.PlainTextResponse("no such service\n", 404)
-        return _json(msgspec.json.encode(list(found.blocks.values())))
-
-    async def owner(request: requests.Request) -> responses.Response:
-        found = state.replica.table(request.path_params["service"])
-        position = keys.key_hash(request.path_params["key"])
-        home: tables.Location | None = found.locate(position) if found else None
-        if home is None:
-            return responses.PlainTextResponse("no owner\n", 404)
-        return _json(msgspec.json.encode(home))
-
     operators = applications.Starlette(
         routes=[
             routing.Route(_wire.MESSAGE_PATH, message, methods=["POST"]),
-            routing.Route("/v1/dump", dump),
-            routing.Route("/v1/tables/{service}", table),
-            routing.Route("/v1/tables/{service}/owner/{key:path}", owner),
+            *_admin.AdminApi(kernel).routes(),
         ]
     )
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -6,7 +6,9 @@
 
 from absl import logging
 
+from mimosastile_entry import _access
 from mimosastile_entry import _archive
+from mimosastile_entry import _audit
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
 from mimosastile_entry import _configuration
@@ -57,6 +59,8 @@
         _platform_http.HttpFleet(platform.fleet, platform.timeout),
         _targets_http.HttpTargets(),
         _peers_http.HttpPeers(),
+        _access.AccessService(configured.admin.bootstrap),
+        _audit.AuditService(configured.vm.id, configured.vm.zone),
         _listeners.ListenersService(configured),
     ]
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -77,6 +77,17 @@
     shutdown_seconds: Annotated[float, msgspec.Meta(ge=0)] = 600.0
 
 
+class AdminSettings(_Strict, frozen=True):
+    """The administration API.
+
+    Attributes:
+        bootstrap: SHA-256 digest, in hex, of a token that may do everything
+            while the configuration declares no operators; empty for none.
+    """
+
+    bootstrap: Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{64})?$")] = ""
+
+
 class Settings(_Strict, frozen=True):
     """All settings of a daemon."""
 
@@ -84,6 +95,7 @@
     platform: PlatformSettings
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
+    admin: AdminSettings = AdminSettings()
 
 
 def load(path: pathlib.Path) -> result.Result[Settings, str]:
--- a/packages/mimosastile-standins/src/mimosastile_standins/demo.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/demo.py
@@ -29,6 +29,7 @@
 
 HOST = "127.0.0.1"
 TOKEN = "demo-token"
+OPERATOR = "demo-operator"
 KEYED = "citaonica"
 PLAIN = "prijemnica"
 _ZONES = (("kontinent", "zagreb-a"), ("primorje", "split-a"))
@@ -49,9 +50,16 @@
         checks_expiry=True,
     )
     digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    operator = config.Operator(
+        tokens=(hashlib.sha256(OPERATOR.encode()).hexdigest(),),
+        roles=tuple(config.Role),
+        services=(config.ALL,),
+        members=(config.ALL,),
+    )
     return config.Document(
         services={KEYED: letters, PLAIN: config.Service()},
         members={"desk": config.Member(credentials=(digest,))},
+        operators={"ana": operator},
     )
 
 
@@ -238,5 +246,6 @@
         f"  curl -H 'Authorization: Bearer {TOKEN}'"
         f" {address}/{KEYED}/letters/{letter}"
     )
+    say(f"  export MIMOSACTL_TOKEN={OPERATOR}")
     say(f"  mimosactl --at http://{HOST}:{inner} table {KEYED}")
     say(f"  mimosactl --at http://{HOST}:{inner} owner {KEYED} {letter}")
--- a/tests/entry/test_configuration.py
+++ b/tests/entry/test_configuration.py
@@ -68,8 +68,8 @@
     )
 
 
-def _anything(document, paths):
-    del document, paths
+def _anything(paths):
+    del paths
 
 
 async def _apply(made, vm, patch, author="ana"):
--- a/tests/standins/test_demo.py
+++ b/tests/standins/test_demo.py
@@ -9,6 +9,7 @@
 from mimosastile_standins import demo
 
 CREDENTIAL = {"authorization": f"Bearer {demo.TOKEN}"}
+OPERATOR = {"authorization": f"Bearer {demo.OPERATOR}"}
 
 
 async def _ask(session, url, headers):
@@ -55,8 +56,13 @@
             async with demo.running() as made, aiohttp.ClientSession() as s:
                 first = next(iter(made.daemons.values()))
                 port = first.find("listeners").ports["peers"]
-                return await _ask(s, f"http://{demo.HOST}:{port}{path}", {})
+                url = f"http://{demo.HOST}:{port}{path}"
+                return [
+                    await _ask(s, url, headers)
+                    for headers in (OPERATOR, CREDENTIAL, {})
+                ]
 
-        status, body = asyncio.run(story())
+        (status, body), *refused = asyncio.run(story())
         assert status == 200
         assert json.loads(body)
+        assert [status for status, _ in refused] == [401, 401]
