Retries within a budget; fair queues for slots at the keeper

Cause: the router polled every 20 ms until the deadline, sent nothing again after a lost answer, and its queue was first come, first served.

Change: core modules retries (budget, backoff, bounded wait for an owner), queueing (start-time fair queueing by class and member, charged by slot time, early refusal, push-out of the longest lane, shedding) and plans (routes prepared per service). The router wakes on a change of table or list. A lost answer of an idempotent request may be repeated by its caller and says so.

--- a/packages/mimosastile-core/src/mimosastile_core/config.py
+++ b/packages/mimosastile-core/src/mimosastile_core/config.py
@@ -69,6 +69,41 @@
     idempotent: bool | None = None
 
 
+class Retry(_Strict, frozen=True):
+    """When the router sends a request of a service again.
+
+    Attributes:
+        budget: Retries allowed per request, over many requests.
+        burst: Retries allowed at once after a quiet time.
+        attempts: Most times that one idempotent request is sent.
+        backoff: Seconds before the first retry; doubles, with jitter.
+        owner_wait: Longest wait, in seconds, for a target that may run the
+            request; after that it is refused as not run.
+    """
+
+    budget: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 10.0
+    attempts: Positive = 3
+    backoff: Annotated[float, msgspec.Meta(gt=0)] = 0.01
+    owner_wait: Annotated[float, msgspec.Meta(ge=0)] = 2.0
+
+
+class Queue(_Strict, frozen=True):
+    """The queue for the slots of each target of a service.
+
+    Attributes:
+        wait: Longest wait in seconds; whoever would wait longer is refused
+            at once.
+        length: Most requests that wait for one target.
+        bulk_slots: Slots of one target that bulk requests may hold; 0 for
+            half of them.
+    """
+
+    wait: Annotated[float, msgspec.Meta(gt=0)] = 5.0
+    length: Positive = 512
+    bulk_slots: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
 class Service(_Strict, frozen=True):
     """One service behind the router.
 
@@ -83,6 +118,8 @@
         grant: Times of the grant protocol in seconds.
         routes: Treatment by path; the longest matching prefix wins.
         timeout: Seconds that a request may take when it names no deadline.
+        retry: When requests are sent again.
+        queue: The queue for the slots of each target.
     """
 
     key: KeySource | None = None
@@ -95,6 +132,8 @@
     grant: grants.Timing = grants.Timing()
     routes: tuple[Route, ...] = (Route(),)
     timeout: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+    retry: Retry = Retry()
+    queue: Queue = Queue()
 
 
 class Member(_Strict, frozen=True):
--- a/packages/mimosastile-core/src/mimosastile_core/errors.py
+++ b/packages/mimosastile-core/src/mimosastile_core/errors.py
@@ -118,16 +118,40 @@
 
 
 class Failure(msgspec.Struct, frozen=True):
-    """One failure: its kind and what is particular to this case."""
+    """One failure: its kind and what is particular to this case.
+
+    Attributes:
+        kind: The kind.
+        detail: One sentence on this case, empty for none.
+        retry_after: Seconds after which a retry makes sense, 0 to take the
+            kind's.
+        repeatable: The request is idempotent, so the caller may send it again
+            although it may have run.
+    """
 
     kind: ErrorKind
     detail: str = ""
+    retry_after: int = 0
+    repeatable: bool = False
 
     @property
     def answer(self) -> Answer:
         """The fixed answer of this kind."""
         return ANSWERS[self.kind]
 
+    @property
+    def caller_retries(self) -> bool:
+        """Whether the caller may send the same request again."""
+        answer = self.answer
+        unsure = answer.ran is Ran.PERHAPS and self.repeatable
+        return answer.caller_retries or unsure
+
+    @property
+    def wait(self) -> int:
+        """Seconds for the Retry-After header, 0 for no such header."""
+        unsure = 1 if self.caller_retries else 0
+        return self.retry_after or self.answer.retry_after or unsure
+
 
 class Refusal(msgspec.Struct):
     """The one JSON shape of every refusal that a caller sees.
@@ -155,6 +179,6 @@
         error=failure.kind.value,
         message=answer.text + detail,
         ran=answer.ran.value,
-        retry=answer.caller_retries,
+        retry=failure.caller_retries,
         request_id=request_id,
     )
--- a/packages/mimosastile-entry/src/mimosastile_entry/_admission.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_admission.py
@@ -1,92 +1,123 @@
-"""Slots of the targets that this VM keeps: first come, first served."""
+"""Slots of the targets that this VM keeps; the core's queue decides."""
 
 import asyncio
-import collections
+from typing import Any
 
+from mimosastile_core import config
+from mimosastile_core import errors
+from mimosastile_core import queueing
 from mimosastile_entry import ports
 
-
-class _Gate:
-    """Requests running on one target and those that wait for a slot."""
-
-    __slots__ = ("running", "waiting")
-
-    def __init__(self) -> None:
-        self.running = 0
-        self.waiting: collections.deque[asyncio.Future[None]] = (
-            collections.deque()
-        )
+_Turn = asyncio.Future[errors.Failure | None]
 
 
 class Admission:
-    """Keeps a target's slots from being overrun.
+    """Carries out what the queues of the kept targets decide."""
 
-    The keeper is the only VM that sends to its target, so its count is exact.
-    """
+    __slots__ = ("_clock", "_queues", "_turns")
 
-    __slots__ = ("_gates",)
+    def __init__(self, clock: ports.ClockPort) -> None:
+        """Makes it with no queues.
 
-    def __init__(self) -> None:
-        self._gates: dict[str, _Gate] = {}
+        Args:
+            clock: Tells the time.
+        """
+        self._clock = clock
+        self._queues: dict[str, queueing.TargetQueue] = {}
+        self._turns: dict[queueing.Ticket, _Turn] = {}
 
     def load(self, target: str) -> int:
         """Returns how many requests run on a target or wait for it."""
-        gate = self._gates.get(target)
-        return gate.running + len(gate.waiting) if gate else 0
+        queue = self._queues.get(target)
+        return queue.running + queue.waiting if queue else 0
 
     def in_flight(self) -> dict[str, int]:
         """Returns the running requests by target."""
-        return {t: g.running for t, g in self._gates.items() if g.running}
-
-    async def enter(self, target: str, slots: int, wait: float) -> bool:
-        """Waits for a slot; False if none came free in time.
+        return {t: q.running for t, q in self._queues.items() if q.running}
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the queues that are in use."""
+        return {
+            target: {
+                "running": queue.running,
+                "waiting": queue.waiting,
+                "limit": queue.limit,
+            }
+            for target, queue in self._queues.items()
+            if queue.running or queue.waiting
+        }
+
+    async def enter(
+        self,
+        target: str,
+        service: config.Service,
+        ticket: queueing.Ticket,
+        deadline: float,
+    ) -> errors.Failure | None:
+        """Waits for a slot.
 
         Args:
             target: The target.
-            slots: How many requests it runs at a time.
-            wait: Longest wait in seconds.
+            service: Configuration of its service.
+            ticket: The request; give it to `leave` if it got a slot.
+            deadline: Loop time at which the caller gives up.
+
+        Returns:
+            None if the request holds a slot, else why it does not.
         """
-        gate = self._gates.setdefault(target, _Gate())
-        if gate.running < slots:
-            gate.running += 1
-            return True
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        gate.waiting.append(turn)
+        queue = self._queues.get(target)
+        if queue is None:
+            queue = queueing.TargetQueue(service.slots, service.queue)
+            self._queues[target] = queue
+        queue.configure(service.slots, service.queue)
+        now = self._clock.now()
+        outcome = queue.offer(ticket, deadline, now)
+        if not isinstance(outcome, list):
+            return outcome
+        turn: _Turn = asyncio.get_running_loop().create_future()
+        self._turns[ticket] = turn
+        self._carry_out(outcome)
         try:
-            # The slot passes from the leaving request to this one.
-            await asyncio.wait_for(turn, max(wait, 0))
-        except (TimeoutError, asyncio.CancelledError) as error:
-            self._give_up(target, gate, turn)
-            if isinstance(error, asyncio.CancelledError):
-                raise
-            return False
-        return True
-
-    def leave(self, target: str) -> None:
-        """Gives a slot back, to the first request that still waits."""
-        gate = self._gates[target]
-        while gate.waiting:
-            turn = gate.waiting.popleft()
-            if not turn.done():
-                turn.set_result(None)
-                return
-        gate.running -= 1
-
-    def leaver(self, target: str) -> ports.Closer:
+            # Not `wait_for`: it swallows a cancellation that comes with the
+            # slot, and a request would be sent for a caller that has gone.
+            async with asyncio.timeout(ticket.latest - now):
+                return await turn
+        except TimeoutError:
+            self.leave(target, ticket)
+            return errors.Failure(errors.ErrorKind.QUEUE_TIMEOUT)
+        except asyncio.CancelledError:
+            # The slot may have been handed over in the same moment. Without
+            # giving it back the target would serve one request fewer after
+            # each such race, for good.
+            self.leave(target, ticket)
+            raise
+        finally:
+            self._turns.pop(ticket, None)
+
+    def leave(self, target: str, ticket: queueing.Ticket) -> None:
+        """Gives a slot back, or a place in the queue."""
+        self._carry_out(self._queues[target].leave(ticket, self._clock.now()))
+
+    def shed(self, target: str) -> None:
+        """Heeds a target's refusal because of overload."""
+        self._queues[target].shed(self._clock.now())
+
+    def leaver(self, target: str, ticket: queueing.Ticket) -> ports.Closer:
         """Returns `leave` as something to do when an answer is closed."""
 
         async def close() -> None:
-            self.leave(target)
+            self.leave(target, ticket)
 
         return close
 
-    def _give_up(
-        self, target: str, gate: _Gate, turn: asyncio.Future[None]
-    ) -> None:
-        # A slot that was handed over in the same moment is handed on;
-        # without this it would be lost for good, seen as a target that
-        # serves one request fewer after each such race.
-        if turn.done() and not turn.cancelled():
-            self.leave(target)
-        elif turn in gate.waiting:
-            gate.waiting.remove(turn)
+    def _carry_out(self, actions: list[queueing.Action]) -> None:
+        for action in actions:
+            turn = self._turns.get(action.ticket)
+            # Whoever is being cancelled at this moment gives the slot back
+            # by itself when it wakes.
+            if turn is not None and not turn.done():
+                turn.set_result(
+                    action.failure
+                    if isinstance(action, queueing.Refused)
+                    else None
+                )
--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import AsyncIterator
+import contextlib
 import hashlib
 from typing import Any
 from urllib import parse
@@ -15,6 +16,9 @@
 from mimosastile_core import fleet
 from mimosastile_core import holder
 from mimosastile_core import keys
+from mimosastile_core import plans
+from mimosastile_core import queueing
+from mimosastile_core import retries
 from mimosastile_core import tables
 from mimosastile_entry import _admission
 from mimosastile_entry import _fleet
@@ -24,8 +28,7 @@
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
-_SETTLE_SECONDS = 0.02
-"""Wait between tries while a key changes owner."""
+_TIMER_SECONDS = 0.005
 
 SendResult = result.Result[ports.Response, errors.Failure]
 
@@ -35,17 +38,17 @@
 
     Attributes:
         request: The request.
-        name: Name of the service.
-        service: Its configuration.
-        route: The route that applies.
+        plan: What the configuration says about its service.
+        treatment: What it says about requests like this one.
         position: Hash of the key, None for a service not divided by key.
+        attempts: What happened so far.
     """
 
     request: ports.Request
-    name: str
-    service: config.Service
-    route: config.Route
+    plan: plans.Plan
+    treatment: plans.Treatment
     position: int | None
+    attempts: retries.Attempts
 
 
 class Hop(msgspec.Struct, frozen=True):
@@ -62,11 +65,13 @@
     __slots__ = (
         "_admission",
         "_answers",
+        "_changed",
         "_clock",
         "_digests",
         "_fleet",
         "_keeper",
         "_peers",
+        "_plans",
         "_state",
         "_targets",
         "_vm",
@@ -92,7 +97,9 @@
         self._vm = vm
         self._answers: collections.Counter[str] = collections.Counter()
         self._digests: dict[str, str] = {}
-        self._admission = _admission.Admission()
+        self._plans: dict[str, plans.Plan] = {}
+        self._changed = asyncio.Event()
+        self._admission: _admission.Admission
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
         self._keeper: _keeper.KeeperService
@@ -108,8 +115,10 @@
         self._targets = kernel.find("targets")
         self._peers = kernel.find("peers")
         self._clock = kernel.find("clock")
-        self._state.replica.subscribe(self._index_members)
-        self._index_members()
+        self._admission = _admission.Admission(self._clock)
+        self._state.replica.subscribe(self._on_change)
+        self._fleet.subscribe(self._on_change)
+        self._on_change()
 
     async def stop(self) -> None:
         """Does nothing; the listeners have let all requests end."""
@@ -118,7 +127,10 @@
         """Returns counts of answers and what is under way."""
         return {
             "answers": dict(self._answers),
-            "in_flight": self._admission.in_flight(),
+            "queues": self._admission.dump(),
+            "retry_tokens": {
+                name: plan.budget.tokens for name, plan in self._plans.items()
+            },
         }
 
     async def handle(self, request: ports.Request) -> ports.Response:
@@ -139,57 +151,92 @@
         digest = hashlib.sha256(token.strip().encode()).hexdigest()
         return self._digests.get(digest)
 
-    def _index_members(self) -> None:
-        members = self._state.replica.config.document.members
+    def _on_change(self) -> None:
+        document = self._state.replica.config.document
         self._digests = {
             digest: name
-            for name, member in members.items()
+            for name, member in document.members.items()
             for digest in member.credentials
         }
+        self._plans = plans.compile_plans(document, self._plans)
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     async def _route(self, request: ports.Request) -> SendResult:
-        call = self._classify(request)
-        if isinstance(call, result.Err):
-            return call
+        classified = self._classify(request)
+        if isinstance(classified, result.Err):
+            return classified
+        call = classified.ok_value
+        if not request.forwarded:
+            call.plan.budget.earn(call.plan.service.retry)
         while True:
-            sent = await self._try_once(call.ok_value)
+            # Taken before the try, so that a change during it is not missed.
+            changed = self._changed
+            sent = await self._try_once(call)
             if isinstance(sent, result.Ok):
                 return sent
-            if not self._may_try_again(request, sent.err_value):
-                return sent
-            await asyncio.sleep(_SETTLE_SECONDS)
-
-    def _may_try_again(
-        self, request: ports.Request, failure: errors.Failure
-    ) -> bool:
+            decision = self._decide(call, sent.err_value)
+            if decision.step is retries.Step.GIVE_UP:
+                return result.Err(self._final(call, sent.err_value))
+            if decision.step is retries.Step.SLEEP:
+                await asyncio.sleep(decision.seconds)
+                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(decision.seconds):
+                    await changed.wait()
+
+    def _decide(self, call: Call, failure: errors.Failure) -> retries.Decision:
         # A peer that forwarded the request decides on the retry itself: it
         # may know a newer table than this VM.
-        settling = failure.kind is errors.ErrorKind.NO_OWNER
-        return (
-            not request.forwarded
-            and (failure.answer.router_retries or settling)
-            and request.stream is None
-            and self._clock.now() + _SETTLE_SECONDS < request.deadline
+        if call.request.forwarded:
+            return retries.Decision(retries.Step.GIVE_UP)
+        return call.attempts.after(
+            failure.kind,
+            call.plan.service.retry,
+            call.plan.budget,
+            self._clock.now(),
+            self._clock.random(),
+        )
+
+    def _final(self, call: Call, failure: errors.Failure) -> errors.Failure:
+        kind = failure.kind
+        # Timers of the loop may fire a little early.
+        late = self._clock.now() + _TIMER_SECONDS >= call.request.deadline
+        if late and kind is errors.ErrorKind.ANSWER_LOST:
+            kind = errors.ErrorKind.DEADLINE
+        return errors.Failure(
+            kind,
+            failure.detail,
+            failure.retry_after,
+            call.treatment.idempotent,
         )
 
     def _classify(
         self, request: ports.Request
     ) -> result.Result[Call, errors.Failure]:
         name, _, rest = request.path.lstrip("/").partition("/")
-        document = self._state.replica.config.document
-        service = document.services.get(name)
-        if service is None:
+        plan = self._plans.get(name)
+        if plan is None:
             return _failed(errors.ErrorKind.UNKNOWN_SERVICE)
         if not request.deadline:
-            request.deadline = self._clock.now() + service.timeout
-        route = config.route_for(service, "/" + rest, request.method)
-        if service.key is None:
-            return result.Ok(Call(request, name, service, route, None))
-        key = request_key(service.key, request, rest)
-        if not key:
-            return _failed(errors.ErrorKind.BAD_REQUEST, "The key is missing.")
-        position = keys.key_hash(key)
-        return result.Ok(Call(request, name, service, route, position))
+            request.deadline = self._clock.now() + plan.service.timeout
+        treatment = plan.treatment("/" + rest, request.method)
+        source = plan.service.key
+        position = None
+        if source is not None:
+            key = request_key(source, request, rest)
+            if not key:
+                return _failed(
+                    errors.ErrorKind.BAD_REQUEST, "The key is missing."
+                )
+            position = keys.key_hash(key)
+        attempts = retries.Attempts(
+            idempotent=treatment.idempotent,
+            streamed=request.stream is not None,
+            divided=position is not None,
+            deadline=request.deadline,
+        )
+        return result.Ok(Call(request, plan, treatment, position, attempts))
 
     async def _try_once(self, call: Call) -> SendResult:
         hop = self._next_hop(call)
@@ -197,17 +244,27 @@
             return hop
         target, keeper = hop.ok_value.target, hop.ok_value.keeper
         if self._keeper.is_keeper(keeper):
-            return await self._send(call, target, hop.ok_value.fence)
+            sent = await self._send(call, target, hop.ok_value.fence)
+            return self._noted(call, target, sent)
         if call.request.forwarded:
             return _failed(errors.ErrorKind.WRONG_FENCE, "Not the keeper.")
         peer = self._fleet.fleet.entries.get(keeper.vm)
         if peer is None or peer.id == self._vm:
             return _failed(errors.ErrorKind.NO_OWNER, "The keeper changes.")
         call.request.target = target.id
-        return await self._peers.forward(peer, call.request)
+        call.attempts.began = True
+        sent = await self._peers.forward(peer, call.request)
+        return self._noted(call, target, sent)
+
+    def _noted(
+        self, call: Call, target: fleet.Vm, sent: SendResult
+    ) -> SendResult:
+        if sent.is_err():
+            call.attempts.avoid |= {target.id}
+        return sent
 
     def _next_hop(self, call: Call) -> result.Result[Hop, errors.Failure]:
-        table = self._state.replica.table(call.name)
+        table = self._state.replica.table(call.plan.name)
         if table is None:
             return _failed(errors.ErrorKind.NO_OWNER)
         if call.position is None:
@@ -215,7 +272,7 @@
         home = table.locate(call.position)
         if home is None or not home.slice.owner or home.keeper is None:
             return _failed(errors.ErrorKind.NO_OWNER)
-        vm = self._fleet.fleet.targets(call.name).get(home.slice.owner)
+        vm = self._fleet.fleet.targets(call.plan.name).get(home.slice.owner)
         if vm is None:
             return _failed(errors.ErrorKind.NO_OWNER)
         fence = holder.RequestFence(home.block, call.position, home.slice.fence)
@@ -224,7 +281,7 @@
     def _any_target(
         self, call: Call, table: tables.Table
     ) -> result.Result[Hop, errors.Failure]:
-        live = self._fleet.fleet.live_targets(call.name)
+        live = self._fleet.fleet.live_targets(call.plan.name)
         keepers = table.keepers()
         usable = [
             Hop(vm, keepers[vm.id], None)
@@ -236,6 +293,8 @@
             usable = [hop for hop in usable if hop.target.id == chosen]
         if not usable:
             return _failed(errors.ErrorKind.NO_TARGET)
+        avoid = call.attempts.avoid
+        usable = [h for h in usable if h.target.id not in avoid] or usable
         # The less busy of two, by this VM's own counts.
         picks = (
             usable[int(self._clock.random() * len(usable))] for _ in range(2)
@@ -251,20 +310,30 @@
         fence: holder.RequestFence | None,
     ) -> SendResult:
         """Waits for a slot of a target that this VM keeps and sends."""
-        left = call.request.deadline - self._clock.now()
-        admitted = await self._admission.enter(
-            target.id, call.service.slots, left
+        member = self._state.replica.config.document.members.get(
+            call.request.member
+        )
+        ticket = queueing.Ticket(
+            call.request.member,
+            call.treatment.priority,
+            member.share if member else 1.0,
+        )
+        refused = await self._admission.enter(
+            target.id, call.plan.service, ticket, call.request.deadline
         )
-        if not admitted:
-            return _failed(errors.ErrorKind.QUEUE_TIMEOUT)
+        if refused is not None:
+            return result.Err(refused)
+        call.attempts.began = True
         sent: SendResult | None = None
         try:
             sent = await self._targets.send(target, call.request, fence)
         finally:
             if sent is None or sent.is_err():
-                self._admission.leave(target.id)
+                self._admission.leave(target.id, ticket)
         if isinstance(sent, result.Ok):
-            sent.ok_value.on_close(self._admission.leaver(target.id))
+            sent.ok_value.on_close(self._admission.leaver(target.id, ticket))
+        elif sent.err_value.kind is errors.ErrorKind.OVERLOADED:
+            self._admission.shed(target.id)
         return sent
 
 
@@ -290,16 +359,15 @@
 
 def refuse(failure: errors.Failure, request_id: str) -> ports.Response:
     """Returns the answer that tells a caller of a failure."""
-    answer = failure.answer
     body = msgspec.json.encode(errors.refusal(failure, request_id))
     headers = [
         ("content-type", "application/json"),
         ("content-length", str(len(body))),
         (_wire.ERROR, failure.kind.value),
     ]
-    if answer.retry_after:
-        headers.append(("retry-after", str(answer.retry_after)))
-    return ports.Response(answer.status, tuple(headers), _once(body))
+    if failure.wait:
+        headers.append(("retry-after", str(failure.wait)))
+    return ports.Response(failure.answer.status, tuple(headers), _once(body))
 
 
 async def _once(body: bytes) -> AsyncIterator[bytes]:
--- /dev/null
+++ b/tests/core/test_plans.py
@@ -0,0 +1,43 @@
+"""Tests of prepared services."""
+
+import pytest
+
+from mimosastile_core import config
+from mimosastile_core import plans
+
+SERVICE = config.Service(
+    routes=(
+        config.Route("/"),
+        config.Route("/archive", ("GET",), priority=config.Priority.BULK),
+        config.Route("/archive/index", ("GET",)),
+    )
+)
+
+
+class TestTreatment:
+    """Class and idempotency of each request."""
+
+    @pytest.mark.parametrize("method", ["GET", "POST", "X"])
+    @pytest.mark.parametrize("path", ["/", "/archive/1", "/archive/index/2"])
+    def test_same_as_the_configurations_own_reading(self, path, method):
+        """The prepared form must not change the meaning."""
+        route = config.route_for(SERVICE, path, method)
+        plan = plans.compile_plans(config.Document({"s": SERVICE}), {})["s"]
+        treatment = plan.treatment(path, method)
+        assert treatment.priority is route.priority
+        assert treatment.idempotent == config.is_idempotent(route, method)
+
+    def test_budget_survives_a_new_configuration(self):
+        """Each patch would otherwise grant a fresh burst of retries."""
+        former = plans.compile_plans(config.Document({"s": SERVICE}), {})
+        former["s"].budget.spend()
+        changed = config.Document({"s": config.Service(slots=2)})
+        newer = plans.compile_plans(changed, former)
+        assert newer["s"].budget is former["s"].budget
+
+    def test_invented_methods_do_not_fill_memory(self):
+        """What is remembered per method is bounded."""
+        plan = plans.compile_plans(config.Document({"s": SERVICE}), {})["s"]
+        for n in range(1000):
+            plan.treatment("/", f"M{n}")
+        assert len(plan._treatments) < 100
--- /dev/null
+++ b/tests/core/test_retries.py
@@ -0,0 +1,133 @@
+"""Tests of retries."""
+
+import pytest
+
+from mimosastile_core import config
+from mimosastile_core import errors
+from mimosastile_core import retries
+
+POLICY = config.Retry(budget=0.1, burst=2, attempts=3, owner_wait=1.0)
+GIVE_UP = retries.Step.GIVE_UP
+SLEEP = retries.Step.SLEEP
+AWAIT = retries.Step.AWAIT_CHANGE
+
+
+def _attempts(idempotent=True, streamed=False, divided=True, deadline=10.0):
+    return retries.Attempts(
+        idempotent=idempotent,
+        streamed=streamed,
+        divided=divided,
+        deadline=deadline,
+    )
+
+
+def _after(attempts, kind, budget=None, now=0.0):
+    budget = budget or retries.Budget(POLICY)
+    return attempts.after(kind, POLICY, budget, now, 0.5).step
+
+
+class TestSecondRun:
+    """The connection to a target breaks while a request is running there.
+
+    If a letter were sent again it could be printed twice; if browsing were
+    not, an editor would see an error for nothing.
+    """
+
+    @pytest.mark.parametrize(
+        ("kind", "idempotent", "expected"),
+        [
+            (errors.ErrorKind.ANSWER_LOST, False, GIVE_UP),
+            (errors.ErrorKind.ANSWER_BROKEN, False, GIVE_UP),
+            (errors.ErrorKind.ANSWER_LOST, True, SLEEP),
+            (errors.ErrorKind.ANSWER_BROKEN, True, SLEEP),
+            (errors.ErrorKind.ANSWER_TOO_LARGE, True, GIVE_UP),
+            (errors.ErrorKind.WRONG_FENCE, False, AWAIT),
+            (errors.ErrorKind.DRAINING, False, AWAIT),
+            (errors.ErrorKind.UNREACHABLE, False, AWAIT),
+            (errors.ErrorKind.NO_OWNER, False, AWAIT),
+            (errors.ErrorKind.QUARANTINED, True, GIVE_UP),
+            (errors.ErrorKind.QUEUE_TIMEOUT, True, GIVE_UP),
+        ],
+    )
+    def test_step(self, kind, idempotent, expected):
+        """Only what did not run, or may run twice, is sent again."""
+        assert _after(_attempts(idempotent), kind) is expected
+
+    @pytest.mark.parametrize("kind", errors.ErrorKind)
+    def test_no_unsure_kind_repeats_what_must_run_once(self, kind):
+        """Holds for kinds added later, too."""
+        if errors.ANSWERS[kind].ran is errors.Ran.PERHAPS:
+            assert _after(_attempts(idempotent=False), kind) is GIVE_UP
+
+    def test_streamed_body_is_sent_once(self):
+        """The body of a large upload is gone after the first send."""
+        attempts = _attempts(streamed=True)
+        assert _after(attempts, errors.ErrorKind.NO_OWNER) is AWAIT
+        attempts.began = True
+        assert _after(attempts, errors.ErrorKind.UNREACHABLE) is GIVE_UP
+
+    def test_number_of_sends_is_bounded(self):
+        """The third answer lost is the last."""
+        attempts = _attempts()
+        lost = errors.ErrorKind.ANSWER_LOST
+        steps = [_after(attempts, lost) for _ in range(3)]
+        assert steps == [SLEEP, SLEEP, GIVE_UP]
+
+
+class TestOwnerWait:
+    """A key has no owner and gets none.
+
+    The caller is told so at once and can decide, instead of hanging until
+    its own deadline.
+    """
+
+    def test_refused_long_before_the_deadline(self):
+        """The wait begins with the first failure."""
+        attempts = _attempts(deadline=30.0)
+        none = errors.ErrorKind.NO_OWNER
+        steps = [_after(attempts, none, now=t) for t in (5.0, 5.9, 6.0)]
+        assert steps == [AWAIT, AWAIT, GIVE_UP]
+
+    def test_no_wait_beyond_the_deadline(self):
+        """There is no time left for another try."""
+        attempts = _attempts(deadline=1.0)
+        step = _after(attempts, errors.ErrorKind.NO_OWNER, now=0.999)
+        assert step is GIVE_UP
+
+
+class TestBudget:
+    """Half of a service's targets fail and every request is sent again.
+
+    The other half would get twice its load and fail as well.
+    """
+
+    def test_retries_stay_a_share_of_requests(self):
+        """After the burst, one in ten requests is sent again."""
+        budget = retries.Budget(POLICY)
+        resent = 0
+        for _ in range(1000):
+            budget.earn(POLICY)
+            lost = errors.ErrorKind.ANSWER_LOST
+            resent += _after(_attempts(), lost, budget) is SLEEP
+        assert resent <= 1000 * POLICY.budget + POLICY.burst
+
+    def test_shed_request_goes_elsewhere_at_the_budgets_expense(self):
+        """A key's owner is the only one that may run it."""
+        shed = errors.ErrorKind.OVERLOADED
+        assert _after(_attempts(divided=True), shed) is GIVE_UP
+        assert _after(_attempts(divided=False), shed) is SLEEP
+
+    def test_backoff_doubles_and_is_bounded(self):
+        """Jitter keeps it between half of the pause and all of it."""
+        attempts = _attempts(deadline=100.0)
+        pauses = [
+            attempts.after(
+                errors.ErrorKind.WRONG_FENCE,
+                POLICY,
+                retries.Budget(POLICY),
+                0.0,
+                1.0,
+            ).seconds
+            for _ in range(6)
+        ]
+        assert pauses == [0.01, 0.02, 0.04, 0.08, 0.1, 0.1]
