Member limits over all entry VMs together

Cause: concurrency and rate of a member were declared but not kept.

Change: core limits (dealer by rendezvous hashing over the listed entry VMs, shares by need with water filling, a floor for who cannot reach the dealer), service limits, messages Needs and Shares.

--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from mimosastile_core import config
+from mimosastile_core import limits
 from mimosastile_core import tables
 
 
@@ -47,7 +48,43 @@
     vm: str
 
 
-PeerMessage = Pull | Delta | Ack
+class MemberNeed(msgspec.Struct, frozen=True, array_like=True):
+    """What a VM needs of one member's limits."""
+
+    member: str
+    concurrency: limits.Need
+    rate: limits.Need
+
+
+class Needs(msgspec.Struct, frozen=True, tag="needs"):
+    """Reports to the dealer of members' limits what the sender needs."""
+
+    vm: str
+    needs: tuple[MemberNeed, ...]
+
+
+class MemberShare(msgspec.Struct, frozen=True, array_like=True):
+    """A VM's share of one member's limits.
+
+    Attributes:
+        member: The member.
+        concurrency: Requests under way.
+        rate: Requests a second.
+    """
+
+    member: str
+    concurrency: float
+    rate: float
+
+
+class Shares(msgspec.Struct, frozen=True, tag="shares"):
+    """The dealer's reply to `Needs`."""
+
+    vm: str
+    shares: tuple[MemberShare, ...]
+
+
+PeerMessage = Pull | Delta | Ack | Needs | Shares
 
 _DECODER = msgspec.json.Decoder(PeerMessage)
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -23,6 +23,7 @@
 from mimosastile_entry import _admission
 from mimosastile_entry import _fleet
 from mimosastile_entry import _keeper
+from mimosastile_entry import _limits
 from mimosastile_entry import _state
 from mimosastile_entry import _wire
 from mimosastile_entry import kernel
@@ -70,6 +71,7 @@
         "_digests",
         "_fleet",
         "_keeper",
+        "_limits",
         "_peers",
         "_plans",
         "_state",
@@ -93,6 +95,7 @@
             "targets",
             "peers",
             "clock",
+            "limits",
         )
         self._vm = vm
         self._answers: collections.Counter[str] = collections.Counter()
@@ -104,6 +107,7 @@
         self._fleet: _fleet.FleetService
         self._keeper: _keeper.KeeperService
         self._targets: ports.TargetPort
+        self._limits: _limits.LimitsService
         self._peers: ports.PeerPort
         self._clock: ports.ClockPort
 
@@ -115,6 +119,7 @@
         self._targets = kernel.find("targets")
         self._peers = kernel.find("peers")
         self._clock = kernel.find("clock")
+        self._limits = kernel.find("limits")
         self._admission = _admission.Admission(self._clock)
         self._state.replica.subscribe(self._on_change)
         self._fleet.subscribe(self._on_change)
@@ -135,7 +140,7 @@
 
     async def handle(self, request: ports.Request) -> ports.Response:
         """Routes a request and always returns an answer."""
-        outcome = await self._route(request)
+        outcome = await self._admit(request)
         if isinstance(outcome, result.Ok):
             self._answers["passed_on"] += 1
             return outcome.ok_value
@@ -162,6 +167,25 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    async def _admit(self, request: ports.Request) -> SendResult:
+        """Routes a request within its member's limits."""
+        if request.forwarded:
+            # The VM that forwards it has counted it.
+            return await self._route(request)
+        member = request.member
+        refused = await self._limits.enter(member)
+        if refused is not None:
+            return result.Err(refused)
+        outcome: SendResult | None = None
+        try:
+            outcome = await self._route(request)
+        finally:
+            if outcome is None or outcome.is_err():
+                self._limits.leave(member)
+        if isinstance(outcome, result.Ok):
+            outcome.ok_value.on_close(self._limits.leaver(member))
+        return outcome
+
     async def _route(self, request: ports.Request) -> SendResult:
         classified = self._classify(request)
         if isinstance(classified, result.Err):
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -11,6 +11,7 @@
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
+from mimosastile_entry import _limits
 from mimosastile_entry import _listeners
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
@@ -37,6 +38,7 @@
         _state.StateService(place.id),
         _keeper.KeeperService(place.id),
         _planner.PlannerService(place.id),
+        _limits.LimitsService(place.id),
         _router.RouterService(place.id),
     ]
 
--- a/tests/entry/test_router.py
+++ b/tests/entry/test_router.py
@@ -4,6 +4,7 @@
 import collections
 import json
 
+import msgspec
 import pytest
 
 from mimosastile_core import config
@@ -30,9 +31,9 @@
     )
 
 
-async def _world(targets=3, **fields):
+async def _world(targets=3, document=None, **fields):
     made = world.World()
-    await made.configure(_document(**fields))
+    await made.configure(document or _document(**fields))
     for name in (KEYED, PLAIN):
         for i in range(targets):
             made.add_target(f"{name}-{i}", name, *PLACE)
@@ -43,10 +44,14 @@
     return made
 
 
-async def _send(made, method, path, seconds=10.0, vm="e0"):
+async def _send(made, method, path, seconds=10.0, vm="e0", member=""):
     now = virtual.now()
     request = ports.Request(
-        method, path, request_id=f"{path}-{now}", deadline=now + seconds
+        method,
+        path,
+        request_id=f"{path}-{now}",
+        member=member,
+        deadline=now + seconds,
     )
     response = await made.daemons[vm].find("router").handle(request)
     body = b"".join([chunk async for chunk in response.body])
@@ -209,3 +214,51 @@
             assert told["ran"] == "perhaps"
 
         virtual.run(story())
+
+
+class TestMemberLimit:
+    """One member sends through all entry VMs more than its limit.
+
+    Each VM sees only a part of it. Without a common count the member would
+    get its limit once from each VM.
+    """
+
+    @pytest.mark.parametrize("through", [1, 2])
+    def test_limit_holds_over_all_entry_vms(self, through):
+        """What is over it is refused as not run, with Retry-After."""
+
+        async def story():
+            document = _document(slots=100)
+            member = config.Member(concurrency=8)
+            made = await _world(
+                1,
+                document=msgspec.structs.replace(
+                    document, members={"m": member}
+                ),
+            )
+            for target in made.targets.values():
+                target.service_time = 1.0
+            calls = [
+                _send(
+                    made,
+                    "GET",
+                    f"/{PLAIN}/{n}",
+                    vm=f"e{n % through}",
+                    member="m",
+                )
+                for n in range(40)
+            ]
+            answers = await asyncio.gather(*calls)
+            statuses = collections.Counter(r.status for r, _ in answers)
+            assert statuses[200] <= 8
+            assert statuses[200] >= 8 // 2
+            assert statuses[200] + statuses[429] == 40
+            refused = next(r for r, _ in answers if r.status == 429)
+            assert dict(refused.headers)["retry-after"]
+            in_use = [
+                kernel.find("limits").dump()["in_use"]
+                for kernel in made.daemons.values()
+            ]
+            assert in_use == [{}, {}]
+
+        virtual.run(story())
