Quarantine of requests that stop targets; honest end of a second send

Cause: one request that crashes its target could be sent again until every target was down. And an idempotent request whose first answer was lost was told 'not run' when its second send found no owner.

Change: core quarantine (deaths by fingerprint, two separate deaths, forgotten after a time, cleared by configuration number; a lost answer is no death when another exchange spans the loss), service quarantine (told to all peers at once, made up for every 5 s, dump). The router keeps the worst it knows of all sends of one request.

Excluded: deadlines and cancellations count as no death (tests).

--- a/packages/mimosastile-core/src/mimosastile_core/config.py
+++ b/packages/mimosastile-core/src/mimosastile_core/config.py
@@ -152,16 +152,33 @@
     rate: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
+class Quarantine(_Strict, frozen=True):
+    """When a request is refused because targets died while running it.
+
+    Attributes:
+        deaths: Deaths after which it is refused.
+        seconds: How long a death is remembered.
+        cleared: Fingerprint to configuration number: deaths of this request
+            under configurations up to that number do not count any more.
+    """
+
+    deaths: Positive = 2
+    seconds: Annotated[float, msgspec.Meta(gt=0)] = 900.0
+    cleared: dict[str, int] = {}
+
+
 class Document(_Strict, frozen=True):
     """The whole configuration.
 
     Attributes:
         services: By name; the name is the first segment of a request's path.
         members: By name.
+        quarantine: What happens to requests that stop targets.
     """
 
     services: dict[Name, Service] = {}
     members: dict[Name, Member] = {}
+    quarantine: Quarantine = Quarantine()
 
 
 class Version(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -4,6 +4,7 @@
 
 from mimosastile_core import config
 from mimosastile_core import limits
+from mimosastile_core import quarantine
 from mimosastile_core import tables
 
 
@@ -84,7 +85,23 @@
     shares: tuple[MemberShare, ...]
 
 
-PeerMessage = Pull | Delta | Ack | Needs | Shares
+class Deaths(msgspec.Struct, frozen=True, tag="deaths"):
+    """Tells of requests that were running on targets when these died.
+
+    Attributes:
+        vm: The sender.
+        deaths: Deaths that the receiver may not know.
+        withdrawn: Identifiers of deaths that turned out to be none.
+        asks: The receiver is to reply with all that it remembers.
+    """
+
+    vm: str
+    deaths: tuple[quarantine.Death, ...] = ()
+    withdrawn: tuple[str, ...] = ()
+    asks: bool = False
+
+
+PeerMessage = Pull | Delta | Ack | Needs | Shares | Deaths
 
 _DECODER = msgspec.json.Decoder(PeerMessage)
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -24,12 +24,21 @@
 from mimosastile_entry import _fleet
 from mimosastile_entry import _keeper
 from mimosastile_entry import _limits
+from mimosastile_entry import _quarantine
 from mimosastile_entry import _state
 from mimosastile_entry import _wire
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
 _TIMER_SECONDS = 0.005
+_TARGET_SAID = frozenset(
+    {
+        errors.ErrorKind.WRONG_FENCE,
+        errors.ErrorKind.DRAINING,
+        errors.ErrorKind.OVERLOADED,
+    }
+)
+"""The target itself refused, so it is alive."""
 
 SendResult = result.Result[ports.Response, errors.Failure]
 
@@ -74,6 +83,7 @@
         "_limits",
         "_peers",
         "_plans",
+        "_quarantine",
         "_state",
         "_targets",
         "_vm",
@@ -96,6 +106,7 @@
             "peers",
             "clock",
             "limits",
+            "quarantine",
         )
         self._vm = vm
         self._answers: collections.Counter[str] = collections.Counter()
@@ -107,6 +118,7 @@
         self._fleet: _fleet.FleetService
         self._keeper: _keeper.KeeperService
         self._targets: ports.TargetPort
+        self._quarantine: _quarantine.QuarantineService
         self._limits: _limits.LimitsService
         self._peers: ports.PeerPort
         self._clock: ports.ClockPort
@@ -119,6 +131,7 @@
         self._targets = kernel.find("targets")
         self._peers = kernel.find("peers")
         self._clock = kernel.find("clock")
+        self._quarantine = kernel.find("quarantine")
         self._limits = kernel.find("limits")
         self._admission = _admission.Admission(self._clock)
         self._state.replica.subscribe(self._on_change)
@@ -193,15 +206,21 @@
         call = classified.ok_value
         if not request.forwarded:
             call.plan.budget.earn(call.plan.service.retry)
+        lost: errors.Failure | None = None
         while True:
             # Taken before the try, so that a change during it is not missed.
             changed = self._changed
             sent = await self._try_once(call)
             if isinstance(sent, result.Ok):
                 return sent
-            decision = self._decide(call, sent.err_value)
+            failure = sent.err_value
+            if failure.answer.ran is errors.Ran.PERHAPS:
+                lost = failure
+            decision = self._decide(call, failure)
             if decision.step is retries.Step.GIVE_UP:
-                return result.Err(self._final(call, sent.err_value))
+                # A second send that did not run takes nothing back: "not
+                # run" would be a lie if the first one did.
+                return result.Err(self._final(call, lost or failure))
             if decision.step is retries.Step.SLEEP:
                 await asyncio.sleep(decision.seconds)
                 continue
@@ -263,6 +282,9 @@
         return result.Ok(Call(request, plan, treatment, position, attempts))
 
     async def _try_once(self, call: Call) -> SendResult:
+        held = self._quarantine.check(call.request)
+        if held is not None:
+            return result.Err(held)
         hop = self._next_hop(call)
         if isinstance(hop, result.Err):
             return hop
@@ -348,6 +370,7 @@
         if refused is not None:
             return result.Err(refused)
         call.attempts.began = True
+        began = self._clock.now()
         sent: SendResult | None = None
         try:
             sent = await self._targets.send(target, call.request, fence)
@@ -355,8 +378,15 @@
             if sent is None or sent.is_err():
                 self._admission.leave(target.id, ticket)
         if isinstance(sent, result.Ok):
+            self._quarantine.answered(target.id, began)
             sent.ok_value.on_close(self._admission.leaver(target.id, ticket))
-        elif sent.err_value.kind is errors.ErrorKind.OVERLOADED:
+            return sent
+        kind = sent.err_value.kind
+        if kind in _TARGET_SAID:
+            self._quarantine.answered(target.id, began)
+        else:
+            self._quarantine.failed(target.id, call.request, kind)
+        if kind is errors.ErrorKind.OVERLOADED:
             self._admission.shed(target.id)
         return sent
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -16,6 +16,7 @@
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
+from mimosastile_entry import _quarantine
 from mimosastile_entry import _router
 from mimosastile_entry import _state
 from mimosastile_entry import _targets_http
@@ -39,6 +40,7 @@
         _keeper.KeeperService(place.id),
         _planner.PlannerService(place.id),
         _limits.LimitsService(place.id),
+        _quarantine.QuarantineService(place.id),
         _router.RouterService(place.id),
     ]
 
--- a/tests/entry/test_router.py
+++ b/tests/entry/test_router.py
@@ -262,3 +262,117 @@
             assert in_use == [{}, {}]
 
         virtual.run(story())
+
+
+def _killer(made, path):
+    """Makes a request stop every target that runs it."""
+
+    def observe(run):
+        if run.path == path:
+            made.targets[run.target].crash()
+
+    for target in made.targets.values():
+        target.observer = observe
+
+
+class TestRequestThatKills:
+    """One request stops each target that runs it; its caller sends it again.
+
+    Without a memory of it, one caller takes down the whole service.
+    """
+
+    def test_third_send_is_refused_wherever_it_comes(self):
+        """It did not run, and the dump shows why."""
+
+        async def story():
+            made = await _world(5)
+            path = f"/{PLAIN}/bad"
+            _killer(made, path)
+            for vm in ("e0", "e1"):
+                response, told = await _send(made, "POST", path, vm=vm)
+                assert told["ran"] == "perhaps"
+                await virtual.pause(2.0)
+            for vm in ("e0", "e1"):
+                response, told = await _send(made, "POST", path, vm=vm)
+                assert told["error"] == "quarantined"
+                assert told["ran"] == "no"
+                assert int(dict(response.headers)["retry-after"]) > 800
+            assert _executions(made, path) == 2
+            dumps = [
+                kernel.find("quarantine").dump()
+                for kernel in made.daemons.values()
+            ]
+            assert [len(dump["deaths"]) for dump in dumps] == [2, 2]
+
+        virtual.run(story())
+
+    def test_routers_own_retries_stop_as_well(self):
+        """An idempotent one stops two targets, not three."""
+
+        async def story():
+            made = await _world(5, retry=config.Retry(attempts=5))
+            path = f"/{PLAIN}/bad"
+            _killer(made, path)
+            _, told = await _send(made, "GET", path)
+            assert _executions(made, path) == 2
+            assert told["ran"] == "perhaps"
+
+        virtual.run(story())
+
+    def test_new_entry_vm_learns_it_and_operators_clear_it(self):
+        """A patch clears deaths up to a configuration number."""
+
+        async def story():
+            made = await _world(5)
+            path = f"/{PLAIN}/bad"
+            _killer(made, path)
+            for _ in range(2):
+                await _send(made, "POST", path)
+                await virtual.pause(2.0)
+            await made.add_daemon("e2", *PLACE)
+            await virtual.pause(6.0)
+            _, told = await _send(made, "POST", path, vm="e2")
+            assert told["error"] == "quarantined"
+            dump = made.daemons["e2"].find("quarantine").dump()
+            (request,) = dump["refused_seconds"]
+            cleared = config.Quarantine(cleared={request: 1})
+            document = msgspec.structs.replace(_document(), quarantine=cleared)
+            await made.configure(document, number=2)
+            await virtual.pause(1.0)
+            for target in made.targets.values():
+                target.observer = None
+            response, _ = await _send(made, "POST", path, vm="e2")
+            assert response.status == 200
+
+        virtual.run(story())
+
+    def test_caller_that_gives_up_is_no_death(self):
+        """A slow request whose deadline passes twice is not held back."""
+
+        async def story():
+            made = await _world()
+            for target in made.targets.values():
+                target.service_time = 60.0
+            for _ in range(3):
+                _, told = await _send(made, "POST", f"/{PLAIN}/slow", 1.0)
+                assert told["error"] == "deadline"
+
+        virtual.run(story())
+
+
+class TestSecondSendDidNotRun:
+    """A reading's answer is lost, and its second send finds no target.
+
+    The first send may have run, so "not run" would be a lie.
+    """
+
+    def test_told_as_perhaps(self):
+        """The caller may still repeat it, for it is idempotent."""
+
+        async def story():
+            made = await _world(1)
+            path = f"/{KEYED}/k1"
+            _, told = await _crash_in_run(made, KEYED, "GET", path)
+            assert (told["ran"], told["retry"]) == ("perhaps", True)
+
+        virtual.run(story())
