Budget of the link between regions; balance among targets

Cause: requests of services not divided by key went to any of two random targets in either region, a list that named no live target was an outage, and downloads could fill the paid link.

Change: core balancing (zone, region, link; least loaded of two by own requests under way and time; slow start; ejection with a floor; own answers go before the list) and links (pacer with debt by class, meter), service links with shares by need per direction. The router is split: _calls (what is known of a request), _targeting (where it goes), _sending (one hop).

Files of others: ports.Request.origin, header in _wire, _peers_http, _asgi and the memory adapter carry the region of the forwarding VM, so that the keeper paces what it sends back.

Conclusion: tests/entry/test_links.py: with ten uploads of 60 KB over a link of 100 KB/s a desk request takes under 1.2 of its time alone (virtual time).

--- a/packages/mimosastile-core/src/mimosastile_core/config.py
+++ b/packages/mimosastile-core/src/mimosastile_core/config.py
@@ -167,6 +167,21 @@
     cleared: dict[str, int] = {}
 
 
+class Link(_Strict, frozen=True):
+    """The link between any two regions, the same in each direction.
+
+    Attributes:
+        bytes_per_second: What it carries.
+        usable: Share of it that the router plans with; the rest absorbs
+            framing and bursts.
+        control_bytes_per_second: Kept free for messages between entry VMs.
+    """
+
+    bytes_per_second: Positive = 3_750_000
+    usable: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.9
+    control_bytes_per_second: Annotated[int, msgspec.Meta(ge=0)] = 125_000
+
+
 class Document(_Strict, frozen=True):
     """The whole configuration.
 
@@ -174,11 +189,13 @@
         services: By name; the name is the first segment of a request's path.
         members: By name.
         quarantine: What happens to requests that stop targets.
+        link: The link between regions.
     """
 
     services: dict[Name, Service] = {}
     members: dict[Name, Member] = {}
     quarantine: Quarantine = Quarantine()
+    link: Link = Link()
 
 
 class Version(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -101,7 +101,25 @@
     asks: bool = False
 
 
-PeerMessage = Pull | Delta | Ack | Needs | Shares | Deaths
+class LinkNeeds(msgspec.Struct, frozen=True, tag="link_needs"):
+    """Reports what the sender needs of the link to another region."""
+
+    vm: str
+    region: str
+    need: limits.Need
+
+
+class LinkShare(msgspec.Struct, frozen=True, tag="link_share"):
+    """The dealer's reply: bytes a second, 0 if the receiver deals not."""
+
+    vm: str
+    region: str
+    rate: float
+
+
+PeerMessage = (
+    Pull | Delta | Ack | Needs | Shares | Deaths | LinkNeeds | LinkShare
+)
 
 _DECODER = msgspec.json.Decoder(PeerMessage)
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
@@ -11,6 +11,7 @@
 import result
 
 from mimosastile_core import errors
+from mimosastile_entry import _calls
 from mimosastile_entry import _router
 from mimosastile_entry import _wire
 from mimosastile_entry import ports
@@ -62,7 +63,7 @@
         if isinstance(request, result.Ok):
             response = await self._router.handle(request.ok_value)
         else:
-            response = _router.refuse(request.err_value, self._clock.new_id())
+            response = _calls.refuse(request.err_value, self._clock.new_id())
         await _pass_on(response, send)
 
     async def _read(
@@ -114,13 +115,14 @@
         request.member = named.get(_wire.MEMBER, "")
         request.request_id = named.get(_wire.REQUEST_ID, "")
         request.target = named.get(_wire.TARGET, "")
+        request.origin = named.get(_wire.ORIGIN, "")
         left = int(named.get(_wire.DEADLINE_MS, "0")) / 1000
         request.deadline = self._clock.now() + left
         read = await _read_body(request, receive, self._limits)
         if isinstance(read, result.Ok):
             response = await self._router.handle(read.ok_value)
         else:
-            response = _router.refuse(read.err_value, request.request_id)
+            response = _calls.refuse(read.err_value, request.request_id)
         await _pass_on(response, send)
 
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
@@ -60,6 +60,7 @@
             (_wire.REQUEST_ID, request.request_id),
             (_wire.DEADLINE_MS, str(max(0, int(left * 1000)))),
             (_wire.TARGET, request.target),
+            (_wire.ORIGIN, request.origin),
         ]
         query = f"?{request.query}" if request.query else ""
         url = (
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -6,12 +6,14 @@
 
 from absl import logging
 
+from mimosastile_core import balancing
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
 from mimosastile_entry import _limits
+from mimosastile_entry import _links
 from mimosastile_entry import _listeners
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
@@ -41,7 +43,10 @@
         _planner.PlannerService(place.id),
         _limits.LimitsService(place.id),
         _quarantine.QuarantineService(place.id),
-        _router.RouterService(place.id),
+        _links.LinksService(place.id, place.region),
+        _router.RouterService(
+            place.id, balancing.Place(place.region, place.zone)
+        ),
     ]
 
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/ports.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/ports.py
@@ -122,6 +122,7 @@
         deadline: Loop time at which the caller gives up.
         forwarded: Whether a peer sent it; it is not forwarded again.
         target: Target that the forwarding peer chose, empty for none.
+        origin: Region of the forwarding peer.
     """
 
     __slots__ = (
@@ -131,6 +132,7 @@
         "headers",
         "member",
         "method",
+        "origin",
         "path",
         "query",
         "request_id",
@@ -151,6 +153,7 @@
         deadline: float = 0.0,
         forwarded: bool = False,
         target: str = "",
+        origin: str = "",
     ) -> None:
         self.method = method
         self.path = path
@@ -163,6 +166,7 @@
         self.deadline = deadline
         self.forwarded = forwarded
         self.target = target
+        self.origin = origin
 
 
 class Response:
--- a/packages/mimosastile-standins/src/mimosastile_standins/memory.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/memory.py
@@ -278,6 +278,7 @@
             request.deadline,
             True,
             request.target,
+            request.origin,
         )
         response: ports.Response = await there.find("router").handle(inner)
         await peer.gate()
