--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -6,15 +6,19 @@
 
 from absl import logging
 
+from mimosastile_core import balancing
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
+from mimosastile_entry import _limits
+from mimosastile_entry import _links
 from mimosastile_entry import _listeners
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
+from mimosastile_entry import _quarantine
 from mimosastile_entry import _roles
 from mimosastile_entry import _router
 from mimosastile_entry import _state
@@ -39,7 +43,12 @@
         _keeper.KeeperService(place.id, place.zone),
         _roles.RolesService(place.id),
         _planner.PlannerService(place.id),
-        _router.RouterService(place.id),
+        _limits.LimitsService(place.id),
+        _quarantine.QuarantineService(place.id),
+        _links.LinksService(place.id, place.region),
+        _router.RouterService(
+            place.id, balancing.Place(place.region, place.zone)
+        ),
     ]
 
 
