--- a/packages/mimosastile-ctl/src/mimosastile_ctl/_api.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/_api.py
@@ -1,28 +1,121 @@
-"""Calls to the operators' side of a daemon."""
+"""Calls to the administration API of a daemon."""
 
 import asyncio
+from collections.abc import Mapping
+import os
+import pathlib
+from typing import Any
+from urllib import parse
 
 import aiohttp
+import msgspec
 import result
 
+from mimosastile_core import administration
+from mimosastile_core import errors
+
+TOKEN_VARIABLE = "MIMOSACTL_TOKEN"
+"""Environment variable that holds the operator's token."""
+
+TOKEN_FILE_VARIABLE = "MIMOSACTL_TOKEN_FILE"
+"""Environment variable that names a file that holds it."""
+
 _OK = 200
-_SECONDS = 10.0
+_SECONDS = 15.0
+
+Answer = result.Result[bytes, administration.Refusal]
+
+
+class Api:
+    """The administration API at one address."""
+
+    __slots__ = ("_at", "_token")
+
+    def __init__(self, at: str, token: str) -> None:
+        """Makes a client.
+
+        Args:
+            at: Address of the inner port of an entry VM.
+            token: The operator's token.
+        """
+        self._at = at.rstrip("/")
+        self._token = token
+
+    def get(self, view: str, **query: Any) -> Answer:
+        """Reads a view; query values that are None are left out."""
+        given = {n: str(v) for n, v in query.items() if v is not None}
+        suffix = "?" + parse.urlencode(given) if given else ""
+        return asyncio.run(self._call("GET", view + suffix, b""))
+
+    def post(self, path: str, value: Any) -> Answer:
+        """Sends a value as JSON."""
+        body = msgspec.json.encode(value)
+        return asyncio.run(self._call("POST", path, body))
+
+    async def _call(self, method: str, path: str, body: bytes) -> Answer:
+        limit = aiohttp.ClientTimeout(total=_SECONDS)
+        headers = {"authorization": f"Bearer {self._token}"}
+        try:
+            async with aiohttp.ClientSession(timeout=limit) as session:
+                async with session.request(
+                    method,
+                    self._at + path,
+                    data=body,
+                    headers=headers,
+                    allow_redirects=False,
+                ) as response:
+                    text = await response.read()
+                    if response.status == _OK:
+                        return result.Ok(text)
+                    return result.Err(_refusal(response.status, text))
+        except aiohttp.ClientConnectorError as error:
+            return _failed(errors.ErrorKind.UNREACHABLE, str(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            # The call may have been taken: for a patch that is for its
+            # identifier to settle, so it must not look like a refusal.
+            detail = f"{self._at}: {error or type(error).__name__}"
+            return _failed(errors.ErrorKind.ANSWER_LOST, detail)
 
 
-async def _get(url: str) -> result.Result[bytes, str]:
-    limit = aiohttp.ClientTimeout(total=_SECONDS)
+def find_token(
+    environment: Mapping[str, str], token_file: str
+) -> result.Result[str, str]:
+    """Returns the operator's token from a file or the environment.
+
+    Never from the command line, where every user of the machine reads it.
+
+    Args:
+        environment: The process's environment.
+        token_file: Path of a file, empty for the environment's choice.
+    """
+    path = token_file or environment.get(TOKEN_FILE_VARIABLE, "")
+    if not path:
+        return result.Ok(environment.get(TOKEN_VARIABLE, "").strip())
     try:
-        async with aiohttp.ClientSession(timeout=limit) as session:
-            async with session.get(url) as response:
-                body = await response.read()
-                if response.status != _OK:
-                    text = body.decode(errors="replace").strip()
-                    return result.Err(f"{url}: {response.status} {text}")
-                return result.Ok(body)
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        return result.Err(f"{url}: {error or type(error).__name__}")
-
-
-def get(url: str) -> result.Result[bytes, str]:
-    """Reads one address; Err carries a line for people."""
-    return asyncio.run(_get(url))
+        return result.Ok(pathlib.Path(path).read_text("utf-8").strip())
+    except (OSError, UnicodeDecodeError) as error:
+        return result.Err(f"{path}: {error}")
+
+
+def environment() -> Mapping[str, str]:
+    """Returns the process's environment."""
+    return os.environ
+
+
+def _refusal(status: int, text: bytes) -> administration.Refusal:
+    try:
+        return msgspec.json.decode(text, type=administration.Refusal)
+    except msgspec.DecodeError:
+        shown = text[:200].decode(errors="replace").strip()
+        return _made(errors.ErrorKind.INTERNAL, f"status {status}: {shown}")
+
+
+def _failed(
+    kind: errors.ErrorKind, detail: str
+) -> result.Err[administration.Refusal]:
+    return result.Err(_made(kind, detail))
+
+
+def _made(kind: errors.ErrorKind, detail: str) -> administration.Refusal:
+    failure = errors.Failure(kind, detail)
+    return administration.Refusal(errors.refusal(failure, ""))
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from mimosastile_core import balancing
 from mimosastile_entry import _access
 from mimosastile_entry import _archive
 from mimosastile_entry import _audit
@@ -15,10 +16,13 @@
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
+from mimosastile_entry import _limits
+from mimosastile_entry import _links
 from mimosastile_entry import _listeners
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
+from mimosastile_entry import _quarantine
 from mimosastile_entry import _roles
 from mimosastile_entry import _router
 from mimosastile_entry import _state
@@ -43,9 +47,14 @@
         _keeper.KeeperService(place.id, place.zone),
         _roles.RolesService(place.id),
         _planner.PlannerService(place.id),
-        _router.RouterService(place.id),
         _archive.ArchiveService(),
         _configuration.ConfigurationService(place.id),
+        _limits.LimitsService(place.id),
+        _quarantine.QuarantineService(place.id),
+        _links.LinksService(place.id, place.region),
+        _router.RouterService(
+            place.id, balancing.Place(place.region, place.zone)
+        ),
     ]
 
 
