--- a/packages/mimosastile-core/src/mimosastile_core/access.py
+++ b/packages/mimosastile-core/src/mimosastile_core/access.py
@@ -19,6 +19,15 @@
 _CLEARED = "/quarantine/cleared/"
 """Where requests are let go again; the role "operate" may do it alone."""
 
+_Role = config.Role
+_INCLUDES = {
+    _Role.READ: {_Role.READ},
+    _Role.PROPOSE: {_Role.READ, _Role.PROPOSE},
+    _Role.OPERATE: {_Role.READ, _Role.PROPOSE, _Role.OPERATE},
+    _Role.APPROVE: set(_Role),
+}
+"""What each role allows besides itself."""
+
 Part = Literal["services", "members"]
 
 
@@ -34,9 +43,8 @@
     operator: config.Operator
 
     def has(self, role: config.Role) -> bool:
-        """Whether the operator has a role; all others include reading."""
-        roles = self.operator.roles
-        return role in roles or (role is config.Role.READ and bool(roles))
+        """Whether the operator has a role, or one that includes it."""
+        return any(role in _INCLUDES[held] for held in self.operator.roles)
 
     def covers(self, part: Part, name: str) -> bool:
         """Whether a service or member is in the operator's scope."""
@@ -89,7 +97,7 @@
 ) -> errors.Failure | None:
     """Says which role is missing to apply a change of paths, if any."""
     role = role_for(paths)
-    if principal.has(role) or principal.has(config.Role.APPROVE):
+    if principal.has(role):
         return None
     return _forbidden(f"Needs the role {role.value}.")
 
--- a/packages/mimosastile-core/src/mimosastile_core/config.py
+++ b/packages/mimosastile-core/src/mimosastile_core/config.py
@@ -182,8 +182,9 @@
         tokens: SHA-256 digests, in hex, of its bearer tokens; two while one
             takes the other's place.
         roles: What it may do: read; propose (check a patch without applying
-            it); approve (apply patches); operate (apply patches that only
-            drain targets, move keys or clear quarantine).
+            it); operate (apply patches that only drain targets, move keys or
+            clear quarantine); approve (apply any patch). Each includes those
+            before it.
         services: Services that its patches may touch; "*" for all.
         members: Members that its patches may touch; "*" for all.
     """
--- a/packages/mimosastile-ctl/src/mimosastile_ctl/_short_hands.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/_short_hands.py
@@ -109,23 +109,25 @@
         self._session = session
 
     def add(
-        self, name: str, reason: str, token_file: str = "", **options: Any
+        self, name: str, reason: str, credential_file: str = "", **options: Any
     ) -> None:
         """Adds a member.
 
         Args:
             name: Its name.
             reason: Why, for whoever reads it years later.
-            token_file: File with its token; only the digest is submitted.
+            credential_file: File with its token; only the digest is submitted.
             **options: share, concurrency, rate, and ticket, base, id, yes,
                 dry_run, wait.
         """
         common, fields = _split(options)
-        if token_file:
+        if credential_file:
             try:
-                token = pathlib.Path(token_file).read_text("utf-8").strip()
+                token = pathlib.Path(credential_file).read_text("utf-8").strip()
             except (OSError, UnicodeDecodeError) as error:
-                _session.end(f"{token_file}: {error}", _session.EXIT_INVALID)
+                _session.end(
+                    f"{credential_file}: {error}", _session.EXIT_INVALID
+                )
             fields["credentials"] = [access.digest(token)]
         held = _submit.current(self._session)
         if name in held.document.members:
--- a/packages/mimosastile-ctl/src/mimosastile_ctl/cli.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/cli.py
@@ -247,7 +247,14 @@
     _config.ConfigCommands.blame,
 ):
     fire.decorators.SetParseFn(
-        str, *_TEXTS, "reason", "ticket", "id", "file", "path", "token_file"
+        str,
+        *_TEXTS,
+        "reason",
+        "ticket",
+        "id",
+        "file",
+        "path",
+        "credential_file",
     )(_command)
 
 
