The client sends once; pools per address; own answers over HTTP

Cause: aiohttp sends GET, HEAD, PUT and DELETE again when a pooled connection drops before the answer. Shown by a raw server that reads a request and closes: 4 of the 5 methods in the table were executed twice before, POST once. Excluded: the session's private switch; a client middleware, which is public, replaces the two errors that the library resends for.

--- a/packages/mimosastile-core/src/mimosastile_core/errors.py
+++ b/packages/mimosastile-core/src/mimosastile_core/errors.py
@@ -28,6 +28,7 @@
     INVALID_CONFIG = "invalid_config"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
     MEMBER_LIMIT = "member_limit"
     OVERLOADED = "overloaded"
     QUEUE_TIMEOUT = "queue_timeout"
@@ -94,6 +95,7 @@
     ErrorKind.INVALID_CONFIG: _refused(422, "The configuration is invalid."),
     ErrorKind.BODY_TOO_LARGE: _refused(413, "The body is too large."),
     ErrorKind.HEADERS_TOO_LARGE: _refused(431, "The headers are too large."),
+    ErrorKind.REQUEST_TIMEOUT: _busy(408, 0, "The request came too slowly."),
     ErrorKind.MEMBER_LIMIT: _busy(429, 1, "The member is at its limit."),
     ErrorKind.OVERLOADED: _busy(503, 1, "The service is overloaded."),
     ErrorKind.QUEUE_TIMEOUT: _busy(503, 1, "No slot came free in time."),
--- a/packages/mimosastile-entry/src/mimosastile_entry/_client.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_client.py
@@ -1,17 +1,15 @@
-"""The one HTTP client of the daemon and what its failures mean."""
+"""The HTTP client of the daemon, its pools and what its failures mean."""
 
 import asyncio
-from collections.abc import Collection
 from typing import Any
 
 import aiohttp
-import result
-import yarl
 
 from mimosastile_core import errors
-from mimosastile_entry import _wire
+from mimosastile_core import fleet
+from mimosastile_entry import _connections
 from mimosastile_entry import kernel
-from mimosastile_entry import ports
+from mimosastile_entry import settings
 
 CONNECT_ERRORS = (
     aiohttp.ClientConnectorError,
@@ -22,6 +20,31 @@
 CALL_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 """Everything that aiohttp raises for a failed exchange."""
 
+_RESENT = (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError)
+# The library would add these when a caller sent none. A target that is told
+# of an encoding the caller cannot read would send an unreadable answer.
+_NOT_ADDED = ("User-Agent", "Content-Type", "Accept", "Accept-Encoding")
+_UNUSED_SECONDS = 60.0
+
+
+class LostConnectionError(aiohttp.ClientConnectionError):
+    """The connection ended before the answer; the request may have run."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # The library sends idempotent methods again by itself when a pooled
+    # connection drops; a PUT or DELETE whose route the operators declared
+    # not idempotent would run twice. It does so only for its own two errors,
+    # so these are replaced by one that it does not know.
+    try:
+        return await handler(request)
+    except CONNECT_ERRORS:
+        raise
+    except _RESENT as error:
+        raise LostConnectionError(str(error)) from error
+
 
 def kind_of(error: BaseException) -> errors.ErrorKind:
     """Returns what a failed exchange says about the request.
@@ -30,86 +53,149 @@
     """
     if isinstance(error, CONNECT_ERRORS):
         return errors.ErrorKind.UNREACHABLE
+    if isinstance(error, aiohttp.ClientResponseError):
+        return errors.ErrorKind.ANSWER_BROKEN
     return errors.ErrorKind.ANSWER_LOST
 
 
-class HttpClient:
-    """Owns the connection pool; adapters share it."""
+class Pool:
+    """The connections to one address and the session that uses them.
+
+    Attributes:
+        session: The session.
+        connector: Its connections.
+        limit: Most connections open at a time, 0 for no limit.
+        in_use: Exchanges under way.
+        used_at: Loop time of the latest use.
+        retired: Whether it is closed once nothing is under way.
+    """
 
-    __slots__ = ("_session", "name", "needs")
+    __slots__ = (
+        "connector",
+        "in_use",
+        "limit",
+        "retired",
+        "session",
+        "used_at",
+    )
+
+    def __init__(
+        self,
+        limit: int,
+        configured: settings.ConnectionSettings,
+        ssl: Any = True,
+    ) -> None:
+        self.limit = limit
+        self.in_use = 0
+        self.used_at = 0.0
+        self.retired = False
+        self.connector = _connections.Connector(limit, configured, ssl)
+        self.session = aiohttp.ClientSession(
+            connector=self.connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=_NOT_ADDED,
+            middlewares=(_send_once,),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                connect=configured.connect,
+                sock_connect=configured.connect,
+            ),
+        )
 
-    def __init__(self) -> None:
+    async def leave(self) -> None:
+        """Notes that an exchange has ended."""
+        self.in_use -= 1
+        if self.retired and not self.in_use:
+            await self.session.close()
+
+
+class HttpClient:
+    """Owns the pools; adapters share it."""
+
+    __slots__ = (
+        "_configured",
+        "_plain",
+        "_pools",
+        "_retired",
+        "name",
+        "needs",
+    )
+
+    def __init__(
+        self,
+        configured: settings.ConnectionSettings | None = None,
+    ) -> None:
         self.name = "client"
         self.needs: tuple[str, ...] = ()
-        self._session: aiohttp.ClientSession | None = None
+        self._configured = configured or settings.ConnectionSettings()
+        self._pools: dict[tuple[str, int], Pool] = {}
+        self._retired: list[Pool] = []
+        self._plain: Pool | None = None
+
+    @property
+    def configured(self) -> settings.ConnectionSettings:
+        """Timeouts and ages."""
+        return self._configured
 
     @property
     def session(self) -> aiohttp.ClientSession:
-        """The running session."""
-        if self._session is None:
+        """The session for the platform's services."""
+        if self._plain is None:
             raise kernel.MissingServiceError("the client has not started")
-        return self._session
+        return self._plain.session
+
+    def pool(self, vm: fleet.Vm, limit: int) -> Pool:
+        """Returns the pool of a VM's address.
+
+        Args:
+            vm: The VM.
+            limit: Most connections open at a time, 0 for no limit. A pool
+                whose limit has changed is replaced; what runs in it goes on.
+        """
+        at = (vm.host, vm.port)
+        found = self._pools.get(at)
+        if found is None or found.limit != limit:
+            if found is not None:
+                self._retire(found)
+            found = Pool(limit, self._configured)
+            self._pools[at] = found
+            self._retire_unused()
+        found.used_at = asyncio.get_running_loop().time()
+        return found
 
     async def start(self, kernel: kernel.Kernel) -> None:
-        """Opens the session."""
+        """Opens the session for the platform's services."""
         del kernel
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
-        )
+        self._plain = Pool(0, self._configured)
 
     async def stop(self) -> None:
         """Closes all connections."""
-        if self._session is not None:
-            await self._session.close()
+        plain = [self._plain] if self._plain else []
+        for pool in (*self._pools.values(), *self._retired, *plain):
+            await pool.session.close()
+        self._pools.clear()
+        self._retired.clear()
 
     def dump(self) -> dict[str, Any]:
-        """Returns whether the session is open."""
-        return {"open": self._session is not None}
-
-
-async def exchange(
-    client: HttpClient,
-    request: ports.Request,
-    url: str,
-    headers: list[tuple[str, str]],
-    seconds: float,
-    not_run: Collection[errors.ErrorKind],
-) -> result.Result[ports.Response, errors.Failure]:
-    """Sends a request once and returns the answer as it begins.
-
-    Args:
-        client: The client.
-        request: The request.
-        url: Where to; percent-encoded already.
-        headers: All headers to send.
-        seconds: Longest time until the answer is complete.
-        not_run: Error kinds that the other side may name in its answer.
-
-    Returns:
-        The answer, or a failure that says whether the request may have run.
-    """
-    if seconds <= 0:
-        return result.Err(errors.Failure(errors.ErrorKind.QUEUE_TIMEOUT))
-    try:
-        response = await client.session.request(
-            request.method,
-            yarl.URL(url, encoded=True),
-            headers=headers,
-            data=_wire.request_body(request),
-            allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(total=seconds, sock_connect=1.0),
-            skip_auto_headers=("User-Agent", "Content-Type", "Accept"),
-        )
-    except CALL_ERRORS as error:
-        return result.Err(errors.Failure(kind_of(error), str(error)))
-    kind = _wire.named_error(response.headers.get(_wire.ERROR))
-    if kind is None:
-        return result.Ok(_wire.to_response(response))
-    response.close()
-    if kind not in not_run:
-        kind = errors.ErrorKind.ANSWER_LOST
-    return result.Err(errors.Failure(kind))
+        """Returns limit and use of the pools by address."""
+        return {
+            f"{host}:{port}": {"limit": pool.limit, "in_use": pool.in_use}
+            for (host, port), pool in self._pools.items()
+        }
+
+    def _retire_unused(self) -> None:
+        # Targets come and go; their pools would stay for ever otherwise.
+        oldest = asyncio.get_running_loop().time() - _UNUSED_SECONDS
+        unused = [
+            at for at, pool in self._pools.items() if 0 < pool.used_at < oldest
+        ]
+        for at in unused:
+            self._retire(self._pools.pop(at))
+
+    def _retire(self, pool: Pool) -> None:
+        # Exchanges under way go on; the last of them closes the pool. An idle
+        # one is closed with the client, its connections by their own timer.
+        pool.retired = True
+        self._retired = [p for p in self._retired if not p.session.closed]
+        self._retired.append(pool)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -6,6 +6,7 @@
 from absl import logging
 
 from mimosastile_entry import _asgi
+from mimosastile_entry import _credentials
 from mimosastile_entry import _operations
 from mimosastile_entry import kernel
 from mimosastile_entry import serving
@@ -41,7 +42,8 @@
         router = kernel.find("router")
         clock = kernel.find("clock")
         limits = self._settings.limits
-        self._callers = _asgi.CallersApp(router, clock, limits)
+        credentials = _credentials.Credentials(kernel.find("state"))
+        self._callers = _asgi.CallersApp(router, clock, limits, credentials)
         forward = _asgi.ForwardApp(router, clock, limits)
         inner = _operations.application(kernel, forward)
         vm = self._settings.vm
@@ -60,11 +62,15 @@
         return {"ports": self.ports}
 
     async def _serve(self, side: str, app: _asgi.App, port: int) -> None:
+        limits = self._settings.limits
         listener = await serving.listen(
             app,
             self._settings.vm.host,
             port,
-            self._settings.limits.shutdown_seconds,
+            limits.shutdown_seconds,
+            # Paths and the request line come on top of the headers.
+            limits.header_bytes + limits.url_bytes,
+            limits.head_seconds,
         )
         self._listeners[side] = listener
         logging.info("%s %s on port %d.", _PREFIX, side, listener.port)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
@@ -1,6 +1,7 @@
 """Adapter to other entry VMs over HTTP with JSON."""
 
-import aiohttp
+import asyncio
+
 import msgspec
 import result
 
@@ -8,6 +9,7 @@
 from mimosastile_core import fleet
 from mimosastile_core import messages
 from mimosastile_entry import _client
+from mimosastile_entry import _exchange
 from mimosastile_entry import _wire
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
@@ -16,6 +18,10 @@
 _ANY_KIND = frozenset(errors.ErrorKind)
 
 
+_CONNECTIONS = 256
+"""Most connections to one peer."""
+
+
 class HttpPeers(kernel.Passive):
     """Sends messages and forwarded requests to peers."""
 
@@ -23,8 +29,8 @@
 
     def __init__(self) -> None:
         super().__init__("peers", ("client", "clock"))
-        self._client: _client.HttpClient | None = None
-        self._clock: ports.ClockPort | None = None
+        self._client: _client.HttpClient
+        self._clock: ports.ClockPort
 
     async def start(self, kernel: kernel.Kernel) -> None:
         """Finds client and clock."""
@@ -35,15 +41,17 @@
         self, vm: fleet.Vm, message: messages.PeerMessage, timeout: float
     ) -> result.Result[messages.PeerMessage, errors.Failure]:
         """Sends a message and returns the peer's reply."""
-        assert self._client is not None
         url = f"http://{vm.host}:{vm.port}{_wire.MESSAGE_PATH}"
-        limit = aiohttp.ClientTimeout(total=timeout)
+        pool = self._client.pool(vm, _CONNECTIONS)
         try:
-            async with self._client.session.post(
-                url, data=messages.encode(message), timeout=limit
-            ) as response:
-                return result.Ok(messages.decode(await response.read()))
+            async with asyncio.timeout(timeout):
+                async with pool.session.post(
+                    url, data=messages.encode(message)
+                ) as response:
+                    return result.Ok(messages.decode(await response.read()))
         except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+            if isinstance(error, TimeoutError):
+                pool.connector.suspect()
             return result.Err(
                 errors.Failure(_client.kind_of(error), str(error))
             )
@@ -52,7 +60,6 @@
         self, vm: fleet.Vm, request: ports.Request
     ) -> result.Result[ports.Response, errors.Failure]:
         """Passes a request to the keeper of its target."""
-        assert self._client is not None and self._clock is not None
         left = request.deadline - self._clock.now()
         headers = [
             *request.headers,
@@ -66,6 +73,9 @@
             f"http://{vm.host}:{vm.port}{_wire.FORWARD_PATH}"
             f"{request.path}{query}"
         )
-        return await _client.exchange(
-            self._client, request, url, headers, left, _ANY_KIND
+        # A request may wait long in the keeper's queue: silence proves little.
+        terms = _exchange.Terms(left, 0.0, _ANY_KIND)
+        pool = self._client.pool(vm, _CONNECTIONS)
+        return await _exchange.send(
+            self._client, pool, request, url, headers, terms
         )
--- a/packages/mimosastile-entry/src/mimosastile_entry/_targets_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_targets_http.py
@@ -1,6 +1,7 @@
 """Adapter to targets over HTTP."""
 
-import aiohttp
+import asyncio
+
 import msgspec
 import result
 
@@ -9,6 +10,8 @@
 from mimosastile_core import grants
 from mimosastile_core import holder
 from mimosastile_entry import _client
+from mimosastile_entry import _exchange
+from mimosastile_entry import _state
 from mimosastile_entry import _wire
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
@@ -26,31 +29,35 @@
 class HttpTargets(kernel.Passive):
     """Sends grants and requests to targets."""
 
-    __slots__ = ("_client", "_clock")
+    __slots__ = ("_client", "_clock", "_state")
 
     def __init__(self) -> None:
-        super().__init__("targets", ("client", "clock"))
-        self._client: _client.HttpClient | None = None
-        self._clock: ports.ClockPort | None = None
+        super().__init__("targets", ("client", "clock", "state"))
+        self._client: _client.HttpClient
+        self._clock: ports.ClockPort
+        self._state: _state.StateService
 
     async def start(self, kernel: kernel.Kernel) -> None:
-        """Finds client and clock."""
+        """Finds client, clock and configuration."""
         self._client = kernel.find("client")
         self._clock = kernel.find("clock")
+        self._state = kernel.find("state")
 
     async def grant(
         self, vm: fleet.Vm, grant: grants.Grant, timeout: float
     ) -> result.Result[grants.GrantReply, errors.Failure]:
         """Sends a grant and waits for the reply."""
-        assert self._client is not None
         url = f"http://{vm.host}:{vm.port}{_wire.GRANT_PATH}"
-        limit = aiohttp.ClientTimeout(total=timeout)
+        pool = self._pool(vm)
         try:
-            async with self._client.session.post(
-                url, data=msgspec.json.encode(grant), timeout=limit
-            ) as response:
-                return result.Ok(_REPLY.decode(await response.read()))
+            async with asyncio.timeout(timeout):
+                async with pool.session.post(
+                    url, data=msgspec.json.encode(grant)
+                ) as response:
+                    return result.Ok(_REPLY.decode(await response.read()))
         except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+            if isinstance(error, TimeoutError):
+                pool.connector.suspect()
             return result.Err(
                 errors.Failure(_client.kind_of(error), str(error))
             )
@@ -62,7 +69,6 @@
         fence: holder.RequestFence | None,
     ) -> result.Result[ports.Response, errors.Failure]:
         """Sends a request once."""
-        assert self._client is not None and self._clock is not None
         left = request.deadline - self._clock.now()
         headers = [
             *request.headers,
@@ -73,6 +79,14 @@
         ]
         query = f"?{request.query}" if request.query else ""
         url = f"http://{vm.host}:{vm.port}{request.path}{query}"
-        return await _client.exchange(
-            self._client, request, url, headers, left, _NOT_RUN
+        terms = _exchange.Terms(
+            left, self._client.configured.first_byte, _NOT_RUN
+        )
+        return await _exchange.send(
+            self._client, self._pool(vm), request, url, headers, terms
         )
+
+    def _pool(self, vm: fleet.Vm) -> _client.Pool:
+        services = self._state.replica.config.document.services
+        service = services.get(vm.service)
+        return self._client.pool(vm, service.connections if service else 0)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_wire.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_wire.py
@@ -33,9 +33,11 @@
 HOP_BY_HOP = frozenset(
     {
         "connection",
+        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
+        "proxy-connection",
         "te",
         "trailer",
         "transfer-encoding",
@@ -44,22 +46,49 @@
 )
 """Headers that belong to one connection and are never passed on."""
 
-CHUNK = 64 << 10
-"""Bytes passed on at a time; also what one slow reader holds in memory."""
+_NO_LENGTH_STATUSES = frozenset({204, 304})
 
 
 def end_to_end(
     headers: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
     """Returns the headers that may be passed on, names in lower case."""
-    pairs = ((name.lower(), value) for name, value in headers)
+    pairs = [(name.lower(), value) for name, value in headers]
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name == "connection"
+        for token in value.split(",")
+    }
     return tuple(
         (name, value)
         for name, value in pairs
-        if name not in HOP_BY_HOP and not name.startswith(PREFIX)
+        if name not in HOP_BY_HOP and name not in named and not _is_own(name)
     )
 
 
+def _is_own(name: str) -> bool:
+    # Some servers hand a name on with underscores for dashes; a caller could
+    # use that to pass for the router.
+    return name[:1] == "x" and name.replace("_", "-").startswith(PREFIX)
+
+
+def answer_headers(
+    response: aiohttp.ClientResponse,
+) -> tuple[tuple[str, str], ...]:
+    """Returns an answer's headers that may be passed on."""
+    headers = end_to_end(response.headers.items())
+    # A length beside another framing, or on an answer that has no body by its
+    # status, is not the length of what follows; the caller would wait for
+    # bytes that never come, or take the next answer for this one's rest.
+    if (
+        response.status in _NO_LENGTH_STATUSES
+        or "Transfer-Encoding" in response.headers
+    ):
+        return tuple(h for h in headers if h[0] != "content-length")
+    return headers
+
+
 def fence_headers(fence: holder.RequestFence) -> dict[str, str]:
     """Returns the headers that tell a target whose order a request is."""
     return {
@@ -87,40 +116,6 @@
         yield chunk
 
 
-async def response_chunks(
-    response: aiohttp.ClientResponse,
-) -> AsyncIterator[bytes]:
-    """Yields the body of an answer; raises if it breaks off.
-
-    Raises:
-        ports.BrokenAnswerError: The connection ended before the answer did.
-    """
-    try:
-        async for chunk in response.content.iter_chunked(CHUNK):
-            yield chunk
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise ports.BrokenAnswerError(str(error)) from error
-
-
-def to_response(response: aiohttp.ClientResponse) -> ports.Response:
-    """Returns an answer that is passed on chunk by chunk.
-
-    Closing it before its end closes the connection: an unfinished exchange
-    must never be followed by another request on the same connection, whose
-    caller would get the rest of this answer.
-    """
-
-    async def close() -> None:
-        response.close()
-
-    return ports.Response(
-        response.status,
-        end_to_end(response.headers.items()),
-        response_chunks(response),
-        close,
-    )
-
-
 def named_error(name: str | None) -> errors.ErrorKind | None:
     """Returns the error kind that an answer's header names, if any."""
     try:
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -46,7 +46,7 @@
     platform = configured.platform
     return [
         _clock.LoopClock(),
-        _client.HttpClient(),
+        _client.HttpClient(configured.connections),
         _platform_http.HttpStore(platform.store, platform.timeout),
         _platform_http.HttpFleet(platform.fleet, platform.timeout),
         _targets_http.HttpTargets(),
--- a/packages/mimosastile-entry/src/mimosastile_entry/serving.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/serving.py
@@ -8,6 +8,8 @@
 
 import uvicorn
 
+from mimosastile_entry import _protocol
+
 _BACKLOG = 2048
 _POLL_SECONDS = 0.005
 
@@ -49,7 +51,12 @@
 
 
 async def listen(
-    app: Any, host: str, port: int, shutdown_seconds: float
+    app: Any,
+    host: str,
+    port: int,
+    shutdown_seconds: float,
+    head_bytes: int = 64 << 10,
+    head_seconds: float = 10.0,
 ) -> Listener:
     """Begins to serve an application.
 
@@ -58,6 +65,8 @@
         host: IP number to listen on.
         port: Port, 0 for any free one.
         shutdown_seconds: Longest wait for requests in flight at a stop.
+        head_bytes: Longest head of a request.
+        head_seconds: Longest time for a head to arrive.
 
     Returns:
         The listener, accepting connections.
@@ -80,7 +89,7 @@
             app,
             # Not "auto": uvloop may use io_uring, which the VMs forbid.
             loop="asyncio",
-            http="httptools",
+            http=_protocol.bounded(head_bytes, head_seconds),
             lifespan="off",
             ws="none",
             access_log=False,
--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -68,15 +68,41 @@
         body_bytes: Largest body.
         replay_bytes: Largest body that is held to be sent again.
         header_bytes: Largest sum of header names and values.
+        url_bytes: Longest path with query.
+        head_seconds: Longest time for a request's head to arrive.
+        stall_seconds: Longest time without any progress of a body, from or
+            to a caller.
         shutdown_seconds: Longest wait for work in flight at a stop.
     """
 
     body_bytes: Annotated[int, msgspec.Meta(ge=1)] = 64 << 20
     replay_bytes: Annotated[int, msgspec.Meta(ge=0)] = 64 << 10
     header_bytes: Annotated[int, msgspec.Meta(ge=256)] = 16 << 10
+    url_bytes: Annotated[int, msgspec.Meta(ge=64)] = 8 << 10
+    head_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    stall_seconds: Annotated[float, msgspec.Meta(gt=0)] = 30.0
     shutdown_seconds: Annotated[float, msgspec.Meta(ge=0)] = 600.0
 
 
+class ConnectionSettings(_Strict, frozen=True):
+    """How connections to targets and peers are kept, in seconds.
+
+    Attributes:
+        connect: Longest wait for a connection, one of the pool or a new one.
+        first_byte: Silence before an answer begins after which a target's
+            connection is taken for lost.
+        between_bytes: Silence within an answer after which it is broken off.
+        idle: Longest idle time after which a connection is used again.
+        max_age: Age from which a connection is not used again.
+    """
+
+    connect: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    first_byte: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    between_bytes: Annotated[float, msgspec.Meta(gt=0)] = 15.0
+    idle: Annotated[float, msgspec.Meta(gt=0)] = 15.0
+    max_age: Annotated[float, msgspec.Meta(gt=0)] = 300.0
+
+
 class Settings(_Strict, frozen=True):
     """All settings of a daemon."""
 
@@ -84,6 +110,7 @@
     platform: PlatformSettings
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
+    connections: ConnectionSettings = ConnectionSettings()
 
 
 def load(path: pathlib.Path) -> result.Result[Settings, str]:
