--- a/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
@@ -1,7 +1,6 @@
 """The callers' side and the forwarding side as raw ASGI applications."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import MutableMapping
@@ -15,6 +14,7 @@
 from mimosastile_entry import _heads
 from mimosastile_entry import _protocol
 from mimosastile_entry import _router
+from mimosastile_entry import _uploads
 from mimosastile_entry import _wire
 from mimosastile_entry import ports
 from mimosastile_entry import settings
@@ -31,10 +31,6 @@
 _CLOSE = (b"connection", b"close")
 
 
-class CallerGoneError(Exception):
-    """The caller left, stalled or sent too much before its body was whole."""
-
-
 class _ForwardingApp:
     """Base of both sides: reads a request, has it routed, passes it on."""
 
@@ -59,19 +55,19 @@
         self, head: Read, scope: Scope, receive: Receive, send: Send
     ) -> None:
         work = _protocol.begin(scope)
+        upload = _uploads.Upload(scope["headers"], receive, self._limits)
         try:
-            waits = _heads.has_body(scope["headers"])
-            response = await self._answer(head, receive, waits)
-            await self._pass_on(response, send, work)
+            response = await self._answer(head, upload)
+            await self._pass_on(response, send, work, upload)
         except asyncio.CancelledError:
             logging.debug("%s a caller left.", _PREFIX)
 
     async def _answer(
-        self, head: Read, receive: Receive, waits: bool
+        self, head: Read, upload: _uploads.Upload
     ) -> ports.Response:
         read = head
-        if waits and isinstance(head, result.Ok):
-            read = await _read_body(head.ok_value, receive, self._limits)
+        if not upload.complete and isinstance(head, result.Ok):
+            read = await upload.read(head.ok_value)
         if isinstance(read, result.Err):
             return _router.refuse(read.err_value, self._clock.new_id())
         request = read.ok_value
@@ -83,7 +79,11 @@
             return _router.refuse(failure, request.request_id)
 
     async def _pass_on(
-        self, response: ports.Response, send: Send, work: _protocol.Work
+        self,
+        response: ports.Response,
+        send: Send,
+        work: _protocol.Work,
+        upload: _uploads.Upload,
     ) -> None:
         """Sends an answer; one that breaks off is passed on as broken."""
         headers = [(n.encode(), _encoded(v)) for n, v in response.headers]
@@ -107,6 +107,9 @@
                             "more_body": True,
                         }
                     )
+            if not upload.complete:
+                await response.close()
+                await upload.linger(closing=self._stopping)
             await send({"type": "http.response.body", "body": b""})
         except (ports.BrokenAnswerError, TimeoutError, RuntimeError) as error:
             # Returning without the last chunk makes the server cut the
@@ -138,8 +141,6 @@
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Serves one request."""
-        if scope["type"] != "http":
-            return
         if scope["path"] == "/-/health":
             await _send_health(send, ok=not self._stopping)
             return
@@ -221,50 +222,6 @@
     )
 
 
-async def _read_body(
-    request: ports.Request, receive: Receive, limits: settings.LimitSettings
-) -> Read:
-    """Holds a small body whole and leaves the rest of a large one to stream."""
-    chunks: list[bytes] = []
-    size = 0
-    while size <= limits.replay_bytes:
-        try:
-            async with asyncio.timeout(limits.stall_seconds):
-                message = await receive()
-        except TimeoutError:
-            return _failed(errors.ErrorKind.REQUEST_TIMEOUT)
-        if message["type"] == "http.disconnect":
-            return _failed(errors.ErrorKind.CANCELLED)
-        chunks.append(message.get("body", b""))
-        size += len(chunks[-1])
-        if not message.get("more_body", False):
-            request.body = b"".join(chunks)
-            return result.Ok(request)
-    request.body = b"".join(chunks)
-    request.stream = _rest(receive, limits, limits.body_bytes - size)
-    return result.Ok(request)
-
-
-async def _rest(
-    receive: Receive, limits: settings.LimitSettings, allowed: int
-) -> AsyncIterator[bytes]:
-    more = True
-    while more:
-        try:
-            async with asyncio.timeout(limits.stall_seconds):
-                message = await receive()
-        except TimeoutError as error:
-            raise CallerGoneError("body stalled") from error
-        if message["type"] == "http.disconnect":
-            raise CallerGoneError("left")
-        chunk = message.get("body", b"")
-        allowed -= len(chunk)
-        if allowed < 0:
-            raise CallerGoneError("body too large")
-        more = message.get("more_body", False)
-        yield chunk
-
-
 def _encoded(value: str) -> bytes:
     # The client library reads header bytes in this way, so that any bytes of
     # a target, a file name in UTF-8 for one, reach the caller unchanged.
--- a/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
@@ -9,6 +9,9 @@
 from mimosastile_core import errors
 
 _STATE_KEY = "mimosastile.work"
+_PIPELINED = 8
+"""Requests sent ahead on one connection beyond which reading stops."""
+
 _REASONS = {
     400: b"Bad Request",
     408: b"Request Timeout",
@@ -58,6 +61,7 @@
         super().__init__(*args, **named)
         self._work = Work()
         self.app_state = {**self.app_state, _STATE_KEY: self._work}
+        self._closing = False
         self._in_head = False
         self._in_body = False
         self._head_size = 0
@@ -106,9 +110,14 @@
         self._head_size = 0
         self._stop_watch()
         super().on_headers_complete()
-        if self.cycle is not None and self.parser.should_upgrade():
-            # The parser reads nothing after a request that asks for another
-            # protocol, so a next request would wait for ever.
+        if 0 < len(self.pipeline) < _PIPELINED:
+            # The library stops reading when a second request comes before the
+            # first is answered, and then does not notice that the caller
+            # leaves.
+            self.flow.resume_reading()
+        # The parser reads nothing after a request that asks for another
+        # protocol, so a next request would wait for ever.
+        if self._closing or self.parser.should_upgrade():
             self.cycle.keep_alive = False
 
     def on_message_complete(self) -> None:
@@ -126,6 +135,15 @@
             self._stop_watch()
             self._watch_head()
 
+    def shutdown(self) -> None:
+        """Closes an idle connection, a busy one after its answer."""
+        if self._in_head:
+            # A request whose head is arriving is answered; cut off here, its
+            # caller could not tell whether it ran.
+            self._closing = True
+            return
+        super().shutdown()
+
     def send_400_response(self, msg: str) -> None:
         """Refuses what is no request."""
         del msg
--- a/packages/mimosastile-entry/src/mimosastile_entry/serving.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/serving.py
@@ -1,53 +1,78 @@
 """HTTP servers on the one loop, without signals, workers or uvloop."""
 
 import asyncio
-from collections.abc import Iterator
-import contextlib
 import socket
+import ssl
 from typing import Any
 
 import uvicorn
+from uvicorn import server as uvicorn_server
 
 from mimosastile_entry import _protocol
 
 _BACKLOG = 2048
-_POLL_SECONDS = 0.005
-
-
-class _Server(uvicorn.Server):
-    """A server that leaves signals to the process."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Captures nothing."""
-        yield
+_POLL_SECONDS = 0.01
+_IDLE_SECONDS = 30
 
 
 class Listener:
     """One application on one port."""
 
-    __slots__ = ("_port", "_server", "_task")
+    __slots__ = ("_aborted", "_port", "_seconds", "_server", "_state")
 
     def __init__(
-        self, server: uvicorn.Server, task: asyncio.Task[None], port: int
+        self,
+        server: asyncio.Server,
+        state: uvicorn_server.ServerState,
+        port: int,
+        shutdown_seconds: float,
     ) -> None:
         self._server = server
-        self._task = task
+        self._state = state
         self._port = port
+        self._seconds = shutdown_seconds
+        self._aborted = False
 
     @property
     def port(self) -> int:
         """The bound port."""
         return self._port
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being served."""
+        return len(self._state.tasks)
+
     def begin_stop(self) -> None:
-        """Accepts no more connections; requests in flight go on."""
-        self._server.should_exit = True
+        """Accepts no more connections; requests in flight go on.
+
+        Idle connections are closed, the others after their answer.
+        """
+        self._server.close()
+        for connection in list(self._state.connections):
+            connection.shutdown()
+
+    def abort(self) -> None:
+        """Ends a stop that waits for requests in flight."""
+        self._aborted = True
 
     async def stop(self) -> None:
-        """Waits until the requests in flight have ended."""
+        """Waits until the requests in flight have ended, within the bound."""
         self.begin_stop()
-        await self._task
+        loop = asyncio.get_running_loop()
+        last = loop.time() + self._seconds
+        while self._is_busy() and loop.time() < last and not self._aborted:
+            await asyncio.sleep(_POLL_SECONDS)
+        # Whoever is left loses its answer, and must see that it does.
+        for connection in list(self._state.connections):
+            connection.transport.abort()
+        left = tuple(self._state.tasks)
+        for task in left:
+            task.cancel()
+        await asyncio.gather(*left, return_exceptions=True)
+
+    def _is_busy(self) -> bool:
+        return bool(self._state.connections or self._state.tasks)
 
 
 async def listen(
@@ -57,6 +82,7 @@
     shutdown_seconds: float,
     head_bytes: int = 64 << 10,
     head_seconds: float = 10.0,
+    tls: ssl.SSLContext | None = None,
 ) -> Listener:
     """Begins to serve an application.
 
@@ -67,6 +93,7 @@
         shutdown_seconds: Longest wait for requests in flight at a stop.
         head_bytes: Longest head of a request.
         head_seconds: Longest time for a head to arrive.
+        tls: TLS context, None to serve in the clear.
 
     Returns:
         The listener, accepting connections.
@@ -74,6 +101,37 @@
     Raises:
         OSError: The address cannot be bound.
     """
+    config = uvicorn.Config(
+        app,
+        # Not "auto": uvloop may use io_uring, which the VMs forbid.
+        loop="asyncio",
+        http=_protocol.bounded(head_bytes, head_seconds),
+        lifespan="off",
+        ws="none",
+        access_log=False,
+        log_config=None,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=_IDLE_SECONDS,
+    )
+    config.load()
+    state = uvicorn_server.ServerState()
+    loop = asyncio.get_running_loop()
+
+    def connection() -> asyncio.Protocol:
+        made: asyncio.Protocol = config.http_protocol_class(  # type: ignore[call-arg]
+            config=config, server_state=state, app_state={}, _loop=loop
+        )
+        return made
+
+    bound = _bind(host, port)
+    server = await loop.create_server(
+        connection, sock=bound, ssl=tls, backlog=_BACKLOG
+    )
+    return Listener(server, state, bound.getsockname()[1], shutdown_seconds)
+
+
+def _bind(host: str, port: int) -> socket.socket:
     # With the protocol left at 0, asyncio does not set TCP_NODELAY on accepted
     # connections; head and body of an answer then wait for each other's
     # acknowledgement, seen as 40 ms on every request.
@@ -82,24 +140,5 @@
     )
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     bound.bind((host, port))
-    bound.listen(_BACKLOG)
     bound.setblocking(False)
-    server = _Server(
-        uvicorn.Config(
-            app,
-            # Not "auto": uvloop may use io_uring, which the VMs forbid.
-            loop="asyncio",
-            http=_protocol.bounded(head_bytes, head_seconds),
-            lifespan="off",
-            ws="none",
-            access_log=False,
-            log_config=None,
-            server_header=False,
-            date_header=False,
-            timeout_graceful_shutdown=max(1, int(shutdown_seconds)),
-        )
-    )
-    task = asyncio.create_task(server.serve([bound]))
-    while not server.started:
-        await asyncio.sleep(_POLL_SECONDS)
-    return Listener(server, task, bound.getsockname()[1])
+    return bound
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -46,6 +46,7 @@
     Attributes:
         requests: Heads and bodies as they came.
         connections: How many were accepted.
+        writers: One for each connection, to write without being asked.
         lost: Set when a client closes its connection.
         release: Lets replies go on with their second part.
     """
@@ -53,6 +54,7 @@
     def __init__(self, replies):
         self.requests = []
         self.connections = 0
+        self.writers = []
         self.lost = asyncio.Event()
         self.release = asyncio.Event()
         self._replies = replies
@@ -60,7 +62,9 @@
         self.port = 0
 
     async def serve(self, reader, writer):
+        """Answers the requests of one connection."""
         self.connections += 1
+        self.writers.append(writer)
         self._tasks.add(asyncio.current_task())
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
@@ -69,16 +73,30 @@
                 self.requests.append(head + body)
                 reply = self._replies(len(self.requests) - 1)
                 writer.write(reply.data)
-                if reply.after:
-                    await self.release.wait()
-                    writer.write(reply.after)
+                if reply.after and not await self._released(reader):
+                    break
+                writer.write(reply.after)
                 await writer.drain()
                 if reply.close:
                     break
         self.lost.set()
         writer.close()
 
+    async def _released(self, reader):
+        """Waits for `release`; False if the client closes before that."""
+        ways = [
+            asyncio.ensure_future(self.release.wait()),
+            asyncio.ensure_future(reader.read(1)),
+        ]
+        try:
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for way in ways:
+                way.cancel()
+        return self.release.is_set()
+
     def stop(self):
+        """Drops all connections."""
         for task in self._tasks:
             task.cancel()
 
@@ -136,6 +154,7 @@
         self._vm = vm
 
     async def handle(self, request):
+        """Sends a request to the target."""
         self.handled.append(request)
         self.in_flight += 1
         self.ended.clear()
@@ -167,6 +186,7 @@
 
     @property
     def port(self):
+        """The callers' port."""
         return self.listener.port
 
 
