Silent, aged and closed connections are replaced before reuse

Cause: a path that forgets a connection swallows requests without a sign; a server's close that this VM has not read yet loses the next POST; a total timeout cut downloads at their deadline. Excluded: a probe request before each reuse, which costs a round trip; the kernel's unacknowledged-data timeout and a look at the socket cost none, and a timed-out exchange makes all connections of that address suspect. Change: tests of limits, ages, silence and progress, over raw servers.

--- /dev/null
+++ b/tests/entry/test_connections.py
@@ -0,0 +1,281 @@
+"""Tests of pools: limits, ages, silence and progress."""
+
+import asyncio
+import socket
+
+import pytest
+import rig
+
+from mimosastile_core import errors
+from mimosastile_core import messages
+from mimosastile_entry import _peers_http
+
+PART = b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf"
+
+
+async def _gather(made, vm, count):
+    sent = await asyncio.gather(*(rig.send(made, vm) for _ in range(count)))
+    return [await rig.whole(s.ok()) for s in sent]
+
+
+class TestLimit:
+    """A target accepts a limited number of connections.
+
+    One more would be refused by the target, or push out another entry VM.
+    """
+
+    def test_no_more_connections_than_the_service_allows(self):
+        """Exchanges wait for one another's connection."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply()) as peer,
+                rig.sender(peer.port, connections=2) as (made, vm),
+            ):
+                return await _gather(made, vm, 20), peer.connections
+
+        assert asyncio.run(story()) == ([b"ok"] * 20, 2)
+
+    def test_one_that_waits_too_long_did_not_run(self):
+        """It never had a connection."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply(PART, after=b"rest")) as peer,
+                rig.sender(peer.port, 1, connect=0.02) as (made, vm),
+            ):
+                first = await rig.send(made, vm)
+                second = await rig.send(made, vm)
+                peer.release.set()
+                whole = await rig.whole(first.ok())
+                return whole, second.err(), len(peer.requests)
+
+        whole, failure, requests = asyncio.run(story())
+        assert whole == b"halfrest"
+        assert failure.kind is errors.ErrorKind.UNREACHABLE
+        assert requests == 1
+
+    def test_changed_limit_takes_a_new_pool(self):
+        """Exchanges under way end in the former one."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply(PART, after=b"rest")) as peer,
+                rig.sender(peer.port) as (made, vm),
+            ):
+                client = made.find("client")
+                first = (await rig.send(made, vm)).ok()
+                former = client.pool(vm, 120)
+                latter = client.pool(vm, 60)
+                peer.release.set()
+                whole = await rig.whole(first)
+                return whole, former.session.closed, latter.session.closed
+
+        assert asyncio.run(story()) == (b"halfrest", True, False)
+
+
+class TestReuse:
+    """A connection is used again while it is young and known to live."""
+
+    def test_within_its_age(self):
+        """One connection serves requests in turn."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply()) as peer,
+                rig.sender(peer.port) as (made, vm),
+            ):
+                for _ in range(5):
+                    await _gather(made, vm, 1)
+                return peer.connections
+
+        assert asyncio.run(story()) == 1
+
+    @pytest.mark.parametrize("times", [{"max_age": 0.01}, {"idle": 0.01}])
+    def test_not_beyond_it(self, times):
+        """It is replaced by a new one."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply()) as peer,
+                rig.sender(peer.port, **times) as (made, vm),
+            ):
+                await _gather(made, vm, 1)
+                await asyncio.sleep(0.03)
+                await _gather(made, vm, 1)
+                return peer.connections
+
+        assert asyncio.run(story()) == 2
+
+    def test_not_when_the_server_has_closed_it(self):
+        """Even if this VM has not read the end yet: a POST would be lost."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply()) as peer,
+                rig.sender(peer.port) as (made, vm),
+            ):
+                await _gather(made, vm, 1)
+                peer.writers[0].transport.get_extra_info("socket").shutdown(
+                    socket.SHUT_WR
+                )
+                sent = await rig.send(made, vm, "POST", b"letter")
+                return await rig.whole(sent.ok()), peer.connections
+
+        assert asyncio.run(story()) == (b"ok", 2)
+
+
+class TestSilentConnection:
+    """Something between the ends has lost track of a connection.
+
+    Requests on it vanish without a sign, while new connections work. A caller
+    would wait until its deadline, again and again.
+    """
+
+    def test_is_left_for_new_ones(self):
+        """Others that were open at that time are not trusted either."""
+
+        async def story():
+            def replies(number):
+                return (
+                    rig.Reply(b"", after=b"x") if number == 2 else rig.Reply()
+                )
+
+            async with (
+                rig.peer(replies) as peer,
+                rig.sender(peer.port, first_byte=0.05) as (made, vm),
+            ):
+                await _gather(made, vm, 2)
+                silent = await rig.send(made, vm, "POST", b"letter")
+                after = await _gather(made, vm, 1)
+                return silent.err(), after, peer.connections
+
+        failure, after, connections = asyncio.run(story())
+        assert failure.kind is errors.ErrorKind.ANSWER_LOST
+        assert failure.answer.ran is errors.Ran.PERHAPS
+        assert after == [b"ok"]
+        assert connections == 3
+
+    def test_lost_packets_are_noticed_by_the_kernel(self):
+        """The options are set on each connection."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply(PART, after=b"rest")) as peer,
+                rig.sender(peer.port, connect=2.0) as (made, vm),
+            ):
+                response = (await rig.send(made, vm)).ok()
+                pool = made.find("client").pool(vm, 120)
+                (protocol,) = pool.connector._acquired
+                used = protocol.transport.get_extra_info("socket")
+                options = [
+                    used.getsockopt(level, option)
+                    for level, option in (
+                        (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                        (socket.IPPROTO_TCP, socket.TCP_NODELAY),
+                        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+                    )
+                ]
+                await response.close()
+                return options
+
+        keepalive, nodelay, unacknowledged = asyncio.run(story())
+        assert keepalive and nodelay
+        assert 0 < unacknowledged <= 10000
+
+
+class TestProgress:
+    """A slow answer is told from a stuck one by its progress.
+
+    Archive downloads take longer than any deadline for a first answer; cut
+    off half-way they would have to start again.
+    """
+
+    def test_download_outlives_the_deadline(self):
+        """The deadline limits the time to the head."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply(PART, after=b"rest")) as peer,
+                rig.sender(peer.port) as (made, vm),
+            ):
+                sent = await rig.send(made, vm, seconds=0.05)
+                await asyncio.sleep(0.1)
+                peer.release.set()
+                return await rig.whole(sent.ok())
+
+        assert asyncio.run(story()) == b"halfrest"
+
+    def test_download_without_progress_breaks_off(self):
+        """The caller sees a broken answer."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply(PART, after=b"rest")) as peer,
+                rig.sender(peer.port, between_bytes=0.05) as (made, vm),
+            ):
+                sent = await rig.send(made, vm)
+                with pytest.raises(rig.ports.BrokenAnswerError):
+                    await rig.whole(sent.ok())
+                return made.find("client").pool(vm, 120).in_use
+
+        assert asyncio.run(story()) == 0
+
+    def test_deadline_before_the_head(self):
+        """The request may have run."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply(b"", after=b"x")) as peer,
+                rig.sender(peer.port) as (made, vm),
+            ):
+                return await rig.send(made, vm, seconds=0.05)
+
+        failure = asyncio.run(story()).err()
+        assert failure.kind is errors.ErrorKind.DEADLINE
+        assert failure.answer.ran is errors.Ran.PERHAPS
+
+    def test_passed_deadline_sends_nothing(self):
+        """The request did not run."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply()) as peer,
+                rig.sender(peer.port) as (made, vm),
+            ):
+                sent = await rig.send(made, vm, seconds=0)
+                return sent.err().answer.ran, peer.connections
+
+        assert asyncio.run(story()) == (errors.Ran.NO, 0)
+
+
+class TestPeers:
+    """Connections to other entry VMs are kept in the same way."""
+
+    def test_silent_one_is_left_for_a_new_one(self):
+        """A message without a reply makes the open connections suspect."""
+        reply = messages.encode(messages.Ack("e1"))
+        data = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (
+            len(reply),
+            reply,
+        )
+
+        async def story():
+            def replies(number):
+                if number == 1:
+                    return rig.Reply(b"", after=b"x")
+                return rig.Reply(data)
+
+            async with (
+                rig.peer(replies) as peer,
+                rig.sender(peer.port) as (made, vm),
+            ):
+                peers = _peers_http.HttpPeers()
+                await peers.start(made)
+                ack = messages.Ack("e0")
+                sent = [await peers.call(vm, ack, 0.05) for _ in range(3)]
+                return sent, peer.connections
+
+        sent, connections = asyncio.run(story())
+        assert [s.is_ok() for s in sent] == [True, False, True]
+        assert connections == 2
