Graceful shutdown: notice, hand-over, downloads end whole

Cause: the health answer turned bad in the same moment in which the port closed, so a balancer that had not noticed yet met a closed port; a head that was arriving was cut off; there was no way to end the wait. Change: health bad and listening on for a time from the settings, roles handed over in that time if a service offers it, then callers' and last peers' side close once idle; a bound and a second signal end the wait, visibly. Not run as a real process: a download in flight (shown in-process).

--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -1,6 +1,7 @@
 """The listeners service: the two HTTP servers of a daemon."""
 
 import asyncio
+import contextlib
 from typing import Any
 
 from absl import logging
@@ -18,7 +19,14 @@
 class ListenersService:
     """Runs the server for callers and the one for peers and operators."""
 
-    __slots__ = ("_callers", "_listeners", "_settings", "name", "needs")
+    __slots__ = (
+        "_aborted",
+        "_apps",
+        "_listeners",
+        "_settings",
+        "name",
+        "needs",
+    )
 
     def __init__(self, configured: settings.Settings) -> None:
         """Makes the service.
@@ -29,7 +37,8 @@
         self.name = "listeners"
         self.needs: tuple[str, ...] = ("router", "state", "clock")
         self._settings = configured
-        self._callers: _asgi.CallersApp | None = None
+        self._apps: list[_asgi.CallersApp | _asgi.ForwardApp] = []
+        self._aborted = asyncio.Event()
         self._listeners: dict[str, serving.Listener] = {}
 
     @property
@@ -43,23 +52,50 @@
         clock = kernel.find("clock")
         limits = self._settings.limits
         credentials = _credentials.Credentials(kernel.find("state"))
-        self._callers = _asgi.CallersApp(router, clock, limits, credentials)
+        callers = _asgi.CallersApp(router, clock, limits, credentials)
         forward = _asgi.ForwardApp(router, clock, limits)
         inner = _operations.application(kernel, forward)
+        self._apps = [callers, forward]
         vm = self._settings.vm
         await self._serve("peers", inner, vm.peer_port)
-        await self._serve("callers", self._callers, vm.port)
+        await self._serve("callers", callers, vm.port)
+
+    async def give_notice(self) -> None:
+        """Turns health bad and goes on listening while the balancer notices.
+
+        Closing at once would refuse callers that the balancer still sends.
+        """
+        for app in self._apps:
+            app.begin_stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.limits.notice_seconds):
+                await self._aborted.wait()
+
+    def abort(self) -> None:
+        """Ends the notice and the wait for requests in flight."""
+        self._aborted.set()
+        for listener in self._listeners.values():
+            listener.abort()
 
     async def stop(self) -> None:
-        """Lets requests in flight end and closes both servers."""
-        if self._callers is not None:
-            self._callers.begin_stop()
-        stops = (listener.stop() for listener in self._listeners.values())
-        await asyncio.gather(*stops)
+        """Lets requests in flight end and closes both servers.
+
+        Peers are served until the last caller has its answer.
+        """
+        for app in self._apps:
+            app.begin_stop()
+        for side in ("callers", "peers"):
+            if side in self._listeners:
+                await self._listeners[side].stop()
 
     def dump(self) -> dict[str, Any]:
-        """Returns the bound ports."""
-        return {"ports": self.ports}
+        """Returns the bound ports and the requests in flight."""
+        return {
+            "ports": self.ports,
+            "in_flight": {
+                side: at.in_flight for side, at in self._listeners.items()
+            },
+        }
 
     async def _serve(self, side: str, app: _asgi.App, port: int) -> None:
         limits = self._settings.limits
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 import signal
+from typing import Any
 
 from absl import logging
 
@@ -79,15 +80,63 @@
     return _clock.LoopClock(seed)
 
 
+async def stop_gracefully(made: kernel.Kernel) -> None:
+    """Stops a daemon so that callers notice nothing.
+
+    Health turns bad first and listening goes on while the balancer notices;
+    roles go to peers in that time. Then requests in flight end.
+
+    Args:
+        made: The running daemon.
+    """
+    listeners = _optional(made, "listeners")
+    roles = _optional(made, "roles")
+    waits = []
+    if listeners is not None:
+        waits.append(listeners.give_notice())
+    if roles is not None and hasattr(roles, "hand_over"):
+        waits.append(roles.hand_over())
+    for failed in await asyncio.gather(*waits, return_exceptions=True):
+        if isinstance(failed, Exception):
+            logging.error("%s stops all the same: %r.", _PREFIX, failed)
+    await made.stop()
+
+
+def _optional(made: kernel.Kernel, name: str) -> Any:
+    try:
+        return made.find(name)
+    except kernel.MissingServiceError:
+        return None
+
+
 async def run(configured: settings.Settings) -> None:
-    """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully."""
+    """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully.
+
+    A second signal ends the wait for requests in flight.
+    """
     made = assemble(configured)
-    await made.start()
-    logging.info("%s %s is up.", _PREFIX, configured.vm.id)
-    stop = asyncio.Event()
+    signals: asyncio.Queue[int] = asyncio.Queue()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await stop.wait()
-    logging.info("%s %s stops.", _PREFIX, configured.vm.id)
-    await made.stop()
+    numbers = (signal.SIGTERM, signal.SIGINT)
+    for number in numbers:
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    try:
+        await made.start()
+        logging.info("%s %s is up.", _PREFIX, configured.vm.id)
+        await signals.get()
+        logging.info("%s %s stops.", _PREFIX, configured.vm.id)
+        await _stop(made, signals)
+    finally:
+        for number in numbers:
+            loop.remove_signal_handler(number)
+
+
+async def _stop(made: kernel.Kernel, signals: asyncio.Queue[int]) -> None:
+    stopping = asyncio.create_task(stop_gracefully(made))
+    second = asyncio.create_task(signals.get())
+    await asyncio.wait((stopping, second), return_when=asyncio.FIRST_COMPLETED)
+    if not stopping.done():
+        logging.warning("%s second signal, waits no longer.", _PREFIX)
+        made.find("listeners").abort()
+    second.cancel()
+    await stopping
--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -72,7 +72,10 @@
         head_seconds: Longest time for a request's head to arrive.
         stall_seconds: Longest time without any progress of a body, from or
             to a caller.
-        shutdown_seconds: Longest wait for work in flight at a stop.
+        notice_seconds: How long a stopping daemon goes on listening with a
+            bad health answer, so that the balancer looks away.
+        shutdown_seconds: Longest wait for work in flight at a stop, after
+            the notice.
     """
 
     body_bytes: Annotated[int, msgspec.Meta(ge=1)] = 64 << 20
@@ -81,6 +84,7 @@
     url_bytes: Annotated[int, msgspec.Meta(ge=64)] = 8 << 10
     head_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
     stall_seconds: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+    notice_seconds: Annotated[float, msgspec.Meta(ge=0)] = 5.0
     shutdown_seconds: Annotated[float, msgspec.Meta(ge=0)] = 600.0
 
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/demo.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/demo.py
@@ -116,7 +116,7 @@
     ) -> None:
         region, zone = _ZONES[place % len(_ZONES)]
         vm = settings.VmSettings(name, region, zone, HOST, 0, 0)
-        limits = settings.LimitSettings(shutdown_seconds=2)
+        limits = settings.LimitSettings(shutdown_seconds=2, notice_seconds=0)
         made = daemon.assemble(settings.Settings(vm, platform, limits=limits))
         await made.start()
         self._stack.push_async_callback(made.stop)
--- /dev/null
+++ b/tests/entry/test_listeners.py
@@ -0,0 +1,251 @@
+"""Tests of the two servers of a daemon and of its graceful stop."""
+
+import asyncio
+import contextlib
+import os
+import signal
+
+import pytest
+import rig
+
+from mimosastile_core import fleet
+from mimosastile_entry import _client
+from mimosastile_entry import _clock
+from mimosastile_entry import _inbox
+from mimosastile_entry import _listeners
+from mimosastile_entry import _targets_http
+from mimosastile_entry import daemon
+from mimosastile_entry import kernel
+from mimosastile_entry import settings
+from mimosastile_standins import serving
+from mimosastile_standins import store
+from mimosastile_standins import vms
+
+PART = b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf"
+HEALTH = b"GET /-/health HTTP/1.1\r\nhost: h\r\n\r\n"
+
+
+class _RouterService(kernel.Passive):
+    """Sends everything to one raw server."""
+
+    def __init__(self, port):
+        super().__init__("router", ("targets", "clock"))
+        self._port = port
+
+    async def start(self, made):
+        """Finds the way to the server."""
+        vm = fleet.Vm("t", fleet.Role.TARGET, "r", "z", rig.HOST, self._port)
+        clock = made.find("clock")
+        self.inner = rig.Router(made.find("targets"), clock, vm)
+        self.handle = self.inner.handle
+
+
+class _Roles(kernel.Passive):
+    """Notes whether listening went on during the hand-over."""
+
+    def __init__(self, made):
+        super().__init__("roles")
+        self._made = made
+        self.health = b""
+
+    async def hand_over(self):
+        """Asks for the health of the stopping daemon."""
+        port = self._made.find("listeners").ports["callers"]
+        self.health = await _ask(port, HEALTH)
+
+
+async def _ask(port, sent):
+    """Returns the first answer on a new connection."""
+    reader, writer = await asyncio.open_connection(rig.HOST, port)
+    writer.write(sent)
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(rig.split(head)[1].get(b"content-length", b"0"))
+    body = await reader.readexactly(length)
+    writer.close()
+    return head + body
+
+
+@contextlib.asynccontextmanager
+async def _serving(port, **limits):
+    """Yields a kernel whose listeners send everything to a raw server."""
+    configured = settings.Settings(
+        settings.VmSettings("e0", "r", "z", rig.HOST, 0, 0),
+        settings.PlatformSettings("http://none", "http://none"),
+        limits=settings.LimitSettings(**limits),
+    )
+    made = kernel.Kernel()
+    router = _RouterService(port)
+    listeners = _listeners.ListenersService(configured)
+    for service in (
+        _clock.LoopClock(),
+        _client.HttpClient(),
+        rig.State(),
+        _targets_http.HttpTargets(),
+        router,
+        _inbox.InboxService("e0"),
+        listeners,
+        _Roles(made),
+    ):
+        made.register(service)
+    await made.start()
+    try:
+        yield made, listeners, router.inner
+    finally:
+        listeners.abort()
+        await made.stop()
+
+
+class TestGracefulStop:
+    """A VM is replaced while callers are at work.
+
+    Without care the balancer sends callers to a closed port, and an archive
+    download that is half done has to start again.
+    """
+
+    def test_download_in_flight_ends_whole(self):
+        """It ends after the stop has begun, and its connection closes."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply(PART, after=b"rest")) as peer,
+                _serving(peer.port, notice_seconds=0) as (made, listeners, _),
+            ):
+                port = listeners.ports["callers"]
+                asked = asyncio.create_task(
+                    rig.exchange(port, rig.get(extra=""))
+                )
+                while not peer.requests:
+                    await asyncio.sleep(0)
+                stopping = asyncio.create_task(daemon.stop_gracefully(made))
+                await asyncio.sleep(0.03)
+                with pytest.raises(ConnectionRefusedError):
+                    await asyncio.open_connection(rig.HOST, port)
+                assert not stopping.done()
+                peer.release.set()
+                received = await asked
+                await stopping
+                return rig.split(received)
+
+        status, _, body = asyncio.run(story())
+        assert (status, body) == (200, b"halfrest")
+
+    def test_health_turns_bad_while_listening_goes_on(self):
+        """Requests are served during the notice, on closing connections."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply()) as peer,
+                _serving(peer.port, notice_seconds=30) as (made, listeners, _),
+            ):
+                port = listeners.ports["callers"]
+                before = await _ask(port, HEALTH)
+                stopping = asyncio.create_task(daemon.stop_gracefully(made))
+                await asyncio.sleep(0)
+                during = await _ask(port, HEALTH)
+                served = await _ask(port, rig.get(extra=""))
+                roles = made.find("roles")
+                while not roles.health:
+                    await asyncio.sleep(0)
+                listeners.abort()
+                await stopping
+                return before, during, served, roles.health
+
+        before, during, served, handed_over = asyncio.run(story())
+        assert rig.split(before)[0] == 200
+        assert rig.split(during)[0] == 503
+        status, headers, body = rig.split(served)
+        assert (status, body) == (200, b"ok")
+        assert headers[b"connection"] == b"close"
+        assert rig.split(handed_over)[0] == 503
+
+    def test_idle_connection_is_closed_and_a_begun_request_served(self):
+        """A head that is arriving when the stop begins gets its answer."""
+
+        async def story():
+            async with (
+                rig.peer(lambda _: rig.Reply()) as peer,
+                _serving(peer.port, notice_seconds=0) as (made, listeners, _),
+            ):
+                port = listeners.ports["callers"]
+                idle, _ = await asyncio.open_connection(rig.HOST, port)
+                reader, writer = await asyncio.open_connection(rig.HOST, port)
+                sent = rig.get(extra="")
+                writer.write(sent[:20])
+                await asyncio.sleep(0.03)
+                stopping = asyncio.create_task(daemon.stop_gracefully(made))
+                ended = await idle.read()
+                writer.write(sent[20:])
+                received = await reader.read()
+                writer.close()
+                await stopping
+                return ended, rig.split(received)
+
+        ended, (status, _, body) = asyncio.run(story())
+        assert ended == b""
+        assert (status, body) == (200, b"ok")
+
+    @pytest.mark.parametrize("by", ["bound", "second signal"])
+    def test_endless_download_is_broken_off_in_the_end(self, by):
+        """Its caller sees that it is broken, and no slot stays taken."""
+
+        async def story():
+            bound = 0.05 if by == "bound" else 600
+            async with (
+                rig.peer(lambda _: rig.Reply(PART, after=b"rest")) as peer,
+                _serving(
+                    peer.port, notice_seconds=0, shutdown_seconds=bound
+                ) as (made, listeners, router),
+            ):
+                port = listeners.ports["callers"]
+                reader, writer = await asyncio.open_connection(rig.HOST, port)
+                writer.write(rig.get(extra=""))
+                head = await reader.readuntil(b"\r\n\r\n")
+                stopping = asyncio.create_task(daemon.stop_gracefully(made))
+                if by != "bound":
+                    await asyncio.sleep(0.03)
+                    listeners.abort()
+                await stopping
+                rest = b""
+                with contextlib.suppress(ConnectionResetError):
+                    rest = await reader.read()
+                writer.close()
+                return rig.split(head)[1], rest, router.in_flight
+
+        headers, rest, in_flight = asyncio.run(story())
+        assert headers[b"content-length"] == b"8"
+        assert len(rest) < 8
+        assert in_flight == 0
+
+
+class TestSignals:
+    """The platform stops a VM by a signal to the daemon."""
+
+    @pytest.mark.parametrize("count", [1, 2])
+    def test_run_ends(self, count):
+        """After one signal gracefully, after two without the notice."""
+
+        async def story():
+            kept, listed = store.MemoryStore(), vms.MemoryFleet()
+            async with (
+                serving.serving(serving.store_app(kept)) as store_port,
+                serving.serving(serving.fleet_app(listed)) as fleet_port,
+            ):
+                at = f"http://{rig.HOST}:"
+                notice = 0 if count == 1 else 600
+                configured = settings.Settings(
+                    settings.VmSettings("e0", "r", "z", rig.HOST, 0, 0),
+                    settings.PlatformSettings(
+                        f"{at}{store_port}", f"{at}{fleet_port}"
+                    ),
+                    limits=settings.LimitSettings(notice_seconds=notice),
+                )
+                running = asyncio.create_task(daemon.run(configured))
+                await asyncio.sleep(0.2)
+                for _ in range(count):
+                    os.kill(os.getpid(), signal.SIGTERM)
+                    await asyncio.sleep(0.02)
+                async with asyncio.timeout(5):
+                    await running
+                kept.go_down()
+
+        asyncio.run(story())
