--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -16,6 +16,7 @@
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
+from mimosastile_entry import _roles
 from mimosastile_entry import _router
 from mimosastile_entry import _state
 from mimosastile_entry import _targets_http
@@ -36,7 +37,8 @@
         _inbox.InboxService(place.id),
         _fleet.FleetService(place.id),
         _state.StateService(place.id),
-        _keeper.KeeperService(place.id),
+        _keeper.KeeperService(place.id, place.zone),
+        _roles.RolesService(place.id),
         _planner.PlannerService(place.id),
         _router.RouterService(place.id),
     ]
