--- a/packages/mimosastile-entry/src/mimosastile_entry/_heads.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_heads.py
@@ -13,6 +13,7 @@
 _BAD_ESCAPE = re.compile(rb"%(?![0-9A-Fa-f]{2})")
 _DOT_SEGMENT = re.compile(rb"/(?:\.|%2[eE]){1,2}(?:/|$)")
 _FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+_HEADER_OVERHEAD = len(": \r\n")
 _MAX_LENGTH_DIGITS = 15
 
 
@@ -50,7 +51,7 @@
         return errors.Failure(kind, "The URL is too long.")
     size = 0
     for name, value in headers:
-        size += len(name) + len(value)
+        size += len(name) + len(value) + _HEADER_OVERHEAD
     return errors.Failure(kind) if size > limits.header_bytes else None
 
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_uploads.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_uploads.py
@@ -64,6 +64,8 @@
                 return _failed(errors.ErrorKind.REQUEST_TIMEOUT)
             except CallerGoneError:
                 return _failed(errors.ErrorKind.CANCELLED)
+        if self._size > self._limits.body_bytes:
+            return _failed(errors.ErrorKind.BODY_TOO_LARGE)
         request.body = b"".join(chunks)
         if not self.complete:
             request.stream = self._rest()
