Entry VMs sign messages and forwarded requests

Cause: whoever reached the inner port could move keys or act as any member. Excluded: a session key by handshake, which needs state per pair of VMs and a round trip at each start; certificates alone, which end at whatever terminates TLS. A signature per message needs neither. Change: HMAC-SHA256 over receiver, method, path, headers, body digest, time and a number used once; keys by identifier from the settings, two valid at a time; a guard before the inner application; secrets kept out of texts and errors. Without keys peers are not authenticated and the daemon warns at start.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -7,7 +7,9 @@
 from absl import logging
 
 from mimosastile_entry import _asgi
+from mimosastile_entry import _auth
 from mimosastile_entry import _credentials
+from mimosastile_entry import _guard
 from mimosastile_entry import _operations
 from mimosastile_entry import kernel
 from mimosastile_entry import serving
@@ -24,16 +26,21 @@
         "_apps",
         "_listeners",
         "_settings",
+        "_signer",
         "name",
         "needs",
     )
 
-    def __init__(self, configured: settings.Settings) -> None:
+    def __init__(
+        self, configured: settings.Settings, signer: _auth.Signer
+    ) -> None:
         """Makes the service.
 
         Args:
             configured: The daemon's settings.
+            signer: Checks what peers send.
         """
+        self._signer = signer
         self.name = "listeners"
         self.needs: tuple[str, ...] = ("router", "state", "clock")
         self._settings = configured
@@ -54,7 +61,11 @@
         credentials = _credentials.Credentials(kernel.find("state"))
         callers = _asgi.CallersApp(router, clock, limits, credentials)
         forward = _asgi.ForwardApp(router, clock, limits)
-        inner = _operations.application(kernel, forward)
+        inner = _guard.Guard(
+            _operations.application(kernel, forward), self._signer
+        )
+        if not self._signer.enabled:
+            logging.warning("%s peers are not authenticated.", _PREFIX)
         self._apps = [callers, forward]
         vm = self._settings.vm
         await self._serve("peers", inner, vm.peer_port)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
@@ -8,6 +8,7 @@
 from mimosastile_core import errors
 from mimosastile_core import fleet
 from mimosastile_core import messages
+from mimosastile_entry import _auth
 from mimosastile_entry import _client
 from mimosastile_entry import _exchange
 from mimosastile_entry import _wire
@@ -25,10 +26,16 @@
 class HttpPeers(kernel.Passive):
     """Sends messages and forwarded requests to peers."""
 
-    __slots__ = ("_client", "_clock")
+    __slots__ = ("_client", "_clock", "_signer")
 
-    def __init__(self) -> None:
+    def __init__(self, signer: _auth.Signer) -> None:
+        """Makes the adapter.
+
+        Args:
+            signer: Signs what is sent.
+        """
         super().__init__("peers", ("client", "clock"))
+        self._signer = signer
         self._client: _client.HttpClient
         self._clock: ports.ClockPort
 
@@ -43,10 +50,12 @@
         """Sends a message and returns the peer's reply."""
         url = f"http://{vm.host}:{vm.port}{_wire.MESSAGE_PATH}"
         pool = self._client.pool(vm, _CONNECTIONS)
+        body = messages.encode(message)
+        signed = self._signer.sign(vm.id, "POST", _wire.MESSAGE_PATH, (), body)
         try:
             async with asyncio.timeout(timeout):
                 async with pool.session.post(
-                    url, data=messages.encode(message)
+                    url, data=body, headers=signed
                 ) as response:
                     return result.Ok(messages.decode(await response.read()))
         except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
@@ -69,10 +78,12 @@
             (_wire.TARGET, request.target),
         ]
         query = f"?{request.query}" if request.query else ""
-        url = (
-            f"http://{vm.host}:{vm.port}{_wire.FORWARD_PATH}"
-            f"{request.path}{query}"
+        path = f"{_wire.FORWARD_PATH}{request.path}{query}"
+        whole = request.body if request.stream is None else None
+        headers += self._signer.sign(
+            vm.id, request.method, path, headers, whole
         )
+        url = f"http://{vm.host}:{vm.port}{path}"
         # A request may wait long in the keeper's queue: silence proves little.
         terms = _exchange.Terms(left, 0.0, _ANY_KIND)
         pool = self._client.pool(vm, _CONNECTIONS)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_wire.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_wire.py
@@ -20,6 +20,8 @@
 POSITION = PREFIX + "position"
 FENCE = PREFIX + "fence"
 ERROR = PREFIX + "error"
+AUTH = PREFIX + "auth"
+BODY_DIGEST = PREFIX + "body-digest"
 
 GRANT_PATH = "/-/grant"
 """Where targets take grants."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 
+from mimosastile_entry import _auth
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
 from mimosastile_entry import _fleet
@@ -47,14 +48,18 @@
 def adapters(configured: settings.Settings) -> list[kernel.Service]:
     """Returns the adapters that speak HTTP to everything outside."""
     platform = configured.platform
+    known = configured.peers
+    signer = _auth.Signer(
+        configured.vm.id, known.keys, known.sign_with, known.window
+    )
     return [
         _clock.LoopClock(),
         _client.HttpClient(configured.connections),
         _platform_http.HttpStore(platform.store, platform.timeout),
         _platform_http.HttpFleet(platform.fleet, platform.timeout),
         _targets_http.HttpTargets(),
-        _peers_http.HttpPeers(),
-        _listeners.ListenersService(configured),
+        _peers_http.HttpPeers(signer),
+        _listeners.ListenersService(configured, signer),
     ]
 
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -11,6 +11,10 @@
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
 
+_SECRET = "peers.keys"
+"""Values under this path are never shown."""
+
+
 class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Base of all settings: unknown keys are mistakes."""
 
@@ -107,6 +111,29 @@
     max_age: Annotated[float, msgspec.Meta(gt=0)] = 300.0
 
 
+KeyName = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]{1,32}$")]
+Secret = Annotated[str, msgspec.Meta(min_length=32)]
+
+
+class PeerSettings(_Strict, frozen=True):
+    """How entry VMs know each other.
+
+    Attributes:
+        keys: Shared secrets by key identifier; without any, peers are not
+            authenticated. While keys are rotated there are two.
+        sign_with: Identifier of the key that this VM signs with.
+        window: Seconds that a message may be old, or two clocks may differ.
+    """
+
+    keys: dict[KeyName, Secret] = {}
+    sign_with: str = ""
+    window: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+
+    def __repr__(self) -> str:
+        """Names the keys without their secrets."""
+        return f"PeerSettings(keys={sorted(self.keys)})"
+
+
 class Settings(_Strict, frozen=True):
     """All settings of a daemon."""
 
@@ -115,6 +142,7 @@
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
     connections: ConnectionSettings = ConnectionSettings()
+    peers: PeerSettings = PeerSettings()
 
 
 def load(path: pathlib.Path) -> result.Result[Settings, str]:
@@ -139,6 +167,12 @@
         settings = msgspec.convert(raw, Settings)
     except msgspec.ValidationError as error:
         return result.Err(f"{path}: {_with_value(str(error), raw)}")
+    peers = settings.peers
+    if peers.keys and peers.sign_with not in peers.keys:
+        return result.Err(
+            f"{path}: peers.sign_with = {peers.sign_with!r}: expected one of"
+            f" {', '.join(sorted(peers.keys))}"
+        )
     try:
         ipaddress.ip_address(settings.vm.host)
     except ValueError:
@@ -154,6 +188,9 @@
     keys = path.rstrip("`").strip(".")
     if not keys:
         return text
+    if keys.startswith(_SECRET):
+        # A mistyped secret must not reach a log or a terminal.
+        return f"{_SECRET}: {text}"
     value: object = raw
     for key in keys.split("."):
         value = value.get(key) if isinstance(value, dict) else None
--- a/packages/mimosastile-standins/src/mimosastile_standins/demo.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/demo.py
@@ -38,6 +38,7 @@
 _LETTERS = 200
 _WAIT_SECONDS = 10.0
 _CALLER_SEED = 1
+_PEER_SECRET = "demo-secret-shared-by-the-entry-vms"
 
 
 def document() -> config.Document:
@@ -117,7 +118,10 @@
         region, zone = _ZONES[place % len(_ZONES)]
         vm = settings.VmSettings(name, region, zone, HOST, 0, 0)
         limits = settings.LimitSettings(shutdown_seconds=2, notice_seconds=0)
-        made = daemon.assemble(settings.Settings(vm, platform, limits=limits))
+        peers = settings.PeerSettings({"demo": _PEER_SECRET}, "demo")
+        made = daemon.assemble(
+            settings.Settings(vm, platform, limits=limits, peers=peers)
+        )
         await made.start()
         self._stack.push_async_callback(made.stop)
         self.daemons[name] = made
--- /dev/null
+++ b/tests/entry/test_auth.py
@@ -0,0 +1,163 @@
+"""Tests of the signatures between entry VMs."""
+
+import pytest
+
+from mimosastile_entry import _auth
+from mimosastile_entry import settings
+
+OLD = "o" * 32
+NEW = "n" * 32
+HEADERS = [("x-mimosastile-member", "desk"), ("accept", "a"), ("accept", "b")]
+
+
+class _Wall:
+    def __init__(self, now=1_000_000.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+def _signer(vm, keys=None, sign_with="old", wall=None):
+    wall = wall or _Wall()
+    return _auth.Signer(vm, keys or {"old": OLD}, sign_with, 10.0, wall)
+
+
+def _sent(signer, to="e1", headers=HEADERS, body=b"letter"):
+    return [*headers, *signer.sign(to, "POST", "/forward/s/1", headers, body)]
+
+
+class TestGood:
+    """What a peer signed is let in."""
+
+    def test_taken_in_spite_of_the_librarys_headers(self):
+        """Framing and host are the connection's own."""
+        sent = [("host", "h"), ("content-length", "6"), *_sent(_signer("e0"))]
+        receiver = _signer("e1")
+        assert receiver.check("POST", "/forward/s/1", sent[::-1])
+        assert _auth.body_matches(b"letter", sent)
+        assert not _auth.body_matches(b"Letter", sent)
+
+    def test_both_keys_are_valid_while_they_are_rotated(self):
+        """VMs change over one after another; none is shut out."""
+        both = {"old": OLD, "new": NEW}
+        receiver = _signer("e1", both, "new")
+        for signer in (_signer("e0"), _signer("e0", both, "new")):
+            assert receiver.check("POST", "/forward/s/1", _sent(signer))
+
+    def test_no_keys_no_headers(self):
+        """The check is off."""
+        signer = _auth.Signer("e0", {}, "", 10.0)
+        assert not signer.enabled
+        assert signer.sign("e1", "GET", "/", [], b"") == []
+
+
+class TestForged:
+    """Somebody on the network sends what no peer signed.
+
+    A forged message could move keys; a forged request could run as any
+    member.
+    """
+
+    @pytest.mark.parametrize(
+        ("method", "path", "change"),
+        [
+            ("PUT", "/forward/s/1", None),
+            ("POST", "/forward/s/2", None),
+            ("POST", "/forward/s/1?a", None),
+            ("POST", "/forward/s/1", ("x-mimosastile-member", "rival")),
+            ("POST", "/forward/s/1", ("x-mimosastile-body-digest", "00")),
+            ("POST", "/forward/s/1", ("x-mimosastile-auth", "old:1:2:3")),
+            ("POST", "/forward/s/1", ("x-mimosastile-auth", "")),
+            ("POST", "/forward/s/1", ("x-mimosastile-auth", ":::")),
+            ("POST", "/forward/s/1", ("added", "header")),
+        ],
+    )
+    def test_changed_part(self, method, path, change):
+        """Each part is covered."""
+        sent = _sent(_signer("e0"))
+        if change:
+            sent = [h for h in sent if h[0] != change[0]] + [change]
+        assert not _signer("e1").check(method, path, sent)
+
+    @pytest.mark.parametrize(
+        ("signer", "to"),
+        [
+            (_signer("e0", {"old": NEW}), "e1"),
+            (_signer("e0", {"other": OLD}, "other"), "e1"),
+            (_signer("e0"), "e2"),
+        ],
+    )
+    def test_wrong_key_or_receiver(self, signer, to):
+        """A message for one VM is worth nothing at another."""
+        sent = _sent(signer, to)
+        assert not _signer("e1").check("POST", "/forward/s/1", sent)
+
+    def test_two_signatures(self):
+        """Nobody can tell which one counts."""
+        signer = _signer("e0")
+        sent = _sent(signer) + signer.sign("e1", "POST", "/p", [], b"")
+        assert not _signer("e1").check("POST", "/forward/s/1", sent)
+
+
+class TestReplayed:
+    """Somebody records a good message and sends it again later.
+
+    An approval would run twice.
+    """
+
+    def test_second_time(self):
+        """Also after the numbers have gone over to the next generation."""
+        wall = _Wall()
+        sender, receiver = _signer("e0", wall=wall), _signer("e1", wall=wall)
+        sent = _sent(sender)
+        assert receiver.check("POST", "/forward/s/1", sent)
+        for _ in range(4):
+            assert not receiver.check("POST", "/forward/s/1", sent)
+            wall.now += 5.1
+            assert receiver.check("POST", "/forward/s/1", _sent(sender))
+
+    @pytest.mark.parametrize("age", [10.1, -10.1, 1e9])
+    def test_old_or_from_the_future(self, age):
+        """Only the window counts."""
+        wall = _Wall()
+        receiver = _signer("e1", wall=_Wall(wall.now - 100))
+        sent = _sent(_signer("e0", wall=wall))
+        receiver._wall.now = wall.now + age
+        assert not receiver.check("POST", "/forward/s/1", sent)
+
+    def test_from_before_a_restart(self):
+        """The new run has not seen it, and takes nothing so old."""
+        wall = _Wall()
+        sent = _sent(_signer("e0", wall=wall))
+        wall.now += 1
+        receiver = _signer("e1", wall=wall)
+        assert not receiver.check("POST", "/forward/s/1", sent)
+
+    @pytest.mark.parametrize("stamp", ["nan", "inf", "-1", "1e9", "", "٣"])
+    def test_odd_time(self, stamp):
+        """It is no time."""
+        signer = _signer("e0")
+        assert not signer._is_fresh(stamp)
+
+
+class TestSecrets:
+    """Settings are logged and shown when something is wrong with them."""
+
+    def test_no_secret_is_shown(self, tmp_path):
+        """Neither by a mistake in it nor by the settings' own text."""
+        text = (
+            '[vm]\nid="e"\nregion="r"\nzone="z"\n[platform]\n'
+            'store="http://1"\nfleet="http://1"\n[peers]\nsign_with="a"\n'
+            '[peers.keys]\na="hush"\n'
+        )
+        path = tmp_path / "settings.toml"
+        path.write_text(text)
+        message = settings.load(path).unwrap_err()
+        assert "peers.keys" in message and "hush" not in message
+        path.write_text(text.replace("hush", "hush" * 8))
+        loaded = settings.load(path).unwrap()
+        assert "hush" not in repr(loaded)
+        path.write_text(text.replace("hush", "hush" * 8).replace('"a"', '"b"'))
+        message = settings.load(path).unwrap_err()
+        assert "sign_with" in message and "hush" not in message
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -8,6 +8,7 @@
 
 from mimosastile_core import errors
 from mimosastile_core import messages
+from mimosastile_entry import _auth
 from mimosastile_entry import _peers_http
 
 PART = b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf"
@@ -270,7 +271,7 @@
                 rig.peer(replies) as peer,
                 rig.sender(peer.port) as (made, vm),
             ):
-                peers = _peers_http.HttpPeers()
+                peers = _peers_http.HttpPeers(_auth.Signer("e0", {}, "", 10.0))
                 await peers.start(made)
                 ack = messages.Ack("e0")
                 sent = [await peers.call(vm, ack, 0.05) for _ in range(3)]
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -9,6 +9,7 @@
 import rig
 
 from mimosastile_core import fleet
+from mimosastile_entry import _auth
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
 from mimosastile_entry import _inbox
@@ -75,7 +76,9 @@
     )
     made = kernel.Kernel()
     router = _RouterService(port)
-    listeners = _listeners.ListenersService(configured)
+    listeners = _listeners.ListenersService(
+        configured, _auth.Signer("e0", {}, "", 10.0)
+    )
     for service in (
         _clock.LoopClock(),
         _client.HttpClient(),
