TLS by settings, certificates renewed without a restart

Cause: the callers' and the inner side spoke in the clear only. Excluded: a new listening socket per certificate, which refuses callers for a moment; the live context takes a new pair for new handshakes. A pair is tried in a fresh context first, so a key that does not fit yet changes nothing. Change: a tls service with one context per side, looked after by modification time; peers are called over TLS and checked by their authority.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_client.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_client.py
@@ -1,6 +1,7 @@
 """The HTTP client of the daemon, its pools and what its failures mean."""
 
 import asyncio
+import ssl
 from typing import Any
 
 import aiohttp
@@ -83,13 +84,13 @@
         self,
         limit: int,
         configured: settings.ConnectionSettings,
-        ssl: Any = True,
+        tls: Any = True,
     ) -> None:
         self.limit = limit
         self.in_use = 0
         self.used_at = 0.0
         self.retired = False
-        self.connector = _connections.Connector(limit, configured, ssl)
+        self.connector = _connections.Connector(limit, configured, tls)
         self.session = aiohttp.ClientSession(
             connector=self.connector,
             auto_decompress=False,
@@ -145,20 +146,23 @@
             raise kernel.MissingServiceError("the client has not started")
         return self._plain.session
 
-    def pool(self, vm: fleet.Vm, limit: int) -> Pool:
+    def pool(
+        self, vm: fleet.Vm, limit: int, tls: ssl.SSLContext | None = None
+    ) -> Pool:
         """Returns the pool of a VM's address.
 
         Args:
             vm: The VM.
             limit: Most connections open at a time, 0 for no limit. A pool
                 whose limit has changed is replaced; what runs in it goes on.
+            tls: Context to call with, None to call in the clear.
         """
         at = (vm.host, vm.port)
         found = self._pools.get(at)
         if found is None or found.limit != limit:
             if found is not None:
                 self._retire(found)
-            found = Pool(limit, self._configured)
+            found = Pool(limit, self._configured, tls or True)
             self._pools[at] = found
             self._retire_unused()
         found.used_at = asyncio.get_running_loop().time()
--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ssl
 from typing import Any
 
 from absl import logging
@@ -11,6 +12,7 @@
 from mimosastile_entry import _credentials
 from mimosastile_entry import _guard
 from mimosastile_entry import _operations
+from mimosastile_entry import _tls
 from mimosastile_entry import kernel
 from mimosastile_entry import serving
 from mimosastile_entry import settings
@@ -42,7 +44,7 @@
         """
         self._signer = signer
         self.name = "listeners"
-        self.needs: tuple[str, ...] = ("router", "state", "clock")
+        self.needs: tuple[str, ...] = ("router", "state", "clock", "tls")
         self._settings = configured
         self._apps: list[_asgi.CallersApp | _asgi.ForwardApp] = []
         self._aborted = asyncio.Event()
@@ -68,8 +70,9 @@
             logging.warning("%s peers are not authenticated.", _PREFIX)
         self._apps = [callers, forward]
         vm = self._settings.vm
-        await self._serve("peers", inner, vm.peer_port)
-        await self._serve("callers", callers, vm.port)
+        tls: _tls.TlsService = kernel.find("tls")
+        await self._serve("peers", inner, vm.peer_port, tls.server("peers"))
+        await self._serve("callers", callers, vm.port, tls.server("callers"))
 
     async def give_notice(self) -> None:
         """Turns health bad and goes on listening while the balancer notices.
@@ -108,7 +111,13 @@
             },
         }
 
-    async def _serve(self, side: str, app: _asgi.App, port: int) -> None:
+    async def _serve(
+        self,
+        side: str,
+        app: _asgi.App,
+        port: int,
+        tls: ssl.SSLContext | None,
+    ) -> None:
         limits = self._settings.limits
         listener = await serving.listen(
             app,
@@ -118,6 +127,7 @@
             # Paths and the request line come on top of the headers.
             limits.header_bytes + limits.url_bytes,
             limits.head_seconds,
+            tls,
         )
         self._listeners[side] = listener
         logging.info("%s %s on port %d.", _PREFIX, side, listener.port)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
@@ -1,6 +1,7 @@
 """Adapter to other entry VMs over HTTP with JSON."""
 
 import asyncio
+import ssl
 
 import msgspec
 import result
@@ -26,7 +27,7 @@
 class HttpPeers(kernel.Passive):
     """Sends messages and forwarded requests to peers."""
 
-    __slots__ = ("_client", "_clock", "_signer")
+    __slots__ = ("_base", "_client", "_clock", "_signer", "_tls")
 
     def __init__(self, signer: _auth.Signer) -> None:
         """Makes the adapter.
@@ -34,22 +35,26 @@
         Args:
             signer: Signs what is sent.
         """
-        super().__init__("peers", ("client", "clock"))
+        super().__init__("peers", ("client", "clock", "tls"))
         self._signer = signer
+        self._base = "http"
+        self._tls: ssl.SSLContext | None = None
         self._client: _client.HttpClient
         self._clock: ports.ClockPort
 
     async def start(self, kernel: kernel.Kernel) -> None:
-        """Finds client and clock."""
+        """Finds client, clock and the way to call."""
         self._client = kernel.find("client")
         self._clock = kernel.find("clock")
+        self._tls = kernel.find("tls").client("peers")
+        self._base = "https" if self._tls else "http"
 
     async def call(
         self, vm: fleet.Vm, message: messages.PeerMessage, timeout: float
     ) -> result.Result[messages.PeerMessage, errors.Failure]:
         """Sends a message and returns the peer's reply."""
-        url = f"http://{vm.host}:{vm.port}{_wire.MESSAGE_PATH}"
-        pool = self._client.pool(vm, _CONNECTIONS)
+        url = f"{self._base}://{vm.host}:{vm.port}{_wire.MESSAGE_PATH}"
+        pool = self._client.pool(vm, _CONNECTIONS, self._tls)
         body = messages.encode(message)
         signed = self._signer.sign(vm.id, "POST", _wire.MESSAGE_PATH, (), body)
         try:
@@ -83,10 +88,10 @@
         headers += self._signer.sign(
             vm.id, request.method, path, headers, whole
         )
-        url = f"http://{vm.host}:{vm.port}{path}"
+        url = f"{self._base}://{vm.host}:{vm.port}{path}"
         # A request may wait long in the keeper's queue: silence proves little.
         terms = _exchange.Terms(left, 0.0, _ANY_KIND)
-        pool = self._client.pool(vm, _CONNECTIONS)
+        pool = self._client.pool(vm, _CONNECTIONS, self._tls)
         return await _exchange.send(
             self._client, pool, request, url, headers, terms
         )
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -21,6 +21,7 @@
 from mimosastile_entry import _router
 from mimosastile_entry import _state
 from mimosastile_entry import _targets_http
+from mimosastile_entry import _tls
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 from mimosastile_entry import settings
@@ -54,6 +55,7 @@
     )
     return [
         _clock.LoopClock(),
+        _tls.TlsService(configured.tls),
         _client.HttpClient(configured.connections),
         _platform_http.HttpStore(platform.store, platform.timeout),
         _platform_http.HttpFleet(platform.fleet, platform.timeout),
--- a/packages/mimosastile-entry/src/mimosastile_entry/serving.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/serving.py
@@ -126,7 +126,11 @@
 
     bound = _bind(host, port)
     server = await loop.create_server(
-        connection, sock=bound, ssl=tls, backlog=_BACKLOG
+        connection,
+        sock=bound,
+        ssl=tls,
+        backlog=_BACKLOG,
+        ssl_handshake_timeout=head_seconds if tls else None,
     )
     return Listener(server, state, bound.getsockname()[1], shutdown_seconds)
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -134,6 +134,35 @@
         return f"PeerSettings(keys={sorted(self.keys)})"
 
 
+class TlsSettings(_Strict, frozen=True):
+    """Files of one side, in PEM.
+
+    Attributes:
+        certificate: Path of the certificate chain.
+        key: Path of its key.
+        authority: Path of the authority that peers' certificates are checked
+            by; needed on the peers' side only.
+    """
+
+    certificate: Annotated[str, msgspec.Meta(min_length=1)]
+    key: Annotated[str, msgspec.Meta(min_length=1)]
+    authority: str = ""
+
+
+class TlsSection(_Strict, frozen=True):
+    """Which sides use TLS; those that are left out serve in the clear.
+
+    Attributes:
+        callers: The callers' side.
+        peers: The side of peers and operators; needs an authority.
+        reload_seconds: How often the files are looked at for changes.
+    """
+
+    callers: TlsSettings | None = None
+    peers: TlsSettings | None = None
+    reload_seconds: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+
+
 class Settings(_Strict, frozen=True):
     """All settings of a daemon."""
 
@@ -143,6 +172,7 @@
     limits: LimitSettings = LimitSettings()
     connections: ConnectionSettings = ConnectionSettings()
     peers: PeerSettings = PeerSettings()
+    tls: TlsSection = TlsSection()
 
 
 def load(path: pathlib.Path) -> result.Result[Settings, str]:
@@ -167,19 +197,25 @@
         settings = msgspec.convert(raw, Settings)
     except msgspec.ValidationError as error:
         return result.Err(f"{path}: {_with_value(str(error), raw)}")
+    problem = _problem(settings)
+    if problem:
+        return result.Err(f"{path}: {problem}")
+    return result.Ok(settings)
+
+
+def _problem(settings: Settings) -> str:
+    """Returns what is wrong across keys, empty if nothing is."""
     peers = settings.peers
     if peers.keys and peers.sign_with not in peers.keys:
-        return result.Err(
-            f"{path}: peers.sign_with = {peers.sign_with!r}: expected one of"
-            f" {', '.join(sorted(peers.keys))}"
-        )
+        known = ", ".join(sorted(peers.keys))
+        return f"peers.sign_with = {peers.sign_with!r}: expected one of {known}"
+    if settings.tls.peers and not settings.tls.peers.authority:
+        return "tls.peers.authority = '': expected the path of a file"
     try:
         ipaddress.ip_address(settings.vm.host)
     except ValueError:
-        return result.Err(
-            f"{path}: vm.host = {settings.vm.host!r}: expected an IP number"
-        )
-    return result.Ok(settings)
+        return f"vm.host = {settings.vm.host!r}: expected an IP number"
+    return ""
 
 
 def _with_value(message: str, raw: object) -> str:
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -15,6 +15,7 @@
 from mimosastile_entry import _inbox
 from mimosastile_entry import _listeners
 from mimosastile_entry import _targets_http
+from mimosastile_entry import _tls
 from mimosastile_entry import daemon
 from mimosastile_entry import kernel
 from mimosastile_entry import settings
@@ -81,6 +82,7 @@
     )
     for service in (
         _clock.LoopClock(),
+        _tls.TlsService(settings.TlsSection()),
         _client.HttpClient(),
         rig.State(),
         _targets_http.HttpTargets(),
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -14,6 +14,7 @@
 from mimosastile_entry import _credentials
 from mimosastile_entry import _router
 from mimosastile_entry import _targets_http
+from mimosastile_entry import _tls
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 from mimosastile_entry import serving
@@ -196,7 +197,13 @@
     made = kernel.Kernel()
     client = _client.HttpClient(settings.ConnectionSettings(**times))
     targets = _targets_http.HttpTargets()
-    for service in (_clock.LoopClock(), client, State(connections), targets):
+    for service in (
+        _clock.LoopClock(),
+        _tls.TlsService(settings.TlsSection()),
+        client,
+        State(connections),
+        targets,
+    ):
         made.register(service)
     await made.start()
     vm = fleet.Vm("t", fleet.Role.TARGET, "r", "z", HOST, port, "s")
