--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -1,12 +1,18 @@
 """The listeners service: the two HTTP servers of a daemon."""
 
 import asyncio
+import contextlib
+import ssl
 from typing import Any
 
 from absl import logging
 
 from mimosastile_entry import _asgi
+from mimosastile_entry import _auth
+from mimosastile_entry import _credentials
+from mimosastile_entry import _guard
 from mimosastile_entry import _operations
+from mimosastile_entry import _tls
 from mimosastile_entry import kernel
 from mimosastile_entry import serving
 from mimosastile_entry import settings
@@ -17,18 +23,31 @@
 class ListenersService:
     """Runs the server for callers and the one for peers and operators."""
 
-    __slots__ = ("_callers", "_listeners", "_settings", "name", "needs")
+    __slots__ = (
+        "_aborted",
+        "_apps",
+        "_listeners",
+        "_settings",
+        "_signer",
+        "name",
+        "needs",
+    )
 
-    def __init__(self, configured: settings.Settings) -> None:
+    def __init__(
+        self, configured: settings.Settings, signer: _auth.Signer
+    ) -> None:
         """Makes the service.
 
         Args:
             configured: The daemon's settings.
+            signer: Checks what peers send.
         """
+        self._signer = signer
         self.name = "listeners"
-        self.needs: tuple[str, ...] = ("router", "state", "clock")
+        self.needs: tuple[str, ...] = ("router", "state", "clock", "tls")
         self._settings = configured
-        self._callers: _asgi.CallersApp | None = None
+        self._apps: list[_asgi.CallersApp | _asgi.ForwardApp] = []
+        self._aborted = asyncio.Event()
         self._listeners: dict[str, serving.Listener] = {}
 
     @property
@@ -41,30 +60,74 @@
         router = kernel.find("router")
         clock = kernel.find("clock")
         limits = self._settings.limits
-        self._callers = _asgi.CallersApp(router, clock, limits)
+        credentials = _credentials.Credentials(kernel.find("state"))
+        callers = _asgi.CallersApp(router, clock, limits, credentials)
         forward = _asgi.ForwardApp(router, clock, limits)
-        inner = _operations.application(kernel, forward)
+        inner = _guard.Guard(
+            _operations.application(kernel, forward), self._signer
+        )
+        if not self._signer.enabled:
+            logging.warning("%s peers are not authenticated.", _PREFIX)
+        self._apps = [callers, forward]
         vm = self._settings.vm
-        await self._serve("peers", inner, vm.peer_port)
-        await self._serve("callers", self._callers, vm.port)
+        tls: _tls.TlsService = kernel.find("tls")
+        await self._serve("peers", inner, vm.peer_port, tls.server("peers"))
+        await self._serve("callers", callers, vm.port, tls.server("callers"))
+
+    async def give_notice(self) -> None:
+        """Turns health bad and goes on listening while the balancer notices.
+
+        Closing at once would refuse callers that the balancer still sends.
+        """
+        for app in self._apps:
+            app.begin_stop()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.limits.notice_seconds):
+                await self._aborted.wait()
+
+    def abort(self) -> None:
+        """Ends the notice and the wait for requests in flight."""
+        self._aborted.set()
+        for listener in self._listeners.values():
+            listener.abort()
 
     async def stop(self) -> None:
-        """Lets requests in flight end and closes both servers."""
-        if self._callers is not None:
-            self._callers.begin_stop()
-        stops = (listener.stop() for listener in self._listeners.values())
-        await asyncio.gather(*stops)
+        """Lets requests in flight end and closes both servers.
+
+        Peers are served until the last caller has its answer.
+        """
+        for app in self._apps:
+            app.begin_stop()
+        for side in ("callers", "peers"):
+            if side in self._listeners:
+                await self._listeners[side].stop()
 
     def dump(self) -> dict[str, Any]:
-        """Returns the bound ports."""
-        return {"ports": self.ports}
+        """Returns the bound ports and the requests in flight."""
+        return {
+            "ports": self.ports,
+            "in_flight": {
+                side: at.in_flight for side, at in self._listeners.items()
+            },
+        }
 
-    async def _serve(self, side: str, app: _asgi.App, port: int) -> None:
+    async def _serve(
+        self,
+        side: str,
+        app: _asgi.App,
+        port: int,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        limits = self._settings.limits
         listener = await serving.listen(
             app,
             self._settings.vm.host,
             port,
-            self._settings.limits.shutdown_seconds,
+            limits.shutdown_seconds,
+            # Paths and the request line come on top of the headers.
+            limits.header_bytes + limits.url_bytes,
+            limits.head_seconds,
+            tls,
         )
         self._listeners[side] = listener
         logging.info("%s %s on port %d.", _PREFIX, side, listener.port)
