--- a/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
@@ -437,8 +437,9 @@
     async def _try(
         self, kept: _Kept, at: tables.BlockId, change: _state.Change
     ) -> None:
-        kept.retry_at = self._clock.now() + _RETRY_SECONDS
-        await self._state.change(at, change)
+        outcome = await self._state.change(at, change)
+        if outcome.is_err():
+            kept.retry_at = self._clock.now() + _RETRY_SECONDS
         kept.wake.set()
 
     def _proof(
@@ -476,8 +477,8 @@
 
     async def _settle(self, kept: _Kept, at: tables.BlockId) -> None:
         try:
-            await self._state.settle(at)
-            kept.retry_at = self._clock.now() + _RETRY_SECONDS
+            if not await self._state.settle(at):
+                kept.retry_at = self._clock.now() + _RETRY_SECONDS
         finally:
             self._settling.discard(at)
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
@@ -88,10 +88,26 @@
             )
 
     async def _place(self, block: tables.Block) -> None:
-        kept = block.reachable()
-        live = kept & set(self._fleet.fleet.live_targets(block.service))
-        plan = placement.spread(block, live)
+        live = set(self._fleet.fleet.live_targets(block.service))
+        plan = {
+            first: target
+            for first, target in placement.spread(
+                block, live & block.reachable()
+            ).items()
+            if not _stays(block, first, live)
+        }
         if not plan:
             return
         self._planned += 1
         await self._state.change(block.id, lambda b: moves.start_moves(b, plan))
+
+
+def _stays(block: tables.Block, first: int, live: set[str]) -> bool:
+    """Whether a slice's owner is to stay although it may not answer now.
+
+    A move away from a silent target waits for its proof of release and takes
+    the key from the target if it answers again meanwhile. If it stays silent,
+    its keeper moves the slice without a plan, as soon as there is a proof.
+    """
+    piece = block.slice_at(first)
+    return piece is not None and piece.owner in live and not piece.next
--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -197,13 +197,23 @@
             # A lost race or a lost answer: the next read tells which.
         return _failed(errors.ErrorKind.STORE_UNKNOWN, "no try succeeded")
 
-    async def settle(self, block: tables.BlockId) -> None:
+    async def settle(self, block: tables.BlockId) -> bool:
         """Ends the doubt about a block's writes with a write of its own.
 
         While the block stays at its version, a write whose answer was lost
         can still take effect. A further version, whoever writes it, ends that.
+
+        Returns:
+            Whether there is no doubt any more.
         """
-        await self.change(block, lambda b: result.Ok(moves.barrier(b)))
+
+        def change(stored: tables.Block) -> result.Result[tables.Block, str]:
+            if self._writes.is_pending(block):
+                return result.Ok(moves.barrier(stored))
+            return result.Err("no doubt is left")
+
+        await self.change(block, change)
+        return not self._writes.is_pending(block)
 
     async def refresh(self, block: tables.BlockId) -> bool:
         """Reads one block anew; whether the store answered."""
