--- a/packages/mimosastile-core/src/mimosastile_core/retries.py
+++ b/packages/mimosastile-core/src/mimosastile_core/retries.py
@@ -59,6 +59,11 @@
         return True
 
 
+# A wait below a clock's resolution ends before the clock has moved; the next
+# one would be as short, and the loop would spin without serving anyone else.
+_LEAST_WAIT_SECONDS = 0.001
+
+
 class Step(enum.Enum):
     """What to do with a failed request."""
 
@@ -171,7 +176,7 @@
         if self._waiting_since is None:
             self._waiting_since = now
         left = self._waiting_since + policy.owner_wait - now
-        if left <= 0:
+        if left <= _LEAST_WAIT_SECONDS:
             return _GIVE_UP
         return Decision(Step.AWAIT_CHANGE, min(pause, left))
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -11,6 +11,10 @@
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
 
+_SECRET = "peers.keys"
+"""Values under this path are never shown."""
+
+
 class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Base of all settings: unknown keys are mistakes."""
 
@@ -68,12 +72,23 @@
         body_bytes: Largest body.
         replay_bytes: Largest body that is held to be sent again.
         header_bytes: Largest sum of header names and values.
-        shutdown_seconds: Longest wait for work in flight at a stop.
+        url_bytes: Longest path with query.
+        head_seconds: Longest time for a request's head to arrive.
+        stall_seconds: Longest time without any progress of a body, from or
+            to a caller.
+        notice_seconds: How long a stopping daemon goes on listening with a
+            bad health answer, so that the balancer looks away.
+        shutdown_seconds: Longest wait for work in flight at a stop, after
+            the notice.
     """
 
     body_bytes: Annotated[int, msgspec.Meta(ge=1)] = 64 << 20
     replay_bytes: Annotated[int, msgspec.Meta(ge=0)] = 64 << 10
     header_bytes: Annotated[int, msgspec.Meta(ge=256)] = 16 << 10
+    url_bytes: Annotated[int, msgspec.Meta(ge=64)] = 8 << 10
+    head_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    stall_seconds: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+    notice_seconds: Annotated[float, msgspec.Meta(ge=0)] = 5.0
     shutdown_seconds: Annotated[float, msgspec.Meta(ge=0)] = 600.0
 
 
@@ -88,6 +103,77 @@
     bootstrap: Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{64})?$")] = ""
 
 
+class ConnectionSettings(_Strict, frozen=True):
+    """How connections to targets and peers are kept, in seconds.
+
+    Attributes:
+        connect: Longest wait for a connection, one of the pool or a new one.
+        first_byte: Silence before an answer begins after which a target's
+            connection is taken for lost.
+        between_bytes: Silence within an answer after which it is broken off.
+        idle: Longest idle time after which a connection is used again.
+        max_age: Age from which a connection is not used again.
+    """
+
+    connect: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    first_byte: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    between_bytes: Annotated[float, msgspec.Meta(gt=0)] = 15.0
+    idle: Annotated[float, msgspec.Meta(gt=0)] = 15.0
+    max_age: Annotated[float, msgspec.Meta(gt=0)] = 300.0
+
+
+KeyName = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]{1,32}$")]
+Secret = Annotated[str, msgspec.Meta(min_length=32)]
+
+
+class PeerSettings(_Strict, frozen=True):
+    """How entry VMs know each other.
+
+    Attributes:
+        keys: Shared secrets by key identifier; without any, peers are not
+            authenticated. While keys are rotated there are two.
+        sign_with: Identifier of the key that this VM signs with.
+        window: Seconds that a message may be old, or two clocks may differ.
+    """
+
+    keys: dict[KeyName, Secret] = {}
+    sign_with: str = ""
+    window: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+
+    def __repr__(self) -> str:
+        """Names the keys without their secrets."""
+        return f"PeerSettings(keys={sorted(self.keys)})"
+
+
+class TlsSettings(_Strict, frozen=True):
+    """Files of one side, in PEM.
+
+    Attributes:
+        certificate: Path of the certificate chain.
+        key: Path of its key.
+        authority: Path of the authority that peers' certificates are checked
+            by; needed on the peers' side only.
+    """
+
+    certificate: Annotated[str, msgspec.Meta(min_length=1)]
+    key: Annotated[str, msgspec.Meta(min_length=1)]
+    authority: str = ""
+
+
+class TlsSection(_Strict, frozen=True):
+    """Which sides use TLS; those that are left out serve in the clear.
+
+    Attributes:
+        callers: The callers' side.
+        peers: The side of peers and operators; needs an authority.
+        reload_seconds: How often the files are looked at for changes.
+    """
+
+    callers: TlsSettings | None = None
+    peers: TlsSettings | None = None
+    reload_seconds: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+
+
 class Settings(_Strict, frozen=True):
     """All settings of a daemon."""
 
@@ -96,6 +182,9 @@
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
     admin: AdminSettings = AdminSettings()
+    connections: ConnectionSettings = ConnectionSettings()
+    peers: PeerSettings = PeerSettings()
+    tls: TlsSection = TlsSection()
 
 
 def load(path: pathlib.Path) -> result.Result[Settings, str]:
@@ -120,13 +209,25 @@
         settings = msgspec.convert(raw, Settings)
     except msgspec.ValidationError as error:
         return result.Err(f"{path}: {_with_value(str(error), raw)}")
+    problem = _problem(settings)
+    if problem:
+        return result.Err(f"{path}: {problem}")
+    return result.Ok(settings)
+
+
+def _problem(settings: Settings) -> str:
+    """Returns what is wrong across keys, empty if nothing is."""
+    peers = settings.peers
+    if peers.keys and peers.sign_with not in peers.keys:
+        known = ", ".join(sorted(peers.keys))
+        return f"peers.sign_with = {peers.sign_with!r}: expected one of {known}"
+    if settings.tls.peers and not settings.tls.peers.authority:
+        return "tls.peers.authority = '': expected the path of a file"
     try:
         ipaddress.ip_address(settings.vm.host)
     except ValueError:
-        return result.Err(
-            f"{path}: vm.host = {settings.vm.host!r}: expected an IP number"
-        )
-    return result.Ok(settings)
+        return f"vm.host = {settings.vm.host!r}: expected an IP number"
+    return ""
 
 
 def _with_value(message: str, raw: object) -> str:
@@ -135,6 +236,9 @@
     keys = path.rstrip("`").strip(".")
     if not keys:
         return text
+    if keys.startswith(_SECRET):
+        # A mistyped secret must not reach a log or a terminal.
+        return f"{_SECRET}: {text}"
     value: object = raw
     for key in keys.split("."):
         value = value.get(key) if isinstance(value, dict) else None
--- a/packages/mimosastile-standins/src/mimosastile_standins/demo.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/demo.py
@@ -39,6 +39,7 @@
 _LETTERS = 200
 _WAIT_SECONDS = 10.0
 _CALLER_SEED = 1
+_PEER_SECRET = "demo-secret-shared-by-the-entry-vms"
 
 
 def document() -> config.Document:
@@ -124,8 +125,11 @@
     ) -> None:
         region, zone = _ZONES[place % len(_ZONES)]
         vm = settings.VmSettings(name, region, zone, HOST, 0, 0)
-        limits = settings.LimitSettings(shutdown_seconds=2)
-        made = daemon.assemble(settings.Settings(vm, platform, limits=limits))
+        limits = settings.LimitSettings(shutdown_seconds=2, notice_seconds=0)
+        peers = settings.PeerSettings({"demo": _PEER_SECRET}, "demo")
+        made = daemon.assemble(
+            settings.Settings(vm, platform, limits=limits, peers=peers)
+        )
         await made.start()
         self._stack.push_async_callback(made.stop)
         self.daemons[name] = made
