--- a/packages/mimosastile-core/src/mimosastile_core/administration.py
+++ b/packages/mimosastile-core/src/mimosastile_core/administration.py
@@ -156,7 +156,7 @@
     detail: str = ""
 
 
-class Refusal(msgspec.Struct, frozen=True):
+class AdminRefusal(msgspec.Struct, frozen=True):
     """The one JSON shape of every refusal of the administration API.
 
     Attributes:
--- /dev/null
+++ b/packages/mimosastile-core/src/mimosastile_core/reference.py
@@ -0,0 +1,139 @@
+"""The configuration's JSON Schema and reference page, made from its types."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import inspect
+import re
+from typing import Any
+
+import msgspec
+
+from mimosastile_core import config
+
+_TITLE = "# Configuration reference"
+_INTRO = """
+Made from the types in `mimosastile_core.config` by
+`python -m mimosastile_entry.pages`; do not edit. The same as JSON Schema:
+`configuration.schema.json`. Defaults are what a field has when it is left out.
+"""
+_ATTRIBUTE = re.compile(r"^ {4}(\w+): (.*)$")
+
+
+def schema() -> dict[str, Any]:
+    """Returns the JSON Schema of the configuration document."""
+    made = msgspec.json.schema(config.Document)
+    return {
+        "$schema": "https://json-schema.org/draft/2020-12/schema",
+        "title": "mimosastile configuration",
+        **made,
+    }
+
+
+def page() -> str:
+    """Returns the reference page in Markdown."""
+    sections = (_section(kind) for kind in _kinds(config.Document))
+    return "\n".join([_TITLE, _INTRO, *sections])
+
+
+def _kinds(root: Any) -> list[Any]:
+    """Returns a type and all types within it, each once, outermost first."""
+    found: list[Any] = []
+    waiting = [root]
+    while waiting:
+        kind = waiting.pop(0)
+        if kind not in found:
+            found.append(kind)
+            fields = msgspec.structs.fields(kind)
+            waiting.extend(
+                inner for f in fields for inner in _within(_described(f.type))
+            )
+    return found
+
+
+def _described(kind: Any) -> Any:
+    return msgspec.inspect.type_info(kind)
+
+
+def _within(info: Any) -> Iterator[Any]:
+    if isinstance(info, msgspec.inspect.StructType):
+        yield info.cls
+    for part in ("item_type", "value_type", "type"):
+        inner = getattr(info, part, None)
+        if inner is not None:
+            yield from _within(inner)
+    for inner in getattr(info, "types", ()):
+        yield from _within(inner)
+
+
+def _section(kind: Any) -> str:
+    summary, described = _documented(kind)
+    rows = [
+        f"| `{field.encode_name}` | {_type_name(_described(field.type))} |"
+        f" {_default(field)} | {described.get(field.name, '')} |"
+        for field in msgspec.structs.fields(kind)
+    ]
+    head = ["| field | type | default | meaning |", "|---|---|---|---|"]
+    return "\n".join([f"## {kind.__name__}", "", summary, "", *head, *rows, ""])
+
+
+def _documented(kind: Any) -> tuple[str, dict[str, str]]:
+    """Returns the first paragraph and the attributes of a docstring."""
+    text = inspect.cleandoc(kind.__doc__ or "")
+    summary = " ".join(text.partition("\n\n")[0].split())
+    described: dict[str, str] = {}
+    name = ""
+    for line in text.partition("Attributes:")[2].splitlines():
+        begun = _ATTRIBUTE.match(line)
+        if begun:
+            name = begun[1]
+            described[name] = begun[2]
+        elif name:
+            described[name] += " " + line.strip()
+    return summary, {n: d.strip() for n, d in described.items()}
+
+
+def _default(field: Any) -> str:
+    if field.default is not msgspec.NODEFAULT:
+        made = field.default
+    elif field.default_factory is not msgspec.NODEFAULT:
+        made = field.default_factory()
+    else:
+        return "needed"
+    if isinstance(made, msgspec.Struct):
+        return "see below"
+    return f"`{msgspec.json.encode(made).decode()}`"
+
+
+def _type_name(info: Any) -> str:
+    inspected = msgspec.inspect
+    if isinstance(info, inspected.StructType):
+        return f"[{info.cls.__name__}](#{info.cls.__name__.lower()})"
+    if isinstance(info, inspected.EnumType):
+        return " or ".join(f"`{v.value}`" for v in info.cls)
+    if isinstance(info, inspected.UnionType):
+        return " or ".join(map(_type_name, info.types))
+    if isinstance(info, inspected.DictType):
+        return f"object of {_type_name(info.value_type)}"
+    if isinstance(info, inspected.VarTupleType):
+        return f"list of {_type_name(info.item_type)}"
+    return _scalar(info)
+
+
+def _scalar(info: Any) -> str:
+    names = {
+        "IntType": "whole number",
+        "FloatType": "number",
+        "StrType": "text",
+        "BoolType": "true or false",
+        "NoneType": "null",
+    }
+    name = names.get(type(info).__name__, type(info).__name__)
+    bounds = {"gt": ">", "ge": "≥", "lt": "<", "le": "≤"}
+    limits: Iterable[str] = (
+        f"{sign} {getattr(info, bound):g}"
+        for bound, sign in bounds.items()
+        if getattr(info, bound, None) is not None
+    )
+    pattern = getattr(info, "pattern", None)
+    shown = [*limits, *([f"`{pattern}`"] if pattern else [])]
+    return " ".join([name, *shown]).replace("|", "\\|")
--- a/packages/mimosastile-ctl/src/mimosastile_ctl/_api.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/_api.py
@@ -23,7 +23,7 @@
 _OK = 200
 _SECONDS = 15.0
 
-Answer = result.Result[bytes, administration.Refusal]
+Answer = result.Result[bytes, administration.AdminRefusal]
 
 
 class Api:
@@ -102,9 +102,9 @@
     return os.environ
 
 
-def _refusal(status: int, text: bytes) -> administration.Refusal:
+def _refusal(status: int, text: bytes) -> administration.AdminRefusal:
     try:
-        return msgspec.json.decode(text, type=administration.Refusal)
+        return msgspec.json.decode(text, type=administration.AdminRefusal)
     except msgspec.DecodeError:
         shown = text[:200].decode(errors="replace").strip()
         return _made(errors.ErrorKind.INTERNAL, f"status {status}: {shown}")
@@ -112,10 +112,10 @@
 
 def _failed(
     kind: errors.ErrorKind, detail: str
-) -> result.Err[administration.Refusal]:
+) -> result.Err[administration.AdminRefusal]:
     return result.Err(_made(kind, detail))
 
 
-def _made(kind: errors.ErrorKind, detail: str) -> administration.Refusal:
+def _made(kind: errors.ErrorKind, detail: str) -> administration.AdminRefusal:
     failure = errors.Failure(kind, detail)
-    return administration.Refusal(errors.refusal(failure, ""))
+    return administration.AdminRefusal(errors.refusal(failure, ""))
--- a/packages/mimosastile-ctl/src/mimosastile_ctl/_session.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/_session.py
@@ -72,7 +72,7 @@
         return msgspec.json.decode(answer.ok_value, type=kind)
 
 
-def refuse(refusal: administration.Refusal) -> NoReturn:
+def refuse(refusal: administration.AdminRefusal) -> NoReturn:
     """Tells of a refusal and ends the run with its exit code."""
     for change in refusal.meanwhile:
         _printing.note(
@@ -83,7 +83,7 @@
     end(refusal.refused.message, exit_code(refusal))
 
 
-def exit_code(refusal: administration.Refusal) -> int:
+def exit_code(refusal: administration.AdminRefusal) -> int:
     """Returns the exit code of a refusal."""
     try:
         return _EXITS.get(_Kind(refusal.refused.error), EXIT_FAILED)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_admin.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_admin.py
@@ -382,7 +382,7 @@
     if isinstance(refused, errors.Failure):
         refused = administration.Rejected(refused)
     answer = refused.failure.answer
-    view = administration.Refusal(
+    view = administration.AdminRefusal(
         errors.refusal(refused.failure, ""),
         refused.current,
         refused.meanwhile,
--- a/tests/ctl/test_cli.py
+++ b/tests/ctl/test_cli.py
@@ -52,7 +52,7 @@
         if status == 200:
             return result.Ok(encoded)
         return result.Err(
-            msgspec.json.decode(encoded, type=administration.Refusal)
+            msgspec.json.decode(encoded, type=administration.AdminRefusal)
         )
 
 
