--- a/packages/mimosastile-entry/src/mimosastile_entry/cli.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/cli.py
@@ -9,12 +9,15 @@
 import fire
 import result
 
+from mimosastile_core import config
 from mimosastile_entry import daemon
 from mimosastile_entry import settings
 
 EXIT_BAD_SETTINGS = 2
 """Exit code for a mistake in the settings."""
 
+_DOCUMENT_SUFFIX = ".json"
+
 
 class Commands:
     """The router daemon for an entry VM.
@@ -35,11 +38,17 @@
         asyncio.run(daemon.run(configured))
 
     def check(self, file: str) -> None:
-        """Checks a settings file and says what is wrong with it.
+        """Checks a settings file or a configuration document.
 
         Args:
-            file: Path of the TOML settings file.
+            file: Path of TOML settings, or of a configuration document whose
+                name ends in .json.
         """
+        if file.endswith(_DOCUMENT_SUFFIX):
+            document = _load_document(file)
+            services, members = len(document.services), len(document.members)
+            print(f"{file}: good, {services} services, {members} members")
+            return
         configured = _load(file)
         print(f"{file}: good, VM {configured.vm.id} in {configured.vm.zone}")
 
@@ -56,6 +65,19 @@
     return loaded.ok_value
 
 
+def _load_document(path: str) -> config.Document:
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        print(f"{path}: cannot be read: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    loaded = config.decode_document(text)
+    if isinstance(loaded, result.Err):
+        print(f"{path}: {loaded.err_value}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    return loaded.ok_value
+
+
 def main() -> None:
     """Entry point of the binary."""
     fire.Fire(Commands(), name="mimosastile")
