Metrics with text exposition; logs in JSON

Change: hdrhistogram by service and class, counters by service, member (200 at most, the rest as "other") and outcome; imbalance by slices, churn and unavailable slice-seconds from tables and list; the router calls one method.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_admin.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_admin.py
@@ -21,6 +21,7 @@
 from mimosastile_entry import _configuration
 from mimosastile_entry import _explain
 from mimosastile_entry import _fleet
+from mimosastile_entry import _metrics
 from mimosastile_entry import _state
 from mimosastile_entry import kernel
 
@@ -115,6 +116,7 @@
         return [
             *(self._route(path, "GET", read, made) for path, made in views),
             self._route("/v1/config/propose", "POST", propose, self._propose),
+            routing.Route("/metrics", self._metrics, methods=["GET"]),
             # Which role it takes depends on what the patch touches.
             self._route("/v1/config/apply", "POST", read, self._apply),
         ]
@@ -142,6 +144,17 @@
 
         return routing.Route(path, endpoint, methods=[method])
 
+    async def _metrics(self, request: requests.Request) -> responses.Response:
+        # Members are named, so that is no page for everybody.
+        shown = request.headers.get("authorization", "")
+        found = self._access.identify(shown)
+        if isinstance(found, result.Err):
+            return _answer(found)
+        if not found.ok_value.covers_all:
+            return _answer(_everything())
+        page = self._kernel.find("metrics").exposition()
+        return responses.Response(page, media_type=_metrics.CONTENT_TYPE)
+
     async def _show(self, call: Call) -> Outcome:
         current = self._configuration.current
         number = call.number("number", current.number)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -16,6 +16,7 @@
 from mimosastile_entry import _fleet
 from mimosastile_entry import _keeper
 from mimosastile_entry import _limits
+from mimosastile_entry import _metrics
 from mimosastile_entry import _quarantine
 from mimosastile_entry import _sending
 from mimosastile_entry import _state
@@ -45,6 +46,7 @@
         "_fleet",
         "_keeper",
         "_limits",
+        "_metrics",
         "_number",
         "_place",
         "_plans",
@@ -75,6 +77,7 @@
             "limits",
             "links",
             "quarantine",
+            "metrics",
         )
         self._vm = vm
         self._place = place
@@ -100,6 +103,7 @@
         self._clock = kernel.find("clock")
         self._quarantine = kernel.find("quarantine")
         self._limits = kernel.find("limits")
+        self._metrics = kernel.find("metrics")
         self._targeting = _targeting.Targeting(
             self._place, self._state, self._fleet, self._clock
         )
@@ -132,14 +136,23 @@
 
     async def handle(self, request: ports.Request) -> ports.Response:
         """Routes a request and always returns an answer."""
+        began = self._clock.now()
         outcome = await self._admit(request)
         if isinstance(outcome, result.Ok):
-            self._answers["passed_on"] += 1
+            self._count(request, _metrics.PASSED_ON, began)
             return outcome.ok_value
         failure = outcome.err_value
-        self._answers[failure.kind.value] += 1
+        self._count(request, failure.kind.value, began)
         return _calls.refuse(failure, request.request_id)
 
+    def _count(
+        self, request: ports.Request, outcome: str, began: float
+    ) -> None:
+        self._answers[outcome] += 1
+        # A forwarded request is measured where it came in.
+        if not request.forwarded:
+            self._metrics.record(request, outcome, self._clock.now() - began)
+
     def member_of(self, authorization: str) -> str | None:
         """Returns the member that a credential belongs to, None if unknown."""
         scheme, _, token = authorization.partition(" ")
--- a/packages/mimosastile-entry/src/mimosastile_entry/cli.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/cli.py
@@ -5,11 +5,11 @@
 import pathlib
 import sys
 
-from absl import logging
 import fire
 import result
 
 from mimosastile_core import config
+from mimosastile_entry import _logs
 from mimosastile_entry import daemon
 from mimosastile_entry import settings
 
@@ -26,15 +26,18 @@
     from a TOML file; what operators decide comes from the platform's store.
     """
 
-    def run(self, settings: str) -> None:
+    def run(self, settings: str, log_format: str = _logs.TEXT) -> None:
         """Runs the daemon until SIGTERM.
 
         Args:
             settings: Path of the TOML settings file.
+            log_format: "text" for people, "json" for machines.
         """
+        if log_format not in _logs.FORMATS:
+            print(f"--log_format: one of {_logs.FORMATS}", file=sys.stderr)
+            sys.exit(EXIT_BAD_SETTINGS)
         configured = _load(settings)
-        logging.set_verbosity(configured.log.level)
-        logging.use_absl_handler()
+        _logs.configure(configured.log.level, log_format)
         asyncio.run(daemon.run(configured))
 
     def check(self, file: str) -> None:
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -21,6 +21,7 @@
 from mimosastile_entry import _limits
 from mimosastile_entry import _links
 from mimosastile_entry import _listeners
+from mimosastile_entry import _metrics
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
@@ -53,6 +54,7 @@
         _archive.ArchiveService(),
         _configuration.ConfigurationService(place.id),
         _limits.LimitsService(place.id),
+        _metrics.MetricsService(),
         _quarantine.QuarantineService(place.id),
         _links.LinksService(place.id, place.region),
         _router.RouterService(
