--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -47,7 +47,19 @@
     vm: str
 
 
-PeerMessage = Pull | Delta | Ack
+class Presence(msgspec.Struct, frozen=True, tag="presence"):
+    """Says that the sender runs; the answer is of the same type.
+
+    Attributes:
+        vm: The sender.
+        suspected: Whom the sender suspects.
+    """
+
+    vm: str
+    suspected: tuple[str, ...] = ()
+
+
+PeerMessage = Pull | Delta | Ack | Presence
 
 _DECODER = msgspec.json.Decoder(PeerMessage)
 
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
@@ -0,0 +1,227 @@
+"""The membership service: presence among entry VMs."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+import result
+
+from mimosastile_core import fleet
+from mimosastile_core import messages
+from mimosastile_core import presence
+from mimosastile_entry import _fleet
+from mimosastile_entry import _inbox
+from mimosastile_entry import kernel
+from mimosastile_entry import ports
+
+_PREFIX = "membership:"
+# Longer than the limits of silence, so that a late answer still counts.
+_ANSWER_SECONDS = 1.0
+_MOST_OPEN = 4
+
+
+class Traffic:
+    """Messages and their bytes, before what HTTP adds.
+
+    Attributes:
+        messages: Messages sent or received.
+        octets: Their sizes in bytes.
+    """
+
+    __slots__ = ("messages", "octets")
+
+    def __init__(self) -> None:
+        self.messages = 0
+        self.octets = 0
+
+    def count(self, message: messages.PeerMessage) -> None:
+        """Adds one message."""
+        self.messages += 1
+        self.octets += len(messages.encode(message))
+
+    def per_second(self, seconds: float) -> dict[str, float]:
+        """Returns the mean rates for the state dump."""
+        spent = max(seconds, 1e-9)
+        return {
+            "messages_per_second": round(self.messages / spent, 2),
+            "bytes_per_second": round(self.octets / spent, 1),
+        }
+
+
+class MembershipService:
+    """Exchanges presence and tells others of suspicions.
+
+    A suspicion proves nothing; what follows from it must be safe without it.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_detector",
+        "_fleet",
+        "_listeners",
+        "_open",
+        "_peers",
+        "_received",
+        "_sent",
+        "_started_at",
+        "_task",
+        "_tasks",
+        "_vm",
+        "_zone",
+        "name",
+        "needs",
+    )
+
+    def __init__(self, vm: str, zone: str) -> None:
+        """Makes the service.
+
+        Args:
+            vm: Identifier of this VM.
+            zone: Its availability zone.
+        """
+        self.name = "membership"
+        self.needs: tuple[str, ...] = ("fleet", "peers", "inbox", "clock")
+        self._vm = vm
+        self._zone = zone
+        self._detector = presence.Detector(presence.Timing(), 0.0)
+        self._listeners: list[Callable[[], None]] = []
+        self._open: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sent = Traffic()
+        self._received = Traffic()
+        self._started_at = 0.0
+        self._task: asyncio.Task[None] | None = None
+        self._fleet: _fleet.FleetService
+        self._peers: ports.PeerPort
+        self._clock: ports.ClockPort
+
+    @property
+    def zone(self) -> str:
+        """Availability zone of this VM."""
+        return self._zone
+
+    def suspects(self, vm: str) -> bool:
+        """Whether a VM is suspected to be lost; never a proof that it is."""
+        return vm in self._detector.suspected
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls the listener after each change of suspicions."""
+        self._listeners.append(listener)
+
+    def alive(self, zone: str | None = None) -> dict[str, fleet.Vm]:
+        """Returns listed, unsuspected entry VMs that are not leaving.
+
+        Args:
+            zone: One zone, or None for all.
+        """
+        return {
+            vm.id: vm
+            for vm in self._fleet.fleet.live_entries(zone).values()
+            if not self.suspects(vm.id)
+        }
+
+    def reaches(self, zone: str) -> bool:
+        """Whether the followed VM of another zone is heard."""
+        return zone == self._zone or any(
+            self._detector.hears(vm.id)
+            for vm in self._fleet.fleet.live_entries(zone).values()
+        )
+
+    async def start(self, kernel: kernel.Kernel) -> None:
+        """Begins to exchange presence."""
+        self._clock = kernel.find("clock")
+        self._fleet = kernel.find("fleet")
+        self._peers = kernel.find("peers")
+        inbox: _inbox.InboxService = kernel.find("inbox")
+        inbox.handle(messages.Presence, self._answer)
+        self._started_at = self._clock.now()
+        self._detector = presence.Detector(presence.Timing(), self._started_at)
+        self._fleet.subscribe(self._follow)
+        self._follow()
+        self._task = asyncio.create_task(self._exchange(), name="membership")
+
+    async def stop(self) -> None:
+        """Ends the exchange."""
+        for task in (self._task, *self._tasks):
+            if task is not None:
+                task.cancel()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns suspicions and what presence costs."""
+        seconds = self._clock.now() - self._started_at
+        return {
+            "suspected": sorted(self._detector.suspected),
+            "own_suspicions": sorted(self._detector.own),
+            "sent": self._sent.per_second(seconds),
+            "received": self._received.per_second(seconds),
+        }
+
+    def _follow(self) -> None:
+        entries = self._fleet.fleet.entries
+        chosen = presence.choose_peers(
+            self._vm, self._zone, entries.values(), self._detector.suspected
+        )
+        self._detector.follow(chosen, entries, self._clock.now())
+
+    def _message(self) -> messages.Presence:
+        return messages.Presence(
+            self._vm, tuple(sorted(self._detector.suspected))
+        )
+
+    def _answer(self, message: messages.Presence) -> messages.Presence:
+        self._hear(message)
+        reply = self._message()
+        self._sent.count(reply)
+        return reply
+
+    def _hear(self, message: messages.Presence) -> None:
+        self._received.count(message)
+        self._detector.heard(message.vm, message.suspected, self._clock.now())
+
+    async def _exchange(self) -> None:
+        while True:
+            step = self._detector.tick(self._clock.now())
+            if step.changed:
+                self._note_change()
+            receivers = {*step.probes, *(self._others() if step.tell else ())}
+            for vm in sorted(receivers):
+                self._send(vm)
+            now = self._clock.now()
+            await asyncio.sleep(self._detector.next_due(now) - now)
+
+    def _others(self) -> set[str]:
+        return set(self._fleet.fleet.live_entries(self._zone)) - {self._vm}
+
+    def _note_change(self) -> None:
+        logging.info(
+            "%s suspects %s.",
+            _PREFIX,
+            ", ".join(sorted(self._detector.suspected)) or "nobody",
+        )
+        self._follow()
+        for listener in self._listeners:
+            listener()
+
+    def _send(self, vm: str) -> None:
+        # A dead peer's open calls would pile up until their timeouts.
+        if self._open.get(vm, 0) < _MOST_OPEN:
+            task = asyncio.create_task(self._call(vm), name=f"presence-{vm}")
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _call(self, vm: str) -> None:
+        listed = self._fleet.fleet.entries.get(vm)
+        if listed is None:
+            return
+        self._open[vm] = self._open.get(vm, 0) + 1
+        message = self._message()
+        self._sent.count(message)
+        try:
+            reply = await self._peers.call(listed, message, _ANSWER_SECONDS)
+        finally:
+            self._open[vm] -= 1
+        if isinstance(reply, result.Ok) and isinstance(
+            reply.ok_value, messages.Presence
+        ):
+            self._hear(reply.ok_value)
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -12,6 +12,7 @@
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
 from mimosastile_entry import _listeners
+from mimosastile_entry import _membership
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
@@ -34,6 +35,7 @@
     return [
         _inbox.InboxService(place.id),
         _fleet.FleetService(place.id),
+        _membership.MembershipService(place.id, place.zone),
         _state.StateService(place.id),
         _keeper.KeeperService(place.id),
         _planner.PlannerService(place.id),
