--- a/packages/mimosastile-core/src/mimosastile_core/presence.py
+++ b/packages/mimosastile-core/src/mimosastile_core/presence.py
@@ -42,6 +42,7 @@
 _RETURN_HEARD = 2
 _LARGEST_PATIENCE = 8.0
 _NEAR_REACH = 1
+_MOST_AVOIDED = 3
 _SHORTEST_TICK = 0.005
 # Of two peers the one with the lower name begins an exchange; the other waits
 # this much longer. With equal waits both begin at once, at twice the cost.
@@ -81,9 +82,17 @@
         The chosen peers.
     """
     zones: dict[str, list[str]] = {}
+    avoided: dict[str, int] = {}
     for entry in entries:
-        if entry.id not in suspected or entry.id == vm:
+        if entry.id in suspected and entry.id != vm:
+            avoided[entry.zone] = avoided.get(entry.zone, 0) + 1
+        else:
             zones.setdefault(entry.zone, []).append(entry.id)
+    for other in [z for z in zones if avoided.get(z, 0) >= _MOST_AVOIDED]:
+        # The zone as a whole cannot be reached; trying all its VMs in turn
+        # would cost messages that grow with the zone.
+        if other != zone:
+            del zones[other]
     ring = sorted({*zones.pop(zone, []), vm}, key=keys.key_hash)
     at = ring.index(vm)
     near = {
@@ -118,6 +127,7 @@
         "false_at",
         "heard_at",
         "interval",
+        "near",
         "patience",
         "probed_at",
         "returned",
@@ -125,7 +135,10 @@
         "suspected_at",
     )
 
-    def __init__(self, interval: float, silence: float, now: float) -> None:
+    def __init__(
+        self, near: bool, interval: float, silence: float, now: float
+    ) -> None:
+        self.near = near
         self.interval = interval
         self.silence = silence
         self.heard_at = now
@@ -149,10 +162,13 @@
 class _Word:
     """What another VM last said about third ones."""
 
-    __slots__ = ("at", "suspected")
+    __slots__ = ("at", "near", "suspected")
 
-    def __init__(self, suspected: frozenset[str], at: float) -> None:
+    def __init__(
+        self, suspected: frozenset[str], at: float, near: bool
+    ) -> None:
         self.suspected = suspected
+        self.near = near
         self.at = at
 
 
@@ -196,6 +212,29 @@
             if peer.suspected_at is not None
         )
 
+    @property
+    def told_near(self) -> frozenset[str]:
+        """What to tell peers of the own zone: own observations in it alone.
+
+        If a VM told on what it was told, two of them would keep each other
+        believing, and a suspicion would never end.
+        """
+        return frozenset(
+            vm
+            for vm, peer in self._peers.items()
+            if peer.near and peer.suspected_at is not None
+        )
+
+    def told_far(self, now: float) -> frozenset[str]:
+        """What to tell other zones, which tell it on to nobody.
+
+        Args:
+            now: Present time.
+        """
+        words = (w.suspected for w in self._words_at(now) if w.near)
+        heard = self.told_near.union(*words)
+        return frozenset(vm for vm in heard if not self.hears(vm))
+
     @property
     def suspected(self) -> frozenset[str]:
         """All suspected VMs, by own observation or by others' word."""
@@ -220,19 +259,22 @@
             del self._words[vm]
         timing = self._timing
         for vm in peers.near:
-            self._begin(vm, timing.near, timing.near_silence, now)
+            self._begin(vm, True, timing.near, timing.near_silence, now)
         for vm in peers.far:
-            self._begin(vm, timing.far, timing.far_silence, now)
+            self._begin(vm, False, timing.far, timing.far_silence, now)
 
-    def heard(self, vm: str, suspected: Iterable[str], now: float) -> None:
+    def heard(
+        self, vm: str, suspected: Iterable[str], now: float, near: bool = True
+    ) -> None:
         """Takes a message or an answer of a peer.
 
         Args:
             vm: The sender.
             suspected: Whom it suspects.
             now: Present time.
+            near: Whether the sender is of the own zone.
         """
-        self._words[vm] = _Word(frozenset(suspected), now)
+        self._words[vm] = _Word(frozenset(suspected), now, near)
         peer = self._peers.get(vm)
         if peer is None:
             return
@@ -289,11 +331,11 @@
         return peer is not None and peer.suspected_at is None
 
     def _begin(
-        self, vm: str, interval: float, silence: float, now: float
+        self, vm: str, near: bool, interval: float, silence: float, now: float
     ) -> None:
         if vm not in self._peers:
             wait = interval if self._vm < vm else interval * _SECOND_WAIT
-            peer = _Peer(wait, silence, now)
+            peer = _Peer(near, wait, silence, now)
             # It may be listed before its daemon is up.
             peer.heard_at = now + self._timing.first - silence
             peer.probed_at = now - wait
@@ -324,11 +366,17 @@
         for peer in self._peers.values():
             peer.heard_at = max(peer.heard_at, now)
 
+    def _words_at(self, now: float) -> list[_Word]:
+        own = self.own
+        return [
+            word
+            for teller, word in self._words.items()
+            if teller not in own and now - word.at <= self._timing.told
+        ]
+
     def _recount(self, now: float) -> bool:
-        known = set(self.own)
-        for teller, word in self._words.items():
-            if teller not in known and now - word.at <= self._timing.told:
-                known |= word.suspected
+        words = (word.suspected for word in self._words_at(now))
+        known = self.own.union(*words) - {self._vm}
         # What this VM hears itself goes before what others say.
         fresh = frozenset(vm for vm in known if not self.hears(vm))
         changed = fresh != self._known
@@ -336,7 +384,7 @@
         return changed
 
     def _tells(self, now: float) -> bool:
-        due = bool(self.own) and now - self._told_at >= self._timing.tell
+        due = bool(self.told_near) and now - self._told_at >= self._timing.tell
         if not self._dirty and not due:
             return False
         self._dirty = False
--- a/packages/mimosastile-core/src/mimosastile_core/replica.py
+++ b/packages/mimosastile-core/src/mimosastile_core/replica.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 import itertools
 
+import xxhash
+
 from mimosastile_core import config
 from mimosastile_core import messages
 from mimosastile_core import tables
@@ -82,6 +84,14 @@
         )
         return messages.Pull(vm, self._config.number, tuple(held))
 
+    def tables_digest(self) -> str:
+        """Returns a hash that differs if any block or version does."""
+        digest = xxhash.xxh3_64()
+        for at in sorted(self._blocks):
+            version = self._blocks[at].version
+            digest.update(f"{at.service}/{at.index}/{version};".encode())
+        return digest.hexdigest()
+
     def delta(self, vm: str, pull: messages.Pull) -> messages.Delta:
         """Returns what a peer lacks according to its message."""
         known = {held.id: held.version for held in pull.blocks}
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_digests.py
@@ -0,0 +1,177 @@
+"""The digest service: peers compare what they hold, the net below telling."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from mimosastile_core import gossip
+from mimosastile_core import messages
+from mimosastile_entry import _fleet
+from mimosastile_entry import _inbox
+from mimosastile_entry import _membership
+from mimosastile_entry import _propagation
+from mimosastile_entry import _state
+from mimosastile_entry import kernel
+from mimosastile_entry import ports
+
+_PREFIX = "digests:"
+_DIGEST_SECONDS = 0.8
+"""Mean interval between two exchanges within the zone."""
+
+
+class DigestService:
+    """Exchanges digests with peers and fetches what they have newer."""
+
+    __slots__ = (
+        "_clock",
+        "_fleet",
+        "_found",
+        "_membership",
+        "_propagation",
+        "_state",
+        "_tasks",
+        "_vm",
+        "_zone",
+        "name",
+        "needs",
+    )
+
+    def __init__(self, vm: str, zone: str) -> None:
+        """Makes the service.
+
+        Args:
+            vm: Identifier of this VM.
+            zone: Its availability zone.
+        """
+        self.name = "digests"
+        self.needs: tuple[str, ...] = ("propagation", "inbox")
+        self._vm = vm
+        self._zone = zone
+        self._found = 0
+        self._tasks: list[asyncio.Task[None]] = []
+        self._clock: ports.ClockPort
+        self._state: _state.StateService
+        self._fleet: _fleet.FleetService
+        self._membership: _membership.MembershipService
+        self._propagation: _propagation.PropagationService
+
+    async def start(self, kernel: kernel.Kernel) -> None:
+        """Begins to compare."""
+        self._clock = kernel.find("clock")
+        self._state = kernel.find("state")
+        self._fleet = kernel.find("fleet")
+        self._membership = kernel.find("membership")
+        self._propagation = kernel.find("propagation")
+        inbox: _inbox.InboxService = kernel.find("inbox")
+        inbox.handle(messages.Digest, self._answer_digest)
+        self._tasks = [
+            asyncio.create_task(
+                _propagation.repeat(step, _PREFIX), name="digests"
+            )
+            for step in (self._near, self._far)
+        ]
+
+    async def stop(self) -> None:
+        """Ends the comparing."""
+        for task in self._tasks:
+            task.cancel()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns how often a peer had something newer."""
+        return {"found": self._found}
+
+    def _members(self) -> set[str]:
+        return set(self._membership.alive(self._zone))
+
+    def _jitter(self, seconds: float) -> float:
+        return seconds * (0.75 + self._clock.random() / 2)
+
+    def _digest(self) -> messages.Digest:
+        readings = self._fleet.readings
+        return messages.Digest(
+            self._vm,
+            self._state.replica.config.number,
+            self._state.replica.tables_digest(),
+            readings.reader,
+            readings.number,
+            readings.age(self._clock.now()),
+        )
+
+    def _answer_digest(self, digest: messages.Digest) -> messages.Digest:
+        self._confirm(digest)
+        return self._digest()
+
+    def _confirm(self, digest: messages.Digest) -> None:
+        self._fleet.readings.confirm(
+            digest.reader,
+            digest.list_number,
+            digest.list_age,
+            self._clock.now(),
+        )
+
+    async def _near(self) -> None:
+        await asyncio.sleep(self._jitter(_DIGEST_SECONDS))
+        peer = self._pick(self._members() - {self._vm})
+        if peer is not None:
+            await self._compare(peer)
+
+    async def _far(self) -> None:
+        interval = gossip.far_interval(_DIGEST_SECONDS, len(self._members()))
+        await asyncio.sleep(self._jitter(interval))
+        peer = self._pick(
+            vm.id
+            for vm in self._fleet.fleet.entries.values()
+            if vm.zone != self._zone and not self._membership.suspects(vm.id)
+        )
+        if peer is None:
+            return
+        delta, listed = await self._compare(peer)
+        # The whole zone may be cut off from the platform and lack it too.
+        if delta is not None:
+            self._propagation.push(delta)
+        if listed:
+            self._propagation.tell_listing()
+
+    def _pick(self, vms: Iterable[str]) -> str | None:
+        choices = sorted(vms)
+        if not choices:
+            return None
+        return choices[int(self._clock.random() * len(choices)) % len(choices)]
+
+    async def _compare(self, peer: str) -> tuple[messages.Delta | None, bool]:
+        """Compares digests and fetches what the peer has newer."""
+        reply = await self._propagation.call(peer, self._digest())
+        if not isinstance(reply, messages.Digest):
+            return None, False
+        self._confirm(reply)
+        return await self._fetch_state(peer, reply), await self._fetch_list(
+            peer, reply
+        )
+
+    async def _fetch_state(
+        self, peer: str, theirs: messages.Digest
+    ) -> messages.Delta | None:
+        replica = self._state.replica
+        ahead = theirs.config_number > replica.config.number
+        if not ahead and theirs.tables == replica.tables_digest():
+            return None
+        delta = await self._propagation.call(peer, replica.pull(self._vm))
+        if not isinstance(delta, messages.Delta) or not replica.merge(delta):
+            return None
+        self._found += 1
+        return delta
+
+    async def _fetch_list(self, peer: str, theirs: messages.Digest) -> bool:
+        if not self._fleet.readings.wants(
+            theirs.reader,
+            theirs.list_number,
+            theirs.list_age,
+            self._clock.now(),
+        ):
+            return False
+        listing = await self._propagation.call(
+            peer, messages.AskListing(self._vm)
+        )
+        return isinstance(listing, messages.Listing) and self._fleet.take(
+            listing
+        )
--- a/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
@@ -166,20 +166,31 @@
         )
         self._detector.follow(chosen, entries, self._clock.now())
 
-    def _message(self) -> messages.Presence:
-        return messages.Presence(
-            self._vm, tuple(sorted(self._detector.suspected))
-        )
+    def _message(self, receiver: str) -> messages.Presence:
+        if self._is_near(receiver):
+            suspected = self._detector.told_near
+        else:
+            suspected = self._detector.told_far(self._clock.now())
+        return messages.Presence(self._vm, tuple(sorted(suspected)))
+
+    def _is_near(self, vm: str) -> bool:
+        listed = self._fleet.fleet.entries.get(vm)
+        return listed is not None and listed.zone == self._zone
 
     def _answer(self, message: messages.Presence) -> messages.Presence:
         self._hear(message)
-        reply = self._message()
+        reply = self._message(message.vm)
         self._sent.count(reply)
         return reply
 
     def _hear(self, message: messages.Presence) -> None:
         self._received.count(message)
-        self._detector.heard(message.vm, message.suspected, self._clock.now())
+        self._detector.heard(
+            message.vm,
+            message.suspected,
+            self._clock.now(),
+            self._is_near(message.vm),
+        )
 
     async def _exchange(self) -> None:
         while True:
@@ -217,7 +228,7 @@
         if listed is None:
             return
         self._open[vm] = self._open.get(vm, 0) + 1
-        message = self._message()
+        message = self._message(vm)
         self._sent.count(message)
         try:
             reply = await self._peers.call(listed, message, _ANSWER_SECONDS)
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -8,6 +8,7 @@
 
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
+from mimosastile_entry import _digests
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
@@ -16,6 +17,8 @@
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
+from mimosastile_entry import _propagation
+from mimosastile_entry import _roles
 from mimosastile_entry import _router
 from mimosastile_entry import _state
 from mimosastile_entry import _targets_http
@@ -37,7 +40,10 @@
         _fleet.FleetService(place.id),
         _membership.MembershipService(place.id, place.zone),
         _state.StateService(place.id),
-        _keeper.KeeperService(place.id),
+        _propagation.PropagationService(place.id, place.zone),
+        _digests.DigestService(place.id, place.zone),
+        _keeper.KeeperService(place.id, place.zone),
+        _roles.RolesService(place.id),
         _planner.PlannerService(place.id),
         _router.RouterService(place.id),
     ]
@@ -81,6 +87,12 @@
     return _clock.LoopClock(seed)
 
 
+async def stop_gracefully(made: kernel.Kernel) -> None:
+    """Stops a daemon gracefully: its roles go to peers of its zone first."""
+    await made.find("roles").hand_over()
+    await made.stop()
+
+
 async def run(configured: settings.Settings) -> None:
     """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully."""
     made = assemble(configured)
@@ -92,4 +104,4 @@
         loop.add_signal_handler(number, stop.set)
     await stop.wait()
     logging.info("%s %s stops.", _PREFIX, configured.vm.id)
-    await made.stop()
+    await stop_gracefully(made)
--- a/tests/core/test_presence.py
+++ b/tests/core/test_presence.py
@@ -142,6 +142,38 @@
         assert 3 <= told <= 4
 
 
+class TestEcho:
+    """Two VMs tell each other about a third one that has come back.
+
+    If each told on what it was told, both would believe it for ever, and the
+    returned VM would never keep a target again.
+    """
+
+    def test_hearsay_is_not_told_on(self):
+        """Only own observations are."""
+        detector = _following("b")
+        detector.heard("b", ("x",), 0.1)
+        detector.tick(0.1)
+        assert detector.suspected == {"x"}
+        assert detector.told_near == frozenset()
+        assert detector.told_far(0.1) == {"x"}
+
+    def test_other_zones_word_stays_here(self):
+        """Each VM has its own exchange with the other zones."""
+        detector = _following("b")
+        detector.heard("f", ("x",), 0.1, near=False)
+        detector.tick(0.1)
+        assert detector.suspected == {"x"}
+        assert detector.told_far(0.1) == frozenset()
+
+    def test_nobody_suspects_itself(self):
+        """Others' word on this VM is wrong, as it is here to hear it."""
+        detector = _following("b")
+        detector.heard("b", ("a",), 0.1)
+        detector.tick(0.1)
+        assert detector.suspected == frozenset()
+
+
 class TestChoice:
     """Whom a VM exchanges presence with."""
 
