--- a/packages/mimosastile-entry/src/mimosastile_entry/_fleet.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_fleet.py
@@ -1,30 +1,36 @@
 """The fleet service: the latest reading of the platform's list of VMs."""
 
-import asyncio
 from collections.abc import Callable
 from typing import Any
 
 import result
 
 from mimosastile_core import fleet
+from mimosastile_core import listings
+from mimosastile_core import messages
+from mimosastile_entry import _inbox
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
-_POLL_SECONDS = 0.5
-
 # The property `fleet` hides the module of that name inside the class.
 Vms = dict[str, fleet.Vm]
+CurrentFleet = fleet.Fleet
+ReadingsInUse = listings.Listings
 
 
 class FleetService:
-    """Reads the list at an interval and tells others when it changed."""
+    """Holds the reading in use and tells others when it changed.
+
+    It reads the list once when it starts; the propagation service says when
+    it is read again, or hands in what a peer has read.
+    """
 
     __slots__ = (
-        "_fleet",
-        "_listed",
+        "_clock",
         "_listeners",
+        "_listings",
         "_port",
-        "_task",
+        "_reads",
         "_vm",
         "name",
         "needs",
@@ -37,65 +43,81 @@
             vm: Identifier of this VM.
         """
         self.name = "fleet"
-        self.needs: tuple[str, ...] = ("fleet_port",)
+        self.needs: tuple[str, ...] = ("fleet_port", "clock", "inbox")
         self._vm = vm
-        self._fleet = fleet.Fleet()
-        self._listed: set[str] = set()
+        self._listings = listings.Listings(vm)
         self._listeners: list[Callable[[], None]] = []
+        self._reads = 0
         self._port: ports.FleetPort
-        self._task: asyncio.Task[None] | None = None
+        self._clock: ports.ClockPort
 
     @property
-    def fleet(self) -> fleet.Fleet:
-        """The latest reading."""
-        return self._fleet
+    def fleet(self) -> CurrentFleet:
+        """The reading in use."""
+        return self._listings.fleet
+
+    @property
+    def readings(self) -> ReadingsInUse:
+        """Where the reading in use comes from and how old it is."""
+        return self._listings
 
     def is_gone(self, vm: str) -> bool:
         """Whether a VM was listed once and is listed no longer.
 
         A VM that was never listed is not gone: the list lags.
         """
-        return vm in self._listed and vm not in self._fleet.vms
+        return self._listings.is_gone(vm)
 
     def peers(self) -> Vms:
         """Returns the other listed entry VMs."""
         return {
-            vm.id: vm
-            for vm in self._fleet.entries.values()
-            if vm.id != self._vm
+            vm.id: vm for vm in self.fleet.entries.values() if vm.id != self._vm
         }
 
     def subscribe(self, listener: Callable[[], None]) -> None:
-        """Calls the listener after each changed reading."""
+        """Calls the listener after each change of the list."""
         self._listeners.append(listener)
 
     async def start(self, kernel: kernel.Kernel) -> None:
-        """Reads the list once and keeps reading it."""
+        """Reads the list once."""
         self._port = kernel.find("fleet_port")
-        await self._read()
-        self._task = asyncio.create_task(self._poll(), name="fleet-poll")
+        self._clock = kernel.find("clock")
+        inbox: _inbox.InboxService = kernel.find("inbox")
+        inbox.handle(messages.AskListing, self._answer)
+        self._listings = listings.Listings(f"{self._vm}/{self._clock.new_id()}")
+        await self.read()
 
     async def stop(self) -> None:
-        """Ends the reading."""
-        if self._task is not None:
-            self._task.cancel()
+        """Has nothing to stop."""
 
     def dump(self) -> dict[str, Any]:
-        """Returns the listed VMs and their states."""
-        return {vm.id: vm.state.value for vm in self._fleet.vms.values()}
-
-    async def _poll(self) -> None:
-        while True:
-            await asyncio.sleep(_POLL_SECONDS)
-            await self._read()
+        """Returns the listed VMs and where the reading comes from."""
+        return {
+            "reader": self._listings.reader,
+            "age": round(self._listings.age(self._clock.now()), 3),
+            "reads": self._reads,
+            "vms": {vm.id: vm.state.value for vm in self.fleet.vms.values()},
+        }
 
-    async def _read(self) -> None:
+    async def read(self) -> bool:
+        """Reads the list; True if it changed."""
+        began = self._clock.now()
+        self._reads += 1
         read = await self._port.vms()
         if isinstance(read, result.Err):
-            return
-        newest = fleet.Fleet(read.ok_value)
-        self._listed.update(newest.vms)
-        if newest.vms != self._fleet.vms:
-            self._fleet = newest
+            return False
+        return self._told_if(self._listings.read(read.ok_value, began))
+
+    def take(self, listing: messages.Listing) -> bool:
+        """Takes a peer's reading if it is newer; True if the list changed."""
+        return self._told_if(self._listings.told(listing, self._clock.now()))
+
+    def _told_if(self, changed: bool) -> bool:
+        if changed:
             for listener in self._listeners:
                 listener()
+        return changed
+
+    def _answer(self, message: messages.AskListing) -> messages.Listing:
+        del message
+        return self._listings.listing("", self._clock.now())
