--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -50,7 +50,7 @@
 
     store: Annotated[str, msgspec.Meta(pattern=r"^https?://")]
     fleet: Annotated[str, msgspec.Meta(pattern=r"^https?://")]
-    timeout: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    timeout: Annotated[float, msgspec.Meta(gt=0)] = 3.0
 
 
 class LogSettings(_Strict, frozen=True):
--- a/packages/mimosastile-standins/src/mimosastile_standins/oracle.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/oracle.py
@@ -134,8 +134,13 @@
         self._calls.append(record)
 
     def leaving(self, vm: str) -> None:
-        """Notes that a VM is listed as leaving from now on."""
-        self._leaving.setdefault(vm, self._now())
+        """Notes that a VM was marked as leaving.
+
+        Its time runs from when readers of the list can see that: a mark that
+        the list does not show yet is known to nobody.
+        """
+        seen = self._now() + self._world.fleet.lag
+        self._leaving.setdefault(vm, seen)
 
     def tick(self) -> None:
         """Looks at what targets would serve and what daemons hold."""
