--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SEEDS ?= 20
 FILES ?= $(wildcard scenarios/*.toml)
 
-.PHONY: help env format lint types unit test demo scenarios bench measure fuzz
+.PHONY: help env format lint types unit test demo scenarios bench measure fuzz pages
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
 
@@ -53,3 +53,6 @@
 
 fuzz: env ## the stateful fuzz over SEEDS seeds
 	$(PY) -m mimosastile_standins fuzz --seeds $(SEEDS) $(ARGS)
+
+pages: env ## write the pages that are made from the code
+	$(PY) -m mimosastile_entry.pages docs
--- a/packages/mimosastile-entry/src/mimosastile_entry/_configuration.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_configuration.py
@@ -95,6 +95,8 @@
         self._clock = kernel.find("clock")
         inbox: _inbox.InboxService = kernel.find("inbox")
         inbox.handle(messages.NumberRequest, self._answer_number)
+        self._state.replica.subscribe(self._tell_drains)
+        self._tell_drains()
 
     async def stop(self) -> None:
         """Does nothing; what is under way settles by its patch's id."""
@@ -246,6 +248,10 @@
             )
         return administration.InForce(number, dict(sorted(numbers.items())))
 
+    def _tell_drains(self) -> None:
+        services = self.current.document.services.values()
+        self._fleet.drain(frozenset(vm for s in services for vm in s.drains))
+
     def _answer_number(
         self, request: messages.NumberRequest
     ) -> messages.NumberReply:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -12,6 +12,7 @@
 from mimosastile_core import config
 from mimosastile_core import errors
 from mimosastile_core import fleet
+from mimosastile_core import gossip
 from mimosastile_core import messages
 from mimosastile_core import moves
 from mimosastile_core import replica
@@ -32,8 +33,6 @@
 """Prefix of the store keys that all daemons read of the configuration."""
 
 _PREFIX = "state:"
-_WATCH_SECONDS = 20.0
-_RETRY_SECONDS = 0.5
 _PEER_SECONDS = 0.5
 _ASK_SECONDS = 0.1
 """Shortest time between two questions to the same peer."""
@@ -69,7 +68,6 @@
         "_revision",
         "_store",
         "_synced",
-        "_task",
         "_tellings",
         "_vm",
         "_writes",
@@ -95,7 +93,6 @@
         self._fleet: _fleet.FleetService
         self._revision = 0
         self._synced = False
-        self._task: asyncio.Task[None] | None = None
         self._tellings: set[asyncio.Future[Any]] = set()
         self._asked_at: dict[str, float] = {}
 
@@ -109,27 +106,31 @@
         """Writes of this VM whose outcome is not known."""
         return self._writes
 
+    @property
+    def revision(self) -> int:
+        """Revision up to which the store's changes were taken."""
+        return self._revision
+
     @property
     def synced(self) -> bool:
-        """Whether the store has been read once since the start."""
+        """Whether the last reading of the whole store succeeded."""
         return self._synced
 
     async def start(self, kernel: kernel.Kernel) -> None:
-        """Reads the store, or the peers while it is down, and watches."""
+        """Reads the store and asks peers for what it did not show."""
         self._store = kernel.find("store")
         self._peers = kernel.find("peers")
         self._fleet = kernel.find("fleet")
         inbox: _inbox.InboxService = kernel.find("inbox")
         inbox.handle(messages.Pull, self._answer_pull)
         inbox.handle(messages.Delta, self._take_delta)
-        if not await self._read_all():
-            await self.pull_from_peers()
-        self._task = asyncio.create_task(self._watch(), name="state-watch")
+        await self._read_all()
+        # Even after a reading: it may lag behind what peers know already, and
+        # this VM would serve with an older number than it could learn.
+        await self.pull_from_peers()
 
     async def stop(self) -> None:
-        """Ends the watch."""
-        if self._task is not None:
-            self._task.cancel()
+        """Ends what is being told."""
         for telling in self._tellings:
             telling.cancel()
 
@@ -147,11 +148,13 @@
         }
 
     async def pull_from_peers(self) -> None:
-        """Asks every listed peer for anything newer, all at once."""
+        """Asks some listed peers of each zone for anything newer, at once."""
         pull = self._replica.pull(self._vm)
         calls = (
             self._peers.call(vm, pull, _PEER_SECONDS)
-            for vm in self._fleet.peers().values()
+            for vm in gossip.some_of_each_zone(
+                self._vm, self._fleet.peers().values()
+            )
         )
         for reply in await asyncio.gather(*calls):
             delta = reply.ok()
@@ -308,34 +311,25 @@
         self._replica.merge(delta)
         return messages.Ack(self._vm)
 
-    async def _watch(self) -> None:
-        while True:
-            if not self._synced and not await self._read_all():
-                await self.pull_from_peers()
-                await asyncio.sleep(_RETRY_SECONDS)
-                continue
-            batch = await self._store.watch("", self._revision, _WATCH_SECONDS)
-            if isinstance(batch, result.Err):
-                logging.warning(
-                    "%s watch failed: %s.", _PREFIX, batch.err_value.detail
-                )
-                self._synced = False
-                await asyncio.sleep(_RETRY_SECONDS)
-                continue
-            self._take(batch.ok_value)
-
     async def _read_all(self) -> bool:
         # Not everything: the history of years stands in the same store.
         # Tables first, so that the watch goes on from the older reading.
         for prefix in (TABLE_PREFIX, CONFIG_PREFIX):
             batch = await self._store.list(prefix)
             if isinstance(batch, result.Err):
+                self._synced = False
                 return False
-            self._take(batch.ok_value, resume=prefix == TABLE_PREFIX)
+            self.take(batch.ok_value, resume=prefix == TABLE_PREFIX)
         self._synced = True
         return True
 
-    def _take(self, batch: ports.WatchBatch, resume: bool = True) -> None:
+    def take(self, batch: ports.WatchBatch, resume: bool = True) -> None:
+        """Takes what the store brought, forward only.
+
+        Args:
+            batch: What it brought.
+            resume: Whether the next watch may continue from there.
+        """
         if resume:
             self._revision = max(self._revision, batch.revision)
         blocks = []
--- a/tests/entry/test_admin.py
+++ b/tests/entry/test_admin.py
@@ -218,9 +218,13 @@
             assert (body["target"], body["keeper"]) == ("t0", "e0")
             assert any("t0 owns it" in line for line in body["reasons"])
             api.world.fleet.remove("t0")
-            await virtual.pause(1.0)
-            _, body = await api.call("GET", "/v1/explain/desk/k")
+            # The list is read at an interval, by one VM of a zone.
+            async with virtual.limit(10.0):
+                while not body["refused"]:
+                    await virtual.pause(0.1)
+                    _, body = await api.call("GET", "/v1/explain/desk/k")
             assert body["refused"] == "no_owner"
+            assert body["target"] == ""
 
         virtual.run(story())
 
--- a/tests/entry/test_configuration.py
+++ b/tests/entry/test_configuration.py
@@ -62,7 +62,9 @@
 
 
 def _patch(number, base, path="/members/m{}", value=None):
-    operation = patches.Operation("add", path.format(number), value or {})
+    operation = patches.Operation(
+        "add", path.format(number), {} if value is None else value
+    )
     return patches.Patch(
         f"patch-{number:04d}", base, f"why {number}", (operation,)
     )
@@ -486,3 +488,34 @@
             assert json.dumps(made.daemons["e9"].dump())
 
         virtual.run(story())
+
+
+class TestDrain:
+    """An operator takes a target out of use although the list says live."""
+
+    def test_slices_move_away_and_may_come_back(self):
+        """It gets nothing while it is drained; it is usable again after."""
+
+        async def story():
+            made = await _world()
+            for vm in ("t0", "t1"):
+                made.add_target(vm, "s", *PLACES[0])
+            key = {"place": "path"}
+            service = {"key": key, "slices": 6, "checks_orders": True}
+            await _apply(made, "e0", _patch(1, 0, "/services/s", service))
+            await made.settle("s")
+            assert made.owners("s")["t0"]
+            path = "/services/s/drains"
+            await _apply(made, "e1", _patch(2, 1, path, ["t0"]))
+            async with virtual.limit(10.0):
+                while made.owners("s")["t0"]:
+                    await virtual.pause(0.1)
+            for vm in ("e0", "e1"):
+                listed = made.daemons[vm].find("fleet").fleet
+                assert set(listed.live_targets("s")) == {"t1"}
+            await _apply(made, "e1", _patch(3, 2, path, []))
+            await virtual.pause(1.0)
+            listed = made.daemons["e0"].find("fleet").fleet
+            assert set(listed.live_targets("s")) == {"t0", "t1"}
+
+        virtual.run(story())
