A leaving target that alone answered lately gets no more work

Cause: the rule that a suspiciously short list does not empty the set also kept targets that the list names as leaving; a VM whose answers in the last 10 s all came from one target went on sending to it. Excluded: the reading of the list (every daemon had the mark within 1.5 s). Change: what is listed as leaving is not missing.

--- a/packages/mimosastile-core/src/mimosastile_core/balancing.py
+++ b/packages/mimosastile-core/src/mimosastile_core/balancing.py
@@ -192,11 +192,15 @@
 
     def _keep_answering(self, former: dict[str, _Score], now: float) -> None:
         # A list that suddenly names few targets may be wrong. As long as
-        # those that are missing answer, they stay until most are back.
+        # those that are missing answer, they stay until most are back. One
+        # that is listed as leaving is not missing: kept in use, it would get
+        # work until it is gone, and its last requests would be cut off.
+        leaving = {t for t, s in self._scores.items() if not s.candidate.live}
         answering = {
             target: score
             for target, score in former.items()
             if now - score.answered_at < _ANSWERED_SECONDS
+            and target not in leaving
         }
         live = {t for t, s in self._scores.items() if s.candidate.live}
         if len(answering.keys() & live) * 2 >= len(answering):
--- a/tests/core/test_balancing.py
+++ b/tests/core/test_balancing.py
@@ -155,3 +155,11 @@
         leaving = [*_candidates(3), *_candidates(1, live=False, name="gone")]
         made.update(leaving, 4, 100.0)
         assert set(_draws(made)) == {"t0", "t1", "t2"}
+
+    def test_leaving_target_that_alone_answered_lately_gets_nothing(self):
+        """A VM far from the others sends to one target; it leaves too."""
+        made = _balancer(_candidates(2))
+        made.answered("t0", 0.01, 99.0)
+        other = _candidates(2)[1:]
+        made.update([*_candidates(1, live=False), *other], 4, 100.0)
+        assert set(_draws(made)) == {"t1"}
