--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from mimosastile_core import config
+from mimosastile_core import fleet
 from mimosastile_core import limits
 from mimosastile_core import quarantine
 from mimosastile_core import tables
@@ -49,6 +50,18 @@
     vm: str
 
 
+class Presence(msgspec.Struct, frozen=True, tag="presence"):
+    """Says that the sender runs; the answer is of the same type.
+
+    Attributes:
+        vm: The sender.
+        suspected: Whom the sender suspects.
+    """
+
+    vm: str
+    suspected: tuple[str, ...] = ()
+
+
 class Role(msgspec.Struct, frozen=True, array_like=True):
     """The keeping of one target in one block, under one fence."""
 
@@ -163,6 +176,64 @@
     rate: float
 
 
+class Digest(msgspec.Struct, frozen=True, tag="digest"):
+    """Says in a few bytes what the sender holds; so does the answer.
+
+    Attributes:
+        vm: The sender.
+        config_number: Its configuration number.
+        tables: Hash over its blocks and their versions.
+        reader: Who read its list of VMs.
+        list_number: Number of that reading.
+        list_age: Seconds since that reading was last confirmed.
+    """
+
+    vm: str
+    config_number: int
+    tables: str
+    reader: str
+    list_number: int
+    list_age: float
+
+
+class Push(msgspec.Struct, frozen=True, tag="push"):
+    """Newer state on its way through a zone.
+
+    Attributes:
+        root: The VM that began; receivers pass it on along a tree.
+        delta: The newer state.
+    """
+
+    root: str
+    delta: Delta
+
+
+class AskListing(msgspec.Struct, frozen=True, tag="ask_listing"):
+    """Asks a peer for its reading of the list of VMs."""
+
+    vm: str
+
+
+class Listing(msgspec.Struct, frozen=True, tag="listing"):
+    """A reading of the platform's list of VMs.
+
+    Attributes:
+        root: The VM that sends it through a zone, empty for an answer.
+        reader: Who read the list, as VM and run.
+        number: Rises with each change that this reader saw.
+        age: Seconds since the reader last confirmed it.
+        vms: The listed VMs.
+        gone: VMs that some reader saw listed and later not listed.
+    """
+
+    root: str
+    reader: str
+    number: int
+    age: float
+    vms: tuple[fleet.Vm, ...]
+    gone: tuple[str, ...]
+
+
 PeerMessage = (
     Pull
     | Delta
@@ -175,6 +246,11 @@
     | Deaths
     | LinkNeeds
     | LinkShare
+    | Presence
+    | Digest
+    | Push
+    | AskListing
+    | Listing
 )
 
 _DECODER = msgspec.json.Decoder(PeerMessage)
