The cost bench: bare hop, entry VM, decisions alone

One process per role, started by make; callers' and target's cost is not counted as the hop's. Decisions run in the load's process, without sockets.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 SEEDS ?= 20
 FILES ?= $(wildcard scenarios/*.toml)
 
+.PHONY: bench-target bench-bare bench-entry bench-load
 .PHONY: help env format lint types unit test demo scenarios bench measure fuzz
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -46,7 +47,11 @@
 	$(PY) -m mimosastile_standins scenario $(ARGS) $(FILES)
 
 bench: env ## cost of the request path, compared in one run
-	$(PY) -m mimosastile_standins bench $(ARGS)
+	rm -rf build/bench
+	$(MAKE) -s -j4 bench-target bench-bare bench-entry bench-load
+
+bench-target bench-bare bench-entry bench-load: bench-%: # one process each
+	$(PY) -m mimosastile_standins bench --role $* --at build/bench $(ARGS)
 
 measure: env ## imbalance, churn and unavailable time with baselines
 	$(PY) -m mimosastile_standins measure $(ARGS)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -55,6 +55,10 @@
         """Bound ports by side: "callers" and "peers"."""
         return {side: at.port for side, at in self._listeners.items()}
 
+    def app(self, side: str) -> _asgi.App:
+        """Returns the application of a side, for a bench without sockets."""
+        return dict(zip(("callers", "peers"), self._apps, strict=True))[side]
+
     async def start(self, kernel: kernel.Kernel) -> None:
         """Binds both ports and begins to serve."""
         router = kernel.find("router")
--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -9,6 +9,7 @@
 import fire
 
 from mimosastile_standins import _scenarios
+from mimosastile_standins import bench as bench_module
 from mimosastile_standins import demo as demo_module
 from mimosastile_standins import fuzzing
 
@@ -32,6 +33,28 @@
         with contextlib.suppress(KeyboardInterrupt):
             asyncio.run(demo_module.run(float(seconds), keep))
 
+    def bench(
+        self,
+        role: str,
+        at: str,
+        seconds: float = 1.5,
+        out: str = "measurements",
+    ) -> None:
+        """Runs one role of the cost bench; `make bench` starts all of them.
+
+        Args:
+            role: target, bare, entry or load.
+            at: Directory in which the roles meet; must not exist yet.
+            seconds: How long each cell is measured.
+            out: Directory of the results.
+        """
+        logging.set_verbosity(logging.ERROR)
+        asyncio.run(
+            bench_module.run(
+                role, pathlib.Path(at), float(seconds), pathlib.Path(out)
+            )
+        )
+
     def scenario(
         self, *files: str, seed: int | None = None, trace: bool = False
     ) -> None:
