--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -3,6 +3,8 @@
 import msgspec
 
 from mimosastile_core import config
+from mimosastile_core import limits
+from mimosastile_core import quarantine
 from mimosastile_core import tables
 
 
@@ -93,7 +95,87 @@
     roles: tuple[Role, ...]
 
 
-PeerMessage = Pull | Delta | Ack | Handover | StandDown | StoodDown
+class MemberNeed(msgspec.Struct, frozen=True, array_like=True):
+    """What a VM needs of one member's limits."""
+
+    member: str
+    concurrency: limits.Need
+    rate: limits.Need
+
+
+class Needs(msgspec.Struct, frozen=True, tag="needs"):
+    """Reports to the dealer of members' limits what the sender needs."""
+
+    vm: str
+    needs: tuple[MemberNeed, ...]
+
+
+class MemberShare(msgspec.Struct, frozen=True, array_like=True):
+    """A VM's share of one member's limits.
+
+    Attributes:
+        member: The member.
+        concurrency: Requests under way.
+        rate: Requests a second.
+    """
+
+    member: str
+    concurrency: float
+    rate: float
+
+
+class Shares(msgspec.Struct, frozen=True, tag="shares"):
+    """The dealer's reply to `Needs`."""
+
+    vm: str
+    shares: tuple[MemberShare, ...]
+
+
+class Deaths(msgspec.Struct, frozen=True, tag="deaths"):
+    """Tells of requests that were running on targets when these died.
+
+    Attributes:
+        vm: The sender.
+        deaths: Deaths that the receiver may not know.
+        withdrawn: Identifiers of deaths that turned out to be none.
+        asks: The receiver is to reply with all that it remembers.
+    """
+
+    vm: str
+    deaths: tuple[quarantine.Death, ...] = ()
+    withdrawn: tuple[str, ...] = ()
+    asks: bool = False
+
+
+class LinkNeeds(msgspec.Struct, frozen=True, tag="link_needs"):
+    """Reports what the sender needs of the link to another region."""
+
+    vm: str
+    region: str
+    need: limits.Need
+
+
+class LinkShare(msgspec.Struct, frozen=True, tag="link_share"):
+    """The dealer's reply: bytes a second, 0 if the receiver deals not."""
+
+    vm: str
+    region: str
+    rate: float
+
+
+PeerMessage = (
+    Pull
+    | Delta
+    | Ack
+    | Handover
+    | StandDown
+    | StoodDown
+    | Needs
+    | Shares
+    | Deaths
+    | LinkNeeds
+    | LinkShare
+)
 
 _DECODER = msgspec.json.Decoder(PeerMessage)
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
@@ -11,6 +11,7 @@
 import result
 
 from mimosastile_core import errors
+from mimosastile_entry import _calls
 from mimosastile_entry import _credentials
 from mimosastile_entry import _heads
 from mimosastile_entry import _protocol
@@ -72,14 +73,14 @@
         if not upload.complete and isinstance(head, result.Ok):
             read = await upload.read(head.ok_value)
         if isinstance(read, result.Err):
-            return _router.refuse(read.err_value, self._clock.new_id())
+            return _calls.refuse(read.err_value, self._clock.new_id())
         request = read.ok_value
         try:
             return await self._router.handle(request)
         except Exception:
             logging.exception("%s %s failed.", _PREFIX, request.request_id)
             failure = errors.Failure(errors.ErrorKind.INTERNAL)
-            return _router.refuse(failure, request.request_id)
+            return _calls.refuse(failure, request.request_id)
 
     async def _pass_on(
         self,
@@ -101,24 +102,24 @@
                 }
             )
             left = _length(response)
+            ended = False
             async for chunk in response.body:
                 left -= len(chunk)
                 # With its last byte a body of declared length is whole, and
                 # need not be ended by a message of its own.
-                if not left and upload.complete:
-                    await send({"type": "http.response.body", "body": chunk})
-                    return
+                ended = not left and upload.complete
                 await send(
                     {
                         "type": "http.response.body",
                         "body": chunk,
-                        "more_body": True,
+                        "more_body": not ended,
                     }
                 )
             if not upload.complete:
                 await response.close()
                 await upload.linger(closing=self._stopping)
-            await send({"type": "http.response.body", "body": b""})
+            if not ended:
+                await send({"type": "http.response.body", "body": b""})
         except (ports.BrokenAnswerError, TimeoutError, RuntimeError) as error:
             # Returning without the last chunk makes the server cut the
             # connection, so the caller sees a broken answer, never a short
@@ -200,6 +201,7 @@
         request.member = _text(named, _wire.MEMBER)
         request.request_id = _text(named, _wire.REQUEST_ID)
         request.target = _text(named, _wire.TARGET)
+        request.origin = _text(named, _wire.ORIGIN)
         request.deadline = self._clock.now() + left / 1000
         return result.Ok(request)
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_guard.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_guard.py
@@ -9,8 +9,8 @@
 
 from mimosastile_core import errors
 from mimosastile_entry import _auth
+from mimosastile_entry import _calls
 from mimosastile_entry import _heads
-from mimosastile_entry import _router
 from mimosastile_entry import _wire
 
 Scope = MutableMapping[str, Any]
@@ -113,7 +113,7 @@
 async def _refuse(send: Send) -> None:
     logging.warning("%s refused what no peer signed.", _PREFIX)
     failure = errors.Failure(errors.ErrorKind.UNAUTHENTICATED)
-    response = _router.refuse(failure, "")
+    response = _calls.refuse(failure, "")
     await send(
         {
             "type": "http.response.start",
--- a/packages/mimosastile-standins/src/mimosastile_standins/virtual.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/virtual.py
@@ -32,7 +32,6 @@
         for task in leftover:
             task.cancel()
         if leftover:
-            # Of nothing, a gathering would belong to another loop.
             loop.run_until_complete(
                 asyncio.gather(*leftover, return_exceptions=True)
             )
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -9,10 +9,10 @@
 from mimosastile_core import fleet
 from mimosastile_core import replica
 from mimosastile_entry import _asgi
+from mimosastile_entry import _calls
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
 from mimosastile_entry import _credentials
-from mimosastile_entry import _router
 from mimosastile_entry import _targets_http
 from mimosastile_entry import _tls
 from mimosastile_entry import kernel
@@ -167,7 +167,7 @@
             if sent is None or sent.is_err():
                 await self._leave()
         if sent.is_err():
-            return _router.refuse(sent.err(), request.request_id)
+            return _calls.refuse(sent.err(), request.request_id)
         sent.ok().on_close(self._leave)
         return sent.ok()
 
