--- a/packages/mimosastile-ctl/src/mimosastile_ctl/_api.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/_api.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 import os
 import pathlib
+import ssl
 from typing import Any
 from urllib import parse
 
@@ -20,6 +21,10 @@
 TOKEN_FILE_VARIABLE = "MIMOSACTL_TOKEN_FILE"
 """Environment variable that names a file that holds it."""
 
+AUTHORITY_VARIABLE = "MIMOSACTL_AUTHORITY"
+"""Environment variable that names the file of the authority by which an
+address with https is checked; the system's authorities if it is not set."""
+
 _OK = 200
 _SECONDS = 15.0
 
@@ -29,17 +34,19 @@
 class Api:
     """The administration API at one address."""
 
-    __slots__ = ("_at", "_token")
+    __slots__ = ("_at", "_authority", "_token")
 
-    def __init__(self, at: str, token: str) -> None:
+    def __init__(self, at: str, token: str, authority: str = "") -> None:
         """Makes a client.
 
         Args:
             at: Address of the inner port of an entry VM.
             token: The operator's token.
+            authority: Path of a PEM file, empty for the system's authorities.
         """
         self._at = at.rstrip("/")
         self._token = token
+        self._authority = authority
 
     def get(self, view: str, **query: Any) -> Answer:
         """Reads a view; query values that are None are left out."""
@@ -54,6 +61,13 @@
 
     async def _call(self, method: str, path: str, body: bytes) -> Answer:
         limit = aiohttp.ClientTimeout(total=_SECONDS)
+        tls: ssl.SSLContext | bool = True
+        if self._authority:
+            try:
+                tls = ssl.create_default_context(cafile=self._authority)
+            except OSError as error:
+                detail = f"{self._authority}: {error}"
+                return _failed(errors.ErrorKind.BAD_REQUEST, detail)
         headers = {"authorization": f"Bearer {self._token}"}
         try:
             async with aiohttp.ClientSession(timeout=limit) as session:
@@ -63,6 +77,7 @@
                     data=body,
                     headers=headers,
                     allow_redirects=False,
+                    ssl=tls,
                 ) as response:
                     text = await response.read()
                     if response.status == _OK:
--- a/packages/mimosastile-ctl/src/mimosastile_ctl/_session.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/_session.py
@@ -55,10 +55,12 @@
     __slots__ = ("api", "json")
 
     def __init__(self, at: str, token_file: str, json: bool) -> None:
-        token = _api.find_token(_api.environment(), token_file)
+        environment = _api.environment()
+        token = _api.find_token(environment, token_file)
         if isinstance(token, result.Err):
             end(token.err_value, EXIT_INVALID)
-        self.api = _api.Api(at, token.ok_value)
+        authority = environment.get(_api.AUTHORITY_VARIABLE, "")
+        self.api = _api.Api(at, token.ok_value, authority)
         self.json = json
 
     def read(self, kind: type[_T], view: str, **query: Any) -> _T:
--- a/tests/ctl/test_cli.py
+++ b/tests/ctl/test_cli.py
@@ -70,7 +70,9 @@
         """Runs a command; returns exit code, output and notes."""
         self.fake = FakeApi(self.loop, self.api, token)
         self.fake.lose = lose
-        self._monkeypatch.setattr(_api, "Api", lambda at, shown: self.fake)
+        self._monkeypatch.setattr(
+            _api, "Api", lambda at, shown, authority: self.fake
+        )
         code = 0
         try:
             fire.Fire(cli.Commands, command=[*words], name="mimosactl")
