--- a/packages/mimosastile-core/src/mimosastile_core/balancing.py
+++ b/packages/mimosastile-core/src/mimosastile_core/balancing.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
-import itertools
 import math
 
 import msgspec
@@ -88,7 +87,7 @@
 class Balancer:
     """Chooses among the targets of one service."""
 
-    __slots__ = ("_here", "_pools", "_scores", "_slots")
+    __slots__ = ("_ejected_until", "_here", "_pools", "_scores", "_slots")
 
     def __init__(self, here: Place) -> None:
         """Makes one that knows no targets.
@@ -97,6 +96,7 @@
             here: Where this VM stands.
         """
         self._here = here
+        self._ejected_until = 0.0
         self._slots = 1
         self._scores: dict[str, _Score] = {}
         self._pools: tuple[list[_Score], ...] = ()
@@ -139,8 +139,11 @@
             first: From 0 to 1, picks the first of two.
             second: From 0 to 1, picks the second of two.
         """
+        shunned = self._shunned(avoid, now)
         for pool, factor in zip(self._pools, _BUSY, strict=False):
-            usable = self._usable(pool, avoid, now)
+            usable = pool
+            if shunned:
+                usable = [s for s in pool if s not in shunned]
             if not usable:
                 continue
             best = min(
@@ -180,9 +183,11 @@
         if score is None:
             return
         score.failures += 1
-        if score.failures >= _FAILURES:
+        # One that was left alone before is on trial.
+        if score.failures >= _FAILURES or score.ejections:
             pause = _EJECT_SECONDS * 2**score.ejections
             score.back_at = now + min(pause, _LONGEST_EJECT_SECONDS)
+            self._ejected_until = max(self._ejected_until, score.back_at)
             score.ejections = min(score.ejections + 1, 10)
             score.failures = 0
 
@@ -214,21 +219,19 @@
         region = [s for s in live if s.candidate.place.region == here.region]
         return zone, region, live
 
-    def _usable(
-        self, pool: list[_Score], avoid: Collection[str], now: float
-    ) -> list[_Score]:
+    def _shunned(self, avoid: Collection[str], now: float) -> set[_Score]:
         if avoid:
-            pool = [s for s in pool if s.candidate.target not in avoid]
-        if all(s.back_at <= now for s in pool):
-            return pool
-        return list(itertools.islice(self._floor(pool, now), len(pool)))
-
-    def _floor(self, pool: list[_Score], now: float) -> Iterable[_Score]:
+            found = {self._scores[t] for t in avoid if t in self._scores}
+        else:
+            found = set()
+        if now >= self._ejected_until:
+            return found
         # However many targets seem to fail, half of them stay in use: if all
         # were left alone, a fault of the network here would be an outage.
         ejected = sorted(
-            (s for s in pool if s.back_at > now), key=lambda s: s.back_at
+            (s for s in self._scores.values() if s.back_at > now),
+            key=lambda s: s.back_at,
+            reverse=True,
         )
-        most = int(len(pool) * _EJECTED_SHARE)
-        back = ejected[: max(len(ejected) - most, 0)]
-        return itertools.chain((s for s in pool if s.back_at <= now), back)
+        most = int(len(self._scores) * _EJECTED_SHARE)
+        return found.union(ejected[:most])
--- a/packages/mimosastile-core/src/mimosastile_core/limits.py
+++ b/packages/mimosastile-core/src/mimosastile_core/limits.py
@@ -5,13 +5,18 @@
 while. Whoever cannot reach the dealer falls back to a small floor that the
 dealer keeps free, so that a cut-off zone goes on serving.
 
-The sum of what all VMs may admit exceeds the limit by at most one for each VM
-without a valid share, and only if the limit is lower than the number of VMs.
-A rate may be exceeded by one second's worth after a quiet time.
+Limits that are small for the number of VMs stay with the dealer, and a VM asks
+when it needs more; its share follows what it uses. Of larger limits each VM
+holds some in advance, so that asking is rare.
+
+The sum of what all VMs may admit exceeds a small limit by at most one for each
+VM without a valid share, and a larger one not at all. A rate may be exceeded
+by one second's worth after a quiet time.
 """
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 
 import msgspec
 import xxhash
@@ -19,9 +24,12 @@
 SHARE_SECONDS = 2.0
 """How long a share is valid, from the moment in which its report was sent."""
 
-_ASK_SECONDS = 0.5
-"""Shortest time between two requests that wait for a larger share. A member
-that is over its limit for long is refused at once in between."""
+_REFUSED_SECONDS = 0.1
+"""Time without asking after the dealer had nothing left. A member that is over
+its limit for long is refused at once, and its dealer is not flooded."""
+
+_AMPLE = 4
+"""Multiple of the number of VMs from which on a limit is not small."""
 
 _LINGER_SECONDS = 30.0
 """Requests admitted under a share may run this long after it has lapsed."""
@@ -81,17 +89,19 @@
 class Ledger:
     """The dealer's book of one limit."""
 
-    __slots__ = ("_began", "_holdings")
+    __slots__ = ("_began", "_holdings", "_whole")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, *, whole: bool = False) -> None:
         """Begins with nothing known.
 
         Args:
             now: The time. For as long as shares of a former dealer may be
                 valid, no share is raised: they are not known here yet, and
                 the sum would overrun the limit.
+            whole: Shares are whole numbers, as of requests under way.
         """
         self._began = now
+        self._whole = whole
         self._holdings: dict[str, _Holding] = {}
 
     def report(
@@ -118,7 +128,11 @@
         self._forget(names, now)
         least = floor(limit, len(names))
         others = sum(self._committed(name, least, now) for name in names - {vm})
-        share = min(self._fair(vm, limit, names, now), limit - others)
+        fair = self._fair(vm, limit, names, now)
+        if self._whole:
+            # Rounded down, shares of many VMs would leave much unused.
+            fair = math.ceil(fair)
+        share = min(fair, limit - others)
         if now < self._began + SHARE_SECONDS:
             share = min(share, max(need.held, least))
         share = max(share, 0.0)
@@ -150,17 +164,23 @@
             for name, holding in self._holdings.items()
             if now - holding.heard_at <= SHARE_SECONDS
         }
-        left = limit - least * (len(names) - len(heard))
+        left = max(limit - least * (len(names) - len(heard)), 0.0)
+        if limit < _AMPLE * len(names):
+            # Held in advance by everybody, a small limit would be used up
+            # while hardly anything runs, and members would be refused for
+            # no reason.
+            return water_fill(heard, left, 0.0)[vm]
         # A VM that is cut off falls back to the floor, so nobody who is heard
-        # gets less, where the limit suffices for that.
-        base = least if limit >= len(names) else 0.0
-        return water_fill(heard, max(left, 0.0), base)[vm]
+        # gets less. Half of what nobody needs waits for those who ask.
+        share = water_fill(heard, left, least)[vm]
+        spare = max(left - sum(heard.values()), 0.0)
+        return share + spare / len(heard) / 2
 
 
 def water_fill(
     wanted: Mapping[str, float], total: float, base: float
 ) -> dict[str, float]:
-    """Divides a total by need; what nobody needs is divided evenly.
+    """Divides a total by need, small needs first.
 
     Args:
         wanted: What each one could use.
@@ -176,8 +196,7 @@
         even = left / (len(wanted) - done)
         shares[name] = min(max(wanted[name], base), even)
         left -= shares[name]
-    spare = left / len(wanted) if wanted else 0.0
-    return {name: share + spare for name, share in shares.items()}
+    return shares
 
 
 class Allowance:
@@ -190,13 +209,11 @@
     __slots__ = (
         "_arrivals",
         "_arrivals_since",
-        "_asked_at",
+        "_full_until",
         "_concurrency",
         "_offered",
-        "_peak",
         "_rate",
         "_refilled_at",
-        "_refused",
         "_tokens",
         "_until",
         "in_use",
@@ -204,8 +221,6 @@
 
     def __init__(self, now: float) -> None:
         self.in_use = 0
-        self._peak = 0
-        self._refused = 0
         self._concurrency = 0.0
         self._rate = 0.0
         self._until = now
@@ -214,7 +229,12 @@
         self._offered = 0.0
         self._arrivals = 0
         self._arrivals_since = now
-        self._asked_at = now - _ASK_SECONDS
+        self._full_until = now
+
+    @property
+    def busy(self) -> bool:
+        """Whether there is anything to report soon."""
+        return bool(self.in_use or self._arrivals or self._concurrency)
 
     def admit(
         self, concurrency: int, rate: float, count: int, now: float
@@ -230,22 +250,21 @@
         if concurrency:
             allowed = self._share(self._concurrency, concurrency, count, now)
             if self.in_use + 1 > allowed:
-                self._refused += 1
                 return False
         if rate and not self._take(
             self._share(self._rate, rate, count, now), now
         ):
             return False
         self.in_use += 1
-        self._peak = max(self._peak, self.in_use)
         return True
 
     def may_ask(self, now: float) -> bool:
-        """Whether a refused request may wait for the dealer's answer."""
-        if now - self._asked_at < _ASK_SECONDS:
-            return False
-        self._asked_at = now
-        return True
+        """Whether asking the dealer for a larger share makes sense."""
+        return now >= self._full_until
+
+    def full(self, now: float) -> None:
+        """Notes that the dealer had nothing left."""
+        self._full_until = now + _REFUSED_SECONDS
 
     def arrive(self) -> None:
         """Counts an arrival, admitted or not."""
@@ -255,24 +274,25 @@
         """Counts a request out."""
         self.in_use -= 1
 
-    def needs(self, now: float) -> tuple[Need, Need]:
-        """Returns the reports on concurrency and rate and begins a period."""
+    def needs(self, now: float, asking: int = 0) -> tuple[Need, Need]:
+        """Returns the reports on concurrency and rate and begins a period.
+
+        Args:
+            now: The time.
+            asking: Requests that wait for a larger share.
+        """
         seconds = now - self._arrivals_since
         if seconds > 0:
             newest = self._arrivals / seconds
             self._offered += (newest - self._offered) * min(seconds, 1.0)
         valid = now < self._until
-        wanted = self._peak
-        if self._refused:
-            # Callers that hear a refusal send less; doubling finds out soon
-            # how much they would send.
-            wanted += max(self._refused, self._peak)
         concurrency = Need(
-            self._concurrency if valid else 0.0, self.in_use, wanted
+            self._concurrency if valid else 0.0,
+            self.in_use,
+            self.in_use + asking,
         )
-        rate = Need(self._rate if valid else 0.0, 0.0, self._offered)
-        self._peak = self.in_use
-        self._refused = 0
+        # Arrivals come in bursts; twice their mean covers most.
+        rate = Need(self._rate if valid else 0.0, 0.0, 2 * self._offered + 1)
         self._arrivals = 0
         self._arrivals_since = now
         return concurrency, rate
--- a/packages/mimosastile-core/src/mimosastile_core/queueing.py
+++ b/packages/mimosastile-core/src/mimosastile_core/queueing.py
@@ -24,6 +24,10 @@
 _WAIT_SHARE = 0.5
 """Share of its remaining time that a request may spend waiting; the rest is
 for the run. Whoever is refused has time left to try elsewhere."""
+_CREDIT = 4.0
+"""Mean requests that a member may be ahead of its share. Within that, whoever
+came first goes first: strict turns would make equal members wait for chance
+differences among them. An idle member keeps as much credit."""
 _SHED_SECONDS = 0.5
 _MAX_IDLE_LANES = 256
 
@@ -36,6 +40,7 @@
         priority: Class of the request.
         share: The member's weight.
         latest: Time by which it must have started.
+        queued_at: Time at which it began to wait.
     """
 
     __slots__ = (
@@ -45,6 +50,7 @@
         "latest",
         "member",
         "priority",
+        "queued_at",
         "share",
     )
 
@@ -59,6 +65,7 @@
         self.priority = priority
         self.share = share
         self.latest = latest
+        self.queued_at = 0.0
         self._lane: _Lane | None = None
         self._estimate = 0.0
         self._started_at: float | None = None
@@ -109,21 +116,23 @@
         self.mean = 0.0
 
     def lane(self, member: str) -> _Lane:
-        """Returns a member's lane; an idle one saves up no credit."""
+        """Returns a member's lane; an idle one saves up little credit."""
         lane = self.lanes.get(member)
         if lane is None:
             if len(self.lanes) >= _MAX_IDLE_LANES:
                 self._drop_idle()
             lane = self.lanes[member] = _Lane()
         if not lane.waiting:
-            lane.tag = max(lane.tag, self.clock)
+            lane.tag = max(lane.tag, self.clock - _CREDIT * self.mean)
         return lane
 
     def first(self) -> _Lane:
         """Returns the lane whose turn it is; some request must wait."""
+        waiting = [lane for lane in self.lanes.values() if lane.waiting]
+        latest = min(lane.tag for lane in waiting) + _CREDIT * self.mean
         return min(
-            (lane for lane in self.lanes.values() if lane.waiting),
-            key=lambda lane: lane.tag,
+            (lane for lane in waiting if lane.tag < latest or not self.mean),
+            key=lambda lane: (lane.waiting[0].queued_at, lane.tag),
         )
 
     def longest(self) -> _Lane:
@@ -244,6 +253,7 @@
         if wait > allowed:
             return _overloaded(wait)
         ticket.latest = now + allowed
+        ticket.queued_at = now
         return self._enqueue(ticket, group, lane, now)
 
     def leave(self, ticket: Ticket, now: float) -> list[Action]:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_limits.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_limits.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Iterable
-import contextlib
+import itertools
 from typing import Any
 
 from mimosastile_core import config
@@ -16,10 +16,15 @@
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
-_REPORT_SECONDS = 0.5
+_REPORT_SECONDS = 0.1
+_IDLE_REPORTS = 5
+"""Reports between two that name idle members as well."""
 _CALL_SECONDS = 0.5
 _ASK_SECONDS = 0.1
 """How long a request waits for a larger share before it is refused."""
+_PAUSES = (0.0, 0.06)
+"""Seconds before each question. What another VM has just stopped using is
+known to the dealer one report later."""
 
 
 class LimitsService:
@@ -27,14 +32,14 @@
 
     __slots__ = (
         "_allowances",
+        "_asking",
+        "_asks",
         "_clock",
         "_fleet",
         "_ledgers",
         "_peers",
-        "_reported",
         "_state",
         "_task",
-        "_urgent",
         "_vm",
         "name",
         "needs",
@@ -57,8 +62,8 @@
         self._vm = vm
         self._allowances: dict[str, limits.Allowance] = {}
         self._ledgers: dict[str, tuple[limits.Ledger, limits.Ledger]] = {}
-        self._urgent = asyncio.Event()
-        self._reported = asyncio.Event()
+        self._asking: collections.Counter[str] = collections.Counter()
+        self._asks: dict[str, asyncio.Task[None]] = {}
         self._task: asyncio.Task[None] | None = None
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
@@ -79,6 +84,8 @@
         """Ends the reports."""
         if self._task is not None:
             self._task.cancel()
+        for task in self._asks.values():
+            task.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns what is in use by member, and whom this VM deals for."""
@@ -107,16 +114,14 @@
         allowance.arrive()
         if self._admit(allowance, member):
             return None
-        if allowance.may_ask(self._clock.now()):
-            # Another VM may hold a share that it does not need; a burst that
-            # comes through one VM would be refused far below the limit.
-            reported = self._reported
-            self._urgent.set()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_ASK_SECONDS):
-                    await reported.wait()
+        if not allowance.may_ask(self._clock.now()):
+            return errors.Failure(errors.ErrorKind.MEMBER_LIMIT)
+        for pause in _PAUSES:
+            await asyncio.sleep(pause)
+            await self._ask_for_more(name)
             if self._admit(allowance, member):
                 return None
+            allowance.full(self._clock.now())
         return errors.Failure(errors.ErrorKind.MEMBER_LIMIT)
 
     def leave(self, name: str) -> None:
@@ -156,31 +161,50 @@
             self._clock.now(),
         )
 
+    async def _ask_for_more(self, name: str) -> None:
+        """Asks the dealer at once; requests of one member ask together."""
+        self._asking[name] += 1
+        task = self._asks.get(name)
+        if task is None:
+            task = asyncio.create_task(self._report((name,)))
+            self._asks[name] = task
+            task.add_done_callback(lambda _: self._asks.pop(name))
+        try:
+            await asyncio.wait({task}, timeout=_ASK_SECONDS)
+        finally:
+            self._asking[name] -= 1
+
     async def _run(self) -> None:
-        while True:
-            self._urgent.clear()
-            await self._report()
-            self._reported.set()
-            self._reported = asyncio.Event()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_REPORT_SECONDS):
-                    await self._urgent.wait()
-
-    async def _report(self) -> None:
+        for turn in itertools.count():
+            idle = turn % _IDLE_REPORTS == 0
+            members = self._state.replica.config.document.members
+            await self._report(
+                [name for name in members if idle or self._is_busy(name)]
+            )
+            await asyncio.sleep(_REPORT_SECONDS)
+
+    def _is_busy(self, name: str) -> bool:
+        allowance = self._allowances.get(name)
+        return allowance is not None and allowance.busy
+
+    async def _report(self, names: Iterable[str]) -> None:
         now = self._clock.now()
         vms = set(self._fleet.fleet.entries) | {self._vm}
         by_dealer: dict[str, list[messages.MemberNeed]] = (
             collections.defaultdict(list)
         )
-        for name in self._state.replica.config.document.members:
-            if self._limited(name) is not None:
-                needs = self._allowance(name).needs(now)
-                need = messages.MemberNeed(name, *needs)
-                by_dealer[limits.dealer(name, vms)].append(need)
-        # A book that is taken up again after another VM has dealt would hold
-        # shares that are no longer true; the sum would overrun the limit.
-        own = {need.member for need in by_dealer.get(self._vm, ())}
-        self._ledgers = {n: b for n, b in self._ledgers.items() if n in own}
+        for name in names:
+            if self._limited(name) is None:
+                continue
+            needs = self._allowance(name).needs(now, self._asking[name])
+            need = messages.MemberNeed(name, *needs)
+            dealer = limits.dealer(name, vms)
+            by_dealer[dealer].append(need)
+            if dealer != self._vm:
+                # A book that is taken up again after another VM has dealt
+                # would hold shares that are no longer true; the sum would
+                # overrun the limit.
+                self._ledgers.pop(name, None)
         await asyncio.gather(
             *(self._ask(vm, needs, now) for vm, needs in by_dealer.items())
         )
@@ -218,7 +242,7 @@
                 continue
             ledgers = self._ledgers.get(need.member)
             if ledgers is None:
-                ledgers = limits.Ledger(now), limits.Ledger(now)
+                ledgers = limits.Ledger(now, whole=True), limits.Ledger(now)
                 self._ledgers[need.member] = ledgers
             shares.append(
                 messages.MemberShare(
