--- a/packages/mimosastile-core/src/mimosastile_core/retries.py
+++ b/packages/mimosastile-core/src/mimosastile_core/retries.py
@@ -11,6 +11,10 @@
 """A target takes a grant without any change of the table, so waiting for a
 change alone could miss the moment; this bounds the loss."""
 
+_SHORTEST_SECONDS = 0.001
+"""A wait that is lost in the rounding of a clock would never end: the next
+look at the clock shows the same time, and one loop would spin for ever."""
+
 _REROUTED = frozenset(
     {
         errors.ErrorKind.WRONG_FENCE,
@@ -171,7 +175,7 @@
         if self._waiting_since is None:
             self._waiting_since = now
         left = self._waiting_since + policy.owner_wait - now
-        if left <= 0:
+        if left < _SHORTEST_SECONDS:
             return _GIVE_UP
         return Decision(Step.AWAIT_CHANGE, min(pause, left))
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -106,7 +106,7 @@
         self._sending = _sending.Sending(
             self._place.region,
             self._state,
-            kernel.find("targets"),
+            self._keeper,
             kernel.find("peers"),
             self._quarantine,
             kernel.find("links"),
@@ -292,7 +292,12 @@
             return _calls.failed(
                 errors.ErrorKind.NO_OWNER, "The keeper changes."
             )
-        return await self._sending.forward(call, hop, peer)
+        sent = await self._sending.forward(call, hop, peer)
+        failure = sent.err()
+        if failure and failure.kind is errors.ErrorKind.WRONG_FENCE:
+            # The peer refuses because it knows a newer table.
+            await self._state.learn_from(peer)
+        return sent
 
     def _ender(self, call: _calls.Call, hop: _calls.Hop) -> ports.Closer:
         async def close() -> None:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_sending.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_sending.py
@@ -7,6 +7,7 @@
 from mimosastile_core import queueing
 from mimosastile_entry import _admission
 from mimosastile_entry import _calls
+from mimosastile_entry import _keeper
 from mimosastile_entry import _links
 from mimosastile_entry import _quarantine
 from mimosastile_entry import _state
@@ -30,19 +31,19 @@
     __slots__ = (
         "_admission",
         "_clock",
+        "_keeper",
         "_links",
         "_peers",
         "_quarantine",
         "_region",
         "_state",
-        "_targets",
     )
 
     def __init__(
         self,
         region: str,
         state: _state.StateService,
-        targets: ports.TargetPort,
+        keeper: _keeper.KeeperService,
         peers: ports.PeerPort,
         quarantine: _quarantine.QuarantineService,
         links: _links.LinksService,
@@ -53,7 +54,7 @@
         Args:
             region: Where this VM stands.
             state: Knows the members' shares.
-            targets: Speaks to targets.
+            keeper: Speaks to the targets that this VM keeps.
             peers: Speaks to keepers.
             quarantine: Is told of deaths.
             links: Paces what crosses to other regions.
@@ -61,7 +62,7 @@
         """
         self._region = region
         self._state = state
-        self._targets = targets
+        self._keeper = keeper
         self._peers = peers
         self._quarantine = quarantine
         self._links = links
@@ -103,7 +104,7 @@
         began = self._clock.now()
         sent: _calls.SendResult | None = None
         try:
-            sent = await self._targets.send(target, call.request, hop.fence)
+            sent = await self._keeper.send(target, call.request, hop.fence)
         finally:
             if sent is None or sent.is_err():
                 self._admission.leave(target.id, ticket)
