--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -49,6 +49,52 @@
     vm: str
 
 
+class Role(msgspec.Struct, frozen=True, array_like=True):
+    """The keeping of one target in one block, under one fence."""
+
+    block: tables.BlockId
+    target: str
+    fence: int
+
+
+class Handover(msgspec.Struct, frozen=True, tag="handover"):
+    """A stopping keeper asks the receiver to take roles over.
+
+    Attributes:
+        vm: The sender, which goes on until each role has a new keeper.
+        roles: The roles with the sender's fences.
+    """
+
+    vm: str
+    roles: tuple[Role, ...]
+
+
+class StandDown(msgspec.Struct, frozen=True, tag="stand_down"):
+    """A new keeper asks a former one to send nothing more.
+
+    Attributes:
+        vm: The sender.
+        roles: The roles with the sender's fences, above the receiver's.
+    """
+
+    vm: str
+    roles: tuple[Role, ...]
+
+
+class StoodDown(msgspec.Struct, frozen=True, tag="stood_down"):
+    """Says which roles a former keeper has ended.
+
+    Attributes:
+        vm: The sender.
+        boot: Identifier of the sender's run.
+        roles: Roles of the question under which it sends nothing any more.
+    """
+
+    vm: str
+    boot: str
+    roles: tuple[Role, ...]
+
+
 class MemberNeed(msgspec.Struct, frozen=True, array_like=True):
     """What a VM needs of one member's limits."""
 
@@ -117,52 +163,6 @@
     rate: float
 
 
-class Role(msgspec.Struct, frozen=True, array_like=True):
-    """The keeping of one target in one block, under one fence."""
-
-    block: tables.BlockId
-    target: str
-    fence: int
-
-
-class Handover(msgspec.Struct, frozen=True, tag="handover"):
-    """A stopping keeper asks the receiver to take roles over.
-
-    Attributes:
-        vm: The sender, which goes on until each role has a new keeper.
-        roles: The roles with the sender's fences.
-    """
-
-    vm: str
-    roles: tuple[Role, ...]
-
-
-class StandDown(msgspec.Struct, frozen=True, tag="stand_down"):
-    """A new keeper asks a former one to send nothing more.
-
-    Attributes:
-        vm: The sender.
-        roles: The roles with the sender's fences, above the receiver's.
-    """
-
-    vm: str
-    roles: tuple[Role, ...]
-
-
-class StoodDown(msgspec.Struct, frozen=True, tag="stood_down"):
-    """Says which roles a former keeper has ended.
-
-    Attributes:
-        vm: The sender.
-        boot: Identifier of the sender's run.
-        roles: Roles of the question under which it sends nothing any more.
-    """
-
-    vm: str
-    boot: str
-    roles: tuple[Role, ...]
-
-
 PeerMessage = (
     Pull
     | Delta
--- a/packages/mimosastile-core/src/mimosastile_core/retries.py
+++ b/packages/mimosastile-core/src/mimosastile_core/retries.py
@@ -11,10 +11,6 @@
 """A target takes a grant without any change of the table, so waiting for a
 change alone could miss the moment; this bounds the loss."""
 
-_SHORTEST_SECONDS = 0.001
-"""A wait that is lost in the rounding of a clock would never end: the next
-look at the clock shows the same time, and one loop would spin for ever."""
-
 _REROUTED = frozenset(
     {
         errors.ErrorKind.WRONG_FENCE,
@@ -63,6 +59,11 @@
         return True
 
 
+# A wait below a clock's resolution ends before the clock has moved; the next
+# one would be as short, and the loop would spin without serving anyone else.
+_LEAST_WAIT_SECONDS = 0.001
+
+
 class Step(enum.Enum):
     """What to do with a failed request."""
 
@@ -175,7 +176,7 @@
         if self._waiting_since is None:
             self._waiting_since = now
         left = self._waiting_since + policy.owner_wait - now
-        if left < _SHORTEST_SECONDS:
+        if left <= _LEAST_WAIT_SECONDS:
             return _GIVE_UP
         return Decision(Step.AWAIT_CHANGE, min(pause, left))
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -293,9 +293,7 @@
                 errors.ErrorKind.NO_OWNER, "The keeper changes."
             )
         sent = await self._sending.forward(call, hop, peer)
-        failure = sent.err()
-        if failure and failure.kind is errors.ErrorKind.WRONG_FENCE:
-            # The peer refuses because it knows a newer table.
+        if sent.is_err() and _knows_better(sent.err()):
             await self._state.learn_from(peer)
         return sent
 
@@ -304,3 +302,8 @@
             self._targeting.end(call, hop)
 
         return close
+
+
+def _knows_better(failure: errors.Failure | None) -> bool:
+    wrong = errors.ErrorKind.WRONG_FENCE
+    return failure is not None and failure.kind is wrong
