--- a/packages/mimosastile-standins/src/mimosastile_standins/memory.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/memory.py
@@ -86,7 +86,9 @@
         except asyncio.CancelledError:
             work.close()
             raise
-        done = await asyncio.shield(asyncio.ensure_future(work))
+        running = asyncio.ensure_future(work)
+        running.add_done_callback(_retrieve)
+        done = await asyncio.shield(running)
         await self._sites.network.cross(receiver, self._process.vm)
         await self._process.gate()
         return done
@@ -318,5 +320,11 @@
             await self._response.close()
 
 
+def _retrieve(done: asyncio.Future[Any]) -> None:
+    # If the caller has given up, nobody else asks how the work ended.
+    if not done.cancelled():
+        done.exception()
+
+
 async def _once(body: bytes) -> AsyncIterator[bytes]:
     yield body
--- a/packages/mimosastile-standins/src/mimosastile_standins/virtual.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/virtual.py
@@ -12,6 +12,7 @@
 _IDLE_ROUNDS = 1
 # A program that waits for nothing at all fails instead of hanging.
 _DEADLOCK_SECONDS = 1.0
+_ENDING_ROUNDS = 5
 
 
 def run(main: Coroutine[Any, Any, _T]) -> _T:
@@ -32,10 +33,13 @@
     finally:
         # After a failure too: what is left would otherwise be destroyed later,
         # in the middle of another test.
-        leftover = asyncio.all_tasks(loop)
-        for task in leftover:
-            task.cancel()
-        if leftover:
+        # What ends may begin something else, so once is not enough.
+        for _ in range(_ENDING_ROUNDS):
+            leftover = asyncio.all_tasks(loop)
+            if not leftover:
+                break
+            for task in leftover:
+                task.cancel()
             loop.run_until_complete(
                 asyncio.gather(*leftover, return_exceptions=True)
             )
