--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -92,6 +92,17 @@
     shutdown_seconds: Annotated[float, msgspec.Meta(ge=0)] = 600.0
 
 
+class AdminSettings(_Strict, frozen=True):
+    """The administration API.
+
+    Attributes:
+        bootstrap: SHA-256 digest, in hex, of a token that may do everything
+            while the configuration declares no operators; empty for none.
+    """
+
+    bootstrap: Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{64})?$")] = ""
+
+
 class ConnectionSettings(_Strict, frozen=True):
     """How connections to targets and peers are kept, in seconds.
 
@@ -170,6 +181,7 @@
     platform: PlatformSettings
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
+    admin: AdminSettings = AdminSettings()
     connections: ConnectionSettings = ConnectionSettings()
     peers: PeerSettings = PeerSettings()
     tls: TlsSection = TlsSection()
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -90,6 +90,8 @@
         _inbox.InboxService("e0"),
         listeners,
         _Roles(made),
+        # The administration API finds these; no test here calls it.
+        *map(kernel.Passive, ("configuration", "access", "audit", "fleet")),
     ):
         made.register(service)
     await made.start()
