--- a/packages/mimosastile-entry/src/mimosastile_entry/_heads.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_heads.py
@@ -26,7 +26,10 @@
         _DEADLINE_HEADER,
     }
 )
-_KEPT_BACK = frozenset(name.encode() for name in _wire.HOP_BY_HOP)
+# The credential ends here: a target that leaked it could act as the member.
+_KEPT_BACK = frozenset(
+    name.encode() for name in (*_wire.HOP_BY_HOP, "authorization")
+)
 
 
 def path_problem(path: bytes) -> str:
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -161,6 +161,7 @@
         head = peer.requests[0].lower()
         assert head.count(b"member: desk") == 1
         assert b"rival" not in head
+        assert rig.TOKEN.encode() not in head
         assert b"fence" not in head
         assert b"x-hop" not in head
         assert "x-name: \u010d".encode() in head
