One pass over an answer's head; whole bodies without a generator

Cause: profile of one exchange against the plain client library. Change: error, framing and headers in one pass; a body that came with its head is handed on as it is.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_exchange.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_exchange.py
@@ -15,8 +15,6 @@
 from mimosastile_entry import _wire
 from mimosastile_entry import ports
 
-_BODILESS = frozenset({204, 304})
-
 
 class Terms(msgspec.Struct, frozen=True):
     """How long an exchange may take and what the other side may say.
@@ -64,11 +62,12 @@
     passed_on = False
     try:
         response = await _head(pool, request, url, headers, terms)
-        failure = _refusal(response, terms.not_run)
+        head = _wire.AnswerHead(response)
+        failure = _refusal(response, head, terms.not_run)
         if failure is not None:
             return result.Err(failure)
         passed_on = True
-        return result.Ok(_to_response(client, pool, response))
+        return result.Ok(_to_response(client, pool, response, head))
     except (*_client.CALL_ERRORS, ValueError) as error:
         return result.Err(_failure(pool, error, terms))
     finally:
@@ -123,35 +122,30 @@
 
 
 def _refusal(
-    response: aiohttp.ClientResponse, not_run: Collection[errors.ErrorKind]
+    response: aiohttp.ClientResponse,
+    head: _wire.AnswerHead,
+    not_run: Collection[errors.ErrorKind],
 ) -> errors.Failure | None:
-    kind = _wire.named_error(response.headers.get(_wire.ERROR))
-    if kind is not None:
-        known = kind in not_run
-        return errors.Failure(kind if known else errors.ErrorKind.ANSWER_LOST)
-    if not _has_provable_end(response):
+    if head.error is not None:
+        known = head.error in not_run
+        kind = head.error if known else errors.ErrorKind.ANSWER_LOST
+        return errors.Failure(kind)
+    # A body that ends with its connection looks the same whether it is whole
+    # or the server died half-way; a caller would take half an archive for the
+    # whole of it.
+    empty = response.method == "HEAD" or response.status in _wire.BODILESS
+    if not head.framed and not empty:
         return errors.Failure(
             errors.ErrorKind.ANSWER_BROKEN, "Its end cannot be told."
         )
     return None
 
 
-def _has_provable_end(response: aiohttp.ClientResponse) -> bool:
-    # A body that ends with its connection looks the same whether it is whole
-    # or the server died half-way; a caller would take half an archive for the
-    # whole of it.
-    return (
-        response.method == "HEAD"
-        or response.status in _BODILESS
-        or "Content-Length" in response.headers
-        or "Transfer-Encoding" in response.headers
-    )
-
-
 def _to_response(
     client: _client.HttpClient,
     pool: _client.Pool,
     response: aiohttp.ClientResponse,
+    head: _wire.AnswerHead,
 ) -> ports.Response:
     """Returns an answer that is passed on chunk by chunk.
 
@@ -170,12 +164,40 @@
 
     return ports.Response(
         response.status,
-        _wire.answer_headers(response),
-        _chunks(response, pool),
+        head.headers,
+        _body(response, pool),
         close,
     )
 
 
+class _Whole:
+    """A body that has arrived already, as its only chunk."""
+
+    __slots__ = ("_chunk",)
+
+    def __init__(self, chunk: bytes) -> None:
+        self._chunk = chunk
+
+    def __aiter__(self) -> "_Whole":
+        return self
+
+    async def __anext__(self) -> bytes:
+        chunk, self._chunk = self._chunk, b""
+        if not chunk:
+            raise StopAsyncIteration
+        return chunk
+
+
+def _body(
+    response: aiohttp.ClientResponse, pool: _client.Pool
+) -> AsyncIterator[bytes]:
+    # Most answers come in one piece with their head.
+    content = response.content
+    if content.is_eof() and content.exception() is None:
+        return _Whole(content.read_nowait(-1))
+    return _chunks(response, pool)
+
+
 async def _chunks(
     response: aiohttp.ClientResponse, pool: _client.Pool
 ) -> AsyncIterator[bytes]:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_wire.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_wire.py
@@ -49,7 +49,8 @@
 )
 """Headers that belong to one connection and are never passed on."""
 
-_NO_LENGTH_STATUSES = frozenset({204, 304})
+BODILESS = frozenset({204, 304})
+"""Statuses of answers without a body."""
 
 
 def end_to_end(
@@ -86,20 +87,37 @@
     return name[:1] == "x" and name.replace("_", "-").startswith(PREFIX)
 
 
-def answer_headers(
-    response: aiohttp.ClientResponse,
-) -> tuple[tuple[str, str], ...]:
-    """Returns an answer's headers that may be passed on."""
-    headers = end_to_end(response.headers.items())
-    # A length beside another framing, or on an answer that has no body by its
-    # status, is not the length of what follows; the caller would wait for
-    # bytes that never come, or take the next answer for this one's rest.
-    if (
-        response.status in _NO_LENGTH_STATUSES
-        or "Transfer-Encoding" in response.headers
-    ):
-        return tuple(h for h in headers if h[0] != "content-length")
-    return headers
+class AnswerHead:
+    """What one pass over an answer's headers finds.
+
+    Attributes:
+        error: The error kind that the other side names, None without one.
+        framed: Whether length or chunks tell where the body ends.
+        headers: What may be passed on, names in lower case.
+    """
+
+    __slots__ = ("error", "framed", "headers")
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        """Reads the headers.
+
+        Args:
+            response: The answer.
+        """
+        pairs = [(n.lower(), v) for n, v in response.headers.items()]
+        names = {name for name, _ in pairs}
+        self.error: errors.ErrorKind | None = None
+        if ERROR in names:
+            self.error = named_error(response.headers[ERROR])
+        chunked = "transfer-encoding" in names
+        self.framed = chunked or "content-length" in names
+        # A length beside another framing, or on an answer that has no body by
+        # its status, is not the length of what follows; the caller would wait
+        # for bytes that never come, or take the next answer for this one's
+        # rest.
+        if chunked or response.status in BODILESS:
+            pairs = [pair for pair in pairs if pair[0] != "content-length"]
+        self.headers = end_to_end(pairs)
 
 
 def fence_headers(fence: holder.RequestFence) -> dict[str, str]:
