--- a/packages/mimosastile-core/src/mimosastile_core/placement.py
+++ b/packages/mimosastile-core/src/mimosastile_core/placement.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import itertools
 
@@ -32,7 +33,7 @@
     }
 
 
-def chooser(block: tables.Block, targets: Iterable[str]) -> Chooser:
+def chooser(block: tables.Block, targets: Collection[str]) -> Chooser:
     """Returns a function that names a new owner for one slice after another.
 
     Args:
@@ -44,7 +45,12 @@
         those it has named before, or none if there are no targets.
     """
     holders = collections.Counter(s.next or s.owner for s in block.slices)
-    load = {target: holders[target] for target in sorted(targets)}
+    # A target that owns nothing is new, or its loss was noticed just now. If
+    # it were named, the keepers of two lost targets would hand the same slices
+    # to and fro, seen as hundreds of versions a minute and keys that nobody
+    # serves. A new target gets its share by the planner.
+    proven = [t for t in targets if holders[t]]
+    load = {t: holders[t] for t in sorted(proven or targets)}
 
     def choose(piece: tables.Slice) -> str:
         del piece
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_propagation.py
@@ -0,0 +1,338 @@
+"""The propagation service: few readers of the platform, peers told by peers."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from absl import logging
+import msgspec
+import result
+
+from mimosastile_core import errors
+from mimosastile_core import fleet
+from mimosastile_core import gossip
+from mimosastile_core import messages
+from mimosastile_entry import _fleet
+from mimosastile_entry import _inbox
+from mimosastile_entry import _membership
+from mimosastile_entry import _state
+from mimosastile_entry import kernel
+from mimosastile_entry import ports
+
+_PREFIX = "propagation:"
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """Times of propagation, in seconds.
+
+    Attributes:
+        watch: Longest wait of one watch.
+        check: Interval at which a watcher asks for the store's revision.
+        retry: Wait after the store did not answer.
+        list: Interval at which the zone's reader reads the list of VMs.
+        stale: Age of the list at which a VM reads it itself.
+        call: Longest wait for a peer.
+        second: Wait before the second watcher tells its zone.
+    """
+
+    watch: float = 20.0
+    check: float = 5.0
+    retry: float = 0.5
+    list: float = 1.5
+    stale: float = 5.0
+    call: float = 0.5
+    second: float = 0.3
+
+
+_WATCHERS = 2
+_LIST_READERS = 1
+_IDLE_SECONDS = 0.5
+
+
+class PropagationService:
+    """Watches the store if it is this VM's turn, and tells and asks peers.
+
+    What is learned goes into the replica, which takes it forward only.
+    """
+
+    __slots__ = (
+        "_bytes",
+        "_clock",
+        "_counts",
+        "_fleet",
+        "_membership",
+        "_peers",
+        "_pushed",
+        "_restart",
+        "_state",
+        "_store",
+        "_tasks",
+        "_tellings",
+        "_timing",
+        "_vm",
+        "_zone",
+        "name",
+        "needs",
+    )
+
+    def __init__(self, vm: str, zone: str) -> None:
+        """Makes the service.
+
+        Args:
+            vm: Identifier of this VM.
+            zone: Its availability zone.
+        """
+        self.name = "propagation"
+        self.needs: tuple[str, ...] = (
+            "state",
+            "fleet",
+            "membership",
+            "store",
+            "peers",
+            "inbox",
+            "clock",
+        )
+        self._vm = vm
+        self._zone = zone
+        self._timing = Timing()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._tellings: set[asyncio.Task[Any]] = set()
+        self._restart = asyncio.Event()
+        self._counts: dict[str, int] = {}
+        self._pushed: dict[str, int] = {}
+        self._bytes = 0
+        self._state: _state.StateService
+        self._fleet: _fleet.FleetService
+        self._membership: _membership.MembershipService
+        self._store: ports.StorePort
+        self._peers: ports.PeerPort
+        self._clock: ports.ClockPort
+
+    async def start(self, kernel: kernel.Kernel) -> None:
+        """Begins to watch, to ask and to tell."""
+        self._state = kernel.find("state")
+        self._fleet = kernel.find("fleet")
+        self._membership = kernel.find("membership")
+        self._store = kernel.find("store")
+        self._peers = kernel.find("peers")
+        self._clock = kernel.find("clock")
+        inbox: _inbox.InboxService = kernel.find("inbox")
+        inbox.handle(messages.Push, self._take_push)
+        inbox.handle(messages.Listing, self._take_listing)
+        loops: dict[str, Callable[[], Awaitable[None]]] = {
+            "watch": self._watch,
+            "check": self._check,
+            "list": self._list,
+        }
+        self._tasks = [
+            asyncio.create_task(repeat(step, _PREFIX), name=f"propagate-{name}")
+            for name, step in loops.items()
+        ]
+
+    async def stop(self) -> None:
+        """Ends all of it."""
+        for task in (*self._tasks, *self._tellings):
+            task.cancel()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns calls of the platform, messages and bytes sent."""
+        return {
+            "watches": self._watches(),
+            "reads_list": self._reads_list(),
+            "bytes_sent": self._bytes,
+            "counts": dict(sorted(self._counts.items())),
+        }
+
+    def _count(self, what: str) -> None:
+        self._counts[what] = self._counts.get(what, 0) + 1
+
+    # Reading the platform.
+
+    def _members(self) -> dict[str, fleet.Vm]:
+        return self._membership.alive(self._zone)
+
+    def _rank(self, purpose: str, count: int) -> int | None:
+        members = self._members()
+        if not members:
+            # All of the zone leave, this VM too: nobody else would read.
+            return 0
+        chosen = gossip.readers(members, purpose, count)
+        return chosen.index(self._vm) if self._vm in chosen else None
+
+    def _watches(self) -> bool:
+        return self._rank("watch", _WATCHERS) is not None
+
+    def _reads_list(self) -> bool:
+        return self._rank("list", _LIST_READERS) is not None
+
+    def _jitter(self, seconds: float) -> float:
+        return seconds * (0.75 + self._clock.random() / 2)
+
+    async def _watch(self) -> None:
+        if not self._watches():
+            await asyncio.sleep(_IDLE_SECONDS)
+            return
+        if not self._state.synced:
+            self._count("store_list")
+            if not await self._state.refresh_all():
+                await asyncio.sleep(self._jitter(self._timing.retry))
+                return
+        batch = await self._watch_once()
+        if isinstance(batch, result.Ok):
+            self._take(batch.ok_value)
+        elif batch is not None:
+            logging.warning(
+                "%s watch failed: %s.", _PREFIX, batch.err_value.detail
+            )
+            await asyncio.sleep(self._jitter(self._timing.retry))
+
+    async def _watch_once(
+        self,
+    ) -> result.Result[ports.WatchBatch, errors.Failure] | None:
+        """Waits for a change; None if the watch was found to be silent."""
+        self._restart.clear()
+        self._count("store_watch")
+        watch = asyncio.ensure_future(
+            self._store.watch("", self._state.revision, self._timing.watch)
+        )
+        restart = asyncio.ensure_future(self._restart.wait())
+        try:
+            await asyncio.wait(
+                (watch, restart), return_when=asyncio.FIRST_COMPLETED
+            )
+            return watch.result() if watch.done() else None
+        finally:
+            for task in (watch, restart):
+                task.cancel()
+
+    async def _check(self) -> None:
+        """Finds a watch that has stopped without a word.
+
+        Its connection may be gone without either side having been told; this
+        VM would then wait on and miss every change. A watch that need not
+        wait shows what the waiting one should have brought.
+        """
+        await asyncio.sleep(self._jitter(self._timing.check))
+        if not (self._watches() and self._state.synced):
+            return
+        self._count("store_check")
+        before = self._state.revision
+        batch = await self._store.watch("", before, 0.0)
+        if isinstance(batch, result.Err) or not batch.ok_value.entries:
+            return
+        if self._state.revision == before:
+            logging.warning("%s the watch was silent.", _PREFIX)
+            self._restart.set()
+        self._take(batch.ok_value)
+
+    def _take(self, batch: ports.WatchBatch) -> None:
+        if not batch.entries:
+            self._state.take(batch)
+            return
+        pull = self._state.replica.pull(self._vm)
+        self._state.take(batch)
+        delta = self._state.replica.delta(self._vm, pull)
+        if _numbers(delta):
+            self._start(self._tell_zone(delta))
+
+    async def _list(self) -> None:
+        await asyncio.sleep(self._jitter(self._timing.list))
+        stale = self._fleet.readings.age(self._clock.now()) > self._timing.stale
+        if not (stale or self._reads_list()):
+            return
+        self._count("list_read")
+        if await self._fleet.read():
+            self.tell_listing()
+
+    # Telling the own zone.
+
+    async def _tell_zone(self, delta: messages.Delta) -> None:
+        """Pushes news into the zone; the second watcher waits for the first."""
+        if self._rank("watch", _WATCHERS) == 1:
+            await asyncio.sleep(self._timing.second)
+            if all(
+                self._pushed.get(name, 0) >= number
+                for name, number in _numbers(delta).items()
+            ):
+                return
+        self.push(delta)
+
+    def push(self, delta: messages.Delta) -> None:
+        """Tells the own zone what is newer."""
+        self._push(messages.Push(self._vm, delta))
+
+    def _push(self, push: messages.Push) -> None:
+        for vm in self._receivers(push.root):
+            self._start(self.call(vm, push))
+
+    def tell_listing(self) -> None:
+        """Tells the own zone the list of VMs as this VM has it."""
+        listing = self._fleet.readings.listing(self._vm, self._clock.now())
+        for vm in self._receivers(self._vm):
+            self._start(self.call(vm, listing))
+
+    def _receivers(self, root: str) -> list[str]:
+        members = [
+            vm.id
+            for vm in self._fleet.fleet.entries.values()
+            if vm.zone == self._zone and not self._membership.suspects(vm.id)
+        ]
+        return gossip.children(root, self._vm, [*members, self._vm])
+
+    def _take_push(self, push: messages.Push) -> messages.Ack:
+        self._count("push_taken")
+        self._pushed.update(_numbers(push.delta))
+        self._state.replica.merge(push.delta)
+        self._push(push)
+        return messages.Ack(self._vm)
+
+    def _take_listing(self, listing: messages.Listing) -> messages.Ack:
+        if self._fleet.take(listing):
+            for vm in self._receivers(listing.root):
+                self._start(self.call(vm, listing))
+        return messages.Ack(self._vm)
+
+    def _start(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tellings.add(task)
+        task.add_done_callback(self._tellings.discard)
+
+    async def call(
+        self, vm: str, message: messages.PeerMessage
+    ) -> messages.PeerMessage | None:
+        """Sends a message and counts it; None if no answer came."""
+        listed = self._fleet.fleet.entries.get(vm)
+        if listed is None:
+            return None
+        self._count(f"sent_{type(message).__name__.lower()}")
+        self._bytes += len(messages.encode(message))
+        reply = await self._peers.call(listed, message, self._timing.call)
+        return reply.ok()
+
+
+async def repeat(step: Callable[[], Awaitable[None]], prefix: str) -> None:
+    """Runs a step again and again.
+
+    One bad answer must not end a loop for good: this VM would fall behind
+    without a sign. So a step that fails is logged and tried again.
+
+    Args:
+        step: What to do.
+        prefix: Prefix of the log line.
+    """
+    while True:
+        try:
+            await step()
+        except Exception:
+            logging.exception("%s a step failed.", prefix)
+            await asyncio.sleep(_IDLE_SECONDS)
+
+
+def _numbers(delta: messages.Delta) -> dict[str, int]:
+    """Returns what a delta brings, by name, with numbers that only rise."""
+    brought = {_state.block_key(b.id): b.version for b in delta.blocks}
+    if delta.configuration is not None:
+        brought[_state.CONFIG_KEY] = delta.configuration.number
+    return brought
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -12,15 +12,18 @@
 from mimosastile_entry import _auth
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
+from mimosastile_entry import _digests
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
 from mimosastile_entry import _limits
 from mimosastile_entry import _links
 from mimosastile_entry import _listeners
+from mimosastile_entry import _membership
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
+from mimosastile_entry import _propagation
 from mimosastile_entry import _quarantine
 from mimosastile_entry import _roles
 from mimosastile_entry import _router
@@ -47,7 +50,10 @@
     return [
         _inbox.InboxService(place.id),
         _fleet.FleetService(place.id),
+        _membership.MembershipService(place.id, place.zone),
         _state.StateService(place.id),
+        _propagation.PropagationService(place.id, place.zone),
+        _digests.DigestService(place.id, place.zone),
         _keeper.KeeperService(place.id, place.zone),
         _roles.RolesService(place.id),
         _planner.PlannerService(place.id),
--- a/packages/mimosastile-standins/src/mimosastile_standins/virtual.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/virtual.py
@@ -28,6 +28,10 @@
     )
     try:
         outcome: _T = loop.run_until_complete(main)
+        return outcome
+    finally:
+        # After a failure too: what is left would otherwise be destroyed later,
+        # in the middle of another test.
         leftover = asyncio.all_tasks(loop)
         for task in leftover:
             task.cancel()
@@ -35,8 +39,6 @@
             loop.run_until_complete(
                 asyncio.gather(*leftover, return_exceptions=True)
             )
-        return outcome
-    finally:
         loop.close()
 
 
