--- a/packages/mimosastile-entry/src/mimosastile_entry/_heads.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_heads.py
@@ -16,20 +16,14 @@
 _MAX_LENGTH_DIGITS = 15
 _DEADLINE_DIGITS = 9
 _DEADLINE_HEADER = b"x-request-timeout-ms"
-_SPECIAL = frozenset(
-    {
-        b"authorization",
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"transfer-encoding",
-        _DEADLINE_HEADER,
-    }
-)
+_PASSED = frozenset({b"content-length", _DEADLINE_HEADER})
+"""Headers that are read here and passed on all the same."""
+
 # The credential ends here: a target that leaked it could act as the member.
-_KEPT_BACK = frozenset(
+_NOTED = _PASSED | {
     name.encode() for name in (*_wire.HOP_BY_HOP, "authorization")
-)
+}
+_X = ord("x")
 
 
 def path_problem(path: bytes) -> str:
@@ -87,27 +81,41 @@
         """
         special: dict[bytes, list[bytes]] = {}
         plain = []
-        size = 0
+        size = _HEADER_OVERHEAD * len(raw)
         for pair in raw:
             name, value = pair
             size += len(name) + len(value)
-            if name in _SPECIAL:
+            if name in _NOTED:
                 special.setdefault(name, []).append(value)
-            if name not in _KEPT_BACK and not _wire.is_own(name):
-                plain.append(pair)
-        self.size = size + _HEADER_OVERHEAD * len(raw)
-        tokens = special.get(b"connection", ())
-        self.headers = _decoded(_without(plain, tokens) if tokens else plain)
-        self.closes = any(b"close" in token.lower() for token in tokens)
-        self.expects = b"expect" in special
+                if name not in _PASSED:
+                    continue
+            elif name[0] == _X and _wire.is_own(name):
+                continue
+            plain.append(pair)
+        self.size = size
+        # Of two values this VM and the target could each believe another
+        # one, so two count as none.
+        self.authorization = _only(special.pop(b"authorization", ()))
+        self.deadline = b""
+        self.length = 0
+        self.closes = self.expects = self.has_body = False
+        if special:
+            plain = self._read(special, plain)
+        self.headers = _decoded(plain)
+
+    def _read(
+        self, special: dict[bytes, list[bytes]], plain: RawHeaders
+    ) -> RawHeaders:
+        """Reads what only some requests have; returns what is passed on."""
+        self.deadline = _only(special.get(_DEADLINE_HEADER, ()))
         self.length = _length(special.get(b"content-length", ()))
+        self.expects = b"expect" in special
         self.has_body = (
             b"content-length" in special or b"transfer-encoding" in special
         )
-        # Of two values this VM and the target could each believe another
-        # one, so two count as none.
-        self.authorization = _only(special.get(b"authorization", ()))
-        self.deadline = _only(special.get(_DEADLINE_HEADER, ()))
+        tokens = special.get(b"connection", ())
+        self.closes = any(b"close" in token.lower() for token in tokens)
+        return _without(plain, tokens) if tokens else plain
 
 
 def too_large(
--- a/packages/mimosastile-standins/src/mimosastile_standins/_bench_decisions.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/_bench_decisions.py
@@ -55,11 +55,25 @@
     ) -> result.Result[ports.Response, errors.Failure]:
         """Answers."""
         del vm, request, fence
-        return result.Ok(ports.Response(200, _HEADERS, _once()))
+        return result.Ok(ports.Response(200, _HEADERS, _Once()))
 
 
-async def _once() -> AsyncIterator[bytes]:
-    yield _BODY
+class _Once:
+    """A body in one piece, as the adapter to targets hands it on."""
+
+    __slots__ = ("_left",)
+
+    def __init__(self) -> None:
+        self._left = 1
+
+    def __aiter__(self) -> "_Once":
+        return self
+
+    async def __anext__(self) -> bytes:
+        if not self._left:
+            raise StopAsyncIteration
+        self._left = 0
+        return _BODY
 
 
 @contextlib.asynccontextmanager
