--- a/packages/mimosastile-core/src/mimosastile_core/fleet.py
+++ b/packages/mimosastile-core/src/mimosastile_core/fleet.py
@@ -78,6 +78,20 @@
             if vm.state is VmState.LIVE
         }
 
+    def draining(self, targets: frozenset[str]) -> "Fleet":
+        """Returns this reading with some targets leaving, whatever it says."""
+        if not targets & self._vms.keys():
+            return self
+        leaving = VmState.LEAVING
+        return Fleet(
+            tuple(
+                msgspec.structs.replace(vm, state=leaving)
+                if vm.id in targets and vm.role is Role.TARGET
+                else vm
+                for vm in self._vms.values()
+            )
+        )
+
     def live_entries(self, zone: str | None = None) -> dict[str, Vm]:
         """Returns entry VMs that are not leaving, of one zone or of all."""
         return {
--- a/packages/mimosastile-ctl/src/mimosastile_ctl/cli.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/cli.py
@@ -1,75 +1,266 @@
-"""Command line of the operators: `mimosactl table | owner | dump`."""
+"""Command line of the operators: `mimosactl`."""
 
-import sys
+from typing import Any
 from urllib import parse
 
 import fire
 import msgspec
-import result
 
+from mimosastile_core import administration
 from mimosastile_core import tables
-from mimosastile_ctl import _api
+from mimosastile_ctl import _config
+from mimosastile_ctl import _printing
+from mimosastile_ctl import _session
+from mimosastile_ctl import _short_hands
+from mimosastile_ctl import _submit
 
-EXIT_FAILED = 1
-"""Exit code for a call that did not succeed."""
+_BLOCKS = list[tables.Block]
+_MEMBERS = dict[str, administration.MemberView]
+_ENTRIES = list[administration.AuditEntry]
+_ANYTHING = dict[str, Any]
+
+
+class QuarantineCommands:
+    """Shows and clears requests that are held back."""
+
+    def __init__(self, session: _session.Session) -> None:
+        self._session = session
+
+    def show(self) -> None:
+        """Prints what this VM holds back, as JSON."""
+        _printing.json(self._session.read(_ANYTHING, "/v1/quarantine"))
+
+    def clear(self, fingerprint: str, reason: str, **options: Any) -> None:
+        """Lets a request run again.
+
+        Args:
+            fingerprint: As `quarantine show` prints it.
+            reason: Why, for whoever reads it years later.
+            **options: ticket, base, id, yes, dry_run, wait.
+        """
+        held = _submit.current(self._session)
+        options.setdefault("base", held.number)
+        operations = _short_hands.clear(fingerprint, held)
+        _submit.submit(
+            self._session, operations, _submit.Options(reason, **options)
+        )
 
 
 class Commands:
-    """Operates mimosastile through the inner port of any entry VM."""
+    """Operates mimosastile through the inner port of any entry VM.
+
+    The operator's token comes from the environment variable MIMOSACTL_TOKEN,
+    or from a file: --token_file or MIMOSACTL_TOKEN_FILE.
+
+    Exit codes: 0 done; 1 failed; 2 mistake in the command or the patch; 3 not
+    allowed; 4 another patch came first; 5 not found; 6 the outcome is open;
+    7 not in force everywhere in time.
+    """
 
     def __init__(
-        self, at: str = "http://127.0.0.1:8081", json: bool = False
+        self,
+        at: str = "http://127.0.0.1:8081",
+        json: bool = False,
+        token_file: str = "",
     ) -> None:
         """Chooses the daemon.
 
         Args:
             at: Address of the inner port of an entry VM.
             json: Prints JSON for programs instead of tables for people.
+            token_file: File that holds the operator's token.
         """
-        self._at = at.rstrip("/")
-        self._json = json
+        session = _session.Session(at, token_file, json)
+        self._session = session
+        self.config = _config.ConfigCommands(session)
+        self.service = _short_hands.ServiceCommands(session)
+        self.limit = _short_hands.LimitCommands(session)
+        self.member = _short_hands.MemberCommands(session)
+        self.quarantine = QuarantineCommands(session)
 
     def table(self, service: str) -> None:
         """Prints which target owns which slice of a service."""
-        body = self._read(f"/v1/tables/{parse.quote(service)}")
-        if self._json:
-            print(body.decode())
+        path = f"/v1/tables/{_quoted(service)}"
+        blocks = self._session.read(_BLOCKS, path)
+        if self._session.json:
+            _printing.json(blocks)
             return
-        blocks = msgspec.json.decode(body, type=list[tables.Block])
-        print(f"{'first hash':18} {'owner':20} {'fence':>6}  moving to")
-        for piece in (s for block in blocks for s in block.slices):
-            print(
-                f"{piece.first:018x} {piece.owner or '-':20}"
-                f" {piece.fence:6}  {piece.next or '-'}"
-            )
+        _printing.table(
+            ("first hash", "owner", "fence", "moving to", "keeper"),
+            (
+                (
+                    f"{s.first:016x}",
+                    s.owner,
+                    s.fence,
+                    s.next,
+                    block.keepers[s.owner].vm
+                    if s.owner in block.keepers
+                    else "",
+                )
+                for block in blocks
+                for s in block.slices
+            ),
+        )
 
     def owner(self, service: str, key: str) -> None:
         """Prints which target owns a key."""
-        quoted = parse.quote(str(key), safe="")
-        body = self._read(f"/v1/tables/{parse.quote(service)}/owner/{quoted}")
-        if self._json:
-            print(body.decode())
+        path = f"/v1/tables/{_quoted(service)}/owner/{_quoted(key)}"
+        home = self._session.read(tables.Location, path)
+        if self._session.json:
+            _printing.json(home)
             return
-        home = msgspec.json.decode(body, type=tables.Location)
         keeper = home.keeper.vm if home.keeper else "-"
-        print(
+        _printing.say(
             f"{key}: {home.slice.owner or '-'} (fence {home.slice.fence},"
             f" kept by {keeper})"
         )
 
+    def explain(self, service: str, key: str) -> None:
+        """Prints why a request for a key goes where it goes."""
+        path = f"/v1/explain/{_quoted(service)}/{_quoted(key)}"
+        found = self._session.read(administration.Explanation, path)
+        if self._session.json:
+            _printing.json(found)
+            return
+        if found.refused:
+            _printing.say(f"{key}: refused, {found.refused}")
+        else:
+            where = found.target or "any live target"
+            _printing.say(f"{key}: goes to {where}")
+        for reason in found.reasons:
+            _printing.say(f"  {reason}")
+
+    def members(self) -> None:
+        """Prints members with their shares and limits."""
+        members = self._session.read(_MEMBERS, "/v1/members")
+        if self._session.json:
+            _printing.json(members)
+            return
+        _printing.table(
+            ("member", "tokens", "share", "concurrency", "rate"),
+            (
+                (n, m.credentials, m.share, m.concurrency or "", m.rate or "")
+                for n, m in members.items()
+            ),
+        )
+
+    def link(self) -> None:
+        """Prints this VM's part of the link between regions, as JSON."""
+        _printing.json(self._session.read(_ANYTHING, "/v1/link"))
+
     def dump(self) -> None:
-        """Prints the state of the daemon as JSON."""
-        body = self._read("/v1/dump")
-        print(msgspec.json.format(body, indent=2).decode())
+        """Prints the state of the daemon, as JSON."""
+        _printing.json(self._session.read(_ANYTHING, "/v1/dump"))
+
+    def audit(self, limit: int = 20) -> None:
+        """Prints who was refused what, newest first."""
+        entries = self._session.read(_ENTRIES, "/v1/audit", limit=limit)
+        if self._session.json:
+            _printing.json(entries)
+            return
+        _printing.table(
+            ("time", "vm", "operator", "action", "outcome", "detail"),
+            (
+                (
+                    _printing.moment(e.time),
+                    e.vm,
+                    e.operator,
+                    e.action,
+                    e.outcome,
+                    e.detail,
+                )
+                for e in entries
+            ),
+        )
+
+    def move(
+        self,
+        service: str,
+        key: str,
+        target: str = "",
+        reason: str = "",
+        **options: Any,
+    ) -> None:
+        """Moves a key to a target and keeps it there.
+
+        Args:
+            service: The service.
+            key: The key.
+            target: Target VM; left out, the key is free to move again.
+            reason: Why, for whoever reads it years later.
+            **options: ticket, base, id, yes, dry_run, wait.
+        """
+        held = _submit.current(self._session)
+        options.setdefault("base", held.number)
+        _submit.submit(
+            self._session,
+            _short_hands.move(service, key, target, held),
+            _submit.Options(reason, **options),
+        )
+
+    def drain(
+        self,
+        service: str,
+        target: str,
+        reason: str,
+        end: bool = False,
+        **options: Any,
+    ) -> None:
+        """Takes a target out of use, or back into it.
+
+        Args:
+            service: The service.
+            target: Target VM.
+            reason: Why, for whoever reads it years later.
+            end: Ends the drain.
+            **options: ticket, base, id, yes, dry_run, wait.
+        """
+        held = _submit.current(self._session)
+        options.setdefault("base", held.number)
+        _submit.submit(
+            self._session,
+            _short_hands.drain(service, target, end, held),
+            _submit.Options(reason, **options),
+        )
+
+
+def _quoted(text: str) -> str:
+    return parse.quote(text, safe="")
+
 
-    def _read(self, path: str) -> bytes:
-        body = _api.get(self._at + path)
-        if isinstance(body, result.Err):
-            print(f"mimosactl: {body.err_value}", file=sys.stderr)
-            sys.exit(EXIT_FAILED)
-        return body.ok_value
+# Fire takes 1_000 for a number; a key, a name or a reason is what was typed.
+_TEXTS = ("service", "key", "target", "member", "name", "fingerprint")
+for _command in (
+    Commands.table,
+    Commands.owner,
+    Commands.explain,
+    Commands.move,
+    Commands.drain,
+    QuarantineCommands.clear,
+    _short_hands.ServiceCommands.create,
+    _short_hands.LimitCommands.set,
+    _short_hands.MemberCommands.add,
+    _config.ConfigCommands.apply,
+    _config.ConfigCommands.propose,
+    _config.ConfigCommands.revert,
+    _config.ConfigCommands.settle,
+    _config.ConfigCommands.blame,
+):
+    fire.decorators.SetParseFn(
+        str,
+        *_TEXTS,
+        "reason",
+        "ticket",
+        "id",
+        "file",
+        "path",
+        "credential_file",
+    )(_command)
 
 
 def main() -> None:
     """Entry point of the binary."""
-    fire.Fire(Commands, name="mimosactl")
+    try:
+        fire.Fire(Commands, name="mimosactl")
+    except msgspec.DecodeError as error:
+        _session.end(f"unexpected answer: {error}", _session.EXIT_FAILED)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_fleet.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_fleet.py
@@ -27,6 +27,8 @@
 
     __slots__ = (
         "_clock",
+        "_drained",
+        "_fleet",
         "_listeners",
         "_listings",
         "_port",
@@ -46,6 +48,8 @@
         self.needs: tuple[str, ...] = ("fleet_port", "clock", "inbox")
         self._vm = vm
         self._listings = listings.Listings(vm)
+        self._drained: frozenset[str] = frozenset()
+        self._fleet = self._listings.fleet
         self._listeners: list[Callable[[], None]] = []
         self._reads = 0
         self._port: ports.FleetPort
@@ -53,8 +57,8 @@
 
     @property
     def fleet(self) -> CurrentFleet:
-        """The reading in use."""
-        return self._listings.fleet
+        """The reading in use, with drained targets as leaving."""
+        return self._fleet
 
     @property
     def readings(self) -> ReadingsInUse:
@@ -78,6 +82,12 @@
         """Calls the listener after each change of the list."""
         self._listeners.append(listener)
 
+    def drain(self, targets: frozenset[str]) -> None:
+        """Treats targets as leaving, whatever the list says of them."""
+        changed = targets != self._drained
+        self._drained = targets
+        self._told_if(changed)
+
     async def start(self, kernel: kernel.Kernel) -> None:
         """Reads the list once."""
         self._port = kernel.find("fleet_port")
@@ -114,6 +124,7 @@
 
     def _told_if(self, changed: bool) -> bool:
         if changed:
+            self._fleet = self._listings.fleet.draining(self._drained)
             for listener in self._listeners:
                 listener()
         return changed
--- a/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
@@ -349,4 +349,7 @@
             kept.state, service.grant.renew, self._clock.now()
         )
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(kept.wake.wait(), rest)
+            # Not `wait_for`: in Python 3.11 it loses a cancellation that comes
+            # together with the event; an ended keeper would go on renewing.
+            async with asyncio.timeout(rest):
+                await kept.wake.wait()
--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -44,7 +44,15 @@
         """
         self._signer = signer
         self.name = "listeners"
-        self.needs: tuple[str, ...] = ("router", "state", "clock", "tls")
+        self.needs: tuple[str, ...] = (
+            "router",
+            "state",
+            "clock",
+            "configuration",
+            "access",
+            "audit",
+            "tls",
+        )
         self._settings = configured
         self._apps: list[_asgi.CallersApp | _asgi.ForwardApp] = []
         self._aborted = asyncio.Event()
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -9,9 +9,13 @@
 from absl import logging
 
 from mimosastile_core import balancing
+from mimosastile_entry import _access
+from mimosastile_entry import _archive
+from mimosastile_entry import _audit
 from mimosastile_entry import _auth
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
+from mimosastile_entry import _configuration
 from mimosastile_entry import _digests
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
@@ -20,6 +24,7 @@
 from mimosastile_entry import _links
 from mimosastile_entry import _listeners
 from mimosastile_entry import _membership
+from mimosastile_entry import _metrics
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
 from mimosastile_entry import _platform_http
@@ -57,7 +62,10 @@
         _keeper.KeeperService(place.id, place.zone),
         _roles.RolesService(place.id),
         _planner.PlannerService(place.id),
+        _archive.ArchiveService(),
+        _configuration.ConfigurationService(place.id),
         _limits.LimitsService(place.id),
+        _metrics.MetricsService(),
         _quarantine.QuarantineService(place.id),
         _links.LinksService(place.id, place.region),
         _router.RouterService(
@@ -80,6 +88,8 @@
         _platform_http.HttpStore(platform.store, platform.timeout),
         _platform_http.HttpFleet(platform.fleet, platform.timeout),
         _targets_http.HttpTargets(),
+        _access.AccessService(configured.admin.bootstrap),
+        _audit.AuditService(configured.vm.id, configured.vm.zone),
         _peers_http.HttpPeers(signer),
         _listeners.ListenersService(configured, signer),
     ]
--- a/packages/mimosastile-standins/src/mimosastile_standins/network.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/network.py
@@ -83,6 +83,11 @@
         """Returns the process's time in seconds."""
         return self._process.now()
 
+    def wall(self) -> float:
+        """Returns seconds since 1970 UTC as a record of this run has them."""
+        told: float = self._inner.wall()  # type: ignore[attr-defined]
+        return told
+
     def new_id(self) -> str:
         """Returns an identifier that is never used again."""
         made: str = self._inner.new_id()  # type: ignore[attr-defined]
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -88,6 +88,13 @@
         steps = [_after(attempts, none, now=t) for t in (5.0, 5.9, 6.0)]
         assert steps == [AWAIT, AWAIT, GIVE_UP]
 
+    def test_last_wait_is_never_too_short_for_a_clock(self):
+        """Rounding leaves 4e-16 s; waiting that long would spin for ever."""
+        attempts = _attempts(deadline=30.0)
+        none = errors.ErrorKind.NO_OWNER
+        _after(attempts, none, now=5.1)
+        assert _after(attempts, none, now=6.1 - 4e-16) is GIVE_UP
+
     def test_no_wait_beyond_the_deadline(self):
         """There is no time left for another try."""
         attempts = _attempts(deadline=1.0)
