--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -13,6 +13,7 @@
 from mimosastile_standins import demo as demo_module
 from mimosastile_standins import fuzzing
 from mimosastile_standins import loss_cases
+from mimosastile_standins import mutations
 
 _DEMO_SECONDS = 6.0
 
@@ -96,6 +97,25 @@
         logging.set_verbosity(logging.ERROR)
         loss_cases.Report(seed).print()
 
+    def mutations(
+        self,
+        only: str = "",
+        folder: str = "scenarios",
+        seeds: int = 2,
+        examples: int = 40,
+    ) -> None:
+        """Takes one safety rule away at a time and prints what notices.
+
+        Args:
+            only: Part of the names to try, empty for all.
+            folder: Folder of the scenario files.
+            seeds: Seeds of the fuzz for each mutation.
+            examples: Scenarios for each seed.
+        """
+        logging.set_verbosity(logging.FATAL)
+        path = pathlib.Path(folder)
+        sys.exit(mutations.report(only, path, seeds, examples))
+
 
 if __name__ == "__main__":
     fire.Fire(Commands(), name="mimosastile_standins")
