A changed block is indexed alone

Cause: every change of a block indexed all blocks of its service anew. Change: a table takes over the indexes of blocks that did not change; a look-up bisects blocks first and slices next.

--- a/packages/mimosastile-core/src/mimosastile_core/replica.py
+++ b/packages/mimosastile-core/src/mimosastile_core/replica.py
@@ -71,7 +71,9 @@
             of_service = (
                 b for b in self._blocks.values() if b.service == service
             )
-            self._tables[service] = tables.Table(service, of_service)
+            self._tables[service] = tables.Table(
+                service, of_service, self._tables.get(service)
+            )
         if newer:
             self._notify()
         return bool(newer)
--- a/packages/mimosastile-core/src/mimosastile_core/tables.py
+++ b/packages/mimosastile-core/src/mimosastile_core/tables.py
@@ -116,28 +116,57 @@
     keeper: KeeperRef | None
 
 
+class _Index:
+    """The slices of one block, for look-up."""
+
+    __slots__ = ("block", "edges", "homes")
+
+    def __init__(self, block: Block) -> None:
+        self.block = block
+        self.edges = [s.first for s in block.slices]
+        self.homes = [
+            Location(block.id, s, block.keepers.get(s.owner))
+            for s in block.slices
+        ]
+
+
 class Table:
     """All known blocks of one service, indexed for look-up.
 
-    Built anew on each change of a block; look-ups are two bisections with no
-    allocation but the result.
+    Look-ups are two bisections with no allocation. A changed table takes over
+    the indexes of the blocks that did not change: with hundreds of blocks,
+    indexing them all for one moved slice would take a tenth of a second.
     """
 
-    __slots__ = ("_blocks", "_edges", "_homes", "_service")
-
-    def __init__(self, service: str, blocks: Iterable[Block]) -> None:
+    __slots__ = ("_blocks", "_firsts", "_indexes", "_service")
+
+    def __init__(
+        self,
+        service: str,
+        blocks: Iterable[Block],
+        former: "Table | None" = None,
+    ) -> None:
+        """Indexes blocks.
+
+        Args:
+            service: Name of the service.
+            blocks: All known blocks of it.
+            former: The table as it was, None for the first one.
+        """
         self._service = service
         self._blocks = {b.index: b for b in blocks}
-        homes = sorted(
-            (
-                (s.first, Location(b.id, s, b.keepers.get(s.owner)))
-                for b in self._blocks.values()
-                for s in b.slices
-            ),
-            key=lambda pair: pair[0],
+        self._indexes: list[_Index]
+        known = (
+            {id(i.block): i for i in former._indexes}  # noqa: SLF001
+            if former
+            else {}
+        )
+        ordered = sorted(
+            (b for b in self._blocks.values() if b.slices),
+            key=lambda b: b.slices[0].first,
         )
-        self._edges = [edge for edge, _ in homes]
-        self._homes = [home for _, home in homes]
+        self._firsts = [b.slices[0].first for b in ordered]
+        self._indexes = [known.get(id(b)) or _Index(b) for b in ordered]
 
     @property
     def blocks(self) -> dict[int, Block]:
@@ -151,10 +180,11 @@
 
     def locate(self, position: int) -> Location | None:
         """Returns the slice over a hash, None if its block is missing."""
-        at = bisect.bisect_right(self._edges, position) - 1
+        at = bisect.bisect_right(self._firsts, position) - 1
         if at < 0:
             return None
-        home = self._homes[at]
+        index = self._indexes[at]
+        home = index.homes[bisect.bisect_right(index.edges, position) - 1]
         return home if position <= home.slice.last else None
 
     def keepers(self) -> dict[str, KeeperRef]:
--- a/tests/core/test_tables.py
+++ b/tests/core/test_tables.py
@@ -4,6 +4,7 @@
 import pytest
 
 from mimosastile_core import keys
+from mimosastile_core import moves
 from mimosastile_core import tables
 
 
@@ -42,6 +43,26 @@
         assert tables.Table("s", [block]).locate(0) is None
 
 
+class TestChangedTable:
+    """One block of many has changed."""
+
+    @pytest.mark.parametrize("changed", range(3))
+    def test_equals_a_table_made_anew(self, changed):
+        """Taking over what did not change makes no difference."""
+        blocks = [tables.empty_block("s", i, 4, 3) for i in range(3)]
+        former = tables.Table("s", blocks)
+        first = blocks[changed].slices[0].first
+        moved = moves.start_moves(blocks[changed], {first: "t"}).unwrap()
+        blocks[changed] = moved
+        table = tables.Table("s", blocks, former)
+        anew = tables.Table("s", blocks)
+        for block in blocks:
+            for piece in block.slices:
+                for position in (piece.first, piece.last):
+                    assert table.locate(position) == anew.locate(position)
+        assert table.locate(first).slice.owner == "t"
+
+
 class TestCheckSuccessor:
     """The rules that every change keeps."""
 
