Random faults under racing operators; an identifier is not used twice

Change: hypothesis draws faults for any write, outages and a start; what each operator was told is compared with the history. An identifier of the block under way is refused on a newer base: an open patch that was moved there by hand would have been applied twice.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_archive.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_archive.py
@@ -38,7 +38,7 @@
 
     async def record(
         self, version: config.Version
-    ) -> result.Result[None, errors.Failure]:
+    ) -> result.Result[history.Block, errors.Failure]:
         """Makes sure that the change of a version is in the history.
 
         Called before the version's value is overwritten: a VM that dies in
@@ -47,9 +47,12 @@
 
         Args:
             version: The version in force.
+
+        Returns:
+            The block that holds the change.
         """
         if version.number == 0:
-            return result.Ok(None)
+            return result.Ok(history.Block())
         change = history.change_of(version)
         key = history.block_key(history.block_of(version.number))
         for _ in range(_MAX_TRIES):
@@ -59,16 +62,17 @@
             block, revision = read.ok_value
             if block.last >= version.number:
                 self._recorded = max(self._recorded, version.number)
-                return result.Ok(None)
+                return result.Ok(block)
             ready = await self._prepare(version, change)
             if isinstance(ready, result.Err):
                 return ready
-            value = history.encode(history.append(block, change))
+            block = history.append(block, change)
+            value = history.encode(block)
             wrote = await self._store.compare_and_swap(key, value, revision)
             if wrote.is_ok():
                 await self._thin(version.number)
                 self._recorded = max(self._recorded, version.number)
-                return result.Ok(None)
+                return result.Ok(block)
             # After a lost race or a lost answer the next read tells.
         return _failed(errors.ErrorKind.STORE_UNKNOWN, "No write succeeded.")
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_configuration.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_configuration.py
@@ -314,6 +314,14 @@
             # Nothing of this patch has been written yet.
             detail = recorded.err_value.detail
             return _failed(errors.ErrorKind.STORE_UNAVAILABLE, detail)
+        # A patch whose outcome was open, moved to a newer base under its old
+        # identifier, would be applied twice if the first try had succeeded.
+        for known in recorded.ok_value.changes:
+            if known.id == patch.id:
+                return _failed(
+                    errors.ErrorKind.BAD_REQUEST,
+                    f"{patch.id} is number {known.number} already.",
+                )
         number = held.version.number + 1
         change = config.Change(
             number=number,
--- a/tests/entry/test_configuration.py
+++ b/tests/entry/test_configuration.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import hypothesis
+from hypothesis import strategies
 import msgspec
 import pytest
 import result
@@ -304,6 +306,23 @@
 
         virtual.run(story())
 
+    def test_same_id_on_a_newer_base_is_refused(self):
+        """Rebasing an open patch under its old identifier applies nothing."""
+
+        async def story():
+            made = await _world()
+            await _apply(made, "e0", _patch(1, 0))
+            await _apply(made, "e0", _patch(2, 1))
+            path = "/members/other{}"
+            for again in (_patch(2, 2, path), _patch(1, 2, path)):
+                refused = await _apply(made, "e1", again)
+                failure = refused.unwrap_err().failure
+                assert failure.kind is errors.ErrorKind.BAD_REQUEST
+                assert "already" in failure.detail
+            assert _stored(made).number == 2
+
+        virtual.run(story())
+
     def test_same_id_with_other_content_is_refused(self):
         """An identifier cannot be borrowed to hear "accepted"."""
 
@@ -519,3 +538,90 @@
             assert set(listed.live_targets("s")) == {"t0", "t1"}
 
         virtual.run(story())
+
+
+_FAULTS = strategies.dictionaries(
+    strategies.integers(0, 25),
+    strategies.sampled_from(["lost", "late", "never", "dies before"]),
+    max_size=8,
+)
+_OPEN = "open"
+_REFUSED = "refused"
+
+
+async def _submit(made, vm, patch, author):
+    """Returns what an operator hears, and the number to go on from."""
+    try:
+        done = await _apply(made, vm, patch, author)
+    except _DiedError:
+        return _OPEN, 0
+    if done.is_ok():
+        return done.unwrap().number, done.unwrap().number
+    rejected = done.unwrap_err()
+    unsure = rejected.failure.kind is errors.ErrorKind.STORE_UNKNOWN
+    return (_OPEN if unsure else _REFUSED), rejected.current
+
+
+async def _operate(made, name, base, told):
+    """Submits three patches, each until it is accepted or its fate open."""
+    for i in range(3):
+        patch = _patch(1000 * name + i, base)
+        for _ in range(8):
+            patch = msgspec.structs.replace(patch, base=base)
+            vm = f"e{(name + i) % 3}"
+            heard, current = await _submit(made, vm, patch, f"op{name}")
+            told[patch.id] = heard
+            base = current or base
+            if heard is not _REFUSED:
+                break
+            await virtual.pause(0.05)
+
+
+class TestAnyFaults:
+    """Several operators race while any of the store's writes goes wrong.
+
+    Whatever an operator is told must hold for good: accepted patches are in
+    the history once, refused ones never appear in it, open ones at most once.
+    """
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=20, database=None
+    )
+    @hypothesis.given(
+        _FAULTS,
+        strategies.lists(strategies.floats(0.05, 0.6), max_size=2),
+        strategies.integers(0, 2),
+    )
+    def test_what_was_told_holds(self, faults, outages, start):
+        """Compared with the list of what each operator heard."""
+        told = {}
+
+        async def story():
+            made = await _world(3)
+            for number in range(1, start + 1):
+                await _apply(made, "e0", _patch(number, number - 1))
+            made.store.faults = {
+                made.store.writes + at: fault for at, fault in faults.items()
+            }
+            for at in outages:
+                loop = asyncio.get_running_loop()
+                loop.call_later(at, made.store.go_down)
+                loop.call_later(at + 0.2, made.store.come_back)
+            await asyncio.gather(
+                *(_operate(made, name, start, told) for name in (1, 2, 3))
+            )
+            await virtual.pause(5.0)
+            made.store.faults = {}
+            base = _stored(made).number if made.store.entries else 0
+            await _apply(made, "e0", _patch(9, base))
+            await _check_trace(made, "e1")
+            service = made.daemons["e2"].find("configuration")
+            changes = (await service.history(0, 1000)).unwrap()
+            return {change.id: change.number for change in changes}
+
+        held = virtual.run(story())
+        assert not {p for p, heard in told.items() if heard is _REFUSED} & set(
+            held
+        )
+        accepted = {p: n for p, n in told.items() if isinstance(n, int)}
+        assert accepted.items() <= held.items()
