Few readers tell their zone; placement by load; measures and slopes

The planner places by reported slot-seconds, splits around hot keys, ramps new targets up, leaves idle services alone. Commands measure and slopes.

--- a/packages/mimosastile-core/src/mimosastile_core/config.py
+++ b/packages/mimosastile-core/src/mimosastile_core/config.py
@@ -69,6 +69,37 @@
     idempotent: bool | None = None
 
 
+class Placement(_Strict, frozen=True):
+    """How a service weighs uneven load, moved keys and waiting.
+
+    Attributes:
+        imbalance: Weight of uneven load.
+        churn: Weight of keys that change their owner.
+        unavailable: Weight of the time that keys wait while they move.
+        begin_above: Excess of the fullest target over its fair load at which
+            moves begin.
+        end_below: Excess at which they end.
+        split_above: Load of a slice, in fair loads of a target, above which
+            it is split.
+        slices_at_most: Bound on the service's slices.
+        moves_in_flight: Bound on slices that move at a time.
+        ramp: Seconds until a new target carries a full share.
+        idle_below: Share of a target's slots in use below which load is left
+            as it is; too little runs to tell it from chance.
+    """
+
+    imbalance: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    churn: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    unavailable: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+    begin_above: Annotated[float, msgspec.Meta(ge=0)] = 0.12
+    end_below: Annotated[float, msgspec.Meta(ge=0)] = 0.06
+    split_above: Annotated[float, msgspec.Meta(gt=0)] = 0.1
+    slices_at_most: Positive = 2048
+    moves_in_flight: Positive = 16
+    ramp: Annotated[float, msgspec.Meta(ge=0)] = 30.0
+    idle_below: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+
+
 class Service(_Strict, frozen=True):
     """One service behind the router.
 
@@ -83,6 +114,7 @@
         grant: Times of the grant protocol in seconds.
         routes: Treatment by path; the longest matching prefix wins.
         timeout: Seconds that a request may take when it names no deadline.
+        placement: Weights and bounds of placement.
     """
 
     key: KeySource | None = None
@@ -95,6 +127,7 @@
     grant: grants.Timing = grants.Timing()
     routes: tuple[Route, ...] = (Route(),)
     timeout: Annotated[float, msgspec.Meta(gt=0)] = 30.0
+    placement: Placement = Placement()
 
 
 class Member(_Strict, frozen=True):
@@ -151,6 +184,12 @@
                 f"{at}.checks_expiry: needs checks_orders; a target that"
                 " checks the expiry of grants checks grants"
             )
+        placed = service.placement
+        if placed.end_below > placed.begin_above:
+            yield (
+                f"{at}.placement.end_below: {placed.end_below} is above"
+                f" begin_above {placed.begin_above}; set at most that"
+            )
         key = service.key
         if key and key.place is not KeyPlace.PATH and not key.name:
             yield f"{at}.key.name: missing; name the {key.place.value}"
--- a/packages/mimosastile-core/src/mimosastile_core/gates.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gates.py
@@ -140,7 +140,7 @@
         """Whether no request on any key of a slice can be running."""
         return (
             self._silent
-            and all(s.first != piece.first for s in self._wanted)
+            and not any(grants.overlaps(s, piece) for s in self._wanted)
             and not any(
                 piece.first <= p <= piece.last
                 for p in (*self._running, *self._unsure)
--- a/packages/mimosastile-core/src/mimosastile_core/grants.py
+++ b/packages/mimosastile-core/src/mimosastile_core/grants.py
@@ -22,6 +22,16 @@
     fence: int
 
 
+def overlaps(held: HeldSlice, piece: tables.Slice) -> bool:
+    """Whether a granted slice covers any key of a slice of the table.
+
+    The table may have split a slice since it was granted. Comparing first
+    hashes alone, the second part would seem released while the target still
+    serves it under the grant of the whole, and the key would get two owners.
+    """
+    return held.first <= piece.last and piece.first <= held.last
+
+
 class Stamp(msgspec.Struct, frozen=True):
     """A moment on a target's own clock.
 
@@ -321,7 +331,7 @@
             not self._replaced
             and self._acked == self._sequence
             and not any(piece.first <= p <= piece.last for p in self._releasing)
-            and all(s.first != piece.first for s in self._wanted)
+            and not any(overlaps(s, piece) for s in self._wanted)
         )
 
     def has_lapsed(self, now: float) -> bool:
--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -164,6 +164,40 @@
     gone: tuple[str, ...]
 
 
+class SliceReport(msgspec.Struct, frozen=True, array_like=True):
+    """Load of one slice at its keeper.
+
+    Attributes:
+        first: First hash of the slice.
+        load: Slots in use on average.
+        hottest: Position of its hottest key.
+        hottest_load: Load of that key alone.
+    """
+
+    first: int
+    load: float
+    hottest: int
+    hottest_load: float
+
+
+class LoadReport(msgspec.Struct, frozen=True, tag="load_report"):
+    """A keeper's sum of load, for whoever usually plans the service.
+
+    Its size is bounded by the targets that the sender keeps.
+
+    Attributes:
+        vm: The sender.
+        service: The service.
+        slices: The fullest slices, fullest first.
+        heard: Targets that the sender keeps and hears.
+    """
+
+    vm: str
+    service: str
+    slices: tuple[SliceReport, ...]
+    heard: tuple[str, ...]
+
+
 PeerMessage = (
     Pull
     | Delta
@@ -176,6 +210,7 @@
     | Push
     | AskListing
     | Listing
+    | LoadReport
 )
 
 _DECODER = msgspec.json.Decoder(PeerMessage)
--- a/packages/mimosastile-core/src/mimosastile_core/placement.py
+++ b/packages/mimosastile-core/src/mimosastile_core/placement.py
@@ -7,6 +7,7 @@
 import itertools
 
 from mimosastile_core import fleet
+from mimosastile_core import keys
 from mimosastile_core import tables
 
 Chooser = Callable[[tables.Slice], str]
@@ -99,12 +100,15 @@
 def usual_planner(service: str, entries: Iterable[str]) -> str:
     """Returns the entry VM that should usually plan a service.
 
-    Only a hint: any VM may plan, the compare-and-swap decides.
+    Only a hint: any VM may plan, the compare-and-swap decides. Chosen by
+    rendezvous, so that the coming and going of other VMs changes it for few
+    services.
     """
-    names = sorted(entries)
-    if not names:
-        return ""
-    return names[sum(service.encode()) % len(names)]
+    return max(
+        entries,
+        key=lambda vm: (keys.key_hash(f"plan/{service}/{vm}"), vm),
+        default="",
+    )
 
 
 def needs_blocks(service_blocks: int, known: Iterable[int]) -> list[int]:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
@@ -24,6 +24,7 @@
 from mimosastile_entry import _catchup
 from mimosastile_entry import _fleet
 from mimosastile_entry import _gating
+from mimosastile_entry import _loads
 from mimosastile_entry import _state
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
@@ -93,6 +94,7 @@
         "_fleet",
         "_guard",
         "_kept",
+        "_loads",
         "_lock",
         "_outranked",
         "_retiring",
@@ -120,6 +122,7 @@
             "fleet_port",
             "targets",
             "clock",
+            "loads",
         )
         self._vm = vm
         self._zone = zone
@@ -133,6 +136,7 @@
         self._fleet: _fleet.FleetService
         self._targets: ports.TargetPort
         self._clock: ports.ClockPort
+        self._loads: _loads.LoadsService
         self._catch_up: _catchup.CatchUp
         self._guard: pauses.PauseGuard
         self._tick: asyncio.Task[None] | None = None
@@ -155,6 +159,7 @@
         self._state = kernel.find("state")
         self._fleet = kernel.find("fleet")
         self._targets = kernel.find("targets")
+        self._loads = kernel.find("loads")
         self._boot = self._clock.new_id()
         self._catch_up = _catchup.CatchUp(self._vm, self._zone, kernel)
         self._guard = pauses.PauseGuard(_PAUSE_SECONDS, self._clock.now())
@@ -265,12 +270,15 @@
         kept = self._kept.get((fence.block, vm.id)) if fence else None
         if fence is not None and not self._may_send(kept):
             return result.Err(errors.Failure(errors.ErrorKind.WRONG_FENCE))
-        if kept is None or not isinstance(kept.state, gates.GatedTarget):
+        if fence is None or kept is None:
             return await self._targets.send(vm, request, fence)
-        assert fence is not None
-        return await _gating.send(
-            self._targets, vm, request, fence, kept.state, kept.wake.set
-        )
+        if isinstance(kept.state, gates.GatedTarget):
+            work = _gating.send(
+                self._targets, vm, request, fence, kept.state, kept.wake.set
+            )
+        else:
+            work = self._targets.send(vm, request, fence)
+        return await self._loads.measure(fence, work)
 
     def _may_send(self, kept: _Kept | None) -> bool:
         return kept is not None and self._guard.is_open(self._clock.now())
@@ -311,8 +319,18 @@
     async def _look(self) -> None:
         while True:
             self._guard.is_open(self._clock.now())
+            self._loads.set_heard(self._heard())
             await asyncio.sleep(_PAUSE_SECONDS / 5)
 
+    def _heard(self) -> dict[str, tuple[str, ...]]:
+        """Returns by service the kept targets that answer."""
+        now = self._clock.now()
+        heard: dict[str, set[str]] = {}
+        for (at, target), kept in self._kept.items():
+            if not _is_unheard(kept.state, now):
+                heard.setdefault(at.service, set()).add(target)
+        return {name: tuple(sorted(vms)) for name, vms in heard.items()}
+
     async def _awake(self) -> None:
         """Returns once this VM may speak as a keeper."""
         if self._guard.is_open(self._clock.now()):
--- /dev/null
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_loads.py
@@ -0,0 +1,165 @@
+"""The loads service: what each slice costs, reported to whoever plans."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import Any
+
+import result
+
+from mimosastile_core import errors
+from mimosastile_core import holder
+from mimosastile_core import loads
+from mimosastile_core import messages
+from mimosastile_core import placement
+from mimosastile_entry import _fleet
+from mimosastile_entry import _inbox
+from mimosastile_entry import _membership
+from mimosastile_entry import _propagation
+from mimosastile_entry import _state
+from mimosastile_entry import kernel
+from mimosastile_entry import ports
+
+_PREFIX = "loads:"
+_REPORT_SECONDS = 2.0
+_CALL_SECONDS = 0.5
+_SLICES_PER_TARGET = 8
+
+Outcome = result.Result[ports.Response, errors.Failure]
+
+
+class LoadsService:
+    """Counts slot-seconds by slice and collects the counts of all keepers."""
+
+    __slots__ = (
+        "_boards",
+        "_bytes",
+        "_clock",
+        "_counters",
+        "_fleet",
+        "_heard",
+        "_membership",
+        "_peers",
+        "_sent",
+        "_state",
+        "_task",
+        "_vm",
+        "name",
+        "needs",
+    )
+
+    def __init__(self, vm: str) -> None:
+        """Makes the service.
+
+        Args:
+            vm: Identifier of this VM.
+        """
+        self.name = "loads"
+        self.needs: tuple[str, ...] = (
+            "state",
+            "fleet",
+            "membership",
+            "peers",
+            "inbox",
+            "clock",
+        )
+        self._vm = vm
+        self._counters: dict[str, loads.Counter] = {}
+        self._boards: dict[str, loads.Board] = {}
+        self._heard: dict[str, tuple[str, ...]] = {}
+        self._sent = 0
+        self._bytes = 0
+        self._task: asyncio.Task[None] | None = None
+        self._state: _state.StateService
+        self._fleet: _fleet.FleetService
+        self._membership: _membership.MembershipService
+        self._peers: ports.PeerPort
+        self._clock: ports.ClockPort
+
+    async def start(self, kernel: kernel.Kernel) -> None:
+        """Begins to report."""
+        self._state = kernel.find("state")
+        self._fleet = kernel.find("fleet")
+        self._membership = kernel.find("membership")
+        self._peers = kernel.find("peers")
+        self._clock = kernel.find("clock")
+        inbox: _inbox.InboxService = kernel.find("inbox")
+        inbox.handle(messages.LoadReport, self._take)
+        self._task = asyncio.create_task(
+            _propagation.repeat(self._report, _PREFIX), name="loads"
+        )
+
+    async def stop(self) -> None:
+        """Ends the reports."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns what reporting costs and what was reported."""
+        return {
+            "reports_sent": self._sent,
+            "bytes_sent": self._bytes,
+            "slices_known": {
+                name: len(board.loads) for name, board in self._boards.items()
+            },
+        }
+
+    def board(self, service: str) -> loads.Board:
+        """Returns the reports about a service."""
+        return self._boards.setdefault(service, loads.Board())
+
+    def set_heard(self, heard: dict[str, tuple[str, ...]]) -> None:
+        """Sets by service the targets that this VM keeps and hears."""
+        self._heard = heard
+
+    async def measure(
+        self, fence: holder.RequestFence, work: Awaitable[Outcome]
+    ) -> Outcome:
+        """Runs a request and counts how long it held its slot."""
+        began = self._clock.now()
+        outcome = await work
+        counter = self._counters.setdefault(
+            fence.block.service, loads.Counter()
+        )
+
+        async def note() -> None:
+            counter.note(fence.position, self._clock.now() - began)
+
+        if isinstance(outcome, result.Ok):
+            outcome.ok_value.on_close(note)
+        else:
+            await note()
+        return outcome
+
+    async def _report(self) -> None:
+        wait = _REPORT_SECONDS * (0.75 + self._clock.random() / 2)
+        await asyncio.sleep(wait)
+        for service in self._state.replica.config.document.services:
+            heard = self._heard.get(service, ())
+            table = self._state.replica.table(service)
+            if not heard or table is None:
+                continue
+            counter = self._counters.setdefault(service, loads.Counter())
+            report = messages.LoadReport(
+                self._vm,
+                service,
+                counter.take(table, wait, _SLICES_PER_TARGET * len(heard)),
+                heard,
+            )
+            await self._send(report)
+
+    async def _send(self, report: messages.LoadReport) -> None:
+        planner = placement.usual_planner(
+            report.service, self._membership.alive()
+        )
+        if planner == self._vm:
+            self._take(report)
+            return
+        listed = self._fleet.fleet.entries.get(planner)
+        if listed is not None:
+            self._sent += 1
+            self._bytes += len(messages.encode(report))
+            await self._peers.call(listed, report, _CALL_SECONDS)
+
+    def _take(self, report: messages.LoadReport) -> messages.Ack:
+        self.board(report.service).take(report, self._clock.now())
+        return messages.Ack(self._vm)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 from typing import Any
 
 from absl import logging
@@ -68,6 +69,7 @@
         "_task",
         "_tasks",
         "_vm",
+        "_wake",
         "_zone",
         "name",
         "needs",
@@ -91,6 +93,7 @@
         self._sent = Traffic()
         self._received = Traffic()
         self._started_at = 0.0
+        self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._fleet: _fleet.FleetService
         self._peers: ports.PeerPort
@@ -191,6 +194,8 @@
             self._clock.now(),
             self._is_near(message.vm),
         )
+        if not self._detector.suspected.issuperset(message.suspected):
+            self._wake.set()
 
     async def _exchange(self) -> None:
         while True:
@@ -201,7 +206,11 @@
             for vm in sorted(receivers):
                 self._send(vm)
             now = self._clock.now()
-            await asyncio.sleep(self._detector.next_due(now) - now)
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._wake.wait(), self._detector.next_due(now) - now
+                )
 
     def _others(self) -> set[str]:
         return set(self._fleet.fleet.live_entries(self._zone)) - {self._vm}
--- a/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
@@ -3,22 +3,35 @@
 import asyncio
 from typing import Any
 
+from mimosastile_core import balance_plan
 from mimosastile_core import config
 from mimosastile_core import moves
 from mimosastile_core import placement
+from mimosastile_core import splits
 from mimosastile_core import tables
 from mimosastile_entry import _fleet
+from mimosastile_entry import _loads
+from mimosastile_entry import _membership
 from mimosastile_entry import _state
 from mimosastile_entry import kernel
+from mimosastile_entry import ports
 
 _TICK_SECONDS = 0.1
+_BALANCE_SECONDS = 2.0
+_PATIENCE_SECONDS = 3.0
 
 
 class PlannerService:
     """Looks at tables and fleet at an interval and proposes changes."""
 
     __slots__ = (
+        "_balance_at",
+        "_clock",
+        "_cold_since",
+        "_empty_since",
         "_fleet",
+        "_loads",
+        "_membership",
         "_planned",
         "_state",
         "_task",
@@ -34,9 +47,21 @@
             vm: Identifier of this VM.
         """
         self.name = "planner"
-        self.needs: tuple[str, ...] = ("state", "fleet")
+        self.needs: tuple[str, ...] = (
+            "state",
+            "fleet",
+            "membership",
+            "loads",
+            "clock",
+        )
         self._vm = vm
         self._planned = 0
+        self._balance_at: dict[str, float] = {}
+        self._cold_since: dict[str, float] = {}
+        self._empty_since: dict[tables.BlockId, float] = {}
+        self._membership: _membership.MembershipService
+        self._loads: _loads.LoadsService
+        self._clock: ports.ClockPort
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
         self._task: asyncio.Task[None] | None = None
@@ -45,6 +70,9 @@
         """Begins to plan."""
         self._state = kernel.find("state")
         self._fleet = kernel.find("fleet")
+        self._membership = kernel.find("membership")
+        self._loads = kernel.find("loads")
+        self._clock = kernel.find("clock")
         self._task = asyncio.create_task(self._plan(), name="planner")
 
     async def stop(self) -> None:
@@ -64,15 +92,107 @@
             await asyncio.sleep(_TICK_SECONDS)
 
     async def _plan_service(self, name: str, service: config.Service) -> None:
-        entries = self._fleet.fleet.live_entries()
-        usual = placement.usual_planner(name, entries) == self._vm
+        usual = placement.usual_planner(name, self._membership.alive())
+        if usual != self._vm:
+            return
         table = self._state.replica.table(name)
         blocks = table.blocks if table else {}
-        if usual:
-            await self._create_blocks(name, service, blocks)
+        await self._create_blocks(name, service, blocks)
         for block in list(blocks.values()):
-            if usual and block.slices:
-                await self._place(block)
+            if block.slices and self._is_ready(block):
+                await self._place(block, service.placement)
+        now = self._clock.now()
+        due = self._balance_at.setdefault(name, now + _BALANCE_SECONDS)
+        if now >= due:
+            self._balance_at[name] = now + _BALANCE_SECONDS
+            await self._balance(name, service, list(blocks.values()))
+
+    def _is_ready(self, block: tables.Block) -> bool:
+        """Whether a block's first owners can be named.
+
+        If they were named as soon as the first target has a keeper, that one
+        would get all slices, and most of them would have to move again.
+        """
+        if any(piece.owner for piece in block.slices):
+            return True
+        live = set(self._fleet.fleet.live_targets(block.service))
+        now = self._clock.now()
+        since = self._empty_since.setdefault(block.id, now)
+        return live <= set(block.keepers) or now - since > _PATIENCE_SECONDS
+
+    async def _balance(
+        self,
+        name: str,
+        service: config.Service,
+        blocks: list[tables.Block],
+    ) -> None:
+        """Evens the load out with few moves."""
+        weights = service.placement
+        board = self._loads.board(name)
+        now = self._clock.now()
+        slices = [piece for block in blocks for piece in block.slices]
+        board.fade((piece.first for piece in slices), now)
+        candidates = self._candidates(name, slices, weights)
+        owned = {piece.owner for piece in slices if piece.owner}
+        if not slices or not owned <= {c.id for c in candidates}:
+            # Some owner is leaving, lost or not heard: its slices move first,
+            # and who is to have them is decided elsewhere.
+            return
+        loads = board.loads
+        if balance_plan.is_idle(
+            slices, loads, weights.idle_below * service.slots
+        ):
+            if not balance_plan.is_starved(slices, candidates):
+                return
+            # A new target gets its share by count.
+            loads = {}
+        plan = balance_plan.plan(slices, loads, candidates, weights)
+        for block in blocks:
+            await self._carry_out(block, plan)
+
+    async def _carry_out(
+        self, block: tables.Block, plan: balance_plan.Plan
+    ) -> None:
+        firsts = {piece.first for piece in block.slices}
+        parts = {f: p for f, p in plan.splits.items() if f in firsts}
+        named = {f: t for f, t in plan.moves.items() if f in firsts}
+        if parts:
+            self._planned += 1
+            await self._state.change(block.id, lambda b: splits.split(b, parts))
+        if named:
+            self._planned += 1
+            await self._state.change(
+                block.id, lambda b: moves.start_moves(b, named)
+            )
+
+    def _candidates(
+        self,
+        name: str,
+        slices: list[tables.Slice],
+        weights: config.Placement,
+    ) -> list[balance_plan.Candidate]:
+        now = self._clock.now()
+        heard = self._loads.board(name).heard(now)
+        owning = {piece.owner for piece in slices if piece.owner}
+        live = self._fleet.fleet.live_targets(name)
+        for target in heard & set(live):
+            # Cold is who was first seen without slices; a target that others
+            # have filled before this VM began to plan is warm.
+            if owning and target not in owning:
+                self._cold_since.setdefault(target, now)
+        return [
+            balance_plan.Candidate(
+                vm.id, vm.zone, vm.region, self._capacity(vm.id, weights)
+            )
+            for vm in sorted(live.values(), key=lambda vm: vm.id)
+            if vm.id in heard
+        ]
+
+    def _capacity(self, target: str, weights: config.Placement) -> float:
+        since = self._cold_since.get(target)
+        if since is None:
+            return 1.0
+        return balance_plan.ramp(self._clock.now() - since, weights.ramp)
 
     async def _create_blocks(
         self,
@@ -87,10 +207,28 @@
                 tables.empty_block(name, index, count, service.blocks)
             )
 
-    async def _place(self, block: tables.Block) -> None:
+    async def _place(
+        self, block: tables.Block, weights: config.Placement
+    ) -> None:
+        """Names owners for slices that have none or whose owner leaves."""
         kept = set(block.keepers)
         live = kept & set(self._fleet.fleet.live_targets(block.service))
-        plan = placement.spread(block, live)
+        if all((s.next or s.owner) in live for s in block.slices):
+            return
+        board = self._loads.board(block.service)
+        heard = [
+            candidate
+            for candidate in self._candidates(
+                block.service, list(block.slices), weights
+            )
+            if candidate.id in live
+        ]
+        # Before the first reports nothing is known of load.
+        plan = (
+            balance_plan.rehome(block.slices, board.loads, heard, live)
+            if heard
+            else placement.spread(block, live)
+        )
         if not plan:
             return
         self._planned += 1
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -13,6 +13,7 @@
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
 from mimosastile_entry import _listeners
+from mimosastile_entry import _loads
 from mimosastile_entry import _membership
 from mimosastile_entry import _peers_http
 from mimosastile_entry import _planner
@@ -42,6 +43,7 @@
         _state.StateService(place.id),
         _propagation.PropagationService(place.id, place.zone),
         _digests.DigestService(place.id, place.zone),
+        _loads.LoadsService(place.id),
         _keeper.KeeperService(place.id, place.zone),
         _roles.RolesService(place.id),
         _planner.PlannerService(place.id),
--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -8,6 +8,7 @@
 from absl import logging
 import fire
 
+from mimosastile_standins import _measuring
 from mimosastile_standins import _scenarios
 from mimosastile_standins import demo as demo_module
 from mimosastile_standins import fuzzing
@@ -32,6 +33,28 @@
         with contextlib.suppress(KeyboardInterrupt):
             asyncio.run(demo_module.run(float(seconds), keep))
 
+    def measure(
+        self, only: str = "", out: str = "measurements", plots: bool = False
+    ) -> None:
+        """Measures imbalance, churn and unavailable time with baselines.
+
+        Args:
+            only: `balance`, `outages`, `propagation` or empty for all.
+            out: Folder for the results.
+            plots: Draws them too, if matplotlib is installed.
+        """
+        logging.set_verbosity(logging.ERROR)
+        _measuring.run(only, pathlib.Path(out), plots)
+
+    def slopes(self, out: str = "measurements") -> None:
+        """Measures costs by size on this machine.
+
+        Args:
+            out: Folder for the results.
+        """
+        logging.set_verbosity(logging.ERROR)
+        _measuring.slopes(pathlib.Path(out))
+
     def scenario(
         self, *files: str, seed: int | None = None, trace: bool = False
     ) -> None:
--- /dev/null
+++ b/packages/mimosastile-standins/src/mimosastile_standins/slopes.py
@@ -0,0 +1,368 @@
+"""Costs by size, measured at several sizes, for the page on capacity."""
+
+import gc
+import time
+import tracemalloc
+
+import msgspec
+
+from mimosastile_core import balance_plan
+from mimosastile_core import config
+from mimosastile_core import fleet
+from mimosastile_core import gossip
+from mimosastile_core import grants
+from mimosastile_core import holder
+from mimosastile_core import keys
+from mimosastile_core import messages
+from mimosastile_core import presence
+from mimosastile_core import replica
+from mimosastile_core import tables
+
+_SLICES_PER_TARGET = 8
+_LOOKUPS = 20_000
+_REPEATS = 5
+
+
+class Point(msgspec.Struct, frozen=True):
+    """One measured value.
+
+    Attributes:
+        size: The size that was varied.
+        value: The cost.
+    """
+
+    size: int
+    value: float
+
+
+class Slope(msgspec.Struct, frozen=True):
+    """A cost over sizes, with the straight line through the points.
+
+    Attributes:
+        name: What was measured.
+        unit: Unit of the values.
+        by: What the size counts.
+        points: The measured points.
+        base: Cost at size 0 of the fitted line.
+        slope: Cost of one more.
+    """
+
+    name: str
+    unit: str
+    by: str
+    points: tuple[Point, ...]
+    base: float
+    slope: float
+
+
+def fit(name: str, unit: str, by: str, points: list[Point]) -> Slope:
+    """Returns a slope by least squares."""
+    count = len(points)
+    mean_x = sum(p.size for p in points) / count
+    mean_y = sum(p.value for p in points) / count
+    spread = sum((p.size - mean_x) ** 2 for p in points)
+    common = sum((p.size - mean_x) * (p.value - mean_y) for p in points)
+    slope = common / spread if spread else 0.0
+    return Slope(name, unit, by, tuple(points), mean_y - slope * mean_x, slope)
+
+
+def block_of(targets: int, slices: int) -> tables.Block:
+    """Returns a block with owners and keepers, as in operation."""
+    pieces = tuple(
+        tables.Slice(first, last, f"service-{i % targets}", 1000 + i)
+        for i, (first, last) in enumerate(keys.even_ranges(slices))
+    )
+    named = {
+        f"service-{i}": tables.KeeperRef(
+            f"entry-zone-{i % 11}", f"{i:032x}", 1000 + i
+        )
+        for i in range(targets)
+    }
+    return tables.Block("service", 0, 10_000, pieces, named)
+
+
+def _best(work: object, repeats: int = _REPEATS) -> float:
+    """Returns the least of several processor times, in seconds."""
+    assert callable(work)
+    times = []
+    for _ in range(repeats):
+        began = time.process_time()
+        work()
+        times.append(time.process_time() - began)
+    return min(times)
+
+
+def _sizes(count: int) -> tuple[tables.Block, bytes]:
+    block = block_of(max(1, count // _SLICES_PER_TARGET), count)
+    return block, tables.encode(block)
+
+
+def table_slopes() -> list[Slope]:
+    """Returns costs of a table by its slices."""
+    octets, memory, lookup, encode, decode, index = [], [], [], [], [], []
+    for count in (144, 576, 2304, 4608):
+        block, value = _sizes(count)
+        octets.append(Point(count, len(value)))
+        gc.collect()
+        tracemalloc.start()
+        kept = tables.decode(value).unwrap()
+        table = tables.Table("service", [kept])
+        memory.append(Point(count, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        positions = [keys.key_hash(f"k{i}") for i in range(_LOOKUPS)]
+
+        def look(
+            table: tables.Table = table, positions: list[int] = positions
+        ) -> None:
+            for position in positions:
+                table.locate(position)
+
+        lookup.append(Point(count, _best(look) / _LOOKUPS * 1e6))
+        encode.append(
+            Point(count, _best(lambda b=block: tables.encode(b)) * 1e3)
+        )
+        decode.append(
+            Point(count, _best(lambda v=value: tables.decode(v)) * 1e3)
+        )
+        index.append(
+            Point(
+                count,
+                _best(lambda b=kept: tables.Table("service", [b])) * 1e3,
+            )
+        )
+    by = "slices, 8 a target"
+    return [
+        fit("table size in the store", "bytes", by, octets),
+        fit("table in memory, with its index", "bytes", by, memory),
+        fit("look-up of a key", "us", by, lookup),
+        fit("encoding a block", "ms", by, encode),
+        fit("decoding a block", "ms", by, decode),
+        fit("indexing a block", "ms", by, index),
+    ]
+
+
+def plan_slopes() -> list[Slope]:
+    """Returns the time of a placement plan by targets."""
+    even: list[Point] = []
+    uneven: list[Point] = []
+    for targets in (18, 72, 144, 288):
+        block = block_of(targets, targets * _SLICES_PER_TARGET)
+        candidates = [
+            balance_plan.Candidate(f"service-{i}", f"z{i % 4}", f"r{i % 2}")
+            for i in range(targets)
+        ]
+        for points, skew in ((even, 0.0), (uneven, 1.0)):
+            loads = {
+                piece.first: balance_plan.SliceLoad(
+                    1.0 + skew * (i % targets == 0) * 4
+                )
+                for i, piece in enumerate(block.slices)
+            }
+
+            def work(
+                block: tables.Block = block,
+                loads: dict[int, balance_plan.SliceLoad] = loads,
+                candidates: list[balance_plan.Candidate] = candidates,
+            ) -> None:
+                balance_plan.plan(
+                    block.slices, loads, candidates, config.Placement()
+                )
+
+            points.append(Point(targets, _best(work, 3) * 1e3))
+    return [
+        fit("plan with nothing to do", "ms", "targets", even),
+        fit("plan that evens a target out", "ms", "targets", uneven),
+    ]
+
+
+def _zone(size: int) -> list[fleet.Vm]:
+    return [
+        fleet.Vm(
+            f"entry-zone-a-{i}",
+            fleet.Role.ENTRY,
+            "region",
+            "zone-a",
+            "10.0.0.1",
+            8081,
+        )
+        for i in range(size)
+    ]
+
+
+def presence_slopes() -> list[Slope]:
+    """Returns presence messages and bytes by the VMs of a zone.
+
+    The core's detectors of one VM and its peers run against each other for
+    20 s of their own time; what is counted is what one VM sends.
+    """
+    sent, octets = [], []
+    for size in (3, 11, 100, 622):
+        vms = _zone(size)
+        me = vms[0].id
+        peers = presence.choose_peers(me, "zone-a", vms, frozenset())
+        names = [me, *sorted(peers.near)]
+        detectors = {
+            name: presence.Detector(name, presence.Timing(), 0.0)
+            for name in names
+        }
+        for name in names:
+            own = presence.choose_peers(name, "zone-a", vms, frozenset())
+            known = presence.Peers(own.near & set(names), frozenset())
+            detectors[name].follow(known, names, 0.0)
+        count = _presence_run(me, detectors, 20.0)
+        message = len(messages.encode(messages.Presence(me)))
+        sent.append(Point(size, count / 20.0))
+        octets.append(Point(size, count * message / 20.0))
+    return [
+        fit("presence messages sent by a VM", "1/s", "VMs of a zone", sent),
+        fit("presence bytes sent by a VM", "bytes/s", "VMs of a zone", octets),
+    ]
+
+
+def _presence_run(
+    me: str, detectors: dict[str, presence.Detector], seconds: float
+) -> int:
+    count, now = 0, 0.0
+    while now < seconds:
+        for name, detector in detectors.items():
+            for peer in detector.tick(now).probes:
+                count += me in (name, peer)
+                detectors[peer].heard(name, (), now)
+                detector.heard(peer, (), now)
+        now += 0.005
+    return count
+
+
+def message_slopes() -> list[Slope]:
+    """Returns sizes of the messages that carry state."""
+    digest, delta, pull, listing, report = [], [], [], [], []
+    for count in (144, 576, 2304, 4608):
+        held = replica.Replica()
+        block, _ = _sizes(count)
+        held.offer_blocks((block,))
+        sent = messages.Digest("entry", 7, held.tables_digest(), "r", 3, 0.5)
+        digest.append(Point(count, len(messages.encode(sent))))
+        whole = held.delta("entry", messages.Pull("entry", 0, ()))
+        pushed = messages.Push("entry", whole)
+        delta.append(Point(count, len(messages.encode(pushed))))
+    for blocks in (1, 8, 64, 256):
+        held = replica.Replica()
+        held.offer_blocks(
+            tuple(
+                msgspec.structs.replace(block_of(1, 1), index=i)
+                for i in range(blocks)
+            )
+        )
+        asked = held.pull("entry")
+        pull.append(Point(blocks, len(messages.encode(asked))))
+    for size in (47, 200, 800, 3200):
+        told = messages.Listing("e", "e/r", 1, 0.5, tuple(_zone(size)), ())
+        listing.append(Point(size, len(messages.encode(told))))
+    for targets in (2, 6, 18, 54):
+        names = tuple(f"service-{i}" for i in range(targets))
+        slices = tuple(
+            messages.SliceReport(i << 50, 0.125, i << 50, 0.0625)
+            for i in range(targets * _SLICES_PER_TARGET)
+        )
+        summed = messages.LoadReport("entry", "service", slices, names)
+        report.append(Point(targets, len(messages.encode(summed))))
+    return [
+        fit("digest", "bytes", "slices", digest),
+        fit("delta of one block", "bytes", "slices", delta),
+        fit("pull", "bytes", "blocks", pull),
+        fit("list of VMs", "bytes", "VMs", listing),
+        fit("load report", "bytes", "kept targets", report),
+    ]
+
+
+def keeper_slopes() -> list[Slope]:
+    """Returns what a keeper's renewals cost by targets, transport excluded."""
+    timing = grants.Timing()
+    cpu, octets = [], []
+    for targets in (5, 20, 80, 320):
+        block = tables.BlockId("service", 0)
+        pairs = [
+            (
+                grants.KeptTarget(block, f"t{i}", 1, timing, 0.0, True),
+                holder.Holder(f"run-{i}"),
+            )
+            for i in range(targets)
+        ]
+        for kept, held in pairs:
+            kept.want((grants.HeldSlice(0, 9, 1),))
+            for at in (0.1, 0.2):
+                sent = kept.message()
+                kept.answered(sent, held.receive(sent, at), at)
+        size = 0
+        for kept, held in pairs:
+            renewal = kept.message()
+            answer = held.receive(renewal, 0.3)
+            size += len(msgspec.json.encode(renewal))
+            size += len(msgspec.json.encode(answer))
+
+        def work(
+            pairs: list[tuple[grants.KeptTarget, holder.Holder]] = pairs,
+        ) -> None:
+            for kept, held in pairs:
+                renewal = kept.message()
+                msgspec.json.encode(renewal)
+                reply = held.receive(renewal, 0.3)
+                msgspec.json.decode(
+                    msgspec.json.encode(reply), type=grants.GrantReply
+                )
+                kept.answered(renewal, reply, 0.3)
+
+        cpu.append(Point(targets, _best(work) / timing.renew * 1e3))
+        octets.append(Point(targets, size / timing.renew))
+    return [
+        fit("keeper renewals, processor", "ms/s", "kept targets", cpu),
+        fit("keeper renewals, both ways", "bytes/s", "kept targets", octets),
+    ]
+
+
+def spread_slopes() -> list[Slope]:
+    """Returns how far and how often a change is told within a zone."""
+    hops, copies = [], []
+    for size in (3, 11, 100, 622):
+        members = [f"e{i}" for i in range(size)]
+        level, count, sends = ["e0"], 0, 0
+        while True:
+            level = [
+                child
+                for vm in level
+                for child in gossip.children("e0", vm, members)
+            ]
+            if not level:
+                break
+            count += 1
+            sends += len(level)
+        hops.append(Point(size, count))
+        copies.append(Point(size, sends / size))
+    return [
+        fit("hops of a change", "hops", "VMs of a zone", hops),
+        fit("pushes sent by a VM", "1/change", "VMs of a zone", copies),
+    ]
+
+
+def all_slopes() -> list[Slope]:
+    """Measures everything that needs no running deployment."""
+    return [
+        *table_slopes(),
+        *plan_slopes(),
+        *presence_slopes(),
+        *message_slopes(),
+        *keeper_slopes(),
+        *spread_slopes(),
+    ]
+
+
+def table(found: list[Slope]) -> str:
+    """Returns slopes as text for people."""
+    lines = []
+    for slope in found:
+        points = ", ".join(f"{p.size}: {p.value:.4g}" for p in slope.points)
+        lines.append(
+            f"{slope.name} [{slope.unit}] by {slope.by}: {points};"
+            f" {slope.base:.4g} + {slope.slope:.4g} each"
+        )
+    return "\n".join(lines)
--- a/tests/entry/test_keeper.py
+++ b/tests/entry/test_keeper.py
@@ -31,6 +31,19 @@
     return losses.served_by(body) if status == 200 else status
 
 
+class _Nobody:
+    """Suspects nobody, so that no other VM takes a role over."""
+
+    def suspects(self, vm):
+        del vm
+        return False
+
+
+def _keep_roles(made):
+    for daemon in made.daemons.values():
+        daemon.find("roles")._membership = _Nobody()
+
+
 def _others(made, vm):
     return {*made.daemons, *made.targets, "store", "fleet"} - {vm}
 
@@ -147,6 +160,7 @@
         """It can ask neither the store nor a peer, so it keeps silent."""
 
         async def story(made, target):
+            _keep_roles(made)
             keeper = losses.keeper_of(made, target)
             made.network.cut({keeper}, _others(made, keeper) - {target})
             made.targets[target].restart()
@@ -181,6 +195,7 @@
         """With neither store nor peers it stays silent."""
 
         async def story(made, target):
+            _keep_roles(made)
             keeper = losses.keeper_of(made, target)
             process = made.process(keeper)
             process.pause()
--- a/tests/entry/test_roles.py
+++ b/tests/entry/test_roles.py
@@ -233,7 +233,9 @@
 
         async def fault(made, target):
             for daemon in made.daemons.values():
-                daemon.find("state")._task.cancel()
+                for name in ("propagation", "digests"):
+                    for task in daemon.find(name)._tasks:
+                        task.cancel()
             made.targets[target].crash()
             await virtual.pause(1.5)
             answers = [
