--- a/packages/mimosastile-core/src/mimosastile_core/balance_plan.py
+++ b/packages/mimosastile-core/src/mimosastile_core/balance_plan.py
@@ -300,15 +300,19 @@
 ) -> dict[int, str]:
     moves: dict[int, str] = {}
     slices_in_all = max(1, sum(map(len, sheet.by_target.values())))
-    while len(moves) < budget:
-        donor = max(sheet.by_target, key=lambda t: (sheet.fill(t), t))
+    # A target whose one hot key fills it can give nothing away. It must not
+    # end the plan, or a new target would stay empty beside it.
+    donors = set(sheet.by_target)
+    while len(moves) < budget and donors:
+        donor = max(donors, key=lambda t: (sheet.fill(t), t))
         receiver = min(sheet.by_target, key=lambda t: (sheet.fill(t), t))
         enough = sheet.fill(donor) <= 1 + weights.end_below
         if enough and sheet.fill(receiver) >= _STARVED:
             break
         chosen = _best(sheet, donor, receiver, taken | set(moves))
         if chosen is None:
-            break
+            donors.discard(donor)
+            continue
         gain = _gain(sheet, chosen, donor, receiver) * weights.imbalance
         share = sheet.load[chosen.first] / max(sheet.total, 1e-12)
         cost = weights.churn / slices_in_all + weights.unavailable * share
--- a/tests/core/test_balance_plan.py
+++ b/tests/core/test_balance_plan.py
@@ -147,6 +147,15 @@
         made = balance_plan.plan(slices, loads, _candidates("a", "b"), WEIGHTS)
         assert made.splits[piece.first] == (piece.first, hot, hot + 1)
 
+    def test_new_target_gets_a_share_beside_it(self):
+        """The target that the key fills gives nothing and stops nothing."""
+        slices = _slices(["a"] + ["b"] * 8 + ["c"] * 8)
+        loads = _loads(slices, [50.0] + [1.0] * 16)
+        names = _candidates("a", "b", "c", "fresh")
+        made = balance_plan.plan(slices, loads, names, WEIGHTS)
+        assert set(made.moves.values()) == {"fresh"}
+        assert slices[0].first not in made.moves
+
     def test_slice_without_a_hot_key_is_halved(self):
         """So that one half can move."""
         slices = _slices(["a", "b"] * 2)
