--- a/packages/mimosastile-core/src/mimosastile_core/balance_plan.py
+++ b/packages/mimosastile-core/src/mimosastile_core/balance_plan.py
@@ -98,26 +98,26 @@
     slices: Sequence[tables.Slice],
     loads: Mapping[int, SliceLoad],
     candidates: Sequence[Candidate],
-    staying: Collection[str],
+    homeless: Collection[int],
 ) -> dict[int, str]:
-    """Plans owners for slices whose owner does not stay, by load.
+    """Plans owners for slices that need another one, by load.
 
     Args:
         slices: All slices of a service.
         loads: First hash of a slice to its load, as far as known.
         candidates: Targets that may get slices.
-        staying: Owners that keep theirs. One that is cut off stays, although
-            nobody here hears it and it can get nothing more.
+        homeless: First hashes of the slices that need another owner.
 
     Returns:
         First hash of a slice to its new target.
     """
     if not candidates:
         return {}
-    known = {c.id for c in candidates}
-    kept = set(staying) - known
-    concerned = [s for s in slices if (s.next or s.owner) not in kept]
-    return _homeless(concerned, _Sheet(concerned, loads, candidates))
+    settled = [s for s in slices if s.first not in homeless]
+    lost = [s for s in slices if s.first in homeless]
+    sheet = _Sheet(settled, loads, candidates)
+    sheet.load |= _Sheet(lost, loads, candidates).load
+    return _assign(lost, sheet)
 
 
 def is_idle(
@@ -241,8 +241,13 @@
 
 
 def _homeless(slices: Sequence[tables.Slice], sheet: _Sheet) -> dict[int, str]:
-    """Gives slices of no candidate to the emptiest targets, largest first."""
+    """Gives slices of no candidate to the emptiest targets."""
     lost = [s for s in slices if (s.next or s.owner) not in sheet.by_target]
+    return _assign(lost, sheet)
+
+
+def _assign(lost: list[tables.Slice], sheet: _Sheet) -> dict[int, str]:
+    """Gives slices to the emptiest targets, largest first."""
     moves: dict[int, str] = {}
     for piece in sorted(lost, key=lambda s: (-sheet.load[s.first], s.first)):
         receiver = min(sheet.by_target, key=lambda t: (sheet.fill(t), t))
--- a/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
@@ -1,17 +1,22 @@
 """The callers' side and the forwarding side as raw ASGI applications."""
 
-from collections.abc import AsyncIterator
+import abc
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import MutableMapping
-import contextlib
 from typing import Any
 
 from absl import logging
 import result
 
 from mimosastile_core import errors
+from mimosastile_entry import _calls
+from mimosastile_entry import _credentials
+from mimosastile_entry import _heads
+from mimosastile_entry import _protocol
 from mimosastile_entry import _router
+from mimosastile_entry import _uploads
 from mimosastile_entry import _wire
 from mimosastile_entry import ports
 from mimosastile_entry import settings
@@ -20,17 +25,15 @@
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 App = Callable[[Scope, Receive, Send], Awaitable[None]]
+Read = result.Result[ports.Request, errors.Failure]
 
 _PREFIX = "callers:"
-_DEADLINE_HEADER = "x-request-timeout-ms"
+_NO_TEXT = "A header is not UTF-8."
+_CLOSE = (b"connection", b"close")
 
 
-class CallerGoneError(Exception):
-    """The caller closed its connection before the request was whole."""
-
-
-class CallersApp:
-    """Takes callers' requests: credential, limits, then the router."""
+class _ForwardingApp(abc.ABC):
+    """Base of both sides: reads a request, has it routed, passes it on."""
 
     __slots__ = ("_clock", "_limits", "_router", "_stopping")
 
@@ -46,163 +49,190 @@
         self._stopping = False
 
     def begin_stop(self) -> None:
-        """Turns the health answer bad so that the balancer looks away."""
+        """Asks callers, with each answer, to open another connection."""
         self._stopping = True
 
+    @abc.abstractmethod
+    def _request(self, scope: Scope, head: _heads.Head) -> Read:
+        """Returns the request that a head describes, or why it is refused."""
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        work = _protocol.begin(scope)
+        head = _heads.Head(scope["headers"])
+        upload = _uploads.Upload(head, receive, self._limits)
+        try:
+            response = await self._answer(self._request(scope, head), upload)
+            await self._pass_on(response, send, work, upload)
+        except asyncio.CancelledError:
+            logging.debug("%s a caller left.", _PREFIX)
+
+    async def _answer(
+        self, head: Read, upload: _uploads.Upload
+    ) -> ports.Response:
+        read = head
+        if not upload.complete and isinstance(head, result.Ok):
+            read = await upload.read(head.ok_value)
+        if isinstance(read, result.Err):
+            return _calls.refuse(read.err_value, self._clock.new_id())
+        request = read.ok_value
+        try:
+            return await self._router.handle(request)
+        except Exception:
+            logging.exception("%s %s failed.", _PREFIX, request.request_id)
+            failure = errors.Failure(errors.ErrorKind.INTERNAL)
+            return _calls.refuse(failure, request.request_id)
+
+    async def _pass_on(
+        self,
+        response: ports.Response,
+        send: Send,
+        work: _protocol.Work,
+        upload: _uploads.Upload,
+    ) -> None:
+        """Sends an answer; one that breaks off is passed on as broken."""
+        headers = [(n.encode(), _encoded(v)) for n, v in response.headers]
+        if self._stopping:
+            headers.append(_CLOSE)
+        try:
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": response.status,
+                    "headers": headers,
+                }
+            )
+            left = _length(response)
+            ended = False
+            async for chunk in response.body:
+                left -= len(chunk)
+                # With its last byte a body of declared length is whole, and
+                # need not be ended by a message of its own.
+                ended = not left and upload.complete
+                await send(
+                    {
+                        "type": "http.response.body",
+                        "body": chunk,
+                        "more_body": not ended,
+                    }
+                )
+            if not upload.complete:
+                await response.close()
+                await upload.linger(closing=self._stopping)
+            if not ended:
+                await send({"type": "http.response.body", "body": b""})
+        except (ports.BrokenAnswerError, TimeoutError, RuntimeError) as error:
+            # Returning without the last chunk makes the server cut the
+            # connection, so the caller sees a broken answer, never a short
+            # one.
+            logging.warning("%s an answer broke off: %s.", _PREFIX, error)
+        finally:
+            # What follows must run to its end also if the caller leaves now.
+            work.task = None
+            await response.close()
+
+
+class CallersApp(_ForwardingApp):
+    """Takes callers' requests: limits, credential, then the router."""
+
+    __slots__ = ("_credentials",)
+
+    def __init__(
+        self,
+        router: _router.RouterService,
+        clock: ports.ClockPort,
+        limits: settings.LimitSettings,
+        credentials: _credentials.Credentials,
+    ) -> None:
+        super().__init__(router, clock, limits)
+        self._credentials = credentials
+
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Serves one request."""
-        if scope["type"] != "http":
-            return
         if scope["path"] == "/-/health":
             await _send_health(send, ok=not self._stopping)
             return
-        request = await self._read(scope, receive)
-        if isinstance(request, result.Ok):
-            response = await self._router.handle(request.ok_value)
-        else:
-            response = _router.refuse(request.err_value, self._clock.new_id())
-        await _pass_on(response, send)
-
-    async def _read(
-        self, scope: Scope, receive: Receive
-    ) -> result.Result[ports.Request, errors.Failure]:
-        headers = _headers(scope)
-        size = sum(len(n) + len(v) for n, v in headers)
-        if size > self._limits.header_bytes:
-            return result.Err(
-                errors.Failure(errors.ErrorKind.HEADERS_TOO_LARGE)
-            )
-        named = dict(headers)
-        member = self._router.member_of(named.get("authorization", ""))
+        await self._serve(scope, receive, send)
+
+    def _request(self, scope: Scope, head: _heads.Head) -> Read:
+        path, query = scope["raw_path"], scope["query_string"]
+        failure = _heads.too_large(path, query, head, self._limits)
+        if failure is not None:
+            return result.Err(failure)
+        member = self._credentials.member_of(head.authorization)
         if member is None:
-            return result.Err(errors.Failure(errors.ErrorKind.UNAUTHENTICATED))
-        request = _request(scope, headers)
-        request.request_id = self._clock.new_id()
+            return _failed(errors.ErrorKind.UNAUTHENTICATED)
+        problem = _heads.path_problem(path)
+        if problem:
+            return _failed(errors.ErrorKind.BAD_REQUEST, problem)
+        if head.length > self._limits.body_bytes:
+            return _failed(errors.ErrorKind.BODY_TOO_LARGE)
+        request = _request(scope, head)
+        if request is None:
+            return _failed(errors.ErrorKind.BAD_REQUEST, _NO_TEXT)
         request.member = member
-        wait = named.get(_DEADLINE_HEADER, "")
-        if wait.isdecimal():
-            request.deadline = self._clock.now() + int(wait) / 1000
-        return await _read_body(request, receive, self._limits)
+        request.request_id = self._clock.new_id()
+        wait = _heads.milliseconds(head.deadline)
+        if wait is not None:
+            request.deadline = self._clock.now() + wait / 1000
+        return result.Ok(request)
 
 
-class ForwardApp:
+class ForwardApp(_ForwardingApp):
     """Takes requests that a peer forwards to the keeper of their target."""
 
-    __slots__ = ("_clock", "_limits", "_router")
-
-    def __init__(
-        self,
-        router: _router.RouterService,
-        clock: ports.ClockPort,
-        limits: settings.LimitSettings,
-    ) -> None:
-        self._router = router
-        self._clock = clock
-        self._limits = limits
+    __slots__ = ()
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Serves one forwarded request."""
-        headers = _headers(scope)
-        named = dict(headers)
-        request = _request(scope, headers)
+        await self._serve(scope, receive, send)
+
+    def _request(self, scope: Scope, head: _heads.Head) -> Read:
+        named = {name.decode("ascii"): v for name, v in scope["headers"]}
+        left = _heads.milliseconds(named.get(_wire.DEADLINE_MS, b""))
+        request = _request(scope, head)
+        if left is None or request is None:
+            return _failed(errors.ErrorKind.BAD_REQUEST)
         request.path = request.path.removeprefix(_wire.FORWARD_PATH)
         request.forwarded = True
-        request.member = named.get(_wire.MEMBER, "")
-        request.request_id = named.get(_wire.REQUEST_ID, "")
-        request.target = named.get(_wire.TARGET, "")
-        left = int(named.get(_wire.DEADLINE_MS, "0")) / 1000
-        request.deadline = self._clock.now() + left
-        read = await _read_body(request, receive, self._limits)
-        if isinstance(read, result.Ok):
-            response = await self._router.handle(read.ok_value)
-        else:
-            response = _router.refuse(read.err_value, request.request_id)
-        await _pass_on(response, send)
-
-
-def _headers(scope: Scope) -> list[tuple[str, str]]:
-    return [
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in scope["headers"]
-    ]
-
-
-def _request(scope: Scope, headers: list[tuple[str, str]]) -> ports.Request:
+        request.member = _text(named, _wire.MEMBER)
+        request.request_id = _text(named, _wire.REQUEST_ID)
+        request.target = _text(named, _wire.TARGET)
+        request.origin = _text(named, _wire.ORIGIN)
+        request.deadline = self._clock.now() + left / 1000
+        return result.Ok(request)
+
+
+def _text(named: dict[str, bytes], name: str) -> str:
+    return named.get(name, b"").decode("ascii", "replace")
+
+
+def _request(scope: Scope, head: _heads.Head) -> ports.Request | None:
+    if head.headers is None:
+        return None
     return ports.Request(
-        method=scope["method"],
-        path=scope["raw_path"].decode("ascii", "replace"),
-        query=scope["query_string"].decode("latin-1"),
-        headers=_wire.end_to_end(headers),
+        scope["method"],
+        scope["raw_path"].decode("ascii", "replace"),
+        scope["query_string"].decode("latin-1"),
+        head.headers,
     )
 
 
-async def _read_body(
-    request: ports.Request, receive: Receive, limits: settings.LimitSettings
-) -> result.Result[ports.Request, errors.Failure]:
-    """Holds a small body whole and leaves the rest of a large one to stream."""
-    chunks = []
-    size = 0
-    while size <= limits.replay_bytes:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            return result.Err(errors.Failure(errors.ErrorKind.CANCELLED))
-        chunks.append(message.get("body", b""))
-        size += len(chunks[-1])
-        if not message.get("more_body", False):
-            request.body = b"".join(chunks)
-            return result.Ok(request)
-    request.body = b"".join(chunks)
-    request.stream = _rest(receive, limits.body_bytes - size)
-    return result.Ok(request)
-
-
-async def _rest(receive: Receive, allowed: int) -> AsyncIterator[bytes]:
-    more = True
-    while more:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerGoneError
-        chunk = message.get("body", b"")
-        allowed -= len(chunk)
-        if allowed < 0:
-            raise CallerGoneError("body too large")
-        more = message.get("more_body", False)
-        yield chunk
-
-
-async def _pass_on(response: ports.Response, send: Send) -> None:
-    """Sends an answer; one that breaks off is passed on as broken."""
-    try:
-        await send(
-            {
-                "type": "http.response.start",
-                "status": response.status,
-                "headers": [
-                    (n.encode("latin-1"), v.encode("latin-1"))
-                    for n, v in response.headers
-                ],
-            }
-        )
-        async for chunk in response.body:
-            await send(
-                {
-                    "type": "http.response.body",
-                    "body": chunk,
-                    "more_body": True,
-                }
-            )
-        await send({"type": "http.response.body", "body": b""})
-    except ports.BrokenAnswerError as error:
-        # Returning without the last chunk makes the server cut the
-        # connection, so the caller sees a broken answer, never a short one.
-        logging.warning("%s an answer broke off: %s.", _PREFIX, error)
-    finally:
-        with contextlib.suppress(Exception):
-            await response.close()
+def _length(response: ports.Response) -> int:
+    """Returns the declared length, -1 if none is."""
+    for name, value in response.headers:
+        if name == "content-length":
+            return int(value) if value.isdecimal() else -1
+    return -1
+
+
+def _encoded(value: str) -> bytes:
+    # The client library reads header bytes in this way, so that any bytes of
+    # a target, a file name in UTF-8 for one, reach the caller unchanged.
+    return value.encode("utf-8", "surrogateescape")
 
 
 async def _send_health(send: Send, *, ok: bool) -> None:
@@ -211,7 +241,16 @@
         {
             "type": "http.response.start",
             "status": 200 if ok else 503,
-            "headers": [(b"content-type", b"text/plain")],
+            "headers": [
+                (b"content-type", b"text/plain"),
+                (b"content-length", str(len(body)).encode()),
+            ],
         }
     )
     await send({"type": "http.response.body", "body": body})
+
+
+def _failed(
+    kind: errors.ErrorKind, detail: str = ""
+) -> result.Err[errors.Failure]:
+    return result.Err(errors.Failure(kind, detail))
--- a/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
@@ -211,25 +211,45 @@
         self, block: tables.Block, weights: config.Placement
     ) -> None:
         """Names owners for slices that have none or whose owner leaves."""
-        kept = set(block.keepers)
-        live = kept & set(self._fleet.fleet.live_targets(block.service))
-        if all((s.next or s.owner) in live for s in block.slices):
+        live = set(self._fleet.fleet.live_targets(block.service))
+        ready = live & block.reachable()
+        homeless = {
+            piece.first
+            for piece in block.slices
+            if (piece.next or piece.owner) not in ready
+            and not _stays(block, piece.first, live)
+        }
+        if not homeless:
             return
         board = self._loads.board(block.service)
+        slices = list(block.slices)
         heard = [
             candidate
-            for candidate in self._candidates(
-                block.service, list(block.slices), weights
-            )
-            if candidate.id in live
+            for candidate in self._candidates(block.service, slices, weights)
+            if candidate.id in ready
         ]
         # Before the first reports nothing is known of load.
         plan = (
-            balance_plan.rehome(block.slices, board.loads, heard, live)
+            balance_plan.rehome(slices, board.loads, heard, homeless)
             if heard
-            else placement.spread(block, live)
+            else {
+                first: target
+                for first, target in placement.spread(block, ready).items()
+                if first in homeless
+            }
         )
         if not plan:
             return
         self._planned += 1
         await self._state.change(block.id, lambda b: moves.start_moves(b, plan))
+
+
+def _stays(block: tables.Block, first: int, live: set[str]) -> bool:
+    """Whether a slice's owner is to stay although it may not answer now.
+
+    A move away from a silent target waits for its proof of release and takes
+    the key from the target if it answers again meanwhile. If it stays silent,
+    its keeper moves the slice without a plan, as soon as there is a proof.
+    """
+    piece = block.slice_at(first)
+    return piece is not None and piece.owner in live and not piece.next
--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -10,8 +10,10 @@
 
 from mimosastile_standins import _measuring
 from mimosastile_standins import _scenarios
+from mimosastile_standins import bench as bench_module
 from mimosastile_standins import demo as demo_module
 from mimosastile_standins import fuzzing
+from mimosastile_standins import loss_cases
 
 _DEMO_SECONDS = 6.0
 
@@ -55,6 +57,28 @@
         logging.set_verbosity(logging.ERROR)
         _measuring.slopes(pathlib.Path(out))
 
+    def bench(
+        self,
+        role: str,
+        at: str,
+        seconds: float = 0.5,
+        out: str = "measurements",
+    ) -> None:
+        """Runs one role of the cost bench; `make bench` starts all of them.
+
+        Args:
+            role: target, bare, entry or load.
+            at: Directory in which the roles meet; must not exist yet.
+            seconds: How long each round of a cell takes.
+            out: Directory of the results.
+        """
+        logging.set_verbosity(logging.ERROR)
+        asyncio.run(
+            bench_module.run(
+                role, pathlib.Path(at), float(seconds), pathlib.Path(out)
+            )
+        )
+
     def scenario(
         self, *files: str, seed: int | None = None, trace: bool = False
     ) -> None:
@@ -86,6 +110,15 @@
         logging.set_verbosity(logging.ERROR)
         sys.exit(fuzzing.search(first, seeds, examples, pathlib.Path(out)))
 
+    def losses(self, seed: int = 0) -> None:
+        """Measures in virtual time what losses and planned stops cost.
+
+        Args:
+            seed: Seed of identifiers and jitter.
+        """
+        logging.set_verbosity(logging.ERROR)
+        loss_cases.Report(seed).print()
+
 
 if __name__ == "__main__":
     fire.Fire(Commands(), name="mimosastile_standins")
--- a/packages/mimosastile-standins/src/mimosastile_standins/traces.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/traces.py
@@ -146,7 +146,7 @@
             self._block.slices,
             slice_loads(self._block, trace),
             self._candidates(),
-            self._places,
+            {s.first for s in self._block.slices if s.owner == target},
         )
         self._change(moves.start_moves(self._block, plan).unwrap())
         self._finish()
