--- a/packages/mimosastile-standins/src/mimosastile_standins/mutations.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/mutations.py
@@ -44,6 +44,7 @@
         owner: Class or module that holds the guard.
         attribute: Name of the guard.
         replacement: What stands in its place.
+        first: Scenarios that are tried before all others.
     """
 
     name: str
@@ -51,6 +52,7 @@
     owner: Any
     attribute: str
     replacement: Any
+    first: tuple[str, ...] = ()
 
 
 def _check_without_fence(
@@ -160,6 +162,7 @@
         holder.Holder,
         "check",
         _check_without_fence,
+        ("at-most-once", "late-write"),
     ),
     Mutation(
         "no check at the target",
@@ -167,6 +170,7 @@
         holder.Holder,
         "check",
         _check_nothing,
+        ("sole-owner",),
     ),
     Mutation(
         "grants never expire",
@@ -174,6 +178,7 @@
         holder.Holder,
         "check",
         _without_expiry(holder.Holder.check),
+        ("sole-owner",),
     ),
     Mutation(
         "validity from arrival",
@@ -181,6 +186,7 @@
         holder.Holder,
         "_judge",
         _from_arrival(_JUDGE),
+        ("sole-owner", "short-freeze"),
     ),
     Mutation(
         "any keeper is obeyed",
@@ -188,6 +194,7 @@
         holder.Holder,
         "_judge",
         _any_keeper(_JUDGE),
+        ("keeper-paused", "restarted-target-meets-old-keeper", "hidden-keeper"),
     ),
     Mutation(
         "release without acknowledgement",
@@ -195,6 +202,7 @@
         grants.KeptTarget,
         "has_released",
         _released_at_once,
+        ("frozen-while-leaving", "drain-and-crash"),
     ),
     Mutation(
         "lapse too early",
@@ -202,6 +210,7 @@
         grants.KeptTarget,
         "has_lapsed",
         _lapsed_early,
+        ("short-freeze",),
     ),
     Mutation(
         "predecessor taken for silent",
@@ -209,6 +218,7 @@
         grants.KeptTarget,
         "awaits_silence",
         _is_property(False),
+        ("hidden-keeper",),
     ),
     Mutation(
         "new run granted unconfirmed",
@@ -216,6 +226,7 @@
         grants.KeptTarget,
         "confirm",
         lambda self, asked_at: setattr(self, "_confirmed", True),
+        ("restarted-target-meets-old-keeper",),
     ),
     Mutation(
         "gone at once",
@@ -223,6 +234,7 @@
         keeping,
         "is_gone",
         lambda sight, not_before: sight.gone_since is not None,
+        ("list-drops-a-running-target",),
     ),
     Mutation(
         "void proofs accepted",
@@ -230,6 +242,7 @@
         moves,
         "_is_keeper",
         _says(True),
+        ("keeper-sees-only-the-store", "keeper-paused"),
     ),
     Mutation(
         "lost writes forgotten",
@@ -237,6 +250,7 @@
         writes.PendingWrites,
         "withholds",
         _says(False),
+        ("late-write",),
     ),
     Mutation(
         "pause unnoticed",
@@ -244,6 +258,7 @@
         pauses.PauseGuard,
         "is_open",
         _says(True),
+        ("keeper-paused", "paused-keeper-and-restarted-target"),
     ),
     Mutation(
         "configuration goes back",
@@ -251,6 +266,7 @@
         replica.Replica,
         "offer_config",
         _offer_any_config,
+        ("config-forward", "start-without-store"),
     ),
     Mutation(
         "everything is sent again",
@@ -258,6 +274,7 @@
         retries.Attempts,
         "_may_resend",
         _resend_anything,
+        ("at-most-once",),
     ),
     Mutation(
         "no quarantine",
@@ -265,6 +282,7 @@
         quarantine.Memory,
         "held_for",
         _says(0.0),
+        ("deadly-request",),
     ),
     Mutation(
         "leaving ignored",
@@ -272,6 +290,7 @@
         fleet.Fleet,
         "live_targets",
         _all_targets,
+        ("leaving-target",),
     ),
 )
 """One mutation for each safety rule."""
@@ -298,7 +317,8 @@
         examples: Scenarios for each seed.
     """
     with applied(mutation):
-        scenarios = (_found_by_file(path) for path in files)
+        ordered = sorted(files, key=lambda p: p.stem not in mutation.first)
+        scenarios = (_found_by_file(path) for path in ordered)
         searches = (
             _found_by_seed(seed, examples)
             for seed in range(_FIRST_SEED, _FIRST_SEED + seeds)
--- a/packages/mimosastile-standins/src/mimosastile_standins/runner.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/runner.py
@@ -267,6 +267,18 @@
         """VMs that are frozen now."""
         return self._frozen
 
+    def end(self, vm: str) -> None:
+        """Ends a target or a daemon without a word."""
+        if vm in self._world.targets:
+            self._world.targets[vm].crash()
+        elif vm in self._world.daemons:
+            self._world.kill_daemon(vm)
+
+    async def end_later(self, vm: str, seconds: float) -> None:
+        """Ends a target or a daemon after some time."""
+        await asyncio.sleep(seconds)
+        self.end(vm)
+
     def set_load(self, load: scenario.Load) -> None:
         """Changes what callers send."""
         self._load = load
@@ -442,11 +454,7 @@
 
 @_do.register
 async def _(step: scenario.Crash, run: _Run) -> None:
-    vm = run.resolve(step.vm)
-    if vm in run.world.targets:
-        run.world.targets[vm].crash()
-    elif vm in run.world.daemons:
-        run.world.kill_daemon(vm)
+    run.end(run.resolve(step.vm))
 
 
 @_do.register
@@ -479,11 +487,11 @@
 @_do.register
 async def _(step: scenario.Remove, run: _Run) -> None:
     vm = run.resolve(step.vm)
-    if vm in run.world.targets:
-        run.world.targets[vm].crash()
-    elif vm in run.world.daemons:
-        run.world.kill_daemon(vm)
     run.world.fleet.remove(vm)
+    if step.lingers:
+        run.spawn(run.end_later(vm, step.lingers))
+    else:
+        run.end(vm)
 
 
 @_do.register
--- a/packages/mimosastile-standins/src/mimosastile_standins/scenario.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/scenario.py
@@ -97,9 +97,11 @@
 
     Attributes:
         vm: The VM.
+        lingers: Seconds for which it runs on after the list has lost it.
     """
 
     vm: str
+    lingers: Seconds = 0.0
 
 
 class Cut(Step, frozen=True, tag_field="do", tag="cut"):
