Log lines name the request that they were written for

Change: the router notes the request's identifier in a context variable of the serving task; both log formats write it. Figures: tests/entry/test_logs.py passes.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_logs.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_logs.py
@@ -1,5 +1,6 @@
 """How the daemon writes its log: lines for people or JSON for machines."""
 
+import contextvars
 import datetime
 import logging as standard
 import re
@@ -11,6 +12,11 @@
 JSON = "json"
 FORMATS = (TEXT, JSON)
 
+REQUEST_ID: contextvars.ContextVar[str] = contextvars.ContextVar(
+    "request_id", default=""
+)
+"""Identifier of the request that the running task serves, empty for none."""
+
 _PART = re.compile(r"^([a-z_]+): (.*)$", re.DOTALL)
 
 
@@ -22,6 +28,7 @@
         level: How severe.
         part: Which part of the daemon wrote it.
         message: The sentence.
+        request_id: The request that it was written for, the same on all VMs.
         error: Traceback, if there is one.
     """
 
@@ -29,9 +36,20 @@
     level: str
     part: str
     message: str
+    request_id: str = ""
     error: str = ""
 
 
+class TextFormatter(logging.PythonFormatter):
+    """Puts the request's identifier at the end of a line."""
+
+    def format(self, record: standard.LogRecord) -> str:
+        """Returns one line of text."""
+        line: str = super().format(record)
+        request_id = REQUEST_ID.get()
+        return f"{line} [{request_id}]" if request_id else line
+
+
 class JsonFormatter(standard.Formatter):
     """Turns the part's prefix of a line into a field of its own."""
 
@@ -47,6 +65,7 @@
             record.levelname.lower(),
             part,
             message,
+            REQUEST_ID.get(),
             error,
         )
         return msgspec.json.encode(line).decode()
@@ -61,5 +80,5 @@
     """
     logging.set_verbosity(level)
     logging.use_absl_handler()
-    if log_format == JSON:
-        logging.get_absl_handler().setFormatter(JsonFormatter())
+    formatter = JsonFormatter() if log_format == JSON else TextFormatter()
+    logging.get_absl_handler().setFormatter(formatter)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -16,6 +16,7 @@
 from mimosastile_entry import _fleet
 from mimosastile_entry import _keeper
 from mimosastile_entry import _limits
+from mimosastile_entry import _logs
 from mimosastile_entry import _metrics
 from mimosastile_entry import _quarantine
 from mimosastile_entry import _sending
@@ -136,6 +137,7 @@
 
     async def handle(self, request: ports.Request) -> ports.Response:
         """Routes a request and always returns an answer."""
+        _logs.REQUEST_ID.set(request.request_id)
         began = self._clock.now()
         outcome = await self._admit(request)
         if isinstance(outcome, result.Ok):
