--- a/tests/entry/test_configuration.py
+++ b/tests/entry/test_configuration.py
@@ -19,9 +19,21 @@
 
 PLACES = (("kontinent", "zagreb-a"), ("primorje", "split-a"))
 LATE_SECONDS = 0.25
+SPAN = 8
+"""Numbers per block of the history here, so that few patches fill many."""
 _UNKNOWN = result.Err(errors.Failure(errors.ErrorKind.STORE_UNKNOWN))
 
 
+@pytest.fixture(autouse=True, scope="module")
+def _short_blocks():
+    """Blocks and snapshots as in production, only more of them."""
+    with pytest.MonkeyPatch.context() as patched:
+        patched.setattr(history, "SPAN", SPAN)
+        patched.setattr(history, "KEEP_SNAPSHOTS", 2)
+        patched.setattr(history, "THIN", 3)
+        yield
+
+
 class _DiedError(Exception):
     """The VM that submits dies at this point."""
 
@@ -118,12 +130,12 @@
     """Patches one after another."""
 
     def test_numbers_rise_by_one_and_the_trace_is_whole(self):
-        """Over more than two blocks, with every document rebuilt."""
+        """Over nine blocks, with every document rebuilt, thinned ones too."""
 
         async def story():
             made = await _world()
             expected = {0: config.Document()}
-            for number in range(1, 2 * history.SPAN + 8):
+            for number in range(1, 9 * SPAN + 3):
                 done = await _apply(made, "e0", _patch(number, number - 1))
                 assert done.unwrap().number == number
                 expected[number] = _stored(made).document
@@ -131,6 +143,13 @@
             service = made.daemons["e1"].find("configuration")
             for number, document in expected.items():
                 assert (await service.document(number)).unwrap() == document
+            gone = [
+                key
+                for key, entry in made.store.entries.items()
+                if key.startswith("history/snapshot")
+                and entry.value == history.thinned()
+            ]
+            assert len(gone) == 5
 
         virtual.run(story())
 
@@ -347,7 +366,7 @@
     patch is one number then, and every earlier change is still there to read.
     """
 
-    @pytest.mark.parametrize("base", [1, history.SPAN, 2 * history.SPAN])
+    @pytest.mark.parametrize("base", [1, SPAN, 2 * SPAN, 6 * SPAN])
     @pytest.mark.parametrize("fault", ["dies before", "dies after"])
     @pytest.mark.parametrize("write", range(4))
     def test_each_point(self, base, fault, write):
@@ -610,7 +629,7 @@
             await asyncio.gather(
                 *(_operate(made, name, start, told) for name in (1, 2, 3))
             )
-            await virtual.pause(5.0)
+            await virtual.pause(4 * LATE_SECONDS)
             made.store.faults = {}
             base = _stored(made).number if made.store.entries else 0
             await _apply(made, "e0", _patch(9, base))
