--- a/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
@@ -23,6 +23,7 @@
 from mimosastile_entry import _fleet
 from mimosastile_entry import _gating
 from mimosastile_entry import _kept
+from mimosastile_entry import _loads
 from mimosastile_entry import _proving
 from mimosastile_entry import _state
 from mimosastile_entry import kernel
@@ -45,6 +46,7 @@
         "_fleet",
         "_guard",
         "_kept",
+        "_loads",
         "_lock",
         "_outranked",
         "_proving",
@@ -72,6 +74,7 @@
             "fleet_port",
             "targets",
             "clock",
+            "loads",
         )
         self._vm = vm
         self._zone = zone
@@ -84,6 +87,7 @@
         self._fleet: _fleet.FleetService
         self._targets: ports.TargetPort
         self._clock: ports.ClockPort
+        self._loads: _loads.LoadsService
         self._catch_up: _catchup.CatchUp
         self._guard: pauses.PauseGuard
         self._proving: _proving.Proving
@@ -107,6 +111,7 @@
         self._state = kernel.find("state")
         self._fleet = kernel.find("fleet")
         self._targets = kernel.find("targets")
+        self._loads = kernel.find("loads")
         self._boot = self._clock.new_id()
         self._catch_up = _catchup.CatchUp(self._vm, self._zone, kernel)
         self._guard = pauses.PauseGuard(_PAUSE_SECONDS, self._clock.now())
@@ -224,12 +229,15 @@
         kept = self._kept.get((fence.block, vm.id)) if fence else None
         if fence is not None and not self._may_send(kept):
             return result.Err(errors.Failure(errors.ErrorKind.WRONG_FENCE))
-        if kept is None or not isinstance(kept.state, gates.GatedTarget):
+        if fence is None or kept is None:
             return await self._targets.send(vm, request, fence)
-        assert fence is not None
-        return await _gating.send(
-            self._targets, vm, request, fence, kept.state, kept.wake.set
-        )
+        if isinstance(kept.state, gates.GatedTarget):
+            work = _gating.send(
+                self._targets, vm, request, fence, kept.state, kept.wake.set
+            )
+        else:
+            work = self._targets.send(vm, request, fence)
+        return await self._loads.measure(fence, work)
 
     def _may_send(self, kept: _kept.Kept | None) -> bool:
         return kept is not None and self._guard.is_open(self._clock.now())
@@ -270,8 +278,18 @@
     async def _look(self) -> None:
         while True:
             self._guard.is_open(self._clock.now())
+            self._loads.set_heard(self._heard())
             await asyncio.sleep(_PAUSE_SECONDS / 5)
 
+    def _heard(self) -> dict[str, tuple[str, ...]]:
+        """Returns by service the kept targets that answer."""
+        now = self._clock.now()
+        heard: dict[str, set[str]] = {}
+        for (at, target), kept in self._kept.items():
+            if not _kept.is_unheard(kept.state, now):
+                heard.setdefault(at.service, set()).add(target)
+        return {name: tuple(sorted(vms)) for name, vms in heard.items()}
+
     async def _awake(self) -> None:
         """Returns once this VM may speak as a keeper."""
         if self._guard.is_open(self._clock.now()):
