--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -8,11 +8,13 @@
 from absl import logging
 import fire
 
+from mimosastile_standins import _policy_report
 from mimosastile_standins import _scenarios
 from mimosastile_standins import bench as bench_module
 from mimosastile_standins import demo as demo_module
 from mimosastile_standins import fuzzing
 from mimosastile_standins import loss_cases
+from mimosastile_standins import mutations
 
 _DEMO_SECONDS = 6.0
 
@@ -87,6 +89,18 @@
         logging.set_verbosity(logging.ERROR)
         sys.exit(fuzzing.search(first, seeds, examples, pathlib.Path(out)))
 
+    def policy(
+        self, *cases: str, deployment: str = "urednistvo", out: str = ""
+    ) -> None:
+        """Measures policy in virtual time, with baselines.
+
+        Args:
+            *cases: Cases to play, none for all.
+            deployment: Name of the deployment.
+            out: Folder for the results, empty to print only.
+        """
+        _policy_report.report(deployment, cases, out)
+
     def losses(self, seed: int = 0) -> None:
         """Measures in virtual time what losses and planned stops cost.
 
@@ -96,6 +110,25 @@
         logging.set_verbosity(logging.ERROR)
         loss_cases.Report(seed).print()
 
+    def mutations(
+        self,
+        only: str = "",
+        folder: str = "scenarios",
+        seeds: int = 2,
+        examples: int = 40,
+    ) -> None:
+        """Takes one safety rule away at a time and prints what notices.
+
+        Args:
+            only: Part of the names to try, empty for all.
+            folder: Folder of the scenario files.
+            seeds: Seeds of the fuzz for each mutation.
+            examples: Scenarios for each seed.
+        """
+        logging.set_verbosity(logging.FATAL)
+        path = pathlib.Path(folder)
+        sys.exit(mutations.report(only, path, seeds, examples))
+
 
 if __name__ == "__main__":
     fire.Fire(Commands(), name="mimosastile_standins")
