--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -8,12 +8,14 @@
 from absl import logging
 import fire
 
+from mimosastile_standins import _measuring
 from mimosastile_standins import _policy_report
 from mimosastile_standins import _scenarios
 from mimosastile_standins import bench as bench_module
 from mimosastile_standins import demo as demo_module
 from mimosastile_standins import fuzzing
 from mimosastile_standins import loss_cases
+from mimosastile_standins import mutations
 
 _DEMO_SECONDS = 6.0
 
@@ -35,6 +37,28 @@
         with contextlib.suppress(KeyboardInterrupt):
             asyncio.run(demo_module.run(float(seconds), keep))
 
+    def measure(
+        self, only: str = "", out: str = "measurements", plots: bool = False
+    ) -> None:
+        """Measures imbalance, churn and unavailable time with baselines.
+
+        Args:
+            only: `balance`, `outages`, `propagation` or empty for all.
+            out: Folder for the results.
+            plots: Draws them too, if matplotlib is installed.
+        """
+        logging.set_verbosity(logging.ERROR)
+        _measuring.run(only, pathlib.Path(out), plots)
+
+    def slopes(self, out: str = "measurements") -> None:
+        """Measures costs by size on this machine.
+
+        Args:
+            out: Folder for the results.
+        """
+        logging.set_verbosity(logging.ERROR)
+        _measuring.slopes(pathlib.Path(out))
+
     def bench(
         self,
         role: str,
@@ -109,6 +133,25 @@
         logging.set_verbosity(logging.ERROR)
         loss_cases.Report(seed).print()
 
+    def mutations(
+        self,
+        only: str = "",
+        folder: str = "scenarios",
+        seeds: int = 2,
+        examples: int = 40,
+    ) -> None:
+        """Takes one safety rule away at a time and prints what notices.
+
+        Args:
+            only: Part of the names to try, empty for all.
+            folder: Folder of the scenario files.
+            seeds: Seeds of the fuzz for each mutation.
+            examples: Scenarios for each seed.
+        """
+        logging.set_verbosity(logging.FATAL)
+        path = pathlib.Path(folder)
+        sys.exit(mutations.report(only, path, seeds, examples))
+
 
 if __name__ == "__main__":
     fire.Fire(Commands(), name="mimosastile_standins")
