A leaving target gets no work after three seconds, whatever else fails

Excluded: the planner; it proposed the moves as soon as it knew. Change: an owner that has been leaving for more than a second gets no more requests (not run, come back later); a leaving mark is taken from any newer reading without the margin that keeps readings from alternating. Conclusion: with the store down a leaving target's keys are refused; that is what the promise costs.

--- a/packages/mimosastile-core/src/mimosastile_core/fleet.py
+++ b/packages/mimosastile-core/src/mimosastile_core/fleet.py
@@ -4,6 +4,10 @@
 
 import msgspec
 
+_HANDOVER_SECONDS = 1.0
+"""Time that a leaving target has for handing its keys over. The list is read
+every 1.5 s, so this ends within 3 s of the platform's mark."""
+
 
 class Role(enum.Enum):
     """What a VM runs."""
@@ -99,3 +103,31 @@
             for vm in self._entries.values()
             if vm.state is VmState.LIVE and zone in (None, vm.zone)
         }
+
+
+class Leaving:
+    """Targets that are leaving, and since when this VM knows it.
+
+    A leaving target hands its keys over within a fraction of a second. If
+    that is not possible, because the store is down, its requests are refused
+    from a certain time on: what it began later would be cut off when the
+    platform stops it, and its caller would not know whether it ran.
+    """
+
+    __slots__ = ("_since",)
+
+    def __init__(self) -> None:
+        self._since: dict[str, float] = {}
+
+    def update(self, listed: Fleet, now: float) -> None:
+        """Takes a new reading of the list."""
+        self._since = {
+            vm.id: self._since.get(vm.id, now)
+            for vm in listed.vms.values()
+            if vm.role is Role.TARGET and vm.state is VmState.LEAVING
+        }
+
+    def is_over(self, target: str, now: float) -> bool:
+        """Whether a target gets no new work any more."""
+        since = self._since.get(target)
+        return since is not None and now - since > _HANDOVER_SECONDS
--- a/packages/mimosastile-core/src/mimosastile_core/listings.py
+++ b/packages/mimosastile-core/src/mimosastile_core/listings.py
@@ -89,7 +89,7 @@
     def told(self, listing: messages.Listing, now: float) -> bool:
         """Takes a peer's reading if it is newer; True if the list changed."""
         self._note_gone(listing.gone)
-        if not self.wants(listing.reader, listing.number, listing.age, now):
+        if not self._takes(listing, now):
             return False
         newest = fleet.Fleet(listing.vms)
         changed = newest.vms != self._fleet.vms
@@ -107,6 +107,25 @@
             return number > self._number
         return age + _FRESHER < self.age(now)
 
+    def _takes(self, listing: messages.Listing, now: float) -> bool:
+        # A leaving mark is taken even from a reading that is only a little
+        # newer: it is not taken back, so readings cannot alternate over it.
+        # With the margin alone, a VM that had just heard of another zone's
+        # reading would learn a second too late that a target leaves.
+        news = (
+            listing.reader not in (self._me, self._reader)
+            and listing.age < self.age(now)
+            and any(self._marks(vm) for vm in listing.vms)
+        )
+        return news or self.wants(
+            listing.reader, listing.number, listing.age, now
+        )
+
+    def _marks(self, vm: fleet.Vm) -> bool:
+        held = self._fleet.vms.get(vm.id)
+        leaving = fleet.VmState.LEAVING
+        return vm.state is leaving and held is not None and held != vm
+
     def confirm(self, reader: str, number: int, age: float, now: float) -> None:
         """Notes that a peer knows the reading in use to be fresher."""
         if (reader, number) == (self._reader, self._number):
--- a/packages/mimosastile-entry/src/mimosastile_entry/_fleet.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_fleet.py
@@ -29,6 +29,7 @@
         "_clock",
         "_drained",
         "_fleet",
+        "_leaving",
         "_listeners",
         "_listings",
         "_port",
@@ -50,6 +51,7 @@
         self._listings = listings.Listings(vm)
         self._drained: frozenset[str] = frozenset()
         self._fleet = self._listings.fleet
+        self._leaving = fleet.Leaving()
         self._listeners: list[Callable[[], None]] = []
         self._reads = 0
         self._port: ports.FleetPort
@@ -65,6 +67,10 @@
         """Where the reading in use comes from and how old it is."""
         return self._listings
 
+    def has_left(self, target: str) -> bool:
+        """Whether a target has been leaving too long to get new work."""
+        return self._leaving.is_over(target, self._clock.now())
+
     def is_gone(self, vm: str) -> bool:
         """Whether a VM was listed once and is listed no longer.
 
@@ -125,6 +131,7 @@
     def _told_if(self, changed: bool) -> bool:
         if changed:
             self._fleet = self._listings.fleet.draining(self._drained)
+            self._leaving.update(self._fleet, self._clock.now())
             for listener in self._listeners:
                 listener()
         return changed
--- a/packages/mimosastile-entry/src/mimosastile_entry/_targeting.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_targeting.py
@@ -77,6 +77,10 @@
         vm = self._fleet.fleet.targets(call.plan.name).get(home.slice.owner)
         if vm is None:
             return _calls.failed(errors.ErrorKind.NO_OWNER)
+        if self._fleet.has_left(vm.id):
+            return _calls.failed(
+                errors.ErrorKind.NO_OWNER, "Its owner is leaving."
+            )
         fence = holder.RequestFence(home.block, call.position, home.slice.fence)
         return result.Ok(_calls.Hop(vm, home.keeper, fence))
 
--- a/tests/core/test_listings.py
+++ b/tests/core/test_listings.py
@@ -1,5 +1,7 @@
 """Tests of own and told readings of the list of VMs."""
 
+import msgspec
+
 from mimosastile_core import fleet
 from mimosastile_core import listings
 from mimosastile_core import messages
@@ -64,6 +66,27 @@
         assert not held.told(_told("a", age=0.0), 10.5)
         assert held.told(_told("a", age=0.0), 12.0)
 
+    def test_leaving_mark_needs_no_margin(self):
+        """Callers would be sent to a leaving target a second too long."""
+        held = listings.Listings("me")
+        held.read(_vms("a", "b"), 10.0)
+        leaving = msgspec.structs.replace(
+            _vms("a")[0], state=fleet.VmState.LEAVING
+        )
+        marked = messages.Listing("", "other", 1, 0.0, (leaving,), ())
+        assert held.told(marked, 10.1)
+        assert held.fleet.vms["a"].state is fleet.VmState.LEAVING
+
+    def test_leaving_mark_of_an_older_reading_is_no_news(self):
+        """The platform may have taken it back since."""
+        held = listings.Listings("me")
+        held.read(_vms("a"), 10.0)
+        leaving = msgspec.structs.replace(
+            _vms("a")[0], state=fleet.VmState.LEAVING
+        )
+        marked = messages.Listing("", "other", 1, 5.0, (leaving,), ())
+        assert not held.told(marked, 11.0)
+
     def test_own_echo_is_dropped(self):
         """What comes back is not news."""
         held = listings.Listings("me")
