--- a/packages/mimosastile-core/src/mimosastile_core/listings.py
+++ b/packages/mimosastile-core/src/mimosastile_core/listings.py
@@ -13,6 +13,7 @@
 _MOST_GONE = 4096
 # The property `fleet` hides the module of that name inside the class.
 CurrentFleet = fleet.Fleet
+ListedVm = fleet.Vm
 Vms = tuple[fleet.Vm, ...]
 
 
@@ -121,7 +122,7 @@
             listing.reader, listing.number, listing.age, now
         )
 
-    def _marks(self, vm: fleet.Vm) -> bool:
+    def _marks(self, vm: ListedVm) -> bool:
         held = self._fleet.vms.get(vm.id)
         leaving = fleet.VmState.LEAVING
         return vm.state is leaving and held is not None and held != vm
