--- a/packages/mimosastile-core/src/mimosastile_core/balance_plan.py
+++ b/packages/mimosastile-core/src/mimosastile_core/balance_plan.py
@@ -94,6 +94,37 @@
     return max(0.1, age / seconds)
 
 
+def ordered(
+    slices: Sequence[tables.Slice],
+    wanted: Mapping[str, str],
+    ready: Collection[str],
+) -> Plan:
+    """Plans what operators have ordered; it goes before everything else.
+
+    A key that shares its slice is first cut out of it.
+
+    Args:
+        slices: All slices of a service.
+        wanted: Key to the target that operators want as its owner.
+        ready: Targets that may get slices.
+    """
+    named: dict[int, str] = {}
+    parts: dict[int, tuple[int, ...]] = {}
+    for key, target in wanted.items():
+        at = keys.key_hash(key)
+        piece = next((s for s in slices if s.first <= at <= s.last), None)
+        if piece is None or target not in ready:
+            continue
+        if target in (piece.owner, piece.next):
+            continue
+        if piece.first == piece.last:
+            named[piece.first] = target
+        elif not piece.next:
+            before = parts.get(piece.first, (piece.first,))
+            parts[piece.first] = (*before, at, at + 1)
+    return Plan(named, parts)
+
+
 def rehome(
     slices: Sequence[tables.Slice],
     loads: Mapping[int, SliceLoad],
--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -50,6 +50,19 @@
     vm: str
 
 
+class NumberRequest(msgspec.Struct, frozen=True, tag="number_request"):
+    """Asks which configuration is in force at a peer."""
+
+    vm: str
+
+
+class NumberReply(msgspec.Struct, frozen=True, tag="number_reply"):
+    """Says which configuration is in force at the sender."""
+
+    vm: str
+    number: int
+
+
 class Presence(msgspec.Struct, frozen=True, tag="presence"):
     """Says that the sender runs; the answer is of the same type.
 
@@ -272,6 +285,8 @@
     Pull
     | Delta
     | Ack
+    | NumberRequest
+    | NumberReply
     | Handover
     | StandDown
     | StoodDown
--- a/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
@@ -208,9 +208,10 @@
             now = self._clock.now()
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self._wake.wait(), self._detector.next_due(now) - now
-                )
+                # Not `wait_for`: in Python 3.11 it loses a cancellation that
+                # comes together with the event; the task would go on for good.
+                async with asyncio.timeout(self._detector.next_due(now) - now):
+                    await self._wake.wait()
 
     def _others(self) -> set[str]:
         return set(self._fleet.fleet.live_entries(self._zone)) - {self._vm}
--- a/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
@@ -5,6 +5,7 @@
 
 from mimosastile_core import balance_plan
 from mimosastile_core import config
+from mimosastile_core import keys
 from mimosastile_core import moves
 from mimosastile_core import placement
 from mimosastile_core import splits
@@ -105,6 +106,7 @@
         for block in list(blocks.values()):
             if block.slices and self._is_ready(block):
                 await self._place(block, service.placement)
+                await self._obey(block, service)
         now = self._clock.now()
         due = self._balance_at.setdefault(name, now + _BALANCE_SECONDS)
         if now >= due:
@@ -155,13 +157,20 @@
             for first, at in self._moved_at.items()
             if now - at < _REST_SECONDS
         }
-        plan = balance_plan.plan(
-            slices, loads, candidates, weights, self._moved_at
-        )
+        resting = {*self._moved_at, *_ordered_slices(slices, service)}
+        plan = balance_plan.plan(slices, loads, candidates, weights, resting)
         self._moved_at |= dict.fromkeys(plan.moves, now)
         for block in blocks:
             await self._carry_out(block, plan)
 
+    async def _obey(self, block: tables.Block, service: config.Service) -> None:
+        """Carries out the moves that operators have ordered."""
+        live = set(self._fleet.fleet.live_targets(block.service))
+        plan = balance_plan.ordered(
+            block.slices, service.moves, live & block.reachable()
+        )
+        await self._carry_out(block, plan)
+
     async def _carry_out(
         self, block: tables.Block, plan: balance_plan.Plan
     ) -> None:
@@ -256,6 +265,18 @@
         await self._state.change(block.id, lambda b: moves.start_moves(b, plan))
 
 
+def _ordered_slices(
+    slices: list[tables.Slice], service: config.Service
+) -> set[int]:
+    """Returns first hashes of the slices that operators have placed."""
+    positions = [keys.key_hash(key) for key in service.moves]
+    return {
+        piece.first
+        for piece in slices
+        if any(piece.first <= at <= piece.last for at in positions)
+    }
+
+
 def _stays(block: tables.Block, first: int, live: set[str]) -> bool:
     """Whether a slice's owner is to stay although it may not answer now.
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_roles.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_roles.py
@@ -205,7 +205,10 @@
                 await self._claim(block)
                 await self._forget(block.id)
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), _TICK_SECONDS)
+                # Not `wait_for`: in Python 3.11 it loses a cancellation that
+                # comes together with the event; the task would go on for good.
+                async with asyncio.timeout(_TICK_SECONDS):
+                    await self._wake.wait()
 
     async def _claim(self, block: tables.Block) -> None:
         now = self._clock.now()
--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -29,6 +29,9 @@
 TABLE_PREFIX = "table/"
 """Prefix of the store keys of table blocks."""
 
+CONFIG_PREFIX = "config/"
+"""Prefix of the store keys that all daemons read of the configuration."""
+
 _PREFIX = "state:"
 _PEER_SECONDS = 0.5
 _ASK_SECONDS = 0.1
@@ -309,17 +312,26 @@
         return messages.Ack(self._vm)
 
     async def _read_all(self) -> bool:
-        batch = await self._store.list("")
-        if isinstance(batch, result.Err):
-            self._synced = False
-            return False
-        self.take(batch.ok_value)
+        # Not everything: the history of years stands in the same store.
+        # Tables first, so that the watch goes on from the older reading.
+        for prefix in (TABLE_PREFIX, CONFIG_PREFIX):
+            batch = await self._store.list(prefix)
+            if isinstance(batch, result.Err):
+                self._synced = False
+                return False
+            self.take(batch.ok_value, resume=prefix == TABLE_PREFIX)
         self._synced = True
         return True
 
-    def take(self, batch: ports.WatchBatch) -> None:
-        """Takes what the store brought, forward only."""
-        self._revision = max(self._revision, batch.revision)
+    def take(self, batch: ports.WatchBatch, resume: bool = True) -> None:
+        """Takes what the store brought, forward only.
+
+        Args:
+            batch: What it brought.
+            resume: Whether the next watch may continue from there.
+        """
+        if resume:
+            self._revision = max(self._revision, batch.revision)
         blocks = []
         for entry in batch.entries:
             if entry.key == CONFIG_KEY:
--- a/tests/core/test_balance_plan.py
+++ b/tests/core/test_balance_plan.py
@@ -182,6 +182,28 @@
         assert len(made.splits[slices[0].first]) == 2
 
 
+class TestOrdered:
+    """Operators order a key to a target."""
+
+    def test_key_is_cut_out_then_moved(self):
+        """Once it is where they want it, nothing more is planned."""
+        block = tables.Block("s", 0, 5, _slices(["a", "b"]))
+        first = balance_plan.ordered(block.slices, {"k": "b"}, {"a", "b"})
+        other = balance_plan.ordered(block.slices, {"k": "a"}, {"a", "b"})
+        cut, wanted = (first, "b") if first.splits else (other, "a")
+        after = splits.split(block, cut.splits).unwrap()
+        plan = balance_plan.ordered(after.slices, {"k": wanted}, {"a", "b"})
+        at = keys.key_hash("k")
+        assert plan.moves == {at: wanted}
+        assert plan.splits == {}
+
+    def test_target_that_is_not_ready_gets_nothing(self):
+        """The order waits."""
+        slices = _slices(["a", "a"])
+        made = balance_plan.ordered(slices, {"k": "b"}, {"a"})
+        assert made == balance_plan.Plan()
+
+
 class TestRamp:
     """A target that has just started is cold."""
 
