--- a/packages/mimosastile-core/src/mimosastile_core/balance_plan.py
+++ b/packages/mimosastile-core/src/mimosastile_core/balance_plan.py
@@ -94,6 +94,37 @@
     return max(0.1, age / seconds)
 
 
+def ordered(
+    slices: Sequence[tables.Slice],
+    wanted: Mapping[str, str],
+    ready: Collection[str],
+) -> Plan:
+    """Plans what operators have ordered; it goes before everything else.
+
+    A key that shares its slice is first cut out of it.
+
+    Args:
+        slices: All slices of a service.
+        wanted: Key to the target that operators want as its owner.
+        ready: Targets that may get slices.
+    """
+    named: dict[int, str] = {}
+    parts: dict[int, tuple[int, ...]] = {}
+    for key, target in wanted.items():
+        at = keys.key_hash(key)
+        piece = next((s for s in slices if s.first <= at <= s.last), None)
+        if piece is None or target not in ready:
+            continue
+        if target in (piece.owner, piece.next):
+            continue
+        if piece.first == piece.last:
+            named[piece.first] = target
+        elif not piece.next:
+            before = parts.get(piece.first, (piece.first,))
+            parts[piece.first] = (*before, at, at + 1)
+    return Plan(named, parts)
+
+
 def rehome(
     slices: Sequence[tables.Slice],
     loads: Mapping[int, SliceLoad],
@@ -209,6 +240,7 @@
     loads: Mapping[int, SliceLoad],
     candidates: Sequence[Candidate],
     weights: config.Placement,
+    resting: Collection[int] = (),
 ) -> Plan:
     """Plans moves and splits.
 
@@ -217,6 +249,8 @@
         loads: First hash of a slice to its load, as far as known.
         candidates: Targets that may own slices.
         weights: The service's weights and bounds.
+        resting: First hashes of slices that have moved a short time ago and
+            stay where they are.
 
     Returns:
         The plan, empty if what it would gain is not worth what it costs.
@@ -232,7 +266,7 @@
     # one, or small changes of load would move keys to and fro.
     if max(fills) <= 1 + weights.begin_above and min(fills) >= _STARVED:
         return Plan(moves)
-    moves |= _level(sheet, weights, budget, set(moves))
+    moves |= _level(sheet, weights, budget, set(moves) | set(resting))
     return Plan(moves, _splits(loads, sheet, weights, set(moves)))
 
 
@@ -321,7 +355,7 @@
         gain = _gain(sheet, chosen, donor, receiver) * weights.imbalance
         share = sheet.load[chosen.first] / max(sheet.total, 1e-12)
         cost = weights.churn / slices_in_all + weights.unavailable * share
-        if gain <= cost * _COST_SCALE:
+        if gain <= max(_LEAST_GAIN, cost * _COST_SCALE):
             break
         at = _near(sheet, chosen, donor, receiver)
         sheet.give(chosen, donor, at)
@@ -329,6 +363,10 @@
     return moves
 
 
+_LEAST_GAIN = 0.03
+"""Fall of the fullest target's fill below which a move is not worth planning:
+measured load varies that much by itself, and keys would move to and fro."""
+
 _COST_SCALE = 0.02
 """A move interrupts for milliseconds, an uneven load lasts; this sets both on
 one scale."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
@@ -5,6 +5,7 @@
 
 from mimosastile_core import balance_plan
 from mimosastile_core import config
+from mimosastile_core import keys
 from mimosastile_core import moves
 from mimosastile_core import placement
 from mimosastile_core import splits
@@ -19,6 +20,8 @@
 _TICK_SECONDS = 0.1
 _BALANCE_SECONDS = 2.0
 _PATIENCE_SECONDS = 3.0
+_REST_SECONDS = 30.0
+"""Time for which a slice that has moved stays where it is."""
 
 
 class PlannerService:
@@ -32,6 +35,7 @@
         "_fleet",
         "_loads",
         "_membership",
+        "_moved_at",
         "_planned",
         "_state",
         "_task",
@@ -57,6 +61,7 @@
         self._vm = vm
         self._planned = 0
         self._balance_at: dict[str, float] = {}
+        self._moved_at: dict[int, float] = {}
         self._cold_since: dict[str, float] = {}
         self._empty_since: dict[tables.BlockId, float] = {}
         self._membership: _membership.MembershipService
@@ -101,6 +106,7 @@
         for block in list(blocks.values()):
             if block.slices and self._is_ready(block):
                 await self._place(block, service.placement)
+                await self._obey(block, service)
         now = self._clock.now()
         due = self._balance_at.setdefault(name, now + _BALANCE_SECONDS)
         if now >= due:
@@ -146,10 +152,25 @@
                 return
             # A new target gets its share by count.
             loads = {}
-        plan = balance_plan.plan(slices, loads, candidates, weights)
+        self._moved_at = {
+            first: at
+            for first, at in self._moved_at.items()
+            if now - at < _REST_SECONDS
+        }
+        resting = {*self._moved_at, *_ordered_slices(slices, service)}
+        plan = balance_plan.plan(slices, loads, candidates, weights, resting)
+        self._moved_at |= dict.fromkeys(plan.moves, now)
         for block in blocks:
             await self._carry_out(block, plan)
 
+    async def _obey(self, block: tables.Block, service: config.Service) -> None:
+        """Carries out the moves that operators have ordered."""
+        live = set(self._fleet.fleet.live_targets(block.service))
+        plan = balance_plan.ordered(
+            block.slices, service.moves, live & block.reachable()
+        )
+        await self._carry_out(block, plan)
+
     async def _carry_out(
         self, block: tables.Block, plan: balance_plan.Plan
     ) -> None:
@@ -244,6 +265,18 @@
         await self._state.change(block.id, lambda b: moves.start_moves(b, plan))
 
 
+def _ordered_slices(
+    slices: list[tables.Slice], service: config.Service
+) -> set[int]:
+    """Returns first hashes of the slices that operators have placed."""
+    positions = [keys.key_hash(key) for key in service.moves]
+    return {
+        piece.first
+        for piece in slices
+        if any(piece.first <= at <= piece.last for at in positions)
+    }
+
+
 def _stays(block: tables.Block, first: int, live: set[str]) -> bool:
     """Whether a slice's owner is to stay although it may not answer now.
 
