A new VM's requests over the link are answered within their deadline

A VM that had just begun was dealt 2 bytes a second, for it had asked for nothing yet, and slept a request's wait out at that rate, without regard to its deadline. Change: a wait for the link is asked again after each report, ends with the request's deadline (not run), and whoever waited asks for 64 KB/s at least.

--- a/packages/mimosastile-core/src/mimosastile_core/links.py
+++ b/packages/mimosastile-core/src/mimosastile_core/links.py
@@ -21,6 +21,8 @@
 }
 _BURST_SECONDS = 0.005
 _SHORTEST_WAIT_SECONDS = 0.001
+_LEAST_WANTED = 64 << 10
+"""Bytes a second that whoever had to wait asks for at least."""
 
 
 def budget(link: config.Link) -> float:
@@ -98,7 +100,7 @@
         rate = self._sent / seconds
         held = self._held if now < self._until else 0.0
         # Whoever had to wait could use more than it was given.
-        wanted = 2 * max(rate, held) if self._waited else rate
+        wanted = 2 * max(rate, held, _LEAST_WANTED) if self._waited else rate
         self._sent = 0
         self._since = now
         self._waited = False
--- a/packages/mimosastile-entry/src/mimosastile_entry/_links.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_links.py
@@ -125,7 +125,10 @@
                 seconds = self._wait(pacer, load, size)
                 if not seconds:
                     return
-                await asyncio.sleep(seconds)
+                # A VM that has just begun holds next to nothing; slept out at
+                # that rate, a wait would last minutes although the share is
+                # raised at once, seen as requests that are never answered.
+                await asyncio.sleep(min(seconds, _REPORT_SECONDS))
 
     async def paced(
         self, load: Load, chunks: AsyncIterator[bytes]
--- a/packages/mimosastile-entry/src/mimosastile_entry/_sending.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_sending.py
@@ -1,5 +1,7 @@
 """Sends a call once: to a target that this VM keeps, or to its keeper."""
 
+import asyncio
+
 import result
 
 from mimosastile_core import errors
@@ -81,12 +83,18 @@
         request = call.request
         request.target = hop.target.id
         request.origin = self._region
-        call.attempts.began = True
         if self._links.crosses(keeper.region):
             load = self._load(call, keeper.region)
-            await self._links.send(load, len(request.body) + _HEAD_BYTES)
+            left = request.deadline - self._clock.now()
+            try:
+                async with asyncio.timeout(left):
+                    size = len(request.body) + _HEAD_BYTES
+                    await self._links.send(load, size)
+            except TimeoutError:
+                return _calls.failed(errors.ErrorKind.QUEUE_TIMEOUT)
             if request.stream is not None:
                 request.stream = self._links.paced(load, request.stream)
+        call.attempts.began = True
         return await self._peers.forward(keeper, request)
 
     async def send(
--- a/packages/mimosastile-standins/src/mimosastile_standins/memory.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/memory.py
@@ -223,7 +223,7 @@
     ) -> result.Result[messages.PeerMessage, errors.Failure]:
         """Sends a message and returns the peer's reply."""
         peer = self._sites.processes.get(vm.id)
-        if peer is None or peer.kernel is None:
+        if peer is None or peer.kernel is None or peer.closed:
             return result.Err(_UNREACHABLE)
         try:
             async with asyncio.timeout(timeout):
@@ -235,7 +235,7 @@
     async def forward(self, vm: fleet.Vm, request: ports.Request) -> SendResult:
         """Passes a request to the keeper of its target."""
         peer = self._sites.processes.get(vm.id)
-        if peer is None or peer.kernel is None:
+        if peer is None or peer.kernel is None or peer.closed:
             return result.Err(_UNREACHABLE)
         left = request.deadline - self._process.now()
         answer = _Answer()
@@ -288,8 +288,12 @@
             request.target,
             request.origin,
         )
-        response: ports.Response = await there.find("router").handle(inner)
-        await answer.arrive(response)
+        peer.in_flight += 1
+        try:
+            response: ports.Response = await there.find("router").handle(inner)
+            await answer.arrive(response)
+        finally:
+            peer.in_flight -= 1
         await peer.gate()
         return response
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/network.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/network.py
@@ -11,6 +11,9 @@
 FLEET = "fleet"
 """Name under which the list of VMs can be cut off."""
 
+_NOTICE_SECONDS = 0.2
+_POLL_SECONDS = 0.01
+
 
 class Process:
     """One run of a daemon, as far as the network sees it.
@@ -18,13 +21,28 @@
     Attributes:
         vm: The VM.
         kernel: The daemon's kernel once it is assembled.
+        in_flight: Requests of callers and peers that it is working on.
+        noticed: Whether its health is bad, so that the balancer looks away.
+        closed: Whether it accepts no more requests.
     """
 
-    __slots__ = ("_dead", "_froze_at", "_running", "kernel", "vm")
+    __slots__ = (
+        "_dead",
+        "_froze_at",
+        "_running",
+        "closed",
+        "in_flight",
+        "kernel",
+        "noticed",
+        "vm",
+    )
 
     def __init__(self, vm: str) -> None:
         self.vm = vm
         self.kernel: kernel.Kernel | None = None
+        self.in_flight = 0
+        self.noticed = False
+        self.closed = False
         self._running = asyncio.Event()
         self._running.set()
         self._froze_at: float | None = None
@@ -63,6 +81,27 @@
             await asyncio.Event().wait()
 
 
+class Listeners(kernel.Passive):
+    """A daemon's listeners in memory: they end what they have accepted."""
+
+    __slots__ = ("_process",)
+
+    def __init__(self, process: Process) -> None:
+        super().__init__("listeners", ("router", "roles"))
+        self._process = process
+
+    async def give_notice(self) -> None:
+        """Turns health bad and waits until the balancer has seen it."""
+        self._process.noticed = True
+        await asyncio.sleep(_NOTICE_SECONDS)
+
+    async def stop(self) -> None:
+        """Accepts no more and waits for what is in flight."""
+        self._process.closed = True
+        while self._process.in_flight:
+            await asyncio.sleep(_POLL_SECONDS)
+
+
 class PausedClock(kernel.Passive):
     """A daemon's clock that stands while its process is paused."""
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/world.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/world.py
@@ -83,7 +83,7 @@
         return {
             vm: process.kernel
             for vm, process in self.sites.processes.items()
-            if process.kernel is not None
+            if process.kernel is not None and not process.noticed
         }
 
     def process(self, vm: str) -> network.Process:
@@ -142,6 +142,7 @@
         inner = daemon.clock(self._seed * 1000 + self._boots)
         services: list[kernel.Service] = [
             network.PausedClock(inner, process),
+            network.Listeners(process),
             memory.MemoryStorePort(self.sites, process),
             memory.MemoryFleetPort(self.sites, process),
             memory.MemoryTargets(self.sites, process),
@@ -187,7 +188,7 @@
         The status is `BROKEN` if the daemon dies before it has answered.
         """
         process = self.sites.processes.get(vm)
-        if process is None or process.kernel is None:
+        if process is None or process.kernel is None or process.closed:
             return BROKEN, b""
         now = asyncio.get_running_loop().time()
         request = ports.Request(
@@ -206,10 +207,14 @@
     ) -> tuple[int, bytes]:
         await process.gate()
         assert process.kernel is not None
-        response = await process.kernel.find("router").handle(request)
-        body = b"".join([chunk async for chunk in response.body])
-        await response.close()
-        await process.gate()
+        process.in_flight += 1
+        try:
+            response = await process.kernel.find("router").handle(request)
+            body = b"".join([chunk async for chunk in response.body])
+            await response.close()
+            await process.gate()
+        finally:
+            process.in_flight -= 1
         return response.status, body
 
     def blocks(self, service: str) -> list[tables.Block]:
--- a/tests/core/test_links.py
+++ b/tests/core/test_links.py
@@ -75,6 +75,14 @@
 class TestShares:
     """The direction is dealt out by need."""
 
+    def test_whoever_waited_asks_for_enough(self):
+        """Doubling from next to nothing would take seconds."""
+        pacer = links.Pacer(0.0)
+        pacer.grant(2.0, 0.0)
+        while not pacer.wait(1000, BULK, TOTAL, 1, 0.0):
+            pass
+        assert pacer.need(0.1).wanted >= 64 << 10
+
     def test_lapsed_share_leaves_the_floor(self):
         """The dealer is not reached."""
         pacer = links.Pacer(0.0)
