--- a/packages/mimosastile-core/src/mimosastile_core/config.py
+++ b/packages/mimosastile-core/src/mimosastile_core/config.py
@@ -155,13 +155,13 @@
         grant: Times of the grant protocol in seconds.
         routes: Treatment by path; the longest matching prefix wins.
         timeout: Seconds that a request may take when it names no deadline.
-        placement: Weights and bounds of placement.
         drains: Targets that operators take out of use: they get no new work
             and their slices move away, as if the platform listed them as
             leaving.
         moves: Key to the target that operators want as its owner; the slice
             of the key, or a new one of its own, moves there while that target
             is live and not drained.
+        placement: Weights and bounds of placement.
         retry: When requests are sent again.
         queue: The queue for the slots of each target.
     """
@@ -176,9 +176,9 @@
     grant: grants.Timing = grants.Timing()
     routes: tuple[Route, ...] = (Route(),)
     timeout: Annotated[float, msgspec.Meta(gt=0)] = 30.0
-    placement: Placement = Placement()
     drains: tuple[VmId, ...] = ()
     moves: dict[str, VmId] = {}
+    placement: Placement = Placement()
     retry: Retry = Retry()
     queue: Queue = Queue()
 
