--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 FILES ?= $(wildcard scenarios/*.toml)
 
 .PHONY: bench-target bench-bare bench-entry bench-load
-.PHONY: help env format lint types unit test demo scenarios bench measure fuzz pages
+.PHONY: help env format lint types unit test demo scenarios bench measure capacity fuzz pages
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
 
@@ -56,6 +56,9 @@
 measure: env ## imbalance, churn and unavailable time with baselines
 	$(PY) -m mimosastile_standins measure $(ARGS)
 
+capacity: env ## make docs/CAPACITY.md from the committed results
+	$(PY) -m mimosastile_standins capacity
+
 fuzz: env ## the stateful fuzz over SEEDS seeds
 	$(PY) -m mimosastile_standins fuzz --seeds $(SEEDS) $(ARGS)
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -12,6 +12,7 @@
 from mimosastile_standins import _policy_report
 from mimosastile_standins import _scenarios
 from mimosastile_standins import bench as bench_module
+from mimosastile_standins import capacity
 from mimosastile_standins import demo as demo_module
 from mimosastile_standins import fuzzing
 from mimosastile_standins import loss_cases
@@ -133,6 +134,21 @@
         logging.set_verbosity(logging.ERROR)
         loss_cases.Report(seed).print()
 
+    def capacity(
+        self,
+        results: str = "measurements",
+        page: str = "docs/CAPACITY.md",
+    ) -> None:
+        """Writes the page on capacity from committed results.
+
+        Args:
+            results: Folder of the results.
+            page: The page.
+        """
+        found = capacity.Results(pathlib.Path(results))
+        text = capacity.page(found)
+        pathlib.Path(page).write_text(text, encoding="utf-8")
+
     def mutations(
         self,
         only: str = "",
--- a/tests/standins/test_scenarios.py
+++ b/tests/standins/test_scenarios.py
@@ -1,6 +1,7 @@
 """Every scenario in `scenarios/` holds, and the language refuses mistakes."""
 
 import pathlib
+import typing
 
 import pytest
 
@@ -74,3 +75,16 @@
     def test_finds_nothing(self):
         """A few scenarios of one seed; `make fuzz` tries more."""
         assert fuzzing.find(seed=1, examples=8) is None
+
+
+class TestPage:
+    """The page that documents the language."""
+
+    @pytest.mark.parametrize("verb", typing.get_args(scenario.Verb))
+    def test_names_every_verb_and_key(self, verb):
+        """A verb nobody can find is of no use."""
+        page = (FOLDER.parent / "docs" / "SCENARIOS.md").read_text()
+        config = verb.__struct_config__
+        assert f"`{config.tag}`" in page
+        for key in verb.__struct_fields__:
+            assert f"`{key}`" in page or key in {"at"}
