Scenarios of long requests, late writes and a replaced keeper; load says how long targets work

Cause: with requests of 2 ms none was running when a target died, so sending everything again went unnoticed; a former keeper learned too early that it was replaced. Figures: the mutations 'everything is sent again' and 'new run granted unconfirmed' are found now, by crash-under-long-requests and restarted-target-meets-old-keeper.

--- a/packages/mimosastile-standins/src/mimosastile_standins/mutations.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/mutations.py
@@ -132,6 +132,16 @@
     return property(_says(value))
 
 
+def _confirmed_at_once(meet: Callable[..., Any]) -> Callable[..., Any]:
+    def trusting(
+        self: grants.KeptTarget, stamp: grants.Stamp, now: float
+    ) -> None:
+        meet(self, stamp, now)
+        self.confirm(now)
+
+    return trusting
+
+
 def _released_at_once(self: grants.KeptTarget, piece: tables.Slice) -> bool:
     return not self.replaced and bool(piece)
 
@@ -224,8 +234,8 @@
         "new run granted unconfirmed",
         "a keeper that meets a new run of a target confirms its role",
         grants.KeptTarget,
-        "confirm",
-        lambda self, asked_at: setattr(self, "_confirmed", True),
+        "_meet",
+        _confirmed_at_once(grants.KeptTarget.__dict__["_meet"]),
         ("restarted-target-meets-old-keeper",),
     ),
     Mutation(
@@ -242,7 +252,7 @@
         moves,
         "_is_keeper",
         _says(True),
-        ("keeper-sees-only-the-store", "keeper-paused"),
+        ("replaced-keeper-and-slow-store", "keeper-sees-only-the-store"),
     ),
     Mutation(
         "lost writes forgotten",
@@ -250,7 +260,7 @@
         writes.PendingWrites,
         "withholds",
         _says(False),
-        ("late-write",),
+        ("late-write-in-a-cut-off-zone", "late-write"),
     ),
     Mutation(
         "pause unnoticed",
@@ -274,7 +284,7 @@
         retries.Attempts,
         "_may_resend",
         _resend_anything,
-        ("at-most-once",),
+        ("crash-under-long-requests", "not-run"),
     ),
     Mutation(
         "no quarantine",
--- a/packages/mimosastile-standins/src/mimosastile_standins/runner.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/runner.py
@@ -280,8 +280,10 @@
         self.end(vm)
 
     def set_load(self, load: scenario.Load) -> None:
-        """Changes what callers send."""
+        """Changes what callers send and how long targets work on it."""
         self._load = load
+        for run_ in self._world.targets.values():
+            run_.service_time = load.busy
 
     async def configure(self, member: str) -> None:
         """Stores the next configuration, with one more member."""
--- a/packages/mimosastile-standins/src/mimosastile_standins/scenario.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/scenario.py
@@ -181,11 +181,13 @@
         rate: Requests a second.
         writes: Share of requests that are not idempotent.
         keys: How many keys are asked for, each as likely as any other.
+        busy: Seconds that a target works on each.
     """
 
     rate: Annotated[float, msgspec.Meta(ge=0, le=2000)] = 40.0
     writes: Share = 0.3
     keys: Annotated[int, msgspec.Meta(ge=1)] = 40
+    busy: Seconds = 0.002
 
 
 class Deadly(Step, frozen=True, tag_field="do", tag="deadly"):
