Scenario verbs stand apart from the runner; the oracle judges graceful stops

Change: verbs in a module of their own; a broken connection at a daemon that stops gracefully breaks the promise.

--- a/packages/mimosastile-standins/src/mimosastile_standins/oracle.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/oracle.py
@@ -60,6 +60,7 @@
         ended: Loop time at which its answer was whole.
         status: Status; `world.BROKEN` for a broken connection.
         body: The answer.
+        entry: Entry VM that it was sent to.
     """
 
     request_id: str
@@ -70,6 +71,7 @@
     ended: float
     status: int
     body: bytes
+    entry: str
 
     @property
     def good(self) -> bool:
@@ -87,8 +89,8 @@
         "_fences",
         "_leaving",
         "_now",
-        "_planned_stops",
         "_seen",
+        "_stopped",
         "_table_versions",
         "_violations",
         "_world",
@@ -111,7 +113,7 @@
         self._calls: list[CallRecord] = []
         self._fences: dict[int, target.Execution] = {}
         self._leaving: dict[str, float] = {}
-        self._planned_stops = 0
+        self._stopped: set[str] = set()
         self._config_numbers: dict[int, int] = {}
         self._table_versions: dict[tuple[int, str, int], int] = {}
 
@@ -158,9 +160,13 @@
             self._check_call(record)
         return self._violations
 
-    def planned_stop_failed(self, detail: str) -> None:
-        """Notes that a planned stop cut off a request."""
-        self._broken(Promise.GRACEFUL_STOP, detail, detail)
+    def stopping(self, vm: str) -> None:
+        """Notes that a daemon is stopped gracefully from now on."""
+        self._stopped.add(vm)
+
+    def killed(self, vm: str) -> None:
+        """Notes that a daemon is ended; what it cuts off is no stop's fault."""
+        self._stopped.discard(vm)
 
     def _broken(self, promise: Promise, subject: str, detail: str) -> None:
         if (promise, subject) not in self._seen:
@@ -237,6 +243,12 @@
                 record.request_id,
                 f"{record.method} {record.path} ran {len(runs)} times",
             )
+        if record.status == world.BROKEN and record.entry in self._stopped:
+            self._broken(
+                Promise.GRACEFUL_STOP,
+                record.request_id,
+                f"{record.path} was cut off by the stop of {record.entry}",
+            )
         if record.good:
             self._check_answer(record, runs)
         elif record.status != world.BROKEN and runs and _says_not_run(record):
--- a/packages/mimosastile-standins/src/mimosastile_standins/runner.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/runner.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 from collections.abc import Coroutine
-import functools
 import random
 from typing import Any
 
@@ -17,6 +16,7 @@
 from mimosastile_standins import oracle
 from mimosastile_standins import scenario
 from mimosastile_standins import target
+from mimosastile_standins import verbs
 from mimosastile_standins import virtual
 from mimosastile_standins import world
 
@@ -152,7 +152,7 @@
         for step in self._story.steps:
             await asyncio.sleep(max(0.0, step.at - self._now()))
             self._note(f"{step}")
-            await self._apply(step)
+            await verbs.do(step, self)
         await asyncio.sleep(max(0.0, self._story.seconds - self._now()))
         background[1].cancel()
         await asyncio.sleep(_COOL_SECONDS)
@@ -216,6 +216,7 @@
             virtual.now(),
             status,
             body,
+            entry,
         )
         self._oracle.call_ended(record)
         if not record.good:
@@ -235,9 +236,6 @@
 
     # Verbs.
 
-    async def _apply(self, step: scenario.Verb) -> None:
-        await _do(step, self)
-
     def resolve(self, name: str) -> str:
         """Returns the VM that `owner:KEY` or `keeper:KEY` names now."""
         kind, _, key = name.partition(":")
@@ -272,6 +270,7 @@
         if vm in self._world.targets:
             self._world.targets[vm].crash()
         elif vm in self._world.daemons:
+            self._oracle.killed(vm)
             self._world.kill_daemon(vm)
 
     async def end_later(self, vm: str, seconds: float) -> None:
@@ -432,134 +431,3 @@
 def _covering(owners: dict[int, str], position: int) -> str:
     first = max((f for f in owners if f <= position), default=None)
     return owners[first] if first is not None else ""
-
-
-@functools.singledispatch
-async def _do(step: scenario.Step, run: _Run) -> None:
-    """Carries out one verb."""
-    raise TypeError(f"no such verb: {step!r}")
-
-
-@_do.register
-async def _(step: scenario.Start, run: _Run) -> None:
-    if step.vm in run.world.targets:
-        run.world.targets[step.vm].restart()
-    elif step.vm not in run.world.daemons:
-        await run.world.start_daemon(step.vm)
-
-
-@_do.register
-async def _(step: scenario.Stop, run: _Run) -> None:
-    if step.vm in run.world.daemons:
-        await run.world.stop_daemon(step.vm)
-
-
-@_do.register
-async def _(step: scenario.Crash, run: _Run) -> None:
-    run.end(run.resolve(step.vm))
-
-
-@_do.register
-async def _(step: scenario.Freeze, run: _Run) -> None:
-    vm = run.resolve(step.vm)
-    run.frozen.add(vm)
-    if vm in run.world.targets:
-        run.world.targets[vm].freeze()
-    elif vm in run.world.daemons:
-        run.world.process(vm).pause()
-
-
-@_do.register
-async def _(step: scenario.Thaw, run: _Run) -> None:
-    for vm in [step.vm] if step.vm else sorted(run.frozen):
-        run.frozen.discard(vm)
-        if vm in run.world.targets:
-            run.world.targets[vm].thaw()
-        elif vm in run.world.daemons:
-            run.world.process(vm).resume()
-
-
-@_do.register
-async def _(step: scenario.Drain, run: _Run) -> None:
-    vm = run.resolve(step.vm)
-    run.world.fleet.leave(vm)
-    run.oracle.leaving(vm)
-
-
-@_do.register
-async def _(step: scenario.Remove, run: _Run) -> None:
-    vm = run.resolve(step.vm)
-    run.world.fleet.remove(vm)
-    if step.lingers:
-        run.spawn(run.end_later(vm, step.lingers))
-    else:
-        run.end(vm)
-
-
-@_do.register
-async def _(step: scenario.Cut, run: _Run) -> None:
-    between = run.world.network
-    group = set().union(*(between.named(n) for n in step.group))
-    if not step.others:
-        between.isolate(group)
-        return
-    others = set().union(*(between.named(n) for n in step.others))
-    if step.one_way:
-        between.cut_one_way(group, others)
-    else:
-        between.cut(group, others)
-
-
-@_do.register
-async def _(step: scenario.Heal, run: _Run) -> None:
-    run.world.network.heal()
-
-
-@_do.register
-async def _(step: scenario.StoreDown, run: _Run) -> None:
-    run.world.store.go_down()
-
-
-@_do.register
-async def _(step: scenario.StoreUp, run: _Run) -> None:
-    run.world.store.come_back()
-
-
-@_do.register
-async def _(step: scenario.Slow, run: _Run) -> None:
-    run.world.store.latency = step.seconds
-
-
-@_do.register
-async def _(step: scenario.LoseAnswer, run: _Run) -> None:
-    if step.late:
-        run.world.store.late_seconds = step.late
-        run.world.store.late_writes += step.writes
-    else:
-        run.world.store.lost_answers += step.writes
-
-
-@_do.register
-async def _(step: scenario.Lie, run: _Run) -> None:
-    run.world.fleet.lag = step.lag
-    run.world.fleet.down = step.down
-
-
-@_do.register
-async def _(step: scenario.Patch, run: _Run) -> None:
-    await run.configure(step.member)
-
-
-@_do.register
-async def _(step: scenario.Load, run: _Run) -> None:
-    run.set_load(step)
-
-
-@_do.register
-async def _(step: scenario.Deadly, run: _Run) -> None:
-    run.spawn(run.send_deadly(step))
-
-
-@_do.register
-async def _(step: scenario.Expect, run: _Run) -> None:
-    run.check(step)
