Peers are told the slices that changed, not whole blocks

Change: a push carries what turns the version before into the new one; it applies to that version only, and whoever missed it asks the sender. Conclusion: what a change costs no longer grows with its block.

--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from mimosastile_core import config
+from mimosastile_core import differences
 from mimosastile_core import fleet
 from mimosastile_core import limits
 from mimosastile_core import quarantine
@@ -37,11 +38,14 @@
         vm: The sender.
         configuration: Newer configuration, if there is one.
         blocks: Newer blocks.
+        changes: What turns the version before into a newer block; whoever
+            holds another version asks the sender for the whole.
     """
 
     vm: str
     configuration: config.Version | None = None
     blocks: tuple[tables.Block, ...] = ()
+    changes: tuple[differences.BlockChange, ...] = ()
 
 
 class Ack(msgspec.Struct, frozen=True, tag="ack"):
--- a/packages/mimosastile-core/src/mimosastile_core/replica.py
+++ b/packages/mimosastile-core/src/mimosastile_core/replica.py
@@ -1,11 +1,14 @@
 """A VM's copy of configuration and tables, which only moves forward."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import itertools
 
+import msgspec
 import xxhash
 
 from mimosastile_core import config
+from mimosastile_core import differences
 from mimosastile_core import messages
 from mimosastile_core import tables
 
@@ -110,7 +113,45 @@
         config_changed = delta.configuration is not None and self.offer_config(
             delta.configuration
         )
-        return self.offer_blocks(delta.blocks) or config_changed
+        made = (self._made(change) for change in delta.changes)
+        blocks = (*delta.blocks, *(b for b in made if b is not None))
+        return self.offer_blocks(blocks) or config_changed
+
+    def lacks(self, delta: messages.Delta) -> bool:
+        """Whether a merged delta named newer blocks that are not held."""
+        return any(
+            change.version > self._version(change.id)
+            for change in delta.changes
+        )
+
+    def slimmed(
+        self,
+        delta: messages.Delta,
+        former: Mapping[tables.BlockId, tables.Block],
+    ) -> messages.Delta:
+        """Returns a delta that carries changes in place of known blocks.
+
+        Args:
+            delta: What is newer.
+            former: The blocks as peers most likely still hold them.
+        """
+        return msgspec.structs.replace(
+            delta,
+            blocks=tuple(b for b in delta.blocks if b.id not in former),
+            changes=tuple(
+                differences.between(former[b.id], b)
+                for b in delta.blocks
+                if b.id in former
+            ),
+        )
+
+    def _made(self, change: differences.BlockChange) -> tables.Block | None:
+        held = self._blocks.get(change.id)
+        return differences.applied(held, change) if held else None
+
+    def _version(self, block: tables.BlockId) -> int:
+        held = self._blocks.get(block)
+        return held.version if held else 0
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_propagation.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_propagation.py
@@ -231,9 +231,10 @@
         if not batch.entries:
             self._state.take(batch)
             return
-        pull = self._state.replica.pull(self._vm)
+        replica = self._state.replica
+        pull, former = replica.pull(self._vm), dict(replica.blocks)
         self._state.take(batch)
-        delta = self._state.replica.delta(self._vm, pull)
+        delta = replica.slimmed(replica.delta(self._vm, pull), former)
         if _numbers(delta):
             self._start(self._tell_zone(delta))
 
@@ -284,7 +285,7 @@
     def _take_push(self, push: messages.Push) -> messages.Ack:
         self._count("push_taken")
         self._pushed.update(_numbers(push.delta))
-        self._state.replica.merge(push.delta)
+        self._state.merge_told(push.delta)
         self._push(push)
         return messages.Ack(self._vm)
 
@@ -332,7 +333,9 @@
 
 def _numbers(delta: messages.Delta) -> dict[str, int]:
     """Returns what a delta brings, by name, with numbers that only rise."""
-    brought = {_state.block_key(b.id): b.version for b in delta.blocks}
+    whole = {_state.block_key(b.id): b.version for b in delta.blocks}
+    changed = {_state.block_key(c.id): c.version for c in delta.changes}
+    brought = whole | changed
     if delta.configuration is not None:
         brought[_state.CONFIG_KEY] = delta.configuration.number
     return brought
--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -10,6 +10,7 @@
 import result
 
 from mimosastile_core import config
+from mimosastile_core import differences
 from mimosastile_core import errors
 from mimosastile_core import fleet
 from mimosastile_core import gossip
@@ -37,6 +38,7 @@
 _ASK_SECONDS = 0.1
 """Shortest time between two questions to the same peer."""
 _MAX_TRIES = 8
+_CATCH_UP_TRIES = 5
 
 Change = Callable[[tables.Block], result.Result[tables.Block, str]]
 
@@ -198,7 +200,7 @@
                 return self._doubted(block, successor.err_value)
             proposed = successor.ok_value
             if await self._write(stored, proposed):
-                self._tell(proposed)
+                self._tell(stored.block, proposed)
                 return successor
             # A lost race or a lost answer: the next read tells which.
         return _failed(errors.ErrorKind.STORE_UNKNOWN, "no try succeeded")
@@ -277,14 +279,15 @@
             self._writes.failed(proposed)
         return wrote.is_ok()
 
-    def _tell(self, block: tables.Block) -> None:
+    def _tell(self, former: tables.Block, block: tables.Block) -> None:
         """Sends a changed block to the keepers that it names.
 
         A watch can stop without a word. A keeper that learned only by its
         watch would grant what its target was given when the watch has run
         out, and the keys would have no server for that long.
         """
-        delta = messages.Delta(self._vm, None, (block,))
+        change = differences.between(former, block)
+        delta = messages.Delta(self._vm, changes=(change,))
         named = {keeper.vm for keeper in block.keepers.values()}
         for vm in self._fleet.peers().values():
             if vm.id in named:
@@ -308,9 +311,29 @@
         return self._replica.delta(self._vm, pull)
 
     def _take_delta(self, delta: messages.Delta) -> messages.Ack:
-        self._replica.merge(delta)
+        self.merge_told(delta)
         return messages.Ack(self._vm)
 
+    def merge_told(self, delta: messages.Delta) -> None:
+        """Takes what a peer tells, and asks it for what does not fit.
+
+        A change fits one version only. Whoever missed the one before would
+        otherwise stay behind until the next digest.
+        """
+        self._replica.merge(delta)
+        sender = self._fleet.peers().get(delta.vm)
+        if self._replica.lacks(delta) and sender is not None:
+            task = asyncio.ensure_future(self._catch_up(sender, delta))
+            self._tellings.add(task)
+            task.add_done_callback(self._tellings.discard)
+
+    async def _catch_up(self, peer: fleet.Vm, delta: messages.Delta) -> None:
+        for _ in range(_CATCH_UP_TRIES):
+            await self.learn_from(peer)
+            if not self._replica.lacks(delta):
+                return
+            await asyncio.sleep(_ASK_SECONDS)
+
     async def _read_all(self) -> bool:
         # Not everything: the history of years stands in the same store.
         # Tables first, so that the watch goes on from the older reading.
