--- a/packages/mimosastile-standins/src/mimosastile_standins/capacity.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/capacity.py
@@ -29,7 +29,6 @@
 _DAY_SECONDS = 86_400
 _WRITES_PER_MOVE = 2
 _WATCHERS_PER_ZONE = 2
-_CHANGED_SLICE_BYTES = 300
 _RENEWALS_PER_SECOND = 1 / 0.15
 
 
@@ -216,7 +215,8 @@
         results.each("table in memory, with its index", "8 a") * sizes.slices
     )
     block = results.at("table size in the store", sizes.slices_per_block)
-    stream = block * sizes.block_changes
+    push = results.at("push of one moved slice", sizes.slices_per_block)
+    stream = push * sizes.block_changes
     cost = (
         results.at("decoding a block", sizes.slices_per_block)
         + results.at("indexing a block", sizes.slices_per_block)
@@ -251,13 +251,11 @@
     yield Row(
         "table",
         "bytes a second to follow moving hot keys",
-        f"{stream / 1e3:.0f} KB/s",
+        f"{stream / 1e3:.1f} KB/s",
         "20 KB/s",
-        "slopes, table size in the store",
-        "whole blocks are pushed",
-        "no: deltas of the changed slices, estimated at"
-        f" {_CHANGED_SLICE_BYTES} bytes each, would take"
-        f" {_CHANGED_SLICE_BYTES * sizes.block_changes / 1e3:.1f} KB/s",
+        "slopes, push of one moved slice",
+        "changed slices are pushed, whole blocks only to who missed one",
+        "yes",
     )
     plan = results.at("plan that evens a target out", TARGETS_PER_BLOCK)
     yield Row(
--- a/packages/mimosastile-standins/src/mimosastile_standins/slopes.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/slopes.py
@@ -8,12 +8,14 @@
 
 from mimosastile_core import balance_plan
 from mimosastile_core import config
+from mimosastile_core import differences
 from mimosastile_core import fleet
 from mimosastile_core import gossip
 from mimosastile_core import grants
 from mimosastile_core import holder
 from mimosastile_core import keys
 from mimosastile_core import messages
+from mimosastile_core import moves
 from mimosastile_core import presence
 from mimosastile_core import replica
 from mimosastile_core import tables
@@ -252,9 +254,19 @@
     return count
 
 
+def _move_bytes(block: tables.Block) -> int:
+    """Returns the size of the push that tells of one moved slice."""
+    first = block.slices[0].first
+    after = moves.start_moves(block, {first: "another-target"}).unwrap()
+    change = differences.between(block, after)
+    delta = messages.Delta("entry", changes=(change,))
+    return len(messages.encode(messages.Push("entry", delta)))
+
+
 def message_slopes() -> list[Slope]:
     """Returns sizes of the messages that carry state."""
     digest, delta, pull, listing, report = [], [], [], [], []
+    moved = []
     for count in (144, 576, 2304, 4608):
         held = replica.Replica()
         block, _ = _sizes(count)
@@ -264,6 +276,7 @@
         whole = held.delta("entry", messages.Pull("entry", 0, ()))
         pushed = messages.Push("entry", whole)
         delta.append(Point(count, len(messages.encode(pushed))))
+        moved.append(Point(count, _move_bytes(block)))
     for blocks in (1, 8, 64, 256):
         held = replica.Replica()
         held.offer_blocks(
@@ -288,6 +301,7 @@
     return [
         fit("digest", "bytes", "slices", digest),
         fit("delta of one block", "bytes", "slices", delta),
+        fit("push of one moved slice", "bytes", "slices", moved),
         fit("pull", "bytes", "blocks", pull),
         fit("list of VMs", "bytes", "VMs", listing),
         fit("load report", "bytes", "kept targets", report),
