mimosactl ends quietly when its reader leaves

Cause: `mimosactl table SERVICE | head` printed a traceback of a broken pipe. Change: what is left goes nowhere. Figures: the new test; the command above by hand before the change.

--- a/packages/mimosastile-ctl/src/mimosastile_ctl/cli.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/cli.py
@@ -1,5 +1,7 @@
 """Command line of the operators: `mimosactl`."""
 
+import os
+import sys
 from typing import Any
 from urllib import parse
 
@@ -264,3 +266,7 @@
         fire.Fire(Commands, name="mimosactl")
     except msgspec.DecodeError as error:
         _session.end(f"unexpected answer: {error}", _session.EXIT_FAILED)
+    except BrokenPipeError:
+        # The reader, `head` for one, has seen enough. What Python would still
+        # write at its end goes nowhere, or a traceback would follow.
+        sys.stdout = open(os.devnull, "w", encoding="utf-8")  # noqa: SIM115
--- a/tests/ctl/test_cli.py
+++ b/tests/ctl/test_cli.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import sys
 import time
 
 import administered
@@ -341,3 +343,23 @@
         assert "secret-of-p" not in out + err
         assert len(console.current().document.members["p"].credentials) == 1
         assert isinstance(console.current(), config.Version)
+
+
+class TestReaderThatLeaves:
+    """Output goes through `head`, which has seen enough after some lines.
+
+    The operator used to get a traceback behind the lines.
+    """
+
+    def test_ends_without_a_word(self, monkeypatch):
+        """As other tools do."""
+
+        def broken(*args, **kwargs):
+            raise BrokenPipeError
+
+        monkeypatch.setattr(sys, "stdout", sys.stdout)
+        monkeypatch.setattr(fire, "Fire", broken)
+        cli.main()
+        sys.stdout.write("nothing of this reaches anybody")
+        assert sys.stdout.name == os.devnull
+        sys.stdout.close()
