Stand-ins as processes, and a deployment for one machine

Cause: the whole path had been shown in one process and in memory only. Change: commands store, fleet and target; examples/local.

--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -1,9 +1,11 @@
 """Command line of the stand-ins: `python -m mimosastile_standins demo`."""
 
 import asyncio
+from collections.abc import Coroutine
 import contextlib
 import pathlib
 import sys
+from typing import Any
 
 from absl import logging
 import fire
@@ -17,9 +19,17 @@
 from mimosastile_standins import fuzzing
 from mimosastile_standins import loss_cases
 from mimosastile_standins import mutations
+from mimosastile_standins import processes
 
 _DEMO_SECONDS = 6.0
 
+_HOST = "127.0.0.1"
+
+
+def _until_interrupted(work: Coroutine[Any, Any, None]) -> None:
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(work)
+
 
 class Commands:
     """Stand-ins, demo and tools of mimosastile."""
@@ -82,6 +92,40 @@
             )
         )
 
+    def store(
+        self, port: int = 7001, host: str = _HOST, document: str = ""
+    ) -> None:
+        """Serves a key-value service as a process of its own.
+
+        Args:
+            port: Port, 0 for any free one.
+            host: IP number to listen on.
+            document: Configuration document to begin with.
+        """
+        _until_interrupted(processes.serve_store(host, port, document))
+
+    def fleet(
+        self, port: int = 7002, host: str = _HOST, file: str = ""
+    ) -> None:
+        """Serves a list of VMs as a process of its own.
+
+        Args:
+            port: Port, 0 for any free one.
+            host: IP number to listen on.
+            file: JSON file with the VMs to begin with.
+        """
+        _until_interrupted(processes.serve_fleet(host, port, file))
+
+    def target(self, vm: str, port: int = 0, host: str = _HOST) -> None:
+        """Serves a target as a process of its own.
+
+        Args:
+            vm: Identifier of its VM.
+            port: Port, 0 for any free one.
+            host: IP number to listen on.
+        """
+        _until_interrupted(processes.serve_target(host, port, vm))
+
     def scenario(
         self, *files: str, seed: int | None = None, trace: bool = False
     ) -> None:
--- a/packages/mimosastile-standins/src/mimosastile_standins/serving.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/serving.py
@@ -21,6 +21,8 @@
 
 _PREFIX = "x-mimosastile-"
 
+App = applications.Starlette
+
 
 def _json(value: object, status: int = 200) -> responses.Response:
     return responses.Response(
