Router and traces without what nothing calls

Cause: credentials moved to a module of their own and left the router's copy; a measure of grants was never used. Change: both are gone. Behaviour as before.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_router.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_router.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import contextlib
-import hashlib
 from typing import Any
 
 import result
@@ -43,7 +42,6 @@
         "_answers",
         "_changed",
         "_clock",
-        "_digests",
         "_fleet",
         "_keeper",
         "_limits",
@@ -84,7 +82,6 @@
         self._place = place
         self._answers: collections.Counter[str] = collections.Counter()
         self._number = -1
-        self._digests: dict[str, str] = {}
         self._plans: dict[str, plans.Plan] = {}
         self._changed = asyncio.Event()
         self._sending: _sending.Sending
@@ -155,23 +152,10 @@
         if not request.forwarded:
             self._metrics.record(request, outcome, self._clock.now() - began)
 
-    def member_of(self, authorization: str) -> str | None:
-        """Returns the member that a credential belongs to, None if unknown."""
-        scheme, _, token = authorization.partition(" ")
-        if scheme.lower() != "bearer" or not token:
-            return None
-        digest = hashlib.sha256(token.strip().encode()).hexdigest()
-        return self._digests.get(digest)
-
     def _on_change(self) -> None:
         version = self._state.replica.config
         if version.number != self._number:
             self._number = version.number
-            self._digests = {
-                digest: name
-                for name, member in version.document.members.items()
-                for digest in member.credentials
-            }
             self._plans = plans.compile_plans(version.document, self._plans)
         self._targeting.changed()
         self._changed.set()
--- a/packages/mimosastile-standins/src/mimosastile_standins/traces.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/traces.py
@@ -6,11 +6,8 @@
 import itertools
 import random
 
-import msgspec
-
 from mimosastile_core import balance_plan
 from mimosastile_core import config
-from mimosastile_core import grants
 from mimosastile_core import keys
 from mimosastile_core import moves
 from mimosastile_core import placement
@@ -233,28 +230,3 @@
         )
 
     return {piece.first: load(piece) for piece in block.slices}
-
-
-class Grants(msgspec.Struct, frozen=True):
-    """What a table costs in grants.
-
-    Attributes:
-        slices: Slices of the largest grant.
-        octets: Size of that grant in bytes.
-    """
-
-    slices: int
-    octets: int
-
-
-def largest_grant(block: tables.Block) -> Grants:
-    """Returns the size of the largest grant that a block causes."""
-    sets = [
-        tuple(
-            grants.HeldSlice(s.first, s.last, s.fence)
-            for s in block.owned_by(target)
-        )
-        for target in block.keepers
-    ]
-    largest = max(sets, key=len, default=())
-    return Grants(len(largest), len(msgspec.json.encode(largest)))
