Racing operators as a scenario; results compared; state dump by signal

Cause: the scenario language had no race of operators, a graceful stop of a frozen daemon stopped the story (found by the fuzz, as an error of the runner), results of two commits could only be compared by eye, and a daemon whose ports do not answer could not be asked for its state. Change: a verb race over the daemons' own configuration service; stops run beside the story and the platform ends one that hangs; a command compare; SIGUSR1.

--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from absl import logging
+import msgspec
 
 from mimosastile_core import balancing
 from mimosastile_entry import _access
@@ -173,6 +174,7 @@
     numbers = (signal.SIGTERM, signal.SIGINT)
     for number in numbers:
         loop.add_signal_handler(number, signals.put_nowait, number)
+    loop.add_signal_handler(signal.SIGUSR1, log_dump, made)
     try:
         await made.start()
         tune_collector()
@@ -181,10 +183,16 @@
         logging.info("%s %s stops.", _PREFIX, configured.vm.id)
         await _stop(made, signals)
     finally:
-        for number in numbers:
+        for number in (*numbers, signal.SIGUSR1):
             loop.remove_signal_handler(number)
 
 
+def log_dump(made: kernel.Kernel) -> None:
+    """Writes the state dump to the log, for when no port answers."""
+    dump = msgspec.json.encode(made.dump()).decode()
+    logging.info("%s state: %s", _PREFIX, dump)
+
+
 async def _stop(made: kernel.Kernel, signals: asyncio.Queue[int]) -> None:
     stopping = asyncio.create_task(stop_gracefully(made))
     second = asyncio.create_task(signals.get())
--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -12,9 +12,11 @@
 
 from mimosastile_standins import _measuring
 from mimosastile_standins import _policy_report
+from mimosastile_standins import _printing
 from mimosastile_standins import _scenarios
 from mimosastile_standins import bench as bench_module
 from mimosastile_standins import capacity
+from mimosastile_standins import comparing
 from mimosastile_standins import demo as demo_module
 from mimosastile_standins import fuzzing
 from mimosastile_standins import loss_cases
@@ -92,6 +94,18 @@
             )
         )
 
+    def compare(self, former: str, latter: str = "measurements") -> None:
+        """Prints which figures changed by more than a tenth.
+
+        Args:
+            former: Folder of an earlier commit's results.
+            latter: Folder of the later ones.
+        """
+        for line in comparing.differences(
+            pathlib.Path(former), pathlib.Path(latter)
+        ):
+            _printing.say(line)
+
     def store(
         self, port: int = 7001, host: str = _HOST, document: str = ""
     ) -> None:
--- a/packages/mimosastile-standins/src/mimosastile_standins/runner.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/runner.py
@@ -11,6 +11,7 @@
 from mimosastile_core import config
 from mimosastile_core import fleet
 from mimosastile_core import keys
+from mimosastile_core import patches
 from mimosastile_standins import deployments
 from mimosastile_standins import network
 from mimosastile_standins import oracle
@@ -293,6 +294,26 @@
             msgspec.structs.replace(document, members=members), self._number
         )
 
+    async def race(self, members: tuple[str, ...]) -> None:
+        """Submits patches against the same number, all at once."""
+        makers = sorted(self._world.daemons.items())
+        submissions = [
+            made.find("configuration").apply(
+                self._patch(member), vm, lambda paths: None
+            )
+            for member, (vm, made) in zip(members, makers, strict=False)
+        ]
+        outcomes = await asyncio.gather(*submissions)
+        for outcome in outcomes:
+            self._note(f"race: {outcome}")
+        accepted = sum(outcome.is_ok() for outcome in outcomes)
+        self._expect(accepted <= 1, f"{accepted} racing patches were accepted")
+        self._number += accepted
+
+    def _patch(self, member: str) -> patches.Patch:
+        add = patches.Operation("add", f"/members/{member}", {})
+        return patches.Patch(f"patch-{member}", self._number, "a race", (add,))
+
     def check(self, expected: scenario.Expect) -> None:
         """Notes every expectation that does not hold."""
         calls = self._oracle.calls[self._checked :]
--- a/packages/mimosastile-standins/src/mimosastile_standins/scenario.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/scenario.py
@@ -174,6 +174,18 @@
     member: str
 
 
+class Race(Step, frozen=True, tag_field="do", tag="race"):
+    """Operators submit patches against the same number, all at once.
+
+    At most one of them may be accepted.
+
+    Attributes:
+        members: Members that they add, one each, each through another daemon.
+    """
+
+    members: Annotated[tuple[str, ...], msgspec.Meta(min_length=2)]
+
+
 class Load(Step, frozen=True, tag_field="do", tag="load"):
     """Changes what callers send.
 
@@ -245,6 +257,7 @@
     | LoseAnswer
     | Lie
     | Patch
+    | Race
     | Load
     | Deadly
     | Expect
--- a/packages/mimosastile-standins/src/mimosastile_standins/verbs.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/verbs.py
@@ -46,6 +46,9 @@
     async def configure(self, member: str) -> None:
         """Stores the next configuration, with one more member."""
 
+    async def race(self, members: tuple[str, ...]) -> None:
+        """Submits patches against the same number, all at once."""
+
     def check(self, expected: scenario.Expect) -> None:
         """Notes every expectation that does not hold."""
 
@@ -68,7 +71,7 @@
 async def _(step: scenario.Stop, run: Stage) -> None:
     if step.vm in run.world.daemons:
         run.oracle.stopping(step.vm)
-        await run.world.stop_daemon(step.vm)
+        run.spawn(run.world.stop_daemon(step.vm))
 
 
 @do.register
@@ -177,6 +180,11 @@
     run.spawn(run.send_deadly(step))
 
 
+@do.register
+async def _(step: scenario.Race, run: Stage) -> None:
+    await run.race(step.members)
+
+
 @do.register
 async def _(step: scenario.Expect, run: Stage) -> None:
     run.check(step)
--- a/packages/mimosastile-standins/src/mimosastile_standins/world.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/world.py
@@ -159,11 +159,16 @@
         return made
 
     async def stop_daemon(self, vm: str) -> None:
-        """Stops a daemon gracefully."""
-        made = self.daemons[vm]
-        async with asyncio.timeout(_STOP_SECONDS):
-            await daemon.stop_gracefully(made)
-        self.sites.processes.pop(vm, None)
+        """Stops a daemon gracefully; the platform ends one that hangs."""
+        process = self.sites.processes[vm]
+        assert process.kernel is not None
+        try:
+            async with asyncio.timeout(_STOP_SECONDS):
+                await daemon.stop_gracefully(process.kernel)
+        except TimeoutError:
+            process.kill()
+        if self.sites.processes.get(vm) is process:
+            del self.sites.processes[vm]
 
     def kill_daemon(self, vm: str) -> None:
         """Ends a daemon without a word; nothing of it leaves its VM."""
