Plots and comparisons tell rows of different skew apart

Cause: the plot drew two bars for each label on top of each other, one of each exponent of Zipf's law; a look at the picture showed 36 bars of 72. The comparison named rows by a field that does not exist. Figures: 72 labels, all different.

--- a/packages/mimosastile-standins/src/mimosastile_standins/_measuring.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/_measuring.py
@@ -79,7 +79,9 @@
         (out / "balance.json").read_bytes(), type=list[measures.Row]
     )
     for row in rows:
-        yield f"{row.deployment} {row.case} {row.scheme}", row.imbalance
+        # Two bars with one label would lie on top of each other.
+        label = f"{row.deployment} {row.exponent} {row.case} {row.scheme}"
+        yield label, row.imbalance
 
 
 def _plot(out: pathlib.Path) -> None:
--- a/packages/mimosastile-standins/src/mimosastile_standins/comparing.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/comparing.py
@@ -54,7 +54,7 @@
     texts = (v for v in row.values() if isinstance(v, str))
     sizes = (
         f"{key} {row[key]}"
-        for key in ("vms", "size", "concurrency", "zipf")
+        for key in ("vms", "size", "concurrency", "exponent")
         if key in row
     )
     return " / ".join((*texts, *sizes))
