One keeper of background tasks for four services; no clock read for nothing

Cause: state, propagation, quarantine and membership each kept a set of tasks with the same three lines; a keyed request read the clock although no target was leaving; a comment gave an interval of the list of VMs that has changed. Change: _background.Background; the question about leaving asks the clock only if any target is leaving; the comment says what is. Behaviour as before.

--- a/packages/mimosastile-core/src/mimosastile_core/fleet.py
+++ b/packages/mimosastile-core/src/mimosastile_core/fleet.py
@@ -6,7 +6,7 @@
 
 _HANDOVER_SECONDS = 1.0
 """Time that a leaving target has for handing its keys over. The list is read
-every 1.5 s, so this ends within 3 s of the platform's mark."""
+every half second and told to all, so this ends within 3 s of the mark."""
 
 
 class Role(enum.Enum):
@@ -127,6 +127,10 @@
             if vm.role is Role.TARGET and vm.state is VmState.LEAVING
         }
 
+    def __bool__(self) -> bool:
+        """Whether any target is leaving; usually none is."""
+        return bool(self._since)
+
     def is_over(self, target: str, now: float) -> bool:
         """Whether a target gets no new work any more."""
         since = self._since.get(target)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_fleet.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_fleet.py
@@ -69,7 +69,9 @@
 
     def has_left(self, target: str) -> bool:
         """Whether a target has been leaving too long to get new work."""
-        return self._leaving.is_over(target, self._clock.now())
+        return bool(self._leaving) and self._leaving.is_over(
+            target, self._clock.now()
+        )
 
     def is_gone(self, vm: str) -> bool:
         """Whether a VM was listed once and is listed no longer.
--- a/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
@@ -11,6 +11,7 @@
 from mimosastile_core import fleet
 from mimosastile_core import messages
 from mimosastile_core import presence
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import kernel
@@ -89,7 +90,7 @@
         self._detector = presence.Detector(vm, presence.Timing(), 0.0)
         self._listeners: list[Callable[[], None]] = []
         self._open: dict[str, int] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = _background.Background()
         self._sent = Traffic()
         self._received = Traffic()
         self._started_at = 0.0
@@ -148,9 +149,9 @@
 
     async def stop(self) -> None:
         """Ends the exchange."""
-        for task in (self._task, *self._tasks):
-            if task is not None:
-                task.cancel()
+        if self._task is not None:
+            self._task.cancel()
+        self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns suspicions and what presence costs."""
@@ -229,9 +230,7 @@
     def _send(self, vm: str) -> None:
         # A dead peer's open calls would pile up until their timeouts.
         if self._open.get(vm, 0) < _MOST_OPEN:
-            task = asyncio.create_task(self._call(vm), name=f"presence-{vm}")
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.start(self._call(vm), f"presence-{vm}")
 
     async def _call(self, vm: str) -> None:
         listed = self._fleet.fleet.entries.get(vm)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_propagation.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_propagation.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Coroutine
 from typing import Any
 
 from absl import logging
@@ -14,6 +13,7 @@
 from mimosastile_core import fleet
 from mimosastile_core import gossip
 from mimosastile_core import messages
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _membership
@@ -98,7 +98,7 @@
         self._zone = zone
         self._timing = Timing()
         self._tasks: list[asyncio.Task[None]] = []
-        self._tellings: set[asyncio.Task[Any]] = set()
+        self._tellings = _background.Background()
         self._restart = asyncio.Event()
         self._counts: dict[str, int] = {}
         self._pushed: dict[str, int] = {}
@@ -133,8 +133,9 @@
 
     async def stop(self) -> None:
         """Ends all of it."""
-        for task in (*self._tasks, *self._tellings):
+        for task in self._tasks:
             task.cancel()
+        self._tellings.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns calls of the platform, messages and bytes sent."""
@@ -236,7 +237,7 @@
         self._state.take(batch)
         delta = replica.slimmed(replica.delta(self._vm, pull), former)
         if _numbers(delta):
-            self._start(self._tell_zone(delta))
+            self._tellings.start(self._tell_zone(delta))
 
     async def _list(self) -> None:
         await asyncio.sleep(self._jitter(self._timing.list))
@@ -266,13 +267,13 @@
 
     def _push(self, push: messages.Push) -> None:
         for vm in self._receivers(push.root):
-            self._start(self.call(vm, push))
+            self._tellings.start(self.call(vm, push))
 
     def tell_listing(self) -> None:
         """Tells the own zone the list of VMs as this VM has it."""
         listing = self._fleet.readings.listing(self._vm, self._clock.now())
         for vm in self._receivers(self._vm):
-            self._start(self.call(vm, listing))
+            self._tellings.start(self.call(vm, listing))
 
     def _receivers(self, root: str) -> list[str]:
         members = [
@@ -292,14 +293,9 @@
     def _take_listing(self, listing: messages.Listing) -> messages.Ack:
         if self._fleet.take(listing):
             for vm in self._receivers(listing.root):
-                self._start(self.call(vm, listing))
+                self._tellings.start(self.call(vm, listing))
         return messages.Ack(self._vm)
 
-    def _start(self, work: Coroutine[Any, Any, Any]) -> None:
-        task = asyncio.create_task(work)
-        self._tellings.add(task)
-        task.add_done_callback(self._tellings.discard)
-
     async def call(
         self, vm: str, message: messages.PeerMessage
     ) -> messages.PeerMessage | None:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_quarantine.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_quarantine.py
@@ -1,7 +1,6 @@
 """The quarantine service: requests that stopped targets, on all entry VMs."""
 
 import asyncio
-from collections.abc import Coroutine
 import math
 from typing import Any
 
@@ -11,6 +10,7 @@
 from mimosastile_core import errors
 from mimosastile_core import messages
 from mimosastile_core import quarantine
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _state
@@ -59,7 +59,7 @@
         self._vm = vm
         self._memory = quarantine.Memory()
         self._doubts = quarantine.Doubts()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = _background.Background()
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
         self._peers: ports.PeerPort
@@ -73,12 +73,11 @@
         self._clock = kernel.find("clock")
         inbox: _inbox.InboxService = kernel.find("inbox")
         inbox.handle(messages.Deaths, self._receive)
-        self._spawn(self._sync())
+        self._tasks.start(self._sync())
 
     async def stop(self) -> None:
         """Ends the exchange with peers."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns the remembered requests and where they stopped targets."""
@@ -178,7 +177,7 @@
 
     def _tell(self, message: messages.Deaths) -> None:
         for vm in self._fleet.peers().values():
-            self._spawn(self._call(vm.id, message))
+            self._tasks.start(self._call(vm.id, message))
 
     async def _call(self, vm: str, message: messages.Deaths) -> None:
         peer = self._fleet.peers().get(vm)
@@ -208,11 +207,6 @@
             self._memory.expire(self._policy, self._clock.now())
             await asyncio.sleep(_SYNC_SECONDS)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _fingerprint(request: ports.Request) -> str:
     return quarantine.fingerprint(
--- a/packages/mimosastile-entry/src/mimosastile_entry/_state.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_state.py
@@ -19,6 +19,7 @@
 from mimosastile_core import replica
 from mimosastile_core import tables
 from mimosastile_core import writes
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import kernel
@@ -95,7 +96,7 @@
         self._fleet: _fleet.FleetService
         self._revision = 0
         self._synced = False
-        self._tellings: set[asyncio.Future[Any]] = set()
+        self._tellings = _background.Background()
         self._asked_at: dict[str, float] = {}
 
     @property
@@ -133,8 +134,7 @@
 
     async def stop(self) -> None:
         """Ends what is being told."""
-        for telling in self._tellings:
-            telling.cancel()
+        self._tellings.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns numbers and versions."""
@@ -292,9 +292,7 @@
         for vm in self._fleet.peers().values():
             if vm.id in named:
                 call = self._peers.call(vm, delta, _PEER_SECONDS)
-                task = asyncio.ensure_future(call)
-                self._tellings.add(task)
-                task.add_done_callback(self._tellings.discard)
+                self._tellings.start(call)
 
     def _doubted(
         self, block: tables.BlockId, failure: errors.Failure
@@ -323,9 +321,7 @@
         self._replica.merge(delta)
         sender = self._fleet.peers().get(delta.vm)
         if self._replica.lacks(delta) and sender is not None:
-            task = asyncio.ensure_future(self._catch_up(sender, delta))
-            self._tellings.add(task)
-            task.add_done_callback(self._tellings.discard)
+            self._tellings.start(self._catch_up(sender, delta))
 
     async def _catch_up(self, peer: fleet.Vm, delta: messages.Delta) -> None:
         for _ in range(_CATCH_UP_TRIES):
