--- a/packages/mimosastile-core/src/mimosastile_core/errors.py
+++ b/packages/mimosastile-core/src/mimosastile_core/errors.py
@@ -44,6 +44,10 @@
     DEADLINE = "deadline"
     CANCELLED = "cancelled"
     SHUTTING_DOWN = "shutting_down"
+    NOT_CONFIGURED = "not_configured"
+    NO_ROUTE = "no_route"
+    REJECTED = "rejected"
+    TARGET_FAILED = "target_failed"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_UNKNOWN = "store_unknown"
     INTERNAL = "internal"
@@ -65,7 +69,7 @@
     ran: Ran
     router_retries: bool
     caller_retries: bool
-    retry_after: int
+    retry_after: float
     text: str
 
 
@@ -73,7 +77,7 @@
     return Answer(status, Ran.NO, False, False, 0, text)
 
 
-def _busy(status: int, retry_after: int, text: str) -> Answer:
+def _busy(status: int, retry_after: float, text: str) -> Answer:
     return Answer(status, Ran.NO, False, True, retry_after, text)
 
 
@@ -113,6 +117,12 @@
     ErrorKind.DEADLINE: _unsure(504, "The deadline passed during the run."),
     ErrorKind.CANCELLED: _unsure(499, "The caller went away."),
     ErrorKind.SHUTTING_DOWN: _busy(503, 1, "This entry VM is stopping."),
+    ErrorKind.NOT_CONFIGURED: _busy(
+        503, 0.3, "No configuration is known yet."
+    ),
+    ErrorKind.NO_ROUTE: _refused(404, "No route leads there."),
+    ErrorKind.REJECTED: _reroute("The target did not take the request."),
+    ErrorKind.TARGET_FAILED: _unsure(502, "The target failed."),
     ErrorKind.STORE_UNAVAILABLE: _busy(503, 2, "The store is unavailable."),
     ErrorKind.STORE_UNKNOWN: _unsure(503, "The store did not confirm."),
     ErrorKind.INTERNAL: _unsure(500, "Internal error."),
@@ -148,7 +158,7 @@
 
     kind: ErrorKind
     detail: str = ""
-    retry_after: int = 0
+    retry_after: float = 0
     repeatable: bool = False
 
     @property
@@ -164,7 +174,7 @@
         return answer.caller_retries or unsure
 
     @property
-    def wait(self) -> int:
+    def wait(self) -> float:
         """Seconds for the Retry-After header, 0 for no such header."""
         unsure = 1 if self.caller_retries else 0
         return self.retry_after or self.answer.retry_after or unsure
--- /dev/null
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -0,0 +1,205 @@
+"""What is known of targets, and which of them may get new work."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import enum
+import itertools
+
+import msgspec
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A target as it registered itself.
+
+    Attributes:
+        id: Its identifier; may come back for another run of it.
+        born: Unix milliseconds of its start; tells its runs apart.
+        service: Service that it serves.
+        address: Host and port.
+        zone: Its availability zone.
+        slots: Requests that it runs at a time.
+        leaving: Whether it has announced its end.
+        warm_at: Time at which it is no longer slow after its start.
+    """
+
+    id: str
+    born: int
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool = False
+    warm_at: float = 0.0
+
+
+class Standing(enum.Enum):
+    """What a target may be used for."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+    MISSING = "missing"
+
+
+class Entry:
+    """One target and how it stands.
+
+    Attributes:
+        target: As it registered itself last.
+        standing: Whether it may get new work.
+        since: Time of the last change of `standing`.
+        until: Time after which it gets no work at all.
+    """
+
+    __slots__ = ("since", "standing", "target", "until")
+
+    def __init__(self, target: Target, since: float) -> None:
+        self.target = target
+        self.standing = Standing.READY
+        self.since = since
+        self.until = float("inf")
+
+
+class Directory:
+    """All targets that are registered or were until a moment ago.
+
+    A target whose registration has vanished may be dead, or cut off from the
+    store and still well, or all registrations may have lapsed in an outage of
+    the store. Callers would notice the last case as a whole service refused
+    at once. So a vanished target stays usable where there is no other, for as
+    long as a leaving one may still get work.
+    """
+
+    __slots__ = ("_entries", "_grace", "_late_grace")
+
+    def __init__(self, grace: float, late_grace: float) -> None:
+        """Makes an empty one.
+
+        Args:
+            grace: Seconds for which a leaving or vanished target may get work.
+            late_grace: The same if only a comparison of lists showed that it
+                has vanished, which may have happened earlier.
+        """
+        self._entries: dict[str, Entry] = {}
+        self._grace = grace
+        self._late_grace = late_grace
+
+    def __iter__(self) -> Iterator[Entry]:
+        """Yields all entries."""
+        return iter(self._entries.values())
+
+    def get(self, target: str) -> Entry | None:
+        """Returns the entry of a target, None if it is unknown."""
+        return self._entries.get(target)
+
+    def put(self, target: Target, now: float) -> bool:
+        """Takes a registration.
+
+        Args:
+            target: The target.
+            now: The time.
+
+        Returns:
+            Whether it matters to routing.
+        """
+        entry = self._entries.get(target.id)
+        if entry is None:
+            entry = self._entries[target.id] = Entry(target, now)
+            fresh = True
+        else:
+            former = entry.target
+            fresh = (former.born, former.address) != (
+                target.born,
+                target.address,
+            )
+        entry.target = target
+        standing = Standing.LEAVING if target.leaving else Standing.READY
+        if entry.standing is standing and not fresh:
+            return False
+        entry.standing = standing
+        entry.since = now
+        entry.until = now + self._grace if target.leaving else float("inf")
+        return True
+
+    def remove(self, target: str, now: float, *, late: bool = False) -> bool:
+        """Notes that a registration has vanished.
+
+        Args:
+            target: Identifier of the target.
+            now: The time.
+            late: Whether it may have vanished a while ago.
+
+        Returns:
+            Whether it was there.
+        """
+        entry = self._entries.get(target)
+        if entry is None or entry.standing is Standing.MISSING:
+            return False
+        entry.standing = Standing.MISSING
+        entry.since = now
+        grace = self._late_grace if late else self._grace
+        entry.until = min(entry.until, now + grace)
+        return True
+
+    def replace(self, targets: Iterable[Target], now: float) -> list[str]:
+        """Takes a whole list.
+
+        Returns:
+            The targets whose entry changed.
+        """
+        listed = {target.id: target for target in targets}
+        changed = [t.id for t in listed.values() if self.put(t, now)]
+        gone = [
+            known
+            for known in list(self._entries)
+            if known not in listed and self.remove(known, now, late=True)
+        ]
+        return changed + gone
+
+    def forget(self, now: float, keep_seconds: float) -> None:
+        """Drops targets that vanished long ago."""
+        self._entries = {
+            name: entry
+            for name, entry in self._entries.items()
+            if entry.standing is not Standing.MISSING
+            or now - entry.since < keep_seconds
+        }
+
+    def usable(self, service: str, now: float) -> list[Target]:
+        """Returns the targets of a service that may get new work.
+
+        Ready ones if there are any, else those that are about to go.
+        """
+        of_service = [
+            e for e in self._entries.values() if e.target.service == service
+        ]
+        ready = [
+            e.target for e in of_service if e.standing is Standing.READY
+        ]
+        if ready:
+            return ready
+        return [e.target for e in of_service if now < e.until]
+
+    def may_get_work(self, target: str, now: float) -> bool:
+        """Whether a target that owns a key may get a request for it."""
+        entry = self._entries.get(target)
+        return entry is not None and now < entry.until
+
+    def ready(self, service: str) -> list[Target]:
+        """Returns the registered targets of a service that do not leave."""
+        return [
+            entry.target
+            for entry in self._entries.values()
+            if entry.standing is Standing.READY
+            and entry.target.service == service
+        ]
+
+    def services(self) -> set[str]:
+        """Returns the names of services that have targets."""
+        return {entry.target.service for entry in self._entries.values()}
+
+
+def by_zone(targets: Iterable[Target]) -> dict[str, list[Target]]:
+    """Groups targets by availability zone."""
+    ordered = sorted(targets, key=lambda target: target.zone)
+    grouped = itertools.groupby(ordered, key=lambda target: target.zone)
+    return {zone: list(group) for zone, group in grouped}
--- /dev/null
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
@@ -0,0 +1,110 @@
+"""When a leader may give orders, and when a former one has surely stopped.
+
+One VM leads: it alone changes the tables of key ranges and gives orders to
+targets. Any VM may take the role over by a compare-and-swap, at any time, so
+the death of a leader costs little. What makes that safe:
+
+- A table changes only in a transaction that also checks the leader's entry,
+  so a replaced leader changes nothing more.
+- A target refuses a fence lower than one it has seen, so a replaced leader's
+  orders do no harm to keys that the new one has taken from a target by order.
+- Keys of a target that does not answer are given away only once every grant
+  has run out. A replaced leader that does not know it might renew them; so a
+  leader stops by itself when it has not seen its entry in the store for
+  `authority` seconds, and its successor waits that long.
+
+All times are of a clock that runs on while the machine is suspended: a leader
+that thaws must see that its time has passed.
+"""
+
+import msgspec
+
+CLOCK_DRIFT = 0.02
+"""How much slower a target's clock may run, from the platform's promise."""
+LAPSE_MARGIN = 0.1
+"""Seconds on top of a grant's time for delivery within a host."""
+
+
+class LeaderEntry(msgspec.Struct, frozen=True):
+    """The leader as named in the store.
+
+    Attributes:
+        vm: Identifier of the VM.
+        boot: Identifier of the run of its daemon.
+        epoch: Rises by one with each leader.
+        address: Where its peers reach it.
+    """
+
+    vm: str
+    boot: str
+    epoch: int
+    address: str
+
+
+class Authority:
+    """How long this VM may go on giving orders as leader."""
+
+    __slots__ = ("_confirmed", "_span")
+
+    def __init__(self, span: float) -> None:
+        """Makes one that allows nothing.
+
+        Args:
+            span: Seconds that one look at the store allows.
+        """
+        self._span = span
+        self._confirmed = float("-inf")
+
+    @property
+    def confirmed(self) -> float:
+        """Time of the last look at the store that showed this leader."""
+        return self._confirmed
+
+    @property
+    def ends(self) -> float:
+        """Time from which no order may be given."""
+        return self._confirmed + self._span
+
+    def confirm(self, asked: float) -> None:
+        """Notes that the store named this leader.
+
+        Args:
+            asked: Time at which the question was sent, not answered.
+        """
+        self._confirmed = max(self._confirmed, asked)
+
+    def holds(self, now: float) -> bool:
+        """Whether orders may be given."""
+        return now < self.ends
+
+    def hold_seconds(
+        self, now: float, usual: float, most: float, trouble_after: float
+    ) -> float:
+        """Returns how long a grant given now may last.
+
+        While the store does not answer no successor could take over and no
+        key could move, so grants are made longer: the keys then survive the
+        loss of this leader in an outage. No grant outlasts this leader's
+        authority by more than `usual`, which is what a successor waits for.
+
+        Args:
+            now: The time.
+            usual: Seconds of a grant while all is well.
+            most: Longest grant that targets accept.
+            trouble_after: Seconds without the store after which it counts as
+                not answering.
+        """
+        if now - self._confirmed < trouble_after:
+            return usual
+        return max(usual, min(most, self.ends - now + usual))
+
+
+def lapsed_at(last_order: float, hold: float) -> float:
+    """Returns when a grant has surely run out.
+
+    Args:
+        last_order: Time at which the last order that may have carried it was
+            answered or its connection was reset.
+        hold: Seconds that it granted.
+    """
+    return last_order + hold * (1 + CLOCK_DRIFT) + LAPSE_MARGIN
--- /dev/null
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -0,0 +1,293 @@
+"""Which target takes a request now, or how long it has to wait for one.
+
+What a VM knows of a target: its own requests under way there, exactly; those
+of the other VMs, some tenths of a second old; how much slower or faster than
+the mean it answers; and how it failed lately. From these follows when an
+answer could be expected, and the target with the earliest one is taken, with a
+handicap for zones and regions that have to be crossed.
+"""
+
+from collections.abc import Iterable
+import math
+
+import msgspec
+
+from mimosastile_core.gateway import directory
+
+_SMOOTHING = 0.15
+"""Weight of one answer in the mean: some seven answers to follow a change."""
+_FACTOR_BOUNDS = (0.2, 20.0)
+_TROUBLE_HALF_LIFE = 2.0
+"""Seconds in which the memory of failures halves."""
+_TROUBLE_WEIGHT = 4.0
+"""A target that fails always counts as five times as slow."""
+_REST_SECONDS = 0.5
+_REST_MOST_SECONDS = 4.0
+"""How long a target is left alone after it could not be reached; doubles."""
+_OTHERS_FRESH_SECONDS = 1.5
+"""Age up to which counts of other VMs are believed."""
+
+
+class Policy(msgspec.Struct, frozen=True):
+    """How far targets are filled and what distance costs.
+
+    Attributes:
+        queue: Requests that may wait at a target beyond its slots. Targets
+            queue more, but some never answer one that they cannot queue, and
+            counts of other VMs are a little old; half of their queue is kept
+            free for that.
+        zone_seconds: Handicap of another zone of the same region.
+        region_seconds: Handicap of another region.
+        zone_bytes_per_second: Answers to another zone cost a second per this
+            many bytes.
+        region_bytes_per_second: The same for another region.
+    """
+
+    queue: int = 8
+    zone_seconds: float = 0.02
+    region_seconds: float = 0.08
+    zone_bytes_per_second: float = 1e6
+    region_bytes_per_second: float = 4e5
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Where something stands."""
+
+    zone: str
+    region: str
+
+
+class Load:
+    """What this VM knows of one target."""
+
+    __slots__ = (
+        "_rests",
+        "_trouble",
+        "_trouble_at",
+        "factor",
+        "others",
+        "others_at",
+        "own",
+        "rest_until",
+        "samples",
+    )
+
+    def __init__(self) -> None:
+        self.own = 0
+        self.others = 0
+        self.others_at = -math.inf
+        self.factor = 1.0
+        self.samples = 0
+        self.rest_until = -math.inf
+        self._trouble = 0.0
+        self._trouble_at = 0.0
+        self._rests = 0
+
+    def under_way(self, now: float) -> int:
+        """Returns the requests under way there, of all VMs."""
+        fresh = now - self.others_at < _OTHERS_FRESH_SECONDS
+        return self.own + (self.others if fresh else 0)
+
+    def trouble(self, now: float) -> float:
+        """Returns the recent share of failures, 0 to 1."""
+        age = max(now - self._trouble_at, 0.0)
+        return self._trouble * 0.5 ** (age / _TROUBLE_HALF_LIFE)
+
+    def answered(self, seconds: float, work: float, now: float) -> None:
+        """Notes an answer.
+
+        Args:
+            seconds: Time that it took, without waiting at the target.
+            work: Mean time of such requests at all targets.
+            now: The time.
+        """
+        low, high = _FACTOR_BOUNDS
+        ratio = min(max(seconds / max(work, 1e-3), low), high)
+        # One request in a hundred takes several times as long; a few of them
+        # do not make a target slow.
+        step = max(_SMOOTHING, 1 / (self.samples + 1))
+        ratio = min(ratio, 3 * self.factor)
+        self.factor += (ratio - self.factor) * step
+        self.samples += 1
+        self._note(0.0, now)
+        self._rests = 0
+
+    def failed(self, now: float) -> None:
+        """Notes a failure or a rejection."""
+        self._note(1.0, now)
+
+    def unreachable(self, now: float) -> None:
+        """Notes that it could not be reached at all."""
+        self._note(1.0, now)
+        rest = min(_REST_SECONDS * 2**self._rests, _REST_MOST_SECONDS)
+        self.rest_until = now + rest
+        self._rests = min(self._rests + 1, 8)
+
+    def _note(self, value: float, now: float) -> None:
+        trouble = self.trouble(now)
+        self._trouble = trouble + (value - trouble) * 0.2
+        self._trouble_at = now
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """What was found for a request.
+
+    Attributes:
+        target: The target; None if it has to wait or cannot be served.
+        seconds: Expected time to its answer, or until there is room.
+    """
+
+    target: directory.Target | None
+    seconds: float
+
+
+class Rooms:
+    """Loads of all targets, and the choice among them."""
+
+    __slots__ = ("_here", "_loads", "_policy", "_regions", "_work")
+
+    def __init__(
+        self, here: Place, regions: dict[str, str], policy: Policy
+    ) -> None:
+        """Makes one that knows nothing.
+
+        Args:
+            here: Where this VM stands.
+            regions: Region of each zone.
+            policy: How far targets are filled and what distance costs.
+        """
+        self._here = here
+        self._regions = regions
+        self._policy = policy
+        self._loads: dict[str, Load] = {}
+        self._work: dict[str, tuple[float, float]] = {}
+
+    def load(self, target: str) -> Load:
+        """Returns what is known of a target."""
+        found = self._loads.get(target)
+        if found is None:
+            found = self._loads[target] = Load()
+        return found
+
+    def forget_except(self, targets: Iterable[str]) -> None:
+        """Drops targets that are gone."""
+        kept = set(targets)
+        self._loads = {
+            name: load
+            for name, load in self._loads.items()
+            if name in kept or load.own
+        }
+
+    def own(self) -> dict[str, int]:
+        """Returns this VM's requests under way by target."""
+        return {name: x.own for name, x in self._loads.items() if x.own}
+
+    def factors(self) -> dict[str, float]:
+        """Returns how slow targets are, where this has been seen."""
+        return {
+            name: round(load.factor, 2)
+            for name, load in self._loads.items()
+            if load.samples
+        }
+
+    def learn_others(self, totals: dict[str, int], now: float) -> None:
+        """Takes the other VMs' counts; targets that are not named have 0."""
+        for name, load in self._loads.items():
+            load.others = totals.get(name, 0)
+            load.others_at = now
+        for name, count in totals.items():
+            if name not in self._loads:
+                load = self.load(name)
+                load.others = count
+                load.others_at = now
+
+    def work(self, route: str, guess: float) -> float:
+        """Returns the mean time in seconds that a route's requests take."""
+        return self._work.get(route, (guess, 0.0))[0]
+
+    def size(self, route: str) -> float:
+        """Returns the mean size in bytes of a route's answers."""
+        return self._work.get(route, (0.0, 0.0))[1]
+
+    def answered(
+        self, route: str, target: str, seconds: float, size: int, now: float
+    ) -> None:
+        """Notes a whole answer.
+
+        Args:
+            route: The request's route.
+            target: Who answered.
+            seconds: Time from sending to the answer's end.
+            size: Bytes of the answer.
+            now: The time.
+        """
+        mean, bytes_mean = self._work.get(route, (seconds, float(size)))
+        load = self.load(target)
+        # Only what did not wait at the target shows how fast it is.
+        clamped = min(seconds, 5 * mean)
+        mean += (clamped - mean) * _SMOOTHING / 5
+        bytes_mean += (size - bytes_mean) * _SMOOTHING / 5
+        self._work[route] = (mean, bytes_mean)
+        load.answered(seconds, mean, now)
+
+    def expected(
+        self, target: directory.Target, route: str, guess: float, now: float
+    ) -> float:
+        """Returns the time in seconds to an answer if it were sent now."""
+        load = self.load(target.id)
+        work = self.work(route, guess) * load.factor
+        if now < target.warm_at and load.samples < 5:
+            work *= 2
+        ahead = load.under_way(now) + 1 - target.slots
+        wait = max(ahead, 0) / target.slots * work
+        return (work + wait) * (1 + _TROUBLE_WEIGHT * load.trouble(now))
+
+    def full(self, target: directory.Target, most_own: int, now: float) -> bool:
+        """Whether a target should get nothing more at the moment."""
+        load = self.load(target.id)
+        limit = target.slots + self._policy.queue
+        return load.own >= most_own or load.under_way(now) >= limit
+
+    def choose(
+        self,
+        targets: Iterable[directory.Target],
+        route: str,
+        guess: float,
+        most_own: int,
+        now: float,
+        jitter: float,
+    ) -> Choice:
+        """Returns the target for a request that any of some may run.
+
+        Args:
+            targets: Those that may run it.
+            route: Its route.
+            guess: Time in seconds that it takes if none was seen yet.
+            most_own: Requests of this VM that one target may have.
+            now: The time.
+            jitter: From 0 to 1, keeps VMs from all choosing the same one.
+        """
+        best: tuple[float, float, directory.Target] | None = None
+        soonest = math.inf
+        size = self.size(route)
+        for index, target in enumerate(targets):
+            seconds = self.expected(target, route, guess, now)
+            if self.full(target, most_own, now):
+                soonest = min(soonest, seconds / target.slots)
+                continue
+            rest = max(self.load(target.id).rest_until - now, 0.0)
+            noise = 1 + 0.1 * ((index * 0.618 + jitter) % 1)
+            cost = seconds * noise + self._handicap(target, size) + 10 * rest
+            if best is None or cost < best[0]:
+                best = (cost, seconds, target)
+        if best is None:
+            return Choice(None, soonest)
+        return Choice(best[2], best[1])
+
+    def _handicap(self, target: directory.Target, size: float) -> float:
+        policy = self._policy
+        if target.zone == self._here.zone:
+            return 0.0
+        if self._regions.get(target.zone) == self._here.region:
+            return policy.zone_seconds + size / policy.zone_bytes_per_second
+        return policy.region_seconds + size / policy.region_bytes_per_second
--- /dev/null
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/routes.py
@@ -0,0 +1,173 @@
+"""Routes of callers' requests: host and longest prefix to a service."""
+
+import enum
+
+import msgspec
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    DOWNLOAD = "download"
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once without harm."""
+        return self is not RouteKind.NON_IDEMPOTENT
+
+
+class Part(msgspec.Struct, frozen=True):
+    """One of the services that a route divides its requests among.
+
+    Attributes:
+        service: Name of the service.
+        weight: Its share is this over the sum of all parts' weights.
+    """
+
+    service: str
+    weight: float = 1.0
+
+
+class Route(msgspec.Struct, frozen=True):
+    """How requests of one host under one prefix are treated.
+
+    Attributes:
+        name: Name in logs.
+        host: Host header that it applies to, in lower case.
+        prefix: Path prefix; begins and ends with a slash.
+        kind: What may be repeated.
+        parts: Services that its requests go to, at least one.
+        timeout: Longest time in seconds from arrival to the final answer.
+        target_latency: Time in seconds within which an answer is on time.
+        attempts: Most targets that one request may be sent to.
+        priority: Rank; 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    parts: tuple[Part, ...]
+    timeout: float
+    target_latency: float
+    attempts: int = 2
+    priority: int = 0
+
+
+class Service(msgspec.Struct, frozen=True):
+    """One service behind the gateway.
+
+    Attributes:
+        name: Its name.
+        health_path: Path of its health check.
+        connections: Connections that one target takes from all callers.
+        keyed: Whether its targets own ranges of keys.
+        warm_seconds: How long keys are slow that come without a handover.
+    """
+
+    name: str
+    health_path: str = "/health"
+    connections: int = 120
+    keyed: bool = False
+    warm_seconds: float = 0.0
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """Bounds on what a caller may send.
+
+    Attributes:
+        header_bytes: Largest head of a request.
+        body_bytes: Largest body.
+        header_seconds: Longest time for a head to arrive.
+        idle_seconds: Longest time that a connection may rest.
+    """
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = 64 << 20
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """What operators have decided, as one version.
+
+    Attributes:
+        version: Rises with each change.
+        routes: All routes.
+        services: By name.
+        limits: Bounds on callers.
+    """
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: dict[str, Service] = {}
+    limits: CallerLimits = CallerLimits()
+
+
+class RouteTable:
+    """Finds the route of a request."""
+
+    __slots__ = ("_by_host",)
+
+    def __init__(self, routes: tuple[Route, ...] = ()) -> None:
+        """Makes a table.
+
+        Args:
+            routes: All routes; of two with the same host and prefix the last
+                one counts.
+        """
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            prefixes = self._by_host.setdefault(route.host.lower(), {})
+            prefixes[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix that begins the path.
+
+        Args:
+            host: Host header; a port in it is ignored.
+            path: Path without query.
+        """
+        name = host.partition(":")[0].lower()
+        prefixes = self._by_host.get(name)
+        if prefixes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+class WeightedShares:
+    """Deals a route's requests out among its parts in exact proportion.
+
+    Smooth weighted round robin: after any number of requests each part is less
+    than one request off its share. Drawing parts at random would be off by
+    several in a hundred over a few hundred requests.
+    """
+
+    __slots__ = ("_credits",)
+
+    def __init__(self) -> None:
+        self._credits: dict[tuple[str, tuple[Part, ...]], list[float]] = {}
+
+    def next(self, route: Route) -> str:
+        """Returns the service that gets the next request of a route."""
+        parts = route.parts
+        if len(parts) == 1:
+            return parts[0].service
+        dealt = self._credits.setdefault((route.name, parts), [0.0] * len(parts))
+        for index, part in enumerate(parts):
+            dealt[index] += part.weight
+        best = max(range(len(parts)), key=dealt.__getitem__)
+        dealt[best] -= sum(part.weight for part in parts)
+        return parts[best].service
+
+    def keep(self, routes: tuple[Route, ...]) -> None:
+        """Forgets routes that are not configured any more."""
+        known = {(route.name, route.parts) for route in routes}
+        self._credits = {k: v for k, v in self._credits.items() if k in known}
--- /dev/null
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -0,0 +1,334 @@
+"""Assembles a gateway daemon and runs it until it is told to stop."""
+
+import asyncio
+from collections.abc import Callable
+import gc
+import signal
+import time
+
+import msgspec
+
+from mimosastile_core.gateway import room
+from mimosastile_gateway import beliefs
+from mimosastile_gateway import clock
+from mimosastile_gateway import events
+from mimosastile_gateway import forwarding
+from mimosastile_gateway import http_client
+from mimosastile_gateway import http_server
+from mimosastile_gateway import leading
+from mimosastile_gateway import messages
+from mimosastile_gateway import metrics
+from mimosastile_gateway import peers
+from mimosastile_gateway import ports
+from mimosastile_gateway import settings
+from mimosastile_gateway import watching
+
+_TRIM_SECONDS = 1.0
+_COLLECT_AFTER = 20_000
+_YOUNG = 20
+_OLD = 50
+"""Thresholds of the garbage collector's generations: requests leave few
+cycles, and each run of it walks through everything."""
+_IDLE_MOST = 5.0
+_JSON = ((b"content-type", b"application/json"),)
+_TEXT = ((b"content-type", b"text/plain; version=0.0.4"),)
+
+
+class Adapter(msgspec.Struct, frozen=True):
+    """What a platform's adapter provides.
+
+    Attributes:
+        headers: Names of headers.
+        store: Makes the store's client out of the connections.
+        orders: Makes the client for orders to targets.
+        records: Reads what operators and targets wrote.
+        readiness_path: Path of the balancer's question.
+    """
+
+    headers: ports.HeaderNames
+    store: Callable[[http_client.Pool], ports.StorePort]
+    orders: Callable[[http_client.Pool], ports.OrderPort]
+    records: ports.RecordPort
+    readiness_path: str
+
+
+class Daemon:
+    """One gateway process."""
+
+    __slots__ = (
+        "_adapter",
+        "_beliefs",
+        "_callers",
+        "_clock",
+        "_events",
+        "_forwarding",
+        "_inner",
+        "_leading",
+        "_metrics",
+        "_observed",
+        "_peers",
+        "_pool",
+        "_ready",
+        "_rooms",
+        "_settings",
+        "_stopping",
+        "_trim",
+        "_watching",
+    )
+
+    def __init__(
+        self,
+        configured: settings.GatewaySettings,
+        adapter: Adapter,
+        log: events.Events | None = None,
+        timer: clock.Clock | None = None,
+    ) -> None:
+        """Makes a daemon that is not started.
+
+        Args:
+            configured: Its settings.
+            adapter: The platform's adapter.
+            log: Where it logs; standard output if None.
+            timer: Its clock; the real one if None.
+        """
+        vm = configured.vm
+        self._settings = configured
+        self._adapter = adapter
+        self._events = log or events.Events(vm.id)
+        self._clock = timer or clock.Clock()
+        self._pool = http_client.Pool(configured.requests.silent)
+        self._metrics = metrics.Metrics()
+        self._beliefs = beliefs.Beliefs(configured, self._clock, self._events)
+        store = adapter.store(self._pool)
+        boot = self._clock.new_id()
+        self._rooms = room.Rooms(
+            room.Place(vm.zone, vm.region), vm.regions, configured.rooms
+        )
+        self._leading = leading.Leading(
+            configured,
+            boot,
+            store,
+            adapter.orders(self._pool),
+            self._pool,
+            self._beliefs,
+            self._clock,
+            self._events,
+        )
+        self._peers = peers.Peers(
+            configured,
+            boot,
+            store,
+            self._pool,
+            self._beliefs,
+            self._rooms,
+            self._leading,
+            self._clock,
+            self._events,
+        )
+        self._watching = watching.Watching(
+            configured.store,
+            store,
+            adapter.records,
+            self._beliefs,
+            self._clock,
+            self._events,
+        )
+        self._forwarding = forwarding.Forwarding(
+            configured,
+            adapter.headers,
+            self._pool,
+            self._beliefs,
+            self._rooms,
+            self._peers,
+            self._metrics,
+            self._clock,
+            self._events,
+        )
+        self._callers = http_server.Server(self._forwarding.handle)
+        self._ready = http_server.Server(self._readiness)
+        self._inner = http_server.Server(self._peer_call)
+        self._observed = http_server.Server(self._observe)
+        self._stopping = False
+        self._trim: asyncio.Task[None] | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return (
+            not self._stopping
+            and self._beliefs.configuration is not None
+            and any(True for _ in self._beliefs.directory)
+        )
+
+    async def start(self) -> None:
+        """Begins to listen and to learn."""
+        vm = self._settings.vm
+        for server, address in (
+            (self._inner, vm.peers),
+            (self._ready, vm.readiness),
+            (self._callers, vm.callers),
+        ):
+            await server.listen(address)
+        try:
+            await self._observed.listen(vm.metrics)
+        except OSError as error:
+            # Callers go before metrics.
+            self._events.write("daemon", "no_metrics", why=str(error))
+        self._beliefs.subscribe(self._on_change)
+        self._watching.start()
+        self._peers.start()
+        self._trim = asyncio.create_task(self._trim_on(), name="trim")
+        self._events.write(
+            "daemon",
+            "started",
+            zone=vm.zone,
+            cpu_ms=round(time.process_time() * 1000),
+        )
+
+    async def stop(self) -> None:
+        """Stops gracefully: no request that was taken is cut off."""
+        grace = self._settings.bounds.grace - self._settings.stop.reserve
+        began = self._clock.now()
+        self._stopping = True
+        self._callers.stopping = True
+        self._events.write("daemon", "stopping", grace=grace)
+        await asyncio.gather(
+            self._leading.hand_over(min(1.5, grace / 2)),
+            asyncio.sleep(min(self._settings.stop.notice, grace / 2)),
+        )
+        self._callers.stop_listening()
+        self._callers.close_idle()
+        while self._callers.busy and self._clock.now() - began < grace:
+            await asyncio.sleep(0.02)
+        self._leading.step_down("this daemon stops")
+        self._watching.stop()
+        await self._peers.stop()
+        if self._trim is not None:
+            self._trim.cancel()
+        self._events.write(
+            "daemon",
+            "stopped",
+            seconds=round(self._clock.now() - began, 2),
+            cut=self._callers.busy,
+        )
+        for server in (self._callers, self._ready, self._inner):
+            server.stop_listening()
+            server.close_idle()
+        self._pool.close()
+
+    def log_dump(self) -> None:
+        """Writes the state dump to the log."""
+        self._events.write("daemon", "state", state=self.dump())
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state of all parts."""
+        known = self._beliefs
+        configuration = known.configuration
+        return {
+            "vm": self._settings.vm.id,
+            "ready": self.ready,
+            "configuration": configuration.version if configuration else None,
+            "leader": msgspec.to_builtins(known.leader),
+            "vms": sorted(known.vms),
+            "targets": {
+                entry.target.id: entry.standing.value
+                for entry in known.directory
+            },
+            "assignments": known.serials(),
+            "store_ok": known.store_ok,
+            "leading": self._leading.dump(),
+            "forwarding": self._forwarding.dump(),
+            "connections_opened": self._pool.opened,
+            "log_lines_dropped": self._events.dropped,
+        }
+
+    def _on_change(self) -> None:
+        configuration = self._beliefs.configuration
+        if configuration is not None:
+            self._callers.limits = configuration.limits
+
+    async def _trim_on(self) -> None:
+        while True:
+            await asyncio.sleep(_TRIM_SECONDS)
+            self._pool.trim(_IDLE_MOST)
+            known = [entry.target.id for entry in self._beliefs.directory]
+            self._rooms.forget_except(known)
+
+    # What others ask.
+
+    async def _readiness(
+        self, incoming: http_server.Incoming
+    ) -> http_server.Outgoing:
+        asked = incoming.target.decode("latin-1")
+        if asked != self._adapter.readiness_path:
+            return http_server.Outgoing(404)
+        return http_server.Outgoing(200 if self.ready else 503)
+
+    async def _observe(
+        self, incoming: http_server.Incoming
+    ) -> http_server.Outgoing:
+        if incoming.target == b"/metrics":
+            known = self._beliefs
+            configuration = known.configuration
+            version = configuration.version if configuration else 0
+            self._metrics.gauge("configuration_version", version)
+            self._metrics.gauge("ready", self.ready)
+            self._metrics.gauge("leading", self._leading.leading)
+            self._metrics.gauge("store_reached", known.store_ok)
+            self._metrics.gauge("log_lines_dropped", self._events.dropped)
+            text = self._metrics.text().encode()
+            return http_server.Outgoing(200, _TEXT, text)
+        if incoming.target == b"/state":
+            body = msgspec.json.encode(self.dump())
+            return http_server.Outgoing(200, _JSON, body)
+        return http_server.Outgoing(404)
+
+    async def _peer_call(
+        self, incoming: http_server.Incoming
+    ) -> http_server.Outgoing:
+        path = incoming.target.decode("latin-1")
+        try:
+            answer = self._answer_peer(path, incoming.body)
+        except msgspec.DecodeError as error:
+            self._events.write(
+                "peers", "message_unreadable", path=path, why=str(error)
+            )
+            return http_server.Outgoing(400)
+        if answer is None:
+            return http_server.Outgoing(404)
+        return http_server.Outgoing(200, _JSON, msgspec.json.encode(answer))
+
+    def _answer_peer(self, path: str, body: bytes) -> msgspec.Struct | None:
+        if path == messages.REPORT_PATH:
+            report = msgspec.json.decode(body, type=messages.Report)
+            return self._leading.take_report(report)
+        if path == messages.ASSIGN_PATH:
+            told = msgspec.json.decode(body, type=messages.ReportReply)
+            self._peers.take_push(told)
+            return self._peers.heard()
+        if path == messages.HEARD_PATH:
+            return self._peers.heard()
+        return None
+
+
+async def run(daemon: Daemon, reload: Callable[[], None]) -> None:
+    """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully.
+
+    SIGHUP has the settings read again; SIGUSR1 writes the state to the log.
+
+    Args:
+        daemon: The daemon.
+        reload: Reads the settings again.
+    """
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, ended.set)
+    loop.add_signal_handler(signal.SIGINT, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    loop.add_signal_handler(signal.SIGUSR1, daemon.log_dump)
+    await daemon.start()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECT_AFTER, _YOUNG, _OLD)
+    await ended.wait()
+    await daemon.stop()
--- /dev/null
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -0,0 +1,527 @@
+"""Carries one service's table out: takes keys from targets and grants them."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import result
+
+from mimosastile_core import errors
+from mimosastile_core.gateway import directory
+from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import ranges
+from mimosastile_gateway import beliefs
+from mimosastile_gateway import clock
+from mimosastile_gateway import events
+from mimosastile_gateway import ports
+from mimosastile_gateway import settings
+
+_RETRY_SECONDS = 0.1
+"""Pause after an order that was not answered."""
+_FENCE_AFTER = 1.0
+"""Silence after which a target may have started again; that takes seconds."""
+_MISS_REST = 0.2
+"""A target that rejects a key is granted it again at once, but not more often
+than this: VMs that have not heard of a change report misses as well."""
+
+
+class Silence:
+    """When a former leader has stopped, and how long its last grants last."""
+
+    __slots__ = ("_calm_until", "_hold", "_known", "_most", "_until", "former")
+
+    def __init__(
+        self,
+        until: float,
+        former: str = "",
+        calm_until: float = float("-inf"),
+        hold: float = 0.0,
+        most: float = 0.0,
+    ) -> None:
+        """Makes one.
+
+        Args:
+            until: When it has surely stopped.
+            former: Identifier of its VM, empty if there was none.
+            calm_until: Until when it surely gave usual grants only.
+            hold: Seconds of a usual grant.
+            most: Seconds of its longest grant.
+        """
+        self._until = until
+        self._known = until
+        self._calm_until = calm_until
+        self._hold = hold
+        self._most = most
+        self.former = former
+
+    def stopped(self, now: float) -> None:
+        """Notes that it is known to have stopped."""
+        self._known = min(self._known, now)
+
+    @property
+    def lapse(self) -> float:
+        """Time at which all its grants have run out."""
+        latest = leadership.lapsed_at(self._until, self._hold)
+        calm = self._known <= self._calm_until
+        hold = self._hold if calm else self._most
+        return min(latest, leadership.lapsed_at(self._known, hold))
+
+
+class _Exposure:
+    """Keys that a target may hold until some time."""
+
+    __slots__ = ("first", "last", "until")
+
+    def __init__(self, first: int, last: int, until: float) -> None:
+        self.first = first
+        self.last = last
+        self.until = until
+
+
+class _State:
+    """How far a piece of the table is carried out."""
+
+    __slots__ = (
+        "due",
+        "freed",
+        "freeing",
+        "granted",
+        "handover",
+        "item",
+        "missed_at",
+    )
+
+    def __init__(self, item: ranges.Range) -> None:
+        self.item = item
+        self.granted = False
+        self.due = 0.0
+        self.handover = ""
+        self.freed: set[int] = set()
+        self.freeing: dict[int, asyncio.Task[None]] = {}
+        self.missed_at = 0.0
+
+    @property
+    def free(self) -> bool:
+        """Whether nobody but the owner can hold the keys."""
+        return all(f.fence in self.freed for f in self.item.formers)
+
+
+class _Owner:
+    """One target that owns keys."""
+
+    __slots__ = ("failing_since", "failures", "refused", "task", "wake")
+
+    def __init__(self) -> None:
+        self.failing_since: float | None = None
+        self.failures = 0
+        self.refused = False
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+
+class Granting:
+    """Gives the orders that a table asks for, and renews grants."""
+
+    __slots__ = (
+        "_authority",
+        "_beliefs",
+        "_clock",
+        "_events",
+        "_exposures",
+        "_on_change",
+        "_orders",
+        "_owners",
+        "_settings",
+        "_silence",
+        "_states",
+        "_stopped",
+        "_table",
+    )
+
+    def __init__(
+        self,
+        configured: settings.GatewaySettings,
+        orders: ports.OrderPort,
+        known: beliefs.Beliefs,
+        timer: clock.Clock,
+        log: events.Events,
+        authority: leadership.Authority,
+        silence: Silence,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._settings = configured
+        self._orders = orders
+        self._beliefs = known
+        self._clock = timer
+        self._events = log
+        self._authority = authority
+        self._silence = silence
+        self._on_change = on_change
+        self._table: ranges.RangeTable | None = None
+        self._states: dict[ranges.Piece, _State] = {}
+        self._owners: dict[ranges.Holder, _Owner] = {}
+        self._exposures: dict[ranges.Holder, list[_Exposure]] = {}
+        self._stopped = False
+
+    # What the leader asks.
+
+    def ready(self) -> set[ranges.Piece]:
+        """Returns the pieces that their owners have been granted."""
+        return {p for p, state in self._states.items() if state.granted}
+
+    def settled(self) -> dict[ranges.Piece, tuple[int, ...]]:
+        """Returns, by piece, the former holders that hold nothing more."""
+        return {
+            piece: tuple(state.freed)
+            for piece, state in self._states.items()
+            if state.freed and state.item.formers
+        }
+
+    def silent(self, holder: ranges.Holder) -> bool:
+        """Whether a target has not answered orders for too long."""
+        owner = self._owners.get(holder)
+        if owner is None or owner.failing_since is None:
+            return False
+        silence = self._clock.boot() - owner.failing_since
+        limit = self._settings.leader
+        return (
+            owner.failures >= 2
+            and silence > limit.give_up - limit.order_timeout
+        )
+
+    def needs_fence(self, holder: ranges.Holder) -> bool:
+        """Whether a target must not get its present fences any more."""
+        owner = self._owners.get(holder)
+        if owner is None:
+            return False
+        if owner.refused:
+            return True
+        since = owner.failing_since
+        return since is not None and self._clock.boot() - since > _FENCE_AFTER
+
+    def missed(self, key: int, target: str) -> None:
+        """Notes that a target has rejected a key that it should own."""
+        if self._table is None:
+            return
+        state = self._states.get(self._table.find(key).piece)
+        if state is None or state.item.owner.id != target:
+            return
+        now = self._clock.boot()
+        if state.granted and now - state.missed_at > _MISS_REST:
+            state.missed_at = now
+            state.due = now
+            self._wake(state.item.owner)
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state of the orders."""
+        return {
+            "pieces": len(self._states),
+            "ready": len(self.ready()),
+            "silent": [h.id for h in self._owners if self.silent(h)],
+        }
+
+    # The table.
+
+    def follow(self, table: ranges.RangeTable) -> None:
+        """Carries a table out in place of the one before."""
+        former = self._states
+        self._table = table
+        self._states = {}
+        for item in table.ranges:
+            state = former.pop(item.piece, None)
+            if state is None:
+                state = self._inherited(item, former)
+            state.item = item
+            self._states[item.piece] = state
+        for old in former.values():
+            for task in old.freeing.values():
+                task.cancel()
+        self._prune()
+        for state in self._states.values():
+            self._free_all(state)
+        self._keep_owners()
+
+    def stop(self) -> None:
+        """Gives no further orders."""
+        self._stopped = True
+        for state in self._states.values():
+            for task in state.freeing.values():
+                task.cancel()
+        for owner in self._owners.values():
+            if owner.task is not None:
+                owner.task.cancel()
+        self._owners = {}
+
+    def _inherited(
+        self, item: ranges.Range, former: dict[ranges.Piece, _State]
+    ) -> _State:
+        """Makes the state of a new piece from those that it was made of."""
+        state = _State(item)
+        parts = [
+            old
+            for old in former.values()
+            if old.item.first <= item.last and item.first <= old.item.last
+        ]
+        # A piece that was cut or joined stays with its owner, who goes on
+        # holding its keys under the earlier fence until the new grant comes.
+        kept = parts and all(
+            old.granted and old.item.owner == item.owner for old in parts
+        )
+        owner = self._owners.get(item.owner)
+        if kept and not item.formers and not (owner and owner.refused):
+            state.granted = True
+        if len(parts) == 1 and parts[0].item.formers == item.formers:
+            state.freed = set(parts[0].freed)
+            state.handover = parts[0].handover
+            state.granted = parts[0].granted and bool(kept)
+        return state
+
+    def _keep_owners(self) -> None:
+        wanted = {state.item.owner for state in self._states.values()}
+        for holder in [h for h in self._owners if h not in wanted]:
+            owner = self._owners.pop(holder)
+            if owner.task is not None:
+                owner.task.cancel()
+        for holder in wanted:
+            owner = self._owners.setdefault(holder, _Owner())
+            if owner.refused:
+                owner.refused = False
+            if owner.task is None and not self._stopped:
+                owner.task = asyncio.create_task(
+                    self._serve(holder, owner), name=f"grant-{holder.id}"
+                )
+            owner.wake.set()
+
+    def refenced(self, holders: Iterable[ranges.Holder]) -> None:
+        """Notes that targets have new fences and may be granted again."""
+        for holder in holders:
+            owner = self._owners.get(holder)
+            if owner is not None:
+                owner.failing_since = None
+                owner.failures = 0
+                owner.refused = False
+                owner.wake.set()
+
+    def _wake(self, holder: ranges.Holder) -> None:
+        owner = self._owners.get(holder)
+        if owner is not None:
+            owner.wake.set()
+
+    # Grants.
+
+    async def _serve(self, holder: ranges.Holder, owner: _Owner) -> None:
+        """Grants and renews all pieces of one target, one after the other."""
+        while not self._stopped:
+            owner.wake.clear()
+            state = self._next(holder)
+            now = self._clock.boot()
+            if state is None or self.needs_fence(holder):
+                await owner.wake.wait()
+                continue
+            if state.due > now:
+                await _wait(owner.wake, state.due - now)
+                continue
+            if not self._authority.holds(now):
+                self._events.write(
+                    "grants",
+                    "authority_ended",
+                    target=holder.id,
+                    since=round(now - self._authority.ends, 2),
+                )
+                await asyncio.sleep(_RETRY_SECONDS)
+                continue
+            await self._grant(holder, owner, state)
+
+    def _next(self, holder: ranges.Holder) -> _State | None:
+        """Returns the piece that is due first; new ones go before renewals."""
+        return min(
+            (
+                state
+                for state in self._states.values()
+                if state.item.owner == holder and state.free
+            ),
+            key=lambda state: (state.granted, state.due),
+            default=None,
+        )
+
+    async def _grant(
+        self, holder: ranges.Holder, owner: _Owner, state: _State
+    ) -> None:
+        configured = self._settings.leader
+        sent = self._clock.boot()
+        hold = self._authority.hold_seconds(
+            sent,
+            configured.hold,
+            self._settings.bounds.hold_most,
+            configured.trouble_after,
+        )
+        item = state.item
+        # Until its outcome is known, it may arrive at any time before its
+        # connection is reset.
+        exposure = _Exposure(
+            item.first,
+            item.last,
+            leadership.lapsed_at(sent + configured.order_timeout * 2, hold),
+        )
+        self._exposures.setdefault(holder, []).append(exposure)
+        order = ports.GrantOrder(
+            item.first, item.last, item.fence, hold, state.handover
+        )
+        answer = await self._orders.grant(
+            holder.id, holder.address, order, configured.order_timeout
+        )
+        now = self._clock.boot()
+        exposure.until = leadership.lapsed_at(now, hold)
+        current = self._states.get(item.piece) is state
+        if isinstance(answer, result.Ok):
+            self._granted(holder, owner, state, sent, current)
+            return
+        failure = answer.err_value
+        if failure.kind is errors.ErrorKind.UNREACHABLE:
+            exposure.until = now
+        if failure.kind is errors.ErrorKind.WRONG_FENCE:
+            # Whoever gave the higher fence, this one is of no use any more.
+            exposure.until = now
+            owner.refused = owner.refused or current
+        owner.failures += 1
+        owner.failing_since = (
+            sent if owner.failing_since is None else owner.failing_since
+        )
+        if current:
+            self._events.write(
+                "grants",
+                "grant_failed",
+                service=self._table.service if self._table else "",
+                target=holder.id,
+                first=item.first,
+                last=item.last,
+                fence=item.fence,
+                kind=failure.kind.value,
+                why=failure.detail,
+                failures=owner.failures,
+            )
+        await asyncio.sleep(
+            _RETRY_SECONDS * (0.5 + self._clock.random())
+        )
+
+    def _granted(
+        self,
+        holder: ranges.Holder,
+        owner: _Owner,
+        state: _State,
+        sent: float,
+        current: bool,
+    ) -> None:
+        owner.failures = 0
+        owner.failing_since = None
+        if not current:
+            return
+        state.due = sent + self._settings.leader.renew
+        if state.granted:
+            return
+        state.granted = True
+        self._events.write(
+            "grants",
+            "granted",
+            service=self._table.service if self._table else "",
+            target=holder.id,
+            born=holder.born,
+            first=state.item.first,
+            last=state.item.last,
+            fence=state.item.fence,
+            handover=bool(state.handover),
+        )
+        state.handover = ""
+        self._on_change()
+
+    # Taking keys back.
+
+    def _free_all(self, state: _State) -> None:
+        if self._stopped:
+            return
+        for former in state.item.formers:
+            if former.fence not in state.freed | state.freeing.keys():
+                state.freeing[former.fence] = asyncio.create_task(
+                    self._free(state, former),
+                    name=f"free-{former.holder.id}",
+                )
+
+    async def _free(self, state: _State, former: ranges.Former) -> None:
+        """Waits until a former holder holds nothing of a piece any more."""
+        item, holder = state.item, former.holder
+        began = self._clock.boot()
+        order = ports.ReleaseOrder(item.first, item.last, former.fence)
+        how = ""
+        while not how:
+            now = self._clock.boot()
+            lapse = self._lapse(holder, item)
+            if self._run_ended(holder):
+                how = "run ended"
+            elif now >= lapse:
+                how = "lapsed"
+            elif self._authority.holds(now):
+                timeout = min(
+                    self._settings.leader.release_timeout, lapse - now
+                )
+                answer = await self._orders.release(
+                    holder.id, holder.address, order, max(timeout, 0.02)
+                )
+                if isinstance(answer, result.Ok):
+                    state.handover = answer.ok_value
+                    how = "released"
+                    break
+                left = lapse - self._clock.boot()
+                await asyncio.sleep(min(max(left, 0.0), _RETRY_SECONDS))
+            else:
+                await asyncio.sleep(_RETRY_SECONDS)
+        self._events.write(
+            "grants",
+            "freed",
+            target=holder.id,
+            first=item.first,
+            last=item.last,
+            fence=former.fence,
+            how=how,
+            seconds=round(self._clock.boot() - began, 3),
+        )
+        state.freed.add(former.fence)
+        state.freeing.pop(former.fence, None)
+        self._wake(state.item.owner)
+
+    def _lapse(self, holder: ranges.Holder, item: ranges.Range) -> float:
+        """Returns when a target's grants for some keys have run out."""
+        given = (
+            exposure.until
+            for exposure in self._exposures.get(holder, ())
+            if exposure.first <= item.last and item.first <= exposure.last
+        )
+        return max(given, default=self._silence.lapse)
+
+    def _run_ended(self, holder: ranges.Holder) -> bool:
+        """Whether the platform shows that a run of a target is over."""
+        entry = self._beliefs.directory.get(holder.id)
+        missing = directory.Standing.MISSING
+        if entry is not None and entry.standing is not missing:
+            return entry.target.born != holder.born
+        return any(
+            other.target.address == holder.address
+            and other.target.id != holder.id
+            and other.standing is not missing
+            for other in self._beliefs.directory
+        )
+
+    def _prune(self) -> None:
+        now = self._clock.boot()
+        self._exposures = {
+            holder: left
+            for holder, all_ in self._exposures.items()
+            if (left := [e for e in all_ if e.until > now])
+        }
+
+
+async def _wait(event: asyncio.Event, seconds: float) -> None:
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return
--- /dev/null
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -0,0 +1,838 @@
+"""The leader: the tables of key ranges and the orders to targets."""
+
+import asyncio
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import msgspec
+import result
+
+from mimosastile_core import errors
+from mimosastile_core.gateway import directory
+from mimosastile_core.gateway import heat
+from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import ranges
+from mimosastile_core.gateway import rebalance
+from mimosastile_gateway import beliefs
+from mimosastile_gateway import clock
+from mimosastile_gateway import events
+from mimosastile_gateway import granting
+from mimosastile_gateway import http_client
+from mimosastile_gateway import messages
+from mimosastile_gateway import ports
+from mimosastile_gateway import settings
+
+_REPORT_FRESH = 1.5
+"""Seconds for which a VM's report counts."""
+_PUSH_PAUSE = 0.02
+"""Seconds for which changes of an assignment are gathered before VMs are told:
+a change of many ranges is granted within some of them."""
+_PUSH_SECONDS = 0.4
+_LOST_REST = 3.0
+"""Seconds for which a target that was silent gets no keys."""
+_COLD_SHARE = 0.5
+"""What a target that has just started can carry, against one that is warm."""
+_SETTLE_PAUSE = 0.3
+"""Seconds between changes that only note which targets have let go."""
+_RESIGN_AFTER = 0.8
+"""Seconds without the store after which a VM that reaches it is asked to take
+over: long enough for one lost packet, short against the length of a grant."""
+_JOIN_LIMIT = 8
+"""Joins in one change; each needs one grant more."""
+_JOIN_EVERY = 2.0
+_FACTOR_LEAST = 0.3
+_FACTOR_MOST = 8.0
+"""Bounds on how slow or fast a target is taken for."""
+
+
+class _Reported:
+    """The last report of a VM."""
+
+    __slots__ = ("at", "report")
+
+    def __init__(self, report: messages.Report, at: float) -> None:
+        self.report = report
+        self.at = at
+
+
+class _Keyed:
+    """What a leader keeps of one service that is divided by key."""
+
+    __slots__ = ("fast", "granting", "revision", "slow", "table")
+
+    def __init__(
+        self,
+        table: ranges.RangeTable,
+        revision: int,
+        grants: granting.Granting,
+        fast: heat.KeyHeat,
+        slow: heat.KeyHeat,
+    ) -> None:
+        self.table = table
+        self.revision = revision
+        self.granting = grants
+        self.fast = fast
+        self.slow = slow
+
+
+class Leading:
+    """Decides over key ranges while this VM leads, and knows when it does."""
+
+    __slots__ = (
+        "_authority",
+        "_beliefs",
+        "_boot",
+        "_clock",
+        "_entry",
+        "_events",
+        "_joined_at",
+        "_lock",
+        "_lost_until",
+        "_orders",
+        "_pool",
+        "_push",
+        "_reports",
+        "_revision",
+        "_serial",
+        "_services",
+        "_settings",
+        "_settled_at",
+        "_silence",
+        "_started",
+        "_store",
+        "_store_failing_since",
+        "_successor",
+        "_tasks",
+        "_taking",
+        "calm_until",
+    )
+
+    def __init__(
+        self,
+        configured: settings.GatewaySettings,
+        boot: str,
+        store: ports.StorePort,
+        orders: ports.OrderPort,
+        pool: http_client.Pool,
+        known: beliefs.Beliefs,
+        timer: clock.Clock,
+        log: events.Events,
+    ) -> None:
+        self._settings = configured
+        self._boot = boot
+        self._store = store
+        self._orders = orders
+        self._pool = pool
+        self._beliefs = known
+        self._clock = timer
+        self._events = log
+        self._authority = leadership.Authority(configured.leader.authority)
+        self._entry: leadership.LeaderEntry | None = None
+        self._revision = 0
+        self._serial = 0
+        self._services: dict[str, _Keyed] = {}
+        self._reports: dict[str, _Reported] = {}
+        self._lost_until: dict[str, float] = {}
+        self._silence = granting.Silence(0.0)
+        self.calm_until = float("-inf")
+        self._started = 0.0
+        self._store_failing_since: float | None = None
+        self._successor = ""
+        self._settled_at = 0.0
+        self._joined_at = 0.0
+        self._push = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._lock = asyncio.Lock()
+        self._taking = False
+
+    @property
+    def leading(self) -> bool:
+        """Whether this VM leads, as far as it knows."""
+        return self._entry is not None
+
+    # Taking over and stepping down.
+
+    async def take_over(self, why: str) -> bool:
+        """Becomes the leader if nobody else does first.
+
+        Returns:
+            Whether this VM leads now.
+        """
+        if self._taking or self.leading:
+            return self.leading
+        self._taking = True
+        try:
+            return await self._take_over(why)
+        finally:
+            self._taking = False
+
+    async def _take_over(self, why: str) -> bool:
+        listed = await self._store.list(messages.STORE_PREFIX)
+        if isinstance(listed, result.Err):
+            return False
+        items = {item.key: item for item in listed.ok_value.items}
+        former = items.get(messages.LEADER_KEY)
+        known = self._decoded_leader(former)
+        believed = self._beliefs.leader
+        if known and believed and known.epoch > believed.epoch:
+            # Somebody was faster.
+            self._beliefs.take_leader(known)
+            return False
+        epoch = max(
+            known.epoch if known else 0, believed.epoch if believed else 0
+        )
+        entry = leadership.LeaderEntry(
+            self._settings.vm.id,
+            self._boot,
+            epoch + 1,
+            self._settings.vm.peers,
+        )
+        asked = self._clock.boot()
+        revision = await self._write_leader(entry, former)
+        if not revision:
+            return False
+        self._authority = leadership.Authority(
+            self._settings.leader.authority
+        )
+        self._authority.confirm(asked)
+        self._begin(entry, revision, known, items)
+        self._events.write(
+            "leader",
+            "leading",
+            epoch=entry.epoch,
+            former=known.vm if known else None,
+            why=why,
+            tables={
+                name: keyed.table.version
+                for name, keyed in self._services.items()
+            },
+        )
+        return True
+
+    async def _write_leader(
+        self, entry: leadership.LeaderEntry, former: ports.Item | None
+    ) -> int:
+        """Writes the leader's entry; returns its revision, 0 if it failed."""
+        key = messages.LEADER_KEY
+        expected = {key: former.revision if former else 0}
+        value = msgspec.json.encode(entry)
+        written = await self._store.commit(
+            expected, (ports.Write(key, value),)
+        )
+        if isinstance(written, result.Ok):
+            return written.ok_value
+        if isinstance(written.err_value, ports.Conflict):
+            return 0
+        # No answer: it may be in force.
+        read = await self._store.read(key)
+        if isinstance(read, result.Ok) and read.ok_value is not None:
+            item = read.ok_value
+            return item.revision if item.value == value else 0
+        return 0
+
+    def _decoded_leader(
+        self, item: ports.Item | None
+    ) -> leadership.LeaderEntry | None:
+        if item is None:
+            return None
+        try:
+            return msgspec.json.decode(
+                item.value, type=leadership.LeaderEntry
+            )
+        except msgspec.DecodeError as error:
+            self._events.write(
+                "leader", "entry_unreadable", key=item.key, why=str(error)
+            )
+            return None
+
+    def _begin(
+        self,
+        entry: leadership.LeaderEntry,
+        revision: int,
+        former: leadership.LeaderEntry | None,
+        items: Mapping[str, ports.Item],
+    ) -> None:
+        now = self._clock.boot()
+        self._entry = entry
+        self._revision = revision
+        self._reports = {}
+        self._lost_until = {}
+        self._successor = ""
+        self._store_failing_since = None
+        self._started = now
+        self._silence = self._former_silence(former, now)
+        if former is None or former.vm == entry.vm:
+            # There was none, or its process has ended: this one is the next.
+            self._silence.stopped(now)
+        for key, item in items.items():
+            if key.startswith(messages.TABLE_PREFIX):
+                self._load(item)
+        self._beliefs.take_leader(entry)
+        self._tasks = [
+            asyncio.create_task(self._plan_on(), name="plan"),
+            asyncio.create_task(self._confirm_on(), name="confirm"),
+            asyncio.create_task(self._push_on(), name="push"),
+        ]
+        self._published()
+
+    def _former_silence(
+        self, former: leadership.LeaderEntry | None, now: float
+    ) -> granting.Silence:
+        """Returns when a former leader has surely stopped giving orders."""
+        configured = self._settings.leader
+        return granting.Silence(
+            now + configured.authority if former else now,
+            former.vm if former else "",
+            self.calm_until,
+            configured.hold,
+            self._settings.bounds.hold_most,
+        )
+
+    def _load(self, item: ports.Item) -> None:
+        try:
+            table = msgspec.json.decode(item.value, type=ranges.RangeTable)
+        except msgspec.DecodeError as error:
+            self._events.write(
+                "leader", "table_unreadable", key=item.key, why=str(error)
+            )
+            return
+        keyed = self._new_keyed(table, item.revision)
+        self._services[table.service] = keyed
+        keyed.granting.follow(table)
+
+    def _new_keyed(self, table: ranges.RangeTable, revision: int) -> _Keyed:
+        configured = self._settings.leader
+        now = self._clock.now()
+        grants = granting.Granting(
+            self._settings,
+            self._orders,
+            self._beliefs,
+            self._clock,
+            self._events,
+            self._authority,
+            self._silence,
+            self._published,
+        )
+        return _Keyed(
+            table,
+            revision,
+            grants,
+            heat.KeyHeat(configured.heat_fast, now),
+            heat.KeyHeat(configured.heat_slow, now),
+        )
+
+    def outranked_by(self, entry: leadership.LeaderEntry) -> None:
+        """Steps down if another VM, or a later epoch, leads."""
+        own = self._entry
+        if own is not None and entry.epoch > own.epoch:
+            self.step_down(f"{entry.vm} leads in epoch {entry.epoch}")
+
+    def step_down(self, why: str) -> None:
+        """Gives no further orders."""
+        entry, self._entry = self._entry, None
+        if entry is None:
+            return
+        for task in self._tasks:
+            task.cancel()
+        for keyed in self._services.values():
+            keyed.granting.stop()
+        self._services = {}
+        self._events.write(
+            "leader", "stepped_down", epoch=entry.epoch, why=why
+        )
+
+    # Reports of VMs.
+
+    def take_report(self, report: messages.Report) -> messages.ReportReply:
+        """Takes a VM's report and returns what it should know."""
+        leader = self._beliefs.leader
+        if self._entry is None:
+            return messages.ReportReply(leader, leading=False)
+        now = self._clock.now()
+        vm = report.vm
+        self._reports[vm.id] = _Reported(report, now)
+        if vm.id == self._silence.former:
+            # Whoever reports to this leader gives no orders itself.
+            self._silence.stopped(self._clock.boot())
+        for service, keys in report.keys.items():
+            keyed = self._services.get(service)
+            if keyed is not None:
+                keyed.fast.add(keys, now)
+                keyed.slow.add(keys, now)
+        for miss in report.misses:
+            keyed = self._services.get(miss.service)
+            if keyed is not None:
+                keyed.granting.missed(miss.key, miss.target)
+        fresh = self._fresh_reports(now)
+        totals = _sum(r.under_way for r in fresh.values() if r is not report)
+        return messages.ReportReply(
+            self._entry,
+            leading=True,
+            confirmed=self._clock.boot() - self._authority.confirmed,
+            under_way=totals,
+            assignments=self._newer_than(report.serials),
+            vms=tuple(sorted(fresh)),
+            successor=self._successor,
+        )
+
+    def _fresh_reports(self, now: float) -> dict[str, messages.Report]:
+        return {
+            name: reported.report
+            for name, reported in self._reports.items()
+            if now - reported.at < _REPORT_FRESH
+        }
+
+    def _newer_than(
+        self, serials: Mapping[str, tuple[int, int]]
+    ) -> tuple[messages.Assignment, ...]:
+        return tuple(
+            assignment
+            for name, assignment in self._beliefs.assignments.items()
+            if (assignment.epoch, assignment.serial)
+            > tuple(serials.get(name, (-1, -1)))
+        )
+
+    # Telling VMs.
+
+    def _published(self) -> None:
+        """Makes a new assignment of what has changed and has it told."""
+        entry = self._entry
+        if entry is None:
+            return
+        self._serial += 1
+        for keyed in self._services.values():
+            assignment = messages.assignment_of(
+                keyed.table,
+                entry.epoch,
+                self._serial,
+                keyed.granting.ready(),
+            )
+            known = self._beliefs.assignments.get(keyed.table.service)
+            if known is not None and known.epoch == entry.epoch:
+                if _same(known, assignment):
+                    continue
+            self._beliefs.take_assignment(assignment)
+        self._push.set()
+
+    async def _push_on(self) -> None:
+        while True:
+            await self._push.wait()
+            await asyncio.sleep(_PUSH_PAUSE)
+            self._push.clear()
+            body = msgspec.json.encode(
+                messages.ReportReply(
+                    self._entry,
+                    leading=True,
+                    assignments=tuple(self._beliefs.assignments.values()),
+                )
+            )
+            now = self._clock.now()
+            own = self._settings.vm.id
+            for report in self._fresh_reports(now).values():
+                if report.vm.id != own:
+                    task = asyncio.create_task(
+                        self._tell(report.vm.address, body)
+                    )
+                    self._tasks.append(task)
+                    task.add_done_callback(self._told)
+
+    def _told(self, task: asyncio.Task[None]) -> None:
+        if task in self._tasks:
+            self._tasks.remove(task)
+
+    async def _tell(self, address: str, body: bytes) -> None:
+        try:
+            await http_client.call(
+                self._pool,
+                address,
+                "POST",
+                messages.ASSIGN_PATH,
+                body,
+                timeout=_PUSH_SECONDS,
+                connect=_PUSH_SECONDS,
+                idle=5.0,
+            )
+        except (
+            http_client.NotSentError,
+            http_client.AnswerLostError,
+        ) as error:
+            # It asks with its next report.
+            self._events.write(
+                "leader", "push_failed", peer=address, why=str(error)
+            )
+
+    # Leadership in the store.
+
+    async def _confirm_on(self) -> None:
+        pause = self._settings.leader.confirm
+        while True:
+            failing = self._store_failing_since is not None
+            await asyncio.sleep(0.3 if failing else pause)
+            await self._confirm()
+
+    async def _confirm(self) -> None:
+        asked = self._clock.boot()
+        read = await self._store.read(messages.LEADER_KEY)
+        if isinstance(read, result.Err):
+            self._store_failed(read.err_value)
+            return
+        self._store_failing_since = None
+        self._successor = ""
+        entry = self._decoded_leader(read.ok_value)
+        if entry is None or entry != self._entry:
+            if entry is not None:
+                self._beliefs.take_leader(entry)
+            self.step_down("the store names another leader")
+            return
+        self._authority.confirm(asked)
+
+    def _store_failed(self, failure: errors.Failure) -> None:
+        now = self._clock.boot()
+        self._beliefs.note_store(ok=False, why=failure.detail)
+        if self._store_failing_since is None:
+            self._store_failing_since = now
+        if now - self._store_failing_since < _RESIGN_AFTER:
+            return
+        able = [
+            report.vm.id
+            for report in self._fresh_reports(self._clock.now()).values()
+            if report.store and report.vm.id != self._settings.vm.id
+        ]
+        if able and not self._successor:
+            self._successor = min(able)
+            self._events.write(
+                "leader",
+                "asks_successor",
+                successor=self._successor,
+                store_silent=round(now - self._store_failing_since, 2),
+            )
+
+    # Planning.
+
+    async def _plan_on(self) -> None:
+        while True:
+            await asyncio.sleep(self._settings.leader.plan)
+            try:
+                await self._plan()
+            except Exception as error:  # noqa: BLE001
+                # One service's fault must not end the renewals of all.
+                self._events.write("leader", "plan_failed", why=repr(error))
+
+    async def _plan(self) -> None:
+        configuration = self._beliefs.configuration
+        if configuration is None:
+            return
+        for service in configuration.services.values():
+            if service.keyed:
+                await self._plan_service(service.name)
+
+    async def _plan_service(self, service: str) -> None:
+        now = self._clock.now()
+        targets = self._beliefs.directory.ready(service)
+        keyed = self._services.get(service)
+        if keyed is None:
+            await self._first_table(service, targets, now)
+            return
+        table = self._changed_lives(keyed, targets)
+        if table is None:
+            table = self._moved(keyed, targets, now)
+        if table is None:
+            table = self._settled(keyed)
+        if table is None:
+            table = self._joined(keyed)
+        if table is not None:
+            await self._commit(keyed, table)
+
+    async def _first_table(
+        self, service: str, targets: list[directory.Target], now: float
+    ) -> None:
+        if not targets:
+            return
+        configured = self._settings.leader
+        newest = max(
+            entry.since
+            for entry in self._beliefs.directory
+            if entry.target.service == service
+        )
+        waited = self._clock.boot() - self._started
+        if now - newest < configured.settle and waited < configured.settle_most:
+            return
+        weights = {_holder(t): float(t.slots) for t in targets}
+        table = ranges.initial(service, weights, self._clock.new_id())
+        keyed = self._new_keyed(table, 0)
+        await self._commit(keyed, table)
+
+    def _changed_lives(
+        self, keyed: _Keyed, targets: list[directory.Target]
+    ) -> ranges.RangeTable | None:
+        """New fences for targets that started again or were silent."""
+        present = {target.id: _holder(target) for target in targets}
+        renewed = {
+            owner: present[owner.id]
+            for owner in keyed.table.holders()
+            if owner.id in present
+            and (
+                present[owner.id] != owner
+                or keyed.granting.needs_fence(owner)
+            )
+        }
+        if not renewed:
+            return None
+        self._events.write(
+            "leader",
+            "refenced",
+            service=keyed.table.service,
+            targets=[holder.id for holder in renewed],
+        )
+        return ranges.refence(keyed.table, renewed, self._clock.new_id())
+
+    def _moved(
+        self, keyed: _Keyed, targets: list[directory.Target], now: float
+    ) -> ranges.RangeTable | None:
+        capacity = self._capacity(targets, now)
+        lost = self._lost(keyed, capacity, now)
+        for holder in lost:
+            capacity.pop(holder, None)
+        fast = keyed.fast.counts(now)
+        slow = keyed.slow.counts(now)
+        moves = rebalance.evacuate(keyed.table, capacity, slow, lost)
+        why = "evacuated"
+        if not moves and not lost and self._hears_others():
+            why = "spread a hot run"
+            moves = rebalance.spread(
+                keyed.table, capacity, fast, self._settings.balance
+            )
+            if not moves:
+                why = "spread"
+                moves = rebalance.spread(
+                    keyed.table, capacity, slow, self._settings.balance
+                )
+        if not moves:
+            return None
+        self._events.write(
+            "leader",
+            "moves",
+            service=keyed.table.service,
+            why=why,
+            lost=[holder.id for holder in lost],
+            moves=[(m.first, m.last, m.to.id) for m in moves],
+            version=keyed.table.version,
+        )
+        return ranges.move(keyed.table, moves, self._clock.new_id())
+
+    def _hears_others(self) -> bool:
+        """Whether reports are complete enough to judge load by them."""
+        fresh = self._fresh_reports(self._clock.now())
+        known = len(self._beliefs.vms)
+        return len(fresh) * 2 >= known
+
+    def _capacity(
+        self, targets: Iterable[directory.Target], now: float
+    ) -> dict[ranges.Holder, float]:
+        factors = self._factors()
+        capacity = {}
+        for target in targets:
+            factor = factors.get(target.id, 1.0)
+            factor = min(max(factor, _FACTOR_LEAST), _FACTOR_MOST)
+            able = target.slots / factor
+            if now < target.warm_at:
+                able *= _COLD_SHARE
+            if self._lost_until.get(target.id, 0.0) > now:
+                continue
+            capacity[_holder(target)] = able
+        return capacity
+
+    def _factors(self) -> dict[str, float]:
+        """Returns the mean of what VMs say of each target's speed."""
+        now = self._clock.now()
+        sums: dict[str, list[float]] = {}
+        for report in self._fresh_reports(now).values():
+            for target, factor in report.factors.items():
+                sums.setdefault(target, []).append(factor)
+        return {t: sum(all_) / len(all_) for t, all_ in sums.items()}
+
+    def _lost(
+        self,
+        keyed: _Keyed,
+        capacity: Mapping[ranges.Holder, float],
+        now: float,
+    ) -> list[ranges.Holder]:
+        """Returns owners that need to be relieved of all keys."""
+        owners = keyed.table.holders()
+        silent = {o for o in owners if keyed.granting.silent(o)}
+        if len(silent) * 2 > len(owners) and len(owners) > 1:
+            # It is this VM that is cut off, not most of the targets.
+            self._events.write(
+                "leader",
+                "most_targets_silent",
+                silent=len(silent),
+                owners=len(owners),
+            )
+            silent = set()
+        for owner in silent:
+            self._lost_until[owner.id] = now + _LOST_REST
+        gone = {o for o in owners if o not in capacity}
+        return sorted(silent | gone, key=lambda holder: holder.id)
+
+    def _settled(self, keyed: _Keyed) -> ranges.RangeTable | None:
+        now = self._clock.now()
+        settled = keyed.granting.settled()
+        if not settled or now - self._settled_at < _SETTLE_PAUSE:
+            return None
+        self._settled_at = now
+        return ranges.settle(keyed.table, settled, self._clock.new_id())
+
+    def _joined(self, keyed: _Keyed) -> ranges.RangeTable | None:
+        now = self._clock.now()
+        if now - self._joined_at < _JOIN_EVERY:
+            return None
+        self._joined_at = now
+        table = ranges.join(keyed.table, _JOIN_LIMIT, self._clock.new_id())
+        if len(table.ranges) == len(keyed.table.ranges):
+            return None
+        return table
+
+    # Committing.
+
+    async def _commit(self, keyed: _Keyed, table: ranges.RangeTable) -> bool:
+        """Writes a table and has it carried out.
+
+        Returns:
+            Whether it is in force.
+        """
+        entry = self._entry
+        if entry is None:
+            return False
+        wrong = ranges.problem(table)
+        if wrong:
+            self._events.write(
+                "leader", "table_refused", service=table.service, why=wrong
+            )
+            return False
+        settled = keyed.granting.settled()
+        if settled:
+            table = _without_settled(table, settled)
+        key = messages.table_key(table.service)
+        expected = {
+            messages.LEADER_KEY: self._revision,
+            key: keyed.revision,
+        }
+        write = ports.Write(key, msgspec.json.encode(table))
+        asked = self._clock.boot()
+        written = await self._store.commit(expected, (write,))
+        if self._entry is not entry:
+            return False
+        if isinstance(written, result.Ok):
+            self._authority.confirm(asked)
+            self._take(keyed, table, written.ok_value)
+            return True
+        if isinstance(written.err_value, errors.Failure):
+            self._store_failed(written.err_value)
+            if written.err_value.kind is errors.ErrorKind.STORE_UNAVAILABLE:
+                return False
+        return await self._resolve(keyed, table)
+
+    async def _resolve(self, keyed: _Keyed, table: ranges.RangeTable) -> bool:
+        """Finds out what became of a commit without an answer.
+
+        The write may be carried out later, as long as its condition holds. So
+        what is read now may change; the next commit carries the same
+        condition, and only one of the two can be carried out.
+        """
+        key = messages.table_key(table.service)
+        read = await self._store.read(key)
+        if isinstance(read, result.Err) or self._entry is None:
+            return False
+        await self._confirm()
+        item = read.ok_value
+        if self._entry is None or item is None:
+            return False
+        try:
+            found = msgspec.json.decode(item.value, type=ranges.RangeTable)
+        except msgspec.DecodeError as error:
+            self._events.write(
+                "leader", "table_unreadable", key=key, why=str(error)
+            )
+            return False
+        if item.revision != keyed.revision:
+            self._take(keyed, found, item.revision)
+        return found.commit == table.commit
+
+    def _take(
+        self, keyed: _Keyed, table: ranges.RangeTable, revision: int
+    ) -> None:
+        fresh = keyed.table.next_fence
+        stale = {item.owner for item in table.ranges if item.fence < fresh}
+        renewed = table.holders() - stale
+        keyed.table = table
+        keyed.revision = revision
+        self._services[table.service] = keyed
+        keyed.granting.follow(table)
+        keyed.granting.refenced(renewed)
+        self._published()
+
+    async def hand_over(self, seconds: float) -> None:
+        """Has another VM take over before this one stops.
+
+        Args:
+            seconds: Longest wait for it.
+        """
+        if self._entry is None:
+            return
+        others = [
+            report.vm.id
+            for report in self._fresh_reports(self._clock.now()).values()
+            if report.store and report.vm.id != self._settings.vm.id
+        ]
+        if not others:
+            return
+        self._successor = min(others)
+        self._events.write(
+            "leader", "hands_over", successor=self._successor
+        )
+        ends = self._clock.now() + seconds
+        while self.leading and self._clock.now() < ends:
+            await asyncio.sleep(0.05)
+
+    def dump(self) -> dict[str, object]:
+        """Returns the state of leadership."""
+        return {
+            "leading": self.leading,
+            "epoch": self._entry.epoch if self._entry else None,
+            "tables": {
+                name: {
+                    "version": keyed.table.version,
+                    "ranges": len(keyed.table.ranges),
+                    "grants": keyed.granting.dump(),
+                }
+                for name, keyed in self._services.items()
+            },
+        }
+
+
+def _holder(target: directory.Target) -> ranges.Holder:
+    return ranges.Holder(target.id, target.born, target.address)
+
+
+def _same(one: messages.Assignment, other: messages.Assignment) -> bool:
+    return (one.owners, one.firsts, one.indexes) == (
+        other.owners,
+        other.firsts,
+        other.indexes,
+    )
+
+
+def _sum(counts: Iterable[Mapping[str, int]]) -> dict[str, int]:
+    totals: dict[str, int] = {}
+    for each in counts:
+        for name, count in each.items():
+            totals[name] = totals.get(name, 0) + count
+    return totals
+
+
+def _without_settled(
+    table: ranges.RangeTable, settled: Mapping[ranges.Piece, Iterable[int]]
+) -> ranges.RangeTable:
+    """Drops settled formers of pieces that a change has left as they were."""
+    cleaned = ranges.settle(table, settled, table.commit)
+    return msgspec.structs.replace(cleaned, version=table.version)
--- /dev/null
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -0,0 +1,422 @@
+"""Membership of entry VMs, and each VM's exchange with its leader."""
+
+import asyncio
+import collections
+import zlib
+
+import msgspec
+import result
+
+from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import ranges
+from mimosastile_core.gateway import room
+from mimosastile_gateway import beliefs
+from mimosastile_gateway import clock
+from mimosastile_gateway import events
+from mimosastile_gateway import http_client
+from mimosastile_gateway import leading
+from mimosastile_gateway import messages
+from mimosastile_gateway import ports
+from mimosastile_gateway import settings
+
+_SESSION_SHARE = 0.3
+"""Part of a lease after which it is renewed: two more tries fit in."""
+_CALL_SECONDS = 0.4
+"""Longest wait for a peer: the way to the far region and back, sixteen times,
+or one lost packet that is sent again."""
+_CONNECT_SECONDS = 0.3
+_IDLE_SECONDS = 5.0
+_KEYS_PER_REPORT = 256
+"""Keys in one report; beyond that they are a sample."""
+_ASKED_PEERS = 3
+"""Peers asked whether they hear the leader before it is replaced."""
+
+
+class Peers:
+    """Registers this VM, reports to the leader, replaces a lost one."""
+
+    __slots__ = (
+        "_alive",
+        "_beliefs",
+        "_boot",
+        "_clock",
+        "_events",
+        "_heard_at",
+        "_keys",
+        "_leader",
+        "_misses",
+        "_pool",
+        "_rooms",
+        "_session",
+        "_settings",
+        "_store",
+        "_tasks",
+        "_vms",
+    )
+
+    def __init__(
+        self,
+        configured: settings.GatewaySettings,
+        boot: str,
+        store: ports.StorePort,
+        pool: http_client.Pool,
+        known: beliefs.Beliefs,
+        rooms: room.Rooms,
+        leader: leading.Leading,
+        timer: clock.Clock,
+        log: events.Events,
+    ) -> None:
+        self._settings = configured
+        self._boot = boot
+        self._store = store
+        self._pool = pool
+        self._beliefs = known
+        self._rooms = rooms
+        self._leader = leader
+        self._clock = timer
+        self._events = log
+        self._session = 0
+        self._heard_at = float("-inf")
+        self._keys: dict[str, list[int]] = collections.defaultdict(list)
+        self._alive: set[str] = set()
+        self._misses: list[messages.Miss] = []
+        self._vms: tuple[str, ...] = ()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def entry(self) -> messages.VmEntry:
+        """This VM as its peers know it."""
+        vm = self._settings.vm
+        return messages.VmEntry(vm.id, self._boot, vm.peers, vm.zone)
+
+    @property
+    def count(self) -> int:
+        """How many VMs share the work, as far as is known; at least 1."""
+        return max(len(self._beliefs.vms), len(self._vms), 1)
+
+    def start(self) -> None:
+        """Registers this VM and begins to report."""
+        self._heard_at = self._clock.now()
+        self._tasks = [
+            asyncio.create_task(self._register(), name="register"),
+            asyncio.create_task(self._report_on(), name="report"),
+        ]
+
+    async def stop(self) -> None:
+        """Takes this VM out of the list."""
+        for task in self._tasks:
+            task.cancel()
+        if self._session:
+            await self._store.end_session(self._session)
+
+    def asked(self, service: str, key: int) -> None:
+        """Notes a request for a key."""
+        keys = self._keys[service]
+        if len(keys) < _KEYS_PER_REPORT:
+            keys.append(key)
+
+    def answered(self, target: str) -> None:
+        """Notes that a target answers."""
+        self._alive.add(target)
+
+    def missed(self, service: str, key: int, target: str) -> None:
+        """Notes that a target rejected a key that it should own."""
+        if len(self._misses) < _KEYS_PER_REPORT:
+            self._misses.append(messages.Miss(service, key, target))
+
+    def heard(self) -> messages.Heard:
+        """Returns what this VM knows of the leader."""
+        seconds = self._clock.now() - self._heard_at
+        if self._leader.leading:
+            seconds = 0.0
+        return messages.Heard(
+            self._beliefs.leader,
+            seconds,
+            tuple(self._beliefs.assignments.values()),
+        )
+
+    def take_assignments(
+        self, told: tuple[messages.Assignment, ...]
+    ) -> None:
+        """Takes what a leader has told."""
+        for assignment in told:
+            self._beliefs.take_assignment(assignment)
+
+    # Registration.
+
+    async def _register(self) -> None:
+        pause = self._settings.store.retry_least
+        while True:
+            if await self._registered():
+                pause = self._settings.store.retry_least
+                await asyncio.sleep(
+                    self._settings.store.session * _SESSION_SHARE
+                )
+            else:
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, self._settings.store.retry_most)
+
+    async def _registered(self) -> bool:
+        """Renews the lease of this VM's entry, or makes both."""
+        if self._session:
+            kept = await self._store.keep_session(self._session)
+            if isinstance(kept, result.Ok):
+                return True
+            if isinstance(kept.err_value, ports.SessionLost):
+                self._events.write(
+                    "peers", "registration_lapsed", session=self._session
+                )
+                self._session = 0
+            return False
+        opened = await self._store.open_session(self._settings.store.session)
+        if isinstance(opened, result.Err):
+            return False
+        session = opened.ok_value.id
+        entry = self.entry
+        write = ports.Write(
+            messages.VM_PREFIX + entry.id,
+            msgspec.json.encode(entry),
+            session,
+        )
+        written = await self._store.commit({}, (write,))
+        if isinstance(written, result.Err):
+            return False
+        self._session = session
+        await self.read_store()
+        return True
+
+    async def read_store(self) -> bool:
+        """Reads leader, VMs and tables from the store."""
+        listed = await self._store.list(messages.STORE_PREFIX)
+        if isinstance(listed, result.Err):
+            self._beliefs.note_store(ok=False, why=listed.err_value.detail)
+            return False
+        self._beliefs.note_store(ok=True)
+        vms: dict[str, messages.VmEntry] = {}
+        for item in listed.ok_value.items:
+            self._take_item(item, vms)
+        self._beliefs.vms = vms
+        return True
+
+    def _take_item(
+        self, item: ports.Item, vms: dict[str, messages.VmEntry]
+    ) -> None:
+        try:
+            if item.key == messages.LEADER_KEY:
+                self._take_leader(
+                    msgspec.json.decode(
+                        item.value, type=leadership.LeaderEntry
+                    )
+                )
+            elif item.key.startswith(messages.VM_PREFIX):
+                entry = msgspec.json.decode(item.value, type=messages.VmEntry)
+                vms[entry.id] = entry
+            elif item.key.startswith(messages.TABLE_PREFIX):
+                table = msgspec.json.decode(item.value, type=ranges.RangeTable)
+                every = {part.piece for part in table.ranges}
+                self._beliefs.take_assignment(
+                    messages.assignment_of(table, 0, table.version, every)
+                )
+        except msgspec.DecodeError as error:
+            self._events.write(
+                "peers", "entry_unreadable", key=item.key, why=str(error)
+            )
+
+    def _take_leader(self, entry: leadership.LeaderEntry) -> None:
+        if self._beliefs.take_leader(entry):
+            self._heard_at = self._clock.now()
+            self._leader.outranked_by(entry)
+
+    # Reports.
+
+    async def _report_on(self) -> None:
+        while True:
+            configured = self._settings.leader
+            interval = configured.report + configured.report_per_vm * self.count
+            await asyncio.sleep(interval * (0.9 + 0.2 * self._clock.random()))
+            await self._report_once()
+
+    async def _report_once(self) -> None:
+        report = self._make_report()
+        if self._leader.leading:
+            reply = self._leader.take_report(report)
+            self._take_reply(reply)
+            return
+        leader = self._beliefs.leader
+        if leader is not None and leader.vm != self._settings.vm.id:
+            reply_or_none = await self._send_report(leader.address, report)
+            if reply_or_none is not None:
+                self._take_reply(reply_or_none)
+                return
+        silent = self._clock.now() - self._heard_at
+        if leader is None or leader.vm == self._settings.vm.id:
+            # Nobody leads, or an earlier run of this daemon did.
+            await self._replace_leader(silent + self._settings.leader.suspect)
+        elif silent > self._settings.leader.suspect:
+            await self._replace_leader(silent)
+
+    def _make_report(self) -> messages.Report:
+        keys, self._keys = dict(self._keys), collections.defaultdict(list)
+        alive, self._alive = tuple(self._alive), set()
+        misses, self._misses = tuple(self._misses), []
+        return messages.Report(
+            self.entry,
+            self._beliefs.store_ok,
+            keys,
+            self._rooms.own(),
+            self._rooms.factors(),
+            alive,
+            misses,
+            self._beliefs.serials(),
+        )
+
+    async def _send_report(
+        self, address: str, report: messages.Report
+    ) -> messages.ReportReply | None:
+        answer = await self._call(address, messages.REPORT_PATH, report)
+        if answer is None:
+            return None
+        try:
+            return msgspec.json.decode(answer, type=messages.ReportReply)
+        except msgspec.DecodeError as error:
+            self._events.write(
+                "peers", "reply_unreadable", peer=address, why=str(error)
+            )
+            return None
+
+    async def _call(
+        self, address: str, path: str, message: msgspec.Struct | None
+    ) -> bytes | None:
+        body = None if message is None else msgspec.json.encode(message)
+        try:
+            answer = await http_client.call(
+                self._pool,
+                address,
+                "POST",
+                path,
+                body or b"{}",
+                timeout=_CALL_SECONDS,
+                connect=_CONNECT_SECONDS,
+                idle=_IDLE_SECONDS,
+            )
+        except (
+            http_client.NotSentError,
+            http_client.AnswerLostError,
+        ) as error:
+            self._events.write(
+                "peers", "peer_silent", peer=address, path=path, why=str(error)
+            )
+            return None
+        return answer.body if answer.status == 200 else None
+
+    def _take_reply(self, reply: messages.ReportReply) -> None:
+        now = self._clock.now()
+        if reply.leader is not None:
+            self._take_leader(reply.leader)
+        if not reply.leading:
+            return
+        self._heard_at = now
+        self._leader.calm_until = (
+            self._clock.boot()
+            + self._settings.leader.trouble_after
+            - reply.confirmed
+            - _CALL_SECONDS
+        )
+        self._vms = reply.vms
+        self._rooms.learn_others(reply.under_way, now)
+        self.take_assignments(reply.assignments)
+        if reply.successor == self._settings.vm.id:
+            task = asyncio.create_task(self._take_over("asked to"))
+            self._tasks.append(task)
+            task.add_done_callback(self._tasks.remove)
+
+    def take_push(self, told: messages.ReportReply) -> None:
+        """Takes assignments that a leader has sent without being asked."""
+        if told.leader is not None:
+            self._take_leader(told.leader)
+        leader = self._beliefs.leader
+        if told.leading and told.leader == leader:
+            self.take_assignments(told.assignments)
+
+    # Replacing a leader.
+
+    async def _replace_leader(self, silent: float) -> None:
+        """Finds the present leader, or becomes it.
+
+        Args:
+            silent: Seconds for which none was heard.
+        """
+        if not await self.read_store():
+            return
+        leader = self._beliefs.leader
+        if self._clock.now() - self._heard_at < self._settings.leader.suspect:
+            if leader is not None and leader.vm != self._settings.vm.id:
+                return
+        wait = self._settings.leader.rank_wait * self._rank(leader)
+        own_former = leader is not None and leader.vm == self._settings.vm.id
+        if not own_former and silent < self._settings.leader.suspect + wait:
+            return
+        if leader is not None and not own_former:
+            if await self._others_hear(leader):
+                return
+        await self._take_over("nobody heard the leader")
+
+    def _rank(self, leader: leadership.LeaderEntry | None) -> int:
+        """Returns how many VMs go before this one."""
+        epoch = leader.epoch if leader else 0
+        former = leader.vm if leader else ""
+        here = self._settings.vm
+
+        def order(entry: messages.VmEntry) -> tuple[bool, int]:
+            # The store's region goes first: whoever is near the store changes
+            # tables sooner. It is not known which that is, so the hash decides
+            # and changes with the epoch.
+            mixed = f"{entry.id}/{epoch}".encode()
+            return entry.id == former, zlib.crc32(mixed)
+
+        everyone = {**self._beliefs.vms, here.id: self.entry}
+        ranked = sorted(everyone.values(), key=order)
+        return [entry.id for entry in ranked].index(here.id)
+
+    async def _others_hear(self, leader: leadership.LeaderEntry) -> bool:
+        """Asks some peers whether they hear the leader.
+
+        A VM that is cut off from the leader alone would otherwise replace it,
+        and two such VMs would replace each other for ever.
+        """
+        others = [
+            entry
+            for entry in self._beliefs.vms.values()
+            if entry.id not in (leader.vm, self._settings.vm.id)
+        ]
+        others.sort(key=lambda _: self._clock.random())
+        answers = await asyncio.gather(
+            *(
+                self._call(entry.address, messages.HEARD_PATH, None)
+                for entry in others[:_ASKED_PEERS]
+            )
+        )
+        for body in answers:
+            if body is not None and self._is_heard(body, leader):
+                return True
+        return False
+
+    def _is_heard(self, body: bytes, leader: leadership.LeaderEntry) -> bool:
+        try:
+            heard = msgspec.json.decode(body, type=messages.Heard)
+        except msgspec.DecodeError as error:
+            self._events.write("peers", "reply_unreadable", why=str(error))
+            return False
+        if heard.leader is None or heard.leader.epoch < leader.epoch:
+            return False
+        if heard.leader.epoch > leader.epoch:
+            self._take_leader(heard.leader)
+            return True
+        fresh = heard.seconds < self._settings.leader.suspect
+        if fresh:
+            self.take_assignments(heard.assignments)
+        return fresh
+
+    async def _take_over(self, why: str) -> None:
+        if await self._leader.take_over(why):
+            self._heard_at = self._clock.now()
--- /dev/null
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -0,0 +1,190 @@
+"""Keeps beliefs fresh from the platform's store."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import result
+
+from mimosastile_core.gateway import directory
+from mimosastile_gateway import beliefs
+from mimosastile_gateway import clock
+from mimosastile_gateway import events
+from mimosastile_gateway import ports
+from mimosastile_gateway import settings
+
+Apply = Callable[[Iterable[ports.Item]], None]
+
+
+class Watching:
+    """Lists two prefixes, then follows their changes.
+
+    A watch may fall silent without an end, may be cut, and its history may be
+    dropped. A lost history, and any failure, is followed by a new list; a
+    watch's wait is short, so that a silent one is found.
+    """
+
+    __slots__ = (
+        "_beliefs",
+        "_clock",
+        "_events",
+        "_records",
+        "_settings",
+        "_store",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        configured: settings.StoreSettings,
+        store: ports.StorePort,
+        records: ports.RecordPort,
+        known: beliefs.Beliefs,
+        timer: clock.Clock,
+        log: events.Events,
+    ) -> None:
+        self._settings = configured
+        self._store = store
+        self._records = records
+        self._beliefs = known
+        self._clock = timer
+        self._events = log
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begins to follow."""
+        self._tasks = [
+            asyncio.create_task(
+                self._follow(
+                    self._records.configuration_key,
+                    self._configurations,
+                    self._configurations,
+                    lambda _: None,
+                ),
+                name="watch-configuration",
+            ),
+            asyncio.create_task(
+                self._follow(
+                    self._records.targets_prefix,
+                    self._targets_listed,
+                    self._targets_changed,
+                    self._targets_removed,
+                ),
+                name="watch-targets",
+            ),
+        ]
+
+    def stop(self) -> None:
+        """Stops following."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _follow(
+        self,
+        prefix: str,
+        listed: Apply,
+        changed: Apply,
+        removed: Callable[[Iterable[str]], None],
+    ) -> None:
+        while True:
+            listing = await self._list(prefix)
+            listed(listing.items)
+            await self._follow_from(prefix, listing.revision, changed, removed)
+
+    async def _list(self, prefix: str) -> ports.Listing:
+        pause = self._settings.retry_least
+        while True:
+            found = await self._store.list(prefix)
+            if isinstance(found, result.Ok):
+                self._beliefs.note_store(ok=True)
+                return found.ok_value
+            self._beliefs.note_store(ok=False, why=found.err_value.detail)
+            await asyncio.sleep(pause * (0.5 + self._clock.random()))
+            pause = min(pause * 2, self._settings.retry_most)
+
+    async def _follow_from(
+        self,
+        prefix: str,
+        revision: int,
+        changed: Apply,
+        removed: Callable[[Iterable[str]], None],
+    ) -> None:
+        """Follows changes until they cannot be followed any more."""
+        while True:
+            brought = await self._store.watch(
+                prefix, revision, self._settings.watch_wait
+            )
+            if isinstance(brought, result.Err):
+                lost = brought.err_value
+                why = (
+                    "history lost"
+                    if isinstance(lost, ports.HistoryLost)
+                    else lost.detail
+                )
+                self._events.write(
+                    "store",
+                    "watch_ended",
+                    prefix=prefix,
+                    revision=revision,
+                    why=why,
+                )
+                return
+            changes = brought.ok_value
+            self._beliefs.note_store(ok=True)
+            revision = changes.revision
+            changed(changes.items)
+            removed(changes.removed)
+            if changes.items or changes.removed:
+                await asyncio.sleep(self._settings.watch_pause)
+
+    def _configurations(self, items: Iterable[ports.Item]) -> None:
+        for item in items:
+            if item.key != self._records.configuration_key:
+                continue
+            read = self._records.configuration(item.value)
+            if isinstance(read, result.Ok):
+                self._beliefs.take_configuration(read.ok_value)
+            else:
+                self._refuse("configuration", item, read.err_value)
+
+    def _targets_listed(self, items: Iterable[ports.Item]) -> None:
+        self._beliefs.take_targets(list(self._read(items)))
+
+    def _targets_changed(self, items: Iterable[ports.Item]) -> None:
+        items = list(items)
+        readable = self._read(items)
+        for target in readable:
+            self._beliefs.take_target(target)
+        # A registration that was overwritten by something unreadable names no
+        # target to use.
+        names = {target.id for target in readable}
+        prefix = self._records.targets_prefix
+        lost = (item.key.removeprefix(prefix) for item in items)
+        for name in set(lost) - names:
+            self._beliefs.lose_target(name)
+
+    def _targets_removed(self, keys: Iterable[str]) -> None:
+        prefix = self._records.targets_prefix
+        for key in keys:
+            self._beliefs.lose_target(key.removeprefix(prefix))
+
+    def _read(self, items: Iterable[ports.Item]) -> list[directory.Target]:
+        found = []
+        for item in items:
+            read = self._records.target(
+                item.key, item.value, self._clock.now()
+            )
+            if isinstance(read, result.Ok):
+                found.append(read.ok_value)
+            else:
+                self._refuse("target", item, read.err_value)
+        return found
+
+    def _refuse(self, what: str, item: ports.Item, why: str) -> None:
+        self._events.write(
+            "store",
+            f"{what}_unreadable",
+            key=item.key,
+            revision=item.revision,
+            why=why,
+        )
