--- a/packages/mimosastile-core/src/mimosastile_core/errors.py
+++ b/packages/mimosastile-core/src/mimosastile_core/errors.py
@@ -117,9 +117,7 @@
     ErrorKind.DEADLINE: _unsure(504, "The deadline passed during the run."),
     ErrorKind.CANCELLED: _unsure(499, "The caller went away."),
     ErrorKind.SHUTTING_DOWN: _busy(503, 1, "This entry VM is stopping."),
-    ErrorKind.NOT_CONFIGURED: _busy(
-        503, 0.3, "No configuration is known yet."
-    ),
+    ErrorKind.NOT_CONFIGURED: _busy(503, 0.3, "No configuration is known yet."),
     ErrorKind.NO_ROUTE: _refused(404, "No route leads there."),
     ErrorKind.REJECTED: _reroute("The target did not take the request."),
     ErrorKind.TARGET_FAILED: _unsure(502, "The target failed."),
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -172,9 +172,7 @@
         of_service = [
             e for e in self._entries.values() if e.target.service == service
         ]
-        ready = [
-            e.target for e in of_service if e.standing is Standing.READY
-        ]
+        ready = [e.target for e in of_service if e.standing is Standing.READY]
         if ready:
             return ready
         return [e.target for e in of_service if now < e.until]
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/ranges.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/ranges.py
@@ -153,9 +153,7 @@
     return RangeTable(service, commit, 1, len(weights) + 1, tuple(ranges))
 
 
-def move(
-    table: RangeTable, moves: Iterable[Move], commit: str
-) -> RangeTable:
+def move(table: RangeTable, moves: Iterable[Move], commit: str) -> RangeTable:
     """Returns the table after some moves.
 
     Each piece that changes hands gets two new fences: the lower one takes it
@@ -186,17 +184,13 @@
     )
 
 
-def _cut(
-    part: Range, item: Move, fence: int
-) -> tuple[Iterator[Range], int]:
+def _cut(part: Range, item: Move, fence: int) -> tuple[Iterator[Range], int]:
     """Splits a range at a move's borders and gives the middle away."""
     first, last = max(part.first, item.first), min(part.last, item.last)
     middle = msgspec.structs.replace(part, first=first, last=last)
     if part.owner != item.to:
         former = Former(part.owner, fence)
-        middle = Range(
-            first, last, item.to, fence + 1, (*part.formers, former)
-        )
+        middle = Range(first, last, item.to, fence + 1, (*part.formers, former))
         fence += 2
     pieces = (
         msgspec.structs.replace(part, last=first - 1),
@@ -253,9 +247,7 @@
         if holder is None:
             ranges.append(item)
             continue
-        ranges.append(
-            msgspec.structs.replace(item, owner=holder, fence=fence)
-        )
+        ranges.append(msgspec.structs.replace(item, owner=holder, fence=fence))
         fence += 1
     return msgspec.structs.replace(
         table,
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/routes.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/routes.py
@@ -160,7 +160,9 @@
         parts = route.parts
         if len(parts) == 1:
             return parts[0].service
-        dealt = self._credits.setdefault((route.name, parts), [0.0] * len(parts))
+        dealt = self._credits.setdefault(
+            (route.name, parts), [0.0] * len(parts)
+        )
         for index, part in enumerate(parts):
             dealt[index] += part.weight
         best = max(range(len(parts)), key=dealt.__getitem__)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -1,8 +1,8 @@
 """Brings callers' requests to targets, and the answers back."""
 
 import asyncio
-from collections.abc import AsyncIterator
 import collections
+from collections.abc import AsyncIterator
 import contextlib
 
 import result
@@ -204,14 +204,11 @@
         wait = incoming.header(names.deadline)
         if wait is not None and wait.isdigit():
             seconds = min(seconds, int(wait) / 1000)
-        call = _Call(
-            incoming, route, service, attempt, incoming.at + seconds
-        )
+        call = _Call(incoming, route, service, attempt, incoming.at + seconds)
         key = incoming.header(names.key)
-        if service.keyed and key is not None and key.isdigit():
-            if int(key) < ranges.KEYS:
-                call.key = int(key)
-                self._peers.asked(service.name, call.key)
+        if service.keyed and _is_key(key):
+            call.key = int(key or b"0")
+            self._peers.asked(service.name, call.key)
         call.head = [
             name + b": " + value
             for name, value in incoming.headers
@@ -271,9 +268,7 @@
         work = self._rooms.work(call.route.name, call.guess)
         return call.deadline - self._settings.requests.margin - 0.6 * work
 
-    async def _await_owner(
-        self, call: _Call, target: directory.Target
-    ) -> None:
+    async def _await_owner(self, call: _Call, target: directory.Target) -> None:
         """Waits a moment for news after a target has rejected a key."""
         if call.key is None:
             return
@@ -340,9 +335,7 @@
         )
         return service.name, choice
 
-    def _candidates(
-        self, call: _Call, now: float
-    ) -> list[directory.Target]:
+    def _candidates(self, call: _Call, now: float) -> list[directory.Target]:
         service = call.service.name
         usable = self._beliefs.directory.usable(service, now)
         if call.service.keyed:
@@ -392,9 +385,7 @@
         self._note(call, target, sent, began)
         return sent
 
-    def _late(
-        self, call: _Call, target: directory.Target, sends: int
-    ) -> Sent:
+    def _late(self, call: _Call, target: directory.Target, sends: int) -> Sent:
         """Says what a request is whose time ran out at a target."""
         if call.sends == sends:
             # It was still waiting for a connection.
@@ -479,15 +470,10 @@
             return _failed(
                 errors.ErrorKind.ANSWER_BROKEN, f"{target.id}: no signature."
             )
-        repeat = status >= 500 and call.repeatable and reply.complete
-        if repeat and call.sends < call.route.attempts:
-            now = self._clock.now()
-            if now < self._latest_start(call):
-                if self._allowance(call.service.name).left(now) >= 1:
-                    return _failed(
-                        errors.ErrorKind.TARGET_FAILED,
-                        f"{target.id} said {status}.",
-                    )
+        if status >= 500 and reply.complete and self._has_repeat(call):
+            return _failed(
+                errors.ErrorKind.TARGET_FAILED, f"{target.id} said {status}."
+            )
         headers = tuple(
             (name, value)
             for name, value in reply.headers
@@ -499,6 +485,16 @@
         rest = self._stream(connection, reply, target)
         return result.Ok(http_server.Outgoing(status, headers, body, rest))
 
+    def _has_repeat(self, call: _Call) -> bool:
+        """Whether a target's own failure need not be the caller's answer."""
+        now = self._clock.now()
+        return (
+            call.repeatable
+            and call.sends < call.route.attempts
+            and now < self._latest_start(call)
+            and self._allowance(call.service.name).left(now) >= 1
+        )
+
     async def _stream(
         self,
         connection: http_client.Connection,
@@ -621,9 +617,7 @@
         if failure.answer.ran is errors.Ran.NO and failure.wait:
             headers.append((b"retry-after", b"%g" % failure.wait))
         text = failure.answer.text.encode() + b"\n"
-        return http_server.Outgoing(
-            failure.answer.status, tuple(headers), text
-        )
+        return http_server.Outgoing(failure.answer.status, tuple(headers), text)
 
 
 def _final(
@@ -639,6 +633,10 @@
     return found
 
 
+def _is_key(value: bytes | None) -> bool:
+    return value is not None and value.isdigit() and int(value) < ranges.KEYS
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -400,9 +400,7 @@
                 why=failure.detail,
                 failures=owner.failures,
             )
-        await asyncio.sleep(
-            _RETRY_SECONDS * (0.5 + self._clock.random())
-        )
+        await asyncio.sleep(_RETRY_SECONDS * (0.5 + self._clock.random()))
 
     def _granted(
         self,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -175,9 +175,7 @@
         self._server.closed(self)
         self._queue.clear()
         current = self._current
-        if self._task is not None and (
-            current is None or current.cancellable
-        ):
+        if self._task is not None and (current is None or current.cancellable):
             self._task.cancel()
 
     def pause_writing(self) -> None:
@@ -267,12 +265,7 @@
             if answer.rest is not None:
                 await _discard(answer.rest)
             return
-        last = (
-            answer.close
-            or not keep
-            or self._last
-            or self._server.stopping
-        )
+        last = answer.close or not keep or self._last or self._server.stopping
         self._last = last
         head = _head(answer, last=last, bare=incoming.method == "HEAD")
         if answer.rest is None:
@@ -292,7 +285,7 @@
                     await _discard(rest)
                     return
                 self._write(_chunk(piece))
-        except Exception:  # noqa: BLE001
+        except Exception:
             # Whatever ended it: without the last chunk the caller sees that
             # the answer is not whole.
             self._abort()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -191,9 +191,7 @@
         revision = await self._write_leader(entry, former)
         if not revision:
             return False
-        self._authority = leadership.Authority(
-            self._settings.leader.authority
-        )
+        self._authority = leadership.Authority(self._settings.leader.authority)
         self._authority.confirm(asked)
         self._begin(entry, revision, known, items)
         self._events.write(
@@ -216,9 +214,7 @@
         key = messages.LEADER_KEY
         expected = {key: former.revision if former else 0}
         value = msgspec.json.encode(entry)
-        written = await self._store.commit(
-            expected, (ports.Write(key, value),)
-        )
+        written = await self._store.commit(expected, (ports.Write(key, value),))
         if isinstance(written, result.Ok):
             return written.ok_value
         if isinstance(written.err_value, ports.Conflict):
@@ -236,9 +232,7 @@
         if item is None:
             return None
         try:
-            return msgspec.json.decode(
-                item.value, type=leadership.LeaderEntry
-            )
+            return msgspec.json.decode(item.value, type=leadership.LeaderEntry)
         except msgspec.DecodeError as error:
             self._events.write(
                 "leader", "entry_unreadable", key=item.key, why=str(error)
@@ -337,9 +331,7 @@
         for keyed in self._services.values():
             keyed.granting.stop()
         self._services = {}
-        self._events.write(
-            "leader", "stepped_down", epoch=entry.epoch, why=why
-        )
+        self._events.write("leader", "stepped_down", epoch=entry.epoch, why=why)
 
     # Reports of VMs.
 
@@ -408,9 +400,8 @@
                 keyed.granting.ready(),
             )
             known = self._beliefs.assignments.get(keyed.table.service)
-            if known is not None and known.epoch == entry.epoch:
-                if _same(known, assignment):
-                    continue
+            if known is not None and _same(known, assignment):
+                continue
             self._beliefs.take_assignment(assignment)
         self._push.set()
 
@@ -514,7 +505,7 @@
             await asyncio.sleep(self._settings.leader.plan)
             try:
                 await self._plan()
-            except Exception as error:  # noqa: BLE001
+            except Exception as error:
                 # One service's fault must not end the renewals of all.
                 self._events.write("leader", "plan_failed", why=repr(error))
 
@@ -572,8 +563,7 @@
             for owner in keyed.table.holders()
             if owner.id in present
             and (
-                present[owner.id] != owner
-                or keyed.granting.needs_fence(owner)
+                present[owner.id] != owner or keyed.granting.needs_fence(owner)
             )
         }
         if not renewed:
@@ -787,9 +777,7 @@
         if not others:
             return
         self._successor = min(others)
-        self._events.write(
-            "leader", "hands_over", successor=self._successor
-        )
+        self._events.write("leader", "hands_over", successor=self._successor)
         ends = self._clock.now() + seconds
         while self.leading and self._clock.now() < ends:
             await asyncio.sleep(0.05)
@@ -815,7 +803,8 @@
 
 
 def _same(one: messages.Assignment, other: messages.Assignment) -> bool:
-    return (one.owners, one.firsts, one.indexes) == (
+    return (one.epoch, one.owners, one.firsts, one.indexes) == (
+        other.epoch,
         other.owners,
         other.firsts,
         other.indexes,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -135,9 +135,7 @@
             tuple(self._beliefs.assignments.values()),
         )
 
-    def take_assignments(
-        self, told: tuple[messages.Assignment, ...]
-    ) -> None:
+    def take_assignments(self, told: tuple[messages.Assignment, ...]) -> None:
         """Takes what a leader has told."""
         for assignment in told:
             self._beliefs.take_assignment(assignment)
@@ -204,9 +202,7 @@
         try:
             if item.key == messages.LEADER_KEY:
                 self._take_leader(
-                    msgspec.json.decode(
-                        item.value, type=leadership.LeaderEntry
-                    )
+                    msgspec.json.decode(item.value, type=leadership.LeaderEntry)
                 )
             elif item.key.startswith(messages.VM_PREFIX):
                 entry = msgspec.json.decode(item.value, type=messages.VmEntry)
@@ -349,15 +345,18 @@
         if not await self.read_store():
             return
         leader = self._beliefs.leader
-        if self._clock.now() - self._heard_at < self._settings.leader.suspect:
-            if leader is not None and leader.vm != self._settings.vm.id:
-                return
-        wait = self._settings.leader.rank_wait * self._rank(leader)
+        limit = self._settings.leader.suspect
         own_former = leader is not None and leader.vm == self._settings.vm.id
-        if not own_former and silent < self._settings.leader.suspect + wait:
-            return
         if leader is not None and not own_former:
-            if await self._others_hear(leader):
+            if self._clock.now() - self._heard_at < limit:
+                # The store named another one just now.
+                return
+            wait = self._settings.leader.rank_wait * self._rank(leader)
+            if silent < limit + wait or await self._others_hear(leader):
+                return
+        elif leader is None:
+            wait = self._settings.leader.rank_wait * self._rank(leader)
+            if silent < limit + wait:
                 return
         await self._take_over("nobody heard the leader")
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -171,9 +171,7 @@
     def _read(self, items: Iterable[ports.Item]) -> list[directory.Target]:
         found = []
         for item in items:
-            read = self._records.target(
-                item.key, item.value, self._clock.now()
-            )
+            read = self._records.target(item.key, item.value, self._clock.now())
             if isinstance(read, result.Ok):
                 found.append(read.ok_value)
             else:
