--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # mimosastile: the commands a newcomer needs. `make help` lists them.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := core entry ctl standins
-SRC := $(foreach p,$(PACKAGES),packages/mimosastile-$(p)/src)
+PACKAGES := core entry ctl standins gateway
+SRC := $(foreach p,$(PACKAGES),packages/mimosastile-$(p)/src) platform/src
+CODE := packages platform tests
 empty :=
 space := $(empty) $(empty)
 # The tree at hand goes before whatever the environment has installed, so that
@@ -21,16 +22,16 @@
 $(VENV)/.ready:
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install -q -r requirements.txt
-	$(PY) -m pip install -q --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/mimosastile-$(p))
+	$(PY) -m pip install -q --no-deps --no-build-isolation $(foreach p,$(PACKAGES),-e packages/mimosastile-$(p)) -e platform
 	touch $@
 
 format: env ## rewrite the sources in the house format
-	$(VENV)/bin/ruff format -q --no-cache packages tests
-	$(VENV)/bin/ruff check -q --no-cache --fix packages tests
+	$(VENV)/bin/ruff format -q --no-cache $(CODE)
+	$(VENV)/bin/ruff check -q --no-cache --fix $(CODE)
 
 lint: env ## formatter check and linter
-	$(VENV)/bin/ruff format -q --no-cache --check packages tests
-	$(VENV)/bin/ruff check -q --no-cache packages tests
+	$(VENV)/bin/ruff format -q --no-cache --check $(CODE)
+	$(VENV)/bin/ruff check -q --no-cache $(CODE)
 
 types: env ## strict typing
 	$(VENV)/bin/mypy
--- a/packages/mimosastile-core/src/mimosastile_core/errors.py
+++ b/packages/mimosastile-core/src/mimosastile_core/errors.py
@@ -48,6 +48,7 @@
     NO_ROUTE = "no_route"
     REJECTED = "rejected"
     TARGET_FAILED = "target_failed"
+    TARGET_REPLACED = "target_replaced"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_UNKNOWN = "store_unknown"
     INTERNAL = "internal"
@@ -120,6 +121,9 @@
     ErrorKind.NOT_CONFIGURED: _busy(503, 0.3, "No configuration is known yet."),
     ErrorKind.NO_ROUTE: _refused(404, "No route leads there."),
     ErrorKind.REJECTED: _reroute("The target did not take the request."),
+    ErrorKind.TARGET_REPLACED: _reroute(
+        "Another target has taken the address."
+    ),
     ErrorKind.TARGET_FAILED: _unsure(502, "The target failed."),
     ErrorKind.STORE_UNAVAILABLE: _busy(503, 2, "The store is unavailable."),
     ErrorKind.STORE_UNKNOWN: _unsure(503, "The store did not confirm."),
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -38,6 +38,10 @@
     READY = "ready"
     LEAVING = "leaving"
     MISSING = "missing"
+    ENDED = "ended"
+
+
+_VANISHED = frozenset({Standing.MISSING, Standing.ENDED})
 
 
 class Entry:
@@ -112,6 +116,8 @@
                 target.address,
             )
         entry.target = target
+        if entry.standing is Standing.ENDED and not fresh:
+            return False
         standing = Standing.LEAVING if target.leaving else Standing.READY
         if entry.standing is standing and not fresh:
             return False
@@ -132,7 +138,7 @@
             Whether it was there.
         """
         entry = self._entries.get(target)
-        if entry is None or entry.standing is Standing.MISSING:
+        if entry is None or entry.standing in _VANISHED:
             return False
         entry.standing = Standing.MISSING
         entry.since = now
@@ -140,6 +146,30 @@
         entry.until = min(entry.until, now + grace)
         return True
 
+    def end(self, target: str, born: int, now: float) -> bool:
+        """Notes proof that a run of a target is over.
+
+        Its address answers in another target's name. Its registration may
+        stand for seconds more; each request sent there would be one for
+        nothing, and a repeat at the other target's service.
+
+        Args:
+            target: Identifier of the target.
+            born: Which run of it.
+            now: The time.
+
+        Returns:
+            Whether that is news.
+        """
+        entry = self._entries.get(target)
+        if entry is None or entry.target.born != born:
+            return False
+        if entry.standing is Standing.ENDED:
+            return False
+        entry.standing = Standing.ENDED
+        entry.since = entry.until = now
+        return True
+
     def replace(self, targets: Iterable[Target], now: float) -> list[str]:
         """Takes a whole list.
 
@@ -160,7 +190,7 @@
         self._entries = {
             name: entry
             for name, entry in self._entries.items()
-            if entry.standing is not Standing.MISSING
+            if entry.standing not in _VANISHED
             or now - entry.since < keep_seconds
         }
 
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
@@ -65,7 +65,7 @@
 class _Balance:
     """Loads of targets while moves are being chosen."""
 
-    __slots__ = ("fair", "loads", "pieces")
+    __slots__ = ("_capacity", "fair", "loads", "pieces")
 
     def __init__(
         self,
@@ -73,6 +73,7 @@
         capacity: Mapping[ranges.Holder, float],
         heat: Mapping[int, float],
     ) -> None:
+        self._capacity = capacity
         ordered = sorted(heat.items())
         self.pieces: dict[ranges.Holder, list[_Piece]] = {}
         self.loads = dict.fromkeys(capacity, 0.0)
@@ -101,10 +102,11 @@
 
     def emptiest(self, but: ranges.Holder) -> ranges.Holder | None:
         """Returns the target with the most room for its size."""
-        others = [h for h in self.fair if h != but and self.fair[h] > 0]
+        able = self._capacity
+        others = [h for h, part in able.items() if h != but and part > 0]
         if not others:
             return None
-        return min(others, key=lambda h: self.loads[h] / self.fair[h])
+        return min(others, key=lambda h: self.loads[h] / able[h])
 
 
 def evacuate(
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -91,7 +91,7 @@
     def trouble(self, now: float) -> float:
         """Returns the recent share of failures, 0 to 1."""
         age = max(now - self._trouble_at, 0.0)
-        return self._trouble * 0.5 ** (age / _TROUBLE_HALF_LIFE)
+        return self._trouble * math.exp2(-age / _TROUBLE_HALF_LIFE)
 
     def answered(self, seconds: float, work: float, now: float) -> None:
         """Notes an answer.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -116,6 +116,14 @@
             self._events.write("targets", "target_gone", target=target)
             self.signal()
 
+    def end_target(self, target: str, born: int) -> None:
+        """Notes proof that a run of a target is over."""
+        if self.directory.end(target, born, self._clock.now()):
+            self._events.write(
+                "targets", "target_ended", target=target, born=born
+            )
+            self.signal()
+
     def take_targets(self, targets: list[directory.Target]) -> None:
         """Takes the whole list of targets."""
         now = self._clock.now()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -53,7 +53,11 @@
 
 
 class Daemon:
-    """One gateway process."""
+    """One gateway process.
+
+    Attributes:
+        callers_address: Where callers are served, once it has started.
+    """
 
     __slots__ = (
         "_adapter",
@@ -74,6 +78,7 @@
         "_stopping",
         "_trim",
         "_watching",
+        "callers_address",
     )
 
     def __init__(
@@ -148,6 +153,7 @@
         self._ready = http_server.Server(self._readiness)
         self._inner = http_server.Server(self._peer_call)
         self._observed = http_server.Server(self._observe)
+        self.callers_address = ""
         self._stopping = False
         self._trim: asyncio.Task[None] | None = None
 
@@ -163,12 +169,9 @@
     async def start(self) -> None:
         """Begins to listen and to learn."""
         vm = self._settings.vm
-        for server, address in (
-            (self._inner, vm.peers),
-            (self._ready, vm.readiness),
-            (self._callers, vm.callers),
-        ):
-            await server.listen(address)
+        self._peers.listens_on(await self._inner.listen(vm.peers))
+        await self._ready.listen(vm.readiness)
+        self.callers_address = await self._callers.listen(vm.callers)
         try:
             await self._observed.listen(vm.metrics)
         except OSError as error:
@@ -216,6 +219,23 @@
             server.close_idle()
         self._pool.close()
 
+    def abort(self) -> None:
+        """Ends everything at once, as the end of the process would."""
+        self._leading.step_down("this daemon ends")
+        self._watching.stop()
+        self._peers.abort()
+        if self._trim is not None:
+            self._trim.cancel()
+        for server in (
+            self._callers,
+            self._ready,
+            self._inner,
+            self._observed,
+        ):
+            server.stop_listening()
+            server.abort()
+        self._pool.close()
+
     def log_dump(self) -> None:
         """Writes the state dump to the log."""
         self._events.write("daemon", "state", state=self.dump())
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -42,8 +42,9 @@
 """Headers that concern one connection only."""
 _POLL_SECONDS = 0.05
 """Longest wait for a turn: what other VMs have under way changes unseen."""
-_OWNER_PAUSE = 0.03
-"""Wait after a target has rejected a key, for news of its owner."""
+_OWNER_PAUSE = 0.02
+"""Wait after a target has rejected a key, for news of its owner; doubles with
+each rejection, so that a table that is wrong costs few repeats."""
 _REJECT_STATUSES = frozenset({400, 421, 429, 503})
 """Statuses with which a target may say that it has not run a request."""
 _GUESS_SHARE = 0.35
@@ -276,7 +277,7 @@
         if known != target.id:
             return
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_OWNER_PAUSE):
+            async with asyncio.timeout(_OWNER_PAUSE * 2**call.rejects):
                 await self._beliefs.changed.wait()
 
     async def _find_target(
@@ -459,6 +460,12 @@
         names = self._names
         status = reply.status
         if status in _REJECT_STATUSES and reply.header(names.not_run):
+            answering = reply.header(names.target)
+            if status == 421 and answering not in (None, target.id.encode()):
+                return _failed(
+                    errors.ErrorKind.TARGET_REPLACED,
+                    f"{target.address} is {answering!r}, not {target.id}.",
+                )
             if status == 421:
                 return _failed(
                     errors.ErrorKind.WRONG_FENCE, f"{target.id} said 421."
@@ -535,7 +542,10 @@
             self._passed(call, target, answer, now)
             return
         failure = sent.err_value
-        if failure.kind is errors.ErrorKind.WRONG_FENCE:
+        if failure.kind is errors.ErrorKind.TARGET_REPLACED:
+            self._peers.ended(target)
+        elif failure.kind is errors.ErrorKind.WRONG_FENCE:
+            call.rejects += 1
             if call.key is not None:
                 self._peers.missed(call.service.name, call.key, target.id)
             else:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -20,6 +20,8 @@
 """Pause after an order that was not answered."""
 _FENCE_AFTER = 1.0
 """Silence after which a target may have started again; that takes seconds."""
+_TICK_SECONDS = 0.001
+"""Shortest wait; one below the clock's resolution would spin."""
 _MISS_REST = 0.2
 """A target that rejects a key is granted it again at once, but not more often
 than this: VMs that have not heard of a change report misses as well."""
@@ -319,7 +321,7 @@
                 await owner.wake.wait()
                 continue
             if state.due > now:
-                await _wait(owner.wake, state.due - now)
+                await _wait(owner.wake, max(state.due - now, _TICK_SECONDS))
                 continue
             if not self._authority.holds(now):
                 self._events.write(
@@ -383,6 +385,9 @@
             # Whoever gave the higher fence, this one is of no use any more.
             exposure.until = now
             owner.refused = owner.refused or current
+        if failure.kind is errors.ErrorKind.TARGET_REPLACED:
+            exposure.until = now
+            self._beliefs.end_target(holder.id, holder.born)
         owner.failures += 1
         owner.failing_since = (
             sent if owner.failing_since is None else owner.failing_since
@@ -468,6 +473,8 @@
                     state.handover = answer.ok_value
                     how = "released"
                     break
+                if answer.err_value.kind is errors.ErrorKind.TARGET_REPLACED:
+                    self._beliefs.end_target(holder.id, holder.born)
                 left = lapse - self._clock.boot()
                 await asyncio.sleep(min(max(left, 0.0), _RETRY_SECONDS))
             else:
@@ -500,7 +507,8 @@
         entry = self._beliefs.directory.get(holder.id)
         missing = directory.Standing.MISSING
         if entry is not None and entry.standing is not missing:
-            return entry.target.born != holder.born
+            ended = entry.standing is directory.Standing.ENDED
+            return ended or entry.target.born != holder.born
         return any(
             other.target.address == holder.address
             and other.target.id != holder.id
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -224,7 +224,7 @@
             waiter.set_result(None)
 
     def _fail(self, why: str) -> None:
-        if self._error is None:
+        if self._error is None and self._reply is not None:
             self._error = AnswerLostError(f"{self._address}: {why}")
         self._closing = True
         self._wake()
@@ -250,9 +250,8 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            if self._reply is None:
-                self.close()
-                return
+            # If the answer was whole, what follows it is of no concern, but
+            # the connection cannot be trusted any more.
             self._fail(f"no answer in the protocol: {error}")
             self.abort()
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -76,7 +76,13 @@
 
 
 class Leading:
-    """Decides over key ranges while this VM leads, and knows when it does."""
+    """Decides over key ranges while this VM leads, and knows when it does.
+
+    Attributes:
+        address: Where peers reach this VM.
+        calm_until: Until when the present leader, as far as this VM has heard,
+            surely gives no grants longer than usual.
+    """
 
     __slots__ = (
         "_authority",
@@ -104,6 +110,7 @@
         "_successor",
         "_tasks",
         "_taking",
+        "address",
         "calm_until",
     )
 
@@ -134,6 +141,7 @@
         self._reports: dict[str, _Reported] = {}
         self._lost_until: dict[str, float] = {}
         self._silence = granting.Silence(0.0)
+        self.address = configured.vm.peers
         self.calm_until = float("-inf")
         self._started = 0.0
         self._store_failing_since: float | None = None
@@ -185,7 +193,7 @@
             self._settings.vm.id,
             self._boot,
             epoch + 1,
-            self._settings.vm.peers,
+            self.address,
         )
         asked = self._clock.boot()
         revision = await self._write_leader(entry, former)
@@ -351,6 +359,8 @@
             if keyed is not None:
                 keyed.fast.add(keys, now)
                 keyed.slow.add(keys, now)
+        for ended in report.ended:
+            self._beliefs.end_target(ended.target, ended.born)
         for miss in report.misses:
             keyed = self._services.get(miss.service)
             if keyed is not None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -67,6 +67,18 @@
     target: str
 
 
+class Ended(msgspec.Struct, frozen=True, array_like=True):
+    """A run of a target that is known to be over.
+
+    Attributes:
+        target: Identifier of the target.
+        born: Unix milliseconds of the run's start.
+    """
+
+    target: str
+    born: int
+
+
 class Report(msgspec.Struct, frozen=True):
     """What a VM tells its leader.
 
@@ -77,6 +89,7 @@
         under_way: Requests under way by target.
         factors: How slow targets are, compared to the mean.
         alive: Targets that answered it since the last report.
+        ended: Runs of targets that are known to be over.
         misses: Keys rejected by targets that should own them.
         serials: Epoch and serial of its assignments by service.
     """
@@ -87,6 +100,7 @@
     under_way: dict[str, int] = {}
     factors: dict[str, float] = {}
     alive: tuple[str, ...] = ()
+    ended: tuple[Ended, ...] = ()
     misses: tuple[Miss, ...] = ()
     serials: dict[str, tuple[int, int]] = {}
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -7,6 +7,7 @@
 import msgspec
 import result
 
+from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import room
@@ -36,10 +37,12 @@
     """Registers this VM, reports to the leader, replaces a lost one."""
 
     __slots__ = (
+        "_address",
         "_alive",
         "_beliefs",
         "_boot",
         "_clock",
+        "_ended",
         "_events",
         "_heard_at",
         "_keys",
@@ -75,10 +78,12 @@
         self._leader = leader
         self._clock = timer
         self._events = log
+        self._address = configured.vm.peers
         self._session = 0
         self._heard_at = float("-inf")
         self._keys: dict[str, list[int]] = collections.defaultdict(list)
         self._alive: set[str] = set()
+        self._ended: list[messages.Ended] = []
         self._misses: list[messages.Miss] = []
         self._vms: tuple[str, ...] = ()
         self._tasks: list[asyncio.Task[None]] = []
@@ -87,13 +92,18 @@
     def entry(self) -> messages.VmEntry:
         """This VM as its peers know it."""
         vm = self._settings.vm
-        return messages.VmEntry(vm.id, self._boot, vm.peers, vm.zone)
+        return messages.VmEntry(vm.id, self._boot, self._address, vm.zone)
 
     @property
     def count(self) -> int:
         """How many VMs share the work, as far as is known; at least 1."""
         return max(len(self._beliefs.vms), len(self._vms), 1)
 
+    def listens_on(self, address: str) -> None:
+        """Takes the address on which this VM hears its peers."""
+        self._address = address
+        self._leader.address = address
+
     def start(self) -> None:
         """Registers this VM and begins to report."""
         self._heard_at = self._clock.now()
@@ -102,10 +112,14 @@
             asyncio.create_task(self._report_on(), name="report"),
         ]
 
-    async def stop(self) -> None:
-        """Takes this VM out of the list."""
+    def abort(self) -> None:
+        """Ends reporting at once."""
         for task in self._tasks:
             task.cancel()
+
+    async def stop(self) -> None:
+        """Takes this VM out of the list."""
+        self.abort()
         if self._session:
             await self._store.end_session(self._session)
 
@@ -119,6 +133,11 @@
         """Notes that a target answers."""
         self._alive.add(target)
 
+    def ended(self, target: directory.Target) -> None:
+        """Notes that another target answers at a target's address."""
+        self._ended.append(messages.Ended(target.id, target.born))
+        self._beliefs.end_target(target.id, target.born)
+
     def missed(self, service: str, key: int, target: str) -> None:
         """Notes that a target rejected a key that it should own."""
         if len(self._misses) < _KEYS_PER_REPORT:
@@ -255,6 +274,7 @@
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
         alive, self._alive = tuple(self._alive), set()
         misses, self._misses = tuple(self._misses), []
+        ended, self._ended = tuple(self._ended), []
         return messages.Report(
             self.entry,
             self._beliefs.store_ok,
@@ -262,6 +282,7 @@
             self._rooms.own(),
             self._rooms.factors(),
             alive,
+            ended,
             misses,
             self._beliefs.serials(),
         )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
@@ -22,6 +22,7 @@
         expected_target: Target that a request is meant for.
         not_run: Says that the target has not run the request.
         key: Key of a request, a decimal number.
+        target: Identifier of the target that answers, where it says so.
         handover: Token that passes a range's state to its next owner.
     """
 
@@ -31,6 +32,7 @@
     expected_target: bytes
     not_run: bytes
     key: bytes
+    target: bytes
     handover: bytes
 
 
@@ -166,6 +168,7 @@
         last: Last key, inclusive.
         fence: Fence of the grant.
         hold: Seconds from its arrival for which it lasts.
+        target: Identifier of the target that answers, where it says so.
         handover: Token of the last owner, empty for none.
     """
 
@@ -195,7 +198,8 @@
 
     Failures are `UNREACHABLE` (no byte was sent), `ANSWER_LOST` (may be
     carried out, now or later; the connection was reset), `WRONG_FENCE` (the
-    target has seen a higher fence) and `BAD_REQUEST` (refused as malformed).
+    target has seen a higher fence), `TARGET_REPLACED` (another target has the
+    address) and `BAD_REQUEST` (refused as malformed).
     """
 
     async def grant(
--- /dev/null
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -0,0 +1,267 @@
+"""A stand-in for a target on the platform: slots, a queue, keys, faults."""
+
+import asyncio
+import enum
+import itertools
+import json
+import time
+from typing import Any
+
+from mimosastile_gateway import http_server
+
+
+class Fault(enum.Enum):
+    """What a target does instead of answering as it should."""
+
+    NONE = "none"
+    HANG = "hang"
+    RESET = "reset"
+    SHED = "shed"
+    FAIL = "fail"
+    ORDERS_SILENT = "orders silent"
+
+
+class _Hold:
+    """Keys that a target holds until some time."""
+
+    __slots__ = ("fence", "first", "last", "until")
+
+    def __init__(self, first: int, last: int, fence: int, until: float) -> None:
+        self.first = first
+        self.last = last
+        self.fence = fence
+        self.until = until
+
+
+class Run:
+    """One run of a request, for an oracle.
+
+    Attributes:
+        attempt: Identifier of the caller's attempt.
+        key: Its key, None without.
+        target: Who ran it.
+        at: Loop time of its begin.
+    """
+
+    __slots__ = ("at", "attempt", "key", "target")
+
+    def __init__(
+        self, attempt: str, key: int | None, target: str, at: float
+    ) -> None:
+        self.attempt = attempt
+        self.key = key
+        self.target = target
+        self.at = at
+
+
+class PlatformTarget:
+    """One server of a service.
+
+    Attributes:
+        id: Its identifier.
+        service: Its service.
+        born: Unix milliseconds of its start.
+        fault: What it does wrong.
+        runs: All runs, shared with other targets by the oracle.
+        misdirected: Requests that were meant for another target.
+        orders: Orders that it has taken, oldest first.
+    """
+
+    __slots__ = (
+        "_address",
+        "_fences",
+        "_handovers",
+        "_holds",
+        "_keyed",
+        "_queued",
+        "_running",
+        "_server",
+        "_slots",
+        "_work",
+        "born",
+        "fault",
+        "id",
+        "misdirected",
+        "orders",
+        "runs",
+        "service",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        runs: list[Run],
+        *,
+        keyed: bool = False,
+        slots: int = 4,
+        work: float = 0.005,
+    ) -> None:
+        """Makes one that is not started.
+
+        Args:
+            name: Its identifier.
+            service: Its service.
+            runs: Where it notes what it runs.
+            keyed: Whether it runs only keys that it holds.
+            slots: Requests that it runs at a time.
+            work: Seconds of a run.
+        """
+        self.id = name
+        self.service = service
+        self.runs = runs
+        self.fault = Fault.NONE
+        self.orders: list[tuple[str, dict[str, Any]]] = []
+        self.misdirected = 0
+        self.born = int(time.time() * 1000)
+        self._keyed = keyed
+        self._work = work
+        self._slots = slots
+        self._running = asyncio.Semaphore(slots)
+        self._queued = 0
+        self._holds: list[_Hold] = []
+        self._fences: list[_Hold] = []
+        self._handovers = itertools.count(1)
+        self._address = ""
+        self._server = http_server.Server(self._handle)
+
+    async def start(self) -> str:
+        """Listens; returns the address."""
+        self._address = await self._server.listen("127.0.0.1:0")
+        return self._address
+
+    def stop(self) -> None:
+        """Ends at once, as if its process had been killed."""
+        self._server.stop_listening()
+        self._server.abort()
+
+    def registration(self, state: str = "ready") -> dict[str, Any]:
+        """Returns what it says of itself in the store."""
+        return {
+            "ServiceName": self.service,
+            "Address": self._address,
+            "Zone": "zone-a",
+            "ConfigVersion": "v1",
+            "Slots": self._slots,
+            "State": state,
+            "WarmupLeftMs": 0,
+            "SeqNo": 1,
+            "born": self.born,
+        }
+
+    def holds(self, key: int) -> bool:
+        """Whether it would run a key now."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            h.first <= key <= h.last and now < h.until for h in self._holds
+        )
+
+    async def _handle(
+        self, incoming: http_server.Incoming
+    ) -> http_server.Outgoing:
+        expected = incoming.header(b"x-expect-instance")
+        if expected is not None and expected.decode() != self.id:
+            self.misdirected += 1
+            return http_server.Outgoing(
+                421,
+                (
+                    *_echo(incoming),
+                    (b"x-not-executed", b"1"),
+                    (b"x-instance-id", self.id.encode()),
+                ),
+            )
+        path = incoming.target.decode()
+        if path in ("/grant", "/release"):
+            if self.fault is Fault.ORDERS_SILENT:
+                await asyncio.Event().wait()
+            body = json.loads(incoming.body)
+            self.orders.append((path, body))
+            if path == "/grant":
+                return self._grant(body)
+            return await self._release(body)
+        return await self._request(incoming)
+
+    # Requests.
+
+    async def _request(
+        self, incoming: http_server.Incoming
+    ) -> http_server.Outgoing:
+        echo = _echo(incoming)
+        if self.fault is Fault.HANG:
+            await asyncio.Event().wait()
+        if self.fault is Fault.SHED:
+            return http_server.Outgoing(503, (*echo, (b"x-not-executed", b"1")))
+        raw = incoming.header(b"x-shard-key")
+        key = int(raw) if raw is not None else None
+        if self._keyed and (key is None or not self.holds(key)):
+            return http_server.Outgoing(421, (*echo, (b"x-not-executed", b"1")))
+        async with self._running:
+            return await self._run(incoming, echo, key)
+
+    async def _run(
+        self,
+        incoming: http_server.Incoming,
+        echo: tuple[tuple[bytes, bytes], ...],
+        key: int | None,
+    ) -> http_server.Outgoing:
+        attempt = (incoming.header(b"x-attempt-id") or b"").decode()
+        now = asyncio.get_running_loop().time()
+        self.runs.append(Run(attempt, key, self.id, now))
+        if self.fault is Fault.RESET:
+            self._server.abort()
+            await asyncio.sleep(0)
+        await asyncio.sleep(self._work)
+        sealed = (*echo, (b"x-server-seal", self.id.encode()))
+        if self.fault is Fault.FAIL:
+            return http_server.Outgoing(500, sealed, b"failed")
+        text = f"{self.id} ran {attempt}".encode()
+        return http_server.Outgoing(200, sealed, text)
+
+    # Orders.
+
+    def _grant(self, body: dict[str, Any]) -> http_server.Outgoing:
+        first, last, fence = body["From"], body["Target"], body["fence"]
+        if any(
+            _meets(h, first, last) and h.fence > fence for h in self._fences
+        ):
+            return http_server.Outgoing(409)
+        if body["HoldMs"] > 10_000:
+            return http_server.Outgoing(400)
+        now = asyncio.get_running_loop().time()
+        until = now + body["HoldMs"] / 1000
+        self._cut(first, last)
+        self._holds.append(_Hold(first, last, fence, until))
+        self._fences.append(_Hold(first, last, fence, until))
+        return http_server.Outgoing(200)
+
+    async def _release(self, body: dict[str, Any]) -> http_server.Outgoing:
+        first, last, fence = body["From"], body["Target"], body["fence"]
+        self._cut(first, last)
+        self._fences.append(_Hold(first, last, fence, 0.0))
+        # Work on other keys is waited for as well; that is harmless here.
+        await asyncio.sleep(self._work)
+        token = f"{self.id}-{next(self._handovers)}".encode()
+        return http_server.Outgoing(200, ((b"x-handover", token),))
+
+    def _cut(self, first: int, last: int) -> None:
+        left = []
+        for hold in self._holds:
+            if not _meets(hold, first, last):
+                left.append(hold)
+                continue
+            for begin, end in (
+                (hold.first, first - 1),
+                (last + 1, hold.last),
+            ):
+                if begin <= end:
+                    left.append(_Hold(begin, end, hold.fence, hold.until))
+        self._holds = left
+
+
+def _meets(hold: _Hold, first: int, last: int) -> bool:
+    return hold.first <= last and first <= hold.last
+
+
+def _echo(incoming: http_server.Incoming) -> tuple[tuple[bytes, bytes], ...]:
+    attempt = incoming.header(b"x-attempt-id")
+    return ((b"x-attempt-id", attempt),) if attempt is not None else ()
--- /dev/null
+++ b/tests/gateway/fakes.py
@@ -0,0 +1,261 @@
+"""Fakes at the gateway's ports, for decisions under virtual time."""
+
+import asyncio
+import collections
+import os
+import tempfile
+
+import result
+
+from mimosastile_core import errors
+from mimosastile_core.gateway import directory
+from mimosastile_core.gateway import routes
+from mimosastile_gateway import beliefs
+from mimosastile_gateway import clock
+from mimosastile_gateway import events
+from mimosastile_gateway import ports
+from mimosastile_gateway import settings
+
+UNAVAILABLE = errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE, "down")
+UNKNOWN = errors.Failure(errors.ErrorKind.STORE_UNKNOWN, "no answer")
+
+
+class VirtualClock(clock.Clock):
+    """Takes all times from the loop; a suspension is added by hand."""
+
+    def __init__(self):
+        super().__init__(1)
+        self.suspended = 0.0
+
+    def boot(self):
+        """Returns the loop's time and the suspensions."""
+        return asyncio.get_running_loop().time() + self.suspended
+
+
+class Lines(events.Events):
+    """Keeps log lines in memory."""
+
+    def __init__(self):
+        descriptor = os.open(
+            tempfile.gettempdir(), os.O_TMPFILE | os.O_RDWR, 0o600
+        )
+        super().__init__("vm-1", descriptor)
+        os.close(descriptor)
+        self.lines = []
+
+    def write(self, part, event, **fields):
+        """Keeps a line."""
+        self.lines.append((part, event, fields))
+
+    def named(self, event):
+        """Returns the fields of all lines of an event."""
+        return [fields for _, name, fields in self.lines if name == event]
+
+
+def configured(**leader):
+    """Returns settings of a VM."""
+    return settings.GatewaySettings(
+        vm=settings.VmSettings(
+            id="vm-1",
+            zone="z",
+            region="r",
+            regions={"z": "r"},
+            ip="127.0.0.1",
+            callers="127.0.0.1:0",
+            readiness="127.0.0.1:0",
+            peers="127.0.0.1:0",
+            metrics="127.0.0.1:0",
+        ),
+        store=settings.StoreSettings(address="127.0.0.1:1"),
+        leader=settings.LeaderSettings(**leader),
+    )
+
+
+def target(name, service="s", born=1, **changes):
+    """Returns a registered target."""
+    fields = {"address": f"{name}:80", "zone": "z", "slots": 4}
+    return directory.Target(
+        id=name, born=born, service=service, **(fields | changes)
+    )
+
+
+def known(timer, log, *targets, keyed=True):
+    """Returns beliefs with one service and some targets."""
+    made = beliefs.Beliefs(configured(), timer, log)
+    service = routes.Service("s", keyed=keyed)
+    made.take_configuration(routes.Configuration(1, services={"s": service}))
+    made.take_targets(list(targets))
+    return made
+
+
+class Orders:
+    """Targets that take orders, and an oracle of who holds what.
+
+    Attributes:
+        silent: Targets that do not answer, though orders arrive.
+        dead: Targets that orders do not reach.
+        work: Seconds until a release is answered.
+        log: All orders that arrived.
+        clashes: Pairs of targets that held one key at the same time.
+    """
+
+    def __init__(self):
+        self.silent = set()
+        self.dead = set()
+        self.work = 0.05
+        self.log = []
+        self.clashes = []
+        self._holds = collections.defaultdict(list)
+        self._fences = collections.defaultdict(list)
+
+    def holders(self, key):
+        """Returns the targets that hold a key now."""
+        now = asyncio.get_running_loop().time()
+        return {
+            name
+            for name, holds in self._holds.items()
+            if any(a <= key <= b and now < until for a, b, _, until in holds)
+        }
+
+    async def grant(self, name, address, order, timeout):
+        """Takes a grant."""
+        if name in self.dead:
+            await asyncio.sleep(timeout)
+            return result.Err(errors.Failure(errors.ErrorKind.UNREACHABLE))
+        await asyncio.sleep(0.001)
+        self.log.append(("grant", name, order))
+        seen = self._fences[name]
+        first, last, fence = order.first, order.last, order.fence
+        if any(a <= last and first <= b and f > fence for a, b, f in seen):
+            return result.Err(errors.Failure(errors.ErrorKind.WRONG_FENCE))
+        seen.append((first, last, fence))
+        now = asyncio.get_running_loop().time()
+        self._cut(name, first, last)
+        # The slowest clock that is promised.
+        until = now + order.hold * 1.02
+        self._holds[name].append((first, last, fence, until))
+        self._check(name, first, last, now)
+        if name in self.silent:
+            await asyncio.sleep(timeout)
+            return result.Err(errors.Failure(errors.ErrorKind.ANSWER_LOST))
+        return result.Ok(None)
+
+    async def release(self, name, address, order, timeout):
+        """Takes a release."""
+        if name in self.dead:
+            await asyncio.sleep(timeout)
+            return result.Err(errors.Failure(errors.ErrorKind.UNREACHABLE))
+        await asyncio.sleep(0.001)
+        self.log.append(("release", name, order))
+        self._fences[name].append((order.first, order.last, order.fence))
+        self._cut(name, order.first, order.last)
+        if name in self.silent or self.work > timeout:
+            await asyncio.sleep(timeout)
+            return result.Err(errors.Failure(errors.ErrorKind.ANSWER_LOST))
+        await asyncio.sleep(self.work)
+        return result.Ok(f"from-{name}")
+
+    def restart(self, name):
+        """Forgets all that a target holds, as its restart would."""
+        self._holds.pop(name, None)
+        self._fences.pop(name, None)
+
+    def _cut(self, name, first, last):
+        left = []
+        for a, b, fence, until in self._holds[name]:
+            if b < first or last < a:
+                left.append((a, b, fence, until))
+                continue
+            if a < first:
+                left.append((a, first - 1, fence, until))
+            if last < b:
+                left.append((last + 1, b, fence, until))
+        self._holds[name] = left
+
+    def _check(self, name, first, last, now):
+        for other, holds in self._holds.items():
+            if other == name:
+                continue
+            for a, b, _, until in holds:
+                if a <= last and first <= b and now < until:
+                    self.clashes.append((other, name, max(a, first), now))
+
+
+class Store:
+    """A store in memory that can fail.
+
+    Attributes:
+        failing: What calls answer instead, None for all being well.
+        loses: Whether commits are made and not answered.
+        items: Values and revisions by key.
+        commits: How many were made.
+    """
+
+    def __init__(self):
+        self.failing = None
+        self.loses = False
+        self.items = {}
+        self.commits = 0
+        self._revision = 1
+        self._sessions = 0
+
+    def _item(self, key):
+        found = self.items.get(key)
+        return ports.Item(key, *found) if found else None
+
+    async def read(self, key):
+        """Reads one key."""
+        await asyncio.sleep(0.005)
+        if self.failing:
+            return result.Err(self.failing)
+        return result.Ok(self._item(key))
+
+    async def list(self, prefix):
+        """Reads all keys with a prefix."""
+        await asyncio.sleep(0.005)
+        if self.failing:
+            return result.Err(self.failing)
+        found = tuple(
+            self._item(k) for k in sorted(self.items) if k.startswith(prefix)
+        )
+        return result.Ok(ports.Listing(found, self._revision))
+
+    async def watch(self, prefix, after, wait):
+        """Waits in vain."""
+        await asyncio.sleep(wait)
+        if self.failing:
+            return result.Err(self.failing)
+        return result.Ok(ports.Changes((), (), self._revision))
+
+    async def commit(self, expected, writes, deleted=()):
+        """Writes under a condition."""
+        await asyncio.sleep(0.005)
+        if self.failing:
+            return result.Err(self.failing)
+        for key, revision in expected.items():
+            found = self.items.get(key)
+            if (found[1] if found else 0) != revision:
+                return result.Err(ports.Conflict())
+        self._revision += 1
+        self.commits += 1
+        for write in writes:
+            self.items[write.key] = (write.value, self._revision)
+        if self.loses:
+            return result.Err(UNKNOWN)
+        return result.Ok(self._revision)
+
+    async def open_session(self, seconds):
+        """Makes a lease."""
+        if self.failing:
+            return result.Err(self.failing)
+        self._sessions += 1
+        return result.Ok(ports.Session(self._sessions, seconds))
+
+    async def keep_session(self, session):
+        """Renews a lease."""
+        if self.failing:
+            return result.Err(self.failing)
+        return result.Ok(10.0)
+
+    async def end_session(self, session):
+        """Ends a lease."""
--- /dev/null
+++ b/tests/gateway/test_granting.py
@@ -0,0 +1,303 @@
+"""Orders to targets: no key has two owners, whatever is lost on the way."""
+
+import asyncio
+
+import pytest
+
+from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import ranges
+from mimosastile_gateway import granting
+from mimosastile_standins import virtual
+from tests.gateway import fakes
+
+A, B = (ranges.Holder(n, 1, f"{n}:80") for n in "ab")
+HALF = 32768
+
+
+class Rig:
+    """One service with two targets, carried out by a leader."""
+
+    def __init__(self, silence=None):
+        self.clock = fakes.VirtualClock()
+        self.log = fakes.Lines()
+        self.orders = fakes.Orders()
+        self.beliefs = fakes.known(
+            self.clock, self.log, fakes.target("a"), fakes.target("b")
+        )
+        self.authority = leadership.Authority(1e9)
+        self.authority.confirm(0.0)
+        self.granting = granting.Granting(
+            fakes.configured(trouble_after=1e9),
+            self.orders,
+            self.beliefs,
+            self.clock,
+            self.log,
+            self.authority,
+            silence or granting.Silence(0.0),
+            lambda: None,
+        )
+        self.table = ranges.initial("s", {A: 1.0, B: 1.0}, "c1")
+        self.granting.follow(self.table)
+
+    def move(self, first, last, to):
+        """Moves keys, as a commit would."""
+        moves = [ranges.Move(first, last, to)]
+        self.table = ranges.move(self.table, moves, "c")
+        self.granting.follow(self.table)
+
+    async def served(self, key, seconds=20.0):
+        """Waits until the owner of a key has it; returns how long."""
+        began = virtual.now()
+        async with asyncio.timeout(seconds):
+            while self.table.find(key).piece not in self.granting.ready():
+                await asyncio.sleep(0.01)
+        return virtual.now() - began
+
+
+def _play(coroutine):
+    virtual.run(coroutine)
+
+
+class TestGrants:
+    """Grants and renewals."""
+
+    def test_all_keys_stay_granted(self):
+        """Renewals leave no gap over many grants' lengths."""
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            for _ in range(200):
+                await asyncio.sleep(0.1)
+                assert rig.orders.holders(5) == {"a"}
+                assert rig.orders.holders(HALF) == {"b"}
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_move_hands_over(self):
+        """Moved keys come with the token of their last owner."""
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.move(0, 99, B)
+            gap = await rig.served(0)
+            assert gap < 0.2
+            await asyncio.sleep(0.1)
+            given = [
+                order
+                for what, name, order in rig.orders.log
+                if what == "grant" and name == "b" and order.first == 0
+            ]
+            assert given[0].handover == "from-a"
+            assert rig.orders.holders(50) == {"b"}
+            assert rig.orders.holders(100) == {"a"}
+            assert rig.orders.clashes == []
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_cut_piece_stays_in_service(self):
+        """A range is cut beside a hot run; its rest is never refused."""
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.move(1000, 1100, B)
+            assert rig.table.find(0).piece in rig.granting.ready()
+            for _ in range(50):
+                await asyncio.sleep(0.1)
+                assert rig.orders.holders(5) == {"a"}
+                assert rig.orders.holders(2000) == {"a"}
+            assert rig.orders.clashes == []
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_rejected_key_is_granted_again(self):
+        """A late release takes keys from their rightful owner.
+
+        Callers see the keys refused; the next report of a VM has them granted
+        again at once, not with the next renewal.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            await asyncio.sleep(0.3)
+            rig.orders._cut("a", 0, 9)
+            assert rig.orders.holders(5) == set()
+            rig.granting.missed(5, "a")
+            await asyncio.sleep(0.02)
+            assert rig.orders.holders(5) == {"a"}
+            rig.granting.stop()
+
+        _play(main())
+
+
+class TestLosses:
+    """What is lost on the way."""
+
+    @pytest.mark.parametrize("how", ["dead", "silent"])
+    def test_silent_former_owner_waits_for_its_grant(self, how):
+        """A target falls silent; its keys go to another one.
+
+        It may be well and still run requests for them, cut off from the
+        leader alone. Giving the keys away before its grant has run out would
+        give them two owners.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            await asyncio.sleep(1.0)
+            getattr(rig.orders, how).add("a")
+            while not rig.granting.silent(A):
+                await asyncio.sleep(0.01)
+            rig.move(0, HALF - 1, B)
+            gap = await rig.served(0)
+            assert gap < 2.4
+            assert rig.orders.clashes == []
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_work_that_does_not_end(self):
+        """A release is not answered as long as a request runs.
+
+        Keys must not wait for a request that hangs: once the grant has run
+        out the target ends it with a failure.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.orders.work = 60.0
+            rig.move(0, 99, B)
+            assert await rig.served(0) < 2.4
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_restarted_target_is_not_granted_its_old_fence(self):
+        """A target starts again under its identifier.
+
+        It has forgotten all fences, so it would take the old grant for a new
+        one. After a second of silence it gets a new fence or nothing.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.orders.dead.add("a")
+            await asyncio.sleep(3.0)
+            rig.orders.restart("a")
+            rig.orders.dead.clear()
+            rig.orders.log.clear()
+            await asyncio.sleep(1.0)
+            assert not [x for x in rig.orders.log if x[1] == "a"]
+            assert rig.granting.needs_fence(A)
+            again = ranges.Holder("a", 2, "a:80")
+            rig.table = ranges.refence(rig.table, {A: again}, "c2")
+            rig.granting.follow(rig.table)
+            assert await rig.served(0) < 0.1
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_next_run_ends_the_wait(self):
+        """A target that leaves is known to have started again.
+
+        What its earlier run held has ended with it; waiting for its grant
+        would only keep callers waiting.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.orders.dead.add("a")
+            rig.move(0, HALF - 1, B)
+            rig.beliefs.take_target(fakes.target("a", born=2))
+            assert await rig.served(0) < 0.6
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_refused_fence_asks_for_a_new_one(self):
+        """A target has seen a higher fence than its owner has.
+
+        Renewing goes on being refused for ever unless the table changes.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.orders._fences["a"].append((0, 9, 99))
+            await asyncio.sleep(1.0)
+            assert rig.granting.needs_fence(A)
+            rig.granting.stop()
+
+        _play(main())
+
+
+class TestAuthority:
+    """A leader that may have been replaced."""
+
+    def test_no_order_after_a_suspension(self):
+        """The leader's machine is suspended and wakes later.
+
+        Another VM leads by then and may have given keys away. An order sent
+        now would give a key two owners.
+        """
+
+        async def main():
+            rig = Rig()
+            rig.authority._span = 10.0
+            await rig.served(0)
+            await asyncio.sleep(1.0)
+            rig.clock.suspended = 30.0
+            rig.orders.log.clear()
+            await asyncio.sleep(3.0)
+            assert rig.orders.log == []
+            rig.granting.stop()
+
+        _play(main())
+
+    @pytest.mark.parametrize(
+        ("known", "calm", "expected"),
+        [
+            (None, 0.0, 12.14),
+            (1.0, 5.0, 3.14),
+            # It may have given long grants before it stopped.
+            (1.0, 0.0, 11.3),
+            (9.0, 0.0, 12.14),
+        ],
+    )
+    def test_former_leader(self, known, calm, expected):
+        """A target is silent when a new leader begins.
+
+        The former leader may renew its grants until it notices that it was
+        replaced; only then does the time of the last one begin to run.
+        """
+        silence = granting.Silence(10.0, "vm-0", calm, 2.0, 10.0)
+        if known is not None:
+            silence.stopped(known)
+        assert silence.lapse == pytest.approx(expected, abs=0.01)
+
+    def test_new_leader_waits_for_the_former_one(self):
+        """Keys of a silent target are given away by a new leader.
+
+        It has no record of the former leader's grants, so it waits as long as
+        that one may have given them.
+        """
+
+        async def main():
+            rig = Rig(granting.Silence(4.0, "vm-0", 0.0, 2.0, 10.0))
+            rig.orders.dead.add("a")
+            rig.move(0, HALF - 1, B)
+            await rig.served(0)
+            assert virtual.now() >= 6.04
+            rig.granting.stop()
+
+        _play(main())
--- /dev/null
+++ b/tests/gateway/test_ranges.py
@@ -0,0 +1,166 @@
+"""Tables of key ranges."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from mimosastile_core.gateway import ranges
+
+HOLDERS = [ranges.Holder(f"t{i}", 1, f"10.0.0.{i}:80") for i in range(4)]
+A, B, C, D = HOLDERS
+
+
+def _table(*weights):
+    given = weights or (1, 1, 1)
+    return ranges.initial(
+        "s", dict(zip(HOLDERS, map(float, given), strict=False)), "c1"
+    )
+
+
+class TestInitial:
+    """The first table."""
+
+    @pytest.mark.parametrize(
+        "weights", [(1,), (1, 1, 1), (4, 2, 1, 1), (1000, 0.001)]
+    )
+    def test_covers_all_keys(self, weights):
+        """Every key has one owner."""
+        table = _table(*weights)
+        assert ranges.problem(table) == ""
+
+    def test_widths_follow_weights(self):
+        """A target with twice the slots gets twice the keys."""
+        table = _table(2, 1, 1)
+        assert [r.width for r in table.ranges] == [32768, 16384, 16384]
+
+
+class TestMove:
+    """Keys that change hands."""
+
+    def test_middle_of_a_range(self):
+        """A hot run within a range goes, its neighbours stay."""
+        table = ranges.move(_table(1, 1), [ranges.Move(100, 200, B)], "c2")
+        assert ranges.problem(table) == ""
+        assert [(r.first, r.last, r.owner) for r in table.ranges[:3]] == [
+            (0, 99, A),
+            (100, 200, B),
+            (201, 32767, A),
+        ]
+
+    def test_two_new_fences(self):
+        """Keys come back to the target that had them.
+
+        Its late orders of the first time must not be taken for new ones: each
+        change has fences of its own, the one that takes below the one that
+        gives.
+        """
+        first = ranges.move(_table(1, 1), [ranges.Move(0, 9, B)], "c2")
+        moved = first.find(5)
+        assert moved.formers[0].holder == A
+        assert moved.formers[0].fence == 3
+        assert moved.fence == 4
+        settled = ranges.settle(first, {moved.piece: [3]}, "c3")
+        back = ranges.move(settled, [ranges.Move(0, 9, A)], "c4").find(5)
+        assert (back.formers[0].fence, back.fence) == (5, 6)
+
+    def test_a_new_owner_that_is_lost_before_its_grant(self):
+        """The target that should get a range dies before it does.
+
+        Both it and the one before may hold the keys; the third must wait for
+        both.
+        """
+        table = ranges.move(_table(1, 1), [ranges.Move(0, 9, B)], "c2")
+        table = ranges.move(table, [ranges.Move(0, 9, C)], "c3")
+        assert [f.holder for f in table.find(0).formers] == [A, B]
+
+    def test_to_its_owner_changes_nothing(self):
+        """A move to the present owner takes nothing from it."""
+        table = ranges.move(_table(1, 1), [ranges.Move(0, 9, A)], "c2")
+        assert table.find(5).formers == ()
+        assert table.find(5).fence == 1
+
+
+class TestRefence:
+    """Targets that started again."""
+
+    def test_new_run_gets_new_fences(self):
+        """A target starts again under its identifier and forgets its keys.
+
+        A renewal under the old fence would be taken for a grant to a run that
+        never had it.
+        """
+        again = ranges.Holder("t0", 2, "10.0.0.0:80")
+        table = ranges.refence(_table(1, 1), {A: again}, "c2")
+        assert table.find(0).owner == again
+        assert table.find(0).fence >= 3
+        assert table.find(40000).fence == 2
+        assert ranges.problem(table) == ""
+
+
+class TestJoin:
+    """Neighbours of one owner."""
+
+    def test_joined_under_a_new_fence(self):
+        """Ranges that were cut for a hot run are joined when it is over."""
+        table = ranges.move(_table(1, 1), [ranges.Move(5, 9, B)], "c2")
+        table = ranges.settle(table, {table.find(5).piece: [3]}, "c3")
+        table = ranges.move(table, [ranges.Move(5, 9, A)], "c4")
+        table = ranges.settle(table, {table.find(5).piece: [5]}, "c5")
+        joined = ranges.join(table, 8, "c6")
+        assert len(joined.ranges) == 2
+        assert joined.find(7).fence >= table.next_fence
+        assert ranges.problem(joined) == ""
+
+    def test_not_while_somebody_else_may_hold_keys(self):
+        """A range that changes hands stays as it is."""
+        table = ranges.move(_table(1, 1), [ranges.Move(0, 9, B)], "c2")
+        table = ranges.move(table, [ranges.Move(10, 32767, B)], "c3")
+        assert len(ranges.join(table, 8, "c4").ranges) == len(table.ranges)
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["move", "settle", "refence", "join"]),
+        st.integers(0, ranges.KEYS - 1),
+        st.integers(0, 9000),
+        st.sampled_from(HOLDERS),
+    ),
+    max_size=25,
+)
+
+
+@hypothesis.given(steps=_STEPS)
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+def test_any_history_keeps_the_table_sound(steps):
+    """Whatever is decided, keys are covered once and fences only rise.
+
+    A key whose owner's fence fell would be refused by its owner for ever; one
+    without former holders while they hold it would have two owners.
+    """
+    table = _table(1, 1, 1)
+    seen = {}
+    for number, (step, first, width, holder) in enumerate(steps):
+        last = min(first + width, ranges.KEYS - 1)
+        commit = f"c{number + 2}"
+        if step == "move":
+            table = ranges.move(
+                table, [ranges.Move(first, last, holder)], commit
+            )
+        elif step == "settle":
+            item = table.find(first)
+            done = {item.piece: [f.fence for f in item.formers]}
+            table = ranges.settle(table, done, commit)
+        elif step == "refence":
+            table = ranges.refence(table, {holder: holder}, commit)
+        else:
+            table = ranges.join(table, 4, commit)
+        assert ranges.problem(table) == ""
+        for key in (0, first, last, ranges.KEYS - 1):
+            found = table.find(key)
+            assert key in found
+            owner, fence = seen.get(key, (None, 0))
+            assert found.fence >= fence
+            if owner not in (None, found.owner):
+                assert found.fence > fence
+                assert owner in {f.holder for f in found.formers}
+            seen[key] = (found.owner, found.fence)
--- /dev/null
+++ b/tests/gateway/test_rebalance.py
@@ -0,0 +1,176 @@
+"""Moves of keys under the load patterns that they answer."""
+
+import random
+
+import pytest
+
+from mimosastile_core.gateway import ranges
+from mimosastile_core.gateway import rebalance
+
+HOLDERS = [ranges.Holder(f"t{i}", 1, f"10.0.0.{i}:80") for i in range(18)]
+POLICY = rebalance.Policy()
+
+
+def _table(holders=HOLDERS):
+    return ranges.initial("s", dict.fromkeys(holders, 4.0), "c1")
+
+
+def _settled(table, moves):
+    """Carries moves out to their end."""
+    moved = ranges.move(table, moves, "c")
+    done = {r.piece: [f.fence for f in r.formers] for r in moved.ranges}
+    return ranges.settle(moved, done, "c")
+
+
+def _loads(table, heat):
+    loads = dict.fromkeys(HOLDERS, 0.0)
+    for key, count in heat.items():
+        owner = table.find(key).owner
+        loads[owner] = loads.get(owner, 0.0) + count
+    return loads
+
+
+def _ratio(table, heat, capacity):
+    """Busiest target to the mean, each by what it can carry."""
+    loads = _loads(table, heat)
+    whole = sum(capacity.values())
+    total = sum(heat.values())
+    return max(loads[h] / (total * c / whole) for h, c in capacity.items() if c)
+
+
+def _zipf_run(seed, requests=2000, start=9000):
+    """Requests for keys of falling heat that stand beside each other."""
+    rng = random.Random(seed)
+    heat = {}
+    for _ in range(requests):
+        key = min(int(start + rng.paretovariate(0.5) * 20), 65535)
+        heat[key] = heat.get(key, 0) + 1
+    return heat
+
+
+class TestSpread:
+    """From the fullest to the emptiest."""
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_hot_keys_beside_each_other(self, seed):
+        """The hottest keys of a service are neighbours.
+
+        A table of equal widths gives one target several times the mean, and
+        its callers wait in its queue while others idle.
+        """
+        heat, table = _zipf_run(seed), _table()
+        capacity = dict.fromkeys(HOLDERS, 4.0)
+        assert _ratio(table, heat, capacity) > 3
+        for _ in range(6):
+            moves = rebalance.spread(table, capacity, heat, POLICY)
+            table = _settled(table, moves)
+        hottest = max(heat.values()) / (sum(heat.values()) / 18)
+        assert _ratio(table, heat, capacity) < max(1.5, hottest + 0.5)
+
+    @pytest.mark.parametrize(
+        ("width", "share"), [(200, 0.43), (60, 0.34), (200, 0.35)]
+    )
+    def test_a_run_that_gets_hot_at_once(self, width, share):
+        """From one second to the next two hundred keys get 43% of requests.
+
+        One decision has to cut the run into pieces: its owner is at many
+        times its part, and each further second costs its callers' deadlines.
+        Half a second of requests is all that is known then.
+        """
+        rng = random.Random(1)
+        requests = 110
+        hot = [30_000 + rng.randrange(width) for _ in range(requests)]
+        cold = [rng.randrange(65536) for _ in range(requests)]
+        heat = {}
+        for index in range(requests):
+            key = hot[index] if rng.random() < share else cold[index]
+            heat[key] = heat.get(key, 0) + 1
+        table = _table()
+        capacity = dict.fromkeys(HOLDERS, 4.0)
+        before = _ratio(table, heat, capacity)
+        table = _settled(table, rebalance.spread(table, capacity, heat, POLICY))
+        assert before > 5
+        # Three standard deviations of a target's six requests.
+        assert _ratio(table, heat, capacity) < 2.5
+        run = [table.find(30_000 + k).owner for k in range(width)]
+        assert len(set(run)) >= 4
+
+    def test_chance_moves_nothing(self):
+        """Even load differs by chance; moving keys after it gains nothing."""
+        moved = 0
+        for seed in range(50):
+            rng = random.Random(seed)
+            heat = {}
+            for _ in range(400):
+                key = rng.randrange(65536)
+                heat[key] = heat.get(key, 0) + 1
+            capacity = dict.fromkeys(HOLDERS, 4.0)
+            moved += len(rebalance.spread(_table(), capacity, heat, POLICY))
+        assert moved <= 2
+
+    def test_slow_target_is_relieved(self):
+        """A target turns five times slower; most of its keys go."""
+        rng = random.Random(3)
+        heat = {rng.randrange(65536): 1 for _ in range(3000)}
+        capacity = dict.fromkeys(HOLDERS, 4.0)
+        capacity[HOLDERS[0]] = 0.8
+        table = _table()
+        for _ in range(3):
+            table = _settled(
+                table, rebalance.spread(table, capacity, heat, POLICY)
+            )
+        loads = _loads(table, heat)
+        assert loads[HOLDERS[0]] < 0.5 * 3000 / 18
+
+    def test_new_target_gets_its_share(self):
+        """A target that joins an evenly loaded service gets keys."""
+        rng = random.Random(4)
+        heat = {rng.randrange(65536): 1 for _ in range(4000)}
+        table = _table(HOLDERS[:12])
+        capacity = dict.fromkeys(HOLDERS, 4.0)
+        for _ in range(4):
+            table = _settled(
+                table, rebalance.spread(table, capacity, heat, POLICY)
+            )
+        assert min(_loads(table, heat).values()) > 0.3 * 4000 / 18
+
+    def test_bound_on_ranges(self):
+        """A long day of hot runs does not cut the table to pieces.
+
+        Each range is renewed by itself; too many would keep a leader busy
+        until grants run out.
+        """
+        rng = random.Random(5)
+        table = _table()
+        capacity = dict.fromkeys(HOLDERS, 4.0)
+        for _ in range(200):
+            start = rng.randrange(65000)
+            heat = {start + k: 1 for k in range(500)}
+            table = _settled(
+                table, rebalance.spread(table, capacity, heat, POLICY)
+            )
+        most = POLICY.most_ranges * len(HOLDERS) + 2 * POLICY.most_moves
+        assert len(table.ranges) <= most
+
+
+class TestEvacuate:
+    """Targets that lose all keys."""
+
+    @pytest.mark.parametrize("lost", [1, 3, 17])
+    def test_all_keys_go(self, lost):
+        """Targets leave or die; each of their keys gets another owner."""
+        capacity = dict.fromkeys(HOLDERS[lost:], 4.0)
+        moves = rebalance.evacuate(_table(), capacity, {}, HOLDERS[:lost])
+        table = ranges.move(_table(), moves, "c2")
+        assert not table.holders() & set(HOLDERS[:lost])
+
+    def test_without_known_load_widths_are_spread(self):
+        """Nothing was asked for yet; cold ranges do not all go to one."""
+        lost = HOLDERS[:6]
+        capacity = dict.fromkeys(HOLDERS[6:], 4.0)
+        moves = rebalance.evacuate(_table(), capacity, {}, lost)
+        assert len({move.to for move in moves}) == 6
+
+    def test_nobody_left(self):
+        """Without any other target keys stay where they are."""
+        assert rebalance.evacuate(_table(), {}, {}, HOLDERS[:1]) == []
--- /dev/null
+++ b/tests/gateway/test_room.py
@@ -0,0 +1,137 @@
+"""The choice of a target for a request."""
+
+import pytest
+
+from mimosastile_core.gateway import directory
+from mimosastile_core.gateway import room
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
+
+
+def _target(name, zone="a1", slots=4, warm_at=0.0):
+    return directory.Target(
+        name, 1, "s", "10.0.0.1:80", zone, slots, warm_at=warm_at
+    )
+
+
+def _rooms():
+    return room.Rooms(room.Place("a1", "a"), REGIONS, room.Policy())
+
+
+def _choose(rooms, targets, now=10.0):
+    return rooms.choose(targets, "r", 0.1, 100, now, 0.0)
+
+
+class TestChoose:
+    """Which target gets a request."""
+
+    def test_near_before_far(self):
+        """With equal load the zone goes before the region and the link."""
+        targets = [_target("x", "b1"), _target("y", "a2"), _target("z", "a1")]
+        assert _choose(_rooms(), targets).target.id == "z"
+
+    def test_large_answers_stay_near(self):
+        """Downloads fill the link between regions and are paid for there.
+
+        A short wait in the zone is better than a hundred kilobytes across.
+        """
+        rooms = _rooms()
+        for _ in range(200):
+            rooms.answered("r", "near", 0.1, 90_000, 10.0)
+        rooms.load("near").own = 6
+        targets = [_target("near"), _target("far", "b1")]
+        assert _choose(rooms, targets).target.id == "near"
+
+    def test_free_before_busy(self):
+        """A target whose slots are taken loses to one in the next zone."""
+        rooms = _rooms()
+        rooms.load("x").own = 8
+        targets = [_target("x"), _target("y", "a2")]
+        assert _choose(rooms, targets).target.id == "y"
+
+    def test_others_requests_count(self):
+        """What other VMs have under way fills a target as well."""
+        rooms = _rooms()
+        rooms.learn_others({"x": 9}, 10.0)
+        targets = [_target("x"), _target("y", "a2")]
+        assert _choose(rooms, targets).target.id == "y"
+        # Old news count for nothing.
+        assert _choose(rooms, targets, now=20.0).target.id == "x"
+
+    def test_slow_target_gets_less(self):
+        """A target turns slow; its answers show it."""
+        rooms = _rooms()
+        for _ in range(30):
+            rooms.answered("r", "y", 0.1, 100, 10.0)
+            rooms.answered("r", "x", 0.6, 100, 10.0)
+        targets = [_target("x"), _target("y", "a2")]
+        assert _choose(rooms, targets).target.id == "y"
+
+    def test_failing_target_gets_less_and_comes_back(self):
+        """A target sheds half of its requests though its health is good."""
+        rooms = _rooms()
+        for _ in range(10):
+            rooms.load("x").failed(10.0)
+        targets = [_target("x"), _target("y", "a2")]
+        assert _choose(rooms, targets).target.id == "y"
+        assert _choose(rooms, targets, now=25.0).target.id == "x"
+
+    def test_unreachable_target_rests(self):
+        """A target that cannot be reached is left alone, not forgotten."""
+        rooms = _rooms()
+        rooms.load("x").unreachable(10.0)
+        targets = [_target("x"), _target("y", "b1")]
+        assert _choose(rooms, targets).target.id == "y"
+        assert _choose(rooms, targets[:1]).target.id == "x"
+
+    def test_full_targets_get_nothing(self):
+        """Targets that never answer what they cannot queue are not filled.
+
+        A request beyond the queue would hang with its connection.
+        """
+        rooms = _rooms()
+        rooms.learn_others({"x": 12}, 10.0)
+        choice = _choose(rooms, [_target("x")])
+        assert choice.target is None
+        assert 0 < choice.seconds < 1
+
+    @pytest.mark.parametrize(("most", "full"), [(3, True), (4, False)])
+    def test_own_share_of_connections(self, most, full):
+        """One VM does not take all connections of a target."""
+        rooms = _rooms()
+        rooms.load("x").own = 3
+        assert rooms.full(_target("x"), most, 10.0) is full
+
+
+class TestLoad:
+    """What is learned of one target."""
+
+    def test_one_long_request_does_not_make_it_slow(self):
+        """One request in a hundred takes several times as long."""
+        load = room.Load()
+        for _ in range(30):
+            load.answered(0.1, 0.1, 1.0)
+        load.answered(3.0, 0.1, 1.0)
+        assert load.factor < 1.5
+
+    def test_rest_grows_and_ends(self):
+        """Repeated failures to reach it make it rest longer."""
+        load = room.Load()
+        load.unreachable(0.0)
+        first = load.rest_until
+        load.unreachable(10.0)
+        assert load.rest_until - 10.0 > first
+        for _ in range(20):
+            load.unreachable(20.0)
+        assert load.rest_until <= 24.0
+
+    def test_forgets_targets_that_are_gone(self):
+        """Targets come and go all day; what was learned of them goes too."""
+        rooms = _rooms()
+        rooms.load("x").own = 1
+        rooms.load("y")
+        rooms.forget_except([])
+        assert rooms.own() == {"x": 1}
+        rooms.load("x").own = 0
+        rooms.forget_except([])
+        assert rooms.factors() == {}
--- /dev/null
+++ b/tests/gateway/test_world.py
@@ -0,0 +1,326 @@
+"""The whole path on the platform's protocol, over loopback.
+
+Waiting is for conditions, never for a time; nothing is asserted about how long
+anything took.
+"""
+
+import asyncio
+import collections
+
+import msgspec
+import pytest
+
+from mimosastile_core.gateway import ranges
+from mimosastile_gateway import messages
+from mimosastile_standins import platform_target
+from mimosastile_standins import platform_world
+
+
+def _play(scenario, **sizes):
+    """Runs a scenario in a world and ends all of it."""
+
+    async def main():
+        world = platform_world.World()
+        try:
+            async with asyncio.timeout(60):
+                await world.start(**sizes)
+                await scenario(world)
+        finally:
+            await world.stop()
+
+    asyncio.run(main())
+
+
+def _table(world):
+    raw = world.store.value(messages.table_key(platform_world.KEYED))
+    return msgspec.json.decode(raw, type=ranges.RangeTable)
+
+
+def _ran(world, attempt):
+    return [run for run in world.runs if run.attempt == attempt]
+
+
+class TestCalmDay:
+    """Nothing is wrong."""
+
+    def test_requests_of_both_kinds(self):
+        """Every VM serves keyed and other requests, each run once."""
+
+        async def scenario(world):
+            for vm in world.addresses:
+                for key in range(0, 65536, 9000):
+                    answer = await world.ask(f"/read/{key}", key, vm)
+                    assert answer.status == 200
+                    attempt = answer.header(b"x-attempt-id")
+                    assert attempt in answer.body
+                answer = await world.ask("/issue/1", None, vm, method="POST")
+                assert answer.status == 200
+            attempts = collections.Counter(run.attempt for run in world.runs)
+            assert set(attempts.values()) == {1}
+
+        _play(scenario)
+
+    @pytest.mark.parametrize(
+        ("path", "status"), [("/nowhere/1", 404), ("/read", 404)]
+    )
+    def test_no_route(self, path, status):
+        """What no route leads to is not found."""
+
+        async def scenario(world):
+            assert (await world.ask(path, 1)).status == status
+
+        _play(scenario, vms=1)
+
+    def test_new_configuration(self):
+        """A route that operators add is served, one they remove is not."""
+
+        async def scenario(world):
+            extra = platform_world.configuration()["ListenerList"][0][
+                "RuleSet"
+            ][0]
+            extra = {**extra, "Name": "new"}
+            extra["MatchCriteria"] = {"Prefix": "/new/"}
+            assert (await world.ask("/new/1", 1)).status == 404
+            world.store.put(
+                "op/config", platform_world.configuration(5, extra=[extra])
+            )
+
+            async def served():
+                answer = await world.ask("/new/1", 1)
+                return answer.status == 200
+
+            await world.until(served)
+            # An older version never comes back into force.
+            world.store.put("op/config", platform_world.configuration(3))
+            world.store.put_bytes("op/config", b'{"ConfigVersion": 9, "Li')
+            world.store.put("servers/zz", {"ServiceName": 7})
+            await asyncio.sleep(0.5)
+            for vm in world.addresses:
+                assert (await world.ask("/new/1", 1, vm)).status == 200
+            assert "configuration_unreadable" in world.log("vm-0")
+            assert "target_unreadable" in world.log("vm-0")
+
+        _play(scenario)
+
+
+class TestTargets:
+    """Targets that fail, leave and are replaced."""
+
+    def test_lost_target(self):
+        """A target that owns keys dies without a word.
+
+        Its keys are refused until its grant has run out, then another target
+        serves them; no other key is touched.
+        """
+
+        async def scenario(world):
+            world.kill_target("k0")
+
+            async def served():
+                answers = [
+                    await world.ask("/read/x", key, deadline_ms=300)
+                    for key in range(0, 65536, 6000)
+                ]
+                return all(a.status == 200 for a in answers)
+
+            await world.until(served, 20.0)
+            assert "k0" not in {h.id for h in _table(world).holders()}
+
+        _play(scenario)
+
+    def test_leaving_target(self):
+        """A target announces its end; its keys go before it does.
+
+        No request is refused on the way.
+        """
+
+        async def scenario(world):
+            leaving = world.targets["k1"]
+            world.store.put("servers/k1", leaving.registration("draining"))
+            statuses = set()
+
+            async def moved():
+                for key in range(0, 65536, 8000):
+                    answer = await world.ask("/read/x", key)
+                    statuses.add(answer.status)
+                owners = {h.id for h in _table(world).holders()}
+                return "k1" not in owners
+
+            await world.until(moved)
+            assert statuses == {200}
+
+        _play(scenario)
+
+    def test_address_taken_by_another_service(self):
+        """A target dies and another service's target gets its address.
+
+        Its registration stands for seconds. Each request sent there is one
+        for nothing, and a repeat that the other service has to bear; sent
+        again and again they add up to more than it gets from its callers.
+        """
+
+        async def scenario(world):
+            victim = world.targets["k0"]
+            before = len(victim.runs)
+            victim.id = "other"
+            victim.misdirected = 0
+            for _ in range(40):
+                for key in (0, 30_000, 60_000):
+                    await world.ask("/read/x", key, deadline_ms=200)
+            assert len(victim.runs) > before
+            # One for each VM, and some that were under way.
+            assert victim.misdirected <= 12
+
+        _play(scenario)
+
+    @pytest.mark.parametrize(
+        ("fault", "statuses"),
+        [
+            (platform_target.Fault.RESET, {502}),
+            (platform_target.Fault.FAIL, {500}),
+            (platform_target.Fault.SHED, {503}),
+            (platform_target.Fault.HANG, {504}),
+        ],
+    )
+    def test_what_must_not_run_twice(self, fault, statuses):
+        """Both targets of a service fail in the same way.
+
+        A label whose answer is lost must not be issued by the other target;
+        "not run" is said only of what was rejected.
+        """
+
+        async def scenario(world):
+            for name in ("p0", "p1"):
+                world.targets[name].fault = fault
+            seen = set()
+            for _ in range(6):
+                answer = await world.ask(
+                    "/issue/1", method="POST", deadline_ms=400
+                )
+                seen.add(answer.status)
+                if answer.status == 503:
+                    assert answer.header(b"retry-after")
+            # A reset listener is gone for good.
+            assert seen <= statuses | {503}
+            attempts = collections.Counter(run.attempt for run in world.runs)
+            assert set(attempts.values()) <= {1}
+            for run in world.runs:
+                assert len(_ran(world, run.attempt)) == 1
+
+        _play(scenario, vms=1)
+
+
+class TestVms:
+    """Daemons that are lost."""
+
+    def test_lost_leader(self):
+        """The VM that leads dies; another one renews all grants in time.
+
+        Callers of the other VMs notice nothing.
+        """
+
+        async def scenario(world):
+            leader = next(
+                name
+                for name, made in world.daemons.items()
+                if made.dump()["leading"]["leading"]
+            )
+            world.kill_vm(leader)
+            statuses = collections.Counter()
+
+            async def replaced():
+                for key in (0, 30_000, 60_000):
+                    statuses[(await world.ask("/read/x", key)).status] += 1
+                return any(
+                    made.dump()["leading"]["leading"]
+                    for made in world.daemons.values()
+                )
+
+            await world.until(replaced)
+            for _ in range(60):
+                for key in (0, 30_000, 60_000):
+                    statuses[(await world.ask("/read/x", key)).status] += 1
+                await asyncio.sleep(0.05)
+            assert set(statuses) == {200}
+
+        _play(scenario, vms=3)
+
+    def test_all_vms_lost(self):
+        """All VMs die at once and come back empty.
+
+        Table and configuration come from the store; fences rise on.
+        """
+
+        async def scenario(world):
+            before = _table(world)
+            for name in list(world.daemons):
+                world.kill_vm(name)
+            await world.add_vm("vm-0")
+            await world.add_vm("vm-9")
+            await world.until(world._serves_keys)
+            assert _table(world).next_fence >= before.next_fence
+
+        _play(scenario)
+
+    def test_graceful_stop(self):
+        """A VM stops while it serves; what it took is answered whole."""
+
+        async def scenario(world):
+            for target in world.targets.values():
+                target._work = 0.3
+            asked = [
+                asyncio.create_task(world.ask("/issue/1", None, "vm-0"))
+                for _ in range(5)
+            ]
+            await asyncio.sleep(0.1)
+            made = world.daemons.pop("vm-0")
+            world.addresses.pop("vm-0")
+            stopping = asyncio.create_task(made.stop())
+            answers = await asyncio.gather(*asked)
+            assert {a.status for a in answers} == {200}
+            assert not made.ready
+            await stopping
+            made.abort()
+
+        _play(scenario)
+
+
+class TestStore:
+    """The store misbehaves."""
+
+    @pytest.mark.parametrize("mood", ["BUSY", "SILENT"])
+    def test_outage(self, mood):
+        """The store is away for longer than a grant lasts.
+
+        Requests are served on, and new ones after it is back.
+        """
+
+        async def scenario(world):
+            moods = type(world.store.mood)
+            world.store.mood = moods[mood]
+            statuses = set()
+            for _ in range(50):
+                for key in (0, 30_000, 60_000):
+                    statuses.add((await world.ask("/read/x", key)).status)
+                await asyncio.sleep(0.05)
+            assert statuses == {200}
+            world.store.mood = moods.WELL
+            assert (await world.ask("/read/x", 7)).status == 200
+
+        _play(scenario)
+
+    def test_history_dropped(self):
+        """A target leaves while watches hear nothing, and history is lost."""
+
+        async def scenario(world):
+            world.store.remove("servers/p0")
+            world.store.drop_history()
+
+            async def noticed():
+                dump = world.daemons["vm-0"].dump()
+                return dump["targets"].get("p0") != "ready"
+
+            await world.until(noticed)
+            assert (await world.ask("/issue/1", method="POST")).status == 200
+
+        _play(scenario)
