A hot key gets the fastest target to itself; contended room is dealt out

Change: a single key moves to the fastest target, everything else leaves that one, and it stays there for 4 s; the leader deals the room of a contended target out by need, VMs keep to twice an even part before; speed is learned only from answers that did not wait.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
@@ -28,6 +28,10 @@
         excess: Load of a target over its fair part from which keys move, as a
             share of the part. Below it, queues at slots differ less than by
             chance.
+        lone_share: Part of its owner's capacity from which a single key gets
+            a target of its own; above it, what else stands there waits.
+        faster: How much more a target must carry than the owner of such a
+            key for the key to move there.
         sigmas: How many standard deviations of a count the load must be over
             its part as well; three keeps chance from moving keys more than
             once in some hundred looks.
@@ -38,6 +42,8 @@
     """
 
     excess: float = 0.25
+    lone_share: float = 0.6
+    faster: float = 1.25
     sigmas: float = 3.0
     most_moves: int = 16
     most_ranges: float = 8.0
@@ -100,6 +106,21 @@
         """Returns the load of a target above its fair part."""
         return self.loads.get(holder, 0.0) - self.fair.get(holder, 0.0)
 
+    def fastest(self, first: ranges.Holder) -> ranges.Holder:
+        """Returns the target that can carry most, of those below their part.
+
+        For a single key, which no further move can divide.
+
+        Args:
+            first: The one that has most room.
+        """
+        below = [h for h in self.fair if self.excess(h) <= 0]
+        return max(
+            below,
+            key=lambda h: (self._capacity[h], h == first, -self.loads[h]),
+            default=first,
+        )
+
     def emptiest(self, but: ranges.Holder) -> ranges.Holder | None:
         """Returns the target with the most room for its size."""
         able = self._capacity
@@ -152,6 +173,66 @@
     return moves
 
 
+def isolate(
+    table: ranges.RangeTable,
+    capacity: Mapping[ranges.Holder, float],
+    rates: Mapping[int, float],
+    policy: Policy,
+    stays: int | None = None,
+) -> list[ranges.Move]:
+    """Returns moves that give a single hot key a target of its own.
+
+    A key cannot be divided. When one is asked for more often than its owner
+    can answer, all that helps is the fastest target and nothing else on it:
+    targets of a service differ in speed by two and more, so this can double
+    what is answered, and it takes the neighbours out of the key's queue.
+
+    Args:
+        table: The table.
+        capacity: Requests a second that each target can carry.
+        rates: Requests a second by key.
+        policy: When a move is worth its cost.
+        stays: A key that was moved a moment ago.
+    """
+    if not rates or not capacity:
+        return []
+    key = max(rates, key=rates.__getitem__)
+    item = table.find(key)
+    able = capacity.get(item.owner, 0.0)
+    if item.formers or rates[key] < policy.lone_share * able:
+        return []
+    best = max(capacity, key=lambda h: (capacity[h], h == item.owner))
+    if key == stays or capacity[best] < policy.faster * able:
+        best = item.owner
+    moves = []
+    if best != item.owner:
+        moves.append(ranges.Move(key, key, best))
+    others = {h: c for h, c in capacity.items() if h != best}
+    if not others:
+        return moves
+    balance = _Balance(table, others, rates)
+    for part in table.ranges:
+        if part.owner == best and not part.formers:
+            moves.extend(_around(part, key, balance))
+    return moves[: policy.most_moves]
+
+
+def _around(
+    part: ranges.Range, key: int, balance: _Balance
+) -> list[ranges.Move]:
+    """Returns moves of all of a range but one key to the emptiest targets."""
+    pieces = [(part.first, part.last)]
+    if key in part:
+        pieces = [(part.first, key - 1), (key + 1, part.last)]
+    moves = []
+    for first, last in pieces:
+        to = balance.emptiest(part.owner)
+        if first <= last and to is not None:
+            moves.append(ranges.Move(first, last, to))
+            balance.loads[to] += 1.0
+    return moves
+
+
 def spread(
     table: ranges.RangeTable,
     capacity: Mapping[ranges.Holder, float],
@@ -197,6 +278,8 @@
         found = _best_run(balance.pieces[holder], wanted, may_cut)
         if found is not None:
             piece, first, last = found
+            if first == last:
+                to = balance.fastest(to)
             return piece, ranges.Move(first, last, to)
     return None
 
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -24,6 +24,9 @@
 _REST_SECONDS = 0.5
 _REST_MOST_SECONDS = 4.0
 """How long a target is left alone after it could not be reached; doubles."""
+_EVEN_SHARE = 2.0
+"""How many times its even part a VM may have at a target before its leader
+has dealt the target's room out."""
 _OTHERS_FRESH_SECONDS = 1.5
 """Age up to which counts of other VMs are believed."""
 
@@ -43,7 +46,7 @@
         region_bytes_per_second: The same for another region.
     """
 
-    queue: int = 8
+    queue: int = 6
     zone_seconds: float = 0.02
     region_seconds: float = 0.08
     zone_bytes_per_second: float = 1e6
@@ -109,6 +112,10 @@
         ratio = min(ratio, 3 * self.factor)
         self.factor += (ratio - self.factor) * step
         self.samples += 1
+        self.well(now)
+
+    def well(self, now: float) -> None:
+        """Notes that it answers, whatever that took."""
         self._note(0.0, now)
         self._rests = 0
 
@@ -129,6 +136,36 @@
         self._trouble_at = now
 
 
+def dealt(needs: dict[str, int], limit: int, turn: int) -> dict[str, int]:
+    """Deals the room of a target out among VMs by need.
+
+    VMs see each other's requests only with some delay. When many of them find
+    a target that has room and all send at once, it gets more than it can
+    queue, and some targets never answer those.
+
+    Args:
+        needs: What each VM has under way and waiting there.
+        limit: What may be under way there.
+        turn: Changes with time, so that remainders go round.
+
+    Returns:
+        Requests that each VM may have there; the sum is at most `limit`.
+    """
+    total = sum(needs.values())
+    if total <= limit:
+        return dict(needs)
+    exact = {vm: limit * need / total for vm, need in needs.items()}
+    parts = {vm: math.floor(part) for vm, part in exact.items()}
+    left = limit - sum(parts.values())
+    names = sorted(needs)
+    shift = turn % len(names)
+    turned = names[shift:] + names[:shift]
+    turned.sort(key=lambda vm: parts[vm] > 0)
+    for vm in turned[:left]:
+        parts[vm] += 1
+    return parts
+
+
 class Choice(msgspec.Struct, frozen=True):
     """What was found for a request.
 
@@ -144,7 +181,15 @@
 class Rooms:
     """Loads of all targets, and the choice among them."""
 
-    __slots__ = ("_here", "_loads", "_policy", "_regions", "_work")
+    __slots__ = (
+        "_allowed",
+        "_allowed_at",
+        "_here",
+        "_loads",
+        "_policy",
+        "_regions",
+        "_work",
+    )
 
     def __init__(
         self, here: Place, regions: dict[str, str], policy: Policy
@@ -161,6 +206,8 @@
         self._policy = policy
         self._loads: dict[str, Load] = {}
         self._work: dict[str, tuple[float, float]] = {}
+        self._allowed: dict[str, int] = {}
+        self._allowed_at = -math.inf
 
     def load(self, target: str) -> Load:
         """Returns what is known of a target."""
@@ -201,6 +248,30 @@
                 load.others = count
                 load.others_at = now
 
+    def learn_allowed(self, allowed: dict[str, int], now: float) -> None:
+        """Takes how many requests this VM may have at contended targets."""
+        self._allowed = allowed
+        self._allowed_at = now
+
+    def turn_seconds(
+        self, target: directory.Target, route: str, guess: float, now: float
+    ) -> float:
+        """Returns how often this VM gets a turn at a full target, in seconds.
+
+        A target runs `slots` requests at a time for all VMs together, and
+        this VM's part of them is its part of what may be under way there.
+        """
+        work = self.work(route, guess) * self.load(target.id).factor
+        limit = target.slots + self._policy.queue
+        allowed = self._allowed_now(target.id, now)
+        part = limit / 2 if allowed is None else max(allowed, 0.5)
+        return work * limit / (target.slots * part)
+
+    def _allowed_now(self, target: str, now: float) -> int | None:
+        if now - self._allowed_at > _OTHERS_FRESH_SECONDS:
+            return None
+        return self._allowed.get(target)
+
     def work(self, route: str, guess: float) -> float:
         """Returns the mean time in seconds that a route's requests take."""
         return self._work.get(route, (guess, 0.0))[0]
@@ -210,7 +281,14 @@
         return self._work.get(route, (0.0, 0.0))[1]
 
     def answered(
-        self, route: str, target: str, seconds: float, size: int, now: float
+        self,
+        route: str,
+        target: str,
+        seconds: float,
+        size: int,
+        now: float,
+        *,
+        waited: bool = False,
     ) -> None:
         """Notes a whole answer.
 
@@ -220,10 +298,14 @@
             seconds: Time from sending to the answer's end.
             size: Bytes of the answer.
             now: The time.
+            waited: Whether it may have waited at the target, which says
+                nothing about how fast that is.
         """
         mean, bytes_mean = self._work.get(route, (seconds, float(size)))
         load = self.load(target)
-        # Only what did not wait at the target shows how fast it is.
+        if waited:
+            load.well(now)
+            return
         clamped = min(seconds, 5 * mean)
         mean += (clamped - mean) * _SMOOTHING / 5
         bytes_mean += (size - bytes_mean) * _SMOOTHING / 5
@@ -248,6 +330,29 @@
         limit = target.slots + self._policy.queue
         return load.own >= most_own or load.under_way(now) >= limit
 
+    def full_owner(
+        self, target: directory.Target, vms: int, now: float
+    ) -> bool:
+        """Whether the only target for a key should get nothing more now.
+
+        Requests for one key cannot go elsewhere, so all VMs may want the same
+        target at once. Each keeps to what the leader has dealt it, and before
+        it has heard of any, to twice its even part: together they then fill a
+        target's own queue at most.
+
+        Args:
+            target: The target.
+            vms: How many VMs there are.
+            now: The time.
+        """
+        load = self.load(target.id)
+        allowed = self._allowed_now(target.id, now)
+        if allowed is not None:
+            return load.own >= allowed
+        limit = target.slots + self._policy.queue
+        even = max(1, round(_EVEN_SHARE * limit / vms))
+        return load.own >= even or load.under_way(now) >= limit
+
     def choose(
         self,
         targets: Iterable[directory.Target],
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -21,6 +21,7 @@
 from mimosastile_gateway import peers
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
+from mimosastile_gateway import turns
 from mimosastile_gateway import watching
 
 _TRIM_SECONDS = 1.0
@@ -119,6 +120,7 @@
             self._clock,
             self._events,
         )
+        queues = turns.Turns()
         self._peers = peers.Peers(
             configured,
             boot,
@@ -127,6 +129,7 @@
             self._beliefs,
             self._rooms,
             self._leading,
+            queues,
             self._clock,
             self._events,
         )
@@ -145,6 +148,7 @@
             self._beliefs,
             self._rooms,
             self._peers,
+            queues,
             self._metrics,
             self._clock,
             self._events,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -75,6 +75,7 @@
         "service",
         "ticket",
         "tried",
+        "waited",
     )
 
     def __init__(
@@ -97,6 +98,7 @@
         self.sends = 0
         self.rejects = 0
         self.maybe_ran = False
+        self.waited = False
         self.tried: set[str] = set()
         self.ticket: turns.Ticket
 
@@ -132,6 +134,7 @@
         known: beliefs.Beliefs,
         rooms: room.Rooms,
         fellows: peers.Peers,
+        queues: turns.Turns,
         measured: metrics.Metrics,
         timer: clock.Clock,
         log: events.Events,
@@ -145,7 +148,7 @@
         self._metrics = measured
         self._clock = timer
         self._events = log
-        self._turns = turns.Turns()
+        self._turns = queues
         self._allowances: dict[str, allowance.RetryAllowance] = {}
         self._counts: collections.Counter[str] = collections.Counter()
         known.subscribe(self._turns.wake_all)
@@ -316,12 +319,11 @@
             if target is None:
                 # Keys that change hands are back within some tenths.
                 return service.name, room.Choice(None, 0.0)
-            most = self._most_own(service)
-            if self._rooms.full(target, most, now):
-                seconds = self._rooms.expected(
+            if self._rooms.full_owner(target, self._peers.count, now):
+                seconds = self._rooms.turn_seconds(
                     target, call.route.name, call.guess, now
                 )
-                return target.id, room.Choice(None, seconds / target.slots)
+                return target.id, room.Choice(None, seconds)
             return target.id, room.Choice(target, 0.0)
         candidates = self._candidates(call, now)
         if not candidates:
@@ -370,6 +372,7 @@
         began = self._clock.now()
         call.tried.add(target.id)
         load = self._rooms.load(target.id)
+        call.waited = load.under_way(began) > target.slots
         sends = call.sends
         sent: Sent
         try:
@@ -536,6 +539,7 @@
                     now - began,
                     len(answer.body),
                     now,
+                    waited=call.waited,
                 )
             elif answer.status >= 500:
                 load.failed(now)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -13,6 +13,7 @@
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import rebalance
+from mimosastile_core.gateway import room
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
 from mimosastile_gateway import events
@@ -34,6 +35,14 @@
 """What a target that has just started can carry, against one that is warm."""
 _SETTLE_PAUSE = 0.3
 """Seconds between changes that only note which targets have let go."""
+_LONE_REST = 4.0
+"""Seconds for which a hot key stays where it was moved. Each move holds its
+requests up, and the speeds of targets are not known so well that a second move
+would gain what it costs."""
+_DEAL_SECONDS = 0.2
+"""How often remainders of dealt room go to other VMs."""
+_WORK_GUESS = 0.1
+"""Seconds of a request while no VM has reported any."""
 _RESIGN_AFTER = 0.8
 """Seconds without the store after which a VM that reaches it is asked to take
 over: long enough for one lost packet, short against the length of a grant."""
@@ -58,7 +67,15 @@
 class _Keyed:
     """What a leader keeps of one service that is divided by key."""
 
-    __slots__ = ("fast", "granting", "revision", "slow", "table")
+    __slots__ = (
+        "_lone_at",
+        "_lone_key",
+        "fast",
+        "granting",
+        "revision",
+        "slow",
+        "table",
+    )
 
     def __init__(
         self,
@@ -73,6 +90,20 @@
         self.granting = grants
         self.fast = fast
         self.slow = slow
+        self._lone_key: int | None = None
+        self._lone_at = 0.0
+
+    def note_moves(self, moves: Iterable[ranges.Move], now: float) -> None:
+        """Remembers a single key that has just moved."""
+        for move in moves:
+            if move.first == move.last:
+                self._lone_key = move.first
+                self._lone_at = now
+
+    def settled_key(self, now: float) -> int | None:
+        """Returns a single key that moved too recently to move again."""
+        recent = now - self._lone_at < _LONE_REST
+        return self._lone_key if recent else None
 
 
 class Leading:
@@ -372,11 +403,35 @@
             leading=True,
             confirmed=self._clock.boot() - self._authority.confirmed,
             under_way=totals,
+            allowed=self._allowed(vm.id, fresh, now),
             assignments=self._newer_than(report.serials),
             vms=tuple(sorted(fresh)),
             successor=self._successor,
         )
 
+    def _allowed(
+        self, vm: str, reports: Mapping[str, messages.Report], now: float
+    ) -> dict[str, int]:
+        """Returns what a VM may have at targets that many VMs want."""
+        needs: dict[str, dict[str, int]] = {}
+        for name, report in reports.items():
+            for counts in (report.under_way, report.waiting):
+                for target, count in counts.items():
+                    of_target = needs.setdefault(target, {})
+                    of_target[name] = of_target.get(name, 0) + count
+        turn = int(now / _DEAL_SECONDS)
+        allowed = {}
+        for target, wanted in needs.items():
+            entry = self._beliefs.directory.get(target)
+            if entry is None:
+                continue
+            limit = entry.target.slots + self._settings.rooms.queue
+            waits = vm in reports and target in reports[vm].waiting
+            if waits or sum(wanted.values()) > limit:
+                parts = room.dealt(wanted, limit, turn)
+                allowed[target] = parts.get(vm, 0)
+        return allowed
+
     def _fresh_reports(self, now: float) -> dict[str, messages.Report]:
         return {
             name: reported.report
@@ -598,10 +653,22 @@
         moves = rebalance.evacuate(keyed.table, capacity, slow, lost)
         why = "evacuated"
         if not moves and not lost and self._hears_others():
-            why = "spread a hot run"
-            moves = rebalance.spread(
-                keyed.table, capacity, fast, self._settings.balance
+            why = "isolated a hot key"
+            moves = rebalance.isolate(
+                keyed.table,
+                self._rates(capacity, keyed.table.service),
+                {
+                    key: count / self._settings.leader.heat_fast
+                    for key, count in fast.items()
+                },
+                self._settings.balance,
+                keyed.settled_key(now),
             )
+            if not moves:
+                why = "spread a hot run"
+                moves = rebalance.spread(
+                    keyed.table, capacity, fast, self._settings.balance
+                )
             if not moves:
                 why = "spread"
                 moves = rebalance.spread(
@@ -609,6 +676,7 @@
                 )
         if not moves:
             return None
+        keyed.note_moves(moves, now)
         self._events.write(
             "leader",
             "moves",
@@ -642,6 +710,15 @@
             capacity[_holder(target)] = able
         return capacity
 
+    def _rates(
+        self, capacity: Mapping[ranges.Holder, float], service: str
+    ) -> dict[ranges.Holder, float]:
+        """Returns capacities in requests a second."""
+        reports = self._fresh_reports(self._clock.now()).values()
+        works = [r.work[service] for r in reports if service in r.work]
+        work = sum(works) / len(works) if works else _WORK_GUESS
+        return {holder: part / work for holder, part in capacity.items()}
+
     def _factors(self) -> dict[str, float]:
         """Returns the mean of what VMs say of each target's speed."""
         now = self._clock.now()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -87,6 +87,8 @@
         store: Whether its last call to the store was answered.
         keys: Keys asked for since the last report, by service.
         under_way: Requests under way by target.
+        waiting: Requests that wait for a target that owns their key.
+        work: Mean seconds of a request by service.
         factors: How slow targets are, compared to the mean.
         alive: Targets that answered it since the last report.
         ended: Runs of targets that are known to be over.
@@ -98,6 +100,8 @@
     store: bool
     keys: dict[str, list[int]] = {}
     under_way: dict[str, int] = {}
+    waiting: dict[str, int] = {}
+    work: dict[str, float] = {}
     factors: dict[str, float] = {}
     alive: tuple[str, ...] = ()
     ended: tuple[Ended, ...] = ()
@@ -113,6 +117,8 @@
         leading: Whether this VM is it.
         confirmed: Seconds since the leader saw its entry in the store.
         under_way: Requests of all other VMs by target.
+        allowed: What the reporting VM may have under way at targets that are
+            contended.
         assignments: Those that the reporting VM does not have.
         vms: Identifiers of the VMs that report.
         successor: The VM that is asked to take over, empty for none.
@@ -122,6 +128,7 @@
     leading: bool
     confirmed: float = 0.0
     under_way: dict[str, int] = {}
+    allowed: dict[str, int] = {}
     assignments: tuple[Assignment, ...] = ()
     vms: tuple[str, ...] = ()
     successor: str = ""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -19,6 +19,7 @@
 from mimosastile_gateway import messages
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
+from mimosastile_gateway import turns
 
 _SESSION_SHARE = 0.3
 """Part of a lease after which it is renewed: two more tries fit in."""
@@ -54,6 +55,7 @@
         "_settings",
         "_store",
         "_tasks",
+        "_turns",
         "_vms",
     )
 
@@ -66,6 +68,7 @@
         known: beliefs.Beliefs,
         rooms: room.Rooms,
         leader: leading.Leading,
+        queues: turns.Turns,
         timer: clock.Clock,
         log: events.Events,
     ) -> None:
@@ -76,6 +79,7 @@
         self._beliefs = known
         self._rooms = rooms
         self._leader = leader
+        self._turns = queues
         self._clock = timer
         self._events = log
         self._address = configured.vm.peers
@@ -280,6 +284,8 @@
             self._beliefs.store_ok,
             keys,
             self._rooms.own(),
+            self._turns.waiting(),
+            self._works(),
             self._rooms.factors(),
             alive,
             ended,
@@ -287,6 +293,17 @@
             self._beliefs.serials(),
         )
 
+    def _works(self) -> dict[str, float]:
+        """Returns the mean work of each keyed service's own routes."""
+        configuration = self._beliefs.configuration
+        if configuration is None:
+            return {}
+        return {
+            route.parts[0].service: round(self._rooms.work(route.name, 0.0), 4)
+            for route in configuration.routes
+            if len(route.parts) == 1 and self._rooms.work(route.name, 0.0)
+        }
+
     async def _send_report(
         self, address: str, report: messages.Report
     ) -> messages.ReportReply | None:
@@ -341,6 +358,7 @@
         )
         self._vms = reply.vms
         self._rooms.learn_others(reply.under_way, now)
+        self._rooms.learn_allowed(reply.allowed, now)
         self.take_assignments(reply.assignments)
         if reply.successor == self._settings.vm.id:
             task = asyncio.create_task(self._take_over("asked to"))
--- a/tests/gateway/test_rebalance.py
+++ b/tests/gateway/test_rebalance.py
@@ -174,3 +174,56 @@
     def test_nobody_left(self):
         """Without any other target keys stay where they are."""
         assert rebalance.evacuate(_table(), {}, {}, HOLDERS[:1]) == []
+
+
+class TestIsolate:
+    """A single key that is hotter than its owner is fast."""
+
+    def _rates(self, key=20_000, rate=90.0):
+        rng = random.Random(6)
+        rates = {rng.randrange(65536): 1.0 for _ in range(120)}
+        rates[key] = rate
+        return rates
+
+    def _capacity(self):
+        return {h: 48.0 if i % 3 else 21.0 for i, h in enumerate(HOLDERS)}
+
+    def test_fastest_target_and_nothing_else_on_it(self):
+        """One thread of letters gets a third of all requests.
+
+        Its callers are refused while its owner, a slow target, also serves
+        colder keys.
+        """
+        table = _table()
+        key = next(k for k in range(65536) if table.find(k).owner == HOLDERS[3])
+        rates, capacity = self._rates(key), self._capacity()
+        moves = rebalance.isolate(table, capacity, rates, POLICY)
+        table = _settled(table, moves)
+        owner = table.find(key).owner
+        assert capacity[owner] == 48.0
+        others = {k for k in rates if table.find(k).owner == owner} - {key}
+        assert others == set()
+
+    def test_stays_after_a_move(self):
+        """The speeds of targets are estimates; the key does not hop."""
+        table = _table()
+        key = 5
+        assert table.find(key).owner == HOLDERS[0]
+        moves = rebalance.isolate(
+            table, self._capacity(), self._rates(key), POLICY, key
+        )
+        assert all(not move.first <= key <= move.last for move in moves)
+        assert moves
+
+    @pytest.mark.parametrize("rate", [0.0, 5.0, 12.0])
+    def test_a_key_that_its_owner_can_serve(self, rate):
+        """A key that is merely popular moves nothing."""
+        rates = self._rates(rate=rate)
+        assert (
+            rebalance.isolate(_table(), self._capacity(), rates, POLICY) == []
+        )
+
+    def test_nothing_known(self):
+        """Without load or targets nothing moves."""
+        assert rebalance.isolate(_table(), self._capacity(), {}, POLICY) == []
+        assert rebalance.isolate(_table(), {}, {1: 9.0}, POLICY) == []
--- a/tests/gateway/test_room.py
+++ b/tests/gateway/test_room.py
@@ -135,3 +135,52 @@
         rooms.load("x").own = 0
         rooms.forget_except([])
         assert rooms.factors() == {}
+
+
+class TestDealt:
+    """Room of a target that many VMs want."""
+
+    @pytest.mark.parametrize(
+        ("vms", "need", "limit"), [(10, 5, 10), (75, 3, 10), (3, 1, 10)]
+    )
+    def test_never_more_than_there_is(self, vms, need, limit):
+        """A hundred VMs find one target with room and all send at once.
+
+        It gets more than it can queue and never answers the rest; their
+        callers wait until their deadlines for nothing.
+        """
+        needs = {f"vm-{i}": need for i in range(vms)}
+        for turn in range(100):
+            parts = room.dealt(needs, limit, turn)
+            assert sum(parts.values()) <= max(limit, 0)
+
+    def test_remainders_go_round(self):
+        """With more VMs than room each gets its turn."""
+        needs = {f"vm-{i}": 2 for i in range(75)}
+        got = dict.fromkeys(needs, 0)
+        for turn in range(75):
+            for vm, part in room.dealt(needs, 10, turn).items():
+                got[vm] += part
+        assert set(got.values()) == {10}
+
+    def test_by_need(self):
+        """A VM with more callers gets more."""
+        parts = room.dealt({"a": 30, "b": 10}, 8, 0)
+        assert parts == {"a": 6, "b": 2}
+
+    @pytest.mark.parametrize(("vms", "own"), [(1, 10), (10, 2), (75, 1)])
+    def test_before_anything_was_dealt(self, vms, own):
+        """A key gets hot within a tenth of a second."""
+        rooms = _rooms()
+        rooms.load("x").own = own
+        assert rooms.full_owner(_target("x"), vms, 10.0)
+        rooms.load("x").own = own - 1
+        assert not rooms.full_owner(_target("x"), vms, 10.0)
+
+    def test_what_was_dealt_counts(self):
+        """A VM that was dealt nothing waits for its turn."""
+        rooms = _rooms()
+        rooms.learn_allowed({"x": 0}, 10.0)
+        assert rooms.full_owner(_target("x"), 1, 10.0)
+        # Old news count for nothing.
+        assert not rooms.full_owner(_target("x"), 1, 20.0)
