--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -19,6 +19,7 @@
         zone: Its availability zone.
         slots: Requests that it runs at a time.
         leaving: Whether it has announced its end.
+        revision: The store's revision of the registration.
         warm_at: Time at which it is no longer slow after its start.
     """
 
@@ -30,6 +31,7 @@
     slots: int
     leaving: bool = False
     warm_at: float = 0.0
+    revision: int = 0
 
 
 class Standing(enum.Enum):
@@ -52,15 +54,17 @@
         standing: Whether it may get new work.
         since: Time of the last change of `standing`.
         until: Time after which it gets no work at all.
+        revision: The store's revision of its last change.
     """
 
-    __slots__ = ("since", "standing", "target", "until")
+    __slots__ = ("revision", "since", "standing", "target", "until")
 
     def __init__(self, target: Target, since: float) -> None:
         self.target = target
         self.standing = Standing.READY
         self.since = since
         self.until = float("inf")
+        self.revision = target.revision
 
 
 class Directory:
@@ -106,6 +110,8 @@
             Whether it matters to routing.
         """
         entry = self._entries.get(target.id)
+        if entry is not None and target.revision < entry.revision:
+            return False
         if entry is None:
             entry = self._entries[target.id] = Entry(target, now)
             fresh = True
@@ -116,6 +122,7 @@
                 target.address,
             )
         entry.target = target
+        entry.revision = target.revision
         if entry.standing is Standing.ENDED and not fresh:
             return False
         standing = Standing.LEAVING if target.leaving else Standing.READY
@@ -126,13 +133,21 @@
         entry.until = now + self._grace if target.leaving else float("inf")
         return True
 
-    def remove(self, target: str, now: float, *, late: bool = False) -> bool:
+    def remove(
+        self,
+        target: str,
+        now: float,
+        *,
+        late: bool = False,
+        revision: int = 0,
+    ) -> bool:
         """Notes that a registration has vanished.
 
         Args:
             target: Identifier of the target.
             now: The time.
             late: Whether it may have vanished a while ago.
+            revision: The store's revision of that, 0 if it is not known.
 
         Returns:
             Whether it was there.
@@ -140,6 +155,9 @@
         entry = self._entries.get(target)
         if entry is None or entry.standing in _VANISHED:
             return False
+        if revision and revision < entry.revision:
+            return False
+        entry.revision = max(entry.revision, revision)
         entry.standing = Standing.MISSING
         entry.since = now
         grace = self._late_grace if late else self._grace
@@ -170,9 +188,16 @@
         entry.since = entry.until = now
         return True
 
-    def replace(self, targets: Iterable[Target], now: float) -> list[str]:
+    def replace(
+        self, targets: Iterable[Target], now: float, revision: int = 0
+    ) -> list[str]:
         """Takes a whole list.
 
+        Args:
+            targets: All that are registered.
+            now: The time.
+            revision: The store's revision of the list.
+
         Returns:
             The targets whose entry changed.
         """
@@ -181,7 +206,8 @@
         gone = [
             known
             for known in list(self._entries)
-            if known not in listed and self.remove(known, now, late=True)
+            if known not in listed
+            and self.remove(known, now, late=True, revision=revision)
         ]
         return changed + gone
 
@@ -194,6 +220,10 @@
             or now - entry.since < keep_seconds
         }
 
+    def since_revision(self, revision: int) -> list[Entry]:
+        """Returns entries that changed after a revision of the store."""
+        return [e for e in self._entries.values() if e.revision > revision]
+
     def usable(self, service: str, now: float) -> list[Target]:
         """Returns the targets of a service that may get new work.
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -1,9 +1,11 @@
 """What this VM believes: configuration, targets, owners of keys, the leader."""
 
 import asyncio
-import bisect
 from collections.abc import Callable
 
+import msgspec
+
+from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import routes
@@ -20,7 +22,21 @@
 
 
 class Beliefs:
-    """The present state, with a signal for whoever waits for a change."""
+    """The present state, with a signal for whoever waits for a change.
+
+    Attributes:
+        configuration: The configuration in force, None before the first one.
+        route_table: Finds its routes.
+        shares: Deals requests out among the parts of a route.
+        directory: All targets.
+        assignments: Owners of keys by service.
+        leader: The leader, None if none is known.
+        vms: Entry VMs as last read from the store.
+        seen: Store revision up to which all registrations are known.
+        store_ok: Whether the last call to the store was answered.
+        store_since: Loop time since which that is so.
+        store_failed_at: Loop time of the last failed call.
+    """
 
     __slots__ = (
         "_changed",
@@ -32,6 +48,7 @@
         "directory",
         "leader",
         "route_table",
+        "seen",
         "shares",
         "store_failed_at",
         "store_ok",
@@ -55,7 +72,8 @@
         self.route_table = routes.RouteTable()
         self.shares = routes.WeightedShares()
         self.directory = directory.Directory(grace, grace * _LATE_SHARE)
-        self.assignments: dict[str, messages.Assignment] = {}
+        self.assignments: dict[str, assignments.Assignment] = {}
+        self.seen = 0
         self.leader: leadership.LeaderEntry | None = None
         self.vms: dict[str, messages.VmEntry] = {}
         self.store_ok = False
@@ -109,10 +127,10 @@
             )
             self.signal()
 
-    def lose_target(self, target: str) -> None:
+    def lose_target(self, target: str, revision: int = 0) -> None:
         """Notes that a target's registration has vanished."""
         now = self._clock.now()
-        if self.directory.remove(target, now):
+        if self.directory.remove(target, now, revision=revision):
             self._events.write("targets", "target_gone", target=target)
             self.signal()
 
@@ -124,10 +142,13 @@
             )
             self.signal()
 
-    def take_targets(self, targets: list[directory.Target]) -> None:
-        """Takes the whole list of targets."""
+    def take_targets(
+        self, targets: list[directory.Target], revision: int = 0
+    ) -> None:
+        """Takes the whole list of targets, as of a revision of the store."""
         now = self._clock.now()
-        changed = self.directory.replace(targets, now)
+        changed = self.directory.replace(targets, now, revision)
+        self.seen = max(self.seen, revision)
         self.directory.forget(now, _FORGET_SECONDS)
         if changed:
             self._events.write(
@@ -138,18 +159,70 @@
             )
             self.signal()
 
-    def take_assignment(self, new: messages.Assignment) -> bool:
+    def take_assignment(self, new: assignments.Assignment) -> bool:
         """Takes an assignment of keys unless a newer one is known."""
         known = self.assignments.get(new.service)
-        if known is not None and (new.epoch, new.serial) <= (
-            known.epoch,
-            known.serial,
-        ):
+        if known is not None and new.version <= known.version:
             return False
         self.assignments[new.service] = new
         self.signal()
         return True
 
+    def take_difference(self, told: assignments.Difference) -> None:
+        """Takes a change of an assignment if it is for the known one."""
+        known = self.assignments.get(told.service)
+        if known is None or told.version <= known.version:
+            return
+        made = assignments.apply(known, told)
+        if made is not None:
+            self.take_assignment(made)
+
+    def news_after(self, seen: int, configuration: int) -> messages.News | None:
+        """Returns what is known from the store that another VM lacks.
+
+        Args:
+            seen: Revision up to which it knows all registrations.
+            configuration: Version of the configuration that it knows.
+        """
+        now = self._clock.now()
+        known = self.configuration
+        newer = known if known and known.version > configuration else None
+        changed = (
+            self.directory.since_revision(seen) if self.seen > seen else []
+        )
+        if newer is None and not changed:
+            return None
+        return messages.News(
+            max(self.seen, seen),
+            tuple(
+                messages.TargetNews(
+                    msgspec.structs.replace(entry.target, warm_at=0.0),
+                    entry.revision,
+                    entry.standing is directory.Standing.MISSING,
+                    max(entry.target.warm_at - now, 0.0),
+                )
+                for entry in changed
+                if entry.standing is not directory.Standing.ENDED
+            ),
+            newer,
+        )
+
+    def take_news(self, news: messages.News) -> None:
+        """Takes what another VM has learned from the store."""
+        now = self._clock.now()
+        if news.configuration is not None:
+            self.take_configuration(news.configuration)
+        for item in news.targets:
+            if item.gone:
+                self.lose_target(item.target.id, item.revision)
+                continue
+            self.take_target(
+                msgspec.structs.replace(
+                    item.target, warm_at=now + item.warm_left
+                )
+            )
+        self.seen = max(self.seen, news.revision)
+
     def take_leader(self, new: leadership.LeaderEntry) -> bool:
         """Takes the leader unless one of a later epoch is known."""
         known = self.leader
@@ -185,13 +258,8 @@
         assignment = self.assignments.get(service)
         if assignment is None:
             return None
-        place = bisect.bisect_right(assignment.firsts, key) - 1
-        index = assignment.indexes[place]
-        return assignment.owners[index] if index >= 0 else None
-
-    def serials(self) -> dict[str, tuple[int, int]]:
-        """Returns epoch and serial of each assignment."""
-        return {
-            name: (item.epoch, item.serial)
-            for name, item in self.assignments.items()
-        }
+        return assignment.owner(key) or None
+
+    def versions(self) -> dict[str, assignments.Version]:
+        """Returns the version of each assignment."""
+        return {name: x.version for name, x in self.assignments.items()}
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -120,6 +120,14 @@
             self._clock,
             self._events,
         )
+        self._watching = watching.Watching(
+            configured.store,
+            store,
+            adapter.records,
+            self._beliefs,
+            self._clock,
+            self._events,
+        )
         queues = turns.Turns()
         self._peers = peers.Peers(
             configured,
@@ -130,14 +138,7 @@
             self._rooms,
             self._leading,
             queues,
-            self._clock,
-            self._events,
-        )
-        self._watching = watching.Watching(
-            configured.store,
-            store,
-            adapter.records,
-            self._beliefs,
+            self._watching,
             self._clock,
             self._events,
         )
@@ -258,7 +259,7 @@
                 entry.target.id: entry.standing.value
                 for entry in known.directory
             },
-            "assignments": known.serials(),
+            "assignments": known.versions(),
             "store_ok": known.store_ok,
             "leading": self._leading.dump(),
             "forwarding": self._forwarding.dump(),
@@ -320,14 +321,14 @@
             return http_server.Outgoing(400)
         if answer is None:
             return http_server.Outgoing(404)
-        return http_server.Outgoing(200, _JSON, msgspec.json.encode(answer))
+        return http_server.Outgoing(200, _JSON, messages.encode(answer))
 
     def _answer_peer(self, path: str, body: bytes) -> msgspec.Struct | None:
         if path == messages.REPORT_PATH:
-            report = msgspec.json.decode(body, type=messages.Report)
+            report = messages.decode(body, messages.Report)
             return self._leading.take_report(report)
         if path == messages.ASSIGN_PATH:
-            told = msgspec.json.decode(body, type=messages.ReportReply)
+            told = messages.decode(body, messages.ReportReply)
             self._peers.take_push(told)
             return self._peers.heard()
         if path == messages.HEARD_PATH:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -530,7 +530,6 @@
         now = self._clock.now()
         load = self._rooms.load(target.id)
         if isinstance(sent, result.Ok):
-            self._peers.answered(target.id)
             answer = sent.ok_value
             if answer.status < 500 and answer.rest is None:
                 self._rooms.answered(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -8,6 +8,7 @@
 import result
 
 from mimosastile_core import errors
+from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import heat
 from mimosastile_core.gateway import leadership
@@ -39,6 +40,11 @@
 """Seconds for which a hot key stays where it was moved. Each move holds its
 requests up, and the speeds of targets are not known so well that a second move
 would gain what it costs."""
+_WATCHERS = 2
+"""VMs that follow the store beside the leader."""
+_TOLD_KEPT = 64
+"""Earlier assignments kept, to tell VMs what has changed since; a VM that is
+further behind gets the whole."""
 _DEAL_SECONDS = 0.2
 """How often remainders of dealt room go to other VMs."""
 _WORK_GUESS = 0.1
@@ -122,6 +128,7 @@
         "_clock",
         "_entry",
         "_events",
+        "_factors_of",
         "_joined_at",
         "_lock",
         "_lost_until",
@@ -141,6 +148,7 @@
         "_successor",
         "_tasks",
         "_taking",
+        "_told",
         "address",
         "calm_until",
     )
@@ -170,6 +178,10 @@
         self._serial = 0
         self._services: dict[str, _Keyed] = {}
         self._reports: dict[str, _Reported] = {}
+        self._factors_of: dict[str, dict[str, float]] = {}
+        self._told: dict[
+            tuple[str, tuple[int, ...]], assignments.Assignment
+        ] = {}
         self._lost_until: dict[str, float] = {}
         self._silence = granting.Silence(0.0)
         self.address = configured.vm.peers
@@ -183,6 +195,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._lock = asyncio.Lock()
         self._taking = False
+        known.subscribe(self._on_news)
 
     @property
     def leading(self) -> bool:
@@ -289,6 +302,8 @@
         self._entry = entry
         self._revision = revision
         self._reports = {}
+        self._factors_of = {}
+        self._told = {}
         self._lost_until = {}
         self._successor = ""
         self._store_failing_since = None
@@ -385,6 +400,9 @@
         if vm.id == self._silence.former:
             # Whoever reports to this leader gives no orders itself.
             self._silence.stopped(self._clock.boot())
+        if report.news is not None:
+            self._beliefs.take_news(report.news)
+        self._learn_factors(report)
         for service, keys in report.keys.items():
             keyed = self._services.get(service)
             if keyed is not None:
@@ -397,15 +415,21 @@
             if keyed is not None:
                 keyed.granting.missed(miss.key, miss.target)
         fresh = self._fresh_reports(now)
-        totals = _sum(r.under_way for r in fresh.values() if r is not report)
+        whole, changed = self._newer_than(report.versions)
+        totals = self._busy(fresh, report)
         return messages.ReportReply(
             self._entry,
             leading=True,
             confirmed=self._clock.boot() - self._authority.confirmed,
             under_way=totals,
             allowed=self._allowed(vm.id, fresh, now),
-            assignments=self._newer_than(report.serials),
-            vms=tuple(sorted(fresh)),
+            assignments=whole,
+            differences=changed,
+            news=self._beliefs.news_after(report.seen, report.configuration),
+            seen=self._beliefs.seen,
+            store=self._store_failing_since is None,
+            watchers=self._watchers(fresh),
+            vms=len(fresh),
             successor=self._successor,
         )
 
@@ -439,18 +463,66 @@
             if now - reported.at < _REPORT_FRESH
         }
 
+    def _busy(
+        self,
+        reports: Mapping[str, messages.Report],
+        but: messages.Report,
+    ) -> dict[str, int]:
+        """Returns what other VMs have under way at targets that are busy.
+
+        Below half of a target's slots it does not matter to anyone's choice.
+        """
+        totals = _sum(r.under_way for r in reports.values() if r is not but)
+        busy = {}
+        for name, count in totals.items():
+            entry = self._beliefs.directory.get(name)
+            if entry is not None and count * 2 >= entry.target.slots:
+                busy[name] = count
+        return busy
+
+    def _watchers(
+        self, reports: Mapping[str, messages.Report]
+    ) -> tuple[str, ...]:
+        """Returns VMs that follow the store beside this one.
+
+        If this VM's own view of the store falls silent without a word, theirs
+        keep all VMs from routing by it. They stand in other zones, if there
+        are any.
+        """
+        here = self._settings.vm
+        able = [r.vm for r in reports.values() if r.vm.id != here.id]
+        able.sort(key=lambda vm: (vm.zone == here.zone, vm.id))
+        zones: dict[str, str] = {}
+        for vm in able:
+            zones.setdefault(vm.zone, vm.id)
+        return tuple(zones.values())[:_WATCHERS]
+
     def _newer_than(
-        self, serials: Mapping[str, tuple[int, int]]
-    ) -> tuple[messages.Assignment, ...]:
-        return tuple(
-            assignment
-            for name, assignment in self._beliefs.assignments.items()
-            if (assignment.epoch, assignment.serial)
-            > tuple(serials.get(name, (-1, -1)))
-        )
+        self, versions: Mapping[str, assignments.Version]
+    ) -> tuple[
+        tuple[assignments.Assignment, ...],
+        tuple[assignments.Difference, ...],
+    ]:
+        """Returns assignments that a VM lacks, and changes of others."""
+        whole, changed = [], []
+        for name, present in self._beliefs.assignments.items():
+            version = versions.get(name)
+            if version is not None and tuple(version) >= present.version:
+                continue
+            old = self._told.get((name, tuple(version or ())))
+            if old is None:
+                whole.append(present)
+            else:
+                changed.append(assignments.difference(old, present))
+        return tuple(whole), tuple(changed)
 
     # Telling VMs.
 
+    def _on_news(self) -> None:
+        """Has VMs told what this one has learned."""
+        if self._entry is not None:
+            self._push.set()
+
     def _published(self) -> None:
         """Makes a new assignment of what has changed and has it told."""
         entry = self._entry
@@ -458,41 +530,70 @@
             return
         self._serial += 1
         for keyed in self._services.values():
-            assignment = messages.assignment_of(
+            present = assignments.of_table(
                 keyed.table,
-                entry.epoch,
-                self._serial,
+                (entry.epoch, self._serial),
                 keyed.granting.ready(),
             )
             known = self._beliefs.assignments.get(keyed.table.service)
-            if known is not None and _same(known, assignment):
+            if known is not None and assignments.same(known, present):
                 continue
-            self._beliefs.take_assignment(assignment)
+            self._beliefs.take_assignment(present)
+            self._told[present.service, present.version] = present
+        while len(self._told) > _TOLD_KEPT:
+            del self._told[next(iter(self._told))]
         self._push.set()
 
     async def _push_on(self) -> None:
+        """Tells VMs at once what they would hear with their next report."""
         while True:
             await self._push.wait()
             await asyncio.sleep(_PUSH_PAUSE)
             self._push.clear()
-            body = msgspec.json.encode(
+            now = self._clock.now()
+            own = self._settings.vm.id
+            bodies: dict[bytes, bytes] = {}
+            for report in self._fresh_reports(now).values():
+                if report.vm.id != own:
+                    self._start_push(report, bodies)
+
+    def _start_push(
+        self, report: messages.Report, bodies: dict[bytes, bytes]
+    ) -> None:
+        whole, changed = self._newer_than(report.versions)
+        news = self._beliefs.news_after(report.seen, report.configuration)
+        if not whole and not changed and news is None:
+            return
+        known = msgspec.json.encode(
+            (report.versions, report.seen, report.configuration)
+        )
+        body = bodies.get(known)
+        if body is None:
+            body = bodies[known] = messages.encode(
                 messages.ReportReply(
                     self._entry,
                     leading=True,
-                    assignments=tuple(self._beliefs.assignments.values()),
+                    assignments=whole,
+                    differences=changed,
+                    news=news,
                 )
             )
-            now = self._clock.now()
-            own = self._settings.vm.id
-            for report in self._fresh_reports(now).values():
-                if report.vm.id != own:
-                    task = asyncio.create_task(
-                        self._tell(report.vm.address, body)
-                    )
-                    self._tasks.append(task)
-                    task.add_done_callback(self._told)
+        # If this is lost, the VM's next report says what it really has.
+        self._reports[report.vm.id].report = msgspec.structs.replace(
+            report,
+            versions=self._beliefs.versions(),
+            seen=self._beliefs.seen,
+            configuration=self._configuration_version(),
+        )
+        task = asyncio.create_task(self._tell(report.vm.address, body))
+        self._tasks.append(task)
+        task.add_done_callback(self._told_one)
 
-    def _told(self, task: asyncio.Task[None]) -> None:
+    def _configuration_version(self) -> int:
+        configuration = self._beliefs.configuration
+        return configuration.version if configuration else -1
+
+    def _told_one(self, task: asyncio.Task[None]) -> None:
         if task in self._tasks:
             self._tasks.remove(task)
 
@@ -719,13 +820,19 @@
         work = sum(works) / len(works) if works else _WORK_GUESS
         return {holder: part / work for holder, part in capacity.items()}
 
+    def _learn_factors(self, report: messages.Report) -> None:
+        """Takes what a VM has newly seen of targets' speeds."""
+        known = self._factors_of.setdefault(report.vm.id, {})
+        known.update(report.factors)
+
     def _factors(self) -> dict[str, float]:
         """Returns the mean of what VMs say of each target's speed."""
-        now = self._clock.now()
+        fresh = self._fresh_reports(self._clock.now())
         sums: dict[str, list[float]] = {}
-        for report in self._fresh_reports(now).values():
-            for target, factor in report.factors.items():
-                sums.setdefault(target, []).append(factor)
+        for vm, factors in self._factors_of.items():
+            if vm in fresh:
+                for target, factor in factors.items():
+                    sums.setdefault(target, []).append(factor)
         return {t: sum(all_) / len(all_) for t, all_ in sums.items()}
 
     def _lost(
@@ -889,15 +996,6 @@
     return ranges.Holder(target.id, target.born, target.address)
 
 
-def _same(one: messages.Assignment, other: messages.Assignment) -> bool:
-    return (one.epoch, one.owners, one.firsts, one.indexes) == (
-        other.epoch,
-        other.owners,
-        other.firsts,
-        other.indexes,
-    )
-
-
 def _sum(counts: Iterable[Mapping[str, int]]) -> dict[str, int]:
     totals: dict[str, int] = {}
     for each in counts:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -1,15 +1,33 @@
 """Messages between entry VMs, and values that they keep in the store."""
 
+from typing import TypeVar
+import zlib
+
 import msgspec
 
+from mimosastile_core.gateway import assignments
+from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
-from mimosastile_core.gateway import ranges
+from mimosastile_core.gateway import routes
 
 STORE_PREFIX = "mimosastile/"
 LEADER_KEY = STORE_PREFIX + "leader"
 VM_PREFIX = STORE_PREFIX + "vm/"
 TABLE_PREFIX = STORE_PREFIX + "table/"
 
+_T = TypeVar("_T")
+# Fields of the same name hide the module in a class body.
+_Assignment = assignments.Assignment
+_Difference = assignments.Difference
+_COMPRESS_FROM = 600
+"""Bytes from which a message is compressed; smaller ones fit into a packet."""
+_COMPRESS_LEVEL = 1
+"""Names repeat, so the fastest level already makes a quarter of it."""
+_COMPRESSED = b"\x78"
+"""First byte of a compressed message; JSON never begins with it."""
+_MESSAGE_BYTES = 8 << 20
+"""Largest message once it is decompressed."""
+
 REPORT_PATH = "/report"
 ASSIGN_PATH = "/assign"
 HEARD_PATH = "/heard"
@@ -31,26 +49,35 @@
     zone: str
 
 
-class Assignment(msgspec.Struct, frozen=True, array_like=True):
-    """Who owns which keys of a service, as VMs route by it.
+class TargetNews(msgspec.Struct, frozen=True, array_like=True):
+    """What became of a target's registration.
 
     Attributes:
-        service: Name of the service.
-        epoch: Epoch of the leader that tells it; 0 for one that was read from
-            the store.
-        serial: Rises with each change within an epoch.
-        owners: Identifiers of targets.
-        firsts: First key of each range, rising from 0.
-        indexes: For each range the index of its owner; -1 while the keys are
-            changing hands.
+        target: As it registered itself last, without `warm_at`, which is a
+            time of one VM's clock.
+        revision: The store's revision of the change.
+        gone: Whether the registration has vanished.
+        warm_left: Seconds for which it is slow after its start.
     """
 
-    service: str
-    epoch: int
-    serial: int
-    owners: tuple[str, ...]
-    firsts: tuple[int, ...]
-    indexes: tuple[int, ...]
+    target: directory.Target
+    revision: int
+    gone: bool
+    warm_left: float
+
+
+class News(msgspec.Struct, frozen=True):
+    """What a VM knows from the store that another one does not.
+
+    Attributes:
+        revision: Revision up to which `targets` is complete.
+        targets: Changed registrations.
+        configuration: The configuration, None if the other one has it.
+    """
+
+    revision: int
+    targets: tuple[TargetNews, ...] = ()
+    configuration: routes.Configuration | None = None
 
 
 class Miss(msgspec.Struct, frozen=True, array_like=True):
@@ -90,10 +117,12 @@
         waiting: Requests that wait for a target that owns their key.
         work: Mean seconds of a request by service.
         factors: How slow targets are, compared to the mean.
-        alive: Targets that answered it since the last report.
         ended: Runs of targets that are known to be over.
         misses: Keys rejected by targets that should own them.
-        serials: Epoch and serial of its assignments by service.
+        versions: Versions of its assignments by service.
+        seen: Store revision up to which it knows all registrations.
+        configuration: Version of the configuration that it knows; -1 for none.
+        news: What it has learned from the store by itself.
     """
 
     vm: VmEntry
@@ -103,10 +132,12 @@
     waiting: dict[str, int] = {}
     work: dict[str, float] = {}
     factors: dict[str, float] = {}
-    alive: tuple[str, ...] = ()
     ended: tuple[Ended, ...] = ()
     misses: tuple[Miss, ...] = ()
-    serials: dict[str, tuple[int, int]] = {}
+    versions: dict[str, assignments.Version] = {}
+    seen: int = 0
+    configuration: int = -1
+    news: News | None = None
 
 
 class ReportReply(msgspec.Struct, frozen=True):
@@ -120,7 +151,13 @@
         allowed: What the reporting VM may have under way at targets that are
             contended.
         assignments: Those that the reporting VM does not have.
-        vms: Identifiers of the VMs that report.
+        differences: Changes of those that it has.
+        news: What it does not know from the store.
+        seen: Store revision up to which the leader knows all registrations.
+        store: Whether the leader reaches the store, so that VMs may rely on
+            its news.
+        watchers: VMs that are asked to follow the store as well.
+        vms: How many VMs report.
         successor: The VM that is asked to take over, empty for none.
     """
 
@@ -129,8 +166,13 @@
     confirmed: float = 0.0
     under_way: dict[str, int] = {}
     allowed: dict[str, int] = {}
-    assignments: tuple[Assignment, ...] = ()
-    vms: tuple[str, ...] = ()
+    assignments: tuple[_Assignment, ...] = ()
+    differences: tuple[_Difference, ...] = ()
+    news: News | None = None
+    seen: int = 0
+    store: bool = False
+    watchers: tuple[str, ...] = ()
+    vms: int = 0
     successor: str = ""
 
 
@@ -145,7 +187,7 @@
 
     leader: leadership.LeaderEntry | None
     seconds: float
-    assignments: tuple[Assignment, ...]
+    assignments: tuple[_Assignment, ...]
 
 
 def table_key(service: str) -> str:
@@ -153,27 +195,28 @@
     return TABLE_PREFIX + service
 
 
-def assignment_of(
-    table: ranges.RangeTable, epoch: int, serial: int, ready: set[ranges.Piece]
-) -> Assignment:
-    """Returns what VMs are told of a table.
+def encode(message: msgspec.Struct) -> bytes:
+    """Returns a message as JSON, compressed if it is large."""
+    body = msgspec.json.encode(message)
+    if len(body) < _COMPRESS_FROM:
+        return body
+    return zlib.compress(body, _COMPRESS_LEVEL)
+
+
+def decode(body: bytes, kind: type[_T]) -> _T:
+    """Reads a message.
 
     Args:
-        table: The table.
-        epoch: Epoch of the leader.
-        serial: Rises with each change within the epoch.
-        ready: Pieces that their owners have been granted.
+        body: What `encode` returned.
+        kind: Type of the message.
+
+    Raises:
+        msgspec.DecodeError: It is none.
     """
-    owners = sorted({item.owner.id for item in table.ranges})
-    index = {owner: number for number, owner in enumerate(owners)}
-    return Assignment(
-        table.service,
-        epoch,
-        serial,
-        tuple(owners),
-        tuple(item.first for item in table.ranges),
-        tuple(
-            index[item.owner.id] if item.piece in ready else -1
-            for item in table.ranges
-        ),
-    )
+    if body[:1] == _COMPRESSED:
+        unpacker = zlib.decompressobj()
+        try:
+            body = unpacker.decompress(body, _MESSAGE_BYTES)
+        except zlib.error as error:
+            raise msgspec.DecodeError(str(error)) from error
+    return msgspec.json.decode(body, type=kind)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -7,6 +7,7 @@
 import msgspec
 import result
 
+from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
@@ -20,6 +21,7 @@
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
 from mimosastile_gateway import turns
+from mimosastile_gateway import watching
 
 _SESSION_SHARE = 0.3
 """Part of a lease after which it is renewed: two more tries fit in."""
@@ -30,6 +32,8 @@
 _IDLE_SECONDS = 5.0
 _KEYS_PER_REPORT = 256
 """Keys in one report; beyond that they are a sample."""
+_FACTOR_NEWS = 0.1
+"""Change of a target's speed that a leader is told of."""
 _ASKED_PEERS = 3
 """Peers asked whether they hear the leader before it is replaced."""
 
@@ -39,16 +43,18 @@
 
     __slots__ = (
         "_address",
-        "_alive",
         "_beliefs",
         "_boot",
         "_clock",
         "_ended",
         "_events",
+        "_follows_store",
         "_heard_at",
         "_keys",
         "_leader",
         "_misses",
+        "_news_seen",
+        "_news_version",
         "_pool",
         "_rooms",
         "_session",
@@ -56,7 +62,10 @@
         "_store",
         "_tasks",
         "_turns",
+        "_told_factors",
+        "_told_leader",
         "_vms",
+        "_watching",
     )
 
     def __init__(
@@ -69,6 +78,7 @@
         rooms: room.Rooms,
         leader: leading.Leading,
         queues: turns.Turns,
+        watcher: watching.Watching,
         timer: clock.Clock,
         log: events.Events,
     ) -> None:
@@ -80,16 +90,21 @@
         self._rooms = rooms
         self._leader = leader
         self._turns = queues
+        self._watching = watcher
         self._clock = timer
         self._events = log
         self._address = configured.vm.peers
         self._session = 0
         self._heard_at = float("-inf")
         self._keys: dict[str, list[int]] = collections.defaultdict(list)
-        self._alive: set[str] = set()
         self._ended: list[messages.Ended] = []
         self._misses: list[messages.Miss] = []
-        self._vms: tuple[str, ...] = ()
+        self._vms = 1
+        self._told_factors: dict[str, float] = {}
+        self._told_leader: leadership.LeaderEntry | None = None
+        self._news_seen = 0
+        self._news_version = -1
+        self._follows_store = True
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -101,7 +116,7 @@
     @property
     def count(self) -> int:
         """How many VMs share the work, as far as is known; at least 1."""
-        return max(len(self._beliefs.vms), len(self._vms), 1)
+        return max(len(self._beliefs.vms), self._vms, 1)
 
     def listens_on(self, address: str) -> None:
         """Takes the address on which this VM hears its peers."""
@@ -133,10 +148,6 @@
         if len(keys) < _KEYS_PER_REPORT:
             keys.append(key)
 
-    def answered(self, target: str) -> None:
-        """Notes that a target answers."""
-        self._alive.add(target)
-
     def ended(self, target: directory.Target) -> None:
         """Notes that another target answers at a target's address."""
         self._ended.append(messages.Ended(target.id, target.born))
@@ -158,10 +169,14 @@
             tuple(self._beliefs.assignments.values()),
         )
 
-    def take_assignments(self, told: tuple[messages.Assignment, ...]) -> None:
-        """Takes what a leader has told."""
-        for assignment in told:
+    def _take_told(self, reply: messages.ReportReply) -> None:
+        """Takes what a leader has told of keys, targets and configuration."""
+        for assignment in reply.assignments:
             self._beliefs.take_assignment(assignment)
+        for difference in reply.differences:
+            self._beliefs.take_difference(difference)
+        if reply.news is not None:
+            self._beliefs.take_news(reply.news)
 
     # Registration.
 
@@ -234,7 +249,7 @@
                 table = msgspec.json.decode(item.value, type=ranges.RangeTable)
                 every = {part.piece for part in table.ranges}
                 self._beliefs.take_assignment(
-                    messages.assignment_of(table, 0, table.version, every)
+                    assignments.of_table(table, (0, table.version), every)
                 )
         except msgspec.DecodeError as error:
             self._events.write(
@@ -268,6 +283,8 @@
                 self._take_reply(reply_or_none)
                 return
         silent = self._clock.now() - self._heard_at
+        self._follows_store = True
+        self._watching.rely_on_leader(False)
         if leader is None or leader.vm == self._settings.vm.id:
             # Nobody leads, or an earlier run of this daemon did.
             await self._replace_leader(silent + self._settings.leader.suspect)
@@ -276,8 +293,8 @@
 
     def _make_report(self) -> messages.Report:
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
-        alive, self._alive = tuple(self._alive), set()
         misses, self._misses = tuple(self._misses), []
+        configuration = self._beliefs.configuration
         ended, self._ended = tuple(self._ended), []
         return messages.Report(
             self.entry,
@@ -286,13 +303,48 @@
             self._rooms.own(),
             self._turns.waiting(),
             self._works(),
-            self._rooms.factors(),
-            alive,
+            self._changed_factors(),
             ended,
             misses,
-            self._beliefs.serials(),
+            self._beliefs.versions(),
+            self._beliefs.seen,
+            configuration.version if configuration else -1,
+            self._own_news(),
         )
 
+    def _changed_factors(self) -> dict[str, float]:
+        """Returns what the leader does not know of targets' speeds."""
+        told = self._told_factors
+        changed = {
+            target: factor
+            for target, factor in self._rooms.factors().items()
+            if abs(factor - told.get(target, 1.0)) > _FACTOR_NEWS * factor
+        }
+        told.update(changed)
+        return changed
+
+    def _own_news(self) -> messages.News | None:
+        """Returns what this VM has read from the store since it last told.
+
+        A leader that is cut off from the store learns it from whoever follows
+        the store as well.
+        """
+        seen, self._news_seen = self._news_seen, self._beliefs.seen
+        if self._leader.leading or not self._follows_store:
+            return None
+        return self._beliefs.news_after(seen, self._news_version)
+
+    def _rely(self, reply: messages.ReportReply) -> None:
+        """Decides whether this VM follows the store itself."""
+        here = self._settings.vm.id
+        chosen = here in reply.watchers or self._leader.leading
+        self._follows_store = chosen or not reply.store
+        self._news_seen = max(self._news_seen, reply.seen)
+        configuration = self._beliefs.configuration
+        if configuration is not None:
+            self._news_version = configuration.version
+        self._watching.rely_on_leader(not self._follows_store)
+
     def _works(self) -> dict[str, float]:
         """Returns the mean work of each keyed service's own routes."""
         configuration = self._beliefs.configuration
@@ -311,7 +363,7 @@
         if answer is None:
             return None
         try:
-            return msgspec.json.decode(answer, type=messages.ReportReply)
+            return messages.decode(answer, messages.ReportReply)
         except msgspec.DecodeError as error:
             self._events.write(
                 "peers", "reply_unreadable", peer=address, why=str(error)
@@ -321,7 +373,7 @@
     async def _call(
         self, address: str, path: str, message: msgspec.Struct | None
     ) -> bytes | None:
-        body = None if message is None else msgspec.json.encode(message)
+        body = None if message is None else messages.encode(message)
         try:
             answer = await http_client.call(
                 self._pool,
@@ -357,9 +409,14 @@
             - _CALL_SECONDS
         )
         self._vms = reply.vms
+        if reply.leader != self._told_leader:
+            # A new leader knows nothing of what was told to the one before.
+            self._told_leader = reply.leader
+            self._told_factors = {}
         self._rooms.learn_others(reply.under_way, now)
         self._rooms.learn_allowed(reply.allowed, now)
-        self.take_assignments(reply.assignments)
+        self._take_told(reply)
+        self._rely(reply)
         if reply.successor == self._settings.vm.id:
             task = asyncio.create_task(self._take_over("asked to"))
             self._tasks.append(task)
@@ -371,7 +428,7 @@
             self._take_leader(told.leader)
         leader = self._beliefs.leader
         if told.leading and told.leader == leader:
-            self.take_assignments(told.assignments)
+            self._take_told(told)
 
     # Replacing a leader.
 
@@ -441,7 +498,7 @@
 
     def _is_heard(self, body: bytes, leader: leadership.LeaderEntry) -> bool:
         try:
-            heard = msgspec.json.decode(body, type=messages.Heard)
+            heard = messages.decode(body, messages.Heard)
         except msgspec.DecodeError as error:
             self._events.write("peers", "reply_unreadable", why=str(error))
             return False
@@ -452,7 +509,8 @@
             return True
         fresh = heard.seconds < self._settings.leader.suspect
         if fresh:
-            self.take_assignments(heard.assignments)
+            for assignment in heard.assignments:
+                self._beliefs.take_assignment(assignment)
         return fresh
 
     async def _take_over(self, why: str) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
@@ -67,12 +67,13 @@
 
     Attributes:
         items: Changed items, in order.
-        removed: Keys that were removed and not set again.
+        removed: Keys that were removed and not set again, with the revision
+            of that.
         revision: Where the next watch continues.
     """
 
     items: tuple[Item, ...]
-    removed: tuple[str, ...]
+    removed: tuple[tuple[str, int], ...]
     revision: int
 
 
@@ -230,6 +231,6 @@
         """Decodes a configuration, or says what is wrong with it."""
 
     def target(
-        self, key: str, value: bytes, now: float
+        self, item: Item, now: float
     ) -> result.Result[directory.Target, str]:
         """Decodes a registration, or says what is wrong with it."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -151,8 +151,8 @@
 
     address: str
     timeout: Positive = 1.0
-    watch_wait: Positive = 4.0
-    watch_pause: float = 0.2
+    watch_wait: Positive = 8.0
+    watch_pause: float = 0.25
     retry_least: Positive = 0.1
     retry_most: Positive = 0.8
     session: Positive = 10.0
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -28,6 +28,7 @@
         "_beliefs",
         "_clock",
         "_events",
+        "_needed",
         "_records",
         "_settings",
         "_store",
@@ -49,15 +50,32 @@
         self._beliefs = known
         self._clock = timer
         self._events = log
+        self._needed = asyncio.Event()
+        self._needed.set()
         self._tasks: list[asyncio.Task[None]] = []
 
+    def rely_on_leader(self, relies: bool) -> None:
+        """Rests while a leader tells what the store holds, or goes on.
+
+        Each waiting watch is a call that is paid for, and their number would
+        grow with the VMs. A VM that cannot rely on its leader any more goes on
+        where it stopped.
+
+        Args:
+            relies: Whether the leader's news are fresh.
+        """
+        if relies:
+            self._needed.clear()
+        else:
+            self._needed.set()
+
     def start(self) -> None:
         """Begins to follow."""
         self._tasks = [
             asyncio.create_task(
                 self._follow(
                     self._records.configuration_key,
-                    self._configurations,
+                    self._configuration_listed,
                     self._configurations,
                     lambda _: None,
                 ),
@@ -82,13 +100,13 @@
     async def _follow(
         self,
         prefix: str,
-        listed: Apply,
+        listed: Callable[[ports.Listing], None],
         changed: Apply,
-        removed: Callable[[Iterable[str]], None],
+        removed: Callable[[Iterable[tuple[str, int]]], None],
     ) -> None:
         while True:
             listing = await self._list(prefix)
-            listed(listing.items)
+            listed(listing)
             await self._follow_from(prefix, listing.revision, changed, removed)
 
     async def _list(self, prefix: str) -> ports.Listing:
@@ -107,10 +125,11 @@
         prefix: str,
         revision: int,
         changed: Apply,
-        removed: Callable[[Iterable[str]], None],
+        removed: Callable[[Iterable[tuple[str, int]]], None],
     ) -> None:
         """Follows changes until they cannot be followed any more."""
         while True:
+            await self._needed.wait()
             brought = await self._store.watch(
                 prefix, revision, self._settings.watch_wait
             )
@@ -134,6 +153,8 @@
             revision = changes.revision
             changed(changes.items)
             removed(changes.removed)
+            if prefix == self._records.targets_prefix:
+                self._beliefs.seen = max(self._beliefs.seen, revision)
             if changes.items or changes.removed:
                 await asyncio.sleep(self._settings.watch_pause)
 
@@ -147,8 +168,11 @@
             else:
                 self._refuse("configuration", item, read.err_value)
 
-    def _targets_listed(self, items: Iterable[ports.Item]) -> None:
-        self._beliefs.take_targets(list(self._read(items)))
+    def _configuration_listed(self, listing: ports.Listing) -> None:
+        self._configurations(listing.items)
+
+    def _targets_listed(self, listing: ports.Listing) -> None:
+        self._beliefs.take_targets(self._read(listing.items), listing.revision)
 
     def _targets_changed(self, items: Iterable[ports.Item]) -> None:
         items = list(items)
@@ -159,19 +183,20 @@
         # target to use.
         names = {target.id for target in readable}
         prefix = self._records.targets_prefix
-        lost = (item.key.removeprefix(prefix) for item in items)
-        for name in set(lost) - names:
-            self._beliefs.lose_target(name)
+        for item in items:
+            name = item.key.removeprefix(prefix)
+            if name not in names:
+                self._beliefs.lose_target(name, item.revision)
 
-    def _targets_removed(self, keys: Iterable[str]) -> None:
+    def _targets_removed(self, keys: Iterable[tuple[str, int]]) -> None:
         prefix = self._records.targets_prefix
-        for key in keys:
-            self._beliefs.lose_target(key.removeprefix(prefix))
+        for key, revision in keys:
+            self._beliefs.lose_target(key.removeprefix(prefix), revision)
 
     def _read(self, items: Iterable[ports.Item]) -> list[directory.Target]:
         found = []
         for item in items:
-            read = self._records.target(item.key, item.value, self._clock.now())
+            read = self._records.target(item, self._clock.now())
             if isinstance(read, result.Ok):
                 found.append(read.ok_value)
             else:
