--- a/tests/gateway/test_ranges.py
+++ b/tests/gateway/test_ranges.py
@@ -139,6 +139,8 @@
     """
     table = _table(1, 1, 1)
     seen = {}
+    borders = {first for _, first, _, _ in steps}
+    borders |= {min(f + w, ranges.KEYS - 1) for _, f, w, _ in steps}
     for number, (step, first, width, holder) in enumerate(steps):
         last = min(first + width, ranges.KEYS - 1)
         commit = f"c{number + 2}"
@@ -155,7 +157,7 @@
         else:
             table = ranges.join(table, 4, commit)
         assert ranges.problem(table) == ""
-        for key in (0, first, last, ranges.KEYS - 1):
+        for key in (0, *borders, ranges.KEYS - 1):
             found = table.find(key)
             assert key in found
             owner, fence = seen.get(key, (None, 0))
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -7,7 +7,12 @@
 import pytest
 
 ROOT = pathlib.Path(__file__).parent.parent
-SOURCES = sorted((ROOT / "packages").glob("*/src/**/*.py"))
+SOURCES = sorted(
+    (
+        *(ROOT / "packages").glob("*/src/**/*.py"),
+        *(ROOT / "platform").glob("src/**/*.py"),
+    )
+)
 INPUT_OUTPUT = {
     "aiohttp",
     "asyncio",
@@ -26,9 +31,17 @@
     "mimosastile_core": {"mimosastile_core"},
     "mimosastile_entry": {"mimosastile_core", "mimosastile_entry"},
     "mimosastile_ctl": {"mimosastile_core", "mimosastile_ctl"},
+    "mimosastile_gateway": {"mimosastile_core", "mimosastile_gateway"},
+    "mimosastile_platform": {
+        "mimosastile_core",
+        "mimosastile_gateway",
+        "mimosastile_platform",
+    },
     "mimosastile_standins": {
         "mimosastile_core",
         "mimosastile_entry",
+        "mimosastile_gateway",
+        "mimosastile_platform",
         "mimosastile_standins",
     },
 }
@@ -44,7 +57,8 @@
 
 
 def _package(path):
-    return path.relative_to(ROOT).parts[3]
+    parts = path.relative_to(ROOT).parts
+    return parts[parts.index("src") + 1]
 
 
 @pytest.mark.parametrize("path", SOURCES, ids=lambda p: p.stem)
@@ -81,3 +95,40 @@
             if name and module not in NAMES_ALLOWED:
                 spec = importlib.util.find_spec(f"{module}.{name}")
                 assert spec is not None, f"{module}.{name} is no module"
+
+
+WIRE_NAMES = (
+    "X-Attempt-Id",
+    "X-Deadline-Ms",
+    "X-Expect-Instance",
+    "X-Server-Seal",
+    "X-Not-Executed",
+    "X-Shard-Key",
+    "X-Handover",
+    "ListenerList",
+    "ClusterList",
+    "WeightedServices",
+    "HoldMs",
+    "kv-",
+    "MIMOSASTILE_NODE_FILE",
+)
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        p
+        for p in SOURCES
+        if _package(p) not in ("mimosastile_platform", "mimosastile_standins")
+    ],
+    ids=lambda p: p.stem,
+)
+def test_names_of_the_platform_stay_in_their_folder(path):
+    """Outside the adapter and the stand-ins nothing knows them."""
+    text = path.read_text().lower()
+    assert [name for name in WIRE_NAMES if name.lower() in text] == []
+
+
+def test_adapter_does_not_hide_the_standard_module():
+    """A package at `platform/` would be found instead of the library's."""
+    assert not (ROOT / "platform" / "__init__.py").exists()
