--- /dev/null
+++ b/tests/gateway/test_leading.py
@@ -0,0 +1,338 @@
+"""Leadership: who decides, and what a decision survives."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import ranges
+from mimosastile_gateway import http_client
+from mimosastile_gateway import leading
+from mimosastile_gateway import messages
+from mimosastile_gateway import ports
+from mimosastile_standins import virtual
+from tests.gateway import fakes
+
+
+class Vm:
+    """One VM that may lead."""
+
+    def __init__(self, name, store, orders, targets, clock=None):
+        self.name = name
+        self.clock = clock or fakes.VirtualClock()
+        self.log = fakes.Lines()
+        self.beliefs = fakes.known(self.clock, self.log, *targets)
+        configured = fakes.configured(settle=0.1, settle_most=0.2)
+        vm = msgspec.structs.replace(configured.vm, id=name)
+        self.leading = leading.Leading(
+            msgspec.structs.replace(configured, vm=vm),
+            f"boot-{name}",
+            store,
+            orders,
+            http_client.Pool(1.0),
+            self.beliefs,
+            self.clock,
+            self.log,
+        )
+
+    def report(self, **fields):
+        """Returns a report of this VM."""
+        entry = messages.VmEntry(self.name, f"boot-{self.name}", "", "z")
+        return messages.Report(entry, store=True, **fields)
+
+
+def _world(*names):
+    store, orders = fakes.Store(), fakes.Orders()
+    targets = [fakes.target(n) for n in ("a", "b", "c")]
+    clock = fakes.VirtualClock()
+    vms = [Vm(name, store, orders, targets, clock) for name in names]
+    return store, orders, vms
+
+
+def _stored(store):
+    value, _ = store.items[messages.table_key("s")]
+    return msgspec.json.decode(value, type=ranges.RangeTable)
+
+
+async def _until(condition, seconds=30.0):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def _owned(orders, key):
+    return len(orders.holders(key)) == 1
+
+
+class TestTakeOver:
+    """One VM after the other leads."""
+
+    def test_first_table(self):
+        """The first leader deals all keys out and grants them."""
+
+        async def main():
+            store, orders, (one,) = _world("vm-1")
+            assert await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0) and _owned(orders, 65535))
+            assert ranges.problem(_stored(store)) == ""
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_two_at_once(self):
+        """Two VMs think that nobody leads; one of them does then."""
+
+        async def main():
+            _, _, vms = _world("vm-1", "vm-2")
+            led = await asyncio.gather(
+                *(vm.leading.take_over("test") for vm in vms)
+            )
+            assert sorted(led) == [False, True]
+            for vm in vms:
+                vm.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_replaced_leader_changes_nothing(self):
+        """A leader does not know that it was replaced.
+
+        It goes on deciding by what it knows. Its next change is refused by
+        the store, it steps down, and no key ever had two owners.
+        """
+
+        async def main():
+            store, orders, (one, two) = _world("vm-1", "vm-2")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            assert await two.leading.take_over("test")
+            version = _stored(store).version
+            # The old leader sees a target leave and would move its keys.
+            one.beliefs.lose_target("a")
+            await _until(lambda: not one.leading.leading)
+            assert _stored(store).version == version
+            await asyncio.sleep(3.0)
+            assert orders.clashes == []
+            assert _owned(orders, 0)
+            two.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_successor_renews_in_time(self):
+        """The leader dies; no key is without its owner meanwhile."""
+
+        async def main():
+            _, orders, (one, two) = _world("vm-1", "vm-2")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            await asyncio.sleep(1.0)
+            one.leading.step_down("killed")
+            await asyncio.sleep(1.0)
+            await two.leading.take_over("test")
+            for _ in range(60):
+                await asyncio.sleep(0.05)
+                assert all(_owned(orders, k) for k in (0, 30000, 65535))
+            assert orders.clashes == []
+            two.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_silent_target_and_lost_leader(self):
+        """A target falls silent and the leader is cut off at once.
+
+        The old leader may renew the target's grant until its authority ends;
+        the successor waits for that before it gives the keys away.
+        """
+
+        async def main():
+            _, orders, (one, two) = _world("vm-1", "vm-2")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            await asyncio.sleep(1.0)
+            # The successor cannot reach the target that the old one renews.
+            orders.dead.add("a")
+            await two.leading.take_over("test")
+            began = virtual.now()
+            await _until(lambda: orders.holders(0) - {"a"} != set(), seconds=60)
+            assert virtual.now() - began > 2.0
+            assert orders.clashes == []
+            two.leading.step_down("end")
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+
+class TestStoreTrouble:
+    """The store fails a leader."""
+
+    def test_outage(self):
+        """The store is down for longer than a grant lasts.
+
+        Nobody can take over, so the leader goes on renewing.
+        """
+
+        async def main():
+            store, orders, (one,) = _world("vm-1")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            store.failing = fakes.UNAVAILABLE
+            for _ in range(90):
+                await asyncio.sleep(0.1)
+                assert _owned(orders, 0)
+            store.failing = None
+            await asyncio.sleep(3.0)
+            assert one.leading.leading
+            assert _owned(orders, 0)
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_outage_without_end(self):
+        """The store stays away; the leader stops giving orders in time.
+
+        A successor that it does not hear of counts on that.
+        """
+
+        async def main():
+            store, orders, (one,) = _world("vm-1")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            store.failing = fakes.UNAVAILABLE
+            began = virtual.now()
+            await asyncio.sleep(14.0)
+            orders.log.clear()
+            await asyncio.sleep(5.0)
+            assert orders.log == []
+            assert began + 19 > 12 + 2
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_commit_without_answer(self):
+        """A change is made and its answer is lost, again and again.
+
+        The leader finds out what is in force; no key has two owners and the
+        target that leaves is relieved.
+        """
+
+        async def main():
+            store, orders, (one,) = _world("vm-1")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            store.loses = True
+            one.beliefs.take_target(fakes.target("a", leaving=True))
+            await _until(
+                lambda: "a" not in {h.id for h in _stored(store).holders()}
+            )
+            await _until(
+                lambda: all(
+                    _owned(orders, k) and "a" not in orders.holders(k)
+                    for k in (0, 100, 20000)
+                )
+            )
+            assert orders.clashes == []
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_asks_for_a_successor(self):
+        """The store turns this VM away and serves another one.
+
+        Keys could not move until this VM is let in again; the other one is
+        asked to take over.
+        """
+
+        async def main():
+            store, orders, (one, two) = _world("vm-1", "vm-2")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            store.failing = fakes.UNAVAILABLE
+            asked = ""
+            while not asked:
+                await asyncio.sleep(0.2)
+                reply = one.leading.take_report(two.report())
+                asked = reply.successor
+            assert asked == "vm-2"
+            assert not reply.store
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+    @pytest.mark.parametrize("raw", [b"", b"{}", b'{"service": 1}', b"\xff"])
+    def test_unreadable_table(self, raw):
+        """What stands under a table's key cannot be read.
+
+        The leader says so and goes on; it makes a table of its own only once
+        the key is free.
+        """
+
+        async def main():
+            store, _, (one,) = _world("vm-1")
+            store.items[messages.table_key("s")] = (raw, 1)
+            assert await one.leading.take_over("test")
+            await asyncio.sleep(1.0)
+            assert one.log.named("table_unreadable")
+            assert store.items[messages.table_key("s")][0] == raw
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+
+class TestReports:
+    """What VMs hear."""
+
+    def test_not_the_leader(self):
+        """A VM that does not lead says who does."""
+        entry = leadership.LeaderEntry("vm-9", "b", 3, "x:1")
+
+        async def main():
+            _, _, (one,) = _world("vm-1")
+            one.beliefs.take_leader(entry)
+            reply = one.leading.take_report(one.report())
+            assert (reply.leading, reply.leader) == (False, entry)
+
+        virtual.run(main())
+
+    def test_room_is_dealt(self):
+        """Many VMs want one target; each hears its part."""
+
+        async def main():
+            _, orders, (one, two, three) = _world("vm-1", "vm-2", "vm-3")
+            await one.leading.take_over("test")
+            parts = []
+            for vm in (two, three, two, three):
+                reply = one.leading.take_report(
+                    vm.report(under_way={"a": 8}, waiting={"a": 10})
+                )
+                parts.append(reply.allowed["a"])
+            # The last two answers count both VMs.
+            assert sum(parts[2:]) == 10
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_news_of_a_watcher(self):
+        """The leader's own view of the store stands still.
+
+        A target leaves; a VM that follows the store as well tells the leader,
+        and every other VM hears of it with its next report.
+        """
+
+        async def main():
+            _, _, (one, two) = _world("vm-1", "vm-2")
+            await one.leading.take_over("test")
+            leaving = fakes.target("a", leaving=True, revision=9)
+            news = messages.News(
+                9, (messages.TargetNews(leaving, 9, False, 0.0),)
+            )
+            one.leading.take_report(two.report(news=news))
+            reply = one.leading.take_report(two.report(seen=5))
+            told = {n.target.id: n.target.leaving for n in reply.news.targets}
+            assert told == {"a": True}
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_write_without_value_type(self):
+        """Sessions and writes are plain values."""
+        assert ports.Write("k", b"v").session == 0
--- /dev/null
+++ b/tests/platform/test_boot.py
@@ -0,0 +1,74 @@
+"""The platform's settings file."""
+
+import pytest
+
+from mimosastile_platform import boot
+
+FILE = """
+NodeName = "edge-zagreb-a-1"
+Role = "gateway"
+Ip = "10.1.0.34"
+Zone = "zagreb-a"
+Region = "kontinent"
+InternalPortRange = [7540, 7555]
+HeartbeatMs = 870
+NewField = [1, 2]
+[Zones]
+zagreb-a = "kontinent"
+split-a = "primorje"
+[Listen]
+Front = "10.1.0.34:8548"
+Ready = "10.1.0.34:8542"
+[Limits]
+MemoryMb = 300
+MaxFds = 4100
+[Bounds]
+DrainMs = 2000
+GraceS = 6
+HoldMaxMs = 10000
+RetryBudgetRatio = 0.2
+RetryWindowS = 10
+RetrySlack = 60
+[Platform]
+Address = "10.200.1.7:8541"
+TtlMinMs = 1000
+"""
+
+
+def _read(tmp_path, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    return boot.read(path)
+
+
+class TestRead:
+    """What becomes of the file."""
+
+    def test_translated(self, tmp_path):
+        """The daemon sees settings in its own names and seconds."""
+        found = _read(tmp_path, FILE).ok_value
+        assert found.vm.id == "edge-zagreb-a-1"
+        assert found.vm.peers == "10.1.0.34:7540"
+        assert found.vm.regions["split-a"] == "primorje"
+        assert found.bounds.drain == 2.0
+        assert found.bounds.retry_fixed == 60.0
+        assert found.store.address == "10.200.1.7:8541"
+
+    @pytest.mark.parametrize(
+        ("old", "new", "names"),
+        [
+            ('Zone = "zagreb-a"', "", "Zone"),
+            ("MemoryMb = 300", 'MemoryMb = "300"', "MemoryMb"),
+            ("[7540, 7555]", "[7540]", "InternalPortRange"),
+            ("GraceS = 6", "GraceS = [", ""),
+        ],
+    )
+    def test_wrong(self, tmp_path, old, new, names):
+        """A file that cannot be used says where it is wrong."""
+        problem = _read(tmp_path, FILE.replace(old, new)).err_value
+        assert names in problem
+
+    def test_missing(self, tmp_path):
+        """A file that is not there is named."""
+        problem = boot.read(tmp_path / "none.toml").err_value
+        assert "none.toml" in problem
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,140 @@
+"""What operators and targets write, decoded."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+import result
+
+from mimosastile_core.gateway import routes
+from mimosastile_gateway import ports
+from mimosastile_platform import records
+from mimosastile_standins import platform_world
+
+RECORDS = records.Records()
+REGISTRATION = {
+    "ServiceName": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "z",
+    "Slots": 4,
+    "State": "ready",
+    "WarmupLeftMs": 1500,
+    "SeqNo": 3,
+    "born": 17,
+}
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def _target(value, key="servers/i-1"):
+    raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return RECORDS.target(ports.Item(key, raw, 5), 100.0)
+
+
+class TestConfiguration:
+    """The operators' configuration."""
+
+    def test_decoded(self):
+        """Names of the platform become the gateway's own."""
+        raw = json.dumps(platform_world.configuration(7)).encode()
+        found = RECORDS.configuration(raw).ok_value
+        assert found.version == 7
+        assert found.services["catchbook"].keyed
+        assert not found.services["tagmint"].keyed
+        issue = next(r for r in found.routes if r.name == "issues")
+        assert issue.kind is routes.RouteKind.NON_IDEMPOTENT
+        assert (issue.timeout, issue.target_latency) == (2.0, 0.4)
+        assert issue.parts == (routes.Part("tagmint"),)
+        assert found.limits.idle_seconds == 15.0
+
+    def test_divided_route(self):
+        """A route with weighted services has a part for each."""
+        raw = platform_world.configuration()
+        action = raw["ListenerList"][0]["RuleSet"][0]["RouteAction"]
+        del action["ServiceName"]
+        action["WeightedServices"] = [
+            {"ServiceName": "a", "Weight": 90},
+            {"ServiceName": "b", "Weight": 10},
+        ]
+        found = RECORDS.configuration(json.dumps(raw).encode()).ok_value
+        assert found.routes[0].parts == (
+            routes.Part("a", 90),
+            routes.Part("b", 10),
+        )
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"",
+            b'{"ConfigVersion": 3, "Listen',
+            b"[]",
+            b'{"ConfigVersion": "3"}',
+            b'{"ConfigVersion": 3, "ListenerList": [{"RuleSet": []}]}',
+            b"\xff\xfe",
+        ],
+    )
+    def test_unreadable(self, raw):
+        """A configuration that cannot be read says why and ends nothing."""
+        assert RECORDS.configuration(raw).err_value
+
+    def test_unknown_fields_are_ignored(self):
+        """New fields may come."""
+        raw = platform_world.configuration() | {"New": {"Field": 1}}
+        assert RECORDS.configuration(json.dumps(raw).encode()).is_ok()
+
+    @hypothesis.given(raw=st.binary(max_size=200))
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_any_bytes(self, raw):
+        """Whatever stands there, decoding returns."""
+        assert isinstance(RECORDS.configuration(raw), (result.Ok, result.Err))
+
+    @hypothesis.given(
+        name=st.sampled_from(sorted(platform_world.configuration())),
+        value=_JSON,
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_any_value(self, name, value):
+        """A field of a wrong type is refused or means what it says."""
+        raw = platform_world.configuration() | {name: value}
+        found = RECORDS.configuration(json.dumps(raw).encode())
+        assert isinstance(found, (result.Ok, result.Err))
+
+
+class TestTarget:
+    """Registrations."""
+
+    def test_decoded(self):
+        """A registration becomes a target."""
+        found = _target(REGISTRATION).ok_value
+        assert (found.id, found.born, found.service) == ("i-1", 17, "s")
+        assert (found.slots, found.leaving) == (4, False)
+        assert found.warm_at == 101.5
+        assert found.revision == 5
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"State": "asleep"},
+            {"State": 3},
+            {"Address": "nowhere"},
+            {"Address": None},
+            {"Slots": 0},
+            {"Slots": "4"},
+            {"ServiceName": ""},
+            {"WarmupLeftMs": -1},
+            {"born": 1.5},
+        ],
+    )
+    def test_from_another_writer(self, change):
+        """An entry of another writer names no target to use."""
+        assert _target(REGISTRATION | change).is_err()
+
+    @hypothesis.given(raw=st.binary(max_size=100) | _JSON)
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_anything(self, raw):
+        """Whatever stands there, decoding returns."""
+        assert isinstance(_target(raw), (result.Ok, result.Err))
