A request that ends its targets is held back on all VMs

Cause: nothing remembered such a request; it came again at any VM and took one target after the other. Change: a lost answer followed by a refused connection within 3 s is a death; after three the request is refused, on all VMs through their leader. Lost answers alone count for nothing. The product's own memory of deaths is used.

--- a/packages/mimosastile-core/src/mimosastile_core/errors.py
+++ b/packages/mimosastile-core/src/mimosastile_core/errors.py
@@ -46,6 +46,7 @@
     SHUTTING_DOWN = "shutting_down"
     NOT_CONFIGURED = "not_configured"
     NO_ROUTE = "no_route"
+    HELD_BACK = "held_back"
     REJECTED = "rejected"
     TARGET_FAILED = "target_failed"
     TARGET_REPLACED = "target_replaced"
@@ -120,6 +121,9 @@
     ErrorKind.SHUTTING_DOWN: _busy(503, 1, "This entry VM is stopping."),
     ErrorKind.NOT_CONFIGURED: _busy(503, 0.3, "No configuration is known yet."),
     ErrorKind.NO_ROUTE: _refused(404, "No route leads there."),
+    ErrorKind.HELD_BACK: _refused(
+        503, "Targets died while they ran this request."
+    ),
     ErrorKind.REJECTED: _reroute("The target did not take the request."),
     ErrorKind.TARGET_REPLACED: _reroute(
         "Another target has taken the address."
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from mimosastile_core.gateway import casualties
 from mimosastile_core.gateway import room
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
@@ -129,6 +130,7 @@
             self._events,
         )
         queues = turns.Turns()
+        dead = casualties.Casualties()
         self._peers = peers.Peers(
             configured,
             boot,
@@ -139,6 +141,7 @@
             self._leading,
             queues,
             self._watching,
+            dead,
             self._clock,
             self._events,
         )
@@ -150,6 +153,7 @@
             self._rooms,
             self._peers,
             queues,
+            dead,
             self._metrics,
             self._clock,
             self._events,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -8,7 +8,9 @@
 import result
 
 from mimosastile_core import errors
+from mimosastile_core import quarantine
 from mimosastile_core.gateway import allowance
+from mimosastile_core.gateway import casualties
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import room
@@ -64,6 +66,7 @@
         "attempt",
         "began",
         "deadline",
+        "fingerprint",
         "guess",
         "head",
         "incoming",
@@ -94,6 +97,7 @@
         self.deadline = deadline
         self.guess = route.target_latency * _GUESS_SHARE
         self.key: int | None = None
+        self.fingerprint = ""
         self.head: list[bytes] = []
         self.sends = 0
         self.rejects = 0
@@ -114,6 +118,7 @@
     __slots__ = (
         "_allowances",
         "_beliefs",
+        "_casualties",
         "_clock",
         "_counts",
         "_events",
@@ -135,6 +140,7 @@
         rooms: room.Rooms,
         fellows: peers.Peers,
         queues: turns.Turns,
+        dead: casualties.Casualties,
         measured: metrics.Metrics,
         timer: clock.Clock,
         log: events.Events,
@@ -149,6 +155,7 @@
         self._clock = timer
         self._events = log
         self._turns = queues
+        self._casualties = dead
         self._allowances: dict[str, allowance.RetryAllowance] = {}
         self._counts: collections.Counter[str] = collections.Counter()
         known.subscribe(self._turns.wake_all)
@@ -219,6 +226,7 @@
             if name not in _HOP_BY_HOP
             and name not in (names.deadline, names.expected_target)
         ]
+        call.fingerprint = _fingerprint(incoming, key)
         call.ticket = self._turns.ticket(route.priority)
         self._allowance(service.name).request(self._clock.now())
         return call
@@ -239,6 +247,10 @@
     async def _forward(self, call: _Call) -> http_server.Outgoing:
         last: errors.Failure | None = None
         while True:
+            if self._casualties.held(call.fingerprint, self._clock.now()):
+                held = errors.Failure(errors.ErrorKind.HELD_BACK)
+                failure = _final(call, last, held)
+                return self._refused(call, call.incoming, failure)
             found = await self._find_target(call)
             if isinstance(found, result.Err):
                 failure = _final(call, last, found.err_value)
@@ -393,7 +405,7 @@
         """Says what a request is whose time ran out at a target."""
         if call.sends == sends:
             # It was still waiting for a connection.
-            self._rooms.load(target.id).unreachable(self._clock.now())
+            self._unreachable(target)
             return _failed(
                 errors.ErrorKind.QUEUE_TIMEOUT, f"{target.id}: no connection."
             )
@@ -401,6 +413,22 @@
             errors.ErrorKind.DEADLINE, f"{target.id} did not answer."
         )
 
+    def _unreachable(self, target: directory.Target) -> None:
+        """Notes that a target takes no connection."""
+        now = self._clock.now()
+        self._rooms.load(target.id).unreachable(now)
+        deaths = self._casualties.unreachable(
+            target.id, now, self._clock.new_id()
+        )
+        if deaths:
+            self._peers.died(deaths)
+            self._events.write(
+                "requests",
+                "target_died",
+                target=target.id,
+                requests=[death.fingerprint for death in deaths],
+            )
+
     async def _exchange(self, call: _Call, target: directory.Target) -> Sent:
         configured = self._settings.requests
         idle = configured.idle if call.repeatable else configured.idle_careful
@@ -409,7 +437,7 @@
                 target.address, idle, configured.connect
             )
         except http_client.NotSentError as error:
-            self._rooms.load(target.id).unreachable(self._clock.now())
+            self._unreachable(target)
             return _failed(errors.ErrorKind.UNREACHABLE, str(error))
         whole = False
         try:
@@ -530,6 +558,7 @@
         now = self._clock.now()
         load = self._rooms.load(target.id)
         if isinstance(sent, result.Ok):
+            self._casualties.answered(target.id)
             answer = sent.ok_value
             if answer.status < 500 and answer.rest is None:
                 self._rooms.answered(
@@ -555,6 +584,8 @@
                 load.failed(now)
         elif failure.kind is not errors.ErrorKind.UNREACHABLE:
             load.failed(now)
+        if failure.kind is errors.ErrorKind.ANSWER_LOST:
+            self._casualties.lost(target.id, call.fingerprint, now)
         self._events.write(
             "requests",
             "send_failed",
@@ -613,6 +644,7 @@
             "refused",
             attempt=attempt.decode("latin-1"),
             route=route,
+            path=incoming.target.decode("latin-1"),
             key=call.key if call else None,
             kind=kind,
             status=failure.answer.status,
@@ -646,6 +678,19 @@
     return found
 
 
+def _fingerprint(incoming: http_server.Incoming, key: bytes | None) -> str:
+    """Returns what identifies a request that comes again."""
+    caller = incoming.header(b"authorization") or b""
+    path, _, query = incoming.target.decode("latin-1").partition("?")
+    return quarantine.fingerprint(
+        (caller + b"/" + (key or b"")).decode("latin-1"),
+        incoming.method,
+        path,
+        query,
+        incoming.body,
+    )
+
+
 def _is_key(value: bytes | None) -> bool:
     return value is not None and value.isdigit() and int(value) < ranges.KEYS
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -9,6 +9,7 @@
 
 from mimosastile_core import errors
 from mimosastile_core.gateway import assignments
+from mimosastile_core.gateway import casualties
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import heat
 from mimosastile_core.gateway import leadership
@@ -125,6 +126,7 @@
         "_authority",
         "_beliefs",
         "_boot",
+        "_casualties",
         "_clock",
         "_entry",
         "_events",
@@ -172,6 +174,7 @@
         self._beliefs = known
         self._clock = timer
         self._events = log
+        self._casualties = casualties.Casualties()
         self._authority = leadership.Authority(configured.leader.authority)
         self._entry: leadership.LeaderEntry | None = None
         self._revision = 0
@@ -408,6 +411,8 @@
             if keyed is not None:
                 keyed.fast.add(keys, now)
                 keyed.slow.add(keys, now)
+        for death in report.deaths:
+            self._casualties.learn(death, now)
         for ended in report.ended:
             self._beliefs.end_target(ended.target, ended.born)
         for miss in report.misses:
@@ -428,6 +433,7 @@
             news=self._beliefs.news_after(report.seen, report.configuration),
             seen=self._beliefs.seen,
             store=self._store_failing_since is None,
+            deaths=self._casualties.deaths(now),
             watchers=self._watchers(fresh),
             vms=len(fresh),
             successor=self._successor,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from mimosastile_core import quarantine
 from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
@@ -117,6 +118,8 @@
         waiting: Requests that wait for a target that owns their key.
         work: Mean seconds of a request by service.
         factors: How slow targets are, compared to the mean.
+        deaths: Requests that were running on targets when these died, as far
+            as they were confirmed since the last report.
         ended: Runs of targets that are known to be over.
         misses: Keys rejected by targets that should own them.
         versions: Versions of its assignments by service.
@@ -132,6 +135,7 @@
     waiting: dict[str, int] = {}
     work: dict[str, float] = {}
     factors: dict[str, float] = {}
+    deaths: tuple[quarantine.Death, ...] = ()
     ended: tuple[Ended, ...] = ()
     misses: tuple[Miss, ...] = ()
     versions: dict[str, assignments.Version] = {}
@@ -156,6 +160,7 @@
         seen: Store revision up to which the leader knows all registrations.
         store: Whether the leader reaches the store, so that VMs may rely on
             its news.
+        deaths: What all VMs have reported of such requests.
         watchers: VMs that are asked to follow the store as well.
         vms: How many VMs report.
         successor: The VM that is asked to take over, empty for none.
@@ -171,6 +176,7 @@
     news: News | None = None
     seen: int = 0
     store: bool = False
+    deaths: tuple[quarantine.Death, ...] = ()
     watchers: tuple[str, ...] = ()
     vms: int = 0
     successor: str = ""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -7,7 +7,9 @@
 import msgspec
 import result
 
+from mimosastile_core import quarantine
 from mimosastile_core.gateway import assignments
+from mimosastile_core.gateway import casualties
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
@@ -45,7 +47,9 @@
         "_address",
         "_beliefs",
         "_boot",
+        "_casualties",
         "_clock",
+        "_deaths",
         "_ended",
         "_events",
         "_follows_store",
@@ -79,6 +83,7 @@
         leader: leading.Leading,
         queues: turns.Turns,
         watcher: watching.Watching,
+        dead: casualties.Casualties,
         timer: clock.Clock,
         log: events.Events,
     ) -> None:
@@ -91,12 +96,14 @@
         self._leader = leader
         self._turns = queues
         self._watching = watcher
+        self._casualties = dead
         self._clock = timer
         self._events = log
         self._address = configured.vm.peers
         self._session = 0
         self._heard_at = float("-inf")
         self._keys: dict[str, list[int]] = collections.defaultdict(list)
+        self._deaths: list[quarantine.Death] = []
         self._ended: list[messages.Ended] = []
         self._misses: list[messages.Miss] = []
         self._vms = 1
@@ -148,6 +155,10 @@
         if len(keys) < _KEYS_PER_REPORT:
             keys.append(key)
 
+    def died(self, deaths: list[quarantine.Death]) -> None:
+        """Notes confirmed deaths of targets."""
+        self._deaths.extend(deaths)
+
     def ended(self, target: directory.Target) -> None:
         """Notes that another target answers at a target's address."""
         self._ended.append(messages.Ended(target.id, target.born))
@@ -296,6 +307,7 @@
         misses, self._misses = tuple(self._misses), []
         configuration = self._beliefs.configuration
         ended, self._ended = tuple(self._ended), []
+        deaths, self._deaths = tuple(self._deaths), []
         return messages.Report(
             self.entry,
             self._beliefs.store_ok,
@@ -304,6 +316,7 @@
             self._turns.waiting(),
             self._works(),
             self._changed_factors(),
+            deaths,
             ended,
             misses,
             self._beliefs.versions(),
@@ -409,6 +422,8 @@
             - _CALL_SECONDS
         )
         self._vms = reply.vms
+        for death in reply.deaths:
+            self._casualties.learn(death, now)
         if reply.leader != self._told_leader:
             # A new leader knows nothing of what was told to the one before.
             self._told_leader = reply.leader
