A VM that starts waits for a leader's news; free slots are used at once

Change: own reading begins 1.5 s after the start at the latest; an answer that names no leader counts as silence; the even part binds only once slots are taken.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -349,6 +349,9 @@
         allowed = self._allowed_now(target.id, now)
         if allowed is not None:
             return load.own >= allowed
+        if load.under_way(now) < target.slots:
+            # As far as is known a slot is free.
+            return False
         limit = target.slots + self._policy.queue
         even = max(1, round(_EVEN_SHARE * limit / vms))
         return load.own >= even or load.under_way(now) >= limit
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -36,6 +36,10 @@
 """Keys in one report; beyond that they are a sample."""
 _FACTOR_NEWS = 0.1
 """Change of a target's speed that a leader is told of."""
+_START_GRACE = 1.5
+"""Seconds after its start for which a VM waits for a leader before it reads
+the store by itself: at a first start one is found within that, and its news
+cost no call."""
 _ASKED_PEERS = 3
 """Peers asked whether they hear the leader before it is replaced."""
 
@@ -289,13 +293,20 @@
             return
         leader = self._beliefs.leader
         if leader is not None and leader.vm != self._settings.vm.id:
-            reply_or_none = await self._send_report(leader.address, report)
-            if reply_or_none is not None:
-                self._take_reply(reply_or_none)
-                return
+            answer = await self._send_report(leader.address, report)
+            if answer is not None:
+                self._take_reply(answer)
+                if answer.leading:
+                    return
+        await self._without_leader()
+
+    async def _without_leader(self) -> None:
+        """Does what a VM does whose leader was not heard just now."""
         silent = self._clock.now() - self._heard_at
-        self._follows_store = True
-        self._watching.rely_on_leader(False)
+        leader = self._beliefs.leader
+        if leader is not None or silent > _START_GRACE:
+            self._follows_store = True
+            self._watching.rely_on_leader(False)
         if leader is None or leader.vm == self._settings.vm.id:
             # Nobody leads, or an earlier run of this daemon did.
             await self._replace_leader(silent + self._settings.leader.suspect)
@@ -453,22 +464,21 @@
         Args:
             silent: Seconds for which none was heard.
         """
+        limit = self._settings.leader.suspect
+        if self._beliefs.leader is None:
+            wait = self._settings.leader.rank_wait * self._rank(None)
+            if silent < limit + wait:
+                return
         if not await self.read_store():
             return
         leader = self._beliefs.leader
-        limit = self._settings.leader.suspect
-        own_former = leader is not None and leader.vm == self._settings.vm.id
-        if leader is not None and not own_former:
+        if leader is not None and leader.vm != self._settings.vm.id:
             if self._clock.now() - self._heard_at < limit:
                 # The store named another one just now.
                 return
             wait = self._settings.leader.rank_wait * self._rank(leader)
             if silent < limit + wait or await self._others_hear(leader):
                 return
-        elif leader is None:
-            wait = self._settings.leader.rank_wait * self._rank(leader)
-            if silent < limit + wait:
-                return
         await self._take_over("nobody heard the leader")
 
     def _rank(self, leader: leadership.LeaderEntry | None) -> int:
@@ -531,3 +541,5 @@
     async def _take_over(self, why: str) -> None:
         if await self._leader.take_over(why):
             self._heard_at = self._clock.now()
+            self._follows_store = True
+            self._watching.rely_on_leader(False)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -21,7 +21,8 @@
 
     A watch may fall silent without an end, may be cut, and its history may be
     dropped. A lost history, and any failure, is followed by a new list; a
-    watch's wait is short, so that a silent one is found.
+    watch's wait is short, so that a silent one is found. It begins when it is
+    told that the leader cannot be relied on.
     """
 
     __slots__ = (
@@ -51,7 +52,6 @@
         self._clock = timer
         self._events = log
         self._needed = asyncio.Event()
-        self._needed.set()
         self._tasks: list[asyncio.Task[None]] = []
 
     def rely_on_leader(self, relies: bool) -> None:
@@ -105,6 +105,7 @@
         removed: Callable[[Iterable[tuple[str, int]]], None],
     ) -> None:
         while True:
+            await self._needed.wait()
             listing = await self._list(prefix)
             listed(listing)
             await self._follow_from(prefix, listing.revision, changed, removed)
--- a/tests/gateway/test_room.py
+++ b/tests/gateway/test_room.py
@@ -172,11 +172,18 @@
     def test_before_anything_was_dealt(self, vms, own):
         """A key gets hot within a tenth of a second."""
         rooms = _rooms()
+        rooms.learn_others({"x": 4}, 10.0)
         rooms.load("x").own = own
         assert rooms.full_owner(_target("x"), vms, 10.0)
         rooms.load("x").own = own - 1
         assert not rooms.full_owner(_target("x"), vms, 10.0)
 
+    def test_free_slots_are_used(self):
+        """Two requests for one key at once wait for nothing."""
+        rooms = _rooms()
+        rooms.load("x").own = 3
+        assert not rooms.full_owner(_target("x"), 75, 10.0)
+
     def test_what_was_dealt_counts(self):
         """A VM that was dealt nothing waits for its turn."""
         rooms = _rooms()
