--- a/packages/mimosastile-standins/src/mimosastile_standins/capacity.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/capacity.py
@@ -381,6 +381,32 @@
 - The link: 30 Mbit/s each way carry 3.75 MB/s. What crosses it at 36 million
   requests a second must stay below 0.1 byte a request, so at this size
   requests stay in their region.
+
+## On the users' platform
+
+The gateway of `PLATFORM.md`, quiet days on the users' bench, single runs on a
+shared machine:
+
+| | 10 VMs, 36 targets | 75 VMs, 166 targets |
+|---|---|---|
+| calls to the store, whole day of 42 s | 289 | 967 |
+| processor of a VM, mean | 0.034 cores | 0.016 cores |
+| processor of the busiest VM, the leader | 0.080 cores | 0.176 cores |
+| memory of a process, peak | 20.5 MB | 24.8 MB |
+| between regions, requests included | 19 MB | 50 MB |
+| changes of a table | 25 | 60 |
+
+- What grows with the VMs: reports to the one leader (two a second from each at
+  75 VMs, 0.2 s + 4 ms a VM apart), their answers, and one lease each. Calls to
+  the store do not: three VMs follow it, however many there are. What is left
+  is each VM's start (four calls).
+- What grows with the targets: orders of the leader, one call for each range
+  every 0.5 s. At 166 targets and some 250 ranges these are 500 a second.
+- So one leader for everything ends at some hundred VMs or targets: by the
+  slopes above its processor at 300 VMs is 0.6 to 0.7 cores. The step after
+  this one is a leader for each service, or for a part of its keys, and reports
+  through one VM of a zone; tables, fences and proofs are per service already.
+- Not measured: sweeps at 100 and 300 VMs, and any figure at 5,600 daemons.
 """
 
 
