Answers are whole before a process ends; a caller is asked back sooner

Requests that a target had rejected were told to come back after a second, a third of which is all that callers may spend. Change: an answer counts as under way until its last byte has left the process (test_stop_waits_for_slow_callers fails before); Retry-After of what was not taken is 0.15 s.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -47,6 +47,10 @@
 _OWNER_PAUSE = 0.02
 """Wait after a target has rejected a key, for news of its owner; doubles with
 each rejection, so that a table that is wrong costs few repeats."""
+_SOON_SECONDS = 0.15
+"""Retry-After of a request that its target did not take or that did not reach
+it: about one request's work, after which another slot is free, another target
+is chosen or the key has an owner again."""
 _REJECT_STATUSES = frozenset({400, 421, 429, 503})
 """Statuses with which a target may say that it has not run a request."""
 _GUESS_SHARE = 0.35
@@ -631,6 +635,10 @@
         incoming: http_server.Incoming,
         failure: errors.Failure,
     ) -> http_server.Outgoing:
+        if failure.answer.router_retries and not failure.retry_after:
+            failure = errors.Failure(
+                failure.kind, failure.detail, _SOON_SECONDS
+            )
         now = self._clock.now()
         attempt = incoming.header(self._names.attempt) or b""
         took = now - incoming.at
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -125,9 +125,16 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or served."""
+        """Whether a request is being read or served.
+
+        An answer is served until its last byte has left this process: what is
+        still in the transport's buffer at the end of the process is lost, and
+        a caller on a slow link would get half of it.
+        """
+        transport = self._transport
         return (
             self._task is not None
+            or (transport is not None and transport.get_write_buffer_size() > 0)
             or bool(self._queue)
             or self._incoming is not None
         )
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -226,6 +226,32 @@
 
         _play(scenario)
 
+    def test_stop_waits_for_slow_callers(self):
+        """A process stops while a caller on a slow link takes a large answer.
+
+        The answer is written but still in the process's own buffer; ending
+        now would cut a bundle in the middle.
+        """
+
+        async def scenario(server, handler, reader, writer):
+            async def rest():
+                yield b"x" * (8 << 20)
+
+            handler.rest = rest
+            writer.write(_get())
+            await reader.readexactly(100)
+            server.stopping = True
+            server.stop_listening()
+            await asyncio.sleep(0.1)
+            server.close_idle()
+            assert server.busy
+            answer = await _all(reader)
+            assert answer.endswith(b"0\r\n\r\n")
+            await asyncio.sleep(0.02)
+            assert not server.busy
+
+        _play(scenario)
+
     def test_stopping(self):
         """A server that stops answers what it has and ends connections."""
 
