Orders that are lost take no keys from a target that serves

A release without an answer waited for the same. Change: VMs report who answers callers; such a target keeps its keys until its last grant is nearly over and needs no new fence. Releases are sent again after 0.45 s. Leaders look at the store every second, so that grants are made longer before they run out in an outage.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -563,6 +563,7 @@
         load = self._rooms.load(target.id)
         if isinstance(sent, result.Ok):
             self._casualties.answered(target.id)
+            self._peers.answered(target.id)
             answer = sent.ok_value
             if answer.status < 500 and answer.rest is None:
                 self._rooms.answered(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import result
 
@@ -20,6 +21,13 @@
 """Pause after an order that was not answered."""
 _FENCE_AFTER = 1.0
 """Silence after which a target may have started again; that takes seconds."""
+_ALIVE_SECONDS = 0.6
+"""Age up to which a VM's word that a target answers callers is believed: two
+reports and the way."""
+_RELEASE_TRY_SECONDS = 0.45
+"""Wait for the first answer to a release before it is sent again; it is
+answered when running work has ended, and some are carried out late. Grows with
+each try."""
 _TICK_SECONDS = 0.001
 """Shortest wait; one below the clock's resolution would spin."""
 _MISS_REST = 0.2
@@ -125,6 +133,7 @@
     """Gives the orders that a table asks for, and renews grants."""
 
     __slots__ = (
+        "_alive_at",
         "_authority",
         "_beliefs",
         "_clock",
@@ -149,6 +158,7 @@
         log: events.Events,
         authority: leadership.Authority,
         silence: Silence,
+        alive_at: Mapping[str, float],
         on_change: Callable[[], None],
     ) -> None:
         self._settings = configured
@@ -158,6 +168,7 @@
         self._events = log
         self._authority = authority
         self._silence = silence
+        self._alive_at = alive_at
         self._on_change = on_change
         self._table: ranges.RangeTable | None = None
         self._states: dict[ranges.Piece, _State] = {}
@@ -184,12 +195,16 @@
         owner = self._owners.get(holder)
         if owner is None or owner.failing_since is None:
             return False
-        silence = self._clock.boot() - owner.failing_since
+        now = self._clock.boot()
         limit = self._settings.leader
-        return (
-            owner.failures >= 2
-            and silence > limit.give_up - limit.order_timeout
-        )
+        patience = limit.give_up
+        if self._is_alive(holder):
+            # Callers get answers from it, so it is orders that are lost or
+            # late. Taking its keys would leave them without an owner until
+            # its grant has run out.
+            patience = limit.give_up_alive
+        silence = now - owner.failing_since
+        return owner.failures >= 2 and silence > patience - limit.order_timeout
 
     def needs_fence(self, holder: ranges.Holder) -> bool:
         """Whether a target must not get its present fences any more."""
@@ -199,7 +214,15 @@
         if owner.refused:
             return True
         since = owner.failing_since
-        return since is not None and self._clock.boot() - since > _FENCE_AFTER
+        if since is None or self._is_alive(holder):
+            # One that serves its keys has not started again.
+            return False
+        return self._clock.boot() - since > _FENCE_AFTER
+
+    def _is_alive(self, holder: ranges.Holder) -> bool:
+        """Whether callers got answers from a target just now."""
+        at = self._alive_at.get(holder.id, float("-inf"))
+        return self._clock.boot() - at < _ALIVE_SECONDS
 
     def missed(self, key: int, target: str) -> None:
         """Notes that a target has rejected a key that it should own."""
@@ -455,6 +478,7 @@
         began = self._clock.boot()
         order = ports.ReleaseOrder(item.first, item.last, former.fence)
         how = ""
+        tries = 0
         while not how:
             now = self._clock.boot()
             lapse = self._lapse(holder, item)
@@ -463,9 +487,8 @@
             elif now >= lapse:
                 how = "lapsed"
             elif self._authority.holds(now):
-                timeout = min(
-                    self._settings.leader.release_timeout, lapse - now
-                )
+                tries += 1
+                timeout = min(_RELEASE_TRY_SECONDS * tries, lapse - now)
                 answer = await self._orders.release(
                     holder.id, holder.address, order, max(timeout, 0.02)
                 )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -123,6 +123,7 @@
     """
 
     __slots__ = (
+        "_alive_at",
         "_authority",
         "_beliefs",
         "_boot",
@@ -175,6 +176,7 @@
         self._clock = timer
         self._events = log
         self._casualties = casualties.Casualties()
+        self._alive_at: dict[str, float] = {}
         self._authority = leadership.Authority(configured.leader.authority)
         self._entry: leadership.LeaderEntry | None = None
         self._revision = 0
@@ -362,6 +364,7 @@
             self._events,
             self._authority,
             self._silence,
+            self._alive_at,
             self._published,
         )
         return _Keyed(
@@ -411,6 +414,8 @@
             if keyed is not None:
                 keyed.fast.add(keys, now)
                 keyed.slow.add(keys, now)
+        seen = self._clock.boot()
+        self._alive_at.update(dict.fromkeys(report.alive, seen))
         for death in report.deaths:
             self._casualties.learn(death, now)
         for ended in report.ended:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -118,6 +118,7 @@
         waiting: Requests that wait for a target that owns their key.
         work: Mean seconds of a request by service.
         factors: How slow targets are, compared to the mean.
+        alive: Targets that answered it since the last report.
         deaths: Requests that were running on targets when these died, as far
             as they were confirmed since the last report.
         ended: Runs of targets that are known to be over.
@@ -135,6 +136,7 @@
     waiting: dict[str, int] = {}
     work: dict[str, float] = {}
     factors: dict[str, float] = {}
+    alive: tuple[str, ...] = ()
     deaths: tuple[quarantine.Death, ...] = ()
     ended: tuple[Ended, ...] = ()
     misses: tuple[Miss, ...] = ()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "_address",
+        "_alive",
         "_beliefs",
         "_boot",
         "_casualties",
@@ -107,6 +108,7 @@
         self._session = 0
         self._heard_at = float("-inf")
         self._keys: dict[str, list[int]] = collections.defaultdict(list)
+        self._alive: set[str] = set()
         self._deaths: list[quarantine.Death] = []
         self._ended: list[messages.Ended] = []
         self._misses: list[messages.Miss] = []
@@ -159,6 +161,10 @@
         if len(keys) < _KEYS_PER_REPORT:
             keys.append(key)
 
+    def answered(self, target: str) -> None:
+        """Notes that a target answers."""
+        self._alive.add(target)
+
     def died(self, deaths: list[quarantine.Death]) -> None:
         """Notes confirmed deaths of targets."""
         self._deaths.extend(deaths)
@@ -319,6 +325,7 @@
         configuration = self._beliefs.configuration
         ended, self._ended = tuple(self._ended), []
         deaths, self._deaths = tuple(self._deaths), []
+        alive, self._alive = tuple(self._alive), set()
         return messages.Report(
             self.entry,
             self._beliefs.store_ok,
@@ -327,6 +334,7 @@
             self._turns.waiting(),
             self._works(),
             self._changed_factors(),
+            alive,
             deaths,
             ended,
             misses,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -83,7 +83,7 @@
             keys; it is also what a successor that got no word from the leader
             waits before keys of a silent target move.
         confirm: Between two such looks. Each is a call that is paid for; a
-            fifth of the authority leaves four further tries.
+            second shows an outage before the usual grants run out.
         hold: Length of a grant while all is well. The keys of a target that
             died without a word wait for it to run out; a new leader has to
             renew within it.
@@ -92,10 +92,12 @@
             way to the far region and back.
         give_up: Silence of a target after which it is not renewed any more, so
             that its keys can run out.
-        release_timeout: Longest wait for a release, which is answered when
-            running work has ended.
+        give_up_alive: The same for a target that answers callers. Its last
+            grant runs out soon after; until then it serves.
         trouble_after: Time without the store after which grants are made
-            longer.
+            longer: one look and most of its timeout. If the leader dies in an
+            outage, keys that were not given longer by then are refused until
+            it is over.
         report: Between two reports of a VM to its leader. The leader sees a
             hot key within about this time and a half.
         report_per_vm: Added to `report` for each VM, so that the leader's
@@ -113,13 +115,13 @@
     """
 
     authority: Positive = 10.0
-    confirm: Positive = 2.0
+    confirm: Positive = 1.0
     hold: Positive = 2.0
     renew: Positive = 0.5
     order_timeout: Positive = 0.25
     give_up: Positive = 0.7
-    release_timeout: Positive = 4.0
-    trouble_after: Positive = 3.0
+    give_up_alive: Positive = 1.7
+    trouble_after: Positive = 1.6
     report: Positive = 0.2
     report_per_vm: float = 0.004
     suspect: Positive = 0.8
--- a/tests/gateway/test_granting.py
+++ b/tests/gateway/test_granting.py
@@ -24,6 +24,7 @@
         self.beliefs = fakes.known(
             self.clock, self.log, fakes.target("a"), fakes.target("b")
         )
+        self.alive_at = {}
         self.authority = leadership.Authority(1e9)
         self.authority.confirm(0.0)
         self.granting = granting.Granting(
@@ -34,6 +35,7 @@
             self.log,
             self.authority,
             silence or granting.Silence(0.0),
+            self.alive_at,
             lambda: None,
         )
         self.table = ranges.initial("s", {A: 1.0, B: 1.0}, "c1")
@@ -241,6 +243,64 @@
         _play(main())
 
 
+class TestLateOrders:
+    """Targets that carry orders out late and do not answer them."""
+
+    def test_target_that_answers_callers_keeps_its_keys(self):
+        """Two renewals in a row are lost; the target serves callers.
+
+        Taking its keys would leave them without an owner until its last grant
+        has run out, and with four in ten orders lost some target would always
+        be without.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.orders.silent.add("a")
+            for _ in range(11):
+                await asyncio.sleep(0.1)
+                rig.alive_at["a"] = rig.clock.boot()
+                assert not rig.granting.silent(A)
+            rig.orders.silent.clear()
+            await asyncio.sleep(0.5)
+            assert not rig.granting.needs_fence(A)
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_silent_target_that_answers_nobody(self):
+        """The same without any answer to callers: its keys go soon."""
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.orders.silent.add("a")
+            await asyncio.sleep(1.3)
+            assert rig.granting.silent(A)
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_release_without_answer_is_sent_again(self):
+        """A release is not answered, as it is carried out late.
+
+        Its keys must not wait until the grant has run out.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.orders.silent.add("a")
+            rig.move(0, 99, B)
+            await asyncio.sleep(0.2)
+            rig.orders.silent.clear()
+            assert await rig.served(0) < 0.8
+            rig.granting.stop()
+
+        _play(main())
+
+
 class TestAuthority:
     """A leader that may have been replaced."""
 
