--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -21,6 +21,7 @@
 from mimosastile_standins import fuzzing
 from mimosastile_standins import loss_cases
 from mimosastile_standins import mutations
+from mimosastile_standins import platform_demo
 from mimosastile_standins import processes
 
 _DEMO_SECONDS = 6.0
@@ -36,11 +37,14 @@
 class Commands:
     """Stand-ins, demo and tools of mimosastile."""
 
-    def demo(self, keep: bool = False, **options: float) -> None:
+    def demo(
+        self, keep: bool = False, platform: bool = False, **options: float
+    ) -> None:
         """Runs the whole path in one process and prints what happened.
 
         Args:
             keep: Goes on until Ctrl-C, for play with curl and mimosactl.
+            platform: Shows the gateway on the users' platform instead.
             **options: `--for SECONDS`: how long callers send requests.
         """
         seconds = options.pop("for", _DEMO_SECONDS)
@@ -48,6 +52,9 @@
             raise fire.core.FireError(f"unknown: {', '.join(options)}")
         logging.set_verbosity(logging.WARNING)
         with contextlib.suppress(KeyboardInterrupt):
+            if platform:
+                asyncio.run(platform_demo.run(float(seconds)))
+                return
             asyncio.run(demo_module.run(float(seconds), keep))
 
     def measure(
