A grant counts from when it has left; strong VMs lead

Any VM could lead, also one with half a core and a link that the reports of all others fill. A grant under way was reckoned to have left within twice its timeout; on such a VM it leaves later, and its target holds the keys for longer than the leader waits (test_grant_that_leaves_late fails before). Change: until its outcome is known a grant counts as without end. VMs say how well their processor and link suit a leader; strong ones go first, weak ones wait, successors are the strongest. Three watchers instead of two.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -381,22 +381,22 @@
             configured.trouble_after,
         )
         item = state.item
-        # Until its outcome is known, it may arrive at any time before its
-        # connection is reset.
-        exposure = _Exposure(
-            item.first,
-            item.last,
-            leadership.lapsed_at(sent + configured.order_timeout * 2, hold),
-        )
+        # Until its outcome is known it may still leave this machine: with too
+        # little processor or link that takes longer than its timeout, and the
+        # target holds the keys from its arrival on.
+        exposure = _Exposure(item.first, item.last, float("inf"))
         self._exposures.setdefault(holder, []).append(exposure)
         order = ports.GrantOrder(
             item.first, item.last, item.fence, hold, state.handover
         )
-        answer = await self._orders.grant(
-            holder.id, holder.address, order, configured.order_timeout
-        )
-        now = self._clock.boot()
-        exposure.until = leadership.lapsed_at(now, hold)
+        try:
+            answer = await self._orders.grant(
+                holder.id, holder.address, order, configured.order_timeout
+            )
+        finally:
+            # Answered, or its connection was reset.
+            now = self._clock.boot()
+            exposure.until = leadership.lapsed_at(now, hold)
         current = self._states.get(item.piece) is state
         if isinstance(answer, result.Ok):
             self._granted(holder, owner, state, sent, current)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -41,7 +41,7 @@
 """Seconds for which a hot key stays where it was moved. Each move holds its
 requests up, and the speeds of targets are not known so well that a second move
 would gain what it costs."""
-_WATCHERS = 2
+_WATCHERS = 3
 """VMs that follow the store beside the leader."""
 _TOLD_KEPT = 64
 """Earlier assignments kept, to tell VMs what has changed since; a VM that is
@@ -661,13 +661,8 @@
             self._store_failing_since = now
         if now - self._store_failing_since < _RESIGN_AFTER:
             return
-        able = [
-            report.vm.id
-            for report in self._fresh_reports(self._clock.now()).values()
-            if report.store and report.vm.id != self._settings.vm.id
-        ]
-        if able and not self._successor:
-            self._successor = min(able)
+        if not self._successor and (able := self._strongest()):
+            self._successor = able
             self._events.write(
                 "leader",
                 "asks_successor",
@@ -675,6 +670,16 @@
                 store_silent=round(now - self._store_failing_since, 2),
             )
 
+    def _strongest(self) -> str:
+        """Returns the VM that should lead next, empty if there is none."""
+        able = [
+            report.vm
+            for report in self._fresh_reports(self._clock.now()).values()
+            if report.store and report.vm.id != self._settings.vm.id
+        ]
+        best = min(able, key=lambda vm: (-vm.strength, vm.id), default=None)
+        return best.id if best else ""
+
     # Planning.
 
     async def _plan_on(self) -> None:
@@ -974,14 +979,10 @@
         """
         if self._entry is None:
             return
-        others = [
-            report.vm.id
-            for report in self._fresh_reports(self._clock.now()).values()
-            if report.store and report.vm.id != self._settings.vm.id
-        ]
-        if not others:
+        able = self._strongest()
+        if not able:
             return
-        self._successor = min(others)
+        self._successor = able
         self._events.write("leader", "hands_over", successor=self._successor)
         ends = self._clock.now() + seconds
         while self.leading and self._clock.now() < ends:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -42,12 +42,14 @@
         boot: Identifier of the run of its daemon.
         address: Where peers reach it.
         zone: Its availability zone.
+        strength: From 0 to 1, how well its processor and link suit a leader.
     """
 
     id: str
     boot: str
     address: str
     zone: str
+    strength: float = 1.0
 
 
 class TargetNews(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -124,7 +124,9 @@
     def entry(self) -> messages.VmEntry:
         """This VM as its peers know it."""
         vm = self._settings.vm
-        return messages.VmEntry(vm.id, self._boot, self._address, vm.zone)
+        return messages.VmEntry(
+            vm.id, self._boot, self._address, vm.zone, vm.strength
+        )
 
     @property
     def count(self) -> int:
@@ -474,7 +476,7 @@
         """
         limit = self._settings.leader.suspect
         if self._beliefs.leader is None:
-            wait = self._settings.leader.rank_wait * self._rank(None)
+            wait = self._turn_wait(None)
             if silent < limit + wait:
                 return
         if not await self.read_store():
@@ -484,23 +486,28 @@
             if self._clock.now() - self._heard_at < limit:
                 # The store named another one just now.
                 return
-            wait = self._settings.leader.rank_wait * self._rank(leader)
+            wait = self._turn_wait(leader)
             if silent < limit + wait or await self._others_hear(leader):
                 return
         await self._take_over("nobody heard the leader")
 
+    def _turn_wait(self, leader: leadership.LeaderEntry | None) -> float:
+        """Returns how long this VM lets others go first, in seconds."""
+        configured = self._settings.leader
+        weakness = 1.0 - self._settings.vm.strength
+        ranked = configured.rank_wait * self._rank(leader)
+        return ranked + configured.weak_wait * weakness
+
     def _rank(self, leader: leadership.LeaderEntry | None) -> int:
         """Returns how many VMs go before this one."""
         epoch = leader.epoch if leader else 0
         former = leader.vm if leader else ""
         here = self._settings.vm
 
-        def order(entry: messages.VmEntry) -> tuple[bool, int]:
-            # The store's region goes first: whoever is near the store changes
-            # tables sooner. It is not known which that is, so the hash decides
-            # and changes with the epoch.
+        def order(entry: messages.VmEntry) -> tuple[bool, float, int]:
+            # Of equally strong ones the hash decides, anew with each epoch.
             mixed = f"{entry.id}/{epoch}".encode()
-            return entry.id == former, zlib.crc32(mixed)
+            return entry.id == former, -entry.strength, zlib.crc32(mixed)
 
         everyone = {**self._beliefs.vms, here.id: self.entry}
         ranked = sorted(everyone.values(), key=order)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -34,6 +34,7 @@
         metrics: Host and port for metrics and the state dump.
         connections: Connections that the process may have open at a time.
         memory_bytes: What the process may use.
+        strength: From 0 to 1, how well its processor and link suit a leader.
     """
 
     id: str
@@ -47,6 +48,7 @@
     metrics: str
     connections: int = 4000
     memory_bytes: int = 300 << 20
+    strength: float = 1.0
 
 
 class BoundSettings(_Strict, frozen=True):
@@ -103,6 +105,9 @@
         report_per_vm: Added to `report` for each VM, so that the leader's
             work does not grow with the number of VMs.
         suspect: Silence of the leader after which a VM takes over.
+        weak_wait: What a VM of no strength waits before it takes over. A
+            leader hears every VM several times a second; on a small link or
+            processor its orders leave late, and VMs hear of changes late.
         rank_wait: What each further VM waits besides, so that one of them is
             first.
         settle: For a first table: time without a new target. Targets register
@@ -125,6 +130,7 @@
     report: Positive = 0.2
     report_per_vm: float = 0.004
     suspect: Positive = 0.8
+    weak_wait: Positive = 1.5
     rank_wait: Positive = 0.3
     settle: Positive = 1.5
     settle_most: Positive = 5.0
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -94,7 +94,9 @@
     Attributes:
         silent: Targets that do not answer, though orders arrive.
         dead: Targets that orders do not reach.
+        deaf: Targets that releases do not reach.
         work: Seconds until a release is answered.
+        delay: Seconds until a grant arrives.
         log: All orders that arrived.
         clashes: Pairs of targets that held one key at the same time.
     """
@@ -102,7 +104,9 @@
     def __init__(self):
         self.silent = set()
         self.dead = set()
+        self.deaf = set()
         self.work = 0.05
+        self.delay = 0.0
         self.log = []
         self.clashes = []
         self._holds = collections.defaultdict(list)
@@ -122,7 +126,7 @@
         if name in self.dead:
             await asyncio.sleep(timeout)
             return result.Err(errors.Failure(errors.ErrorKind.UNREACHABLE))
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(0.001 + self.delay)
         self.log.append(("grant", name, order))
         seen = self._fences[name]
         first, last, fence = order.first, order.last, order.fence
@@ -142,7 +146,7 @@
 
     async def release(self, name, address, order, timeout):
         """Takes a release."""
-        if name in self.dead:
+        if name in self.dead or name in self.deaf:
             await asyncio.sleep(timeout)
             return result.Err(errors.Failure(errors.ErrorKind.UNREACHABLE))
         await asyncio.sleep(0.001)
--- a/tests/gateway/test_granting.py
+++ b/tests/gateway/test_granting.py
@@ -243,6 +243,52 @@
         _play(main())
 
 
+class TestStarvedLeader:
+    """A leader that gets too little processor or link."""
+
+    def test_grant_that_leaves_late(self):
+        """A renewal leaves seconds after it was decided.
+
+        Its target then holds the keys for longer than the leader reckons from
+        the decision; giving part of them away by that gives them two owners.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.orders.delay = 3.5
+            await asyncio.sleep(0.7)
+            rig.orders.delay = 0.0
+            rig.orders.deaf.add("a")
+            rig.move(0, 99, B)
+            await rig.served(0)
+            await asyncio.sleep(4.0)
+            assert rig.orders.clashes == []
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_grant_that_is_broken_off(self):
+        """A target loses all its keys while a renewal is under way.
+
+        The renewal is broken off; its keys do not wait for it for ever.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.served(0)
+            rig.orders.delay = 1.5
+            await asyncio.sleep(0.7)
+            rig.orders.deaf.add("a")
+            rig.move(0, HALF - 1, B)
+            rig.orders.delay = 0.0
+            assert await rig.served(0) < 3.0
+            assert rig.orders.clashes == []
+            rig.granting.stop()
+
+        _play(main())
+
+
 class TestLateOrders:
     """Targets that carry orders out late and do not answer them."""
 
