A new leader waits for every former one, whatever it has sent itself

Cause: a new leader that had itself tried to renew a silent target's grant, in vain, took only its own orders into account and forgot that the former leader may have renewed it; keys then had two owners. And a leader whose successor had died at once was forgotten by the next one. Change: the end of all former leaders' grants is always the least that is waited for; the leader's entry names the VMs that may not have noticed yet.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
@@ -33,12 +33,17 @@
         boot: Identifier of the run of its daemon.
         epoch: Rises by one with each leader.
         address: Where its peers reach it.
+        unsure: VMs that led before and may not have noticed that they were
+            replaced when this one took over. Leaders may follow each other
+            faster than the first one notices; whoever comes next has to wait
+            for all of them.
     """
 
     vm: str
     boot: str
     epoch: int
     address: str
+    unsure: tuple[str, ...] = ()
 
 
 class Authority:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -31,6 +31,8 @@
         directory: All targets.
         assignments: Owners of keys by service.
         leader: The leader, None if none is known.
+        leader_since: When it became known, on the clock that runs on while
+            the machine is suspended.
         vms: Entry VMs as last read from the store.
         seen: Store revision up to which all registrations are known.
         store_ok: Whether the last call to the store was answered.
@@ -47,6 +49,7 @@
         "configuration",
         "directory",
         "leader",
+        "leader_since",
         "route_table",
         "seen",
         "shares",
@@ -75,6 +78,7 @@
         self.assignments: dict[str, assignments.Assignment] = {}
         self.seen = 0
         self.leader: leadership.LeaderEntry | None = None
+        self.leader_since = 0.0
         self.vms: dict[str, messages.VmEntry] = {}
         self.store_ok = False
         self.store_since = 0.0
@@ -229,6 +233,7 @@
         if known is not None and new.epoch <= known.epoch:
             return False
         self.leader = new
+        self.leader_since = self._clock.boot()
         self._events.write(
             "peers",
             "leader_taken",
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -36,14 +36,21 @@
 
 
 class Silence:
-    """When a former leader has stopped, and how long its last grants last."""
+    """When former leaders have stopped, and how long their grants last."""
 
-    __slots__ = ("_calm_until", "_hold", "_known", "_most", "_until", "former")
+    __slots__ = (
+        "_calm_until",
+        "_formers",
+        "_hold",
+        "_known",
+        "_most",
+        "_until",
+    )
 
     def __init__(
         self,
         until: float,
-        former: str = "",
+        formers: Iterable[str] = (),
         calm_until: float = float("-inf"),
         hold: float = 0.0,
         most: float = 0.0,
@@ -51,9 +58,9 @@
         """Makes one.
 
         Args:
-            until: When it has surely stopped.
-            former: Identifier of its VM, empty if there was none.
-            calm_until: Until when it surely gave usual grants only.
+            until: When all have surely stopped.
+            formers: Identifiers of their VMs.
+            calm_until: Until when they surely gave usual grants only.
             hold: Seconds of a usual grant.
             most: Seconds of its longest grant.
         """
@@ -62,15 +69,28 @@
         self._calm_until = calm_until
         self._hold = hold
         self._most = most
-        self.former = former
+        self._formers = set(formers)
 
     def stopped(self, now: float) -> None:
-        """Notes that it is known to have stopped."""
+        """Notes that all are known to have stopped."""
+        self._formers.clear()
         self._known = min(self._known, now)
 
+    def heard(self, vm: str, now: float) -> None:
+        """Notes that a VM gives no orders any more.
+
+        Args:
+            vm: Identifier of a VM that follows the present leader.
+            now: The time.
+        """
+        if vm in self._formers:
+            self._formers.discard(vm)
+            if not self._formers:
+                self.stopped(now)
+
     @property
     def lapse(self) -> float:
-        """Time at which all its grants have run out."""
+        """Time at which all their grants have run out."""
         latest = leadership.lapsed_at(self._until, self._hold)
         calm = self._known <= self._calm_until
         hold = self._hold if calm else self._most
@@ -523,7 +543,9 @@
             for exposure in self._exposures.get(holder, ())
             if exposure.first <= item.last and item.first <= exposure.last
         )
-        return max(given, default=self._silence.lapse)
+        # A former leader may have renewed them as well, whatever this one has
+        # sent since.
+        return max((self._silence.lapse, *given))
 
     def _run_ended(self, holder: ranges.Holder) -> bool:
         """Whether the platform shows that a run of a target is over."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -243,6 +243,7 @@
             self._boot,
             epoch + 1,
             self.address,
+            self._unsure(known),
         )
         asked = self._clock.boot()
         revision = await self._write_leader(entry, former)
@@ -250,7 +251,7 @@
             return False
         self._authority = leadership.Authority(self._settings.leader.authority)
         self._authority.confirm(asked)
-        self._begin(entry, revision, known, items)
+        self._begin(entry, revision, items)
         self._events.write(
             "leader",
             "leading",
@@ -300,7 +301,6 @@
         self,
         entry: leadership.LeaderEntry,
         revision: int,
-        former: leadership.LeaderEntry | None,
         items: Mapping[str, ports.Item],
     ) -> None:
         now = self._clock.boot()
@@ -313,8 +313,15 @@
         self._successor = ""
         self._store_failing_since = None
         self._started = now
-        self._silence = self._former_silence(former, now)
-        if former is None or former.vm == entry.vm:
+        formers = entry.unsure
+        self._silence = granting.Silence(
+            now + self._settings.leader.authority if formers else now,
+            formers,
+            self.calm_until,
+            self._settings.leader.hold,
+            self._settings.bounds.hold_most,
+        )
+        if not formers:
             # There was none, or its process has ended: this one is the next.
             self._silence.stopped(now)
         for key, item in items.items():
@@ -328,18 +335,18 @@
         ]
         self._published()
 
-    def _former_silence(
-        self, former: leadership.LeaderEntry | None, now: float
-    ) -> granting.Silence:
-        """Returns when a former leader has surely stopped giving orders."""
-        configured = self._settings.leader
-        return granting.Silence(
-            now + configured.authority if former else now,
-            former.vm if former else "",
-            self.calm_until,
-            configured.hold,
-            self._settings.bounds.hold_most,
-        )
+    def _unsure(self, former: leadership.LeaderEntry | None) -> tuple[str, ...]:
+        """Returns the VMs that may still give orders as former leaders."""
+        if former is None:
+            return ()
+        inherited = set(former.unsure)
+        led = self._clock.boot() - self._beliefs.leader_since
+        authority = self._settings.leader.authority
+        if self._beliefs.leader == former and led > authority:
+            # Whoever led before that one has had to stop since.
+            inherited = set()
+        inherited.add(former.vm)
+        return tuple(sorted(inherited - {self._settings.vm.id}))
 
     def _load(self, item: ports.Item) -> None:
         try:
@@ -403,9 +410,8 @@
         now = self._clock.now()
         vm = report.vm
         self._reports[vm.id] = _Reported(report, now)
-        if vm.id == self._silence.former:
-            # Whoever reports to this leader gives no orders itself.
-            self._silence.stopped(self._clock.boot())
+        # Whoever reports to this leader gives no orders itself.
+        self._silence.heard(vm.id, self._clock.boot())
         if report.news is not None:
             self._beliefs.take_news(report.news)
         self._learn_factors(report)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -263,3 +263,33 @@
 
     async def end_session(self, session):
         """Ends a lease."""
+
+
+class Cut:
+    """A store or targets as seen from one VM, which may be cut off.
+
+    Attributes:
+        failing: Failure of every call, None while the VM reaches it.
+        dead: Targets that this VM does not reach.
+    """
+
+    def __init__(self, whole):
+        self._whole = whole
+        self.failing = None
+        self.dead = set()
+
+    def __getattr__(self, name):
+        """Returns a call that fails while this VM is cut off."""
+        call = getattr(self._whole, name)
+
+        async def through(*args, **kwargs):
+            if self.failing:
+                await asyncio.sleep(0.005)
+                return result.Err(self.failing)
+            if self.dead and args[0] in self.dead:
+                await asyncio.sleep(args[-1])
+                kind = errors.ErrorKind.UNREACHABLE
+                return result.Err(errors.Failure(kind))
+            return await call(*args, **kwargs)
+
+        return through
--- a/tests/gateway/test_granting.py
+++ b/tests/gateway/test_granting.py
@@ -386,7 +386,7 @@
         The former leader may renew its grants until it notices that it was
         replaced; only then does the time of the last one begin to run.
         """
-        silence = granting.Silence(10.0, "vm-0", calm, 2.0, 10.0)
+        silence = granting.Silence(10.0, ("vm-0",), calm, 2.0, 10.0)
         if known is not None:
             silence.stopped(known)
         assert silence.lapse == pytest.approx(expected, abs=0.01)
@@ -399,7 +399,7 @@
         """
 
         async def main():
-            rig = Rig(granting.Silence(4.0, "vm-0", 0.0, 2.0, 10.0))
+            rig = Rig(granting.Silence(4.0, ("vm-0",), 0.0, 2.0, 10.0))
             rig.orders.dead.add("a")
             rig.move(0, HALF - 1, B)
             await rig.served(0)
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -162,6 +162,46 @@
         virtual.run(main())
 
 
+class TestThirdLeader:
+    """Leaders follow each other faster than the first one notices."""
+
+    def test_waits_for_the_first_one(self):
+        """A leader is cut off from the store and renews on.
+
+        Its successor dies at once; that one's successor knows that it has
+        ended, but nothing of the first. A target that only the first reaches
+        still holds its keys.
+        """
+
+        async def main():
+            store, orders = fakes.Store(), fakes.Orders()
+            targets = [fakes.target(n) for n in ("a", "b", "c")]
+            clock = fakes.VirtualClock()
+            stores = [fakes.Cut(store) for _ in range(3)]
+            reach = [fakes.Cut(orders) for _ in range(3)]
+            one, two, three = (
+                Vm(f"vm-{i + 1}", stores[i], reach[i], targets, clock)
+                for i in range(3)
+            )
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            await asyncio.sleep(1.0)
+            stores[0].failing = fakes.UNAVAILABLE
+            reach[1].dead = reach[2].dead = {"a"}
+            await two.leading.take_over("test")
+            two.leading.step_down("killed")
+            await three.leading.take_over("test")
+            # The second one's next run reports.
+            three.leading.take_report(two.report())
+            await asyncio.sleep(16.0)
+            assert orders.clashes == []
+            assert _owned(orders, 0)
+            one.leading.step_down("end")
+            three.leading.step_down("end")
+
+        virtual.run(main())
+
+
 class TestStoreTrouble:
     """The store fails a leader."""
 
