--- a/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -41,16 +41,23 @@
             free for that.
         zone_seconds: Handicap of another zone of the same region.
         region_seconds: Handicap of another region.
-        zone_bytes_per_second: Answers to another zone cost a second per this
-            many bytes.
+        zone_bytes_per_second: Bytes to and from another zone cost a second
+            per this many.
         region_bytes_per_second: The same for another region.
+        zone_share: Part of a route's target latency that the handicap of
+            another zone reaches at most. Within it a caller is as well served
+            by a target nearby that is slower or has others waiting, and what
+            crosses zones is paid for by volume; above it answers come late.
+        region_share: The same for another region.
     """
 
     queue: int = 6
     zone_seconds: float = 0.02
     region_seconds: float = 0.08
-    zone_bytes_per_second: float = 1e6
-    region_bytes_per_second: float = 4e5
+    zone_bytes_per_second: float = 1e5
+    region_bytes_per_second: float = 5e4
+    zone_share: float = 0.35
+    region_share: float = 0.5
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -277,7 +284,7 @@
         return self._work.get(route, (guess, 0.0))[0]
 
     def size(self, route: str) -> float:
-        """Returns the mean size in bytes of a route's answers."""
+        """Returns the mean bytes of a route's requests and answers."""
         return self._work.get(route, (0.0, 0.0))[1]
 
     def answered(
@@ -296,7 +303,7 @@
             route: The request's route.
             target: Who answered.
             seconds: Time from sending to the answer's end.
-            size: Bytes of the answer.
+            size: Bytes of the request and the answer.
             now: The time.
             waited: Whether it may have waited at the target, which says
                 nothing about how fast that is.
@@ -364,6 +371,7 @@
         most_own: int,
         now: float,
         jitter: float,
+        latency: float = math.inf,
     ) -> Choice:
         """Returns the target for a request that any of some may run.
 
@@ -374,6 +382,7 @@
             most_own: Requests of this VM that one target may have.
             now: The time.
             jitter: From 0 to 1, keeps VMs from all choosing the same one.
+            latency: Time in seconds within which an answer is on time.
         """
         best: tuple[float, float, directory.Target] | None = None
         soonest = math.inf
@@ -385,17 +394,23 @@
                 continue
             rest = max(self.load(target.id).rest_until - now, 0.0)
             noise = 1 + 0.1 * ((index * 0.618 + jitter) % 1)
-            cost = seconds * noise + self._handicap(target, size) + 10 * rest
+            away = self._handicap(target, size, latency)
+            cost = seconds * noise + away + 10 * rest
             if best is None or cost < best[0]:
                 best = (cost, seconds, target)
         if best is None:
             return Choice(None, soonest)
         return Choice(best[2], best[1])
 
-    def _handicap(self, target: directory.Target, size: float) -> float:
+    def _handicap(
+        self, target: directory.Target, size: float, latency: float
+    ) -> float:
+        """Returns what distance costs, in seconds."""
         policy = self._policy
         if target.zone == self._here.zone:
             return 0.0
         if self._regions.get(target.zone) == self._here.region:
-            return policy.zone_seconds + size / policy.zone_bytes_per_second
-        return policy.region_seconds + size / policy.region_bytes_per_second
+            seconds = policy.zone_seconds + size / policy.zone_bytes_per_second
+            return min(seconds, policy.zone_share * latency)
+        seconds = policy.region_seconds + size / policy.region_bytes_per_second
+        return min(seconds, policy.region_share * latency)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from mimosastile_core.gateway import assignments
+from mimosastile_core.gateway import configurations
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import routes
@@ -20,12 +21,16 @@
 """Part of the grace that is left when a vanishing is found by comparing lists,
 which follows a silence of the watch of up to a second and a half."""
 
+_CONFIGURATIONS_KEPT = 32
+"""Earlier configurations kept, to tell VMs what has changed since. Operators
+change it up to some ten times a second for a few seconds; a VM reports twice
+a second."""
+
 
 class Beliefs:
     """The present state, with a signal for whoever waits for a change.
 
     Attributes:
-        configuration: The configuration in force, None before the first one.
         route_table: Finds its routes.
         shares: Deals requests out among the parts of a route.
         directory: All targets.
@@ -35,6 +40,8 @@
             the machine is suspended.
         vms: Entry VMs as last read from the store.
         seen: Store revision up to which all registrations are known.
+        configuration_seen: Store revision up to which the configuration in
+            force is the newest.
         store_ok: Whether the last call to the store was answered.
         store_since: Loop time since which that is so.
     """
@@ -42,10 +49,11 @@
     __slots__ = (
         "_changed",
         "_clock",
+        "_configurations",
         "_events",
         "_subscribers",
         "assignments",
-        "configuration",
+        "configuration_seen",
         "directory",
         "leader",
         "leader_since",
@@ -69,18 +77,30 @@
         self._events = log
         self._changed = asyncio.Event()
         self._subscribers: list[Callable[[], None]] = []
-        self.configuration: routes.Configuration | None = None
+        self._configurations = configurations.History(_CONFIGURATIONS_KEPT)
         self.route_table = routes.RouteTable()
         self.shares = routes.WeightedShares()
         self.directory = directory.Directory(grace, grace * _LATE_SHARE)
         self.assignments: dict[str, assignments.Assignment] = {}
         self.seen = 0
+        self.configuration_seen = 0
         self.leader: leadership.LeaderEntry | None = None
         self.leader_since = 0.0
         self.vms: dict[str, messages.VmEntry] = {}
         self.store_ok = False
         self.store_since = 0.0
 
+    @property
+    def configuration(self) -> routes.Configuration | None:
+        """The configuration in force, None before the first one."""
+        return self._configurations.present
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, -1 before the first one."""
+        known = self._configurations.present
+        return known.version if known else -1
+
     @property
     def changed(self) -> asyncio.Event:
         """Set once at the next change; take it before looking."""
@@ -99,17 +119,16 @@
 
     def take_configuration(self, new: routes.Configuration) -> bool:
         """Takes a configuration unless a newer one is in force."""
-        known = self.configuration
-        if known is not None and new.version <= known.version:
+        former = self.version
+        if not self._configurations.take(new):
             return False
-        self.configuration = new
         self.route_table = routes.RouteTable(new.routes)
         self.shares.keep(new.routes)
         self._events.write(
             "configuration",
             "configuration_taken",
             version=new.version,
-            former=known.version if known else None,
+            former=former,
             routes=len(new.routes),
         )
         self.signal()
@@ -186,14 +205,14 @@
             configuration: Version of the configuration that it knows.
         """
         now = self._clock.now()
-        known = self.configuration
-        newer = known if known and known.version > configuration else None
+        newer = self._configurations.since(configuration)
         changed = (
             self.directory.since_revision(seen) if self.seen > seen else []
         )
         if newer is None and not changed:
             return None
         return messages.News(
+            seen,
             max(self.seen, seen),
             tuple(
                 messages.TargetNews(
@@ -205,7 +224,8 @@
                 for entry in changed
                 if entry.standing is not directory.Standing.ENDED
             ),
-            newer,
+            newer if isinstance(newer, routes.Configuration) else None,
+            newer if isinstance(newer, configurations.Change) else None,
         )
 
     def take_news(self, news: messages.News) -> None:
@@ -213,6 +233,12 @@
         now = self._clock.now()
         if news.configuration is not None:
             self.take_configuration(news.configuration)
+        if news.change is not None and self.configuration is not None:
+            # A change of another version than the known one is left out; the
+            # next report says which one that is.
+            made = configurations.apply(self.configuration, news.change)
+            if made is not None:
+                self.take_configuration(made)
         for item in news.targets:
             if item.gone:
                 self.lose_target(item.target.id, item.revision)
@@ -222,7 +248,16 @@
                     item.target, warm_at=now + item.warm_left
                 )
             )
-        self.seen = max(self.seen, news.revision)
+        if news.after <= self.seen:
+            # Otherwise some earlier news were lost on their way. Whoever told
+            # these tells them again, as long as this VM does not claim to
+            # know all up to their end.
+            self.seen = max(self.seen, news.revision)
+
+    def confirm_configuration(self, version: int, revision: int) -> None:
+        """Notes up to which revision of the store a version is the newest."""
+        if version == self.version:
+            self.configuration_seen = max(self.configuration_seen, revision)
 
     def take_leader(self, new: leadership.LeaderEntry) -> bool:
         """Takes the leader unless one of a later epoch is known."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -336,7 +336,7 @@
         if path == messages.ASSIGN_PATH:
             told = messages.decode(body, messages.ReportReply)
             self._peers.take_push(told)
-            return self._peers.heard()
+            return messages.Taken()
         if path == messages.HEARD_PATH:
             return self._peers.heard()
         return None
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import AsyncIterator
 import contextlib
+import math
 
 import result
 
@@ -351,6 +352,7 @@
             self._most_own(service),
             now,
             self._clock.random(),
+            call.route.target_latency or math.inf,
         )
         return service.name, choice
 
@@ -570,7 +572,7 @@
                     call.route.name,
                     target.id,
                     now - began,
-                    len(answer.body),
+                    len(answer.body) + len(call.incoming.body),
                     now,
                     waited=call.waited,
                 )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -19,6 +19,9 @@
 
 _RETRY_SECONDS = 0.1
 """Pause after an order that was not answered."""
+_LINK_QUEUE_SECONDS = 1.0
+"""Longest wait of bytes before a link between regions. Callers' requests that
+cross it time out after that, which empties it; 0.8 s was seen at worst."""
 _FENCE_AFTER = 1.0
 """Silence after which a target may have started again; that takes seconds."""
 _ALIVE_SECONDS = 0.6
@@ -417,8 +420,10 @@
             # Answered, or its connection was reset.
             now = self._clock.boot()
             exposure.until = leadership.lapsed_at(now, hold)
+            exposure.until += self._held_up(holder)
         current = self._states.get(item.piece) is state
         if isinstance(answer, result.Ok):
+            exposure.until = leadership.lapsed_at(now, hold)
             self._granted(holder, owner, state, sent, current)
             return
         failure = answer.err_value
@@ -450,6 +455,20 @@
             )
         await asyncio.sleep(_RETRY_SECONDS * (0.5 + self._clock.random()))
 
+    def _held_up(self, holder: ranges.Holder) -> float:
+        """Returns how much later than its reset an order may arrive.
+
+        What waits before a full link between regions is delivered in order:
+        an order first, the reset of its connection after it. Its time counts
+        from its arrival, and the target would still hold keys that another
+        one has been given.
+        """
+        entry = self._beliefs.directory.get(holder.id)
+        vm = self._settings.vm
+        zone = entry.target.zone if entry else ""
+        near = vm.regions.get(zone) == vm.region
+        return 0.0 if near else _LINK_QUEUE_SECONDS
+
     def _granted(
         self,
         holder: ranges.Holder,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -1,8 +1,10 @@
 """The leader: the tables of key ranges and the orders to targets."""
 
 import asyncio
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 from typing import Any
 
 import msgspec
@@ -25,13 +27,8 @@
 from mimosastile_gateway import peer_calls
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
+from mimosastile_gateway import telling
 
-_REPORT_FRESH = 1.5
-"""Seconds for which a VM's report counts."""
-_PUSH_PAUSE = 0.02
-"""Seconds for which changes of an assignment are gathered before VMs are told:
-a change of many ranges is granted within some of them."""
-_PUSH_SECONDS = 0.4
 _LOST_REST = 3.0
 """Seconds for which a target that was silent gets no keys."""
 _COLD_SHARE = 0.5
@@ -44,9 +41,12 @@
 would gain what it costs."""
 _WATCHERS = 3
 """VMs that follow the store beside the leader."""
-_TOLD_KEPT = 64
-"""Earlier assignments kept, to tell VMs what has changed since; a VM that is
-further behind gets the whole."""
+_WATCHERS_IN_TROUBLE = 8
+"""The same while the leader does not reach the store. When a third of the VMs
+is turned away, all of eight are so once in ten thousand times."""
+_WATCHERS_TRIED = 3.0
+"""Seconds without the store in which these have found out whether they reach
+it."""
 _DEAL_SECONDS = 0.2
 """How often remainders of dealt room go to other VMs."""
 _WORK_GUESS = 0.1
@@ -62,16 +62,6 @@
 """Bounds on how slow or fast a target is taken for."""
 
 
-class _Reported:
-    """The last report of a VM."""
-
-    __slots__ = ("at", "report")
-
-    def __init__(self, report: messages.Report, at: float) -> None:
-        self.report = report
-        self.at = at
-
-
 class _Keyed:
     """What a leader keeps of one service that is divided by key."""
 
@@ -128,7 +118,6 @@
         "_authority",
         "_beliefs",
         "_boot",
-        "_calls",
         "_casualties",
         "_clock",
         "_entry",
@@ -137,8 +126,6 @@
         "_joined_at",
         "_lost_until",
         "_orders",
-        "_push",
-        "_reports",
         "_revision",
         "_serial",
         "_services",
@@ -151,7 +138,7 @@
         "_successor",
         "_tasks",
         "_taking",
-        "_told",
+        "_telling",
         "address",
         "calm_until",
     )
@@ -171,22 +158,18 @@
         self._boot = boot
         self._store = store
         self._orders = orders
-        self._calls = calls
         self._beliefs = known
         self._clock = timer
         self._events = log
         self._casualties = casualties.Casualties()
+        self._telling = telling.Telling(configured.vm.id, calls, known, timer)
         self._alive_at: dict[str, float] = {}
         self._authority = leadership.Authority(configured.leader.authority)
         self._entry: leadership.LeaderEntry | None = None
         self._revision = 0
         self._serial = 0
         self._services: dict[str, _Keyed] = {}
-        self._reports: dict[str, _Reported] = {}
         self._factors_of: dict[str, dict[str, float]] = {}
-        self._told: dict[
-            tuple[str, tuple[int, ...]], assignments.Assignment
-        ] = {}
         self._lost_until: dict[str, float] = {}
         self._silence = granting.Silence(0.0)
         self.address = configured.vm.peers
@@ -196,10 +179,8 @@
         self._successor = ""
         self._settled_at = 0.0
         self._joined_at = 0.0
-        self._push = asyncio.Event()
         self._tasks: list[asyncio.Task[Any]] = []
         self._taking = False
-        known.subscribe(self._on_news)
 
     @property
     def leading(self) -> bool:
@@ -305,9 +286,7 @@
         now = self._clock.boot()
         self._entry = entry
         self._revision = revision
-        self._reports = {}
         self._factors_of = {}
-        self._told = {}
         self._lost_until = {}
         self._successor = ""
         self._store_failing_since = None
@@ -330,10 +309,24 @@
         self._tasks = [
             asyncio.create_task(self._plan_on(), name="plan"),
             asyncio.create_task(self._confirm_on(), name="confirm"),
-            asyncio.create_task(self._push_on(), name="push"),
         ]
+        self._telling.begin(entry, self._registered(items))
         self._published()
 
+    def _registered(
+        self, items: Mapping[str, ports.Item]
+    ) -> Iterable[messages.VmEntry]:
+        """Yields the VMs that are registered in the store."""
+        for key, item in items.items():
+            if not key.startswith(messages.VM_PREFIX):
+                continue
+            try:
+                yield msgspec.json.decode(item.value, type=messages.VmEntry)
+            except msgspec.DecodeError as error:
+                self._events.write(
+                    "leader", "vm_unreadable", key=key, why=str(error)
+                )
+
     def _unsure(self, former: leadership.LeaderEntry | None) -> tuple[str, ...]:
         """Returns the VMs that may still give orders as former leaders."""
         if former is None:
@@ -399,6 +392,7 @@
             return
         for task in self._tasks:
             task.cancel()
+        self._telling.stop()
         for keyed in self._services.values():
             keyed.granting.stop()
         self._services = {}
@@ -413,11 +407,13 @@
             return messages.ReportReply(leader, leading=False)
         now = self._clock.now()
         vm = report.vm
-        self._reports[vm.id] = _Reported(report, now)
         # Whoever reports to this leader gives no orders itself.
         self._silence.heard(vm.id, self._clock.boot())
         if report.news is not None:
             self._beliefs.take_news(report.news)
+        self._beliefs.confirm_configuration(
+            report.configuration, report.configuration_seen
+        )
         self._learn_factors(report)
         for service, keys in report.keys.items():
             keyed = self._services.get(service)
@@ -434,8 +430,9 @@
             keyed = self._services.get(miss.service)
             if keyed is not None:
                 keyed.granting.missed(miss.key, miss.target)
-        fresh = self._fresh_reports(now)
-        whole, changed = self._newer_than(report.versions)
+        self._telling.take(report)
+        fresh = self._telling.fresh()
+        lacking = self._telling.lacking(report)
         totals = self._busy(fresh, report)
         return messages.ReportReply(
             self._entry,
@@ -443,11 +440,13 @@
             confirmed=self._clock.boot() - self._authority.confirmed,
             under_way=totals,
             allowed=self._allowed(vm.id, fresh, now),
-            assignments=whole,
-            differences=changed,
-            news=self._beliefs.news_after(report.seen, report.configuration),
+            assignments=lacking.assignments,
+            differences=lacking.differences,
+            news=lacking.news,
             seen=self._beliefs.seen,
-            store=self._store_failing_since is None,
+            configuration=self._beliefs.version,
+            configuration_seen=self._beliefs.configuration_seen,
+            store=self._informed(fresh),
             deaths=self._casualties.deaths(now),
             watchers=self._watchers(fresh),
             vms=len(fresh),
@@ -477,13 +476,6 @@
                 allowed[target] = parts.get(vm, 0)
         return allowed
 
-    def _fresh_reports(self, now: float) -> dict[str, messages.Report]:
-        return {
-            name: reported.report
-            for name, reported in self._reports.items()
-            if now - reported.at < _REPORT_FRESH
-        }
-
     def _busy(
         self,
         reports: Mapping[str, messages.Report],
@@ -491,13 +483,21 @@
     ) -> dict[str, int]:
         """Returns what other VMs have under way at targets that are busy.
 
-        Below half of a target's slots it does not matter to anyone's choice.
+        Below half of a target's slots it does not matter to anyone's choice;
+        in other zones, only whether a slot is free. With hundreds of targets
+        this is most of what VMs are told.
         """
         totals = _sum(r.under_way for r in reports.values() if r is not but)
         busy = {}
         for name, count in totals.items():
             entry = self._beliefs.directory.get(name)
-            if entry is not None and count * 2 >= entry.target.slots:
+            if entry is None:
+                continue
+            target = entry.target
+            least = target.slots
+            if target.zone == but.vm.zone:
+                least = math.ceil(least / 2)
+            if count >= least:
                 busy[name] = count
         return busy
 
@@ -507,43 +507,37 @@
         """Returns VMs that follow the store beside this one.
 
         If this VM's own view of the store falls silent without a word, theirs
-        keep all VMs from routing by it. They stand in other zones, if there
-        are any.
+        keep all VMs from routing by it. They stand in different zones as far
+        as there are some.
         """
         here = self._settings.vm
         able = [r.vm for r in reports.values() if r.vm.id != here.id]
-        able.sort(key=lambda vm: (vm.zone == here.zone, vm.id))
-        zones: dict[str, str] = {}
+        able.sort(key=lambda vm: (vm.zone == here.zone, vm.order, vm.id))
+        turns = collections.Counter[str]()
+        ranked: list[tuple[int, int, str]] = []
         for vm in able:
-            zones.setdefault(vm.zone, vm.id)
-        return tuple(zones.values())[:_WATCHERS]
-
-    def _newer_than(
-        self, versions: Mapping[str, assignments.Version]
-    ) -> tuple[
-        tuple[assignments.Assignment, ...],
-        tuple[assignments.Difference, ...],
-    ]:
-        """Returns assignments that a VM lacks, and changes of others."""
-        whole, changed = [], []
-        for name, present in self._beliefs.assignments.items():
-            version = versions.get(name)
-            if version is not None and tuple(version) >= present.version:
-                continue
-            old = self._told.get((name, tuple(version or ())))
-            if old is None:
-                whole.append(present)
-            else:
-                changed.append(assignments.difference(old, present))
-        return tuple(whole), tuple(changed)
+            ranked.append((turns[vm.zone], len(ranked), vm.id))
+            turns[vm.zone] += 1
+        calm = self._store_failing_since is None
+        most = _WATCHERS if calm else _WATCHERS_IN_TROUBLE
+        return tuple(name for _, _, name in sorted(ranked)[:most])
+
+    def _informed(self, reports: Mapping[str, messages.Report]) -> bool:
+        """Whether this VM learns what the store holds.
+
+        If it told all VMs to look for themselves as soon as it is cut off from
+        the store, a hundred of them would read everything at the same time,
+        those in other regions over one narrow link. Requests on that link
+        would wait for seconds, and so would the successor's calls.
+        """
+        since = self._store_failing_since
+        if since is None or self._clock.boot() - since < _WATCHERS_TRIED:
+            return True
+        watchers = self._watchers(reports)
+        return any(reports[name].store for name in watchers)
 
     # Telling VMs.
 
-    def _on_news(self) -> None:
-        """Has VMs told what this one has learned."""
-        if self._entry is not None:
-            self._push.set()
-
     def _published(self) -> None:
         """Makes a new assignment of what has changed and has it told."""
         entry = self._entry
@@ -551,90 +545,13 @@
             return
         self._serial += 1
         for keyed in self._services.values():
-            present = assignments.of_table(
-                keyed.table,
-                (entry.epoch, self._serial),
-                keyed.granting.ready(),
-            )
-            known = self._beliefs.assignments.get(keyed.table.service)
-            if known is not None and assignments.same(known, present):
-                continue
-            self._beliefs.take_assignment(present)
-            self._told[present.service, present.version] = present
-        while len(self._told) > _TOLD_KEPT:
-            del self._told[next(iter(self._told))]
-        self._push.set()
-
-    async def _push_on(self) -> None:
-        """Tells VMs at once what they would hear with their next report."""
-        while True:
-            await self._push.wait()
-            await asyncio.sleep(_PUSH_PAUSE)
-            self._push.clear()
-            now = self._clock.now()
-            own = self._settings.vm.id
-            bodies: dict[bytes, bytes] = {}
-            for report in self._fresh_reports(now).values():
-                if report.vm.id != own:
-                    self._start_push(report, bodies)
-
-    def _start_push(
-        self, report: messages.Report, bodies: dict[bytes, bytes]
-    ) -> None:
-        """Tells one VM what it lacks.
-
-        Args:
-            report: What the VM knows.
-            bodies: Messages of this round by what their receivers know; most
-                VMs know the same, and what they lack is worked out once.
-        """
-        known = msgspec.json.encode(
-            (report.versions, report.seen, report.configuration)
-        )
-        body = bodies.get(known)
-        if body is None:
-            body = bodies[known] = self._lacking(report)
-        if not body:
-            return
-        # If this is lost, the VM's next report says what it really has.
-        self._reports[report.vm.id].report = msgspec.structs.replace(
-            report,
-            versions=self._beliefs.versions(),
-            seen=self._beliefs.seen,
-            configuration=self._configuration_version(),
-        )
-        # If it is silent, it asks with its next report.
-        task = asyncio.create_task(
-            self._calls.call(
-                report.vm.address, messages.ASSIGN_PATH, body, _PUSH_SECONDS
-            )
-        )
-        self._tasks.append(task)
-        task.add_done_callback(self._told_one)
-
-    def _lacking(self, report: messages.Report) -> bytes:
-        """Returns the message with what a VM lacks, empty for nothing."""
-        whole, changed = self._newer_than(report.versions)
-        news = self._beliefs.news_after(report.seen, report.configuration)
-        if not whole and not changed and news is None:
-            return b""
-        return messages.encode(
-            messages.ReportReply(
-                self._entry,
-                leading=True,
-                assignments=whole,
-                differences=changed,
-                news=news,
+            self._telling.publish(
+                assignments.of_table(
+                    keyed.table,
+                    (entry.epoch, self._serial),
+                    keyed.granting.ready(),
+                )
             )
-        )
-
-    def _configuration_version(self) -> int:
-        configuration = self._beliefs.configuration
-        return configuration.version if configuration else -1
-
-    def _told_one(self, task: asyncio.Task[Any]) -> None:
-        if task in self._tasks:
-            self._tasks.remove(task)
 
     # Leadership in the store.
 
@@ -649,8 +566,9 @@
         asked = self._clock.boot()
         read = await self._store.read(messages.LEADER_KEY)
         if isinstance(read, result.Err):
-            self._store_failed(read.err_value)
+            self._store_failed(read.err_value, asked)
             return
+        self._beliefs.note_store(ok=True)
         self._store_failing_since = None
         self._successor = ""
         entry = self._decoded_leader(read.ok_value)
@@ -661,11 +579,12 @@
             return
         self._authority.confirm(asked)
 
-    def _store_failed(self, failure: errors.Failure) -> None:
+    def _store_failed(self, failure: errors.Failure, asked: float) -> None:
+        """Notes that a call to the store that began at `asked` has failed."""
         now = self._clock.boot()
         self._beliefs.note_store(ok=False, why=failure.detail)
         if self._store_failing_since is None:
-            self._store_failing_since = now
+            self._store_failing_since = asked
         if now - self._store_failing_since < _RESIGN_AFTER:
             return
         if not self._successor and (able := self._strongest()):
@@ -681,10 +600,10 @@
         """Returns the VM that should lead next, empty if there is none."""
         able = [
             report.vm
-            for report in self._fresh_reports(self._clock.now()).values()
+            for report in self._telling.fresh().values()
             if report.store and report.vm.id != self._settings.vm.id
         ]
-        best = min(able, key=lambda vm: (-vm.strength, vm.id), default=None)
+        best = min(able, key=lambda vm: (vm.order, vm.id), default=None)
         return best.id if best else ""
 
     # Planning.
@@ -814,7 +733,7 @@
 
     def _hears_others(self) -> bool:
         """Whether reports are complete enough to judge load by them."""
-        fresh = self._fresh_reports(self._clock.now())
+        fresh = self._telling.fresh()
         known = len(self._beliefs.vms)
         return len(fresh) * 2 >= known
 
@@ -838,7 +757,7 @@
         self, capacity: Mapping[ranges.Holder, float], service: str
     ) -> dict[ranges.Holder, float]:
         """Returns capacities in requests a second."""
-        reports = self._fresh_reports(self._clock.now()).values()
+        reports = self._telling.fresh().values()
         works = [r.work[service] for r in reports if service in r.work]
         work = sum(works) / len(works) if works else _WORK_GUESS
         return {holder: part / work for holder, part in capacity.items()}
@@ -850,7 +769,7 @@
 
     def _factors(self) -> dict[str, float]:
         """Returns the mean of what VMs say of each target's speed."""
-        fresh = self._fresh_reports(self._clock.now())
+        fresh = self._telling.fresh()
         sums: dict[str, list[float]] = {}
         for vm, factors in self._factors_of.items():
             if vm in fresh:
@@ -934,7 +853,7 @@
             self._take(keyed, table, written.ok_value)
             return True
         if isinstance(written.err_value, errors.Failure):
-            self._store_failed(written.err_value)
+            self._store_failed(written.err_value, asked)
             if written.err_value.kind is errors.ErrorKind.STORE_UNAVAILABLE:
                 return False
         return await self._resolve(keyed, table)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -7,6 +7,7 @@
 
 from mimosastile_core import quarantine
 from mimosastile_core.gateway import assignments
+from mimosastile_core.gateway import configurations
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import routes
@@ -29,6 +30,10 @@
 _MESSAGE_BYTES = 8 << 20
 """Largest message once it is decompressed."""
 
+_STORE_STEP = 0.02
+"""Seconds of distance to the store that matter: nearly the way to another
+region and back. Smaller differences are chance."""
+
 REPORT_PATH = "/report"
 ASSIGN_PATH = "/assign"
 HEARD_PATH = "/heard"
@@ -43,6 +48,7 @@
         address: Where peers reach it.
         zone: Its availability zone.
         strength: From 0 to 1, how well its processor and link suit a leader.
+        store_seconds: Shortest time in which the store has answered it.
     """
 
     id: str
@@ -50,6 +56,16 @@
     address: str
     zone: str
     strength: float = 1.0
+    store_seconds: float = 0.0
+
+    @property
+    def order(self) -> tuple[float, int]:
+        """Sorts VMs by how well they suit a leader, the best first.
+
+        A leader in another region than the store waits longer for each change
+        of a table, and loses the store when the regions are cut off.
+        """
+        return -self.strength, int(self.store_seconds / _STORE_STEP)
 
 
 class TargetNews(msgspec.Struct, frozen=True, array_like=True):
@@ -73,14 +89,19 @@
     """What a VM knows from the store that another one does not.
 
     Attributes:
-        revision: Revision up to which `targets` is complete.
+        after: Revision after which `targets` begins.
+        revision: Revision up to which it is complete.
         targets: Changed registrations.
-        configuration: The configuration, None if the other one has it.
+        configuration: The configuration, None if the other one has it or
+            `change` tells it.
+        change: What has changed in the configuration that the other one has.
     """
 
+    after: int
     revision: int
     targets: tuple[TargetNews, ...] = ()
     configuration: routes.Configuration | None = None
+    change: configurations.Change | None = None
 
 
 class Miss(msgspec.Struct, frozen=True, array_like=True):
@@ -128,6 +149,7 @@
         versions: Versions of its assignments by service.
         seen: Store revision up to which it knows all registrations.
         configuration: Version of the configuration that it knows; -1 for none.
+        configuration_seen: Store revision up to which that is the newest.
         news: What it has learned from the store by itself.
     """
 
@@ -145,6 +167,7 @@
     versions: dict[str, assignments.Version] = {}
     seen: int = 0
     configuration: int = -1
+    configuration_seen: int = 0
     news: News | None = None
 
 
@@ -162,8 +185,10 @@
         differences: Changes of those that it has.
         news: What it does not know from the store.
         seen: Store revision up to which the leader knows all registrations.
-        store: Whether the leader reaches the store, so that VMs may rely on
-            its news.
+        configuration: Version of the configuration that the leader knows.
+        configuration_seen: Store revision up to which that is the newest.
+        store: Whether the leader learns what the store holds, by itself or
+            from watchers, so that VMs may rely on its news.
         deaths: What all VMs have reported of such requests.
         watchers: VMs that are asked to follow the store as well.
         vms: How many VMs report.
@@ -179,6 +204,8 @@
     differences: tuple[_Difference, ...] = ()
     news: News | None = None
     seen: int = 0
+    configuration: int = -1
+    configuration_seen: int = 0
     store: bool = False
     deaths: tuple[quarantine.Death, ...] = ()
     watchers: tuple[str, ...] = ()
@@ -186,6 +213,14 @@
     successor: str = ""
 
 
+class Taken(msgspec.Struct, frozen=True):
+    """A VM's word that it has heard what its leader told it.
+
+    It says no more: what the VM knows now stands in its next report, and a
+    leader tells every VM several times a second.
+    """
+
+
 class Heard(msgspec.Struct, frozen=True):
     """What a VM knows of the leader.
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -67,6 +67,7 @@
         "_session",
         "_settings",
         "_store",
+        "_store_seconds",
         "_tasks",
         "_turns",
         "_told_factors",
@@ -104,6 +105,7 @@
         self._events = log
         self._address = configured.vm.peers
         self._session = 0
+        self._store_seconds = 0.0
         self._heard_at = float("-inf")
         self._keys: dict[str, list[int]] = collections.defaultdict(list)
         self._alive: set[str] = set()
@@ -123,7 +125,12 @@
         """This VM as its peers know it."""
         vm = self._settings.vm
         return messages.VmEntry(
-            vm.id, self._boot, self._address, vm.zone, vm.strength
+            vm.id,
+            self._boot,
+            self._address,
+            vm.zone,
+            vm.strength,
+            self._store_seconds,
         )
 
     @property
@@ -202,16 +209,18 @@
     # Registration.
 
     async def _register(self) -> None:
-        pause = self._settings.store.retry_least
+        least = self._settings.store.retry_least
+        most = self._settings.store.session * _SESSION_SHARE
+        pause = least
         while True:
             if await self._registered():
-                pause = self._settings.store.retry_least
-                await asyncio.sleep(
-                    self._settings.store.session * _SESSION_SHARE
-                )
+                pause = least
+                await asyncio.sleep(most)
             else:
-                await asyncio.sleep(pause)
-                pause = min(pause * 2, self._settings.store.retry_most)
+                # Registrations of all VMs are most of what is asked of a
+                # store that is down; they are not urgent.
+                await asyncio.sleep(pause * (0.5 + self._clock.random()))
+                pause = min(pause * 2, most)
 
     async def _registered(self) -> bool:
         """Renews the lease of this VM's entry, or makes both."""
@@ -225,9 +234,12 @@
                 )
                 self._session = 0
             return False
+        asked = self._clock.now()
         opened = await self._store.open_session(self._settings.store.session)
         if isinstance(opened, result.Err):
             return False
+        took = self._clock.now() - asked
+        self._store_seconds = min(self._store_seconds or took, took)
         session = opened.ok_value.id
         entry = self.entry
         write = ports.Write(
@@ -321,7 +333,6 @@
     def _make_report(self) -> messages.Report:
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
         misses, self._misses = tuple(self._misses), []
-        configuration = self._beliefs.configuration
         ended, self._ended = tuple(self._ended), []
         deaths, self._deaths = tuple(self._deaths), []
         alive, self._alive = tuple(self._alive), set()
@@ -339,7 +350,8 @@
             misses,
             self._beliefs.versions(),
             self._beliefs.seen,
-            configuration.version if configuration else -1,
+            self._beliefs.version,
+            self._beliefs.configuration_seen,
             self._own_news(),
         )
 
@@ -355,24 +367,24 @@
         return changed
 
     def _own_news(self) -> messages.News | None:
-        """Returns what this VM has read from the store since it last told.
+        """Returns what this VM has read from the store and its leader lacks.
 
         A leader that is cut off from the store learns it from whoever follows
         the store as well.
         """
-        seen, self._news_seen = self._news_seen, self._beliefs.seen
         if self._leader.leading or not self._follows_store:
             return None
-        return self._beliefs.news_after(seen, self._news_version)
+        return self._beliefs.news_after(self._news_seen, self._news_version)
 
     def _rely(self, reply: messages.ReportReply) -> None:
         """Decides whether this VM follows the store itself."""
         here = self._settings.vm.id
         chosen = here in reply.watchers or self._leader.leading
-        self._news_seen = max(self._news_seen, reply.seen)
-        configuration = self._beliefs.configuration
-        if configuration is not None:
-            self._news_version = configuration.version
+        self._news_seen = reply.seen
+        self._news_version = reply.configuration
+        self._beliefs.confirm_configuration(
+            reply.configuration, reply.configuration_seen
+        )
         self._follow_store(chosen or not reply.store)
 
     def _follow_store(self, follows: bool) -> None:
@@ -485,10 +497,12 @@
         former = leader.vm if leader else ""
         here = self._settings.vm
 
-        def order(entry: messages.VmEntry) -> tuple[bool, float, int]:
-            # Of equally strong ones the hash decides, anew with each epoch.
+        def order(
+            entry: messages.VmEntry,
+        ) -> tuple[bool, tuple[float, int], int]:
+            # Of equally good ones the hash decides, anew with each epoch.
             mixed = f"{entry.id}/{epoch}".encode()
-            return entry.id == former, -entry.strength, zlib.crc32(mixed)
+            return entry.id == former, entry.order, zlib.crc32(mixed)
 
         everyone = {**self._beliefs.vms, here.id: self.entry}
         ranked = sorted(everyone.values(), key=order)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import itertools
 
 import result
 
@@ -13,16 +14,19 @@
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
 
-Apply = Callable[[Iterable[ports.Item]], None]
+_RETRY_WAIT = 0.5
+"""Longest wait in seconds of a watch that follows a failed one: it shows soon
+whether the store is back."""
 
 
 class Watching:
     """Lists two prefixes, then follows their changes.
 
     A watch may fall silent without an end, may be cut, and its history may be
-    dropped. A lost history, and any failure, is followed by a new list; a
-    watch's wait is short, so that a silent one is found. It begins when it is
-    told that the leader cannot be relied on.
+    dropped. After a failure it goes on from where it stopped; after a lost
+    history everything is listed anew. A watch's wait is short, so that a
+    silent one is found. It begins when it is told that the leader cannot be
+    relied on.
     """
 
     __slots__ = (
@@ -75,18 +79,18 @@
             asyncio.create_task(
                 self._follow(
                     self._records.configuration_key,
+                    lambda: self._beliefs.configuration_seen,
                     self._configuration_listed,
-                    self._configurations,
-                    lambda _: None,
+                    self._configuration_changed,
                 ),
                 name="watch-configuration",
             ),
             asyncio.create_task(
                 self._follow(
                     self._records.targets_prefix,
+                    lambda: self._beliefs.seen,
                     self._targets_listed,
                     self._targets_changed,
-                    self._targets_removed,
                 ),
                 name="watch-targets",
             ),
@@ -100,64 +104,85 @@
     async def _follow(
         self,
         prefix: str,
+        seen: Callable[[], int],
         listed: Callable[[ports.Listing], None],
-        changed: Apply,
-        removed: Callable[[Iterable[tuple[str, int]]], None],
+        changed: Callable[[ports.Changes], None],
     ) -> None:
+        """Follows one prefix.
+
+        Args:
+            prefix: Beginning of the keys.
+            seen: Returns the revision up to which this VM knows them, 0 if it
+                does not. A leader may have told it: then nothing is read that
+                is known already.
+            listed: Takes a whole list.
+            changed: Takes changes.
+        """
+        lost = False
         while True:
             await self._needed.wait()
-            listing = await self._list(prefix)
-            listed(listing)
-            await self._follow_from(prefix, listing.revision, changed, removed)
+            if lost or not seen():
+                listed(await self._list(prefix))
+            await self._follow_from(prefix, seen, changed)
+            lost = True
 
     async def _list(self, prefix: str) -> ports.Listing:
-        pause = self._settings.retry_least
-        while True:
+        for failures in itertools.count(1):
             found = await self._store.list(prefix)
             if isinstance(found, result.Ok):
                 self._beliefs.note_store(ok=True)
                 return found.ok_value
             self._beliefs.note_store(ok=False, why=found.err_value.detail)
-            await asyncio.sleep(pause * (0.5 + self._clock.random()))
-            pause = min(pause * 2, self._settings.retry_most)
+            await asyncio.sleep(self._pause(failures))
+        raise AssertionError("counting ends")
 
     async def _follow_from(
         self,
         prefix: str,
-        revision: int,
-        changed: Apply,
-        removed: Callable[[Iterable[tuple[str, int]]], None],
+        seen: Callable[[], int],
+        changed: Callable[[ports.Changes], None],
     ) -> None:
-        """Follows changes until they cannot be followed any more."""
+        """Follows changes until the store has dropped their history."""
+        failures = 0
         while True:
             await self._needed.wait()
-            brought = await self._store.watch(
-                prefix, revision, self._settings.watch_wait
+            revision = seen()
+            wait = self._settings.watch_wait if not failures else _RETRY_WAIT
+            brought = await self._store.watch(prefix, revision, wait)
+            if isinstance(brought, result.Ok):
+                failures = 0
+                self._beliefs.note_store(ok=True)
+                changed(brought.ok_value)
+                if brought.ok_value.items or brought.ok_value.removed:
+                    await asyncio.sleep(self._settings.watch_pause)
+                continue
+            lost = brought.err_value
+            dropped = isinstance(lost, ports.HistoryLost)
+            why = (
+                "history lost"
+                if isinstance(lost, ports.HistoryLost)
+                else lost.detail
+            )
+            self._events.write(
+                "store",
+                "watch_ended",
+                prefix=prefix,
+                revision=revision,
+                why=why,
             )
-            if isinstance(brought, result.Err):
-                lost = brought.err_value
-                why = (
-                    "history lost"
-                    if isinstance(lost, ports.HistoryLost)
-                    else lost.detail
-                )
-                self._events.write(
-                    "store",
-                    "watch_ended",
-                    prefix=prefix,
-                    revision=revision,
-                    why=why,
-                )
+            if dropped:
                 return
-            changes = brought.ok_value
-            self._beliefs.note_store(ok=True)
-            revision = changes.revision
-            changed(changes.items)
-            removed(changes.removed)
-            if prefix == self._records.targets_prefix:
-                self._beliefs.seen = max(self._beliefs.seen, revision)
-            if changes.items or changes.removed:
-                await asyncio.sleep(self._settings.watch_pause)
+            failures += 1
+            if failures > 1:
+                # One that waits may be cut; the next one should not be.
+                self._beliefs.note_store(ok=False, why=why)
+            await asyncio.sleep(self._pause(failures))
+
+    def _pause(self, failures: int) -> float:
+        """Returns the wait after some failures in a row, in seconds."""
+        longest = self._settings.retry_least * 2.0 ** min(failures - 1, 8)
+        pause = min(longest, self._settings.retry_most)
+        return pause * (0.5 + self._clock.random())
 
     def _configurations(self, items: Iterable[ports.Item]) -> None:
         for item in items:
@@ -171,11 +196,25 @@
 
     def _configuration_listed(self, listing: ports.Listing) -> None:
         self._configurations(listing.items)
+        self._seen_configuration(listing.revision)
+
+    def _configuration_changed(self, changes: ports.Changes) -> None:
+        self._configurations(changes.items)
+        self._seen_configuration(changes.revision)
+
+    def _seen_configuration(self, revision: int) -> None:
+        known = self._beliefs
+        known.confirm_configuration(known.version, revision)
 
     def _targets_listed(self, listing: ports.Listing) -> None:
         self._beliefs.take_targets(self._read(listing.items), listing.revision)
 
-    def _targets_changed(self, items: Iterable[ports.Item]) -> None:
+    def _targets_changed(self, changes: ports.Changes) -> None:
+        self._targets_written(changes.items)
+        self._targets_removed(changes.removed)
+        self._beliefs.seen = max(self._beliefs.seen, changes.revision)
+
+    def _targets_written(self, items: Iterable[ports.Item]) -> None:
         items = list(items)
         readable = self._read(items)
         for target in readable:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -59,7 +59,7 @@
             id="vm-1",
             zone="z",
             region="r",
-            regions={"z": "r"},
+            regions={"z": "r", "far": "q"},
             ip="127.0.0.1",
             callers="127.0.0.1:0",
             readiness="127.0.0.1:0",
@@ -95,6 +95,8 @@
         silent: Targets that do not answer, though orders arrive.
         dead: Targets that orders do not reach.
         deaf: Targets that releases do not reach.
+        queued: Seconds after which grants arrive whose connection has been
+            reset long before, by target.
         work: Seconds until a release is answered.
         delay: Seconds until a grant arrives.
         log: All orders that arrived.
@@ -105,10 +107,12 @@
         self.silent = set()
         self.dead = set()
         self.deaf = set()
+        self.queued = {}
         self.work = 0.05
         self.delay = 0.0
         self.log = []
         self.clashes = []
+        self._tasks = []
         self._holds = collections.defaultdict(list)
         self._fences = collections.defaultdict(list)
 
@@ -126,7 +130,21 @@
         if name in self.dead:
             await asyncio.sleep(timeout)
             return result.Err(errors.Failure(errors.ErrorKind.UNREACHABLE))
+        if name in self.queued:
+            late = self.queued[name]
+            self._tasks.append(
+                asyncio.create_task(self._arrives_late(name, order, late))
+            )
+            await asyncio.sleep(timeout)
+            return result.Err(errors.Failure(errors.ErrorKind.ANSWER_LOST))
         await asyncio.sleep(0.001 + self.delay)
+        return await self._arrived(name, order, timeout)
+
+    async def _arrives_late(self, name, order, late):
+        await asyncio.sleep(late)
+        await self._arrived(name, order, 0.0)
+
+    async def _arrived(self, name, order, timeout):
         self.log.append(("grant", name, order))
         seen = self._fences[name]
         first, last, fence = order.first, order.last, order.fence
--- /dev/null
+++ b/tests/gateway/test_configurations.py
@@ -0,0 +1,131 @@
+"""What changes between versions of the configuration, and how it is told."""
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from mimosastile_core.gateway import configurations
+from mimosastile_core.gateway import routes
+
+
+def _route(name, service="s"):
+    return routes.Route(
+        name=name,
+        host="h.example",
+        prefix=f"/{name}/",
+        kind=routes.RouteKind.IDEMPOTENT,
+        parts=(routes.Part(service),),
+        timeout=1.0,
+        target_latency=0.3,
+    )
+
+
+def _version(number, *names, service="s", limits=None):
+    return routes.Configuration(
+        number,
+        tuple(_route(name, service) for name in names),
+        {service: routes.Service(service)},
+        limits or routes.CallerLimits(),
+    )
+
+
+class TestChange:
+    """A change makes one version of the other."""
+
+    @pytest.mark.parametrize(
+        ("old", "new", "count"),
+        [
+            (_version(1, "a", "b"), _version(2, "a", "b"), 0),
+            (_version(1, "a", "b"), _version(2, "a", "b", "c"), 1),
+            (_version(1, "a", "b"), _version(2, "b"), 0),
+            (_version(1, "a", "b"), _version(2, "a", "b", service="t"), 2),
+            (
+                _version(1, "a"),
+                _version(2, "a", limits=routes.CallerLimits(body_bytes=1)),
+                0,
+            ),
+        ],
+    )
+    def test_told(self, old, new, count):
+        """What is told holds only what differs."""
+        told = configurations.change(old, new)
+        assert configurations.apply(old, told) == new
+        assert len(told.routes) == count
+
+    @pytest.mark.parametrize(
+        ("old", "new"),
+        [
+            (_version(1, "a", "b"), _version(2, "b", "a")),
+            (_version(1, "a", "a"), _version(2, "a")),
+            (_version(1, "a"), _version(2, "a", "a")),
+        ],
+    )
+    def test_untold(self, old, new):
+        """What a change cannot say is not told as one."""
+        assert configurations.change(old, new) is None
+
+    def test_other_base(self):
+        """A change of another version makes nothing."""
+        told = configurations.change(_version(1, "a"), _version(2, "b"))
+        assert configurations.apply(_version(3, "a"), told) is None
+
+    def test_small(self):
+        """One route of a thousand changes.
+
+        Told as a whole, each version would fill the link between regions for
+        a part of a second; callers beyond it would wait.
+        """
+        names = [f"r-{i}" for i in range(1000)]
+        old, new = _version(1, *names), _version(2, *names, "r-new")
+        told = msgspec.json.encode(configurations.change(old, new))
+        assert len(told) * 100 < len(msgspec.json.encode(new))
+
+    @hypothesis.given(
+        old=st.lists(st.sampled_from("abcdef"), max_size=6),
+        new=st.lists(st.sampled_from("abcdef"), max_size=6),
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_any(self, old, new):
+        """A change is exact or not told."""
+        one, other = _version(1, *old), _version(2, *new)
+        told = configurations.change(one, other)
+        if told is not None:
+            assert configurations.apply(one, told) == other
+
+
+class TestHistory:
+    """Versions only rise, and whoever is behind gets what is missing."""
+
+    def test_takes_newer_only(self):
+        """An older version never comes back."""
+        history = configurations.History(4)
+        assert history.take(_version(2, "a"))
+        assert not history.take(_version(2, "b"))
+        assert not history.take(_version(1, "b"))
+        assert history.present == _version(2, "a")
+
+    @pytest.mark.parametrize(
+        ("known", "kind"),
+        [
+            (-1, routes.Configuration),
+            (1, routes.Configuration),
+            (4, configurations.Change),
+            (5, type(None)),
+            (9, type(None)),
+        ],
+    )
+    def test_since(self, known, kind):
+        """Those far behind get the whole; those who know all get nothing."""
+        history = configurations.History(3)
+        for number in range(1, 6):
+            history.take(_version(number, "a", f"r-{number}"))
+        assert isinstance(history.since(known), kind)
+
+    def test_memory(self):
+        """Versions share the routes that are the same in them."""
+        history = configurations.History(3)
+        history.take(_version(1, "a", "b"))
+        first = history.present.routes[0]
+        history.take(_version(2, "a", "c"))
+        assert history.present.routes[0] is first
--- a/tests/gateway/test_granting.py
+++ b/tests/gateway/test_granting.py
@@ -17,12 +17,15 @@
 class Rig:
     """One service with two targets, carried out by a leader."""
 
-    def __init__(self, silence=None):
+    def __init__(self, silence=None, zone="z"):
         self.clock = fakes.VirtualClock()
         self.log = fakes.Lines()
         self.orders = fakes.Orders()
         self.beliefs = fakes.known(
-            self.clock, self.log, fakes.target("a"), fakes.target("b")
+            self.clock,
+            self.log,
+            fakes.target("a", zone=zone),
+            fakes.target("b"),
         )
         self.alive_at = {}
         self.authority = leadership.Authority(1e9)
@@ -289,6 +292,32 @@
         _play(main())
 
 
+class TestFullLink:
+    """Orders that wait before a link between regions."""
+
+    def test_grant_arrives_after_its_reset(self):
+        """A renewal waits before a full link; its connection is reset.
+
+        The bytes of both arrive in order, nearly a second later, and the
+        target holds the keys from then on. Reckoning from the reset, another
+        target would be given them while the first one serves them.
+        """
+
+        async def main():
+            rig = Rig(zone="far")
+            await rig.served(0)
+            rig.orders.queued["a"] = 1.1
+            rig.orders.deaf.add("a")
+            await asyncio.sleep(1.0)
+            rig.move(0, HALF - 1, B)
+            await rig.served(0)
+            await asyncio.sleep(3.0)
+            assert rig.orders.clashes == []
+            rig.granting.stop()
+
+        _play(main())
+
+
 class TestLateOrders:
     """Targets that carry orders out late and do not answer them."""
 
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -37,10 +37,10 @@
             self.log,
         )
 
-    def report(self, **fields):
+    def report(self, *, reaches_store=True, **fields):
         """Returns a report of this VM."""
         entry = messages.VmEntry(self.name, f"boot-{self.name}", "", "z")
-        return messages.Report(entry, store=True, **fields)
+        return messages.Report(entry, store=reaches_store, **fields)
 
 
 def _world(*names):
@@ -280,7 +280,8 @@
         """The store turns this VM away and serves another one.
 
         Keys could not move until this VM is let in again; the other one is
-        asked to take over.
+        asked to take over. It tells what the store holds meanwhile. Once no
+        VM reaches the store, all are told to look for themselves.
         """
 
         async def main():
@@ -294,6 +295,12 @@
                 reply = one.leading.take_report(two.report())
                 asked = reply.successor
             assert asked == "vm-2"
+            assert reply.store
+            for _ in range(20):
+                await asyncio.sleep(0.2)
+                reply = one.leading.take_report(two.report())
+            assert reply.store
+            reply = one.leading.take_report(two.report(reaches_store=False))
             assert not reply.store
             one.leading.step_down("end")
 
@@ -364,7 +371,7 @@
             await one.leading.take_over("test")
             leaving = fakes.target("a", leaving=True, revision=9)
             news = messages.News(
-                9, (messages.TargetNews(leaving, 9, False, 0.0),)
+                0, 9, (messages.TargetNews(leaving, 9, False, 0.0),)
             )
             one.leading.take_report(two.report(news=news))
             reply = one.leading.take_report(two.report(seen=5))
--- a/tests/gateway/test_room.py
+++ b/tests/gateway/test_room.py
@@ -42,6 +42,21 @@
         targets = [_target("near"), _target("far", "b1")]
         assert _choose(rooms, targets).target.id == "near"
 
+    @pytest.mark.parametrize(("under_way", "chosen"), [(5, "near"), (7, "far")])
+    def test_near_only_within_the_target_latency(self, under_way, chosen):
+        """Large answers are worth a wait nearby, but not to be late for it.
+
+        All targets of a zone are busy. Going to the next zone at once pays for
+        bytes and gains callers nothing; staying for ever makes them wait.
+        """
+        rooms = _rooms()
+        for _ in range(30):
+            rooms.answered("r", "near", 0.1, 500_000, 10.0)
+        rooms.load("near").own = under_way
+        targets = [_target("near"), _target("far", "a2")]
+        choice = rooms.choose(targets, "r", 0.1, 100, 10.0, 0.0, latency=0.2)
+        assert choice.target.id == chosen
+
     def test_free_before_busy(self):
         """A target whose slots are taken loses to one in the next zone."""
         rooms = _rooms()
--- /dev/null
+++ b/tests/gateway/test_watching.py
@@ -0,0 +1,107 @@
+"""Following the store without reading what is known already."""
+
+import asyncio
+import collections
+
+import pytest
+import result
+
+from mimosastile_gateway import ports
+from mimosastile_gateway import settings
+from mimosastile_gateway import watching
+from mimosastile_platform import records
+from mimosastile_standins import virtual
+from tests.gateway import fakes
+
+
+class Store(fakes.Store):
+    """Counts calls, and answers watches as it is told.
+
+    Attributes:
+        lists: How often each prefix was listed.
+        watches: Revisions from which watches went on.
+        moods: Failures that the next watches answer.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.lists = collections.Counter()
+        self.watches = []
+        self.moods = []
+
+    async def list(self, prefix):
+        """Counts a list."""
+        self.lists[prefix] += 1
+        return await super().list(prefix)
+
+    async def watch(self, prefix, after, wait):
+        """Notes a watch."""
+        if prefix == "servers/":
+            self.watches.append(after)
+            if self.moods:
+                return result.Err(self.moods.pop(0))
+        return await super().watch(prefix, after, wait)
+
+
+def _play(scenario, store, known_up_to=0):
+    async def main():
+        timer, log = fakes.VirtualClock(), fakes.Lines()
+        known = fakes.known(timer, log, fakes.target("a"))
+        known.seen = known_up_to
+        made = watching.Watching(
+            settings.StoreSettings(address="127.0.0.1:1"),
+            store,
+            records.Records(),
+            known,
+            timer,
+            log,
+        )
+        made.rely_on_leader(False)
+        made.start()
+        await asyncio.sleep(2.0)
+        await scenario(known, log)
+        made.stop()
+
+    virtual.run(main())
+
+
+class TestFollow:
+    """Where a VM begins that has to look for itself."""
+
+    @pytest.mark.parametrize(("known_up_to", "lists"), [(0, 1), (40, 0)])
+    def test_begins_where_it_is(self, known_up_to, lists):
+        """The leader dies and all VMs turn to the store at once.
+
+        A hundred of them that read hundreds of registrations over the link
+        between regions would fill it; the next leader could not be heard.
+        """
+        store = Store()
+
+        async def scenario(known, log):
+            assert store.lists["servers/"] == lists
+            assert store.watches[0] == (known_up_to or 1)
+
+        _play(scenario, store, known_up_to)
+
+    def test_failed_watch_goes_on(self):
+        """A watch is cut; nothing is read twice for that."""
+        store = Store()
+        store.moods = [fakes.UNKNOWN, fakes.UNAVAILABLE]
+
+        async def scenario(known, log):
+            assert store.lists["servers/"] == 0
+            assert store.watches[:3] == [40, 40, 40]
+            assert log.named("store_lost")
+            assert known.store_ok
+
+        _play(scenario, store, 40)
+
+    def test_history_lost(self):
+        """The store has dropped what this VM missed: it reads all."""
+        store = Store()
+        store.moods = [ports.HistoryLost()]
+
+        async def scenario(known, log):
+            assert store.lists["servers/"] == 1
+
+        _play(scenario, store, 40)
