A VM's part of a contended target is told with what it is on average

Cause: with a hundred VMs a contended target's room is dealt out in turns that come every some seconds for each. A VM took its turn to come within two seconds, kept requests for it until their time was over, and told them to come back too soon.

Change: the part is told as what is allowed now and as the share over time; waits and Retry-After follow from the share, up to 5 s. Requests refused for want of room count as need, or a VM that refuses at once would never get any.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -27,6 +27,9 @@
 _EVEN_SHARE = 2.0
 """How many times its even part a VM may have at a target before its leader
 has dealt the target's room out."""
+_LEAST_SHARE = 0.05
+"""Part of a contended target that a VM is taken to have at least; it has none
+before its leader knows that it has requests for it."""
 _OTHERS_FRESH_SECONDS = 1.5
 """Age up to which counts of other VMs are believed."""
 
@@ -173,6 +176,34 @@
     return parts
 
 
+class Part(msgspec.Struct, frozen=True, array_like=True):
+    """What one VM has of a contended target.
+
+    Attributes:
+        allowed: Requests that it may have there now.
+        share: The same on average over time; below 1 where there are more VMs
+            than the target has room, and each waits for its turn.
+    """
+
+    allowed: int
+    share: float
+
+
+def part(vm: str, needs: dict[str, int], limit: int, turn: int) -> Part:
+    """Returns what one VM gets of a target's room.
+
+    Args:
+        vm: The VM.
+        needs: What each VM has under way and waiting there.
+        limit: What may be under way there.
+        turn: Changes with time, so that remainders go round.
+    """
+    own = needs.get(vm, 0)
+    total = max(sum(needs.values()), 1)
+    share = min(float(own), limit * own / total)
+    return Part(dealt(needs, limit, turn).get(vm, 0), round(share, 2))
+
+
 class Choice(msgspec.Struct, frozen=True):
     """What was found for a request.
 
@@ -213,7 +244,7 @@
         self._policy = policy
         self._loads: dict[str, Load] = {}
         self._work: dict[str, tuple[float, float]] = {}
-        self._allowed: dict[str, int] = {}
+        self._allowed: dict[str, Part] = {}
         self._allowed_at = -math.inf
 
     def load(self, target: str) -> Load:
@@ -255,8 +286,8 @@
                 load.others = count
                 load.others_at = now
 
-    def learn_allowed(self, allowed: dict[str, int], now: float) -> None:
-        """Takes how many requests this VM may have at contended targets."""
+    def learn_allowed(self, allowed: dict[str, Part], now: float) -> None:
+        """Takes what this VM has of contended targets."""
         self._allowed = allowed
         self._allowed_at = now
 
@@ -267,14 +298,16 @@
 
         A target runs `slots` requests at a time for all VMs together, and
         this VM's part of them is its part of what may be under way there.
+        With a hundred VMs that want one key it is a few turns a minute, and a
+        request that is kept for one is kept in vain.
         """
         work = self.work(route, guess) * self.load(target.id).factor
         limit = target.slots + self._policy.queue
-        allowed = self._allowed_now(target.id, now)
-        part = limit / 2 if allowed is None else max(allowed, 0.5)
-        return work * limit / (target.slots * part)
+        found = self._allowed_now(target.id, now)
+        share = limit / 2 if found is None else max(found.share, _LEAST_SHARE)
+        return work * limit / (target.slots * share)
 
-    def _allowed_now(self, target: str, now: float) -> int | None:
+    def _allowed_now(self, target: str, now: float) -> Part | None:
         if now - self._allowed_at > _OTHERS_FRESH_SECONDS:
             return None
         return self._allowed.get(target)
@@ -353,9 +386,9 @@
             now: The time.
         """
         load = self.load(target.id)
-        allowed = self._allowed_now(target.id, now)
-        if allowed is not None:
-            return load.own >= allowed
+        found = self._allowed_now(target.id, now)
+        if found is not None:
+            return load.own >= found.allowed
         if load.under_way(now) < target.slots:
             # As far as is known a slot is free.
             return False
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -52,6 +52,8 @@
 """Retry-After of a request that its target did not take or that did not reach
 it: about one request's work, after which another slot is free, another target
 is chosen or the key has an owner again."""
+_LATEST_SECONDS = 5.0
+"""Longest Retry-After: what is known of load does not hold for longer."""
 _REJECT_STATUSES = frozenset({400, 421, 429, 503})
 """Statuses with which a target may say that it has not run a request."""
 _GUESS_SHARE = 0.35
@@ -322,9 +324,13 @@
     ) -> result.Err[errors.Failure]:
         """Refuses a request for which there will be no room in time."""
         kind = errors.ErrorKind.OVERLOADED
-        if call.key is not None and self._owner(call) is None:
-            kind = errors.ErrorKind.NO_OWNER
-        wait = min(choice.seconds * (ahead + 1), 1.0)
+        if call.key is not None:
+            owner = self._owner(call)
+            if owner is None:
+                kind = errors.ErrorKind.NO_OWNER
+            else:
+                self._peers.turned_away(owner.id)
+        wait = min(choice.seconds * (ahead + 1), _LATEST_SECONDS)
         wait = max(wait, self._settings.requests.retry_after_least)
         return result.Err(errors.Failure(kind, retry_after=wait))
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -455,8 +455,8 @@
 
     def _allowed(
         self, vm: str, reports: Mapping[str, messages.Report], now: float
-    ) -> dict[str, int]:
-        """Returns what a VM may have at targets that many VMs want."""
+    ) -> dict[str, room.Part]:
+        """Returns what a VM has of targets that many VMs want."""
         needs: dict[str, dict[str, int]] = {}
         for name, report in reports.items():
             for counts in (report.under_way, report.waiting):
@@ -472,8 +472,7 @@
             limit = entry.target.slots + self._settings.rooms.queue
             waits = vm in reports and target in reports[vm].waiting
             if waits or sum(wanted.values()) > limit:
-                parts = room.dealt(wanted, limit, turn)
-                allowed[target] = parts.get(vm, 0)
+                allowed[target] = room.part(vm, wanted, limit, turn)
         return allowed
 
     def _busy(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -10,6 +10,7 @@
 from mimosastile_core.gateway import configurations
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import room
 from mimosastile_core.gateway import routes
 
 STORE_PREFIX = "mimosastile/"
@@ -138,7 +139,9 @@
         store: Whether its last call to the store was answered.
         keys: Keys asked for since the last report, by service.
         under_way: Requests under way by target.
-        waiting: Requests that wait for a target that owns their key.
+        waiting: Requests that wait for a target that owns their key, and
+            those that were refused for want of room there since the last
+            report.
         work: Mean seconds of a request by service.
         factors: How slow targets are, compared to the mean.
         alive: Targets that answered it since the last report.
@@ -179,8 +182,7 @@
         leading: Whether this VM is it.
         confirmed: Seconds since the leader saw its entry in the store.
         under_way: Requests of all other VMs by target.
-        allowed: What the reporting VM may have under way at targets that are
-            contended.
+        allowed: What the reporting VM has of targets that are contended.
         assignments: Those that the reporting VM does not have.
         differences: Changes of those that it has.
         news: What it does not know from the store.
@@ -199,7 +201,7 @@
     leading: bool
     confirmed: float = 0.0
     under_way: dict[str, int] = {}
-    allowed: dict[str, int] = {}
+    allowed: dict[str, room.Part] = {}
     assignments: tuple[_Assignment, ...] = ()
     differences: tuple[_Difference, ...] = ()
     news: News | None = None
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -69,6 +69,7 @@
         "_store",
         "_store_seconds",
         "_tasks",
+        "_turned_away",
         "_turns",
         "_told_factors",
         "_told_leader",
@@ -112,6 +113,7 @@
         self._deaths: list[quarantine.Death] = []
         self._ended: list[messages.Ended] = []
         self._misses: list[messages.Miss] = []
+        self._turned_away: collections.Counter[str] = collections.Counter()
         self._vms = 1
         self._told_factors: dict[str, float] = {}
         self._told_leader: leadership.LeaderEntry | None = None
@@ -181,6 +183,15 @@
         self._ended.append(messages.Ended(target.id, target.born))
         self._beliefs.end_target(target.id, target.born)
 
+    def turned_away(self, target: str) -> None:
+        """Notes a request that was refused for want of room at a target.
+
+        The leader deals a target's room out by need. A VM that refuses at
+        once what it has no turn for would otherwise seem to need nothing, and
+        never get a turn.
+        """
+        self._turned_away[target] += 1
+
     def missed(self, service: str, key: int, target: str) -> None:
         """Notes that a target rejected a key that it should own."""
         if len(self._misses) < _KEYS_PER_REPORT:
@@ -333,6 +344,8 @@
     def _make_report(self) -> messages.Report:
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
         misses, self._misses = tuple(self._misses), []
+        wanted, self._turned_away = self._turned_away, collections.Counter()
+        wanted.update(self._turns.waiting())
         ended, self._ended = tuple(self._ended), []
         deaths, self._deaths = tuple(self._deaths), []
         alive, self._alive = tuple(self._alive), set()
@@ -341,7 +354,7 @@
             self._beliefs.store_ok,
             keys,
             self._rooms.own(),
-            self._turns.waiting(),
+            wanted,
             self._works(),
             self._changed_factors(),
             alive,
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -352,7 +352,7 @@
                 reply = one.leading.take_report(
                     vm.report(under_way={"a": 8}, waiting={"a": 10})
                 )
-                parts.append(reply.allowed["a"])
+                parts.append(reply.allowed["a"].allowed)
             # The last two answers count both VMs.
             assert sum(parts[2:]) == 10
             one.leading.step_down("end")
--- a/tests/gateway/test_room.py
+++ b/tests/gateway/test_room.py
@@ -183,6 +183,27 @@
         parts = room.dealt({"a": 30, "b": 10}, 8, 0)
         assert parts == {"a": 6, "b": 2}
 
+    @pytest.mark.parametrize(
+        ("vms", "allowed", "share"), [(1, 4, 4.0), (4, 2, 2.0), (80, 0, 0.1)]
+    )
+    def test_part(self, vms, allowed, share):
+        """What a VM has now, and what it has on average."""
+        needs = {f"vm-{i:02}": 4 for i in range(vms)}
+        part = room.part(f"vm-{vms - 1:02}", needs, 8, 0)
+        assert part == room.Part(allowed, share)
+
+    def test_turns_are_rare_among_many(self):
+        """A hundred VMs want one key; each has a turn every some seconds.
+
+        Requests that wait for one until their time is over would have been
+        better off with a refusal at once.
+        """
+        rooms = _rooms()
+        rooms.learn_allowed({"x": room.Part(0, 0.1)}, 10.0)
+        assert rooms.turn_seconds(_target("x"), "r", 0.1, 10.0) > 2.0
+        rooms.learn_allowed({"x": room.Part(2, 2.5)}, 10.0)
+        assert rooms.turn_seconds(_target("x"), "r", 0.1, 10.0) < 0.2
+
     @pytest.mark.parametrize(("vms", "own"), [(1, 10), (10, 2), (75, 1)])
     def test_before_anything_was_dealt(self, vms, own):
         """A key gets hot within a tenth of a second."""
@@ -202,7 +223,7 @@
     def test_what_was_dealt_counts(self):
         """A VM that was dealt nothing waits for its turn."""
         rooms = _rooms()
-        rooms.learn_allowed({"x": 0}, 10.0)
+        rooms.learn_allowed({"x": room.Part(0, 0.1)}, 10.0)
         assert rooms.full_owner(_target("x"), 1, 10.0)
         # Old news count for nothing.
         assert not rooms.full_owner(_target("x"), 1, 20.0)
