A soak of real daemons under faults from outside

Each daemon is a process; store and targets are stand-ins behind proxies that delay, reset, silence or cut connections one way. Signals stop, pause, kill and restart daemons; targets die, come back, leave; the store is busy, silent, loses answers and history. The oracle checks that nothing runs twice, that what is refused as not run has not run, that answers are the caller's own and whole, that no key has two owners, that a planned stop cuts nothing, and that service is back 15 s after the last fault.

--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -23,6 +23,7 @@
 from mimosastile_standins import mutations
 from mimosastile_standins import platform_demo
 from mimosastile_standins import processes
+from mimosastile_standins import soak as soak_module
 
 _DEMO_SECONDS = 6.0
 
@@ -190,6 +191,49 @@
         """
         _policy_report.report(deployment, cases, out)
 
+    def soak(
+        self,
+        seed: int = 0,
+        rounds: int = 1,
+        seconds: float = 40.0,
+        vms: int = 8,
+        targets: int = 8,
+        callers: int = 24,
+        out: str = "out/soak",
+    ) -> None:
+        """Runs real daemons under faults from outside and checks promises.
+
+        Args:
+            seed: Of the first round; each further one takes the next.
+            rounds: How many to play.
+            seconds: For which faults come in each.
+            vms: Daemons, each a process.
+            targets: Targets of each of the two services.
+            callers: Callers.
+            out: Folder for settings, logs and verdicts.
+        """
+        wrong = 0
+        for number in range(seed, seed + rounds):
+            plan = soak_module.Plan(
+                number,
+                float(seconds),
+                vms,
+                targets,
+                callers,
+                pathlib.Path(out).resolve() / str(number),
+            )
+            verdict = asyncio.run(soak_module.run(plan))
+            wrong += len(verdict.wrong)
+            _printing.say(
+                f"seed {number}: {len(verdict.wrong)} wrong, "
+                f"{len(verdict.faults)} faults, {verdict.runs} runs, "
+                f"served after {verdict.served_after:.3f}, "
+                f"answers {verdict.attempts}"
+            )
+            for line in verdict.wrong[:10]:
+                _printing.say(f"  {line}")
+        sys.exit(min(wrong, 1))
+
     def losses(self, seed: int = 0) -> None:
         """Measures in virtual time what losses and planned stops cost.
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -135,12 +135,20 @@
         self._server.stop_listening()
         self._server.abort()
 
-    def registration(self, state: str = "ready") -> dict[str, Any]:
-        """Returns what it says of itself in the store."""
+    def registration(
+        self, state: str = "ready", address: str = "", zone: str = "zone-a"
+    ) -> dict[str, Any]:
+        """Returns what it says of itself in the store.
+
+        Args:
+            state: What it is about to do.
+            address: Where it is reached, if not directly.
+            zone: Where it stands.
+        """
         return {
             "ServiceName": self.service,
-            "Address": self._address,
-            "Zone": "zone-a",
+            "Address": address or self._address,
+            "Zone": zone,
             "ConfigVersion": "v1",
             "Slots": self._slots,
             "State": state,
@@ -156,6 +164,11 @@
             h.first <= key <= h.last and now < h.until for h in self._holds
         )
 
+    def spans(self) -> list[tuple[int, int]]:
+        """Returns first and last key of all that it holds now."""
+        now = asyncio.get_running_loop().time()
+        return [(h.first, h.last) for h in self._holds if now < h.until]
+
     async def _handle(
         self, incoming: http_server.Incoming
     ) -> http_server.Outgoing:
--- /dev/null
+++ b/tests/standins/test_soak.py
@@ -0,0 +1,144 @@
+"""The soak's own parts: its oracle notices, its proxy does what it says."""
+
+import asyncio
+
+import pytest
+
+from mimosastile_standins import fault_proxy
+from mimosastile_standins import platform_target
+from mimosastile_standins import soak_oracle
+
+FAULTS = fault_proxy.LinkFault
+
+
+def _outcome(status, attempt="a1", **fields):
+    defaults = {
+        "repeatable": False,
+        "at": 1.0,
+        "vm": "vm-1",
+        "body": f"t-1 ran {attempt}".encode(),
+    }
+    return soak_oracle.Outcome(attempt, status=status, **(defaults | fields))
+
+
+def _ran(*attempts):
+    return [platform_target.Run(a, None, "t-1", 1.0) for a in attempts]
+
+
+class _Holder:
+    """A target that holds some keys."""
+
+    def __init__(self, name, *spans):
+        self.id = name
+        self._spans = list(spans)
+
+    def spans(self):
+        """Returns what it holds."""
+        return self._spans
+
+
+class TestOracle:
+    """Each broken promise is noticed, and nothing else is."""
+
+    @pytest.mark.parametrize(
+        ("outcome", "runs", "wrong"),
+        [
+            (_outcome(200), ["a1"], 0),
+            (_outcome(0), ["a1"], 0),
+            (_outcome(502), ["a1"], 0),
+            (_outcome(200), ["a1", "a1"], 1),
+            (_outcome(200, repeatable=True), ["a1", "a1"], 0),
+            (_outcome(503), [], 0),
+            (_outcome(503), ["a1"], 1),
+            (_outcome(429), ["a1"], 1),
+            (_outcome(503, repeatable=True), ["a1"], 0),
+            (_outcome(200, body=b"t-1 ran a2"), ["a1"], 1),
+            (_outcome(200, body=b"t-1 ran"), ["a1"], 1),
+            (_outcome(200, echoed="a2"), ["a1"], 1),
+            (_outcome(0, planned=True), ["a1"], 1),
+            (_outcome(0, planned=True), [], 0),
+        ],
+    )
+    def test_outcomes(self, outcome, runs, wrong):
+        """Twice, refused and run, another's answer, cut by a stop."""
+        oracle = soak_oracle.SoakOracle()
+        oracle.runs.extend(_ran(*runs))
+        oracle.ended(outcome)
+        oracle.finish()
+        assert len(oracle.wrong) == wrong
+
+    @pytest.mark.parametrize(
+        ("other", "wrong"),
+        [((10, 19), 0), ((9, 19), 1), ((0, 9), 1), ((3, 4), 1)],
+    )
+    def test_two_owners(self, other, wrong):
+        """Two targets hold one key at the same time."""
+        oracle = soak_oracle.SoakOracle()
+        oracle.check_owners([_Holder("x", (0, 9)), _Holder("y", other)])
+        assert len(oracle.wrong) == wrong
+
+    def test_served_share(self):
+        """Only attempts of the time asked for count."""
+        oracle = soak_oracle.SoakOracle()
+        for at, status in ((1.0, 503), (2.0, 200), (2.5, 503), (3.0, 503)):
+            oracle.ended(_outcome(status, at=at, repeatable=True))
+        assert oracle.served_share(2.0, 3.0) == 0.5
+
+
+class TestProxy:
+    """What a link does to what crosses it."""
+
+    @pytest.mark.parametrize(
+        ("fault", "arrives", "answered", "ended"),
+        [
+            (FAULTS.NONE, True, True, False),
+            (FAULTS.DELAY, True, True, False),
+            (FAULTS.SILENT, False, False, False),
+            (FAULTS.CUT_THERE, False, False, False),
+            (FAULTS.CUT_BACK, True, False, False),
+            (FAULTS.RESET, False, False, True),
+        ],
+    )
+    def test_open_connection(self, fault, arrives, answered, ended):
+        """A fault begins while a connection is open."""
+
+        async def main():
+            seen = asyncio.Event()
+
+            async def echo(reader, writer):
+                while data := await reader.read(100):
+                    if data == b"two":
+                        seen.set()
+                    writer.write(data)
+                writer.close()
+
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            proxy = fault_proxy.FaultProxy(f"{host}:{port}")
+            host, _, port = (await proxy.start()).rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"one")
+            assert await reader.readexactly(3) == b"one"
+            proxy.set_fault(fault, 0.01)
+            got = await self._exchange(reader, writer)
+            # Healing brings nothing back to a connection that fell silent.
+            proxy.set_fault(FAULTS.NONE)
+            assert (got == b"two") is answered
+            assert (got is not None and not got) is ended
+            assert seen.is_set() is arrives
+            writer.close()
+            await proxy.stop()
+            server.close()
+
+        asyncio.run(main())
+
+    async def _exchange(self, reader, writer):
+        """Returns the answer, empty at the end, None if nothing comes."""
+        try:
+            writer.write(b"two")
+            async with asyncio.timeout(0.3):
+                return await reader.read(3)
+        except TimeoutError:
+            return None
+        except ConnectionError:
+            return b""
