mimosactl trace: the story of one request from several VMs' logs

On-call engineers have logs alone; finding what a target was believed to be, who held the key and whether the store was away took one search each.

--- a/packages/mimosastile-ctl/src/mimosastile_ctl/cli.py
+++ b/packages/mimosastile-ctl/src/mimosastile_ctl/cli.py
@@ -1,5 +1,7 @@
 """Command line of the operators: `mimosactl`."""
 
+from collections.abc import Iterator
+import itertools
 import os
 import sys
 from typing import Any
@@ -15,6 +17,7 @@
 from mimosastile_ctl import _session
 from mimosastile_ctl import _short_hands
 from mimosastile_ctl import _submit
+from mimosastile_ctl import _trace
 
 _BLOCKS = list[tables.Block]
 _MEMBERS = dict[str, administration.MemberView]
@@ -154,6 +157,35 @@
         """Prints the state of the daemon, as JSON."""
         _printing.json(self._session.read(_ANYTHING, "/v1/dump"))
 
+    def trace(self, attempt: str, *files: str) -> None:
+        """Prints the story of one request from the logs of several VMs.
+
+        Args:
+            attempt: Identifier of the caller's attempt.
+            *files: Logs as the daemons wrote them; none for standard input.
+        """
+        texts = itertools.chain.from_iterable(map(_lines_of, files or ("-",)))
+        lines, unreadable = _trace.read(texts)
+        told = _trace.story(lines, attempt)
+        if unreadable:
+            _printing.note(f"{unreadable} lines are no log lines; left out")
+        if not told:
+            _session.end(
+                f"No line names the attempt {attempt}.",
+                _session.EXIT_NOT_FOUND,
+            )
+        if self._session.json:
+            _printing.json(told)
+            return
+        began = told[0].time
+        _printing.table(
+            ("seconds", "vm", "part", "event", "detail"),
+            (
+                (f"{x.time - began:.3f}", x.vm, x.part, x.event, x.detail)
+                for x in told
+            ),
+        )
+
     def audit(self, limit: int = 20) -> None:
         """Prints who was refused what, newest first."""
         entries = self._session.read(_ENTRIES, "/v1/audit", limit=limit)
@@ -226,18 +258,39 @@
         )
 
 
+def _lines_of(name: str) -> Iterator[str]:
+    """Yields the lines of a file, of standard input for `-`."""
+    if name == "-":
+        yield from sys.stdin
+        return
+    try:
+        with open(name, encoding="utf-8", errors="replace") as file:
+            yield from file
+    except OSError as error:
+        _session.end(f"{name}: {error.strerror}", _session.EXIT_FAILED)
+
+
 def _quoted(text: str) -> str:
     return parse.quote(text, safe="")
 
 
 # Fire takes 1_000 for a number; a key, a name or a reason is what was typed.
-_TEXTS = ("service", "key", "target", "member", "name", "fingerprint")
+_TEXTS = (
+    "attempt",
+    "service",
+    "key",
+    "target",
+    "member",
+    "name",
+    "fingerprint",
+)
 for _command in (
     Commands.table,
     Commands.owner,
     Commands.explain,
     Commands.move,
     Commands.drain,
+    Commands.trace,
     QuarantineCommands.clear,
     _short_hands.ServiceCommands.create,
     _short_hands.LimitCommands.set,
