A successor reads the tables after its claim is in the store

Its claim took 0.8 s over a full link; until it arrived the former leader moved keys. The successor then gave orders by the older table.

Change: leader's entry, claim, and only then all tables. The number of calls is the same but for a single read. Both tests fail before it.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -54,6 +54,8 @@
 _RESIGN_AFTER = 0.8
 """Seconds without the store after which a VM that reaches it is asked to take
 over: long enough for one lost packet, short against the length of a grant."""
+_READ_TRIES = 5
+"""How often a new leader tries to read the tables before it gives up."""
 _JOIN_LIMIT = 8
 """Joins in one change; each needs one grant more."""
 _JOIN_EVERY = 2.0
@@ -204,11 +206,10 @@
             self._taking = False
 
     async def _take_over(self, why: str) -> bool:
-        listed = await self._store.list(messages.STORE_PREFIX)
-        if isinstance(listed, result.Err):
+        read = await self._store.read(messages.LEADER_KEY)
+        if isinstance(read, result.Err):
             return False
-        items = {item.key: item for item in listed.ok_value.items}
-        former = items.get(messages.LEADER_KEY)
+        former = read.ok_value
         known = self._decoded_leader(former)
         believed = self._beliefs.leader
         if known and believed and known.epoch > believed.epoch:
@@ -229,6 +230,12 @@
         revision = await self._write_leader(entry, former)
         if not revision:
             return False
+        # Only now: until this entry was there the former leader went on
+        # changing tables, and orders by an older table would carry fences that
+        # targets have had, and take keys from their owners.
+        items = await self._read_all()
+        if items is None or items[messages.LEADER_KEY].revision != revision:
+            return False
         self._authority = leadership.Authority(self._settings.leader.authority)
         self._authority.confirm(asked)
         self._begin(entry, revision, items)
@@ -245,6 +252,17 @@
         )
         return True
 
+    async def _read_all(self) -> dict[str, ports.Item] | None:
+        """Returns everything in the store; None if it stays silent."""
+        for _ in range(_READ_TRIES):
+            listed = await self._store.list(messages.STORE_PREFIX)
+            if isinstance(listed, result.Ok):
+                items = {item.key: item for item in listed.ok_value.items}
+                if messages.LEADER_KEY in items:
+                    return items
+            await asyncio.sleep(self._settings.store.retry_least)
+        return None
+
     async def _write_leader(
         self, entry: leadership.LeaderEntry, former: ports.Item | None
     ) -> int:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -209,6 +209,9 @@
     Attributes:
         failing: What calls answer instead, None for all being well.
         loses: Whether commits are made and not answered.
+        slow_claims: Seconds for which commits without a table are on their
+            way.
+        failing_lists: How many of the next lists are not answered.
         items: Values and revisions by key.
         commits: How many were made.
     """
@@ -216,6 +219,8 @@
     def __init__(self):
         self.failing = None
         self.loses = False
+        self.slow_claims = 0.0
+        self.failing_lists = 0
         self.items = {}
         self.commits = 0
         self._revision = 1
@@ -237,6 +242,9 @@
         await asyncio.sleep(0.005)
         if self.failing:
             return result.Err(self.failing)
+        if self.failing_lists:
+            self.failing_lists -= 1
+            return result.Err(UNAVAILABLE)
         found = tuple(
             self._item(k) for k in sorted(self.items) if k.startswith(prefix)
         )
@@ -252,6 +260,8 @@
     async def commit(self, expected, writes, deleted=()):
         """Writes under a condition."""
         await asyncio.sleep(0.005)
+        if not any("table" in write.key for write in writes):
+            await asyncio.sleep(self.slow_claims)
         if self.failing:
             return result.Err(self.failing)
         for key, revision in expected.items():
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -119,6 +119,53 @@
 
         virtual.run(main())
 
+    def test_table_changes_while_another_one_takes_over(self):
+        """A successor's claim takes a second on its way to the store.
+
+        The former leader changes the table until the claim is there. By the
+        table from before, the successor would give targets fences that are too
+        low, and keys to targets that have handed them over.
+        """
+
+        async def main():
+            store, orders, (one, two) = _world("vm-1", "vm-2")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            store.slow_claims = 1.0
+            taking = asyncio.create_task(two.leading.take_over("test"))
+            await asyncio.sleep(0.2)
+            one.beliefs.lose_target("a")
+            version = _stored(store).version
+            await _until(lambda: _stored(store).version > version)
+            assert await taking
+            tables = two.leading.dump()["tables"]
+            assert tables["s"]["version"] == _stored(store).version
+            await asyncio.sleep(4.0)
+            assert orders.clashes == []
+            two.leading.step_down("end")
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_tables_cannot_be_read_at_once(self):
+        """The store answers the claim and then falls silent for a moment.
+
+        The successor goes on asking: whoever took over after it would meet
+        the same store.
+        """
+
+        async def main():
+            store, orders, (one, two) = _world("vm-1", "vm-2")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            store.failing_lists = 3
+            assert await two.leading.take_over("test")
+            assert two.leading.dump()["tables"]
+            two.leading.step_down("end")
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
     def test_successor_renews_in_time(self):
         """The leader dies; no key is without its owner meanwhile."""
 
