One message at a time to each VM, and one per zone across links

Change: one message under way to a VM, with 2 s; what happens meanwhile goes into the next. In another zone one VM passes it on. Answers to reports are small again; whoever missed a message hears all with the next answer. A VM that has lost its leader leaves the configuration alone for a second.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -319,7 +319,7 @@
     ) -> http_server.Outgoing:
         path = incoming.target.decode("latin-1")
         try:
-            answer = self._answer_peer(path, incoming.body)
+            answer = await self._answer_peer(path, incoming.body)
         except msgspec.DecodeError as error:
             self._events.write(
                 "peers", "message_unreadable", path=path, why=str(error)
@@ -329,7 +329,9 @@
             return http_server.Outgoing(404)
         return http_server.Outgoing(200, _JSON, messages.encode(answer))
 
-    def _answer_peer(self, path: str, body: bytes) -> msgspec.Struct | None:
+    async def _answer_peer(
+        self, path: str, body: bytes
+    ) -> msgspec.Struct | None:
         if path == messages.REPORT_PATH:
             report = messages.decode(body, messages.Report)
             return self._leading.take_report(report)
@@ -337,6 +339,10 @@
             told = messages.decode(body, messages.ReportReply)
             self._peers.take_push(told)
             return messages.Taken()
+        if path == messages.RELAY_PATH:
+            return await self._peers.relay(
+                messages.decode(body, messages.Relay)
+            )
         if path == messages.HEARD_PATH:
             return self._peers.heard()
         return None
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -164,7 +164,9 @@
         self._clock = timer
         self._events = log
         self._casualties = casualties.Casualties()
-        self._telling = telling.Telling(configured.vm.id, calls, known, timer)
+        self._telling = telling.Telling(
+            configured.vm.id, configured.vm.zone, calls, known, timer, log
+        )
         self._alive_at: dict[str, float] = {}
         self._authority = leadership.Authority(configured.leader.authority)
         self._entry: leadership.LeaderEntry | None = None
@@ -450,7 +452,7 @@
                 keyed.granting.missed(miss.key, miss.target)
         self._telling.take(report)
         fresh = self._telling.fresh()
-        lacking = self._telling.lacking(report)
+        lacking = self._telling.answer(report)
         totals = self._busy(fresh, report)
         return messages.ReportReply(
             self._entry,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -38,6 +38,7 @@
 REPORT_PATH = "/report"
 ASSIGN_PATH = "/assign"
 HEARD_PATH = "/heard"
+RELAY_PATH = "/relay"
 
 
 class VmEntry(msgspec.Struct, frozen=True):
@@ -223,6 +224,28 @@
     """
 
 
+class Relay(msgspec.Struct, frozen=True):
+    """What a leader tells several VMs of a zone through one of them.
+
+    Attributes:
+        told: The encoded message, for its receiver as well.
+        addresses: The other VMs that it is for.
+    """
+
+    told: bytes
+    addresses: tuple[str, ...]
+
+
+class Relayed(msgspec.Struct, frozen=True):
+    """What became of a message for several VMs.
+
+    Attributes:
+        missed: Addresses of those that did not answer.
+    """
+
+    missed: tuple[str, ...] = ()
+
+
 class Heard(msgspec.Struct, frozen=True):
     """What a VM knows of the leader.
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -30,6 +30,9 @@
 _CALL_SECONDS = 0.4
 """Longest wait for a peer: the way to the far region and back, sixteen times,
 or one lost packet that is sent again."""
+_RELAY_SECONDS = 0.8
+"""Longest wait for a VM of the same zone that a leader's message is passed on
+to: what a hundred kilobytes take on a small link, eight times."""
 _KEYS_PER_REPORT = 256
 """Keys in one report; beyond that they are a sample."""
 _FACTOR_NEWS = 0.1
@@ -334,7 +337,7 @@
         silent = self._clock.now() - self._heard_at
         leader = self._beliefs.leader
         if leader is not None or silent > _START_GRACE:
-            self._follow_store(True)
+            self._follow_store(True, hurried=False)
         if leader is None or leader.vm == self._settings.vm.id:
             # Nobody leads, or an earlier run of this daemon did.
             await self._replace_leader(silent + self._settings.leader.suspect)
@@ -400,10 +403,10 @@
         )
         self._follow_store(chosen or not reply.store)
 
-    def _follow_store(self, follows: bool) -> None:
+    def _follow_store(self, follows: bool, *, hurried: bool = True) -> None:
         """Has this VM follow the store itself, or rely on its leader."""
         self._follows_store = follows
-        self._watching.rely_on_leader(not follows)
+        self._watching.rely_on_leader(not follows, hurried=hurried)
 
     def _works(self) -> dict[str, float]:
         """Returns the mean work of each keyed service's own routes."""
@@ -472,6 +475,27 @@
         if told.leading and told.leader == leader:
             self._take_told(told)
 
+    async def relay(self, relay: messages.Relay) -> messages.Relayed:
+        """Takes what a leader tells a zone, and passes it on in the zone."""
+        self.take_push(messages.decode(relay.told, messages.ReportReply))
+        answers = await asyncio.gather(
+            *(
+                self._calls.call(
+                    address, messages.ASSIGN_PATH, relay.told, _RELAY_SECONDS
+                )
+                for address in relay.addresses
+            )
+        )
+        return messages.Relayed(
+            tuple(
+                address
+                for address, answer in zip(
+                    relay.addresses, answers, strict=True
+                )
+                if answer is None
+            )
+        )
+
     # Replacing a leader.
 
     async def _replace_leader(self, silent: float) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
@@ -1,8 +1,10 @@
 """What a leader tells VMs: all that they lack, as little as that can be."""
 
 import asyncio
+from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
+from typing import Any
 
 import msgspec
 
@@ -10,6 +12,7 @@
 from mimosastile_core.gateway import leadership
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
+from mimosastile_gateway import events
 from mimosastile_gateway import messages
 from mimosastile_gateway import peer_calls
 
@@ -22,20 +25,60 @@
 _PAUSE = 0.02
 """Seconds for which changes of an assignment are gathered before VMs are told:
 a change of many ranges is granted within some of them."""
-_CALL_SECONDS = 0.4
+_CALL_SECONDS = 2.0
+"""Longest wait for a VM's answer. Breaking off sooner and beginning again
+would fill a narrow link with what nobody gets to read."""
+_RELAY_LEAST = 3
+"""VMs of another zone from which one passes a message on to the others."""
 _KEPT = 64
 """Earlier assignments kept, to tell VMs what has changed since; a VM that is
 further behind gets the whole."""
 
 
-class _Reported:
-    """The last report of a VM."""
+class _Vm:
+    """What a VM knows, and how it is told more.
 
-    __slots__ = ("at", "report")
+    Attributes:
+        report: Its last report, with what it has been told since.
+        at: When it reported.
+        telling: Whether a message is on its way to it.
+        missed: Whether the last one got lost; it then hears all with the
+            answer to its report, if anything reaches it.
+        answered: Whether it was told so.
+    """
+
+    __slots__ = ("answered", "at", "missed", "report", "telling")
 
     def __init__(self, report: messages.Report, at: float) -> None:
         self.report = report
         self.at = at
+        self.telling = False
+        self.missed = False
+        self.answered = False
+
+
+class _Known(msgspec.Struct, frozen=True):
+    """What a message makes its receiver know.
+
+    Attributes:
+        versions: Of assignments, by service.
+        seen: Store revision up to which it knows all registrations.
+        configuration: Version of the configuration.
+    """
+
+    versions: dict[str, assignments.Version]
+    seen: int
+    configuration: int
+
+
+class _Batch:
+    """VMs that lack the same."""
+
+    __slots__ = ("body", "vms")
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+        self.vms: list[_Vm] = []
 
 
 class Lacking(msgspec.Struct, frozen=True):
@@ -58,41 +101,54 @@
 
 
 class Telling:
-    """Keeps what VMs reported, and tells them what is new."""
+    """Keeps what VMs reported, and tells them what is new.
+
+    Each VM has one message at most on its way, and what happens meanwhile goes
+    into the next one: a VM behind a full link gets fewer and larger ones. In
+    another zone one VM gets a message and passes it on to the others.
+    """
 
     __slots__ = (
         "_beliefs",
         "_calls",
         "_clock",
         "_entry",
+        "_events",
         "_here",
-        "_reports",
         "_tasks",
         "_told",
+        "_vms",
         "_wanted",
+        "_zone",
     )
 
     def __init__(
         self,
         here: str,
+        zone: str,
         calls: peer_calls.PeerCalls,
         known: beliefs.Beliefs,
         timer: clock.Clock,
+        log: events.Events,
     ) -> None:
         """Makes one that tells nobody.
 
         Args:
             here: Identifier of this VM.
+            zone: Its availability zone.
             calls: The way to peers.
             known: What this VM believes.
             timer: The clock.
+            log: Where it logs.
         """
         self._here = here
+        self._zone = zone
         self._calls = calls
         self._beliefs = known
         self._clock = timer
+        self._events = log
         self._entry: leadership.LeaderEntry | None = None
-        self._reports: dict[str, _Reported] = {}
+        self._vms: dict[str, _Vm] = {}
         self._told: dict[
             tuple[str, tuple[int, ...]], assignments.Assignment
         ] = {}
@@ -112,13 +168,13 @@
                 store by itself meanwhile.
         """
         self._entry = entry
-        self._reports = {}
+        self._vms = {}
         self._told = {}
         self._keep(asyncio.create_task(self._tell_on(), name="tell"))
         body = messages.encode(messages.ReportReply(entry, leading=True))
         for vm in vms:
             if vm.id != self._here:
-                self._send(vm.address, body)
+                self._start(self._announce(vm, body))
 
     def stop(self) -> None:
         """Tells nobody any more."""
@@ -128,15 +184,23 @@
 
     def take(self, report: messages.Report) -> None:
         """Takes a VM's report."""
-        self._reports[report.vm.id] = _Reported(report, self._clock.now())
+        now = self._clock.now()
+        vm = self._vms.get(report.vm.id)
+        if vm is None:
+            vm = self._vms[report.vm.id] = _Vm(report, now)
+        if vm.answered:
+            vm.missed = vm.answered = False
+        vm.report = report
+        vm.at = now
+        self._wanted.set()
 
     def fresh(self) -> dict[str, messages.Report]:
         """Returns the reports that still count, by VM."""
         now = self._clock.now()
         return {
-            name: reported.report
-            for name, reported in self._reports.items()
-            if now - reported.at < _REPORT_FRESH
+            name: vm.report
+            for name, vm in self._vms.items()
+            if now - vm.at < _REPORT_FRESH
         }
 
     def publish(self, present: assignments.Assignment) -> None:
@@ -149,6 +213,18 @@
         while len(self._told) > _KEPT:
             del self._told[next(iter(self._told))]
 
+    def answer(self, report: messages.Report) -> Lacking:
+        """Returns what a VM hears with the answer to its report.
+
+        Usually nothing: answers are then small and quick, and a VM whose
+        leader is slow to answer takes it for lost.
+        """
+        vm = self._vms.get(report.vm.id)
+        if vm is None or not vm.missed:
+            return Lacking((), (), None)
+        vm.answered = True
+        return self.lacking(report)
+
     def lacking(self, report: messages.Report) -> Lacking:
         """Returns what a VM does not know by its report."""
         whole, changed = self._newer_than(report.versions)
@@ -175,42 +251,98 @@
         return tuple(whole), tuple(changed)
 
     async def _tell_on(self) -> None:
-        """Tells VMs at once what they would hear with their next report."""
+        """Tells VMs what they lack, as soon as they lack it."""
         while True:
             await self._wanted.wait()
             await asyncio.sleep(_PAUSE)
             self._wanted.clear()
-            bodies: dict[bytes, bytes] = {}
-            for report in self.fresh().values():
-                if report.vm.id != self._here:
-                    self._tell(report, bodies)
-
-    def _tell(
-        self, report: messages.Report, bodies: dict[bytes, bytes]
-    ) -> None:
-        """Tells one VM what it lacks.
+            for zone, batch in self._batches():
+                if zone == self._zone or len(batch.vms) < _RELAY_LEAST:
+                    for vm in batch.vms:
+                        self._start(self._tell(batch.body, vm))
+                else:
+                    self._start(self._relay(batch))
+
+    def _batches(self) -> list[tuple[str, _Batch]]:
+        """Returns, by zone, VMs that lack the same, and what it is."""
+        now = self._clock.now()
+        bodies: dict[bytes, bytes] = {}
+        batches: dict[tuple[str, bytes], _Batch] = {}
+        for vm in self._vms.values():
+            report = vm.report
+            stale = now - vm.at >= _REPORT_FRESH
+            if stale or vm.telling or vm.missed or report.vm.id == self._here:
+                continue
+            known = msgspec.json.encode(
+                (report.versions, report.seen, report.configuration)
+            )
+            if known not in bodies:
+                # Most VMs know the same; what they lack is worked out once.
+                bodies[known] = self._message(self.lacking(report))
+            if bodies[known]:
+                batch = batches.setdefault(
+                    (report.vm.zone, known), _Batch(bodies[known])
+                )
+                batch.vms.append(vm)
+        return [(zone, batch) for (zone, _), batch in batches.items()]
+
+    async def _tell(self, body: bytes, vm: _Vm) -> None:
+        """Tells one VM what it lacks."""
+        told = self._begin_telling([vm])
+        answer = await self._calls.call(
+            vm.report.vm.address, messages.ASSIGN_PATH, body, _CALL_SECONDS
+        )
+        self._end_telling([vm], told, missed=answer is None)
 
-        Args:
-            report: What the VM knows.
-            bodies: Messages of this round by what their receivers know; most
-                VMs know the same, and what they lack is worked out once.
-        """
-        known = msgspec.json.encode(
-            (report.versions, report.seen, report.configuration)
+    async def _relay(self, batch: _Batch) -> None:
+        """Tells VMs of one zone what they lack, through the best of them."""
+        first, *others = sorted(
+            batch.vms, key=lambda vm: (vm.report.vm.order, vm.report.vm.id)
         )
-        body = bodies.get(known)
-        if body is None:
-            body = bodies[known] = self._message(self.lacking(report))
-        if not body:
-            return
-        # If this is lost, the VM's next report says what it really has.
-        self._reports[report.vm.id].report = msgspec.structs.replace(
-            report,
-            versions=self._beliefs.versions(),
-            seen=self._beliefs.seen,
-            configuration=self._beliefs.version,
+        told = self._begin_telling(batch.vms)
+        addresses = tuple(vm.report.vm.address for vm in others)
+        body = messages.encode(messages.Relay(batch.body, addresses))
+        answer = await self._calls.call(
+            first.report.vm.address, messages.RELAY_PATH, body, _CALL_SECONDS
         )
-        self._send(report.vm.address, body)
+        missed = self._missed(answer, {first.report.vm.address, *addresses})
+        for vm in batch.vms:
+            lost = vm.report.vm.address in missed
+            self._end_telling([vm], told, missed=lost)
+
+    def _missed(self, answer: bytes | None, everyone: set[str]) -> set[str]:
+        """Returns the addresses that a message did not reach."""
+        if answer is None:
+            return everyone
+        try:
+            return set(messages.decode(answer, messages.Relayed).missed)
+        except msgspec.DecodeError as error:
+            self._events.write("leader", "relay_unreadable", why=str(error))
+            return everyone
+
+    def _begin_telling(self, vms: Iterable[_Vm]) -> _Known:
+        for vm in vms:
+            vm.telling = True
+        known = self._beliefs
+        return _Known(known.versions(), known.seen, known.version)
+
+    def _end_telling(
+        self, vms: Iterable[_Vm], told: _Known, *, missed: bool
+    ) -> None:
+        for vm in vms:
+            vm.telling = False
+            vm.missed = missed
+            if not missed:
+                vm.report = msgspec.structs.replace(
+                    vm.report,
+                    versions=told.versions,
+                    seen=max(vm.report.seen, told.seen),
+                    configuration=max(
+                        vm.report.configuration, told.configuration
+                    ),
+                )
+        # More may have happened meanwhile.
+        self._wanted.set()
 
     def _message(self, lacking: Lacking) -> bytes:
         """Returns the message with what VMs lack, empty for nothing."""
@@ -226,16 +358,15 @@
             )
         )
 
-    def _send(self, address: str, body: bytes) -> None:
-        # A VM that does not hear it asks with its next report.
-        self._keep(
-            asyncio.create_task(
-                self._calls.call(
-                    address, messages.ASSIGN_PATH, body, _CALL_SECONDS
-                )
-            )
+    async def _announce(self, vm: messages.VmEntry, body: bytes) -> None:
+        # A VM that does not hear it finds the leader in the store.
+        await self._calls.call(
+            vm.address, messages.ASSIGN_PATH, body, _CALL_SECONDS
         )
 
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        self._keep(asyncio.create_task(work))
+
     def _keep(self, task: asyncio.Task[object]) -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -14,6 +14,9 @@
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
 
+_PATIENCE = 1.2
+"""Seconds, by half more or less, for which a VM that has lost its leader leaves
+the configuration alone: another one leads after about a second."""
 _RETRY_WAIT = 0.5
 """Longest wait in seconds of a watch that follows a failed one: it shows soon
 whether the store is back."""
@@ -33,6 +36,7 @@
         "_beliefs",
         "_clock",
         "_events",
+        "_hurried",
         "_needed",
         "_records",
         "_settings",
@@ -55,10 +59,11 @@
         self._beliefs = known
         self._clock = timer
         self._events = log
+        self._hurried = True
         self._needed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
-    def rely_on_leader(self, relies: bool) -> None:
+    def rely_on_leader(self, relies: bool, *, hurried: bool = True) -> None:
         """Rests while a leader tells what the store holds, or goes on.
 
         Each waiting watch is a call that is paid for, and their number would
@@ -67,7 +72,12 @@
 
         Args:
             relies: Whether the leader's news are fresh.
+            hurried: Whether to go on at once. A configuration is hundreds of
+                kilobytes, and when a leader is lost all VMs turn to the store
+                at the same moment; most hear the next leader sooner than they
+                would have read it.
         """
+        self._hurried = hurried
         if relies:
             self._needed.clear()
         else:
@@ -120,7 +130,7 @@
         """
         lost = False
         while True:
-            await self._needed.wait()
+            await self._turn(prefix)
             if lost or not seen():
                 listed(await self._list(prefix))
             await self._follow_from(prefix, seen, changed)
@@ -145,7 +155,7 @@
         """Follows changes until the store has dropped their history."""
         failures = 0
         while True:
-            await self._needed.wait()
+            await self._turn(prefix)
             revision = seen()
             wait = self._settings.watch_wait if not failures else _RETRY_WAIT
             brought = await self._store.watch(prefix, revision, wait)
@@ -178,6 +188,17 @@
                 self._beliefs.note_store(ok=False, why=why)
             await asyncio.sleep(self._pause(failures))
 
+    async def _turn(self, prefix: str) -> None:
+        """Waits until this VM has to look for itself."""
+        while True:
+            await self._needed.wait()
+            large = prefix == self._records.configuration_key
+            if self._hurried or not large:
+                return
+            await asyncio.sleep(_PATIENCE * (0.5 + self._clock.random()))
+            if self._needed.is_set():
+                return
+
     def _pause(self, failures: int) -> float:
         """Returns the wait after some failures in a row, in seconds."""
         longest = self._settings.retry_least * 2.0 ** min(failures - 1, 8)
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -410,7 +410,8 @@
         """The leader's own view of the store stands still.
 
         A target leaves; a VM that follows the store as well tells the leader,
-        and every other VM hears of it with its next report.
+        and every other VM hears of it: one that no message reaches, with the
+        answer to its report.
         """
 
         async def main():
@@ -421,6 +422,8 @@
                 0, 9, (messages.TargetNews(leaving, 9, False, 0.0),)
             )
             one.leading.take_report(two.report(news=news))
+            one.leading.take_report(two.report(seen=5))
+            await asyncio.sleep(0.1)
             reply = one.leading.take_report(two.report(seen=5))
             told = {n.target.id: n.target.leaving for n in reply.news.targets}
             assert told == {"a": True}
--- a/tests/gateway/test_telling.py
+++ b/tests/gateway/test_telling.py
@@ -20,16 +20,30 @@
 
     def __init__(self):
         self.sent = []
+        self.relayed = []
+        self.dead = set()
+        self.slow = 0.0
 
     async def call(self, address, path, body, timeout):
         """Keeps one message."""
+        await asyncio.sleep(self.slow)
+        if address in self.dead:
+            return None
+        addresses = (address,)
+        if path == messages.RELAY_PATH:
+            relay = messages.decode(body, messages.Relay)
+            self.relayed.append(address)
+            addresses = (address, *relay.addresses)
+            body = relay.told
         told = messages.decode(body, messages.ReportReply)
-        self.sent.append((address, told))
-        return b"{}"
+        reached = [a for a in addresses if a not in self.dead]
+        self.sent.extend((a, told) for a in reached)
+        missed = tuple(a for a in addresses if a in self.dead)
+        return messages.encode(messages.Relayed(missed))
 
 
-def _vm(name):
-    return messages.VmEntry(name, "b", f"{name}:1", "z")
+def _vm(name, zone="z"):
+    return messages.VmEntry(name, "b", f"{name}:1", zone)
 
 
 def _play(scenario):
@@ -37,7 +51,7 @@
         timer = fakes.VirtualClock()
         known = fakes.known(timer, fakes.Lines(), fakes.target("a"))
         calls = Calls()
-        made = telling.Telling("vm-1", calls, known, timer)
+        made = telling.Telling("vm-1", "z", calls, known, timer, fakes.Lines())
         made.begin(ENTRY, [_vm("vm-1"), _vm("vm-2"), _vm("vm-3")])
         await asyncio.sleep(0.1)
         await scenario(made, known, calls)
@@ -122,3 +136,91 @@
             assert not lacking.assignments
 
         _play(scenario)
+
+
+class TestRelay:
+    """VMs of another zone."""
+
+    def test_one_passes_it_on(self):
+        """A configuration grows by a thousand routes.
+
+        Sent to every VM beyond a narrow link by itself, it would take seconds,
+        and requests that cross the link would wait as long.
+        """
+
+        async def scenario(made, known, calls):
+            for number in range(9):
+                vm = _vm(f"far-{number}", "far")
+                made.take(messages.Report(vm, True))
+            await asyncio.sleep(0.2)
+            assert len(calls.relayed) == 1
+            reached = {address for address, _ in calls.sent}
+            assert {f"far-{n}:1" for n in range(9)} < reached
+
+        _play(scenario)
+
+    def test_lost_relay(self):
+        """The VM that should pass it on is dead.
+
+        Each of the others hears all with the answer to its next report.
+        """
+
+        async def scenario(made, known, calls):
+            calls.dead = {"far-0:1"}
+            reports = [
+                messages.Report(_vm(f"far-{n}", "far"), True) for n in range(4)
+            ]
+            for report in reports:
+                made.take(report)
+                assert made.answer(report).nothing
+            await asyncio.sleep(0.2)
+            answers = [made.answer(report) for report in reports]
+            assert all(answer.news for answer in answers)
+            calls.dead.clear()
+            calls.sent.clear()
+            made.take(reports[1])
+            await asyncio.sleep(0.1)
+            assert [address for address, _ in calls.sent] == ["far-1:1"]
+
+        _play(scenario)
+
+    def test_one_of_them_missed_it(self):
+        """The message reaches all but one."""
+
+        async def scenario(made, known, calls):
+            calls.dead = {"far-2:1"}
+            reports = [
+                messages.Report(_vm(f"far-{n}", "far"), True) for n in range(4)
+            ]
+            for report in reports:
+                made.take(report)
+            await asyncio.sleep(0.2)
+            heard = [made.answer(report).nothing for report in reports]
+            assert heard == [True, True, False, True]
+
+        _play(scenario)
+
+
+class TestSlowLink:
+    """A VM behind a full link."""
+
+    def test_one_message_at_a_time(self):
+        """The configuration changes ten times while one message travels.
+
+        Sending each version by itself would fill the link further with what
+        is old when it arrives. The VM gets two messages, and knows all then.
+        """
+
+        async def scenario(made, known, calls):
+            calls.sent.clear()
+            calls.slow = 1.0
+            made.take(messages.Report(_vm("vm-2"), True))
+            for version in range(2, 12):
+                await asyncio.sleep(0.05)
+                known.take_configuration(routes.Configuration(version))
+            await asyncio.sleep(3.0)
+            told = [told for _, told in calls.sent]
+            assert len(told) == 2
+            assert told[-1].news.change.version == 11
+
+        _play(scenario)
