--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -70,6 +70,7 @@
         "_events",
         "_forwarding",
         "_inner",
+        "_lag",
         "_leading",
         "_metrics",
         "_observed",
@@ -105,7 +106,7 @@
         self._events = log or events.Events(vm.id)
         self._clock = timer or clock.Clock()
         self._pool = http_client.Pool(configured.requests.silent)
-        self._metrics = metrics.Metrics()
+        self._metrics = metrics.Metrics(self._events.counts)
         self._beliefs = beliefs.Beliefs(configured, self._clock, self._events)
         store = adapter.store(self._pool)
         calls = peer_calls.PeerCalls(self._pool, self._events)
@@ -167,6 +168,7 @@
         self.callers_address = ""
         self._stopping = False
         self._trim: asyncio.Task[None] | None = None
+        self._lag = 0.0
 
     @property
     def ready(self) -> bool:
@@ -280,7 +282,10 @@
 
     async def _trim_on(self) -> None:
         while True:
+            asked = self._clock.now()
             await asyncio.sleep(_TRIM_SECONDS)
+            # A sample: a loop that is busy shows it in most of them.
+            self._lag = self._clock.now() - asked - _TRIM_SECONDS
             self._pool.trim(_IDLE_MOST)
             known = [entry.target.id for entry in self._beliefs.directory]
             self._rooms.forget_except(known)
@@ -299,14 +304,7 @@
         self, incoming: http_server.Incoming
     ) -> http_server.Outgoing:
         if incoming.target == b"/metrics":
-            known = self._beliefs
-            configuration = known.configuration
-            version = configuration.version if configuration else 0
-            self._metrics.gauge("configuration_version", version)
-            self._metrics.gauge("ready", self.ready)
-            self._metrics.gauge("leading", self._leading.leading)
-            self._metrics.gauge("store_reached", known.store_ok)
-            self._metrics.gauge("log_lines_dropped", self._events.dropped)
+            self._set_gauges()
             text = self._metrics.text().encode()
             return http_server.Outgoing(200, _TEXT, text)
         if incoming.target == b"/state":
@@ -314,6 +312,26 @@
             return http_server.Outgoing(200, _JSON, body)
         return http_server.Outgoing(404)
 
+    def _set_gauges(self) -> None:
+        known = self._beliefs
+        own = self._rooms.own()
+        gauges = {
+            "configuration_version": max(known.version, 0),
+            "ready": self.ready,
+            "leading": self._leading.leading,
+            "store_reached": known.store_ok,
+            "log_lines_dropped": self._events.dropped,
+            "connections_opened": self._pool.opened,
+            "requests_under_way": sum(own.values()),
+            "targets_in_use": len(own),
+            "targets_known": sum(1 for _ in known.directory),
+            "vms_known": self._peers.count,
+            "loop_lag_seconds": round(self._lag, 4),
+            "processor_seconds": round(time.process_time(), 3),
+        }
+        for name, value in gauges.items():
+            self._metrics.gauge(name, value)
+
     async def _peer_call(
         self, incoming: http_server.Incoming
     ) -> http_server.Outgoing:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/events.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/events.py
@@ -5,6 +5,8 @@
 that has stopped must not stop the daemon.
 """
 
+import collections
+from collections.abc import Mapping
 import os
 import sys
 import time
@@ -32,7 +34,7 @@
 class Events:
     """Writes what the daemon decides and comes to believe."""
 
-    __slots__ = ("_buckets", "_descriptor", "_dropped", "_vm")
+    __slots__ = ("_buckets", "_counts", "_descriptor", "_dropped", "_vm")
 
     def __init__(self, vm: str, descriptor: int | None = None) -> None:
         """Makes a log.
@@ -43,6 +45,9 @@
         """
         self._vm = vm
         self._buckets: dict[str, _Bucket] = {}
+        self._counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._dropped = 0
         if descriptor is None:
             descriptor = sys.stdout.fileno()
@@ -54,6 +59,11 @@
         """Lines that standard output did not take."""
         return self._dropped
 
+    @property
+    def counts(self) -> Mapping[tuple[str, str], int]:
+        """Events by part and name, also those whose lines were left out."""
+        return self._counts
+
     def write(self, part: str, event: str, **fields: Any) -> None:
         """Writes one line unless its event has used its tokens up.
 
@@ -62,6 +72,7 @@
             event: What happened, a fixed word for each kind of line.
             **fields: The inputs and the outcome.
         """
+        self._counts[part, event] += 1
         bucket = self._take(event)
         if bucket is None:
             return
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterator
+from collections.abc import Mapping
 
 from hdrh import histogram
 
@@ -13,9 +14,18 @@
 class Metrics:
     """Counts of outcomes and times by route and outcome."""
 
-    __slots__ = ("_counts", "_gauges", "_times")
+    __slots__ = ("_counts", "_events", "_gauges", "_times")
 
-    def __init__(self) -> None:
+    def __init__(
+        self, counted: Mapping[tuple[str, str], int] | None = None
+    ) -> None:
+        """Makes empty metrics.
+
+        Args:
+            counted: Events of the log by part and name, counted by the log;
+                whatever the daemon decides or comes to believe is one.
+        """
+        self._events = counted if counted is not None else {}
         self._counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -58,6 +68,10 @@
                 value = times.get_value_at_percentile(quantile)
                 labels = f'outcome="{outcome}",quantile="{quantile / 100:g}"'
                 yield f"{name}{{{labels}}} {value}"
+        name = "mimosastile_events_total"
+        yield f"# TYPE {name} counter"
+        for (part, event), count in sorted(self._events.items()):
+            yield f'{name}{{part="{part}",event="{event}"}} {count}'
         for gauge, value in sorted(self._gauges.items()):
             yield f"# TYPE mimosastile_{gauge} gauge"
             yield f"mimosastile_{gauge} {value:g}"
