Settings are read again when their file changes; bounds apply at once

Cause: SIGHUP had them read and compared, and nothing applied; a file that changed without a signal was not noticed.

Change: the file is looked at once a second; the platform's bounds are replaced in the object that all parts hold; what has to wait for the next start is named in the log.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -90,6 +90,11 @@
         self._grace = grace
         self._late_grace = late_grace
 
+    def set_grace(self, grace: float, late_grace: float) -> None:
+        """Changes both for targets that leave or vanish from now on."""
+        self._grace = grace
+        self._late_grace = late_grace
+
     def __iter__(self) -> Iterator[Entry]:
         """Yields all entries."""
         return iter(self._entries.values())
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -17,6 +17,9 @@
 
 _FORGET_SECONDS = 30.0
 """A vanished target is remembered this long, so that orders can reach it."""
+_DRAIN_SHARE = 0.9
+"""Part of the time within which a leaving target must get no new work; the
+rest covers requests that are on their way."""
 _LATE_SHARE = 0.25
 """Part of the grace that is left when a vanishing is found by comparing lists,
 which follows a silence of the watch of up to a second and a half."""
@@ -72,7 +75,7 @@
         log: events.Events,
     ) -> None:
         """Makes beliefs of a VM that knows nothing yet."""
-        grace = configured.bounds.drain * 0.9
+        grace = configured.bounds.drain * _DRAIN_SHARE
         self._clock = timer
         self._events = log
         self._changed = asyncio.Event()
@@ -90,6 +93,11 @@
         self.store_ok = False
         self.store_since = 0.0
 
+    def set_drain(self, seconds: float) -> None:
+        """Changes how long a leaving target may get work."""
+        grace = seconds * _DRAIN_SHARE
+        self.directory.set_grace(grace, grace * _LATE_SHARE)
+
     @property
     def configuration(self) -> routes.Configuration | None:
         """The configuration in force, None before the first one."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -33,6 +33,9 @@
 """Thresholds of the garbage collector's generations: requests leave few
 cycles, and each run of it walks through everything."""
 _IDLE_MOST = 5.0
+_FILE_SECONDS = 1.0
+"""Seconds between two looks whether the settings file has changed; half of the
+time within which changes of the configuration have to be in force."""
 _JSON = ((b"content-type", b"application/json"),)
 _TEXT = ((b"content-type", b"text/plain; version=0.0.4"),)
 
@@ -249,6 +252,31 @@
             server.abort()
         self._pool.close()
 
+    def take_settings(self, new: settings.GatewaySettings) -> None:
+        """Takes settings that were read again.
+
+        The platform's bounds apply at once. Addresses and the rest take effect
+        with the next start: connections and listeners stand on them.
+
+        Args:
+            new: The settings.
+        """
+        held = self._settings
+        changed = [
+            name
+            for name in held.__struct_fields__
+            if getattr(held, name) != getattr(new, name)
+        ]
+        if "bounds" in changed:
+            held.bounds = new.bounds
+            self._beliefs.set_drain(new.bounds.drain)
+        self._events.write(
+            "daemon",
+            "settings_read",
+            changed=changed,
+            at_next_start=[name for name in changed if name != "bounds"],
+        )
+
     def log_dump(self) -> None:
         """Writes the state dump to the log."""
         self._events.write("daemon", "state", state=self.dump())
@@ -366,14 +394,20 @@
         return None
 
 
-async def run(daemon: Daemon, reload: Callable[[], None]) -> None:
+async def run(
+    daemon: Daemon,
+    reload: Callable[[], None],
+    stamp: Callable[[], int],
+) -> None:
     """Runs a daemon until SIGTERM or SIGINT, then stops it gracefully.
 
-    SIGHUP has the settings read again; SIGUSR1 writes the state to the log.
+    SIGHUP has the settings read again, and so has a change of their file;
+    SIGUSR1 writes the state to the log.
 
     Args:
         daemon: The daemon.
         reload: Reads the settings again.
+        stamp: Returns a number that changes with their file.
     """
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
@@ -382,8 +416,22 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, daemon.log_dump)
     await daemon.start()
+    following = asyncio.create_task(_follow_file(reload, stamp))
     gc.collect()
     gc.freeze()
     gc.set_threshold(_COLLECT_AFTER, _YOUNG, _OLD)
     await ended.wait()
+    following.cancel()
     await daemon.stop()
+
+
+async def _follow_file(
+    reload: Callable[[], None], stamp: Callable[[], int]
+) -> None:
+    known = stamp()
+    while True:
+        await asyncio.sleep(_FILE_SECONDS)
+        found = stamp()
+        if found != known:
+            known = found
+            reload()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -199,8 +199,12 @@
     reserve: Positive = 0.4
 
 
-class GatewaySettings(_Strict, frozen=True):
-    """All settings of a gateway daemon."""
+class GatewaySettings(msgspec.Struct, forbid_unknown_fields=True):
+    """All settings of a gateway daemon.
+
+    All parts of a daemon hold the same object. A section is replaced as a
+    whole when the settings change, so whoever looks into it sees the new one.
+    """
 
     vm: VmSettings
     store: StoreSettings
