When all VMs start at once they read little over the link between regions

Change: VMs stand under a prefix of their own and are read, as of some seconds ago, by whoever is about to replace a leader; tables are compressed; a VM that has been told by a leader reads nothing; one that knows nothing yet waits 1 to 3 s for a leader.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -329,22 +329,26 @@
         self._tasks = [
             asyncio.create_task(self._plan_on(), name="plan"),
             asyncio.create_task(self._confirm_on(), name="confirm"),
+            asyncio.create_task(self._announce(), name="announce"),
         ]
-        self._telling.begin(entry, self._registered(items))
+        self._telling.begin(entry)
         self._published()
 
+    async def _announce(self) -> None:
+        """Has all registered VMs told who leads."""
+        listed = await self._store.list(messages.VM_PREFIX, stale=True)
+        if isinstance(listed, result.Ok):
+            self._telling.announce(self._registered(listed.ok_value.items))
+
     def _registered(
-        self, items: Mapping[str, ports.Item]
+        self, items: Iterable[ports.Item]
     ) -> Iterable[messages.VmEntry]:
-        """Yields the VMs that are registered in the store."""
-        for key, item in items.items():
-            if not key.startswith(messages.VM_PREFIX):
-                continue
+        for item in items:
             try:
                 yield msgspec.json.decode(item.value, type=messages.VmEntry)
             except msgspec.DecodeError as error:
                 self._events.write(
-                    "leader", "vm_unreadable", key=key, why=str(error)
+                    "leader", "vm_unreadable", key=item.key, why=str(error)
                 )
 
     def _unsure(self, former: leadership.LeaderEntry | None) -> tuple[str, ...]:
@@ -362,8 +366,8 @@
 
     def _decoded_table(self, item: ports.Item) -> ranges.RangeTable | None:
         try:
-            return msgspec.json.decode(item.value, type=ranges.RangeTable)
-        except msgspec.DecodeError as error:
+            return messages.decode(item.value, ranges.RangeTable)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             self._events.write(
                 "leader", "table_unreadable", key=item.key, why=str(error)
             )
@@ -862,7 +866,7 @@
             messages.LEADER_KEY: self._revision,
             key: keyed.revision,
         }
-        write = ports.Write(key, msgspec.json.encode(table))
+        write = ports.Write(key, messages.encode(table))
         asked = self._clock.boot()
         written = await self._store.commit(expected, (write,))
         if self._entry is not entry:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -15,7 +15,8 @@
 
 STORE_PREFIX = "mimosastile/"
 LEADER_KEY = STORE_PREFIX + "leader"
-VM_PREFIX = STORE_PREFIX + "vm/"
+VM_PREFIX = "mimosastile-vm/"
+"""Apart from the rest, which every VM reads when it starts."""
 TABLE_PREFIX = STORE_PREFIX + "table/"
 
 _T = TypeVar("_T")
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -37,10 +37,10 @@
 """Keys in one report; beyond that they are a sample."""
 _FACTOR_NEWS = 0.1
 """Change of a target's speed that a leader is told of."""
-_START_GRACE = 1.5
-"""Seconds after its start for which a VM waits for a leader before it reads
-the store by itself: at a first start one is found within that, and its news
-cost no call."""
+_START_GRACE = 2.0
+"""Seconds after its start, by half more or less, for which a VM waits for a
+leader before it reads the store by itself. When all VMs start at once one leads
+within a second, and its news are a tenth of what the store would tell each."""
 _ASKED_PEERS = 3
 """Peers asked whether they hear the leader before it is replaced."""
 
@@ -69,6 +69,7 @@
         "_rooms",
         "_session",
         "_settings",
+        "_start_grace",
         "_store",
         "_store_seconds",
         "_tasks",
@@ -109,6 +110,7 @@
         self._events = log
         self._address = configured.vm.peers
         self._session = 0
+        self._start_grace = _START_GRACE
         self._store_seconds = 0.0
         self._heard_at = float("-inf")
         self._keys: dict[str, list[int]] = collections.defaultdict(list)
@@ -151,6 +153,7 @@
     def start(self) -> None:
         """Registers this VM and begins to report."""
         self._heard_at = self._clock.now()
+        self._start_grace = _START_GRACE * (0.5 + self._clock.random())
         self._tasks = [
             asyncio.create_task(self._register(), name="register"),
             asyncio.create_task(self._report_on(), name="report"),
@@ -265,43 +268,55 @@
         if isinstance(written, result.Err):
             return False
         self._session = session
-        await self.read_store()
+        if self._news_version < 0:
+            # No leader has told this VM anything yet.
+            await self.read_store()
         return True
 
     async def read_store(self) -> bool:
-        """Reads leader, VMs and tables from the store."""
+        """Reads leader and tables from the store."""
         listed = await self._store.list(messages.STORE_PREFIX)
         if isinstance(listed, result.Err):
             self._beliefs.note_store(ok=False, why=listed.err_value.detail)
             return False
         self._beliefs.note_store(ok=True)
-        vms: dict[str, messages.VmEntry] = {}
         for item in listed.ok_value.items:
-            self._take_item(item, vms)
-        self._beliefs.vms = vms
+            self._take_item(item)
         return True
 
-    def _take_item(
-        self, item: ports.Item, vms: dict[str, messages.VmEntry]
-    ) -> None:
+    async def _read_vms(self) -> None:
+        """Reads which VMs are registered, as of some seconds ago."""
+        listed = await self._store.list(messages.VM_PREFIX, stale=True)
+        if isinstance(listed, result.Err):
+            return
+        vms = {}
+        for item in listed.ok_value.items:
+            try:
+                entry = msgspec.json.decode(item.value, type=messages.VmEntry)
+                vms[entry.id] = entry
+            except msgspec.DecodeError as error:
+                self._refuse(item, error)
+        self._beliefs.vms = vms
+
+    def _take_item(self, item: ports.Item) -> None:
         try:
             if item.key == messages.LEADER_KEY:
                 self._take_leader(
                     msgspec.json.decode(item.value, type=leadership.LeaderEntry)
                 )
-            elif item.key.startswith(messages.VM_PREFIX):
-                entry = msgspec.json.decode(item.value, type=messages.VmEntry)
-                vms[entry.id] = entry
             elif item.key.startswith(messages.TABLE_PREFIX):
-                table = msgspec.json.decode(item.value, type=ranges.RangeTable)
+                table = messages.decode(item.value, ranges.RangeTable)
                 every = {part.piece for part in table.ranges}
                 self._beliefs.take_assignment(
                     assignments.of_table(table, (0, table.version), every)
                 )
-        except msgspec.DecodeError as error:
-            self._events.write(
-                "peers", "entry_unreadable", key=item.key, why=str(error)
-            )
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self._refuse(item, error)
+
+    def _refuse(self, item: ports.Item, error: Exception) -> None:
+        self._events.write(
+            "peers", "entry_unreadable", key=item.key, why=str(error)
+        )
 
     def _take_leader(self, entry: leadership.LeaderEntry) -> None:
         if self._beliefs.take_leader(entry):
@@ -336,7 +351,8 @@
         """Does what a VM does whose leader was not heard just now."""
         silent = self._clock.now() - self._heard_at
         leader = self._beliefs.leader
-        if leader is not None or silent > _START_GRACE:
+        grace = 0.0 if self._beliefs.seen else self._start_grace
+        if silent > grace:
             self._follow_store(True, hurried=False)
         if leader is None or leader.vm == self._settings.vm.id:
             # Nobody leads, or an earlier run of this daemon did.
@@ -506,6 +522,8 @@
         """
         limit = self._settings.leader.suspect
         if self._beliefs.leader is None:
+            if silent > limit and not self._beliefs.vms:
+                await self._read_vms()
             wait = self._turn_wait(None)
             if silent < limit + wait:
                 return
@@ -516,6 +534,7 @@
             if self._clock.now() - self._heard_at < limit:
                 # The store named another one just now.
                 return
+            await self._read_vms()
             wait = self._turn_wait(leader)
             if silent < limit + wait or await self._others_hear(leader):
                 return
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
@@ -127,8 +127,16 @@
     ) -> result.Result[Item | None, errors.Failure]:
         """Reads one key; None if it does not exist."""
 
-    async def list(self, prefix: str) -> result.Result[Listing, errors.Failure]:
-        """Reads all keys with a prefix."""
+    async def list(
+        self, prefix: str, *, stale: bool = False
+    ) -> result.Result[Listing, errors.Failure]:
+        """Reads all keys with a prefix.
+
+        Args:
+            prefix: Beginning of the keys.
+            stale: Whether an answer that is seconds old will do, which is
+                cheaper.
+        """
 
     async def watch(
         self, prefix: str, after: int, wait: float
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
@@ -156,22 +156,23 @@
         self._tasks: set[asyncio.Task[object]] = set()
         known.subscribe(self._wanted.set)
 
-    def begin(
-        self, entry: leadership.LeaderEntry, vms: Iterable[messages.VmEntry]
-    ) -> None:
-        """Begins to tell, as a leader.
-
-        Args:
-            entry: The leader's entry.
-            vms: All VMs that are registered. They hear at once who leads: each
-                would otherwise go on asking the former leader, and follow the
-                store by itself meanwhile.
-        """
+    def begin(self, entry: leadership.LeaderEntry) -> None:
+        """Begins to tell, as a leader with an entry."""
         self._entry = entry
         self._vms = {}
         self._told = {}
-        self._keep(asyncio.create_task(self._tell_on(), name="tell"))
-        body = messages.encode(messages.ReportReply(entry, leading=True))
+        self._start(self._tell_on())
+
+    def announce(self, vms: Iterable[messages.VmEntry]) -> None:
+        """Tells VMs at once who leads.
+
+        Each would otherwise go on asking the former leader, and follow the
+        store by itself meanwhile.
+
+        Args:
+            vms: All VMs that are registered.
+        """
+        body = messages.encode(messages.ReportReply(self._entry, leading=True))
         for vm in vms:
             if vm.id != self._here:
                 self._start(self._announce(vm, body))
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_demo.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_demo.py
@@ -4,8 +4,6 @@
 import collections
 import time
 
-import msgspec
-
 from mimosastile_core.gateway import ranges
 from mimosastile_gateway import messages
 from mimosastile_standins import _printing
@@ -82,5 +80,5 @@
 
 def _owners(world: platform_world.World) -> set[str]:
     raw = world.store.value(messages.table_key(platform_world.KEYED)) or b""
-    table = msgspec.json.decode(raw, type=ranges.RangeTable)
+    table = messages.decode(raw, ranges.RangeTable)
     return {holder.id for holder in table.holders()}
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -237,7 +237,7 @@
             return result.Err(self.failing)
         return result.Ok(self._item(key))
 
-    async def list(self, prefix):
+    async def list(self, prefix, *, stale=False):
         """Reads all keys with a prefix."""
         await asyncio.sleep(0.005)
         if self.failing:
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -53,7 +53,7 @@
 
 def _stored(store):
     value, _ = store.items[messages.table_key("s")]
-    return msgspec.json.decode(value, type=ranges.RangeTable)
+    return messages.decode(value, ranges.RangeTable)
 
 
 async def _until(condition, seconds=30.0):
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -29,10 +29,10 @@
         self.watches = []
         self.moods = []
 
-    async def list(self, prefix):
+    async def list(self, prefix, *, stale=False):
         """Counts a list."""
         self.lists[prefix] += 1
-        return await super().list(prefix)
+        return await super().list(prefix, stale=stale)
 
     async def watch(self, prefix, after, wait):
         """Notes a watch."""
--- a/tests/gateway/test_world.py
+++ b/tests/gateway/test_world.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections
 
-import msgspec
 import pytest
 
 from mimosastile_core.gateway import ranges
@@ -33,7 +32,7 @@
 
 def _table(world):
     raw = world.store.value(messages.table_key(platform_world.KEYED))
-    return msgspec.json.decode(raw, type=ranges.RangeTable)
+    return messages.decode(raw, ranges.RangeTable)
 
 
 def _ran(world, attempt):
