What a leader changes in tables has a module of its own

No behaviour changes, but a leader now knows all registered VMs from its announcement, by which it judges whether reports are complete.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -13,6 +14,7 @@
 from mimosastile_gateway import clock
 from mimosastile_gateway import events
 from mimosastile_gateway import messages
+from mimosastile_gateway import ports
 from mimosastile_gateway import settings
 
 _FORGET_SECONDS = 30.0
@@ -142,6 +144,19 @@
         self.signal()
         return True
 
+    def take_vms(self, items: Iterable[ports.Item]) -> None:
+        """Takes the list of registered VMs."""
+        vms = {}
+        for item in items:
+            try:
+                entry = msgspec.json.decode(item.value, type=messages.VmEntry)
+                vms[entry.id] = entry
+            except msgspec.DecodeError as error:
+                self._events.write(
+                    "peers", "entry_unreadable", key=item.key, why=str(error)
+                )
+        self.vms = vms
+
     def take_target(self, target: directory.Target) -> None:
         """Takes a target's registration."""
         if self.directory.put(target, self._clock.now()):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -17,27 +17,17 @@
 from mimosastile_core.gateway import heat
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
-from mimosastile_core.gateway import rebalance
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
 from mimosastile_gateway import events
 from mimosastile_gateway import granting
 from mimosastile_gateway import messages
 from mimosastile_gateway import peer_calls
+from mimosastile_gateway import planning
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
 from mimosastile_gateway import telling
 
-_LOST_REST = 3.0
-"""Seconds for which a target that was silent gets no keys."""
-_COLD_SHARE = 0.5
-"""What a target that has just started can carry, against one that is warm."""
-_SETTLE_PAUSE = 0.3
-"""Seconds between changes that only note which targets have let go."""
-_LONE_REST = 4.0
-"""Seconds for which a hot key stays where it was moved. Each move holds its
-requests up, and the speeds of targets are not known so well that a second move
-would gain what it costs."""
 _WATCHERS = 3
 """VMs that follow the store beside the leader."""
 _WATCHERS_IN_TROUBLE = 8
@@ -48,61 +38,11 @@
 it."""
 _DEAL_SECONDS = 0.2
 """How often remainders of dealt room go to other VMs."""
-_WORK_GUESS = 0.1
-"""Seconds of a request while no VM has reported any."""
 _RESIGN_AFTER = 0.8
 """Seconds without the store after which a VM that reaches it is asked to take
 over: long enough for one lost packet, short against the length of a grant."""
 _READ_TRIES = 5
 """How often a new leader tries to read the tables before it gives up."""
-_JOIN_LIMIT = 8
-"""Joins in one change; each needs one grant more."""
-_JOIN_EVERY = 2.0
-_FACTOR_LEAST = 0.3
-_FACTOR_MOST = 8.0
-"""Bounds on how slow or fast a target is taken for."""
-
-
-class _Keyed:
-    """What a leader keeps of one service that is divided by key."""
-
-    __slots__ = (
-        "_lone_at",
-        "_lone_key",
-        "fast",
-        "granting",
-        "revision",
-        "slow",
-        "table",
-    )
-
-    def __init__(
-        self,
-        table: ranges.RangeTable,
-        revision: int,
-        grants: granting.Granting,
-        fast: heat.KeyHeat,
-        slow: heat.KeyHeat,
-    ) -> None:
-        self.table = table
-        self.revision = revision
-        self.granting = grants
-        self.fast = fast
-        self.slow = slow
-        self._lone_key: int | None = None
-        self._lone_at = 0.0
-
-    def note_moves(self, moves: Iterable[ranges.Move], now: float) -> None:
-        """Remembers a single key that has just moved."""
-        for move in moves:
-            if move.first == move.last:
-                self._lone_key = move.first
-                self._lone_at = now
-
-    def settled_key(self, now: float) -> int | None:
-        """Returns a single key that moved too recently to move again."""
-        recent = now - self._lone_at < _LONE_REST
-        return self._lone_key if recent else None
 
 
 class Leading:
@@ -124,15 +64,12 @@
         "_demand",
         "_entry",
         "_events",
-        "_factors_of",
-        "_joined_at",
-        "_lost_until",
         "_orders",
+        "_planner",
         "_revision",
         "_serial",
         "_services",
         "_settings",
-        "_settled_at",
         "_silence",
         "_started",
         "_store",
@@ -173,20 +110,26 @@
         self._revision = 0
         self._serial = 0
         self._demand = demand.Demand(telling.REPORT_FRESH)
-        self._services: dict[str, _Keyed] = {}
-        self._factors_of: dict[str, dict[str, float]] = {}
-        self._lost_until: dict[str, float] = {}
+        self._planner = self._new_planner()
+        self._services: dict[str, planning.Keyed] = {}
         self._silence = granting.Silence(0.0)
         self.address = configured.vm.peers
         self.calm_until = float("-inf")
         self._started = 0.0
         self._store_failing_since: float | None = None
         self._successor = ""
-        self._settled_at = 0.0
-        self._joined_at = 0.0
         self._tasks: list[asyncio.Task[Any]] = []
         self._taking = False
 
+    def _new_planner(self) -> planning.Planner:
+        return planning.Planner(
+            self._settings,
+            self._telling,
+            self._beliefs,
+            self._clock,
+            self._events,
+        )
+
     @property
     def leading(self) -> bool:
         """Whether this VM leads, as far as it knows."""
@@ -307,9 +250,8 @@
         now = self._clock.boot()
         self._entry = entry
         self._revision = revision
-        self._factors_of = {}
+        self._planner = self._new_planner()
         self._demand = demand.Demand(telling.REPORT_FRESH)
-        self._lost_until = {}
         self._successor = ""
         self._store_failing_since = None
         self._started = now
@@ -340,18 +282,8 @@
         """Has all registered VMs told who leads."""
         listed = await self._store.list(messages.VM_PREFIX, stale=True)
         if isinstance(listed, result.Ok):
-            self._telling.announce(self._registered(listed.ok_value.items))
-
-    def _registered(
-        self, items: Iterable[ports.Item]
-    ) -> Iterable[messages.VmEntry]:
-        for item in items:
-            try:
-                yield msgspec.json.decode(item.value, type=messages.VmEntry)
-            except msgspec.DecodeError as error:
-                self._events.write(
-                    "leader", "vm_unreadable", key=item.key, why=str(error)
-                )
+            self._beliefs.take_vms(listed.ok_value.items)
+            self._telling.announce(self._beliefs.vms.values())
 
     def _unsure(self, former: leadership.LeaderEntry | None) -> tuple[str, ...]:
         """Returns the VMs that may still give orders as former leaders."""
@@ -383,7 +315,9 @@
         self._services[table.service] = keyed
         keyed.granting.follow(table)
 
-    def _new_keyed(self, table: ranges.RangeTable, revision: int) -> _Keyed:
+    def _new_keyed(
+        self, table: ranges.RangeTable, revision: int
+    ) -> planning.Keyed:
         configured = self._settings.leader
         now = self._clock.now()
         grants = granting.Granting(
@@ -397,7 +331,7 @@
             self._alive_at,
             self._published,
         )
-        return _Keyed(
+        return planning.Keyed(
             table,
             revision,
             grants,
@@ -440,7 +374,7 @@
         self._beliefs.confirm_configuration(
             report.configuration, report.configuration_seen
         )
-        self._learn_factors(report)
+        self._planner.learn(report)
         for service, keys in report.keys.items():
             keyed = self._services.get(service)
             if keyed is not None:
@@ -617,13 +551,7 @@
         if keyed is None:
             await self._first_table(service, targets, now)
             return
-        table = self._changed_lives(keyed, targets)
-        if table is None:
-            table = self._moved(keyed, targets, now)
-        if table is None:
-            table = self._settled(keyed)
-        if table is None:
-            table = self._joined(keyed)
+        table = self._planner.next_table(keyed, targets, now)
         if table is not None:
             await self._commit(keyed, table)
 
@@ -641,171 +569,16 @@
         waited = self._clock.boot() - self._started
         if now - newest < configured.settle and waited < configured.settle_most:
             return
-        weights = {_holder(t): float(t.slots) for t in targets}
+        weights = {planning.holder(t): float(t.slots) for t in targets}
         table = ranges.initial(service, weights, self._clock.new_id())
         keyed = self._new_keyed(table, 0)
         await self._commit(keyed, table)
 
-    def _changed_lives(
-        self, keyed: _Keyed, targets: list[directory.Target]
-    ) -> ranges.RangeTable | None:
-        """New fences for targets that started again or were silent."""
-        present = {target.id: _holder(target) for target in targets}
-        renewed = {
-            owner: present[owner.id]
-            for owner in keyed.table.holders()
-            if owner.id in present
-            and (
-                present[owner.id] != owner or keyed.granting.needs_fence(owner)
-            )
-        }
-        if not renewed:
-            return None
-        self._events.write(
-            "leader",
-            "refenced",
-            service=keyed.table.service,
-            targets=[holder.id for holder in renewed],
-        )
-        return ranges.refence(keyed.table, renewed, self._clock.new_id())
-
-    def _moved(
-        self, keyed: _Keyed, targets: list[directory.Target], now: float
-    ) -> ranges.RangeTable | None:
-        capacity = self._capacity(targets, now)
-        lost = self._lost(keyed, capacity, now)
-        for holder in lost:
-            capacity.pop(holder, None)
-        fast = keyed.fast.counts(now)
-        slow = keyed.slow.counts(now)
-        moves = rebalance.evacuate(keyed.table, capacity, slow, lost)
-        why = "evacuated"
-        if not moves and not lost and self._hears_others():
-            why = "isolated a hot key"
-            moves = rebalance.isolate(
-                keyed.table,
-                self._rates(capacity, keyed.table.service),
-                {
-                    key: count / self._settings.leader.heat_fast
-                    for key, count in fast.items()
-                },
-                self._settings.balance,
-                keyed.settled_key(now),
-            )
-            if not moves:
-                why = "spread a hot run"
-                moves = rebalance.spread(
-                    keyed.table, capacity, fast, self._settings.balance
-                )
-            if not moves:
-                why = "spread"
-                moves = rebalance.spread(
-                    keyed.table, capacity, slow, self._settings.balance
-                )
-        if not moves:
-            return None
-        keyed.note_moves(moves, now)
-        self._events.write(
-            "leader",
-            "moves",
-            service=keyed.table.service,
-            why=why,
-            lost=[holder.id for holder in lost],
-            moves=[(m.first, m.last, m.to.id) for m in moves],
-            version=keyed.table.version,
-        )
-        return ranges.move(keyed.table, moves, self._clock.new_id())
-
-    def _hears_others(self) -> bool:
-        """Whether reports are complete enough to judge load by them."""
-        fresh = self._telling.fresh()
-        known = len(self._beliefs.vms)
-        return len(fresh) * 2 >= known
-
-    def _capacity(
-        self, targets: Iterable[directory.Target], now: float
-    ) -> dict[ranges.Holder, float]:
-        factors = self._factors()
-        capacity = {}
-        for target in targets:
-            factor = factors.get(target.id, 1.0)
-            factor = min(max(factor, _FACTOR_LEAST), _FACTOR_MOST)
-            able = target.slots / factor
-            if now < target.warm_at:
-                able *= _COLD_SHARE
-            if self._lost_until.get(target.id, 0.0) > now:
-                continue
-            capacity[_holder(target)] = able
-        return capacity
-
-    def _rates(
-        self, capacity: Mapping[ranges.Holder, float], service: str
-    ) -> dict[ranges.Holder, float]:
-        """Returns capacities in requests a second."""
-        reports = self._telling.fresh().values()
-        works = [r.work[service] for r in reports if service in r.work]
-        work = sum(works) / len(works) if works else _WORK_GUESS
-        return {holder: part / work for holder, part in capacity.items()}
-
-    def _learn_factors(self, report: messages.Report) -> None:
-        """Takes what a VM has newly seen of targets' speeds."""
-        known = self._factors_of.setdefault(report.vm.id, {})
-        known.update(report.factors)
-
-    def _factors(self) -> dict[str, float]:
-        """Returns the mean of what VMs say of each target's speed."""
-        fresh = self._telling.fresh()
-        sums: dict[str, list[float]] = {}
-        for vm, factors in self._factors_of.items():
-            if vm in fresh:
-                for target, factor in factors.items():
-                    sums.setdefault(target, []).append(factor)
-        return {t: sum(all_) / len(all_) for t, all_ in sums.items()}
-
-    def _lost(
-        self,
-        keyed: _Keyed,
-        capacity: Mapping[ranges.Holder, float],
-        now: float,
-    ) -> list[ranges.Holder]:
-        """Returns owners that need to be relieved of all keys."""
-        owners = keyed.table.holders()
-        silent = {o for o in owners if keyed.granting.silent(o)}
-        if len(silent) * 2 > len(owners) and len(owners) > 1:
-            # It is this VM that is cut off, not most of the targets.
-            self._events.write(
-                "leader",
-                "most_targets_silent",
-                silent=len(silent),
-                owners=len(owners),
-            )
-            silent = set()
-        for owner in silent:
-            self._lost_until[owner.id] = now + _LOST_REST
-        gone = {o for o in owners if o not in capacity}
-        return sorted(silent | gone, key=lambda holder: holder.id)
-
-    def _settled(self, keyed: _Keyed) -> ranges.RangeTable | None:
-        now = self._clock.now()
-        settled = keyed.granting.settled()
-        if not settled or now - self._settled_at < _SETTLE_PAUSE:
-            return None
-        self._settled_at = now
-        return ranges.settle(keyed.table, settled, self._clock.new_id())
-
-    def _joined(self, keyed: _Keyed) -> ranges.RangeTable | None:
-        now = self._clock.now()
-        if now - self._joined_at < _JOIN_EVERY:
-            return None
-        self._joined_at = now
-        table = ranges.join(keyed.table, _JOIN_LIMIT, self._clock.new_id())
-        if len(table.ranges) == len(keyed.table.ranges):
-            return None
-        return table
-
     # Committing.
 
-    async def _commit(self, keyed: _Keyed, table: ranges.RangeTable) -> bool:
+    async def _commit(
+        self, keyed: planning.Keyed, table: ranges.RangeTable
+    ) -> bool:
         """Writes a table and has it carried out.
 
         Returns:
@@ -843,7 +616,9 @@
                 return False
         return await self._resolve(keyed, table)
 
-    async def _resolve(self, keyed: _Keyed, table: ranges.RangeTable) -> bool:
+    async def _resolve(
+        self, keyed: planning.Keyed, table: ranges.RangeTable
+    ) -> bool:
         """Finds out what became of a commit without an answer.
 
         The write may be carried out later, as long as its condition holds. So
@@ -866,7 +641,7 @@
         return found.commit == table.commit
 
     def _take(
-        self, keyed: _Keyed, table: ranges.RangeTable, revision: int
+        self, keyed: planning.Keyed, table: ranges.RangeTable, revision: int
     ) -> None:
         fresh = keyed.table.next_fence
         stale = {item.owner for item in table.ranges if item.fence < fresh}
@@ -911,10 +686,6 @@
         }
 
 
-def _holder(target: directory.Target) -> ranges.Holder:
-    return ranges.Holder(target.id, target.born, target.address)
-
-
 def _without_settled(
     table: ranges.RangeTable, settled: Mapping[ranges.Piece, Iterable[int]]
 ) -> ranges.RangeTable:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -287,16 +287,8 @@
     async def _read_vms(self) -> None:
         """Reads which VMs are registered, as of some seconds ago."""
         listed = await self._store.list(messages.VM_PREFIX, stale=True)
-        if isinstance(listed, result.Err):
-            return
-        vms = {}
-        for item in listed.ok_value.items:
-            try:
-                entry = msgspec.json.decode(item.value, type=messages.VmEntry)
-                vms[entry.id] = entry
-            except msgspec.DecodeError as error:
-                self._refuse(item, error)
-        self._beliefs.vms = vms
+        if isinstance(listed, result.Ok):
+            self._beliefs.take_vms(listed.ok_value.items)
 
     def _take_item(self, item: ports.Item) -> None:
         try:
@@ -311,12 +303,9 @@
                     assignments.of_table(table, (0, table.version), every)
                 )
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            self._refuse(item, error)
-
-    def _refuse(self, item: ports.Item, error: Exception) -> None:
-        self._events.write(
-            "peers", "entry_unreadable", key=item.key, why=str(error)
-        )
+            self._events.write(
+                "peers", "entry_unreadable", key=item.key, why=str(error)
+            )
 
     def _take_leader(self, entry: leadership.LeaderEntry) -> None:
         if self._beliefs.take_leader(entry):
