--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import zlib
 
 import msgspec
@@ -63,6 +64,7 @@
         "_heard_at",
         "_keys",
         "_leader",
+        "_looked",
         "_misses",
         "_news_seen",
         "_news_version",
@@ -110,6 +112,7 @@
         self._events = log
         self._address = configured.vm.peers
         self._session = 0
+        self._looked = asyncio.Event()
         self._start_grace = _START_GRACE
         self._store_seconds = 0.0
         self._heard_at = float("-inf")
@@ -271,6 +274,7 @@
         if self._news_version < 0:
             # No leader has told this VM anything yet.
             await self.read_store()
+        self._looked.set()
         return True
 
     async def read_store(self) -> bool:
@@ -315,6 +319,13 @@
     # Reports.
 
     async def _report_on(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            # When all VMs have been lost, the leader among them has to lead
+            # again before anyone is served: it begins as soon as it has read
+            # that it was the leader, not an interval later.
+            async with asyncio.timeout(self._settings.leader.report):
+                await self._looked.wait()
+        await self._report_once()
         while True:
             configured = self._settings.leader
             interval = configured.report + configured.report_per_vm * self.count
