A VM reports at once to a new leader

Cause: VMs heard who leads and reported to it with their next interval, 0.2 s later, and only then heard configuration and targets.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/clock.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/clock.py
@@ -34,3 +34,12 @@
     def random(self) -> float:
         """Returns a number from 0 to 1, for jitter alone."""
         return self._random.random()
+
+
+async def wait(event: asyncio.Event, seconds: float) -> None:
+    """Waits for an event, for some seconds at most."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -367,7 +367,9 @@
                 await owner.wake.wait()
                 continue
             if state.due > now:
-                await _wait(owner.wake, max(state.due - now, _TICK_SECONDS))
+                await clock.wait(
+                    owner.wake, max(state.due - now, _TICK_SECONDS)
+                )
                 continue
             if not self._authority.holds(now):
                 self._events.write(
@@ -587,11 +589,3 @@
             for holder, all_ in self._exposures.items()
             if (left := [e for e in all_ if e.until > now])
         }
-
-
-async def _wait(event: asyncio.Event, seconds: float) -> None:
-    try:
-        async with asyncio.timeout(seconds):
-            await event.wait()
-    except TimeoutError:
-        return
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import contextlib
 import zlib
 
 import msgspec
@@ -64,10 +63,10 @@
         "_heard_at",
         "_keys",
         "_leader",
-        "_looked",
         "_misses",
         "_news_seen",
         "_news_version",
+        "_report_due",
         "_rooms",
         "_session",
         "_settings",
@@ -112,7 +111,7 @@
         self._events = log
         self._address = configured.vm.peers
         self._session = 0
-        self._looked = asyncio.Event()
+        self._report_due = asyncio.Event()
         self._start_grace = _START_GRACE
         self._store_seconds = 0.0
         self._heard_at = float("-inf")
@@ -274,7 +273,7 @@
         if self._news_version < 0:
             # No leader has told this VM anything yet.
             await self.read_store()
-        self._looked.set()
+        self._report_due.set()
         return True
 
     async def read_store(self) -> bool:
@@ -315,21 +314,23 @@
         if self._beliefs.take_leader(entry):
             self._heard_at = self._clock.now()
             self._leader.outranked_by(entry)
+            self._report_due.set()
 
     # Reports.
 
     async def _report_on(self) -> None:
-        with contextlib.suppress(TimeoutError):
-            # When all VMs have been lost, the leader among them has to lead
-            # again before anyone is served: it begins as soon as it has read
-            # that it was the leader, not an interval later.
-            async with asyncio.timeout(self._settings.leader.report):
-                await self._looked.wait()
-        await self._report_once()
+        """Reports at intervals, and at once when there is a new leader.
+
+        When all VMs have been lost, nobody is served before one leads again
+        and has heard them; waiting for the next interval each time is half of
+        that.
+        """
         while True:
             configured = self._settings.leader
             interval = configured.report + configured.report_per_vm * self.count
-            await asyncio.sleep(interval * (0.9 + 0.2 * self._clock.random()))
+            interval *= 0.9 + 0.2 * self._clock.random()
+            await clock.wait(self._report_due, interval)
+            self._report_due.clear()
             await self._report_once()
 
     async def _report_once(self) -> None:
