--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -270,8 +270,8 @@
         if isinstance(written, result.Err):
             return False
         self._session = session
-        if self._news_version < 0:
-            # No leader has told this VM anything yet.
+        if self._told_leader is None:
+            # No leader has answered this VM yet.
             await self.read_store()
         self._report_due.set()
         return True
