--- a/Makefile
+++ b/Makefile
@@ -63,5 +63,8 @@
 fuzz: env ## the stateful fuzz over SEEDS seeds
 	$(PY) -m mimosastile_standins fuzz --seeds $(SEEDS) $(ARGS)
 
+soak: env ## real daemons under faults from outside
+	$(PY) -m mimosastile_standins soak $(ARGS)
+
 pages: env ## write the pages that are made from the code
 	$(PY) -m mimosastile_entry.pages docs
