Small news come with the answer to a report while a message may be lost

A connection that has fallen silent shows only after 2 s; what cannot wait, a leaving target or a changed route, does not wait for it. Large news do: they would fill a link that is merely full.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
@@ -28,6 +28,13 @@
 _CALL_SECONDS = 2.0
 """Longest wait for a VM's answer. Breaking off sooner and beginning again
 would fill a narrow link with what nobody gets to read."""
+_SLOW_SECONDS = 0.5
+"""Seconds after which an unanswered message may be lost: far more than the way
+to another region and back, a quarter of the time within which leaving targets
+must get no more work."""
+_SMALL = 50
+"""Routes, targets and key ranges, a hundred bytes each, that the answer to a
+report may hold."""
 _RELAY_LEAST = 3
 """VMs of another zone from which one passes a message on to the others."""
 _KEPT = 64
@@ -42,17 +49,19 @@
         report: Its last report, with what it has been told since.
         at: When it reported.
         telling: Whether a message is on its way to it.
+        since: When that one was sent.
         missed: Whether the last one got lost; it then hears all with the
             answer to its report, if anything reaches it.
         answered: Whether it was told so.
     """
 
-    __slots__ = ("answered", "at", "missed", "report", "telling")
+    __slots__ = ("answered", "at", "missed", "report", "since", "telling")
 
     def __init__(self, report: messages.Report, at: float) -> None:
         self.report = report
         self.at = at
         self.telling = False
+        self.since = 0.0
         self.missed = False
         self.answered = False
 
@@ -94,6 +103,17 @@
     differences: tuple[_Difference, ...]
     news: messages.News | None
 
+    @property
+    def small(self) -> bool:
+        """Whether it fits into a few packets."""
+        news = self.news
+        if self.assignments or (news and news.configuration):
+            return False
+        changed = news.change.routes if news and news.change else ()
+        targets = news.targets if news else ()
+        spans = sum(len(d.spans) for d in self.differences)
+        return len(changed) + len(targets) + spans <= _SMALL
+
     @property
     def nothing(self) -> bool:
         """Whether it knows everything."""
@@ -221,10 +241,18 @@
         leader is slow to answer takes it for lost.
         """
         vm = self._vms.get(report.vm.id)
-        if vm is None or not vm.missed:
-            return Lacking((), (), None)
-        vm.answered = True
-        return self.lacking(report)
+        nothing = Lacking((), (), None)
+        if vm is None:
+            return nothing
+        if vm.missed:
+            vm.answered = True
+            return self.lacking(report)
+        if vm.telling and self._clock.now() - vm.since > _SLOW_SECONDS:
+            # Its connection may have fallen silent; that a target leaves or a
+            # route has changed cannot wait until this is known.
+            lacking = self.lacking(report)
+            return lacking if lacking.small else nothing
+        return nothing
 
     def lacking(self, report: messages.Report) -> Lacking:
         """Returns what a VM does not know by its report."""
@@ -324,6 +352,7 @@
     def _begin_telling(self, vms: Iterable[_Vm]) -> _Known:
         for vm in vms:
             vm.telling = True
+            vm.since = self._clock.now()
         known = self._beliefs
         return _Known(known.versions(), known.seen, known.version)
 
--- a/tests/gateway/test_telling.py
+++ b/tests/gateway/test_telling.py
@@ -225,3 +225,38 @@
             assert told[-1].news.change.version == 11
 
         _play(scenario)
+
+    @pytest.mark.parametrize(("routes_more", "told"), [(3, True), (90, False)])
+    def test_silent_connection(self, routes_more, told):
+        """The connection to a VM has fallen silent without a reset.
+
+        It takes seconds until that shows. Small news that cannot wait come
+        with the answer to the VM's next report; large ones would fill a link
+        that is merely full.
+        """
+
+        async def scenario(made, known, calls):
+            calls.slow = 1.5
+            report = messages.Report(_vm("vm-2"), True, configuration=1)
+            made.take(report)
+            more = tuple(
+                routes.Route(
+                    f"r-{n}",
+                    "h",
+                    f"/{n}/",
+                    routes.RouteKind.DOWNLOAD,
+                    (routes.Part("s"),),
+                    1.0,
+                    0.5,
+                )
+                for n in range(routes_more)
+            )
+            known.take_configuration(
+                routes.Configuration(2, more, known.configuration.services)
+            )
+            await asyncio.sleep(0.3)
+            assert made.answer(report).nothing
+            await asyncio.sleep(0.4)
+            assert made.answer(report).nothing is not told
+
+        _play(scenario)
