A successor waits for grants that its former leader had made longer

When it was back the leader said that all is well, a successor took over at once and reckoned with usual grants: 27.39 s + 2.14 s = 29.53 s, while a target that had answered nothing since held its keys by a longer one.

Change: a leader's answers say until when longer grants, its own and those of leaders before it, may last; a successor waits for that.

Ruled out: releases answered early (repeated ones took 1.1 to 2.1 s, so they wait for work), exposures dropped.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
@@ -49,7 +49,7 @@
 class Authority:
     """How long this VM may go on giving orders as leader."""
 
-    __slots__ = ("_confirmed", "_span")
+    __slots__ = ("_confirmed", "_longer_until", "_span")
 
     def __init__(self, span: float) -> None:
         """Makes one that allows nothing.
@@ -59,6 +59,21 @@
         """
         self._span = span
         self._confirmed = float("-inf")
+        self._longer_until = float("-inf")
+
+    @property
+    def longer_until(self) -> float:
+        """Time at which all grants that were longer than usual have run out.
+
+        An outage of the store ends, and grants are usual ones again; but a
+        target that has answered nothing since still holds its keys by a longer
+        one. A successor has to know that.
+        """
+        return self._longer_until
+
+    def note_longer(self, until: float) -> None:
+        """Notes when a longer grant will have run out."""
+        self._longer_until = max(self._longer_until, until)
 
     @property
     def confirmed(self) -> float:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -46,6 +46,7 @@
         "_formers",
         "_hold",
         "_known",
+        "_longer_until",
         "_most",
         "_until",
     )
@@ -57,6 +58,7 @@
         calm_until: float = float("-inf"),
         hold: float = 0.0,
         most: float = 0.0,
+        longer_until: float = float("-inf"),
     ) -> None:
         """Makes one.
 
@@ -66,8 +68,11 @@
             calm_until: Until when they surely gave usual grants only.
             hold: Seconds of a usual grant.
             most: Seconds of its longest grant.
+            longer_until: When the longer grants that they gave before have
+                run out.
         """
         self._until = until
+        self._longer_until = longer_until
         self._known = until
         self._calm_until = calm_until
         self._hold = hold
@@ -97,7 +102,8 @@
         latest = leadership.lapsed_at(self._until, self._hold)
         calm = self._known <= self._calm_until
         hold = self._hold if calm else self._most
-        return min(latest, leadership.lapsed_at(self._known, hold))
+        known = leadership.lapsed_at(self._known, hold)
+        return min(latest, max(known, self._longer_until))
 
 
 class _Exposure:
@@ -423,6 +429,8 @@
             now = self._clock.boot()
             exposure.until = leadership.lapsed_at(now, hold)
             exposure.until += self._held_up(holder)
+            if hold > configured.hold:
+                self._authority.note_longer(exposure.until)
         current = self._states.get(item.piece) is state
         if isinstance(answer, result.Ok):
             exposure.until = leadership.lapsed_at(now, hold)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -38,6 +38,8 @@
 it."""
 _DEAL_SECONDS = 0.2
 """How often remainders of dealt room go to other VMs."""
+ANSWER_SECONDS = 0.4
+"""Longest time for which an answer to a report may have been on its way."""
 _RESIGN_AFTER = 0.8
 """Seconds without the store after which a VM that reaches it is asked to take
 over: long enough for one lost packet, short against the length of a grant."""
@@ -50,6 +52,8 @@
 
     Attributes:
         address: Where peers reach this VM.
+        longer_until: When grants of the present leader and those before it
+            that were longer than usual have run out, as far as it has said.
         calm_until: Until when the present leader, as far as this VM has heard,
             surely gives no grants longer than usual.
     """
@@ -80,6 +84,7 @@
         "_telling",
         "address",
         "calm_until",
+        "longer_until",
     )
 
     def __init__(
@@ -115,12 +120,25 @@
         self._silence = granting.Silence(0.0)
         self.address = configured.vm.peers
         self.calm_until = float("-inf")
+        self.longer_until = float("-inf")
         self._started = 0.0
         self._store_failing_since: float | None = None
         self._successor = ""
         self._tasks: list[asyncio.Task[Any]] = []
         self._taking = False
 
+    def hear(self, reply: messages.ReportReply) -> None:
+        """Notes what a leader's answer says of the grants it gives."""
+        now = self._clock.boot()
+        self.calm_until = (
+            now
+            + self._settings.leader.trouble_after
+            - reply.confirmed
+            - ANSWER_SECONDS
+        )
+        # Counted from when the answer came, which is later than the truth.
+        self.longer_until = now + reply.longer
+
     def _new_planner(self) -> planning.Planner:
         return planning.Planner(
             self._settings,
@@ -262,6 +280,7 @@
             self.calm_until,
             self._settings.leader.hold,
             self._settings.bounds.hold_most,
+            self.longer_until,
         )
         if not formers:
             # There was none, or its process has ended: this one is the next.
@@ -399,6 +418,7 @@
             self._entry,
             leading=True,
             confirmed=self._clock.boot() - self._authority.confirmed,
+            longer=self._longer_seconds(),
             under_way=self._demand.busy(vm.id, vm.zone, known),
             allowed=self._demand.parts(
                 vm.id,
@@ -420,6 +440,11 @@
             successor=self._successor,
         )
 
+    def _longer_seconds(self) -> float:
+        """Returns how long longer grants may last, former leaders' included."""
+        until = max(self._authority.longer_until, self._silence.lapse)
+        return max(until - self._clock.boot(), 0.0)
+
     def _watchers(
         self, reports: Mapping[str, messages.Report]
     ) -> tuple[str, ...]:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -183,6 +183,8 @@
         leader: The leader as this VM knows it.
         leading: Whether this VM is it.
         confirmed: Seconds since the leader saw its entry in the store.
+        longer: Seconds until grants that were longer than usual, its own and
+            those of leaders before it, have run out.
         under_way: Requests of all other VMs by target.
         allowed: What the reporting VM has of targets that are contended.
         assignments: Those that the reporting VM does not have.
@@ -202,6 +204,7 @@
     leader: leadership.LeaderEntry | None
     leading: bool
     confirmed: float = 0.0
+    longer: float = 0.0
     under_way: dict[str, int] = {}
     allowed: dict[str, room.Part] = {}
     assignments: tuple[_Assignment, ...] = ()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -27,7 +27,7 @@
 
 _SESSION_SHARE = 0.3
 """Part of a lease after which it is renewed: two more tries fit in."""
-_CALL_SECONDS = 0.4
+_CALL_SECONDS = leading.ANSWER_SECONDS
 """Longest wait for a peer: the way to the far region and back, sixteen times,
 or one lost packet that is sent again."""
 _RELAY_SECONDS = 0.8
@@ -467,12 +467,7 @@
         if not reply.leading:
             return
         self._heard_at = now
-        self._leader.calm_until = (
-            self._clock.boot()
-            + self._settings.leader.trouble_after
-            - reply.confirmed
-            - _CALL_SECONDS
-        )
+        self._leader.hear(reply)
         self._vms = reply.vms
         for death in reply.deaths:
             self._casualties.learn(death, now)
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -210,6 +210,66 @@
         virtual.run(main())
 
 
+class TestAfterAnOutage:
+    """Grants that were made longer while the store was away."""
+
+    def test_successor_waits_for_longer_grants(self):
+        """The store was away; it is back, and another VM takes over at once.
+
+        Its leader says that all is well, and it is: it gives usual grants
+        again. But a target that has answered no order since still holds its
+        keys by a longer one, and serves them; a successor that reckons with
+        usual grants gives them to a second target.
+        """
+
+        async def main():
+            store, orders, (one, two) = _world("vm-1", "vm-2")
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            store.failing = fakes.UNAVAILABLE
+            await asyncio.sleep(4.0)
+            orders.dead.add("a")
+            store.failing = None
+            await asyncio.sleep(2.0)
+            reply = one.leading.take_report(two.report())
+            two.leading.hear(reply)
+            assert await two.leading.take_over("test")
+            # The former leader follows the new one and gives no orders.
+            one.leading.step_down("replaced")
+            two.leading.take_report(one.report())
+            await _until(lambda: orders.holders(0) - {"a"} != set(), seconds=60)
+            assert orders.clashes == []
+            two.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_chain_of_successors(self):
+        """The same with a third leader that has only heard the second one."""
+
+        async def main():
+            store, orders, vms = _world("vm-1", "vm-2", "vm-3")
+            one, two, three = vms
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            store.failing = fakes.UNAVAILABLE
+            await asyncio.sleep(4.0)
+            orders.dead.add("a")
+            store.failing = None
+            await asyncio.sleep(2.0)
+            for former, next_one in ((one, two), (two, three)):
+                reply = former.leading.take_report(next_one.report())
+                next_one.leading.hear(reply)
+                assert await next_one.leading.take_over("test")
+                former.leading.step_down("replaced")
+                for vm in vms:
+                    next_one.leading.take_report(vm.report())
+            await _until(lambda: orders.holders(0) - {"a"} != set(), seconds=60)
+            assert orders.clashes == []
+            three.leading.step_down("end")
+
+        virtual.run(main())
+
+
 class TestThirdLeader:
     """Leaders follow each other faster than the first one notices."""
 
