A request whose caller has left is not sent on

When the target rejected it at last, as not run, it went on to the next one.

Change: the caller's leaving is remembered, and nothing is repeated then. The test fails before it (4 arrivals instead of 1).

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -276,6 +276,9 @@
         now = self._clock.now()
         ran = failure.answer.ran is not errors.Ran.NO
         call.maybe_ran = call.maybe_ran or ran
+        if call.incoming.left:
+            # It was not cut off, as it might have run; nobody waits for more.
+            return False
         if failure.kind is errors.ErrorKind.UNREACHABLE:
             # Nothing arrived anywhere, so it is no repeat.
             return now < self._latest_start(call)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -33,9 +33,18 @@
         body: The whole body.
         at: Loop time at which its first byte came.
         cancellable: Whether it is given up when the caller leaves.
+        left: Whether the caller has left.
     """
 
-    __slots__ = ("at", "body", "cancellable", "headers", "method", "target")
+    __slots__ = (
+        "at",
+        "body",
+        "cancellable",
+        "headers",
+        "left",
+        "method",
+        "target",
+    )
 
     def __init__(self, method: str, target: bytes, at: float) -> None:
         self.method = method
@@ -44,6 +53,7 @@
         self.body = b""
         self.at = at
         self.cancellable = True
+        self.left = False
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if there is none."""
@@ -190,6 +200,8 @@
         self._server.closed(self)
         self._queue.clear()
         current = self._current
+        if current is not None:
+            current.left = True
         if self._task is not None and (current is None or current.cancellable):
             self._task.cancel()
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -9,6 +9,8 @@
 
 from mimosastile_gateway import http_server
 
+_LATE_SECONDS = 0.3
+
 
 class Fault(enum.Enum):
     """What a target does instead of answering as it should."""
@@ -17,6 +19,7 @@
     HANG = "hang"
     RESET = "reset"
     SHED = "shed"
+    SHED_LATE = "shed late"
     FAIL = "fail"
     ORDERS_SILENT = "orders silent"
 
@@ -65,6 +68,7 @@
         runs: All runs, shared with other targets by the oracle.
         misdirected: Requests that were meant for another target.
         orders: Orders that it has taken, oldest first.
+        shed: Requests that it rejected late.
     """
 
     __slots__ = (
@@ -85,6 +89,7 @@
         "orders",
         "runs",
         "service",
+        "shed",
     )
 
     def __init__(
@@ -113,6 +118,7 @@
         self.fault = Fault.NONE
         self.orders: list[tuple[str, dict[str, Any]]] = []
         self.misdirected = 0
+        self.shed = 0
         self.born = int(time.time() * 1000)
         self._keyed = keyed
         self._work = work
@@ -202,7 +208,10 @@
         echo = _echo(incoming)
         if self.fault is Fault.HANG:
             await asyncio.Event().wait()
-        if self.fault is Fault.SHED:
+        if self.fault is Fault.SHED_LATE:
+            self.shed += 1
+            await asyncio.sleep(_LATE_SECONDS)
+        if self.fault in (Fault.SHED, Fault.SHED_LATE):
             return http_server.Outgoing(503, (*echo, (b"x-not-executed", b"1")))
         raw = incoming.header(b"x-shard-key")
         key = int(raw) if raw is not None else None
--- a/tests/gateway/test_world.py
+++ b/tests/gateway/test_world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import contextlib
 
 import pytest
 
@@ -208,6 +209,26 @@
 
         _play(scenario, vms=1)
 
+    def test_caller_who_has_left(self):
+        """A letter waits at a full target, and its reader goes away.
+
+        The letter must not be cut off there, as it may run; but when the
+        target rejects it at last, nobody waits for it any more. Sent on, it
+        would take the place of others' letters at one target after the other.
+        """
+
+        async def scenario(world):
+            plain = [t for t in world.targets.values() if t.id[0] == "p"]
+            for target in plain:
+                target.fault = platform_target.Fault.SHED_LATE
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await world.ask("/issue/1", None, method="POST")
+            await asyncio.sleep(1.0)
+            assert sum(target.shed for target in plain) == 1
+
+        _play(scenario, vms=1)
+
 
 class TestVms:
     """Daemons that are lost."""
