The end of a run is shown by its target alone

Cause: a leader took a run for over when its registration had vanished and another identifier was registered at the same address. After a restart behind a cut that other one is the *earlier* run, whose registration a late write of the store brings back; the run that holds the keys then lapses and lives on.

Change: proof is a later start time under the same identifier, or the address itself answering in another name. What this gives up: keys of a target whose address was reused wait for their grant; addresses are reused after two seconds, when that has run out.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -103,8 +103,19 @@
         """Returns the entry of a target, None if it is unknown."""
         return self._entries.get(target)
 
+    def newer_run(self, target: Target) -> Target | None:
+        """Returns the run that came after the one that registers, if any.
+
+        A write to the store that got no answer may be carried out seconds
+        later, when the target has started again under its identifier.
+        """
+        entry = self._entries.get(target.id)
+        if entry is None or entry.target.born <= target.born:
+            return None
+        return entry.target
+
     def put(self, target: Target, now: float) -> bool:
-        """Takes a registration.
+        """Takes a registration; one of an older run changes nothing.
 
         Args:
             target: The target.
@@ -116,6 +127,11 @@
         entry = self._entries.get(target.id)
         if entry is not None and target.revision < entry.revision:
             return False
+        if entry is not None and target.born < entry.target.born:
+            # What the store holds now is the older run's; a removal that
+            # follows is newer than that.
+            entry.revision = target.revision
+            return False
         if entry is None:
             entry = self._entries[target.id] = Entry(target, now)
             fresh = True
@@ -192,6 +208,27 @@
         entry.since = entry.until = now
         return True
 
+    def has_ended(self, target: str, born: int) -> bool:
+        """Whether a run of a target is surely over.
+
+        Only a later run of the same identifier shows that, or the target's
+        own address answering in another name. A registration that vanished
+        does not: its target may be cut off from the store, or leave, and serve
+        on. Neither does another identifier that is registered at the same
+        address: it may be an earlier run's, written late. Believing either
+        would give the target's keys away while it runs requests for them.
+
+        Args:
+            target: Identifier of the target.
+            born: Which run of it.
+        """
+        entry = self._entries.get(target)
+        if entry is None:
+            return False
+        if entry.target.born == born:
+            return entry.standing is Standing.ENDED
+        return entry.target.born > born
+
     def replace(
         self, targets: Iterable[Target], now: float, revision: int = 0
     ) -> list[str]:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -159,6 +159,7 @@
 
     def take_target(self, target: directory.Target) -> None:
         """Takes a target's registration."""
+        self._note_older_run(target)
         if self.directory.put(target, self._clock.now()):
             self._events.write(
                 "targets",
@@ -170,6 +171,18 @@
             )
             self.signal()
 
+    def _note_older_run(self, target: directory.Target) -> None:
+        """Logs a registration of a run that is known to be over."""
+        newer = self.directory.newer_run(target)
+        if newer is not None:
+            self._events.write(
+                "targets",
+                "older_run_registered",
+                target=target.id,
+                born=target.born,
+                known=newer.born,
+            )
+
     def lose_target(self, target: str, revision: int = 0) -> None:
         """Notes that a target's registration has vanished."""
         now = self._clock.now()
@@ -190,6 +203,8 @@
     ) -> None:
         """Takes the whole list of targets, as of a revision of the store."""
         now = self._clock.now()
+        for target in targets:
+            self._note_older_run(target)
         changed = self.directory.replace(targets, now, revision)
         self.seen = max(self.seen, revision)
         self.directory.forget(now, _FORGET_SECONDS)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -8,7 +8,6 @@
 import result
 
 from mimosastile_core import errors
-from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
 from mimosastile_gateway import beliefs
@@ -531,7 +530,7 @@
         while not how:
             now = self._clock.boot()
             lapse = self._lapse(holder, item)
-            if self._run_ended(holder):
+            if self._beliefs.directory.has_ended(holder.id, holder.born):
                 how = "run ended"
             elif now >= lapse:
                 how = "lapsed"
@@ -576,20 +575,6 @@
         # sent since.
         return max((self._silence.lapse, *given))
 
-    def _run_ended(self, holder: ranges.Holder) -> bool:
-        """Whether the platform shows that a run of a target is over."""
-        entry = self._beliefs.directory.get(holder.id)
-        missing = directory.Standing.MISSING
-        if entry is not None and entry.standing is not missing:
-            ended = entry.standing is directory.Standing.ENDED
-            return ended or entry.target.born != holder.born
-        return any(
-            other.target.address == holder.address
-            and other.target.id != holder.id
-            and other.standing is not missing
-            for other in self._beliefs.directory
-        )
-
     def _prune(self) -> None:
         now = self._clock.boot()
         self._exposures = {
