A leader that is cut off from the store asks several VMs to lead

Cause: a leader that did not reach the store asked one VM, by what that VM had said of its way to the store, which may be seconds old, and never another one.

Change: succession.Succession asks three at a time and others after 0.6 s, by a message of its own and not only with the next report; a VM that was asked in vain, or whose lease could not be renewed, says that it does not reach the store; the leader looks twice a second instead of once.

Also: store_regained and started say true times on a daemon that has just started (process_time counts from the machine's start where the processor is shared; getrusage does not).

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -48,7 +48,8 @@
         configuration_seen: Store revision up to which the configuration in
             force is the newest.
         store_ok: Whether the last call to the store was answered.
-        store_since: Loop time since which that is so.
+        store_since: Loop time since which that is so, None before the first
+            answer.
     """
 
     __slots__ = (
@@ -93,7 +94,7 @@
         self.leader_since = 0.0
         self.vms: dict[str, messages.VmEntry] = {}
         self.store_ok = False
-        self.store_since = 0.0
+        self.store_since: float | None = None
 
     def set_drain(self, seconds: float) -> None:
         """Changes how long a leaving target may get work."""
@@ -316,11 +317,12 @@
     def note_store(self, *, ok: bool, why: str = "") -> None:
         """Notes whether a call to the store was answered."""
         now = self._clock.now()
+        since = self.store_since
         if ok != self.store_ok:
             self._events.write(
                 "store",
                 "store_regained" if ok else "store_lost",
-                after=round(now - self.store_since, 3),
+                after=since and round(now - since, 3),
                 why=why,
             )
             self.store_ok = ok
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Callable
 import gc
+import resource
 import signal
-import time
 
 import msgspec
 
@@ -201,7 +201,7 @@
             "daemon",
             "started",
             zone=vm.zone,
-            cpu_ms=round(time.process_time() * 1000),
+            cpu_ms=round(_processor_seconds() * 1000),
         )
 
     async def stop(self) -> None:
@@ -355,7 +355,7 @@
             "targets_known": sum(1 for _ in known.directory),
             "vms_known": self._peers.count,
             "loop_lag_seconds": round(self._lag, 4),
-            "processor_seconds": round(time.process_time(), 3),
+            "processor_seconds": round(_processor_seconds(), 3),
         }
         for name, value in gauges.items():
             self._metrics.gauge(name, value)
@@ -435,3 +435,9 @@
         if found != known:
             known = found
             reload()
+
+
+def _processor_seconds() -> float:
+    """Returns what this process has used of the processor."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return used.ru_utime + used.ru_stime
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -17,6 +17,7 @@
 from mimosastile_core.gateway import heat
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
+from mimosastile_core.gateway import succession
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
 from mimosastile_gateway import events
@@ -78,7 +79,7 @@
         "_started",
         "_store",
         "_store_failing_since",
-        "_successor",
+        "_succession",
         "_tasks",
         "_taking",
         "_telling",
@@ -123,7 +124,7 @@
         self.longer_until = float("-inf")
         self._started = 0.0
         self._store_failing_since: float | None = None
-        self._successor = ""
+        self._succession = succession.Succession()
         self._tasks: list[asyncio.Task[Any]] = []
         self._taking = False
 
@@ -172,6 +173,8 @@
     async def _take_over(self, why: str) -> bool:
         read = await self._store.read(messages.LEADER_KEY)
         if isinstance(read, result.Err):
+            # A leader that is cut off as well then asks another VM.
+            self._beliefs.note_store(ok=False, why=read.err_value.detail)
             return False
         former = read.ok_value
         known = self._decoded_leader(former)
@@ -270,7 +273,7 @@
         self._revision = revision
         self._planner = self._new_planner()
         self._demand = demand.Demand(telling.REPORT_FRESH)
-        self._successor = ""
+        self._succession.clear()
         self._store_failing_since = None
         self._started = now
         formers = entry.unsure
@@ -437,7 +440,7 @@
             deaths=self._casualties.deaths(now),
             watchers=self._watchers(fresh),
             vms=len(fresh),
-            successor=self._successor,
+            take_over=vm.id in self._succession.asked,
         )
 
     def _longer_seconds(self) -> float:
@@ -514,7 +517,7 @@
             return
         self._beliefs.note_store(ok=True)
         self._store_failing_since = None
-        self._successor = ""
+        self._succession.clear()
         entry = self._decoded_leader(read.ok_value)
         if entry is None or entry != self._entry:
             if entry is not None:
@@ -531,24 +534,28 @@
             self._store_failing_since = asked
         if now - self._store_failing_since < _RESIGN_AFTER:
             return
-        if not self._successor and (able := self._strongest()):
-            self._successor = able
+        asked = self._ask_others()
+        if asked:
             self._events.write(
                 "leader",
                 "asks_successor",
-                successor=self._successor,
+                successors=asked,
                 store_silent=round(now - self._store_failing_since, 2),
             )
 
-    def _strongest(self) -> str:
-        """Returns the VM that should lead next, empty if there is none."""
+    def _ask_others(self) -> tuple[str, ...]:
+        """Asks VMs that reach the store to lead; returns the newly asked."""
         able = [
             report.vm
             for report in self._telling.fresh().values()
             if report.store and report.vm.id != self._settings.vm.id
         ]
-        best = min(able, key=lambda vm: (vm.order, vm.id), default=None)
-        return best.id if best else ""
+        able.sort(key=lambda vm: (vm.order, vm.id))
+        asked = self._succession.next(
+            [vm.id for vm in able], self._clock.boot()
+        )
+        self._telling.ask_to_lead(vm for vm in able if vm.id in asked)
+        return asked
 
     # Planning.
 
@@ -686,11 +693,10 @@
         """
         if self._entry is None:
             return
-        able = self._strongest()
-        if not able:
+        asked = self._ask_others()
+        if not asked:
             return
-        self._successor = able
-        self._events.write("leader", "hands_over", successor=self._successor)
+        self._events.write("leader", "hands_over", successors=asked)
         ends = self._clock.now() + seconds
         while self.leading and self._clock.now() < ends:
             await asyncio.sleep(0.05)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -198,7 +198,7 @@
         deaths: What all VMs have reported of such requests.
         watchers: VMs that are asked to follow the store as well.
         vms: How many VMs report.
-        successor: The VM that is asked to take over, empty for none.
+        take_over: Whether the reporting VM is asked to lead.
     """
 
     leader: leadership.LeaderEntry | None
@@ -217,7 +217,7 @@
     deaths: tuple[quarantine.Death, ...] = ()
     watchers: tuple[str, ...] = ()
     vms: int = 0
-    successor: str = ""
+    take_over: bool = False
 
 
 class Taken(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -246,12 +246,15 @@
         if self._session:
             kept = await self._store.keep_session(self._session)
             if isinstance(kept, result.Ok):
+                self._beliefs.note_store(ok=True)
                 return True
             if isinstance(kept.err_value, ports.SessionLost):
                 self._events.write(
                     "peers", "registration_lapsed", session=self._session
                 )
                 self._session = 0
+            else:
+                self._beliefs.note_store(ok=False, why=kept.err_value.detail)
             return False
         asked = self._clock.now()
         opened = await self._store.open_session(self._settings.store.session)
@@ -479,18 +482,25 @@
         self._rooms.learn_allowed(reply.allowed, now)
         self._take_told(reply)
         self._rely(reply)
-        if reply.successor == self._settings.vm.id:
-            task = asyncio.create_task(self._take_over("asked to"))
-            self._tasks.append(task)
-            task.add_done_callback(self._tasks.remove)
+        if reply.take_over:
+            self._take_over_soon()
+
+    def _take_over_soon(self) -> None:
+        """Takes over on the leader's demand."""
+        task = asyncio.create_task(self._take_over("asked to"))
+        self._tasks.append(task)
+        task.add_done_callback(self._tasks.remove)
 
     def take_push(self, told: messages.ReportReply) -> None:
         """Takes assignments that a leader has sent without being asked."""
         if told.leader is not None:
             self._take_leader(told.leader)
         leader = self._beliefs.leader
-        if told.leading and told.leader == leader:
-            self._take_told(told)
+        if not told.leading or told.leader != leader:
+            return
+        self._take_told(told)
+        if told.take_over:
+            self._take_over_soon()
 
     async def relay(self, relay: messages.Relay) -> messages.Relayed:
         """Takes what a leader tells a zone, and passes it on in the zone."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -76,8 +76,9 @@
             Longer than the usual outage of a store, so that an outage costs no
             keys; it is also what a successor that got no word from the leader
             waits before keys of a silent target move.
-        confirm: Between two such looks. Each is a call that is paid for; a
-            second shows an outage before the usual grants run out.
+        confirm: Between two such looks. Each is a call that is paid for. With
+            the timeout of one, a cut is found and another VM leads within two
+            seconds, before the usual grants run out.
         hold: Length of a grant while all is well. The keys of a target that
             died without a word wait for it to run out; a new leader has to
             renew within it.
@@ -112,7 +113,7 @@
     """
 
     authority: Positive = 10.0
-    confirm: Positive = 1.0
+    confirm: Positive = 0.5
     hold: Positive = 2.0
     renew: Positive = 0.5
     order_timeout: Positive = 0.25
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
@@ -197,6 +197,18 @@
             if vm.id != self._here:
                 self._start(self._announce(vm, body))
 
+    def ask_to_lead(self, vms: Iterable[messages.VmEntry]) -> None:
+        """Asks VMs at once to take over.
+
+        Args:
+            vms: The VMs.
+        """
+        body = messages.encode(
+            messages.ReportReply(self._entry, leading=True, take_over=True)
+        )
+        for vm in vms:
+            self._start(self._announce(vm, body))
+
     def stop(self) -> None:
         """Tells nobody any more."""
         self._entry = None
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -310,6 +310,49 @@
         virtual.run(main())
 
 
+class TestPartialCut:
+    """Some VMs are cut off from the store, the leader among them."""
+
+    @pytest.mark.parametrize(("cut", "most"), [(1, 2.0), (2, 2.0), (4, 3.0)])
+    def test_another_one_leads_soon(self, cut, most):
+        """The leader and the VMs that it asks first do not reach the store.
+
+        These have made no call for a while and do not know it. As long as
+        nobody leads that reaches the store, no table changes and the keys of
+        a lost target are refused.
+        """
+
+        async def main():
+            store, orders = fakes.Store(), fakes.Orders()
+            targets = [fakes.target(n) for n in ("a", "b", "c")]
+            clock = fakes.VirtualClock()
+            stores = [fakes.Cut(store) for _ in range(6)]
+            vms = [
+                Vm(f"vm-{i}", stores[i], orders, targets, clock)
+                for i in range(6)
+            ]
+            first, *others = vms
+            await first.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            for cut_off in stores[:cut]:
+                cut_off.failing = fakes.UNAVAILABLE
+            began = virtual.now()
+            while not any(vm.leading.leading for vm in others):
+                await asyncio.sleep(0.2)
+                for vm in others:
+                    if first.leading.take_report(vm.report()).take_over:
+                        await vm.leading.take_over("asked to")
+            assert virtual.now() - began < most
+            await asyncio.sleep(1.0)
+            assert sum(vm.leading.leading for vm in others) == 1
+            assert orders.clashes == []
+            assert _owned(orders, 0)
+            for vm in vms:
+                vm.leading.step_down("end")
+
+        virtual.run(main())
+
+
 class TestStoreTrouble:
     """The store fails a leader."""
 
@@ -396,12 +439,12 @@
             await one.leading.take_over("test")
             await _until(lambda: _owned(orders, 0))
             store.failing = fakes.UNAVAILABLE
-            asked = ""
+            asked = False
             while not asked:
                 await asyncio.sleep(0.2)
                 reply = one.leading.take_report(two.report())
-                asked = reply.successor
-            assert asked == "vm-2"
+                asked = reply.take_over
+            assert one.log.named("asks_successor")[0]["successors"] == ("vm-2",)
             assert reply.store
             for _ in range(20):
                 await asyncio.sleep(0.2)
