--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -534,12 +534,12 @@
             self._store_failing_since = asked
         if now - self._store_failing_since < _RESIGN_AFTER:
             return
-        asked = self._ask_others()
-        if asked:
+        successors = self._ask_others()
+        if successors:
             self._events.write(
                 "leader",
                 "asks_successor",
-                successors=asked,
+                successors=successors,
                 store_silent=round(now - self._store_failing_since, 2),
             )
 
@@ -693,10 +693,10 @@
         """
         if self._entry is None:
             return
-        asked = self._ask_others()
-        if not asked:
+        successors = self._ask_others()
+        if not successors:
             return
-        self._events.write("leader", "hands_over", successors=asked)
+        self._events.write("leader", "hands_over", successors=successors)
         ends = self._clock.now() + seconds
         while self.leading and self._clock.now() < ends:
             await asyncio.sleep(0.05)
