One exact queue for each contended target: a gate admits to it

Hypothesis: a target's ten places dealt out among 67 VMs are part of one each; a VM whose requests for it come now and then has no part when one comes, and refuses it beside free slots with a Retry-After past its deadline.

Change: the leader names a gate for each target that more is wanted of than it has slots: an entry VM in the target's zone. It knows every place in use and who waits, by datagrams of some thirty bytes; requests go from their own VM to the target as before. Order: those that can still be on time, urgent ones first. What cannot be served is refused at once, with the wait of the queue's measured rate. Dealing is gone.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
@@ -8,11 +8,17 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import zlib
 
 import msgspec
 
 from mimosastile_core.gateway import directory
-from mimosastile_core.gateway import room
+
+_ENTER_SHARE = 1.0
+"""Requests at a target, under way and wanted, per slot, above which it gets a
+gate: from then on some of them wait."""
+_LEAVE_SHARE = 0.5
+"""The same below which it loses it."""
 
 
 class _Share(msgspec.Struct):
@@ -32,7 +38,7 @@
 class Demand:
     """Sums over the last reports of all VMs."""
 
-    __slots__ = ("_fresh", "_shares", "_totals", "_under_way", "_wanted")
+    __slots__ = ("_contended", "_fresh", "_shares", "_totals", "_under_way")
 
     def __init__(self, fresh: float) -> None:
         """Makes an empty one.
@@ -43,7 +49,7 @@
         self._fresh = fresh
         self._shares: dict[str, _Share] = {}
         self._under_way: dict[str, int] = {}
-        self._wanted: dict[str, dict[str, int]] = {}
+        self._contended: set[str] = set()
         self._totals: dict[str, int] = {}
 
     def take(
@@ -61,8 +67,6 @@
         self._shares[vm] = _Share(dict(under_way), wanted, now)
         _add(self._under_way, under_way.items())
         _add(self._totals, wanted.items())
-        for target, count in wanted.items():
-            self._wanted.setdefault(target, {})[vm] = count
         self._forget_silent(now)
 
     def busy(
@@ -91,31 +95,46 @@
                 found[name] = count
         return found
 
-    def parts(
+    def gates(
         self,
-        vm: str,
-        waiting: Mapping[str, int],
+        vms: Iterable[tuple[str, str]],
+        regions: Mapping[str, str],
         known: directory.Directory,
-        queue: int,
-        turn: int,
-    ) -> dict[str, room.Part]:
-        """Returns what a VM has of targets that many VMs want.
+    ) -> dict[str, str]:
+        """Returns the VMs that admit requests to contended targets.
+
+        It stands as near to the target as there are VMs. A target stays
+        contended until much less is asked of it, so that VMs do not go back
+        and forth between asking a gate and sending by themselves.
 
         Args:
-            vm: The VM.
-            waiting: What it has waiting, by target.
+            vms: Addresses of those that report, each with its zone.
+            regions: Region of each zone.
             known: The targets.
-            queue: Requests that may wait at a target.
-            turn: Changes with time, so that remainders go round.
         """
-        found = {}
+        able = list(vms)
+        contended = set()
         for name, total in self._totals.items():
             entry = known.get(name)
             if entry is None:
                 continue
-            limit = entry.target.slots + queue
-            if name in waiting or total > limit:
-                found[name] = room.part(vm, self._wanted[name], limit, turn)
+            share = _LEAVE_SHARE if name in self._contended else _ENTER_SHARE
+            if total > entry.target.slots * share:
+                contended.add(name)
+        self._contended = contended
+        found = {}
+        for name in contended:
+            entry = known.get(name)
+            if entry is not None and able:
+                zone = entry.target.zone
+                found[name] = min(
+                    able,
+                    key=lambda vm, zone=zone, name=name: (  # type: ignore[misc]
+                        vm[1] != zone,
+                        regions.get(vm[1]) != regions.get(zone),
+                        zlib.crc32(f"{vm[0]}/{name}".encode()),
+                    ),
+                )[0]
         return found
 
     def _forget_silent(self, now: float) -> None:
@@ -133,11 +152,6 @@
             return
         _add(self._under_way, ((t, -c) for t, c in share.under_way.items()))
         _add(self._totals, ((t, -c) for t, c in share.wanted.items()))
-        for target in share.wanted:
-            wanted = self._wanted[target]
-            del wanted[vm]
-            if not wanted:
-                del self._wanted[target]
 
 
 def _add(sums: dict[str, int], counts: Iterable[tuple[str, int]]) -> None:
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -25,11 +25,9 @@
 _REST_MOST_SECONDS = 4.0
 """How long a target is left alone after it could not be reached; doubles."""
 _EVEN_SHARE = 2.0
-"""How many times its even part a VM may have at a target before its leader
-has dealt the target's room out."""
-_LEAST_SHARE = 0.05
-"""Part of a contended target that a VM is taken to have at least; it has none
-before its leader knows that it has requests for it."""
+"""How many times its even part a VM may have at a target that has no gate."""
+_GATE_REST = 1.0
+"""Seconds for which a gate that did not answer is not asked."""
 _OTHERS_FRESH_SECONDS = 1.5
 """Age up to which counts of other VMs are believed."""
 
@@ -42,6 +40,10 @@
             queue more, but some never answer one that they cannot queue, and
             counts of other VMs are a little old; half of their queue is kept
             free for that.
+        admitted: The same at a target with a gate, whose counts are exact:
+            just enough for no slot to be idle while a place that is given
+            back is on its way to the next request. What waits at the gate
+            instead can still be put in order, refused or sent elsewhere.
         zone_seconds: Handicap of another zone of the same region.
         region_seconds: Handicap of another region.
         zone_bytes_per_second: Bytes to and from another zone cost a second
@@ -55,6 +57,7 @@
     """
 
     queue: int = 6
+    admitted: int = 3
     zone_seconds: float = 0.02
     region_seconds: float = 0.08
     zone_bytes_per_second: float = 1e5
@@ -146,64 +149,6 @@
         self._trouble_at = now
 
 
-def dealt(needs: dict[str, int], limit: int, turn: int) -> dict[str, int]:
-    """Deals the room of a target out among VMs by need.
-
-    VMs see each other's requests only with some delay. When many of them find
-    a target that has room and all send at once, it gets more than it can
-    queue, and some targets never answer those.
-
-    Args:
-        needs: What each VM has under way and waiting there.
-        limit: What may be under way there.
-        turn: Changes with time, so that remainders go round.
-
-    Returns:
-        Requests that each VM may have there; the sum is at most `limit`.
-    """
-    total = sum(needs.values())
-    if total <= limit:
-        return dict(needs)
-    exact = {vm: limit * need / total for vm, need in needs.items()}
-    parts = {vm: math.floor(part) for vm, part in exact.items()}
-    left = limit - sum(parts.values())
-    names = sorted(needs)
-    shift = turn % len(names)
-    turned = names[shift:] + names[:shift]
-    turned.sort(key=lambda vm: parts[vm] > 0)
-    for vm in turned[:left]:
-        parts[vm] += 1
-    return parts
-
-
-class Part(msgspec.Struct, frozen=True, array_like=True):
-    """What one VM has of a contended target.
-
-    Attributes:
-        allowed: Requests that it may have there now.
-        share: The same on average over time; below 1 where there are more VMs
-            than the target has room, and each waits for its turn.
-    """
-
-    allowed: int
-    share: float
-
-
-def part(vm: str, needs: dict[str, int], limit: int, turn: int) -> Part:
-    """Returns what one VM gets of a target's room.
-
-    Args:
-        vm: The VM.
-        needs: What each VM has under way and waiting there.
-        limit: What may be under way there.
-        turn: Changes with time, so that remainders go round.
-    """
-    own = needs.get(vm, 0)
-    total = max(sum(needs.values()), 1)
-    share = min(float(own), limit * own / total)
-    return Part(dealt(needs, limit, turn).get(vm, 0), round(share, 2))
-
-
 class Choice(msgspec.Struct, frozen=True):
     """What was found for a request.
 
@@ -220,12 +165,13 @@
     """Loads of all targets, and the choice among them."""
 
     __slots__ = (
-        "_allowed",
-        "_allowed_at",
+        "_gates",
+        "_gates_at",
         "_here",
         "_loads",
         "_policy",
         "_regions",
+        "_silent_gates",
         "_work",
     )
 
@@ -244,8 +190,9 @@
         self._policy = policy
         self._loads: dict[str, Load] = {}
         self._work: dict[str, tuple[float, float]] = {}
-        self._allowed: dict[str, Part] = {}
-        self._allowed_at = -math.inf
+        self._gates: dict[str, str] = {}
+        self._gates_at = -math.inf
+        self._silent_gates: dict[str, float] = {}
 
     def load(self, target: str) -> Load:
         """Returns what is known of a target."""
@@ -286,31 +233,36 @@
                 load.others = count
                 load.others_at = now
 
-    def learn_allowed(self, allowed: dict[str, Part], now: float) -> None:
-        """Takes what this VM has of contended targets."""
-        self._allowed = allowed
-        self._allowed_at = now
+    def learn_gates(self, gates: dict[str, str], now: float) -> None:
+        """Takes the addresses of VMs that admit to contended targets."""
+        self._gates = gates
+        self._gates_at = now
+
+    def gate(self, target: str, now: float) -> str | None:
+        """Returns who admits to a target, None if it has no gate."""
+        if now - self._gates_at > _OTHERS_FRESH_SECONDS:
+            return None
+        found = self._gates.get(target)
+        if found is None or self._silent_gates.get(found, -math.inf) > now:
+            return None
+        return found
+
+    def gate_silent(self, gate: str, now: float) -> None:
+        """Notes that a gate did not answer."""
+        self._silent_gates[gate] = now + _GATE_REST
 
     def turn_seconds(
-        self, target: directory.Target, route: str, guess: float, now: float
+        self, target: directory.Target, route: str, guess: float
     ) -> float:
-        """Returns how often this VM gets a turn at a full target, in seconds.
+        """Returns how soon this VM gets a turn at a full target without gate.
 
-        A target runs `slots` requests at a time for all VMs together, and
-        this VM's part of them is its part of what may be under way there.
-        With a hundred VMs that want one key it is a few turns a minute, and a
-        request that is kept for one is kept in vain.
+        Args:
+            target: The target.
+            route: The request's route.
+            guess: Time in seconds that it takes if none was seen yet.
         """
         work = self.work(route, guess) * self.load(target.id).factor
-        limit = target.slots + self._policy.queue
-        found = self._allowed_now(target.id, now)
-        share = limit / 2 if found is None else max(found.share, _LEAST_SHARE)
-        return work * limit / (target.slots * share)
-
-    def _allowed_now(self, target: str, now: float) -> Part | None:
-        if now - self._allowed_at > _OTHERS_FRESH_SECONDS:
-            return None
-        return self._allowed.get(target)
+        return 2 * work / target.slots
 
     def work(self, route: str, guess: float) -> float:
         """Returns the mean time in seconds that a route's requests take."""
@@ -376,9 +328,9 @@
         """Whether the only target for a key should get nothing more now.
 
         Requests for one key cannot go elsewhere, so all VMs may want the same
-        target at once. Each keeps to what the leader has dealt it, and before
-        it has heard of any, to twice its even part: together they then fill a
-        target's own queue at most.
+        target at once. Before it has a gate, and while that is not reached,
+        each keeps to twice its even part: together they then fill a target's
+        own queue at most.
 
         Args:
             target: The target.
@@ -386,9 +338,6 @@
             now: The time.
         """
         load = self.load(target.id)
-        found = self._allowed_now(target.id, now)
-        if found is not None:
-            return load.own >= found.allowed
         if load.under_way(now) < target.slots:
             # As far as is known a slot is free.
             return False
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -10,8 +10,10 @@
 
 from mimosastile_core.gateway import casualties
 from mimosastile_core.gateway import room
+from mimosastile_gateway import admitting
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
+from mimosastile_gateway import datagrams
 from mimosastile_gateway import events
 from mimosastile_gateway import forwarding
 from mimosastile_gateway import http_client
@@ -67,8 +69,10 @@
 
     __slots__ = (
         "_adapter",
+        "_admitting",
         "_beliefs",
         "_callers",
+        "_channel",
         "_clock",
         "_events",
         "_forwarding",
@@ -137,6 +141,10 @@
         )
         queues = turns.Turns()
         dead = casualties.Casualties()
+        self._channel = datagrams.Channel(self._events)
+        self._admitting = admitting.Admitting(
+            configured, self._channel, self._beliefs, self._clock
+        )
         self._peers = peers.Peers(
             configured,
             boot,
@@ -146,6 +154,7 @@
             self._rooms,
             self._leading,
             queues,
+            self._admitting,
             self._watching,
             dead,
             self._clock,
@@ -159,6 +168,7 @@
             self._rooms,
             self._peers,
             queues,
+            self._admitting,
             dead,
             self._metrics,
             self._clock,
@@ -185,7 +195,14 @@
     async def start(self) -> None:
         """Begins to listen and to learn."""
         vm = self._settings.vm
-        self._peers.listens_on(await self._inner.listen(vm.peers))
+        inner = await self._inner.listen(vm.peers)
+        self._peers.listens_on(inner)
+        try:
+            await self._channel.open(inner, self._admitting.receive)
+        except OSError as error:
+            # Peers take a gate that does not answer for lost and send to its
+            # targets by themselves.
+            self._events.write("daemon", "no_datagrams", why=str(error))
         await self._ready.listen(vm.readiness)
         self.callers_address = await self._callers.listen(vm.callers)
         try:
@@ -210,6 +227,7 @@
         began = self._clock.now()
         self._stopping = True
         self._callers.stopping = True
+        self._admitting.stopping = True
         self._events.write("daemon", "stopping", grace=grace)
         await asyncio.gather(
             self._leading.hand_over(min(1.5, grace / 2)),
@@ -233,6 +251,7 @@
         for server in (self._callers, self._ready, self._inner):
             server.stop_listening()
             server.close_idle()
+        self._channel.close()
         self._pool.close()
 
     def abort(self) -> None:
@@ -250,6 +269,7 @@
         ):
             server.stop_listening()
             server.abort()
+        self._channel.close()
         self._pool.close()
 
     def take_settings(self, new: settings.GatewaySettings) -> None:
@@ -299,6 +319,7 @@
             "store_ok": known.store_ok,
             "leading": self._leading.dump(),
             "forwarding": self._forwarding.dump(),
+            "gates": self._admitting.dump(),
             "connections_opened": self._pool.opened,
             "log_lines_dropped": self._events.dropped,
         }
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -10,12 +10,14 @@
 
 from mimosastile_core import errors
 from mimosastile_core import quarantine
+from mimosastile_core.gateway import admission
 from mimosastile_core.gateway import allowance
 from mimosastile_core.gateway import casualties
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import room
 from mimosastile_core.gateway import routes
+from mimosastile_gateway import admitting
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
 from mimosastile_gateway import events
@@ -79,6 +81,7 @@
         "incoming",
         "key",
         "maybe_ran",
+        "place",
         "rejects",
         "route",
         "sends",
@@ -111,6 +114,7 @@
         self.maybe_ran = False
         self.waited = False
         self.tried: set[str] = set()
+        self.place: admitting.Place | None = None
         self.ticket: turns.Ticket
 
     @property
@@ -123,6 +127,7 @@
     """Decides for each request where it goes, how often and what it answers."""
 
     __slots__ = (
+        "_admitting",
         "_allowances",
         "_beliefs",
         "_casualties",
@@ -147,6 +152,7 @@
         rooms: room.Rooms,
         fellows: peers.Peers,
         queues: turns.Turns,
+        places: admitting.Admitting,
         dead: casualties.Casualties,
         measured: metrics.Metrics,
         timer: clock.Clock,
@@ -162,6 +168,7 @@
         self._clock = timer
         self._events = log
         self._turns = queues
+        self._admitting = places
         self._casualties = dead
         self._allowances: dict[str, allowance.RetryAllowance] = {}
         self._counts: collections.Counter[str] = collections.Counter()
@@ -311,6 +318,9 @@
         """Waits until a target has room, and takes it."""
         while True:
             now = self._clock.now()
+            entered = await self._enter(call, now)
+            if entered is not None:
+                return entered
             queue, choice = self._choose(call, now)
             ahead = self._turns.ahead(queue, call.ticket)
             if choice.target is not None and not ahead:
@@ -322,6 +332,80 @@
                 return self._no_room(call, choice, ahead)
             await self._turns.wait(queue, call.ticket, min(left, _POLL_SECONDS))
 
+    async def _enter(
+        self, call: _Call, now: float
+    ) -> result.Result[directory.Target, errors.Failure] | None:
+        """Asks the gate of a contended target for a place.
+
+        Returns:
+            The target or why there is no place; None if it has no gate that
+            answers, or the key has got another owner meanwhile.
+        """
+        target = self._owner(call) if call.key is not None else None
+        gate = self._rooms.gate(target.id, now) if target else None
+        if target is None or gate is None:
+            return None
+        entering = asyncio.ensure_future(
+            self._admitting.enter(
+                gate,
+                target.id,
+                call.route.priority,
+                call.began + call.route.target_latency - now,
+                call.deadline - self._settings.requests.margin - now,
+                self._rooms.work(call.route.name, call.guess),
+                self._rooms.load(target.id).own,
+            )
+        )
+        if await self._until_moved(call, target, entering):
+            return None
+        entered = entering.result()
+        if entered is None:
+            self._rooms.gate_silent(gate, self._clock.now())
+            return None
+        if isinstance(entered, admitting.Place):
+            call.place = entered
+            self._rooms.load(target.id).own += 1
+            return result.Ok(target)
+        self._peers.turned_away(target.id)
+        least = self._settings.requests.retry_after_least
+        return result.Err(
+            errors.Failure(
+                errors.ErrorKind.OVERLOADED,
+                retry_after=max(entered.seconds, least),
+            )
+        )
+
+    async def _until_moved(
+        self,
+        call: _Call,
+        target: directory.Target,
+        entering: asyncio.Future[admitting.Place | admission.Refusal | None],
+    ) -> bool:
+        """Waits for a gate's decision, unless the key goes elsewhere first.
+
+        Returns:
+            Whether it does; the request has then left the gate's queue.
+        """
+        try:
+            while not entering.done():
+                changed = asyncio.ensure_future(self._beliefs.changed.wait())
+                try:
+                    await asyncio.wait(
+                        (entering, changed),
+                        return_when=asyncio.FIRST_COMPLETED,
+                    )
+                finally:
+                    changed.cancel()
+                if entering.done():
+                    return False
+                owner = self._owner(call)
+                if owner is None or owner.id != target.id:
+                    return True
+            return False
+        finally:
+            if not entering.done():
+                entering.cancel()
+
     def _no_room(
         self, call: _Call, choice: room.Choice, ahead: int
     ) -> result.Err[errors.Failure]:
@@ -347,7 +431,7 @@
                 return service.name, room.Choice(None, 0.0)
             if self._rooms.full_owner(target, self._peers.count, now):
                 seconds = self._rooms.turn_seconds(
-                    target, call.route.name, call.guess, now
+                    target, call.route.name, call.guess
                 )
                 return target.id, room.Choice(None, seconds)
             return target.id, room.Choice(target, 0.0)
@@ -411,6 +495,9 @@
             sent = self._late(call, target, sends)
         finally:
             load.own -= 1
+            place, call.place = call.place, None
+            if place is not None:
+                self._admitting.give_back(place)
             self._turns.next(target.id)
             self._turns.next(target.service)
         self._note(call, target, sent, began)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -37,8 +37,8 @@
 _WATCHERS_TRIED = 3.0
 """Seconds without the store in which these have found out whether they reach
 it."""
-_DEAL_SECONDS = 0.2
-"""How often remainders of dealt room go to other VMs."""
+_GATES_SECONDS = 0.1
+"""How often gates are chosen anew: far more often than VMs report."""
 ANSWER_SECONDS = 0.4
 """Longest time for which an answer to a report may have been on its way."""
 _RESIGN_AFTER = 0.8
@@ -69,6 +69,8 @@
         "_demand",
         "_entry",
         "_events",
+        "_gates_at",
+        "_gates_chosen",
         "_orders",
         "_planner",
         "_revision",
@@ -116,6 +118,8 @@
         self._revision = 0
         self._serial = 0
         self._demand = demand.Demand(telling.REPORT_FRESH)
+        self._gates_at = float("-inf")
+        self._gates_chosen: dict[str, str] = {}
         self._planner = self._new_planner()
         self._services: dict[str, planning.Keyed] = {}
         self._silence = granting.Silence(0.0)
@@ -423,13 +427,7 @@
             confirmed=self._clock.boot() - self._authority.confirmed,
             longer=self._longer_seconds(),
             under_way=self._demand.busy(vm.id, vm.zone, known),
-            allowed=self._demand.parts(
-                vm.id,
-                report.waiting,
-                known,
-                self._settings.rooms.queue,
-                int(now / _DEAL_SECONDS),
-            ),
+            gates=self._gates(fresh, now),
             assignments=lacking.assignments,
             differences=lacking.differences,
             news=lacking.news,
@@ -443,6 +441,19 @@
             take_over=vm.id in self._succession.asked,
         )
 
+    def _gates(
+        self, reports: Mapping[str, messages.Report], now: float
+    ) -> dict[str, str]:
+        """Returns who admits requests to each contended target."""
+        if now - self._gates_at > _GATES_SECONDS:
+            self._gates_at = now
+            self._gates_chosen = self._demand.gates(
+                ((r.vm.address, r.vm.zone) for r in reports.values()),
+                self._settings.vm.regions,
+                self._beliefs.directory,
+            )
+        return self._gates_chosen
+
     def _longer_seconds(self) -> float:
         """Returns how long longer grants may last, former leaders' included."""
         until = max(self._authority.longer_until, self._silence.lapse)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -10,7 +10,6 @@
 from mimosastile_core.gateway import configurations
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
-from mimosastile_core.gateway import room
 from mimosastile_core.gateway import routes
 
 STORE_PREFIX = "mimosastile/"
@@ -186,7 +185,7 @@
         longer: Seconds until grants that were longer than usual, its own and
             those of leaders before it, have run out.
         under_way: Requests of all other VMs by target.
-        allowed: What the reporting VM has of targets that are contended.
+        gates: Address of the VM that admits requests, by contended target.
         assignments: Those that the reporting VM does not have.
         differences: Changes of those that it has.
         news: What it does not know from the store.
@@ -206,7 +205,7 @@
     confirmed: float = 0.0
     longer: float = 0.0
     under_way: dict[str, int] = {}
-    allowed: dict[str, room.Part] = {}
+    gates: dict[str, str] = {}
     assignments: tuple[_Assignment, ...] = ()
     differences: tuple[_Difference, ...] = ()
     news: News | None = None
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -14,6 +14,7 @@
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import room
+from mimosastile_gateway import admitting
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
 from mimosastile_gateway import events
@@ -50,6 +51,7 @@
 
     __slots__ = (
         "_address",
+        "_admitting",
         "_alive",
         "_beliefs",
         "_boot",
@@ -92,6 +94,7 @@
         rooms: room.Rooms,
         leader: leading.Leading,
         queues: turns.Turns,
+        places: admitting.Admitting,
         watcher: watching.Watching,
         dead: casualties.Casualties,
         timer: clock.Clock,
@@ -105,6 +108,7 @@
         self._rooms = rooms
         self._leader = leader
         self._turns = queues
+        self._admitting = places
         self._watching = watcher
         self._casualties = dead
         self._clock = timer
@@ -151,6 +155,7 @@
         """Takes the address on which this VM hears its peers."""
         self._address = address
         self._leader.address = address
+        self._admitting.address = address
 
     def start(self) -> None:
         """Registers this VM and begins to report."""
@@ -374,6 +379,7 @@
         misses, self._misses = tuple(self._misses), []
         wanted, self._turned_away = self._turned_away, collections.Counter()
         wanted.update(self._turns.waiting())
+        wanted.update(self._admitting.waiting())
         ended, self._ended = tuple(self._ended), []
         deaths, self._deaths = tuple(self._deaths), []
         alive, self._alive = tuple(self._alive), set()
@@ -479,7 +485,7 @@
             self._told_leader = reply.leader
             self._told_factors = {}
         self._rooms.learn_others(reply.under_way, now)
-        self._rooms.learn_allowed(reply.allowed, now)
+        self._rooms.learn_gates(reply.gates, now)
         self._take_told(reply)
         self._rely(reply)
         if reply.take_over:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -8,6 +8,8 @@
 from mimosastile_core.gateway import casualties
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import room
+from mimosastile_gateway import admitting
+from mimosastile_gateway import datagrams
 from mimosastile_gateway import leading
 from mimosastile_gateway import messages
 from mimosastile_gateway import peers
@@ -81,6 +83,9 @@
                 log,
             ),
             turns.Turns(),
+            admitting.Admitting(
+                configured, datagrams.Channel(log), known, timer
+            ),
             watching.Watching(
                 configured.store, store, records.Records(), known, timer, log
             ),
