Other VMs are reckoned to have chosen as this one since the last counts

What a VM has sent to a target since the counts, beyond what it sent to others beside it, the others will have sent as well; half of that is reckoned, at most the target's slots.

With it: gates are told of for keyed services only, and counts of what has a gate are not told besides.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
@@ -6,6 +6,7 @@
 its VM had before, and nothing else.
 """
 
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 import zlib
@@ -88,7 +89,8 @@
         for name, total in self._under_way.items():
             count = total - own.get(name, 0)
             entry = known.get(name)
-            if not count or entry is None:
+            if not count or entry is None or name in self._contended:
+                # Whoever wants a contended one asks its gate.
                 continue
             factor = 2 if entry.target.zone == zone else 1
             if count * factor >= entry.target.slots:
@@ -99,6 +101,7 @@
         self,
         vms: Iterable[tuple[str, str]],
         regions: Mapping[str, str],
+        keyed: Container[str],
         known: directory.Directory,
     ) -> dict[str, str]:
         """Returns the VMs that admit requests to contended targets.
@@ -110,13 +113,15 @@
         Args:
             vms: Addresses of those that report, each with its zone.
             regions: Region of each zone.
+            keyed: Services that are divided by key. A request for another one
+                goes where there is room, and asks nobody.
             known: The targets.
         """
         able = list(vms)
         contended = set()
         for name, total in self._totals.items():
             entry = known.get(name)
-            if entry is None:
+            if entry is None or entry.target.service not in keyed:
                 continue
             share = _LEAVE_SHARE if name in self._contended else _ENTER_SHARE
             if total > entry.target.slots * share:
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -32,6 +32,11 @@
 """Age up to which counts of other VMs are believed."""
 
 
+_ALIKE = 0.5
+"""How far other VMs are reckoned to choose as this one: they stand elsewhere,
+and their callers come at other times."""
+
+
 class Policy(msgspec.Struct, frozen=True):
     """How far targets are filled and what distance costs.
 
@@ -86,6 +91,7 @@
         "own",
         "rest_until",
         "samples",
+        "sent",
     )
 
     def __init__(self) -> None:
@@ -94,6 +100,7 @@
         self.others_at = -math.inf
         self.factor = 1.0
         self.samples = 0
+        self.sent = 0
         self.rest_until = -math.inf
         self._trouble = 0.0
         self._trouble_at = 0.0
@@ -104,6 +111,36 @@
         fresh = now - self.others_at < _OTHERS_FRESH_SECONDS
         return self.own + (self.others if fresh else 0)
 
+    def begin(self) -> None:
+        """Notes a request that is sent there."""
+        self.own += 1
+        self.sent += 1
+
+    def end(self) -> None:
+        """Notes that a request is over."""
+        self.own -= 1
+
+    def reckoned(
+        self, least_sent: int, slots: int, vms: int, now: float
+    ) -> float:
+        """Returns the requests under way there, as they may be by now.
+
+        The counts of other VMs are some tenths of a second old. All find the
+        same target empty and choose it, and it resets what it cannot queue.
+        What this VM has sent there since, beyond what it has sent to others
+        beside it, other VMs will have sent as well.
+
+        Args:
+            least_sent: What it has sent since to the one beside it that got
+                least. Without that, targets far away would seem emptier.
+            slots: Requests that it runs at a time; more than these are not
+                supposed without a count.
+            vms: How many VMs there are.
+            now: The time.
+        """
+        unseen = _ALIKE * (self.sent - least_sent) * (vms - 1)
+        return self.under_way(now) + min(unseen, slots)
+
     def trouble(self, now: float) -> float:
         """Returns the recent share of failures, 0 to 1."""
         age = max(now - self._trouble_at, 0.0)
@@ -227,6 +264,7 @@
         for name, load in self._loads.items():
             load.others = totals.get(name, 0)
             load.others_at = now
+            load.sent = 0
         for name, count in totals.items():
             if name not in self._loads:
                 load = self.load(name)
@@ -305,14 +343,21 @@
         load.answered(seconds, mean, now)
 
     def expected(
-        self, target: directory.Target, route: str, guess: float, now: float
+        self,
+        target: directory.Target,
+        route: str,
+        guess: float,
+        least_sent: int,
+        vms: int,
+        now: float,
     ) -> float:
         """Returns the time in seconds to an answer if it were sent now."""
         load = self.load(target.id)
         work = self.work(route, guess) * load.factor
         if now < target.warm_at and load.samples < 5:
             work *= 2
-        ahead = load.under_way(now) + 1 - target.slots
+        reckoned = load.reckoned(least_sent, target.slots, vms, now)
+        ahead = reckoned + 1 - target.slots
         wait = max(ahead, 0) / target.slots * work
         return (work + wait) * (1 + _TROUBLE_WEIGHT * load.trouble(now))
 
@@ -351,6 +396,7 @@
         route: str,
         guess: float,
         most_own: int,
+        vms: int,
         now: float,
         jitter: float,
         latency: float = math.inf,
@@ -362,6 +408,7 @@
             route: Its route.
             guess: Time in seconds that it takes if none was seen yet.
             most_own: Requests of this VM that one target may have.
+            vms: How many VMs there are.
             now: The time.
             jitter: From 0 to 1, keeps VMs from all choosing the same one.
             latency: Time in seconds within which an answer is on time.
@@ -369,8 +416,12 @@
         best: tuple[float, float, directory.Target] | None = None
         soonest = math.inf
         size = self.size(route)
+        targets = list(targets)
+        least = self._least_sent(targets)
         for index, target in enumerate(targets):
-            seconds = self.expected(target, route, guess, now)
+            seconds = self.expected(
+                target, route, guess, least[target.zone], vms, now
+            )
             if self.full(target, most_own, now):
                 soonest = min(soonest, seconds / target.slots)
                 continue
@@ -384,6 +435,16 @@
             return Choice(None, soonest)
         return Choice(best[2], best[1])
 
+    def _least_sent(
+        self, targets: Iterable[directory.Target]
+    ) -> dict[str, int]:
+        """Returns the least that was sent to a target, by zone."""
+        least: dict[str, int] = {}
+        for target in targets:
+            sent = self.load(target.id).sent
+            least[target.zone] = min(least.get(target.zone, sent), sent)
+        return least
+
     def _handicap(
         self, target: directory.Target, size: float, latency: float
     ) -> float:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -332,7 +332,7 @@
             queue, choice = self._choose(call, now)
             ahead = self._turns.ahead(queue, call.ticket)
             if choice.target is not None and not ahead:
-                self._rooms.load(choice.target.id).own += 1
+                self._rooms.load(choice.target.id).begin()
                 return result.Ok(choice.target)
             left = self._latest_start(call) - now
             seconds = min(choice.seconds, 1e6)
@@ -372,7 +372,7 @@
             return None
         if isinstance(entered, admitting.Place):
             call.place = entered
-            self._rooms.load(target.id).own += 1
+            self._rooms.load(target.id).begin()
             return result.Ok(target)
         self._peers.turned_away(target.id)
         least = self._settings.requests.retry_after_least
@@ -451,6 +451,7 @@
             call.route.name,
             call.guess,
             self._most_own(service),
+            self._peers.count,
             now,
             self._clock.random(),
             call.route.target_latency or math.inf,
@@ -502,7 +503,7 @@
         except TimeoutError:
             sent = self._late(call, target, sends)
         finally:
-            load.own -= 1
+            load.end()
             place, call.place = call.place, None
             if place is not None:
                 self._admitting.give_back(place)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -450,6 +450,7 @@
             self._gates_chosen = self._demand.gates(
                 ((r.vm.address, r.vm.zone) for r in reports.values()),
                 self._settings.vm.regions,
+                self._services,
                 self._beliefs.directory,
             )
         return self._gates_chosen
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -43,7 +43,7 @@
         sums.take("vm-1", {"x": 5}, {"y": 9}, 0.0)
         sums.take("vm-2", {}, {}, 2.0)
         assert sums.busy("vm-2", "a", _targets()) == {}
-        assert sums.gates(VMS, REGIONS, _targets()) == {}
+        assert sums.gates(VMS, REGIONS, {"s"}, _targets()) == {}
 
 
 class TestGates:
@@ -54,11 +54,11 @@
         sums = demand.Demand(1.5)
         for vm in ("vm-1", "vm-2", "vm-3"):
             sums.take(vm, {"x": 1}, {"x": 2}, 0.0)
-        found = sums.gates(VMS, REGIONS, _targets())
+        found = sums.gates(VMS, REGIONS, {"s"}, _targets())
         assert found.keys() == {"x"}
         assert found["x"] in {"one:1", "two:1"}
         # Whoever it is, it stays while those that report are the same.
-        assert sums.gates(VMS[::-1], REGIONS, _targets()) == found
+        assert sums.gates(VMS[::-1], REGIONS, {"s"}, _targets()) == found
 
     @pytest.mark.parametrize(
         ("vms", "expected"),
@@ -72,13 +72,27 @@
         """Its zone goes before its region, and that before the rest."""
         sums = demand.Demand(1.5)
         sums.take("vm-1", {"z": 9}, {}, 0.0)
-        assert sums.gates(vms, REGIONS, _targets()) == {"z": expected}
+        assert sums.gates(vms, REGIONS, {"s"}, _targets()) == {"z": expected}
+
+    def test_service_without_keys(self):
+        """Its requests go elsewhere; no gate is told of."""
+        sums = demand.Demand(1.5)
+        sums.take("vm-1", {"x": 9}, {}, 0.0)
+        assert sums.gates(VMS, REGIONS, (), _targets()) == {}
+
+    def test_counts_are_not_told_besides(self):
+        """A hundred VMs hear of hundreds of targets; each thing once."""
+        sums = demand.Demand(1.5)
+        sums.take("vm-1", {"x": 9}, {}, 0.0)
+        assert sums.busy("vm-2", "a", _targets()) == {"x": 9}
+        assert sums.gates(VMS, REGIONS, {"s"}, _targets())
+        assert sums.busy("vm-2", "a", _targets()) == {}
 
     def test_no_vm_reports(self):
         """Nobody can admit while nobody is heard."""
         sums = demand.Demand(1.5)
         sums.take("vm-1", {"x": 9}, {}, 0.0)
-        assert sums.gates((), REGIONS, _targets()) == {}
+        assert sums.gates((), REGIONS, {"s"}, _targets()) == {}
 
     def test_does_not_flap(self):
         """Demand swings around a target's slots; its gate stays."""
@@ -86,7 +100,7 @@
         told = []
         for count in (2, 3, 2, 3, 2, 1):
             sums.take("vm-1", {"x": count}, {}, 0.0)
-            told.append(bool(sums.gates(VMS, REGIONS, _targets())))
+            told.append(bool(sums.gates(VMS, REGIONS, {"s"}, _targets())))
         assert told == [False, True, True, True, True, False]
 
     @hypothesis.given(
@@ -107,4 +121,4 @@
             totals.update(under_way)
             totals.update(waiting)
         expected = {target for target, total in totals.items() if total > 2}
-        assert sums.gates(VMS, REGIONS, _targets()).keys() == expected
+        assert sums.gates(VMS, REGIONS, {"s"}, _targets()).keys() == expected
--- a/tests/gateway/test_room.py
+++ b/tests/gateway/test_room.py
@@ -1,5 +1,7 @@
 """The choice of a target for a request."""
 
+import collections
+
 import pytest
 
 from mimosastile_core.gateway import directory
@@ -19,7 +21,7 @@
 
 
 def _choose(rooms, targets, now=10.0):
-    return rooms.choose(targets, "r", 0.1, 100, now, 0.0)
+    return rooms.choose(targets, "r", 0.1, 100, 1, now, 0.0)
 
 
 class TestChoose:
@@ -54,7 +56,7 @@
             rooms.answered("r", "near", 0.1, 500_000, 10.0)
         rooms.load("near").own = under_way
         targets = [_target("near"), _target("far", "a2")]
-        choice = rooms.choose(targets, "r", 0.1, 100, 10.0, 0.0, latency=0.2)
+        choice = rooms.choose(targets, "r", 0.1, 100, 1, 10.0, 0.0, latency=0.2)
         assert choice.target.id == chosen
 
     def test_free_before_busy(self):
@@ -152,6 +154,50 @@
         assert rooms.factors() == {}
 
 
+class TestOldCounts:
+    """Counts of other VMs that are some tenths of a second old."""
+
+    def _most(self, vms, reckons_for):
+        """Plays a burst; returns the most that one of 8 targets got."""
+        targets = [_target(f"t{n}") for n in range(8)]
+        got = collections.Counter()
+        for vm in range(vms):
+            rooms = _rooms()
+            # All were told the same: one target is empty.
+            counts = {target.id: 4 for target in targets[1:]}
+            rooms.learn_others(counts, 10.0)
+            for n in range(3):
+                jitter = ((vm * 3 + n) * 0.37) % 1
+                choice = rooms.choose(
+                    targets, "r", 0.1, 100, reckons_for, 10.0, jitter
+                )
+                rooms.load(choice.target.id).begin()
+                got[choice.target.id] += 1
+        return max(got.values())
+
+    def test_burst_does_not_fall_on_one_target(self):
+        """Many users come at once; all VMs find the same target empty.
+
+        It gets what all VMs send in the time between two counts, and resets
+        what it cannot queue.
+        """
+        assert self._most(12, reckons_for=12) < 0.6 * self._most(12, 1)
+
+    def test_far_targets_do_not_seem_emptier(self):
+        """This VM has sent to all targets beside it since the last counts.
+
+        Others may have too; that is no reason to cross into another region.
+        """
+        rooms = _rooms()
+        near = [_target(f"n{n}") for n in range(2)]
+        far = _target("f", zone="c")
+        rooms.learn_others({t.id: 0 for t in (*near, far)}, 10.0)
+        for target in near:
+            rooms.load(target.id).begin()
+        choice = rooms.choose([*near, far], "r", 0.1, 100, 67, 10.0, 0.0)
+        assert choice.target.id != "f"
+
+
 class TestWithoutGate:
     """A target that many VMs want, before it has a gate."""
 
