Keys without an owner: who cannot be served in time hears so at once

The time for which keys have had no owner tells which of three waits it is: a handover, a grant that runs out, or that and a lost leader's authority.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -11,6 +11,7 @@
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import routes
+from mimosastile_core.gateway import vacancies
 from mimosastile_gateway import clock
 from mimosastile_gateway import events
 from mimosastile_gateway import messages
@@ -58,6 +59,7 @@
         "_configurations",
         "_events",
         "_subscribers",
+        "_vacancies",
         "assignments",
         "configuration_seen",
         "directory",
@@ -88,6 +90,11 @@
         self.shares = routes.WeightedShares()
         self.directory = directory.Directory(grace, grace * _LATE_SHARE)
         self.assignments: dict[str, assignments.Assignment] = {}
+        hold = configured.leader.hold
+        lapse = leadership.lapsed_at(0.0, hold)
+        self._vacancies = vacancies.Vacancies(
+            lapse, configured.leader.authority + lapse
+        )
         self.seen = 0
         self.configuration_seen = 0
         self.leader: leadership.LeaderEntry | None = None
@@ -224,6 +231,7 @@
         if known is not None and new.version <= known.version:
             return False
         self.assignments[new.service] = new
+        self._vacancies.take(new, self._clock.now())
         self.signal()
         return True
 
@@ -335,6 +343,21 @@
             return None
         return assignment.owner(key) or None
 
+    def seconds_without_owner(self, service: str, key: int) -> float:
+        """Returns how long a key that nobody serves will have no owner.
+
+        Args:
+            service: Its service.
+            key: The key.
+        """
+        now = self._clock.now()
+        owner = self.owner(service, key)
+        entry = self.directory.get(owner) if owner else None
+        if entry is not None:
+            # Its owner has vanished, and the leader has not moved it yet.
+            return self._vacancies.expected(now - entry.since)
+        return self._vacancies.seconds(service, key, now)
+
     def versions(self) -> dict[str, assignments.Version]:
         """Returns the version of each assignment."""
         return {name: x.version for name, x in self.assignments.items()}
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -326,6 +326,11 @@
         """Waits until a target has room, and takes it."""
         while True:
             now = self._clock.now()
+            if call.key is not None and self._owner(call) is None:
+                vacant = await self._await_any_owner(call, call.key, now)
+                if vacant is not None:
+                    return vacant
+                continue
             entered = await self._enter(call, now)
             if entered is not None:
                 return entered
@@ -340,6 +345,23 @@
                 return self._no_room(call, choice, ahead)
             await self._turns.wait(queue, call.ticket, min(left, _POLL_SECONDS))
 
+    async def _await_any_owner(
+        self, call: _Call, key: int, now: float
+    ) -> result.Err[errors.Failure] | None:
+        """Waits for news of a key that nobody owns.
+
+        Returns:
+            The refusal, if none will own it in time.
+        """
+        left = self._latest_start(call) - now
+        seconds = self._beliefs.seconds_without_owner(call.service.name, key)
+        if seconds >= left:
+            wait = max(seconds, _SOON_SECONDS)
+            kind = errors.ErrorKind.NO_OWNER
+            return result.Err(errors.Failure(kind, retry_after=wait))
+        await clock.wait(self._beliefs.changed, min(left, _POLL_SECONDS))
+        return None
+
     async def _enter(
         self, call: _Call, now: float
     ) -> result.Result[directory.Target, errors.Failure] | None:
@@ -419,12 +441,9 @@
     ) -> result.Err[errors.Failure]:
         """Refuses a request for which there will be no room in time."""
         kind = errors.ErrorKind.OVERLOADED
-        if call.key is not None:
-            owner = self._owner(call)
-            if owner is None:
-                kind = errors.ErrorKind.NO_OWNER
-            else:
-                self._peers.turned_away(owner.id)
+        owner = self._owner(call) if call.key is not None else None
+        if owner is not None:
+            self._peers.turned_away(owner.id)
         wait = min(choice.seconds * (ahead + 1), _LATEST_SECONDS)
         wait = max(wait, self._settings.requests.retry_after_least)
         return result.Err(errors.Failure(kind, retry_after=wait))
@@ -435,7 +454,6 @@
         if call.key is not None:
             target = self._owner(call)
             if target is None:
-                # Keys that change hands are back within some tenths.
                 return service.name, room.Choice(None, 0.0)
             if self._rooms.full_owner(target, self._peers.count, now):
                 seconds = self._rooms.turn_seconds(
