Where a request goes is a module of its own; a place that comes too late is given back

Mended with it, each with a test in test_placing.py: a place that came after the target's time to get new work had passed was used (a request there would reach a target that leaves too late); one that came as its caller left stayed taken; on a route without target latency every request counted as late.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -23,6 +23,7 @@
 from mimosastile_gateway import metrics
 from mimosastile_gateway import peer_calls
 from mimosastile_gateway import peers
+from mimosastile_gateway import placing
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
 from mimosastile_gateway import turns
@@ -160,6 +161,15 @@
             self._clock,
             self._events,
         )
+        places = placing.Placing(
+            configured,
+            self._beliefs,
+            self._rooms,
+            self._peers,
+            queues,
+            self._admitting,
+            self._clock,
+        )
         self._forwarding = forwarding.Forwarding(
             configured,
             adapter.headers,
@@ -167,8 +177,7 @@
             self._beliefs,
             self._rooms,
             self._peers,
-            queues,
-            self._admitting,
+            places,
             dead,
             self._metrics,
             self._clock,
--- /dev/null
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -0,0 +1,87 @@
+"""A caller's request on its way to a target."""
+
+from mimosastile_core.gateway import routes
+from mimosastile_gateway import admitting
+from mimosastile_gateway import http_server
+from mimosastile_gateway import turns
+
+_GUESS_SHARE = 0.35
+"""Share of a route's target latency that its work is guessed to take."""
+
+
+class Call:
+    """One request, and what has become of it so far.
+
+    Attributes:
+        attempt: Identifier of the caller's attempt.
+        began: When it was read.
+        deadline: When its caller stops waiting.
+        fingerprint: What identifies it when it comes again.
+        guess: Seconds of work, while nothing is known of its route.
+        head: Its header lines for a target.
+        incoming: As it came.
+        key: Its key, None if its service has none.
+        maybe_ran: Whether a target may have run it.
+        place: Its place at a contended target.
+        rejects: How many targets have rejected its key.
+        route: Its route.
+        sends: How often it was sent.
+        service: The service that it goes to.
+        ticket: Its turn among those that wait in this VM.
+        tried: Targets that it was sent to.
+        tried_for: Seconds for which its caller had been trying before.
+        waited: Whether it may have waited at its last target.
+    """
+
+    __slots__ = (
+        "attempt",
+        "began",
+        "deadline",
+        "fingerprint",
+        "guess",
+        "head",
+        "incoming",
+        "key",
+        "maybe_ran",
+        "place",
+        "rejects",
+        "route",
+        "sends",
+        "service",
+        "ticket",
+        "tried",
+        "tried_for",
+        "waited",
+    )
+
+    def __init__(
+        self,
+        incoming: http_server.Incoming,
+        route: routes.Route,
+        service: routes.Service,
+        attempt: bytes,
+        deadline: float,
+    ) -> None:
+        self.incoming = incoming
+        self.route = route
+        self.service = service
+        self.attempt = attempt
+        self.began = incoming.at
+        self.deadline = deadline
+        self.guess = route.target_latency * _GUESS_SHARE
+        self.key: int | None = None
+        self.fingerprint = ""
+        self.head: list[bytes] = []
+        self.sends = 0
+        self.rejects = 0
+        self.maybe_ran = False
+        self.waited = False
+        self.tried: set[str] = set()
+        self.tried_for = 0.0
+        self.place: admitting.Place | None = None
+        self.ticket: turns.Ticket
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.route.kind.repeatable
--- /dev/null
+++ b/tests/gateway/test_placing.py
@@ -0,0 +1,275 @@
+"""Where requests go, and what happens to those that wait."""
+
+import asyncio
+
+import pytest
+
+from mimosastile_core import errors
+from mimosastile_core.gateway import admission
+from mimosastile_core.gateway import assignments
+from mimosastile_core.gateway import room
+from mimosastile_core.gateway import routes
+from mimosastile_gateway import admitting
+from mimosastile_gateway import http_server
+from mimosastile_gateway import pending
+from mimosastile_gateway import placing
+from mimosastile_gateway import turns
+from mimosastile_standins import virtual
+from tests.gateway import fakes
+
+GATE = "gate:1"
+
+
+class Gate:
+    """A gate that answers after a while.
+
+    Attributes:
+        answer: What it says.
+        seconds: How long it takes.
+        given_back: Places that were given back.
+        asked: Requests that asked, as they asked.
+        left: Requests that left its queue.
+    """
+
+    def __init__(self):
+        self.answer = admitting.Place(GATE, "a", 1)
+        self.seconds = 0.1
+        self.given_back = []
+        self.asked = []
+        self.left = 0
+
+    async def enter(self, *asked):
+        """Answers a request."""
+        self.asked.append(asked)
+        try:
+            await asyncio.sleep(self.seconds)
+        except asyncio.CancelledError:
+            self.left += 1
+            raise
+        return self.answer
+
+    def give_back(self, place):
+        """Takes a place back."""
+        self.given_back.append(place)
+
+
+class Peers:
+    """Takes what is told of a target."""
+
+    count = 67
+
+    def turned_away(self, target):
+        """Takes a refusal."""
+
+
+class World:
+    """One VM's placing, with a key's owner that has a gate."""
+
+    def __init__(self):
+        self.clock, self.log = fakes.VirtualClock(), fakes.Lines()
+        self.beliefs = fakes.known(
+            self.clock, self.log, fakes.target("a"), fakes.target("b")
+        )
+        self.rooms = room.Rooms(room.Place("z", "r"), {"z": "r"}, room.Policy())
+        self.gate = Gate()
+        self.placing = placing.Placing(
+            fakes.configured(),
+            self.beliefs,
+            self.rooms,
+            Peers(),
+            turns.Turns(),
+            self.gate,
+            self.clock,
+        )
+        self._serial = 0
+        self.assign("a")
+
+    def assign(self, owner):
+        """Gives all keys to a target, or to none."""
+        self._serial += 1
+        self.beliefs.take_assignment(
+            assignments.Assignment("s", (1, self._serial), (0,), (owner,))
+        )
+
+    def call(self, seconds=1.5, latency=0.4):
+        """Makes a request for a key."""
+        now = virtual.now()
+        route = routes.Route(
+            name="r",
+            host="h",
+            prefix="/",
+            kind=routes.RouteKind.IDEMPOTENT,
+            parts=(routes.Part("s"),),
+            timeout=2.0,
+            target_latency=latency,
+            attempts=2,
+        )
+        made = pending.Call(
+            http_server.Incoming("GET", b"/", now),
+            route,
+            routes.Service("s", keyed=True),
+            b"1",
+            now + seconds,
+        )
+        made.key = 7
+        made.ticket = self.placing.ticket(1)
+        return made
+
+    def name_gate(self):
+        """Has the leader name the target's gate."""
+        self.rooms.learn_gates({"a": GATE}, virtual.now())
+
+
+def _play(scenario):
+    async def main():
+        await scenario(World())
+
+    virtual.run(main())
+
+
+class TestGate:
+    """A target with a gate."""
+
+    def test_place(self):
+        """A place is taken, and given back with the request's end."""
+
+        async def scenario(world):
+            world.name_gate()
+            call = world.call()
+            target = (await world.placing.find(call)).ok_value
+            assert (target.id, world.rooms.load("a").own) == ("a", 1)
+            world.placing.leave(call, target)
+            assert world.rooms.load("a").own == 0
+            assert len(world.gate.given_back) == 1
+
+        _play(scenario)
+
+    def test_refusal(self):
+        """The caller hears the gate's own word on when to come back."""
+
+        async def scenario(world):
+            world.name_gate()
+            world.gate.answer = admission.Refusal(2.5)
+            failure = (await world.placing.find(world.call())).err_value
+            assert failure.kind is errors.ErrorKind.OVERLOADED
+            assert failure.retry_after == 2.5
+
+        _play(scenario)
+
+    def test_silent_gate(self):
+        """A gate does not answer; the request goes to its target without."""
+
+        async def scenario(world):
+            world.name_gate()
+            world.gate.answer = None
+            target = (await world.placing.find(world.call())).ok_value
+            assert target.id == "a"
+            assert len(world.gate.asked) == 1
+
+        _play(scenario)
+
+    def test_key_moves_while_it_waits(self):
+        """A request waits at a gate; its key is given to another target.
+
+        Waiting on, it would be rejected there and lose its time.
+        """
+
+        async def scenario(world):
+            world.name_gate()
+            world.gate.seconds = 5.0
+            finding = asyncio.create_task(world.placing.find(world.call()))
+            await asyncio.sleep(0.1)
+            world.assign("b")
+            target = (await finding).ok_value
+            assert target.id == "b"
+            assert virtual.now() < 0.2
+            await asyncio.sleep(0)
+            assert world.gate.left == 1
+
+        _play(scenario)
+
+    def test_target_leaves_while_it_waits(self):
+        """A target announces its end, and a place there comes too late.
+
+        It must get no work by then; the place goes to nobody.
+        """
+
+        async def scenario(world):
+            world.name_gate()
+            world.gate.seconds = 2.5
+            call = world.call(seconds=4.0)
+            finding = asyncio.create_task(world.placing.find(call))
+            world.beliefs.take_target(fakes.target("a", leaving=True))
+            found = await finding
+            assert found.is_err()
+            assert len(world.gate.given_back) == 1
+
+        _play(scenario)
+
+    @pytest.mark.parametrize("seconds", [0.05, 0.1])
+    def test_caller_leaves(self, seconds):
+        """A caller leaves while its request waits, or as its place comes.
+
+        The place must not stay taken.
+        """
+
+        async def scenario(world):
+            world.name_gate()
+            finding = asyncio.create_task(world.placing.find(world.call()))
+            await asyncio.sleep(seconds)
+            finding.cancel()
+            await asyncio.gather(finding, return_exceptions=True)
+            await asyncio.sleep(0)
+            assert world.gate.left + len(world.gate.given_back) == 1
+            assert world.rooms.load("a").own == 0
+
+        _play(scenario)
+
+    def test_route_without_target_latency(self):
+        """Its answers are on time until the deadline."""
+
+        async def scenario(world):
+            world.name_gate()
+            await world.placing.find(world.call(latency=0.0))
+            assert world.gate.asked[0][3] == pytest.approx(1.5)
+
+        _play(scenario)
+
+
+class TestNoOwner:
+    """Keys that nobody owns."""
+
+    def test_handover(self):
+        """A key changes hands; its requests wait for the next owner."""
+
+        async def scenario(world):
+            world.assign("")
+            finding = asyncio.create_task(world.placing.find(world.call()))
+            await asyncio.sleep(0.3)
+            world.assign("b")
+            assert (await finding).ok_value.id == "b"
+
+        _play(scenario)
+
+    def test_lost_owner(self):
+        """A target died; its keys are back when its grant has run out.
+
+        Requests that cannot wait so long hear at once when to come back.
+        """
+
+        async def scenario(world):
+            world.assign("")
+            await asyncio.sleep(0.8)
+            began = virtual.now()
+            found = await world.placing.find(world.call(seconds=0.8))
+            assert found.err_value.kind is errors.ErrorKind.NO_OWNER
+            assert found.err_value.retry_after == pytest.approx(1.34, abs=0.01)
+            assert virtual.now() == began
+            patient = asyncio.create_task(
+                world.placing.find(world.call(seconds=3.0))
+            )
+            await asyncio.sleep(1.3)
+            world.assign("b")
+            assert (await patient).is_ok()
+
+        _play(scenario)
