A gate learns a target's speed from answers alone

Found by reading: a target that rejects requests at once, or takes no connection, gave its places back within a millisecond and seemed many times as fast; the gate would then keep requests that it cannot serve in time. Places of requests that were not answered are given back as such.

Also: requests are numbered from a random place, as a gate may still know places of a VM's last run; what VMs held without a place is forgotten with its time.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
@@ -206,12 +206,22 @@
         self._waiting.append(entry)
         return Decision(ask, Verdict.WAITS, start)
 
-    def done(self, vm: str, number: int, now: float) -> list[Decision]:
-        """Ends a request that ran or waited; returns what that decides."""
+    def done(
+        self, vm: str, number: int, now: float, *, answered: bool = True
+    ) -> list[Decision]:
+        """Ends a request that ran or waited; returns what that decides.
+
+        Args:
+            vm: Names the VM that has it.
+            number: Tells that VM's requests apart.
+            now: The time.
+            answered: Whether it was answered. A target that rejects requests,
+                or takes no connection, would seem fast.
+        """
         place = self._places.pop((vm, number), None)
-        if place is not None:
+        if place is not None and answered:
             self._note_run(place, now)
-        else:
+        if place is None:
             self._waiting = [
                 w for w in self._waiting if w.ask.id != (vm, number)
             ]
@@ -307,3 +317,6 @@
         lost = [key for key, p in self._places.items() if now > p.until]
         for key in lost:
             del self._places[key]
+        past = [vm for vm, (_, until) in self._held.items() if now > until]
+        for vm in past:
+            del self._held[vm]
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/admitting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/admitting.py
@@ -33,6 +33,10 @@
 learned of a target's speed is of use when it is contended again."""
 
 
+_NUMBERS = 1 << 30
+"""Requests are numbered from somewhere below this."""
+
+
 class ChannelPort(Protocol):
     """The way to other VMs."""
 
@@ -100,13 +104,14 @@
         self._beliefs = known
         self._clock = timer
         self._queues: dict[str, admission.Queue] = {}
-        self._numbers = 0
+        # Not from 0: a gate may still know places of this VM's last run.
+        self._numbers = round(_NUMBERS * timer.random())
         self._pending: dict[int, asyncio.Future[datagrams.Decision]] = {}
         self._places: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
         self._waiting: collections.Counter[str] = collections.Counter()
-        self._done: dict[str, dict[str, list[int]]] = {}
+        self._done: dict[str, datagrams.Done] = {}
         self.address = configured.vm.peers
         self.stopping = False
 
@@ -188,15 +193,22 @@
             self._waiting[target] -= 1
             if verdict in (None, admission.Verdict.WAITS):
                 # A decision may still be on its way.
-                self._tell_done(gate, target, number)
+                self._tell_done(gate, target, number, answered=False)
 
-    def give_back(self, place: Place) -> None:
-        """Gives a place back."""
+    def give_back(self, place: Place, *, answered: bool) -> None:
+        """Gives a place back.
+
+        Args:
+            place: The place.
+            answered: Whether the target has answered the request.
+        """
         key = (place.gate, place.target)
         self._places[key] -= 1
         if not self._places[key]:
             del self._places[key]
-        self._tell_done(place.gate, place.target, place.number)
+        self._tell_done(
+            place.gate, place.target, place.number, answered=answered
+        )
 
     async def _asked(
         self, gate: str, ask: datagrams.Ask
@@ -219,19 +231,22 @@
             del self._pending[ask.number]
         return said
 
-    def _tell_done(self, gate: str, target: str, number: int) -> None:
+    def _tell_done(
+        self, gate: str, target: str, number: int, *, answered: bool
+    ) -> None:
         gathered = self._done.get(gate)
         if gathered is None:
-            gathered = self._done[gate] = {}
+            gathered = self._done[gate] = datagrams.Done({}, {})
             asyncio.get_running_loop().call_later(
                 0.0 if gate == self.address else _DONE_SECONDS,
                 self._send_done,
                 gate,
             )
-        gathered.setdefault(target, []).append(number)
+        places = gathered.answered if answered else gathered.others
+        places.setdefault(target, []).append(number)
 
     def _send_done(self, gate: str) -> None:
-        self._send(gate, datagrams.Done(self._done.pop(gate)))
+        self._send(gate, self._done.pop(gate))
 
     def _send(self, address: str, message: datagrams.Message) -> None:
         if address == self.address:
@@ -276,11 +291,14 @@
     def take_done(self, sender: str, done: datagrams.Done) -> None:
         """Takes places back."""
         now = self._clock.now()
-        for target, numbers in done.places.items():
-            queue = self._queues.get(target)
-            for number in numbers if queue else ():
-                assert queue is not None
-                self._tell(queue.done(sender, number, now))
+        for places, answered in ((done.answered, True), (done.others, False)):
+            for target, numbers in places.items():
+                queue = self._queues.get(target)
+                for number in numbers if queue else ():
+                    assert queue is not None
+                    self._tell(
+                        queue.done(sender, number, now, answered=answered)
+                    )
 
     def _tell(self, decisions: Iterable[admission.Decision]) -> None:
         for decision in decisions:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/datagrams.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/datagrams.py
@@ -59,10 +59,13 @@
     """Places that are given back, and requests that wait no more.
 
     Attributes:
-        places: Targets with the sender's numbers of requests.
+        answered: Targets with the sender's numbers of requests that they have
+            answered.
+        others: The same of requests that they have not answered.
     """
 
-    places: dict[str, list[int]]
+    answered: dict[str, list[int]]
+    others: dict[str, list[int]]
 
 
 Message = Ask | Decision | Done
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -238,12 +238,14 @@
         load = self._rooms.load(target.id)
         call.waited = load.under_way(began) > target.slots
         sends = call.sends
+        call.answered = False
         sent: Sent
         try:
             async with asyncio.timeout_at(
                 call.deadline - self._settings.requests.margin
             ):
                 sent = await self._exchange(call, target)
+                call.answered = sent.is_ok()
         except TimeoutError:
             sent = self._late(call, target, sends)
         finally:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -13,6 +13,7 @@
     """One request, and what has become of it so far.
 
     Attributes:
+        answered: Whether its last target has answered it.
         attempt: Identifier of the caller's attempt.
         began: When it was read.
         deadline: When its caller stops waiting.
@@ -34,6 +35,7 @@
     """
 
     __slots__ = (
+        "answered",
         "attempt",
         "began",
         "deadline",
@@ -76,6 +78,7 @@
         self.rejects = 0
         self.maybe_ran = False
         self.waited = False
+        self.answered = False
         self.tried: set[str] = set()
         self.tried_for = 0.0
         self.place: admitting.Place | None = None
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
@@ -92,7 +92,7 @@
         self._rooms.load(target.id).end()
         place, call.place = call.place, None
         if place is not None:
-            self._admitting.give_back(place)
+            self._admitting.give_back(place, answered=call.answered)
         self._turns.next(target.id)
         self._turns.next(target.service)
 
@@ -196,7 +196,7 @@
         if isinstance(entered, admitting.Place):
             if self._owner(call) is not target:
                 # It has left, or its time to get work has passed meanwhile.
-                self._admitting.give_back(entered)
+                self._admitting.give_back(entered, answered=False)
                 return None
             call.place = entered
             self._rooms.load(target.id).begin()
@@ -224,7 +224,7 @@
         elif not entering.cancelled():
             entered = entering.result()
             if isinstance(entered, admitting.Place):
-                self._admitting.give_back(entered)
+                self._admitting.give_back(entered, answered=False)
 
     async def _until_moved(
         self,
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -3,6 +3,8 @@
 import heapq
 import random
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from mimosastile_core.gateway import admission
@@ -174,6 +176,33 @@
         fields = {"priority": 2, "on_time": AIM, "left": DEADLINE, "work": WORK}
         return admission.Ask("vm", number, **(fields | changes))
 
+    @hypothesis.given(
+        steps=st.lists(
+            st.tuples(
+                st.sampled_from(("ask", "again", "done", "turn")),
+                st.integers(0, 9),
+                st.sampled_from((0.0, 0.02, 0.4)),
+            ),
+            max_size=60,
+        )
+    )
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=100)
+    def test_never_more_than_there_are(self, steps):
+        """Whatever is asked, lost and asked again, in whatever order."""
+        queue, now = admission.Queue(2, 1), 0.0
+        for number, (what, which, pause) in enumerate(steps):
+            if what == "ask":
+                queue.ask(self._ask(number), now)
+            elif what == "again":
+                queue.ask(self._ask(which), now)
+            elif what == "done":
+                queue.done("vm", which, now, answered=which % 2 == 0)
+            else:
+                queue.turn(now)
+            assert queue.busy(now) <= 3
+            assert not queue.waiting or queue.busy(now)
+            now += pause
+
     def test_lost_vm(self):
         """A VM dies with requests under way; nobody gives its places back.
 
@@ -203,6 +232,22 @@
         (decided,) = queue.done("vm", 1, 0.1)
         assert decided.ask.number == 3
 
+    def test_target_that_rejects(self):
+        """A target rejects every other request at once.
+
+        If that counted as an answer it would seem many times as fast as it
+        is, and requests would be kept there that it cannot serve in time.
+        """
+        queue = admission.Queue(1, 0)
+        now = 0.0
+        for number in range(0, 200, 2):
+            queue.ask(self._ask(number), now)
+            queue.done("vm", number, now + 0.001, answered=False)
+            queue.ask(self._ask(number + 1), now + 0.001)
+            queue.done("vm", number + 1, now + 0.001 + WORK)
+            now += 0.2
+        assert queue._interval == pytest.approx(WORK, rel=0.01)
+
     def test_refusal_says_when_to_come_back(self):
         """The wait that is told is that of the queue, not a constant."""
         queue = admission.Queue(1, 0)
--- a/tests/gateway/test_admitting.py
+++ b/tests/gateway/test_admitting.py
@@ -92,7 +92,7 @@
             await asyncio.sleep(0.1)
             assert not second.done()
             assert vm.waiting() == {"a": 1}
-            vm.give_back(first)
+            vm.give_back(first, answered=True)
             assert isinstance(await second, admitting.Place)
             assert vm.waiting() == {}
 
@@ -115,7 +115,7 @@
         """Places cost less than a tenth of a kilobyte each way."""
 
         async def scenario(network, gate, other):
-            other.give_back(await _enter(other))
+            other.give_back(await _enter(other), answered=True)
             await asyncio.sleep(0.1)
             sizes = [
                 len(datagrams._ENCODER.encode(message))
@@ -137,7 +137,7 @@
             await asyncio.sleep(0.05)
             third = asyncio.create_task(_enter(gate))
             await asyncio.sleep(0.01)
-            gate.give_back(first)
+            gate.give_back(first, answered=True)
             assert isinstance(await third, admitting.Place)
 
         _play(scenario)
@@ -170,7 +170,7 @@
             waiting = asyncio.create_task(_enter(other))
             await asyncio.sleep(0.1)
             network.lost = 1
-            gate.give_back(first)
+            gate.give_back(first, answered=True)
             began = virtual.now()
             assert isinstance(await waiting, admitting.Place)
             assert virtual.now() - began < 0.6
@@ -218,7 +218,7 @@
             asked = asyncio.create_task(_enter(other, gate=OTHER, own=1))
             await asyncio.sleep(0.01)
             assert not asked.done()
-            other.give_back(place)
+            other.give_back(place, answered=True)
             asked.cancel()
 
         _play(scenario)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -48,9 +48,9 @@
             raise
         return self.answer
 
-    def give_back(self, place):
+    def give_back(self, place, *, answered):
         """Takes a place back."""
-        self.given_back.append(place)
+        self.given_back.append((place, answered))
 
 
 class Peers:
@@ -138,9 +138,10 @@
             call = world.call()
             target = (await world.placing.find(call)).ok_value
             assert (target.id, world.rooms.load("a").own) == ("a", 1)
+            call.answered = True
             world.placing.leave(call, target)
             assert world.rooms.load("a").own == 0
-            assert len(world.gate.given_back) == 1
+            assert world.gate.given_back == [(world.gate.answer, True)]
 
         _play(scenario)
 
