A VM that stops is named as no gate, and a table's later run is not taken for ended

Found by reading the change. A stopping VM went on being named as a gate until its reports were missed; its askers then waited 0.4 s in vain each. It says so in its reports, and refuses new questions at once. And the word of a table that a later run exists left the earlier one's proof of end standing for it, so that a new leader could have freed the keys of a run that lives; test_proofs covers it.

Constants: a name for the share that a VM without word of others reckons with.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -239,22 +239,30 @@
         entry = self._entries.get(target)
         return entry is not None and entry.target.born > born
 
-    def learn_run(self, target: str, born: int, address: str) -> None:
+    def learn_run(
+        self, target: str, born: int, address: str, now: float
+    ) -> None:
         """Takes the word of a table that a later run than the known one exists.
 
         A new leader may not have heard of it yet, and would take the keys from
-        the later run to give them to the earlier one.
+        the later run to give them to the earlier one. What is known of the
+        earlier one's end says nothing of the later one.
 
         Args:
             target: Identifier of the target.
             born: Its later run.
             address: Where that is.
+            now: The time.
         """
         entry = self._entries.get(target)
-        if entry is not None and entry.target.born < born:
-            entry.target = msgspec.structs.replace(
-                entry.target, born=born, address=address
-            )
+        if entry is None or entry.target.born >= born:
+            return
+        entry.target = msgspec.structs.replace(
+            entry.target, born=born, address=address, leaving=False
+        )
+        entry.standing = Standing.READY
+        entry.since = now
+        entry.until = float("inf")
 
     def replace(
         self, targets: Iterable[Target], now: float, revision: int = 0
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -26,6 +26,9 @@
 """How long a target is left alone after it could not be reached; doubles."""
 _EVEN_SHARE = 2.0
 """How many times its even part a VM may have at a target that has no gate."""
+_TURN_RUNS = 2.0
+"""Runs of a full target's slots after which one of this VM's requests gets its
+turn, while nobody knows what the other VMs have waiting."""
 _GATE_REST = 1.0
 """Seconds for which a gate that did not answer is not asked."""
 _OTHERS_FRESH_SECONDS = 1.5
@@ -300,7 +303,7 @@
             guess: Time in seconds that it takes if none was seen yet.
         """
         work = self.work(route, guess) * self.load(target.id).factor
-        return 2 * work / target.slots
+        return _TURN_RUNS * work / target.slots
 
     def work(self, route: str, guess: float) -> float:
         """Returns the mean time in seconds that a route's requests take."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/admitting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/admitting.py
@@ -66,7 +66,7 @@
 
     Attributes:
         address: Where this VM hears its peers.
-        stopping: Whether it becomes no further target's gate.
+        stopping: Whether it takes no further requests as a gate.
     """
 
     __slots__ = (
@@ -313,11 +313,14 @@
 
     def _queue(self, target: str) -> admission.Queue | None:
         """Returns a target's queue here; None if this VM admits nobody."""
+        if self.stopping:
+            # Those that wait here still get their places.
+            return None
         found = self._queues.get(target)
         if found is not None:
             return found
         entry = self._beliefs.directory.get(target)
-        if entry is None or self.stopping:
+        if entry is None:
             return None
         if len(self._queues) >= _IDLE_QUEUES:
             self._queues = {
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/datagrams.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/datagrams.py
@@ -15,9 +15,6 @@
 from mimosastile_core.gateway import admission
 from mimosastile_gateway import events
 
-# Fields of the same name hide the module in a class body.
-_Verdict = admission.Verdict
-
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """A request that wants a place at a contended target.
@@ -51,7 +48,7 @@
     """
 
     number: int
-    verdict: _Verdict | None
+    verdict: admission.Verdict | None
     wait: int
 
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -341,7 +341,7 @@
         self._services[table.service] = keyed
         for owner in table.holders():
             self._beliefs.directory.learn_run(
-                owner.id, owner.born, owner.address
+                owner.id, owner.born, owner.address, self._clock.now()
             )
         keyed.granting.follow(table)
 
@@ -452,7 +452,11 @@
         if now - self._gates_at > _GATES_SECONDS:
             self._gates_at = now
             self._gates_chosen = self._demand.gates(
-                ((r.vm.address, r.vm.zone) for r in reports.values()),
+                (
+                    (report.vm.address, report.vm.zone)
+                    for report in reports.values()
+                    if not report.stopping
+                ),
                 self._settings.vm.regions,
                 self._services,
                 self._beliefs.directory,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -155,6 +155,7 @@
         configuration: Version of the configuration that it knows; -1 for none.
         configuration_seen: Store revision up to which that is the newest.
         news: What it has learned from the store by itself.
+        stopping: Whether it is about to end, and should be no target's gate.
     """
 
     vm: VmEntry
@@ -173,6 +174,7 @@
     configuration: int = -1
     configuration_seen: int = 0
     news: News | None = None
+    stopping: bool = False
 
 
 class ReportReply(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -400,6 +400,7 @@
             self._beliefs.version,
             self._beliefs.configuration_seen,
             self._own_news(),
+            self._admitting.stopping,
         )
 
     def _changed_factors(self) -> dict[str, float]:
--- a/tests/gateway/test_admitting.py
+++ b/tests/gateway/test_admitting.py
@@ -199,11 +199,22 @@
         _play(scenario)
 
     def test_stopping_vm(self):
-        """A VM that stops becomes no target's gate any more."""
+        """A VM that is a gate stops.
+
+        It takes no further requests, and says so at once; one that waits
+        there already still gets its place.
+        """
 
         async def scenario(network, gate, other):
+            first = await _enter(gate)
+            waiting = asyncio.create_task(_enter(other))
+            await asyncio.sleep(0.05)
             gate.stopping = True
+            began = virtual.now()
             assert await _enter(other) is None
+            assert virtual.now() - began < 0.05
+            gate.give_back(first, answered=True)
+            assert isinstance(await waiting, admitting.Place)
 
         _play(scenario)
 
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -510,6 +510,22 @@
 
         virtual.run(main())
 
+    def test_stopping_vm_is_no_gate(self):
+        """A VM that is about to end is named for no target."""
+
+        async def main():
+            _, orders, (one, two) = _world("vm-1", "vm-2")
+            await one.leading.take_over("test")
+            for _ in range(2):
+                reply = one.leading.take_report(
+                    two.report(under_way={"a": 8}, stopping=True)
+                )
+                await asyncio.sleep(0.2)
+            assert reply.gates == {}
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
     def test_news_of_a_watcher(self):
         """The leader's own view of the store stands still.
 
--- a/tests/gateway/test_proofs.py
+++ b/tests/gateway/test_proofs.py
@@ -290,12 +290,15 @@
         async def main():
             world = World()
             known = world.beliefs.directory
-            known.learn_run("a", BORN + 5, "a:81")
+            known.end("a", BORN, 0.0)
+            known.learn_run("a", BORN + 5, "a:81", 0.0)
             found = known.get("a").target
             assert (found.born, found.address) == (BORN + 5, "a:81")
+            # Its earlier run has left its address; this one has not.
+            assert not known.has_left_address("a", BORN + 5)
             world.registers()
             assert known.get("a").target.born == BORN + 5
-            known.learn_run("a", BORN, "a:80")
+            known.learn_run("a", BORN, "a:80", 0.0)
             assert known.get("a").target.born == BORN + 5
             world.granting.stop()
 
