Grants are made longer only while nobody reaches the store, and a replaced leader says which were

The leader was cut off from the store, another VM led 0.9 s after it was noticed, and the former one followed it; but from 1.6 s on it had made its grants longer, up to ten seconds, so the keys of targets lost at that moment waited until second 16. The same again from 18 to 28: the second successor could not know whether its predecessor had given longer ones.

Change: a leader to which another VM reports that it reaches the store leaves grants as they are, as that VM will lead soon. A former leader's report says how long grants last that it or those before it made longer; one that has started again says nothing, and is reckoned with the longest as before. What the longer grant protects, keys whose leader dies while the store answers nobody, stays.

Tests: TestFormerLeadersWord; its first case fails without the change.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
@@ -47,9 +47,14 @@
 
 
 class Authority:
-    """How long this VM may go on giving orders as leader."""
+    """How long this VM may go on giving orders as leader.
 
-    __slots__ = ("_confirmed", "_longer_until", "_span")
+    Attributes:
+        replaceable: Whether another VM reaches the store while this one does
+            not, as far as is known, and so may soon lead in its place.
+    """
+
+    __slots__ = ("_confirmed", "_longer_until", "_span", "replaceable")
 
     def __init__(self, span: float) -> None:
         """Makes one that allows nothing.
@@ -60,6 +65,7 @@
         self._span = span
         self._confirmed = float("-inf")
         self._longer_until = float("-inf")
+        self.replaceable = False
 
     @property
     def longer_until(self) -> float:
@@ -102,9 +108,11 @@
     ) -> float:
         """Returns how long a grant given now may last.
 
-        While the store does not answer no successor could take over and no
-        key could move, so grants are made longer: the keys then survive the
-        loss of this leader in an outage. No grant outlasts this leader's
+        While the store answers nobody no successor could take over and no key
+        could move, so grants are made longer: the keys then survive the loss
+        of this leader in an outage. Not if only this leader is cut off: its
+        successor would have to wait for them before the keys of a target that
+        died can move. No grant outlasts this leader's
         authority by more than `usual`, which is what a successor waits for.
 
         Args:
@@ -114,7 +122,7 @@
             trouble_after: Seconds without the store after which it counts as
                 not answering.
         """
-        if now - self._confirmed < trouble_after:
+        if self.replaceable or now - self._confirmed < trouble_after:
             return usual
         return max(usual, min(most, self.ends - now + usual))
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -47,7 +47,9 @@
         "_known",
         "_longer_until",
         "_most",
+        "_named",
         "_until",
+        "_wordless",
     )
 
     def __init__(
@@ -77,21 +79,29 @@
         self._hold = hold
         self._most = most
         self._formers = set(formers)
+        self._named = bool(self._formers)
+        self._wordless = set(self._formers)
 
     def stopped(self, now: float) -> None:
         """Notes that all are known to have stopped."""
         self._formers.clear()
         self._known = min(self._known, now)
 
-    def heard(self, vm: str, now: float) -> None:
+    def heard(self, vm: str, now: float, longer: float | None) -> None:
         """Notes that a VM gives no orders any more.
 
         Args:
             vm: Identifier of a VM that follows the present leader.
             now: The time.
+            longer: Seconds until grants that were longer than usual, its own
+                and those of leaders before it, have run out, as it says; None
+                if it has started again since it led and cannot tell.
         """
         if vm in self._formers:
             self._formers.discard(vm)
+            if longer is not None:
+                self._wordless.discard(vm)
+                self._longer_until = max(self._longer_until, now + longer)
             if not self._formers:
                 self.stopped(now)
 
@@ -99,7 +109,8 @@
     def lapse(self) -> float:
         """Time at which all their grants have run out."""
         latest = leadership.lapsed_at(self._until, self._hold)
-        calm = self._known <= self._calm_until
+        all_said = self._named and not self._wordless
+        calm = all_said or self._known <= self._calm_until
         hold = self._hold if calm else self._most
         known = leadership.lapsed_at(self._known, hold)
         return min(latest, max(known, self._longer_until))
@@ -420,6 +431,11 @@
         # little processor or link that takes longer than its timeout, and the
         # target holds the keys from its arrival on.
         exposure = _Exposure(item.first, item.last, float("inf"))
+        if hold > configured.hold:
+            # Before it can arrive: a leader that is replaced meanwhile is
+            # asked how long its grants last.
+            latest = sent + configured.order_timeout + self._held_up(holder)
+            self._authority.note_longer(leadership.lapsed_at(latest, hold))
         self._exposures.setdefault(holder, []).append(exposure)
         order = ports.GrantOrder(
             item.first, item.last, item.fence, hold, state.handover
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -71,6 +71,7 @@
         "_events",
         "_gates_at",
         "_gates_chosen",
+        "_has_led",
         "_orders",
         "_planner",
         "_revision",
@@ -115,6 +116,7 @@
         self._alive_at: dict[str, float] = {}
         self._authority = leadership.Authority(configured.leader.authority)
         self._entry: leadership.LeaderEntry | None = None
+        self._has_led = False
         self._revision = 0
         self._serial = 0
         self._demand = demand.Demand(telling.REPORT_FRESH)
@@ -274,6 +276,7 @@
     ) -> None:
         now = self._clock.boot()
         self._entry = entry
+        self._has_led = True
         self._revision = revision
         self._planner = self._new_planner()
         self._demand = demand.Demand(telling.REPORT_FRESH)
@@ -398,7 +401,7 @@
         now = self._clock.now()
         vm = report.vm
         # Whoever reports to this leader gives no orders itself.
-        self._silence.heard(vm.id, self._clock.boot())
+        self._silence.heard(vm.id, self._clock.boot(), report.longer)
         if report.news is not None:
             self._beliefs.take_news(report.news)
         self._beliefs.confirm_configuration(
@@ -463,6 +466,13 @@
             )
         return self._gates_chosen
 
+    def longer_grants(self) -> float | None:
+        """Returns how long grants that this VM has made longer may last.
+
+        None if it has not led since it started.
+        """
+        return self._longer_seconds() if self._has_led else None
+
     def _longer_seconds(self) -> float:
         """Returns how long longer grants may last, former leaders' included."""
         until = max(self._authority.longer_until, self._silence.lapse)
@@ -538,6 +548,7 @@
         self._beliefs.note_store(ok=True)
         self._store_failing_since = None
         self._succession.clear()
+        self._authority.replaceable = False
         entry = self._decoded_leader(read.ok_value)
         if entry is None or entry != self._entry:
             if entry is not None:
@@ -552,6 +563,7 @@
         self._beliefs.note_store(ok=False, why=failure.detail)
         if self._store_failing_since is None:
             self._store_failing_since = asked
+        self._authority.replaceable = bool(self._able())
         if now - self._store_failing_since < _RESIGN_AFTER:
             return
         successors = self._ask_others()
@@ -565,18 +577,22 @@
 
     def _ask_others(self) -> tuple[str, ...]:
         """Asks VMs that reach the store to lead; returns the newly asked."""
-        able = [
-            report.vm
-            for report in self._telling.fresh().values()
-            if report.store and report.vm.id != self._settings.vm.id
-        ]
-        able.sort(key=lambda vm: (vm.order, vm.id))
+        able = self._able()
         asked = self._succession.next(
             [vm.id for vm in able], self._clock.boot()
         )
         self._telling.ask_to_lead(vm for vm in able if vm.id in asked)
         return asked
 
+    def _able(self) -> list[messages.VmEntry]:
+        """Returns other VMs that say they reach the store, the best first."""
+        able = [
+            report.vm
+            for report in self._telling.fresh().values()
+            if report.store and report.vm.id != self._settings.vm.id
+        ]
+        return sorted(able, key=lambda vm: (vm.order, vm.id))
+
     # Planning.
 
     async def _plan_on(self) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -156,6 +156,9 @@
         configuration_seen: Store revision up to which that is the newest.
         news: What it has learned from the store by itself.
         stopping: Whether it is about to end, and should be no target's gate.
+        longer: Seconds until grants that it gave as a leader and that were
+            longer than usual, and those of leaders before it, have run out;
+            None if it has not led since it started.
     """
 
     vm: VmEntry
@@ -175,6 +178,7 @@
     configuration_seen: int = 0
     news: News | None = None
     stopping: bool = False
+    longer: float | None = None
 
 
 class ReportReply(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -401,6 +401,7 @@
             self._beliefs.configuration_seen,
             self._own_news(),
             self._admitting.stopping,
+            self._leader.longer_grants(),
         )
 
     def _changed_factors(self) -> dict[str, float]:
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -270,6 +270,68 @@
         virtual.run(main())
 
 
+class TestFormerLeadersWord:
+    """A leader that was replaced says how long its grants last."""
+
+    @pytest.mark.parametrize(
+        ("others_reach", "restarted", "least", "most"),
+        [
+            pytest.param(True, False, 0.0, 4.5, id="only the leader was cut"),
+            pytest.param(False, False, 6.0, 12.0, id="an outage before"),
+            pytest.param(True, True, 9.0, 12.0, id="it cannot tell"),
+        ],
+    )
+    def test_keys_of_a_lost_target(self, others_reach, restarted, least, most):
+        """A leader is cut off from the store, and then a target dies.
+
+        Its successor has to wait for grants that the leader may have made
+        longer, before the target's keys have an owner again: ten seconds, in
+        which callers are refused. Where others reached the store all the time
+        none were, and the leader says so when it follows the next one.
+        """
+
+        async def main():
+            store, orders = fakes.Store(), fakes.Orders()
+            targets = [fakes.target(n) for n in ("a", "b", "c")]
+            clock = fakes.VirtualClock()
+            stores = [fakes.Cut(store) for _ in range(2)]
+            one, two = (
+                Vm(f"vm-{i + 1}", stores[i], orders, targets, clock)
+                for i in range(2)
+            )
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            stores[0].failing = fakes.UNAVAILABLE
+            for _ in range(20):
+                await asyncio.sleep(0.2)
+                report = two.report(reaches_store=others_reach)
+                two.leading.hear(one.leading.take_report(report))
+            orders.dead.add("a")
+            assert await two.leading.take_over("test")
+            one.leading.step_down("replaced")
+            word = None if restarted else one.leading.longer_grants()
+            two.leading.take_report(one.report(longer=word))
+            began = virtual.now()
+            await _until(lambda: orders.holders(0) - {"a"} != set(), seconds=60)
+            assert least < virtual.now() - began < most
+            assert orders.clashes == []
+            two.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_never_led(self):
+        """A VM that has not led since its start has nothing to say."""
+
+        async def main():
+            _, _, (one,) = _world("vm-1")
+            assert one.leading.longer_grants() is None
+            await one.leading.take_over("test")
+            one.leading.step_down("end")
+            assert one.leading.longer_grants() is not None
+
+        virtual.run(main())
+
+
 class TestThirdLeader:
     """Leaders follow each other faster than the first one notices."""
 
