A peer's message just after a daemon's start is not taken for an old one

tests/entry/test_guard.py::TestPeers::test_message failed once beside load with 'Object missing required field type': the reply was a refusal, which the caller decodes as a message. Cause: the time in a signature is rounded to milliseconds, down as often as up, and compared with the exact time of the receiver's start; the test's first message follows the start at once. Stamps are rounded up now.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_auth.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_auth.py
@@ -6,6 +6,7 @@
 import hashlib
 import hmac
 import itertools
+import math
 import secrets
 import time
 
@@ -20,6 +21,8 @@
     {"host", "content-length", "transfer-encoding", "connection", _wire.AUTH}
 )
 _PARTS = 4
+_STAMPS = 1000
+"""Different stamps in a second."""
 _MAX_DIGITS = 15
 
 
@@ -99,7 +102,9 @@
         if not self._keys:
             return []
         digest = STREAMED if body is None else _digest(body)
-        stamp = f"{self._wall():.3f}"
+        # Rounded up: a stamp that lay before the start of a receiver that has
+        # just started would be taken for an old message.
+        stamp = f"{math.ceil(self._wall() * _STAMPS) / _STAMPS:.3f}"
         nonce = f"{self._run}{next(self._number):x}"
         signed = [(_wire.BODY_DIGEST, digest), *headers]
         text = _text(to, method, path, stamp, nonce, signed)
--- a/tests/entry/test_auth.py
+++ b/tests/entry/test_auth.py
@@ -106,6 +106,19 @@
     An approval would run twice.
     """
 
+    @pytest.mark.parametrize("after", [0.0, 0.00004, 0.0004])
+    def test_just_after_a_restart(self, after):
+        """A peer sends its first message as soon as a daemon has started.
+
+        Stamps have milliseconds. One that was rounded down lay before the
+        start, and the peer was refused as if its message were an old one.
+        """
+        wall = _Wall(1_000_000.0004)
+        receiver = _signer("e1", wall=wall)
+        wall.now += after
+        sent = _sent(_signer("e0", wall=wall))
+        assert receiver.check("POST", "/forward/s/1", sent)
+
     def test_second_time(self):
         """Also after the numbers have gone over to the next generation."""
         wall = _Wall()
