Keys of lost targets wait for one witness's word, not for a silent leader

Change: a leader names three VMs in the store as witnesses once nothing of earlier leaders is left. Beyond 2.5 s without the store it goes on only with the promise of all of them, each after its own look at the store; longer grants are given under promises only. A successor that hears one witness without a promise waits 2.5 s and a usual grant.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
@@ -11,7 +11,8 @@
 - Keys of a target that does not answer are given away only once every grant
   has run out. A replaced leader that does not know it might renew them; so a
   leader stops by itself when it has not seen its entry in the store for
-  `authority` seconds, and its successor waits that long.
+  `authority` seconds, and its successor waits that long. Where the leader has
+  named witnesses, both times are far shorter (`extension`).
 
 All times are of a clock that runs on while the machine is suspended: a leader
 that thaws must see that its time has passed.
@@ -54,19 +55,51 @@
             not, as far as is known, and so may soon lead in its place.
     """
 
-    __slots__ = ("_confirmed", "_longer_until", "_span", "replaceable")
-
-    def __init__(self, span: float) -> None:
+    __slots__ = (
+        "_confirmed",
+        "_extended_until",
+        "_longer_until",
+        "_span",
+        "_unextended",
+        "_witnessed",
+        "replaceable",
+    )
+
+    def __init__(self, span: float, unextended: float | None = None) -> None:
         """Makes one that allows nothing.
 
         Args:
-            span: Seconds that one look at the store allows.
+            span: Seconds that one look at the store allows, with the promises
+                of all witnesses if there are some.
+            unextended: Seconds that it allows without these, if there are
+                witnesses.
         """
         self._span = span
+        self._unextended = span if unextended is None else unextended
+        self._witnessed = False
         self._confirmed = float("-inf")
+        self._extended_until = float("-inf")
         self._longer_until = float("-inf")
         self.replaceable = False
 
+    @property
+    def extended(self) -> bool:
+        """Whether the last look at the store has been extended."""
+        return self._extended_until >= self._confirmed + self._span
+
+    def need_witnesses(self) -> None:
+        """Shortens it, since witnesses are being named."""
+        self._witnessed = True
+
+    def extend(self, confirmed: float) -> None:
+        """Notes that all witnesses have promised not to lead.
+
+        Args:
+            confirmed: The last look at the store that they were told of.
+        """
+        until = confirmed + self._span
+        self._extended_until = max(self._extended_until, until)
+
     @property
     def longer_until(self) -> float:
         """Time at which all grants that were longer than usual have run out.
@@ -89,7 +122,15 @@
     @property
     def ends(self) -> float:
         """Time from which no order may be given."""
-        return self._confirmed + self._span
+        if not self._witnessed:
+            return self._confirmed + self._span
+        unextended = self._confirmed + self._unextended
+        return max(unextended, self._extended_until)
+
+    @property
+    def extended_until(self) -> float:
+        """Time at which the promises of witnesses have ended."""
+        return self._extended_until
 
     def confirm(self, asked: float) -> None:
         """Notes that the store named this leader.
@@ -104,7 +145,12 @@
         return now < self.ends
 
     def hold_seconds(
-        self, now: float, usual: float, most: float, trouble_after: float
+        self,
+        now: float,
+        arrival: float,
+        usual: float,
+        most: float,
+        trouble_after: float,
     ) -> float:
         """Returns how long a grant given now may last.
 
@@ -117,14 +163,17 @@
 
         Args:
             now: The time.
+            arrival: When it arrives at the latest.
             usual: Seconds of a grant while all is well.
             most: Longest grant that targets accept.
             trouble_after: Seconds without the store after which it counts as
                 not answering.
         """
-        if self.replaceable or now - self._confirmed < trouble_after:
+        if now - self._confirmed < trouble_after:
+            return usual
+        if not self.extended if self._witnessed else self.replaceable:
             return usual
-        return max(usual, min(most, self.ends - now + usual))
+        return max(usual, min(most, self.ends - arrival + usual))
 
 
 def lapsed_at(last_order: float, hold: float) -> float:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -421,6 +421,10 @@
             )
         if path == messages.HEARD_PATH:
             return self._peers.heard()
+        if path == messages.EXTEND_PATH:
+            return await self._leading.witness.answer(
+                messages.decode(body, messages.ExtensionRequest)
+            )
         return None
 
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -8,6 +8,7 @@
 import result
 
 from mimosastile_core import errors
+from mimosastile_core.gateway import formers
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
 from mimosastile_gateway import beliefs
@@ -37,85 +38,6 @@
 than this: VMs that have not heard of a change report misses as well."""
 
 
-class Silence:
-    """When former leaders have stopped, and how long their grants last."""
-
-    __slots__ = (
-        "_calm_until",
-        "_formers",
-        "_hold",
-        "_known",
-        "_longer_until",
-        "_most",
-        "_named",
-        "_until",
-        "_wordless",
-    )
-
-    def __init__(
-        self,
-        until: float,
-        formers: Iterable[str] = (),
-        calm_until: float = float("-inf"),
-        hold: float = 0.0,
-        most: float = 0.0,
-        longer_until: float = float("-inf"),
-    ) -> None:
-        """Makes one.
-
-        Args:
-            until: When all have surely stopped.
-            formers: Identifiers of their VMs.
-            calm_until: Until when they surely gave usual grants only.
-            hold: Seconds of a usual grant.
-            most: Seconds of its longest grant.
-            longer_until: When the longer grants that they gave before have
-                run out.
-        """
-        self._until = until
-        self._longer_until = longer_until
-        self._known = until
-        self._calm_until = calm_until
-        self._hold = hold
-        self._most = most
-        self._formers = set(formers)
-        self._named = bool(self._formers)
-        self._wordless = set(self._formers)
-
-    def stopped(self, now: float) -> None:
-        """Notes that all are known to have stopped."""
-        self._formers.clear()
-        self._known = min(self._known, now)
-
-    def heard(self, vm: str, now: float, longer: float | None) -> None:
-        """Notes that a VM gives no orders any more.
-
-        Args:
-            vm: Identifier of a VM that follows the present leader.
-            now: The time.
-            longer: Seconds until grants that were longer than usual, its own
-                and those of leaders before it, have run out, as it says; None
-                if it has started again since it led and cannot tell.
-        """
-        if vm in self._formers:
-            self._formers.discard(vm)
-            if longer is not None:
-                self._wordless.discard(vm)
-                self._longer_until = max(self._longer_until, now + longer)
-            if not self._formers:
-                self.stopped(now)
-
-    @property
-    def lapse(self) -> float:
-        """Time at which all their grants have run out."""
-        latest = leadership.lapsed_at(self._until, self._hold)
-        all_said = self._named and not self._wordless
-        calm = all_said or self._known <= self._calm_until
-        hold = self._hold if calm else self._most
-        known = leadership.lapsed_at(self._known, hold)
-        return min(latest, max(known, self._longer_until))
-
-
 class _Exposure:
     """Keys that a target may hold until some time."""
 
@@ -179,11 +101,11 @@
         "_doubtful",
         "_events",
         "_exposures",
+        "_formers",
         "_on_change",
         "_orders",
         "_owners",
         "_settings",
-        "_silence",
         "_states",
         "_stopped",
         "_table",
@@ -197,7 +119,7 @@
         timer: clock.Clock,
         log: events.Events,
         authority: leadership.Authority,
-        silence: Silence,
+        former: formers.FormerLeaders,
         alive_at: Mapping[str, float],
         on_change: Callable[[], None],
     ) -> None:
@@ -207,7 +129,7 @@
         self._clock = timer
         self._events = log
         self._authority = authority
-        self._silence = silence
+        self._formers = former
         self._alive_at = alive_at
         self._on_change = on_change
         self._table: ranges.RangeTable | None = None
@@ -392,7 +314,9 @@
                     owner.wake, max(state.due - now, _TICK_SECONDS)
                 )
                 continue
-            if not self._authority.holds(now):
+            # The order may wait on its way, and must not arrive later.
+            late = self._settings.leader.order_timeout + self._held_up(holder)
+            if not self._authority.holds(now + late):
                 self._events.write(
                     "grants",
                     "authority_ended",
@@ -420,8 +344,10 @@
     ) -> None:
         configured = self._settings.leader
         sent = self._clock.boot()
+        latest = sent + configured.order_timeout + self._held_up(holder)
         hold = self._authority.hold_seconds(
             sent,
+            latest,
             configured.hold,
             self._settings.bounds.hold_most,
             configured.trouble_after,
@@ -434,7 +360,6 @@
         if hold > configured.hold:
             # Before it can arrive: a leader that is replaced meanwhile is
             # asked how long its grants last.
-            latest = sent + configured.order_timeout + self._held_up(holder)
             self._authority.note_longer(leadership.lapsed_at(latest, hold))
         self._exposures.setdefault(holder, []).append(exposure)
         order = ports.GrantOrder(
@@ -594,7 +519,7 @@
         )
         # A former leader may have renewed them as well, whatever this one has
         # sent since.
-        return max((self._silence.lapse, *given))
+        return max((self._formers.lapse, *given))
 
     def _run_ended(self, holder: ranges.Holder) -> bool:
         """Whether a run of a target is surely over, with all that it held.
@@ -609,7 +534,7 @@
             return True
         if holder in self._doubtful:
             return False
-        if self._clock.boot() < self._silence.lapse:
+        if self._clock.boot() < self._formers.lapse:
             return False
         return known.has_started_again(holder.id, holder.born)
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -14,6 +14,8 @@
 from mimosastile_core.gateway import casualties
 from mimosastile_core.gateway import demand
 from mimosastile_core.gateway import directory
+from mimosastile_core.gateway import extension
+from mimosastile_core.gateway import formers
 from mimosastile_core.gateway import heat
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
@@ -28,6 +30,7 @@
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
 from mimosastile_gateway import telling
+from mimosastile_gateway import witnessing
 
 _WATCHERS = 3
 """VMs that follow the store beside the leader."""
@@ -39,6 +42,8 @@
 it."""
 _GATES_SECONDS = 0.1
 """How often gates are chosen anew: far more often than VMs report."""
+_CONFIRM_AGAIN = 0.3
+"""Seconds between a failed look at the store and the next one."""
 ANSWER_SECONDS = 0.4
 """Longest time for which an answer to a report may have been on its way."""
 _RESIGN_AFTER = 0.8
@@ -64,11 +69,13 @@
         "_authority",
         "_beliefs",
         "_boot",
+        "_calls",
         "_casualties",
         "_clock",
         "_demand",
         "_entry",
         "_events",
+        "_formers",
         "_gates_at",
         "_gates_chosen",
         "_has_led",
@@ -78,14 +85,15 @@
         "_serial",
         "_services",
         "_settings",
-        "_silence",
         "_started",
         "_store",
         "_store_failing_since",
         "_succession",
-        "_tasks",
         "_taking",
+        "_tasks",
         "_telling",
+        "_witness",
+        "_witnesses",
         "address",
         "calm_until",
         "longer_until",
@@ -114,7 +122,12 @@
             configured.vm.id, configured.vm.zone, calls, known, timer, log
         )
         self._alive_at: dict[str, float] = {}
-        self._authority = leadership.Authority(configured.leader.authority)
+        self._calls = calls
+        self._witness = witnessing.Witness(
+            configured, boot, store, known, timer, log
+        )
+        self._witnesses: witnessing.Witnesses | None = None
+        self._authority = self._new_authority()
         self._entry: leadership.LeaderEntry | None = None
         self._has_led = False
         self._revision = 0
@@ -124,7 +137,7 @@
         self._gates_chosen: dict[str, str] = {}
         self._planner = self._new_planner()
         self._services: dict[str, planning.Keyed] = {}
-        self._silence = granting.Silence(0.0)
+        self._formers = formers.FormerLeaders(0.0)
         self.address = configured.vm.peers
         self.calm_until = float("-inf")
         self.longer_until = float("-inf")
@@ -146,6 +159,15 @@
         # Counted from when the answer came, which is later than the truth.
         self.longer_until = now + reply.longer
 
+    def _new_authority(self) -> leadership.Authority:
+        configured = self._settings.leader
+        return leadership.Authority(configured.authority, configured.unextended)
+
+    @property
+    def witness(self) -> witnessing.Witness:
+        """This VM as a witness of other leaders."""
+        return self._witness
+
     def _new_planner(self) -> planning.Planner:
         return planning.Planner(
             self._settings,
@@ -209,9 +231,9 @@
         items = await self._read_all()
         if items is None or items[messages.LEADER_KEY].revision != revision:
             return False
-        self._authority = leadership.Authority(self._settings.leader.authority)
+        self._authority = self._new_authority()
         self._authority.confirm(asked)
-        self._begin(entry, revision, items)
+        self._begin(entry, revision, items, known)
         self._events.write(
             "leader",
             "leading",
@@ -273,8 +295,10 @@
         entry: leadership.LeaderEntry,
         revision: int,
         items: Mapping[str, ports.Item],
+        former: leadership.LeaderEntry | None,
     ) -> None:
         now = self._clock.boot()
+        configured = self._settings.leader
         self._entry = entry
         self._has_led = True
         self._revision = revision
@@ -283,18 +307,37 @@
         self._succession.clear()
         self._store_failing_since = None
         self._started = now
-        formers = entry.unsure
-        self._silence = granting.Silence(
-            now + self._settings.leader.authority if formers else now,
-            formers,
+        record_item = items.get(messages.WITNESSES_KEY)
+        record = self._decoded_record(record_item)
+        named = former and record and record.epoch == former.epoch
+        self._formers = formers.FormerLeaders(
+            now + configured.authority if former else now,
+            entry.unsure,
             self.calm_until,
-            self._settings.leader.hold,
+            configured.hold,
             self._settings.bounds.hold_most,
             self.longer_until,
+            record.witnesses if record and named else (),
+            now + configured.unextended,
+        )
+        if not entry.unsure:
+            # There was none, or it was an earlier run of this daemon, whose
+            # longer grants may still last.
+            self._formers.stopped(now)
+        self._formers.testify(
+            self._witness.identity, self._witness.promised(), now
+        )
+        self._witnesses = witnessing.Witnesses(
+            self._settings,
+            entry,
+            record_item.revision if record_item else 0,
+            self._authority,
+            self._store,
+            self._calls,
+            self._telling,
+            self._clock,
+            self._events,
         )
-        if not formers:
-            # There was none, or its process has ended: this one is the next.
-            self._silence.stopped(now)
         for key, item in items.items():
             if key.startswith(messages.TABLE_PREFIX):
                 self._load(item)
@@ -336,6 +379,19 @@
             )
             return None
 
+    def _decoded_record(
+        self, item: ports.Item | None
+    ) -> extension.Record | None:
+        if item is None:
+            return None
+        try:
+            return msgspec.json.decode(item.value, type=extension.Record)
+        except msgspec.DecodeError as error:
+            self._events.write(
+                "leader", "entry_unreadable", key=item.key, why=str(error)
+            )
+            return None
+
     def _load(self, item: ports.Item) -> None:
         table = self._decoded_table(item)
         if table is None:
@@ -360,7 +416,7 @@
             self._clock,
             self._events,
             self._authority,
-            self._silence,
+            self._formers,
             self._alive_at,
             self._published,
         )
@@ -386,6 +442,8 @@
         for task in self._tasks:
             task.cancel()
         self._telling.stop()
+        if self._witnesses is not None:
+            self._witnesses.stop()
         for keyed in self._services.values():
             keyed.granting.stop()
         self._services = {}
@@ -400,8 +458,12 @@
             return messages.ReportReply(leader, leading=False)
         now = self._clock.now()
         vm = report.vm
-        # Whoever reports to this leader gives no orders itself.
-        self._silence.heard(vm.id, self._clock.boot(), report.longer)
+        boot = self._clock.boot()
+        # A VM that reports here does not lead itself.
+        self._formers.follows(vm.id, boot, report.longer)
+        if report.epoch >= self._entry.epoch:
+            witness = extension.Witness(vm.id, vm.boot)
+            self._formers.testify(witness, report.promised, boot)
         if report.news is not None:
             self._beliefs.take_news(report.news)
         self._beliefs.confirm_configuration(
@@ -475,7 +537,7 @@
 
     def _longer_seconds(self) -> float:
         """Returns how long longer grants may last, former leaders' included."""
-        until = max(self._authority.longer_until, self._silence.lapse)
+        until = max(self._authority.longer_until, self._formers.lapse)
         return max(until - self._clock.boot(), 0.0)
 
     def _watchers(
@@ -536,12 +598,23 @@
         pause = self._settings.leader.confirm
         while True:
             failing = self._store_failing_since is not None
-            await asyncio.sleep(0.3 if failing else pause)
+            await asyncio.sleep(_CONFIRM_AGAIN if failing else pause)
             await self._confirm()
+            if self._witnesses is not None and not self._store_failing_since:
+                clear_at = max(
+                    self._formers.lapse, self._authority.longer_until
+                )
+                await self._witnesses.name(self._revision, clear_at)
 
     async def _confirm(self) -> None:
         asked = self._clock.boot()
-        read = await self._store.read(messages.LEADER_KEY)
+        late = asyncio.get_running_loop().call_later(
+            self._settings.leader.extension_after, self._ask_witnesses
+        )
+        try:
+            read = await self._store.read(messages.LEADER_KEY)
+        finally:
+            late.cancel()
         if isinstance(read, result.Err):
             self._store_failed(read.err_value, asked)
             return
@@ -563,6 +636,7 @@
         self._beliefs.note_store(ok=False, why=failure.detail)
         if self._store_failing_since is None:
             self._store_failing_since = asked
+        self._ask_witnesses()
         self._authority.replaceable = bool(self._able())
         if now - self._store_failing_since < _RESIGN_AFTER:
             return
@@ -575,6 +649,10 @@
                 store_silent=round(now - self._store_failing_since, 2),
             )
 
+    def _ask_witnesses(self) -> None:
+        if self._witnesses is not None and self.leading:
+            self._witnesses.ask()
+
     def _ask_others(self) -> tuple[str, ...]:
         """Asks VMs that reach the store to lead; returns the newly asked."""
         able = self._able()
@@ -742,6 +820,7 @@
         return {
             "leading": self.leading,
             "epoch": self._entry.epoch if self._entry else None,
+            "witnesses": self._witnesses.dump() if self._witnesses else [],
             "tables": {
                 name: {
                     "version": keyed.table.version,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -14,6 +14,7 @@
 
 STORE_PREFIX = "mimosastile/"
 LEADER_KEY = STORE_PREFIX + "leader"
+WITNESSES_KEY = STORE_PREFIX + "witnesses"
 VM_PREFIX = "mimosastile-vm/"
 """Apart from the rest, which every VM reads when it starts."""
 TABLE_PREFIX = STORE_PREFIX + "table/"
@@ -39,6 +40,7 @@
 ASSIGN_PATH = "/assign"
 HEARD_PATH = "/heard"
 RELAY_PATH = "/relay"
+EXTEND_PATH = "/extend"
 
 
 class VmEntry(msgspec.Struct, frozen=True):
@@ -159,6 +161,9 @@
         longer: Seconds until grants that it gave as a leader and that were
             longer than usual, and those of leaders before it, have run out;
             None if it has not led since it started.
+        epoch: Epoch of the leader that it follows; -1 for none.
+        promised: Seconds until its last promise to a leader, as a witness,
+            ends; negative for one that has ended, None for none.
     """
 
     vm: VmEntry
@@ -179,6 +184,8 @@
     news: News | None = None
     stopping: bool = False
     longer: float | None = None
+    epoch: int = -1
+    promised: float | None = None
 
 
 class ReportReply(msgspec.Struct, frozen=True):
@@ -255,6 +262,30 @@
     missed: tuple[str, ...] = ()
 
 
+class ExtensionRequest(msgspec.Struct, frozen=True):
+    """A leader that lost the store asks a witness for a promise.
+
+    Attributes:
+        epoch: Epoch of the leader.
+        boot: Run of the witness that it has named.
+        seconds: For how long it would go on giving orders.
+    """
+
+    epoch: int
+    boot: str
+    seconds: float
+
+
+class ExtensionReply(msgspec.Struct, frozen=True):
+    """A witness's answer.
+
+    Attributes:
+        promised: Whether it has made the promise.
+    """
+
+    promised: bool
+
+
 class Heard(msgspec.Struct, frozen=True):
     """What a VM knows of the leader.
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -383,6 +383,7 @@
         ended, self._ended = tuple(self._ended), []
         deaths, self._deaths = tuple(self._deaths), []
         alive, self._alive = tuple(self._alive), set()
+        leader = self._beliefs.leader
         return messages.Report(
             self.entry,
             self._beliefs.store_ok,
@@ -402,6 +403,8 @@
             self._own_news(),
             self._admitting.stopping,
             self._leader.longer_grants(),
+            leader.epoch if leader else -1,
+            self._leader.witness.promised(),
         )
 
     def _changed_factors(self) -> dict[str, float]:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -76,6 +76,11 @@
             Longer than the usual outage of a store, so that an outage costs no
             keys; it is also what a successor that got no word from the leader
             waits before keys of a silent target move.
+        unextended: The same until all witnesses of the leader have found the
+            store unreachable too. A successor that hears one witness which
+            did not waits only this long.
+        extension_after: Time after which an unanswered look counts as failed,
+            and within which witnesses try to reach the store.
         confirm: Between two such looks. Each is a call that is paid for. With
             the timeout of one, a cut is found and another VM leads within two
             seconds, before the usual grants run out.
@@ -113,6 +118,8 @@
     """
 
     authority: Positive = 10.0
+    unextended: Positive = 2.5
+    extension_after: Positive = 0.6
     confirm: Positive = 0.5
     hold: Positive = 2.0
     renew: Positive = 0.5
