Orders have connections of their own

Hypothesis: a crowd at a target takes its keys away without any fault. Cause: orders and requests shared one pool. A request took the connection that renewals had kept open; the next renewal opened a new one, which a full target resets. Change: a pool for orders alone.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -82,6 +82,7 @@
         "_leading",
         "_metrics",
         "_observed",
+        "_order_pool",
         "_peers",
         "_pool",
         "_ready",
@@ -114,6 +115,9 @@
         self._events = log or events.Events(vm.id)
         self._clock = timer or clock.Clock()
         self._pool = http_client.Pool(configured.requests.silent)
+        # A full target resets new connections. Requests that took those of
+        # orders would then cost it its grants.
+        self._order_pool = http_client.Pool(configured.requests.silent)
         self._metrics = metrics.Metrics(self._events.counts)
         self._beliefs = beliefs.Beliefs(configured, self._clock, self._events)
         store = adapter.store(self._pool)
@@ -126,7 +130,7 @@
             configured,
             boot,
             store,
-            adapter.orders(self._pool),
+            adapter.orders(self._order_pool),
             calls,
             self._beliefs,
             self._clock,
@@ -262,6 +266,7 @@
             server.close_idle()
         self._channel.close()
         self._pool.close()
+        self._order_pool.close()
 
     def abort(self) -> None:
         """Ends everything at once, as the end of the process would."""
@@ -280,6 +285,7 @@
             server.abort()
         self._channel.close()
         self._pool.close()
+        self._order_pool.close()
 
     def take_settings(self, new: settings.GatewaySettings) -> None:
         """Takes settings that were read again.
@@ -345,6 +351,7 @@
             # A sample: a loop that is busy shows it in most of them.
             self._lag = self._clock.now() - asked - _TRIM_SECONDS
             self._pool.trim(_IDLE_MOST)
+            self._order_pool.trim(_IDLE_MOST)
             known = [entry.target.id for entry in self._beliefs.directory]
             self._rooms.forget_except(known)
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -141,6 +141,10 @@
         self._server.stop_listening()
         self._server.abort()
 
+    def refuse_connections(self) -> None:
+        """Refuses new connections, as a full target, and keeps its others."""
+        self._server.stop_listening()
+
     def registration(
         self, state: str = "ready", address: str = "", zone: str = "zone-a"
     ) -> dict[str, Any]:
--- a/tests/gateway/test_world.py
+++ b/tests/gateway/test_world.py
@@ -103,6 +103,37 @@
         _play(scenario)
 
 
+class TestCrowd:
+    """More is wanted of a target than it can take."""
+
+    def test_ownership_outlasts_it(self):
+        """Guards against a crowd that takes a target's keys from it.
+
+        Requests occupy all connections, and the target takes no new ones.
+        """
+
+        async def scenario(world):
+            target = world.targets["k0"]
+            target.fault = platform_target.Fault.HANG
+            target.refuse_connections()
+            asked = [
+                asyncio.create_task(world.ask(f"/read/{n}", n))
+                for n in range(4)
+            ]
+            orders = len(target.orders)
+
+            async def renewed():
+                return len(target.orders) >= orders + 4
+
+            await world.until(renewed)
+            assert "grant_failed" not in world.log("vm-0")
+            for task in asked:
+                task.cancel()
+            await asyncio.gather(*asked, return_exceptions=True)
+
+        _play(scenario, vms=1, keyed=1, plain=0)
+
+
 class TestTargets:
     """Targets that fail, leave and are replaced."""
 
