A leader's work grows with the targets, not with their square

Hypothesis: at 300 VMs with 3,000 targets the leader stops answering. Each of 1,660 answers made an assignment of all ranges and compared all vacant ranges with all former ones; each order looked through all ranges for the next one due. 123 of 300 VMs read all targets from the store meanwhile. Change: ranges by owner; vacancies merged in order of keys; an assignment at most every 20 ms; watchers ranked at most every 0.1 s; registrations that come together are one signal and, above 20, one log line.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/vacancies.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/vacancies.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Iterable
+import itertools
 
 from mimosastile_core.gateway import assignments
 
@@ -47,11 +48,17 @@
     def take(self, known: assignments.Assignment, now: float) -> None:
         """Notes which keys have no owner; others that had none before have."""
         former = self._of.get(known.service, [])
-        self._of[known.service] = [
-            _Vacancy(span.first, span.last, _since(span, former, now))
-            for span in known.spans()
-            if not span.owner
-        ]
+        found: list[_Vacancy] = []
+        index = 0
+        for span in known.spans():
+            if span.owner:
+                continue
+            # Both are in order of keys.
+            while index < len(former) and former[index].last < span.first:
+                index += 1
+            since = _since(span, itertools.islice(former, index, None), now)
+            found.append(_Vacancy(span.first, span.last, since))
+        self._of[known.service] = found
 
     def seconds(self, service: str, key: int, now: float) -> float:
         """Returns the time until a key can be expected to have an owner.
@@ -82,10 +89,12 @@
 def _since(
     span: assignments.Span, former: Iterable[_Vacancy], now: float
 ) -> float:
-    """Returns since when a range has had no owner, at the longest."""
-    overlapping = (
-        vacancy.since
-        for vacancy in former
-        if vacancy.first <= span.last and span.first <= vacancy.last
-    )
-    return min(overlapping, default=now)
+    """Returns since when a range has had no owner, at the longest.
+
+    Args:
+        span: The range.
+        former: Earlier vacancies that do not end before it, in order of keys.
+        now: The time.
+    """
+    overlapping = itertools.takewhile(lambda v: v.first <= span.last, former)
+    return min((vacancy.since for vacancy in overlapping), default=now)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -27,6 +27,9 @@
 """Part of the grace that is left when a vanishing is found by comparing lists,
 which follows a silence of the watch of up to a second and a half."""
 
+_LOGGED_SINGLY = 20
+"""Changes of registrations that have a log line each; more have one together.
+A thousand targets that start would be a thousand lines on each VM."""
 _CONFIGURATIONS_KEPT = 32
 """Earlier configurations kept, to tell VMs what has changed since. Operators
 change it up to some ten times a second for a few seconds; a VM reports twice
@@ -167,8 +170,49 @@
 
     def take_target(self, target: directory.Target) -> None:
         """Takes a target's registration."""
-        self._note_older_run(target)
-        if self.directory.put(target, self._clock.now()):
+        self.take_registrations((target,))
+
+    def take_registrations(
+        self,
+        targets: Iterable[directory.Target],
+        vanished: Iterable[tuple[str, int]] = (),
+    ) -> None:
+        """Takes changes of registrations, with one signal for all.
+
+        Args:
+            targets: Targets as they have registered themselves.
+            vanished: Identifiers of others whose registration has vanished,
+                with the store's revision of that, 0 if it is not known.
+        """
+        now = self._clock.now()
+        written = []
+        for target in targets:
+            self._note_older_run(target)
+            if self.directory.put(target, now):
+                written.append(target)
+        gone = [
+            name
+            for name, revision in vanished
+            if self.directory.remove(name, now, revision=revision)
+        ]
+        if not written and not gone:
+            return
+        if len(written) + len(gone) > _LOGGED_SINGLY:
+            self._events.write(
+                "targets",
+                "targets_changed",
+                ready=sum(not target.leaving for target in written),
+                leaving=sum(target.leaving for target in written),
+                gone=len(gone),
+            )
+        else:
+            self._log_singly(written, gone)
+        self.signal()
+
+    def _log_singly(
+        self, written: Iterable[directory.Target], gone: Iterable[str]
+    ) -> None:
+        for target in written:
             self._events.write(
                 "targets",
                 "target_leaving" if target.leaving else "target_ready",
@@ -177,7 +221,8 @@
                 service=target.service,
                 address=target.address,
             )
-            self.signal()
+        for name in gone:
+            self._events.write("targets", "target_gone", target=name)
 
     def _note_older_run(self, target: directory.Target) -> None:
         """Logs a registration of a run that is known to be over."""
@@ -193,10 +238,7 @@
 
     def lose_target(self, target: str, revision: int = 0) -> None:
         """Notes that a target's registration has vanished."""
-        now = self._clock.now()
-        if self.directory.remove(target, now, revision=revision):
-            self._events.write("targets", "target_gone", target=target)
-            self.signal()
+        self.take_registrations((), ((target, revision),))
 
     def end_target(self, target: str, born: int) -> None:
         """Notes proof that a run of a target is over."""
@@ -286,15 +328,20 @@
             made = configurations.apply(self.configuration, news.change)
             if made is not None:
                 self.take_configuration(made)
-        for item in news.targets:
-            if item.gone:
-                self.lose_target(item.target.id, item.revision)
-                continue
-            self.take_target(
+        self.take_registrations(
+            (
                 msgspec.structs.replace(
                     item.target, warm_at=now + item.warm_left
                 )
-            )
+                for item in news.targets
+                if not item.gone
+            ),
+            (
+                (item.target.id, item.revision)
+                for item in news.targets
+                if item.gone
+            ),
+        )
         if news.after <= self.seen:
             # Otherwise some earlier news were lost on their way. Whoever told
             # these tells them again, as long as this VM does not claim to
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -1,6 +1,7 @@
 """Carries one service's table out: takes keys from targets and grants them."""
 
 import asyncio
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -106,6 +107,7 @@
         "_orders",
         "_owners",
         "_settings",
+        "_of_owner",
         "_states",
         "_stopped",
         "_table",
@@ -134,6 +136,7 @@
         self._on_change = on_change
         self._table: ranges.RangeTable | None = None
         self._states: dict[ranges.Piece, _State] = {}
+        self._of_owner: dict[ranges.Holder, list[_State]] = {}
         self._owners: dict[ranges.Holder, _Owner] = {}
         self._doubtful: set[ranges.Holder] = set()
         self._exposures: dict[ranges.Holder, list[_Exposure]] = {}
@@ -213,14 +216,22 @@
     def follow(self, table: ranges.RangeTable) -> None:
         """Carries a table out in place of the one before."""
         former = self._states
+        # In order of keys, as the table that they came from.
+        earlier = list(former.values())
+        firsts = [state.item.first for state in earlier]
         self._table = table
         self._states = {}
         for item in table.ranges:
             state = former.pop(item.piece, None)
             if state is None:
-                state = self._inherited(item, former)
+                begin = max(bisect.bisect_right(firsts, item.first) - 1, 0)
+                end = bisect.bisect_right(firsts, item.last)
+                state = self._inherited(item, earlier[begin:end])
             state.item = item
             self._states[item.piece] = state
+        self._of_owner = {}
+        for state in self._states.values():
+            self._of_owner.setdefault(state.item.owner, []).append(state)
         for old in former.values():
             for task in old.freeing.values():
                 task.cancel()
@@ -241,13 +252,13 @@
         self._owners = {}
 
     def _inherited(
-        self, item: ranges.Range, former: dict[ranges.Piece, _State]
+        self, item: ranges.Range, former: Iterable[_State]
     ) -> _State:
         """Makes the state of a new piece from those that it was made of."""
         state = _State(item)
         parts = [
             old
-            for old in former.values()
+            for old in former
             if old.item.first <= item.last and item.first <= old.item.last
         ]
         # A piece that was cut or joined stays with its owner, who goes on
@@ -265,7 +276,7 @@
         return state
 
     def _keep_owners(self) -> None:
-        wanted = {state.item.owner for state in self._states.values()}
+        wanted = self._of_owner
         for holder in [h for h in self._owners if h not in wanted]:
             owner = self._owners.pop(holder)
             if owner.task is not None:
@@ -330,11 +341,7 @@
     def _next(self, holder: ranges.Holder) -> _State | None:
         """Returns the piece that is due first; new ones go before renewals."""
         return min(
-            (
-                state
-                for state in self._states.values()
-                if state.item.owner == holder and state.free
-            ),
+            (state for state in self._of_owner.get(holder, ()) if state.free),
             key=lambda state: (state.granted, state.due),
             default=None,
         )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -41,7 +41,10 @@
 """Seconds without the store in which these have found out whether they reach
 it."""
 _GATES_SECONDS = 0.1
-"""How often gates are chosen anew: far more often than VMs report."""
+"""How often gates and watchers are chosen anew: far more often than VMs
+report."""
+_PUBLISH_SECONDS = 0.02
+"""Shortest time between two assignments."""
 _CONFIRM_AGAIN = 0.3
 """Seconds between a failed look at the store and the next one."""
 ANSWER_SECONDS = 0.4
@@ -81,6 +84,8 @@
         "_has_led",
         "_orders",
         "_planner",
+        "_published_at",
+        "_publishing",
         "_revision",
         "_serial",
         "_services",
@@ -92,6 +97,8 @@
         "_taking",
         "_tasks",
         "_telling",
+        "_watchers_at",
+        "_watchers_chosen",
         "_witness",
         "_witnesses",
         "address",
@@ -132,9 +139,13 @@
         self._has_led = False
         self._revision = 0
         self._serial = 0
+        self._publishing: asyncio.TimerHandle | None = None
+        self._published_at = float("-inf")
         self._demand = demand.Demand(telling.REPORT_FRESH)
         self._gates_at = float("-inf")
         self._gates_chosen: dict[str, str] = {}
+        self._watchers_at = float("-inf")
+        self._watchers_chosen: tuple[str, ...] = ()
         self._planner = self._new_planner()
         self._services: dict[str, planning.Keyed] = {}
         self._formers = formers.FormerLeaders(0.0)
@@ -549,6 +560,17 @@
         keep all VMs from routing by it. They stand in different zones as far
         as there are some.
         """
+        now = self._clock.now()
+        if now - self._watchers_at > _GATES_SECONDS:
+            self._watchers_at = now
+            self._watchers_chosen = self._ranked_watchers(reports)
+        calm = self._store_failing_since is None
+        most = _WATCHERS if calm else _WATCHERS_IN_TROUBLE
+        return self._watchers_chosen[:most]
+
+    def _ranked_watchers(
+        self, reports: Mapping[str, messages.Report]
+    ) -> tuple[str, ...]:
         here = self._settings.vm
         able = [r.vm for r in reports.values() if r.vm.id != here.id]
         able.sort(key=lambda vm: (vm.zone == here.zone, vm.order, vm.id))
@@ -557,9 +579,8 @@
         for vm in able:
             ranked.append((turns[vm.zone], len(ranked), vm.id))
             turns[vm.zone] += 1
-        calm = self._store_failing_since is None
-        most = _WATCHERS if calm else _WATCHERS_IN_TROUBLE
-        return tuple(name for _, _, name in sorted(ranked)[:most])
+        first = sorted(ranked)[:_WATCHERS_IN_TROUBLE]
+        return tuple(name for _, _, name in first)
 
     def _informed(self, reports: Mapping[str, messages.Report]) -> bool:
         """Whether this VM learns what the store holds.
@@ -573,15 +594,33 @@
         if since is None or self._clock.boot() - since < _WATCHERS_TRIED:
             return True
         watchers = self._watchers(reports)
-        return any(reports[name].store for name in watchers)
+        return any(reports[name].store for name in watchers if name in reports)
 
     # Telling VMs.
 
     def _published(self) -> None:
+        """Has changed assignments told, the first at once.
+
+        Hundreds of grants are answered at the same time when a table is new,
+        and each assignment names all ranges.
+        """
+        if self._publishing is not None:
+            return
+        now = self._clock.now()
+        wait = self._published_at + _PUBLISH_SECONDS - now
+        if wait <= 0:
+            self._publish()
+            return
+        loop = asyncio.get_running_loop()
+        self._publishing = loop.call_later(wait, self._publish)
+
+    def _publish(self) -> None:
         """Makes a new assignment of what has changed and has it told."""
+        self._publishing = None
         entry = self._entry
         if entry is None:
             return
+        self._published_at = self._clock.now()
         self._serial += 1
         for keyed in self._services.values():
             self._telling.publish(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -238,21 +238,22 @@
     def _targets_written(self, items: Iterable[ports.Item]) -> None:
         items = list(items)
         readable = self._read(items)
-        for target in readable:
-            self._beliefs.take_target(target)
-        # A registration that was overwritten by something unreadable names no
-        # target to use.
         names = {target.id for target in readable}
         prefix = self._records.targets_prefix
-        for item in items:
-            name = item.key.removeprefix(prefix)
-            if name not in names:
-                self._beliefs.lose_target(name, item.revision)
+        found = ((i.key.removeprefix(prefix), i.revision) for i in items)
+        # A registration that was overwritten by something unreadable names no
+        # target to use.
+        unreadable = [
+            (name, revision) for name, revision in found if name not in names
+        ]
+        self._beliefs.take_registrations(readable, unreadable)
 
     def _targets_removed(self, keys: Iterable[tuple[str, int]]) -> None:
         prefix = self._records.targets_prefix
-        for key, revision in keys:
-            self._beliefs.lose_target(key.removeprefix(prefix), revision)
+        self._beliefs.take_registrations(
+            (),
+            ((key.removeprefix(prefix), revision) for key, revision in keys),
+        )
 
     def _read(self, items: Iterable[ports.Item]) -> list[directory.Target]:
         found = []
