--- a/packages/mimosastile-core/src/mimosastile_core/gateway/formers.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/formers.py
@@ -109,27 +109,32 @@
         self._until = min(self._until, bound)
         self._known = min(self._known, bound)
 
-    @property
-    def lapse(self) -> float:
-        """Time at which all their grants have run out."""
+    def lapse(self, hold: float = 0.0) -> float:
+        """Returns when all their grants have run out.
+
+        Args:
+            hold: Seconds of their usual grants, if that is longer than the
+                one in the settings.
+        """
+        usual = max(self._hold, hold)
         longer_until = self._longer_until
         all_said = self._named and not self._wordless
         calm = all_said or self._known <= self._calm_until
         if self._extended_until < float("inf"):
             # Longer grants were given under promises only.
             calm = True
-            lapsed = self._lapsed_without_authority(self._extended_until)
+            lapsed = self._lapsed_after(self._extended_until, usual)
             longer_until = max(longer_until, lapsed)
-        hold = self._hold if calm else self._most
-        known = leadership.lapsed_at(self._known, hold)
-        latest = self._lapsed_without_authority(self._until)
+        longest = usual if calm else max(self._most, usual)
+        known = leadership.lapsed_at(self._known, longest)
+        latest = self._lapsed_after(self._until, usual)
         return min(latest, max(known, longer_until))
 
-    def _lapsed_without_authority(self, until: float) -> float:
+    def _lapsed_after(self, until: float, usual: float) -> float:
         """Returns when all grants have run out after authority has ended.
 
         None outlasts it by more than a usual one, but for the drift of the
         target's clock.
         """
-        drift = (self._most - self._hold) * leadership.CLOCK_DRIFT
-        return leadership.lapsed_at(until, self._hold) + drift
+        drift = max(self._most - usual, 0.0) * leadership.CLOCK_DRIFT
+        return leadership.lapsed_at(until, usual) + drift
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
@@ -176,6 +176,37 @@
         return max(usual, min(most, self.ends - arrival + usual))
 
 
+class Pace(msgspec.Struct, frozen=True):
+    """How often a grant is renewed and how long it lasts.
+
+    Attributes:
+        renew: Seconds between two renewals.
+        hold: Seconds of a grant.
+    """
+
+    renew: float
+    hold: float
+
+
+def paced(
+    ranges: int, usual: Pace, slowest: float, orders_per_second: float
+) -> Pace:
+    """Returns the pace at which a leader can renew a number of ranges.
+
+    A leader with too many orders answers nobody in time, and all grants run
+    out. So more ranges are renewed less often and granted for longer.
+
+    Args:
+        ranges: Number of ranges, one order each.
+        usual: The pace for a few.
+        slowest: Longest time in seconds between two renewals.
+        orders_per_second: Renewals to send at most, as long as none is later
+            than that.
+    """
+    renew = max(usual.renew, min(ranges / orders_per_second, slowest))
+    return Pace(renew, usual.hold * renew / usual.renew)
+
+
 def lapsed_at(last_order: float, hold: float) -> float:
     """Returns when a grant has surely run out.
 
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/ranges.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/ranges.py
@@ -83,6 +83,8 @@
         version: Rises by one with each change.
         next_fence: Fence of the next order; all earlier ones are below it.
         ranges: In order of keys, without gap or overlap.
+        hold: Seconds of the longest usual grant under this table and those
+            before it, 0 if it is the one in the settings.
     """
 
     service: str
@@ -90,6 +92,7 @@
     version: int
     next_fence: int
     ranges: tuple[Range, ...]
+    hold: float = 0.0
 
     def find(self, key: int) -> Range:
         """Returns the range of a key from 0 to 65535."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -32,6 +32,9 @@
 """Wait for the first answer to a release before it is sent again; it is
 answered when running work has ended, and some are carried out late. Grows with
 each try."""
+_ORDERS_AT_ONCE = 256
+"""Grants on their way at a time. All targets of a new table at once would have
+their answers wait for each other until the orders' timeouts."""
 _TICK_SECONDS = 0.001
 """Shortest wait; one below the clock's resolution would spin."""
 _MISS_REST = 0.2
@@ -103,11 +106,12 @@
         "_events",
         "_exposures",
         "_formers",
+        "_of_owner",
         "_on_change",
         "_orders",
         "_owners",
+        "_sending",
         "_settings",
-        "_of_owner",
         "_states",
         "_stopped",
         "_table",
@@ -141,6 +145,27 @@
         self._doubtful: set[ranges.Holder] = set()
         self._exposures: dict[ranges.Holder, list[_Exposure]] = {}
         self._stopped = False
+        self._sending = asyncio.Semaphore(_ORDERS_AT_ONCE)
+
+    @property
+    def _table_hold(self) -> float:
+        return self._table.hold if self._table else 0.0
+
+    @property
+    def _formers_lapse(self) -> float:
+        """Time at which all grants of former leaders have run out."""
+        return self._formers.lapse(self._table_hold)
+
+    @property
+    def _hold(self) -> float:
+        """Seconds of a usual grant."""
+        return max(self._settings.leader.hold, self._table_hold)
+
+    @property
+    def _renew(self) -> float:
+        """Seconds between two renewals of a grant."""
+        configured = self._settings.leader
+        return configured.renew * self._hold / configured.hold
 
     # What the leader asks.
 
@@ -336,7 +361,10 @@
                 )
                 await asyncio.sleep(_RETRY_SECONDS)
                 continue
-            await self._grant(holder, owner, state)
+            async with self._sending:
+                if not self._authority.holds(self._clock.boot() + late):
+                    continue
+                await self._grant(holder, owner, state)
 
     def _next(self, holder: ranges.Holder) -> _State | None:
         """Returns the piece that is due first; new ones go before renewals."""
@@ -355,7 +383,7 @@
         hold = self._authority.hold_seconds(
             sent,
             latest,
-            configured.hold,
+            self._hold,
             self._settings.bounds.hold_most,
             configured.trouble_after,
         )
@@ -364,7 +392,7 @@
         # little processor or link that takes longer than its timeout, and the
         # target holds the keys from its arrival on.
         exposure = _Exposure(item.first, item.last, float("inf"))
-        if hold > configured.hold:
+        if hold > self._hold:
             # Before it can arrive: a leader that is replaced meanwhile is
             # asked how long its grants last.
             self._authority.note_longer(leadership.lapsed_at(latest, hold))
@@ -381,7 +409,7 @@
             now = self._clock.boot()
             exposure.until = leadership.lapsed_at(now, hold)
             exposure.until += self._held_up(holder)
-            if hold > configured.hold:
+            if hold > self._hold:
                 self._authority.note_longer(exposure.until)
         current = self._states.get(item.piece) is state
         if isinstance(answer, result.Ok):
@@ -443,7 +471,7 @@
         owner.failing_since = None
         if not current:
             return
-        state.due = sent + self._settings.leader.renew
+        state.due = sent + self._renew
         if state.granted:
             return
         state.granted = True
@@ -526,7 +554,7 @@
         )
         # A former leader may have renewed them as well, whatever this one has
         # sent since.
-        return max((self._formers.lapse, *given))
+        return max((self._formers_lapse, *given))
 
     def _run_ended(self, holder: ranges.Holder) -> bool:
         """Whether a run of a target is surely over, with all that it held.
@@ -541,7 +569,7 @@
             return True
         if holder in self._doubtful:
             return False
-        if self._clock.boot() < self._formers.lapse:
+        if self._clock.boot() < self._formers_lapse:
             return False
         return known.has_started_again(holder.id, holder.born)
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -539,6 +539,12 @@
             )
         return self._gates_chosen
 
+    @property
+    def _formers_lapse(self) -> float:
+        """Time at which all grants of former leaders have run out."""
+        tables = (keyed.table for keyed in self._services.values())
+        return self._formers.lapse(max((t.hold for t in tables), default=0.0))
+
     def longer_grants(self) -> float | None:
         """Returns how long grants that this VM has made longer may last.
 
@@ -548,7 +554,7 @@
 
     def _longer_seconds(self) -> float:
         """Returns how long longer grants may last, former leaders' included."""
-        until = max(self._authority.longer_until, self._formers.lapse)
+        until = max(self._authority.longer_until, self._formers_lapse)
         return max(until - self._clock.boot(), 0.0)
 
     def _watchers(
@@ -641,7 +647,7 @@
             await self._confirm()
             if self._witnesses is not None and not self._store_failing_since:
                 clear_at = max(
-                    self._formers.lapse, self._authority.longer_until
+                    self._formers_lapse, self._authority.longer_until
                 )
                 await self._witnesses.name(self._revision, clear_at)
 
@@ -781,6 +787,9 @@
         settled = keyed.granting.settled()
         if settled:
             table = _without_settled(table, settled)
+        pace = self._settings.leader.pace(len(table.ranges))
+        if pace.hold > max(table.hold, self._settings.leader.hold):
+            table = msgspec.structs.replace(table, hold=pace.hold)
         key = messages.table_key(table.service)
         expected = {
             messages.LEADER_KEY: self._revision,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -42,6 +42,10 @@
 """Seconds after its start, by half more or less, for which a VM waits for a
 leader before it reads the store by itself. When all VMs start at once one leads
 within a second, and its news are a tenth of what the store would tell each."""
+_LED_START_GRACE = 6.0
+"""The same while a leader is known that does not answer yet: hundreds of VMs
+that start together are told within some seconds, unless they fill the links
+with their own reading."""
 _ASKED_PEERS = 3
 """Peers asked whether they hear the leader before it is replaced."""
 
@@ -72,7 +76,7 @@
         "_rooms",
         "_session",
         "_settings",
-        "_start_grace",
+        "_start_spread",
         "_store",
         "_store_seconds",
         "_tasks",
@@ -116,7 +120,7 @@
         self._address = configured.vm.peers
         self._session = 0
         self._report_due = asyncio.Event()
-        self._start_grace = _START_GRACE
+        self._start_spread = 1.0
         self._store_seconds = 0.0
         self._heard_at = float("-inf")
         self._keys: dict[str, list[int]] = collections.defaultdict(list)
@@ -160,7 +164,7 @@
     def start(self) -> None:
         """Registers this VM and begins to report."""
         self._heard_at = self._clock.now()
-        self._start_grace = _START_GRACE * (0.5 + self._clock.random())
+        self._start_spread = 0.5 + self._clock.random()
         self._tasks = [
             asyncio.create_task(self._register(), name="register"),
             asyncio.create_task(self._report_on(), name="report"),
@@ -365,8 +369,7 @@
         """Does what a VM does whose leader was not heard just now."""
         silent = self._clock.now() - self._heard_at
         leader = self._beliefs.leader
-        grace = 0.0 if self._beliefs.seen else self._start_grace
-        if silent > grace:
+        if silent > self._grace():
             self._follow_store(True, hurried=False)
         if leader is None or leader.vm == self._settings.vm.id:
             # Nobody leads, or an earlier run of this daemon did.
@@ -374,6 +377,13 @@
         elif silent > self._settings.leader.suspect:
             await self._replace_leader(silent)
 
+    def _grace(self) -> float:
+        """Returns how long this VM waits before it looks for itself."""
+        if self._beliefs.seen:
+            return 0.0
+        led = self._beliefs.leader is not None
+        return self._start_spread * (_LED_START_GRACE if led else _START_GRACE)
+
     def _make_report(self) -> messages.Report:
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
         misses, self._misses = tuple(self._misses), []
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import rebalance
 from mimosastile_core.gateway import room
 
@@ -88,6 +89,10 @@
             died without a word wait for it to run out; a new leader has to
             renew within it.
         renew: Between two renewals of a grant: four within its length.
+        renew_slowest: The longest time between two renewals, where there are
+            many ranges. Well below the time in which a target starts again.
+        orders_per_second: Renewals of one service that a leader sends at
+            most, as long as none is later than that.
         order_timeout: Longest wait for the answer to a grant. Three times the
             way to the far region and back.
         give_up: Silence of a target after which it is not renewed any more, so
@@ -123,6 +128,8 @@
     confirm: Positive = 0.5
     hold: Positive = 2.0
     renew: Positive = 0.5
+    renew_slowest: Positive = 1.0
+    orders_per_second: Positive = 1000.0
     order_timeout: Positive = 0.25
     give_up: Positive = 0.7
     give_up_alive: Positive = 1.7
@@ -138,6 +145,15 @@
     heat_fast: Positive = 1.0
     heat_slow: Positive = 6.0
 
+    def pace(self, ranges: int) -> leadership.Pace:
+        """Returns the pace of renewals for a number of ranges."""
+        return leadership.paced(
+            ranges,
+            leadership.Pace(self.renew, self.hold),
+            self.renew_slowest,
+            self.orders_per_second,
+        )
+
 
 class StoreSettings(_Strict, frozen=True):
     """How the store is called, in seconds.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -2,8 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Iterable
 import itertools
+from typing import Any
+from typing import TypeVar
 
 import result
 
@@ -14,6 +17,7 @@
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
 
+_T = TypeVar("_T")
 _PATIENCE = 1.2
 """Seconds, by half more or less, for which a VM that has lost its leader leaves
 the configuration alone: another one leads after about a second."""
@@ -39,6 +43,7 @@
         "_hurried",
         "_needed",
         "_records",
+        "_resting",
         "_settings",
         "_store",
         "_tasks",
@@ -61,6 +66,8 @@
         self._events = log
         self._hurried = True
         self._needed = asyncio.Event()
+        self._resting = asyncio.Event()
+        self._resting.set()
         self._tasks: list[asyncio.Task[None]] = []
 
     def rely_on_leader(self, relies: bool, *, hurried: bool = True) -> None:
@@ -80,7 +87,9 @@
         self._hurried = hurried
         if relies:
             self._needed.clear()
+            self._resting.set()
         else:
+            self._resting.clear()
             self._needed.set()
 
     def start(self) -> None:
@@ -130,22 +139,45 @@
         """
         lost = False
         while True:
-            await self._turn(prefix)
+            await self._turn(prefix, whole=lost or not seen())
             if lost or not seen():
-                listed(await self._list(prefix))
+                listing = await self._list(prefix)
+                if listing is None:
+                    continue
+                listed(listing)
             await self._follow_from(prefix, seen, changed)
             lost = True
 
-    async def _list(self, prefix: str) -> ports.Listing:
+    async def _list(self, prefix: str) -> ports.Listing | None:
+        """Returns a whole list; None if a leader can be relied on meanwhile.
+
+        Thousands of registrations that a hundred VMs read over one narrow
+        link keep it full for longer than the leader needs to tell them.
+        """
         for failures in itertools.count(1):
-            found = await self._store.list(prefix)
+            found = await self._unless_resting(self._store.list(prefix))
+            if found is None:
+                return None
             if isinstance(found, result.Ok):
                 self._beliefs.note_store(ok=True)
                 return found.ok_value
             self._beliefs.note_store(ok=False, why=found.err_value.detail)
-            await asyncio.sleep(self._pause(failures))
+            await self._unless_resting(asyncio.sleep(self._pause(failures)))
         raise AssertionError("counting ends")
 
+    async def _unless_resting(self, work: Coroutine[Any, Any, _T]) -> _T | None:
+        """Returns what some work brings; ends it if this VM need not look."""
+        working = asyncio.ensure_future(work)
+        resting = asyncio.ensure_future(self._resting.wait())
+        try:
+            await asyncio.wait(
+                (working, resting), return_when=asyncio.FIRST_COMPLETED
+            )
+            return working.result() if working.done() else None
+        finally:
+            working.cancel()
+            resting.cancel()
+
     async def _follow_from(
         self,
         prefix: str,
@@ -188,11 +220,16 @@
                 self._beliefs.note_store(ok=False, why=why)
             await asyncio.sleep(self._pause(failures))
 
-    async def _turn(self, prefix: str) -> None:
-        """Waits until this VM has to look for itself."""
+    async def _turn(self, prefix: str, *, whole: bool = False) -> None:
+        """Waits until this VM has to look for itself.
+
+        Args:
+            prefix: Beginning of the keys.
+            whole: Whether it would read all of them, not only changes.
+        """
         while True:
             await self._needed.wait()
-            large = prefix == self._records.configuration_key
+            large = whole or prefix == self._records.configuration_key
             if self._hurried or not large:
                 return
             await asyncio.sleep(_PATIENCE * (0.5 + self._clock.random()))
--- a/tests/gateway/test_formers.py
+++ b/tests/gateway/test_formers.py
@@ -47,7 +47,7 @@
         former = _formers()
         for witness, promised in words:
             former.testify(witness, promised, 0.0)
-        assert former.lapse == pytest.approx(lapse, abs=0.01)
+        assert former.lapse() == pytest.approx(lapse, abs=0.01)
 
     def test_ended_promise(self):
         """Guards against grants forgotten once the promise has ended.
@@ -59,17 +59,17 @@
         former.stopped(1.0)
         former.testify(W1, 3.0, 0.0)
         former.testify(W1, -2.0, 5.0)
-        assert former.lapse == pytest.approx(5.3, abs=0.01)
+        assert former.lapse() == pytest.approx(5.3, abs=0.01)
 
     def test_leader_and_witness_speak(self):
         """The leader follows its successor: its grants are usual ones."""
         former = _formers()
         former.testify(W1, None, 0.5)
         former.follows("vm-0", 1.0, None)
-        assert former.lapse == pytest.approx(3.14, abs=0.01)
+        assert former.lapse() == pytest.approx(3.14, abs=0.01)
 
     def test_restarted_leader_cannot_tell(self):
         """Guards against a restarted leader's longer grants being forgotten."""
         former = _formers()
         former.follows("vm-0", 1.0, None)
-        assert former.lapse == pytest.approx(11.3, abs=0.01)
+        assert former.lapse() == pytest.approx(11.3, abs=0.01)
--- a/tests/gateway/test_granting.py
+++ b/tests/gateway/test_granting.py
@@ -419,7 +419,7 @@
         silence = formers.FormerLeaders(10.0, ("vm-0",), calm, 2.0, 10.0)
         if known is not None:
             silence.stopped(known)
-        assert silence.lapse == pytest.approx(expected, abs=0.01)
+        assert silence.lapse() == pytest.approx(expected, abs=0.01)
 
     def test_new_leader_waits_for_the_former_one(self):
         """Keys of a silent target are given away by a new leader.
