--- a/tests/gateway/test_granting.py
+++ b/tests/gateway/test_granting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from mimosastile_core.gateway import formers
@@ -142,6 +143,44 @@
         _play(main())
 
 
+class TestManyRanges:
+    """A table that asks for longer grants than the settings."""
+
+    def test_length_and_pace(self):
+        """Guards against grants that end before their slower renewal."""
+
+        async def main():
+            rig = Rig()
+            rig.table = msgspec.structs.replace(rig.table, hold=4.0)
+            rig.granting.follow(rig.table)
+            await asyncio.sleep(10.0)
+            grants = [o for kind, n, o in rig.orders.log if kind == "grant"]
+            assert {order.hold for order in grants[3:]} == {4.0}
+            by_target = len(grants) / len(rig.table.holders())
+            assert 9 <= by_target <= 13
+            rig.granting.stop()
+
+        _play(main())
+
+    def test_silent_target(self):
+        """Guards against keys given away within a longer grant."""
+
+        async def main():
+            rig = Rig()
+            rig.table = msgspec.structs.replace(rig.table, hold=4.0)
+            rig.granting.follow(rig.table)
+            await asyncio.sleep(3.0)
+            rig.orders.dead.add("a")
+            rig.move(0, HALF - 1, B)
+            began = virtual.now()
+            await rig.served(0)
+            assert virtual.now() - began > 2.9
+            assert rig.orders.clashes == []
+            rig.granting.stop()
+
+        _play(main())
+
+
 class TestLosses:
     """What is lost on the way."""
 
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -63,3 +63,24 @@
     def test_lapse_covers_a_slow_clock(self):
         """A target's clock may run 2% slow."""
         assert leadership.lapsed_at(5.0, 10.0) >= 15.2
+
+
+class TestPace:
+    """Renewals of few and of many ranges: load of a leader by targets."""
+
+    @pytest.mark.parametrize(
+        ("ranges", "renew", "hold"),
+        [
+            (1, 0.5, 2.0),
+            (500, 0.5, 2.0),
+            (700, 0.7, 2.8),
+            (1700, 1.0, 4.0),
+            (50_000, 1.0, 4.0),
+        ],
+    )
+    def test_paced(self, ranges, renew, hold):
+        """Guards against a leader that has more orders than it can send."""
+        usual = leadership.Pace(0.5, 2.0)
+        found = leadership.paced(ranges, usual, 1.0, 1000.0)
+        assert found.renew == pytest.approx(renew)
+        assert found.hold == pytest.approx(hold)
--- a/tests/gateway/test_vacancies.py
+++ b/tests/gateway/test_vacancies.py
@@ -64,3 +64,16 @@
         made.take(_assigned(2, (0,), ("a",)), 11.0)
         made.take(_assigned(3, (0,), ("",)), 12.0)
         assert made.seconds("s", 1, 13.0) == pytest.approx(1.2)
+
+    @pytest.mark.parametrize("joined", [True, False])
+    def test_many_neighbours(self, joined):
+        """Guards against a range that forgets its oldest part."""
+        made = vacancies.Vacancies(2.2, 12.2)
+        made.take(_assigned(1, (0, 10, 20), ("", "a", "")), 10.0)
+        made.take(_assigned(2, (0, 10, 15, 20), ("", "", "a", "")), 11.0)
+        if joined:
+            made.take(_assigned(3, (0,), ("",)), 11.1)
+        assert made.seconds("s", 5, 11.2) == pytest.approx(1.0)
+        assert made.seconds("s", 30, 11.2) == pytest.approx(1.0)
+        expected = 1.0 if joined else 0.0
+        assert made.seconds("s", 12, 11.2) == pytest.approx(expected)
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -105,3 +105,68 @@
             assert store.lists["servers/"] == 1
 
         _play(scenario, store, 40)
+
+
+class TestRest:
+    """A leader can be relied on while a VM reads."""
+
+    def test_reading_ends(self):
+        """Guards against a link kept full by lists that nobody needs."""
+
+        class Slow(Store):
+            """Lists take ten seconds."""
+
+            async def list(self, prefix, *, stale=False):
+                self.lists[prefix] += 1
+                await asyncio.sleep(10.0)
+                return await super().list(prefix, stale=stale)
+
+        store = Slow()
+
+        async def main():
+            timer, log = fakes.VirtualClock(), fakes.Lines()
+            known = fakes.known(timer, log)
+            made = watching.Watching(
+                settings.StoreSettings(address="127.0.0.1:1"),
+                store,
+                records.Records(),
+                known,
+                timer,
+                log,
+            )
+            made.rely_on_leader(False)
+            made.start()
+            await asyncio.sleep(1.0)
+            assert store.lists["servers/"] == 1
+            made.rely_on_leader(True)
+            await asyncio.sleep(20.0)
+            assert store.lists["servers/"] == 1
+            assert not log.named("targets_listed")
+            made.stop()
+
+        virtual.run(main())
+
+    def test_lists_are_not_read_all_at_once(self):
+        """Guards against all VMs reading everything when a leader is lost."""
+        store = Store()
+
+        async def main():
+            timer, log = fakes.VirtualClock(), fakes.Lines()
+            known = fakes.known(timer, log)
+            made = watching.Watching(
+                settings.StoreSettings(address="127.0.0.1:1"),
+                store,
+                records.Records(),
+                known,
+                timer,
+                log,
+            )
+            made.rely_on_leader(False, hurried=False)
+            made.start()
+            await asyncio.sleep(0.5)
+            assert store.lists["servers/"] == 0
+            await asyncio.sleep(2.0)
+            assert store.lists["servers/"] == 1
+            made.stop()
+
+        virtual.run(main())
