--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -210,6 +210,69 @@
         virtual.run(main())
 
 
+class Announced:
+    """The way to peers; notes who was told of a leader, and when."""
+
+    def __init__(self):
+        self.told = []
+
+    async def call(self, address, path, body, timeout):
+        """Notes a message."""
+        self.told.append((round(virtual.now(), 1), address))
+        return b"{}"
+
+
+class TestAnnouncement:
+    """VMs hear of a new leader."""
+
+    def test_vm_that_registers_late(self):
+        """Guards against VMs that register after the only announcement.
+
+        Hundreds that start together register over some seconds; each has
+        looked for a leader before there was one.
+        """
+
+        async def main():
+            store, _, (one, two) = _world("vm-1", "vm-2")
+            calls = Announced()
+            one.leading._telling._calls = calls
+            await one.leading.take_over("test")
+            await asyncio.sleep(0.2)
+            assert calls.told == []
+            entry = messages.VmEntry("vm-2", "boot-vm-2", "two:1", "z")
+            key = messages.VM_PREFIX + "vm-2"
+            store.items[key] = (msgspec.json.encode(entry), 3)
+            await asyncio.sleep(1.0)
+            assert [address for _, address in calls.told] == ["two:1"]
+            # It reports, and needs no further announcement.
+            for _ in range(12):
+                one.leading.take_report(two.report())
+                await asyncio.sleep(1.0)
+            announced = [at for at, name in calls.told if name == "two:1"]
+            assert len(announced) == 1
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+    def test_many_grants_are_few_assignments(self):
+        """Guards against an assignment of all ranges for each grant."""
+
+        async def main():
+            store, orders = fakes.Store(), fakes.Orders()
+            targets = [fakes.target(f"t{n}") for n in range(400)]
+            one = Vm("vm-1", store, orders, targets)
+            await one.leading.take_over("test")
+            await _until(lambda: len(orders.log) >= 400)
+            await asyncio.sleep(0.5)
+            assert all(_owned(orders, key) for key in (0, 30000, 65535))
+            known = one.beliefs.assignments["s"]
+            assert all(known.owners)
+            assert known.version[1] < 40
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+
 class TestAfterAnOutage:
     """Grants that were made longer while the store was away."""
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+import msgspec
 import pytest
 
 from mimosastile_core.gateway import casualties
@@ -179,3 +180,29 @@
             assert known.leader.vm == "vm-1"
 
         _play(scenario)
+
+
+class TestFindsLeader:
+    """A VM that no announcement has reached."""
+
+    def test_looks_for_it(self):
+        """Guards against a VM that waits for its turn among hundreds.
+
+        It registered after the leader's announcement, and would go after all
+        others in replacing a leader that is well.
+        """
+
+        async def scenario(made, known, store, calls):
+            names = [f"vm-{n:03}" for n in range(300)]
+            known.vms = {
+                n: messages.VmEntry(n, "b", "", "z", 1.0) for n in names
+            }
+            entry = leadership.LeaderEntry("vm-2", "b", 3, "two:1")
+            made.start()
+            await asyncio.sleep(0.5)
+            store.items[messages.LEADER_KEY] = (msgspec.json.encode(entry), 9)
+            await asyncio.sleep(5.0)
+            assert known.leader == entry
+            assert calls.reports
+
+        _play(scenario)
