A full target's gate is told at once; a dead one is not called in a loop

Hypothesis: in the first second of a hot key all VMs send to one target, and a request for a key of a dead target tries again without a pause. Change: a VM that finds a target full reports at once, at most every 0.3 s; the leader tells all VMs of a new gate at once, through one VM of each other zone. A request whose only target takes no connection waits 0.05 s, doubling to 0.4 s, or until the key has another owner.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/room.py
@@ -279,6 +279,10 @@
         self._gates = gates
         self._gates_at = now
 
+    def learn_new_gates(self, gates: dict[str, str]) -> None:
+        """Takes gates beside the known ones, of targets just contended."""
+        self._gates = {**self._gates, **gates}
+
     def gate(self, target: str, now: float) -> str | None:
         """Returns who admits to a target, None if it has no gate."""
         if now - self._gates_at > _OTHERS_FRESH_SECONDS:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -45,6 +45,8 @@
 """Headers that concern one connection only."""
 _REJECT_STATUSES = frozenset({400, 421, 429, 503})
 """Statuses with which a target may say that it has not run a request."""
+_CROWDED = frozenset({errors.ErrorKind.REJECTED, errors.ErrorKind.ANSWER_LOST})
+"""Failures by which a target may show that it is full."""
 _FIXED_SHARE = 0.8
 _RATIO_SHARE = 0.9
 """Parts of the bound on repeats that are used; the rest covers requests that
@@ -210,6 +212,8 @@
                 return self._refused(call, call.incoming, last)
             if last.kind is errors.ErrorKind.WRONG_FENCE:
                 await self._placing.await_owner(call, found.ok_value)
+            if last.kind is errors.ErrorKind.UNREACHABLE:
+                await self._placing.await_reachable(call, found.ok_value)
 
     def _may_repeat(self, call: pending.Call, failure: errors.Failure) -> bool:
         """Whether a request is sent once more after a failure."""
@@ -445,6 +449,8 @@
                 load.failed(now)
         elif failure.kind is not errors.ErrorKind.UNREACHABLE:
             load.failed(now)
+        if call.key is not None and failure.kind in _CROWDED:
+            self._peers.turned_away(target.id)
         if failure.kind is errors.ErrorKind.ANSWER_LOST:
             self._casualties.lost(target.id, call.fingerprint, now)
         self._events.write(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -540,6 +540,7 @@
         """Returns who admits requests to each contended target."""
         if now - self._gates_at > _GATES_SECONDS:
             self._gates_at = now
+            known = self._gates_chosen
             self._gates_chosen = self._demand.gates(
                 (
                     (report.vm.address, report.vm.zone)
@@ -550,6 +551,12 @@
                 self._services,
                 self._beliefs.directory,
             )
+            new = self._gates_chosen.keys() - known.keys()
+            if new:
+                # Until a VM hears of it, it sends to a full target.
+                self._telling.spread(
+                    gates={name: self._gates_chosen[name] for name in new}
+                )
         return self._gates_chosen
 
     @property
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -46,6 +46,8 @@
 """The same while a leader is known that does not answer yet: hundreds of VMs
 that start together are told within some seconds, unless they fill the links
 with their own reading."""
+_HURRIED_SECONDS = 0.3
+"""Shortest time between two reports when a target is full."""
 _FIND_SECONDS = 2.0
 """Seconds without a leader after which a VM looks for one in the store, and
 between two such looks."""
@@ -77,6 +79,7 @@
         "_news_seen",
         "_news_version",
         "_report_due",
+        "_reported_at",
         "_rooms",
         "_session",
         "_settings",
@@ -126,6 +129,7 @@
         self._report_due = asyncio.Event()
         self._start_spread = 1.0
         self._found_at = float("-inf")
+        self._reported_at = float("-inf")
         self._store_seconds = 0.0
         self._heard_at = float("-inf")
         self._keys: dict[str, list[int]] = collections.defaultdict(list)
@@ -206,13 +210,18 @@
         self._beliefs.end_target(target.id, target.born)
 
     def turned_away(self, target: str) -> None:
-        """Notes a request that was refused for want of room at a target.
+        """Notes a request for which a target had no room.
 
-        The leader deals a target's room out by need. A VM that refuses at
-        once what it has no turn for would otherwise seem to need nothing, and
-        never get a turn.
+        Requests that are refused at once do not wait anywhere; the leader
+        would not see that more is wanted of the target.
         """
         self._turned_away[target] += 1
+        self.hurry()
+
+    def hurry(self) -> None:
+        """Reports soon, since a target is full that has no gate yet."""
+        if self._clock.now() - self._reported_at > _HURRIED_SECONDS:
+            self._report_due.set()
 
     def missed(self, service: str, key: int, target: str) -> None:
         """Notes that a target rejected a key that it should own."""
@@ -356,6 +365,7 @@
             await self._report_once()
 
     async def _report_once(self) -> None:
+        self._reported_at = self._clock.now()
         report = self._make_report()
         if self._leader.leading:
             reply = self._leader.take_report(report)
@@ -524,6 +534,7 @@
         leader = self._beliefs.leader
         if not told.leading or told.leader != leader:
             return
+        self._rooms.learn_new_gates(told.gates)
         self._take_told(told)
         if told.take_over:
             self._take_over_soon()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -31,6 +31,7 @@
         ticket: Its turn among those that wait in this VM.
         tried: Targets that it was sent to.
         tried_for: Seconds for which its caller had been trying before.
+        unreachable: How often its target took no connection.
         waited: Whether it may have waited at its last target.
     """
 
@@ -53,6 +54,7 @@
         "ticket",
         "tried",
         "tried_for",
+        "unreachable",
         "waited",
     )
 
@@ -76,6 +78,7 @@
         self.head: list[bytes] = []
         self.sends = 0
         self.rejects = 0
+        self.unreachable = 0
         self.maybe_ran = False
         self.waited = False
         self.answered = False
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
@@ -21,6 +21,11 @@
 
 _POLL_SECONDS = 0.05
 """Longest wait for a turn: what other VMs have under way changes unseen."""
+_UNREACHABLE_PAUSE = 0.05
+_UNREACHABLE_PAUSE_MOST = 0.4
+"""Waits after the only target for a key took no connection; doubles. A target
+that has died is replaced within seconds, a full one takes the next connection
+when a request ends."""
 _OWNER_PAUSE = 0.02
 """Wait after a target has rejected a key, for news of its owner; doubles with
 each rejection, so that a table that is wrong costs few repeats."""
@@ -109,6 +114,22 @@
             async with asyncio.timeout(_OWNER_PAUSE * 2**call.rejects):
                 await self._beliefs.changed.wait()
 
+    async def await_reachable(
+        self, call: pending.Call, target: directory.Target
+    ) -> None:
+        """Waits for news of the only target for a key that is unreachable."""
+        if call.key is None or self._owner(call) is not target:
+            return
+        pause = _UNREACHABLE_PAUSE * 2.0 ** min(call.unreachable, 8)
+        call.unreachable += 1
+        ends = self._clock.now() + min(pause, _UNREACHABLE_PAUSE_MOST)
+        ends = min(ends, self.latest_start(call))
+        while self._owner(call) is target:
+            left = ends - self._clock.now()
+            if left <= 0:
+                return
+            await clock.wait(self._beliefs.changed, left)
+
     async def find(
         self, call: pending.Call
     ) -> result.Result[directory.Target, errors.Failure]:
@@ -272,6 +293,7 @@
             if target is None:
                 return service.name, room.Choice(None, 0.0)
             if self._rooms.full_owner(target, self._peers.count, now):
+                self._peers.hurry()
                 seconds = self._rooms.turn_seconds(
                     target, call.route.name, call.guess
                 )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
@@ -209,6 +209,40 @@
         for vm in vms:
             self._start(self._announce(vm, body))
 
+    def spread(self, gates: Mapping[str, str]) -> None:
+        """Tells all VMs at once of targets that have got a gate.
+
+        Args:
+            gates: Addresses of the VMs that admit, by target.
+        """
+        body = messages.encode(
+            messages.ReportReply(self._entry, leading=True, gates=dict(gates))
+        )
+        zones: dict[str, list[messages.VmEntry]] = {}
+        for report in self.fresh().values():
+            if report.vm.id != self._here:
+                zones.setdefault(report.vm.zone, []).append(report.vm)
+        for zone, vms in zones.items():
+            if zone == self._zone or len(vms) < _RELAY_LEAST:
+                for vm in vms:
+                    self._start(self._announce(vm, body))
+            else:
+                self._start(self._spread(vms, body))
+
+    async def _spread(self, vms: list[messages.VmEntry], body: bytes) -> None:
+        """Has the best VM of a zone pass a message on to the others.
+
+        Whom it does not reach hears the same with the answer to a report.
+        """
+        first, *others = sorted(vms, key=lambda vm: (vm.order, vm.id))
+        relay = messages.Relay(body, tuple(vm.address for vm in others))
+        await self._calls.call(
+            first.address,
+            messages.RELAY_PATH,
+            messages.encode(relay),
+            _CALL_SECONDS,
+        )
+
     def stop(self) -> None:
         """Tells nobody any more."""
         self._entry = None
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -273,6 +273,48 @@
         virtual.run(main())
 
 
+class TestNewGate:
+    """A target gets a gate when more is wanted of it than it can run."""
+
+    def test_all_vms_hear_at_once(self):
+        """Guards against VMs that go on sending to a full target.
+
+        Pattern: one key gets much of the traffic from one moment to the next,
+        and each of many VMs has one request for it.
+        """
+
+        async def main():
+            store, orders = fakes.Store(), fakes.Orders()
+            targets = [fakes.target(n) for n in ("a", "b", "c")]
+            one = Vm("vm-1", store, orders, targets)
+            calls = Announced()
+            one.leading._telling._calls = calls
+            await one.leading.take_over("test")
+            await asyncio.sleep(0.5)
+            names = [f"vm-{n}" for n in range(2, 12)]
+
+            def report(name, **fields):
+                entry = messages.VmEntry(name, "b", f"{name}:1", "z")
+                one.leading.take_report(
+                    messages.Report(entry, store=True, **fields)
+                )
+
+            for name in names:
+                report(name)
+            await asyncio.sleep(0.2)
+            calls.told.clear()
+            for name in names[:5]:
+                report(name, under_way={"a": 1})
+            await asyncio.sleep(0.11)
+            report(names[5], under_way={"a": 1})
+            await asyncio.sleep(0.01)
+            told = {address for _, address in calls.told}
+            assert told == {f"{name}:1" for name in names}
+            one.leading.step_down("end")
+
+        virtual.run(main())
+
+
 class TestAfterAnOutage:
     """Grants that were made longer while the store was away."""
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -206,3 +206,43 @@
             assert calls.reports
 
         _play(scenario)
+
+
+class TestOnsetOfACrowd:
+    """One key gets much of the traffic from one moment to the next."""
+
+    def test_full_target_is_reported_soon(self):
+        """Guards against a second in which all VMs send to a full target."""
+
+        async def scenario(made, known, store, calls):
+            known.vms = {f"vm-{n}": None for n in range(200)}
+            made.start()
+            made.take_push(_announced())
+            await asyncio.sleep(0.45)
+            before = len(calls.reports)
+            made.turned_away("a")
+            await asyncio.sleep(0.05)
+            assert len(calls.reports) == before + 1
+            assert calls.reports[-1][1].waiting == {"a": 1}
+            # Not with each request.
+            for _ in range(20):
+                made.turned_away("a")
+                await asyncio.sleep(0.01)
+            assert len(calls.reports) == before + 1
+
+        _play(scenario)
+
+    def test_new_gate_is_told_at_once(self):
+        """Guards against a gate that VMs hear of with their next report."""
+
+        async def scenario(made, known, store, calls):
+            made.start()
+            made.take_push(_announced())
+            await asyncio.sleep(0.1)
+            told = messages.ReportReply(
+                ENTRY, leading=True, gates={"a": "gate:1"}
+            )
+            made.take_push(told)
+            assert made._rooms.gate("a", virtual.now()) == "gate:1"
+
+        _play(scenario)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -61,6 +61,9 @@
     def turned_away(self, target):
         """Takes a refusal."""
 
+    def hurry(self):
+        """Takes word of a full target."""
+
 
 class World:
     """One VM's placing, with a key's owner that has a gate."""
@@ -274,3 +277,50 @@
             assert (await patient).is_ok()
 
         _play(scenario)
+
+
+class TestUnreachable:
+    """The only target for a key takes no connection."""
+
+    def test_pauses(self):
+        """Guards against a hundred connections a request to a dead target."""
+
+        async def main():
+            world = World()
+            call = world.call(seconds=4.0)
+            began = virtual.now()
+            target = world.beliefs.directory.get("a").target
+            for _ in range(8):
+                await world.placing.await_reachable(call, target)
+            assert 2.0 < virtual.now() - began < 3.0
+
+        virtual.run(main())
+
+    def test_next_owner_ends_the_pause(self):
+        """Guards against a wait for a target that owns the key no more."""
+
+        async def main():
+            world = World()
+            call = world.call(seconds=4.0)
+            target = world.beliefs.directory.get("a").target
+            call.unreachable = 8
+            began = virtual.now()
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.1, world.assign, "b")
+            await world.placing.await_reachable(call, target)
+            assert virtual.now() - began < 0.2
+
+        virtual.run(main())
+
+    def test_not_beyond_the_deadline(self):
+        """Guards against a request that is sent when it is too late."""
+
+        async def main():
+            world = World()
+            call = world.call(seconds=0.3)
+            target = world.beliefs.directory.get("a").target
+            call.unreachable = 8
+            await world.placing.await_reachable(call, target)
+            assert virtual.now() <= world.placing.latest_start(call) + 0.01
+
+        virtual.run(main())
