--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,14 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SRC)))
 export PYTHONDONTWRITEBYTECODE := 1
 SEEDS ?= 20
+BENCH ?= bench
+SITES ?= deployments
+# Deployments and how many days are hunted on each; see CONTRIBUTING.md.
+REGRESSIONS := large/pisma-urednistvu-large:8 further-grown/gclta-gateway-grown:8 further/gclta-gateway:40 sites/scl-gateway:40
 FILES ?= $(wildcard scenarios/*.toml)
 
 .PHONY: bench-target bench-bare bench-entry bench-load
+.PHONY: regressions soak
 .PHONY: help env format lint types unit test demo scenarios bench measure capacity fuzz pages
 help: ## list the commands
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/'
@@ -66,5 +71,13 @@
 soak: env ## real daemons under faults from outside
 	$(PY) -m mimosastile_standins soak $(ARGS)
 
+regressions: ## print the commands of a landing on the users' bench (BENCH, SITES)
+	@for run in $(REGRESSIONS); do \
+	  site="$(SITES)/$${run%:*}.toml"; \
+	  echo "$(BENCH) hunt $$site --days $${run#*:} --jobs 4"; \
+	  echo "$(BENCH) score $$site --jobs 4"; \
+	done; \
+	echo "$(BENCH) sweep $(SITES)/further/gclta-gateway.toml"
+
 pages: env ## write the pages that are made from the code
 	$(PY) -m mimosastile_entry.pages docs
