--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -46,6 +46,14 @@
 """The same while a leader is known that does not answer yet: hundreds of VMs
 that start together are told within some seconds, unless they fill the links
 with their own reading."""
+_FEW_VMS = 30
+"""Up to this many VMs take over in order of rank, and read all they need."""
+_LOOK_SECONDS = 0.6
+"""Time over which VMs look for a leader that do not know how many they are."""
+_LOOK_SECONDS_PER_VM = 0.02
+"""The same for each VM where there are many: one that looks has taken over
+before the next ten do."""
+_LOTS = 1 << 32
 _HURRIED_SECONDS = 0.3
 """Shortest time between two reports when a target is full."""
 _FIND_SECONDS = 2.0
@@ -299,7 +307,7 @@
         if self._told_leader is None:
             # No leader has answered this VM yet. An old answer will do for
             # finding one, and costs a tenth.
-            await self.read_store(stale=True)
+            await self._list_leader()
         self._report_due.set()
         return True
 
@@ -569,6 +577,9 @@
             silent: Seconds for which none was heard.
         """
         limit = self._settings.leader.suspect
+        if silent < limit + self._look_wait():
+            await self._find_leader(silent)
+            return
         if self._beliefs.leader is None:
             if silent > limit and not self._beliefs.vms:
                 await self._read_vms()
@@ -576,7 +587,7 @@
             if silent < limit + wait:
                 await self._find_leader(silent)
                 return
-        if not await self.read_store():
+        if not await (self.read_store() if self._few else self._read_leader()):
             return
         leader = self._beliefs.leader
         if leader is not None and leader.vm != self._settings.vm.id:
@@ -596,19 +607,65 @@
             silent: Seconds for which none was heard.
         """
         now = self._clock.now()
+        if self._beliefs.leader is not None:
+            return
         if silent < _FIND_SECONDS or now - self._found_at < _FIND_SECONDS:
             return
         self._found_at = now
+        await self._list_leader()
+
+    async def _list_leader(self) -> None:
+        """Reads who led some seconds ago, which costs a tenth of a call."""
         listed = await self._store.list(messages.LEADER_KEY, stale=True)
         if isinstance(listed, result.Ok):
             for item in listed.ok_value.items:
                 self._take_item(item)
 
+    async def _read_leader(self) -> bool:
+        """Reads who leads; returns whether the store answered."""
+        read = await self._store.read(messages.LEADER_KEY)
+        if isinstance(read, result.Err):
+            self._beliefs.note_store(ok=False, why=read.err_value.detail)
+            return False
+        self._beliefs.note_store(ok=True)
+        if read.ok_value is not None:
+            self._take_item(read.ok_value)
+        return True
+
+    @property
+    def _few(self) -> bool:
+        """Whether all VMs may read lists and tables when a leader is lost."""
+        return self.count <= _FEW_VMS
+
+    def _look_wait(self) -> float:
+        """Returns how long this VM waits before it reads anything, in seconds.
+
+        Lists of hundreds of VMs and tables of thousands of ranges, read by
+        all VMs at once, keep the link between regions full for longer than
+        any of them waits for an answer, and so for ever. The first few find
+        out what there is to find, and the next leader announces itself.
+        """
+        if self.count == 1:
+            return _LOOK_SECONDS * self._lot()
+        if self._few:
+            return 0.0
+        return _LOOK_SECONDS_PER_VM * self.count * self._lot()
+
+    def _lot(self) -> float:
+        """Returns a number from 0 to 1, another one in each epoch."""
+        leader = self._beliefs.leader
+        epoch = leader.epoch if leader else 0
+        mixed = f"{self._settings.vm.id}/{self._boot}/{epoch}".encode()
+        return zlib.crc32(mixed) / _LOTS
+
     def _turn_wait(self, leader: leadership.LeaderEntry | None) -> float:
         """Returns how long this VM lets others go first, in seconds."""
         configured = self._settings.leader
         weakness = 1.0 - self._settings.vm.strength
-        ranked = configured.rank_wait * self._rank(leader)
+        if self._few:
+            ranked = configured.rank_wait * self._rank(leader)
+        else:
+            ranked = self._look_wait()
         return ranked + configured.weak_wait * weakness
 
     def _rank(self, leader: leadership.LeaderEntry | None) -> int:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -162,7 +162,8 @@
                 await made._report_once()
                 assert calls.reports
             assert await made._registered()
-            assert store.lists[messages.STORE_PREFIX] == lists
+            assert store.lists[messages.LEADER_KEY] == lists
+            assert not store.lists[messages.STORE_PREFIX]
 
         _play(scenario)
 
