--- a/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
@@ -21,6 +21,8 @@
 
 _POLL_SECONDS = 0.05
 """Longest wait for a turn: what other VMs have under way changes unseen."""
+_TICK_SECONDS = 0.001
+"""Shortest wait; one below the clock's resolution would spin."""
 _UNREACHABLE_PAUSE = 0.05
 _UNREACHABLE_PAUSE_MOST = 0.4
 """Waits after the only target for a key took no connection; doubles. A target
@@ -126,7 +128,7 @@
         ends = min(ends, self.latest_start(call))
         while self._owner(call) is target:
             left = ends - self._clock.now()
-            if left <= 0:
+            if left < _TICK_SECONDS:
                 return
             await clock.wait(self._beliefs.changed, left)
 
