--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -60,40 +60,44 @@
         return await super().list(prefix, stale=stale)
 
 
+def _peers(configured, known, store, calls, timer, log):
+    """Makes a VM's part among its peers."""
+    vm = configured.vm.id
+    leader = leading.Leading(
+        configured,
+        f"boot-{vm}",
+        store,
+        fakes.Orders(),
+        calls,
+        known,
+        timer,
+        log,
+    )
+    return peers.Peers(
+        configured,
+        f"boot-{vm}",
+        store,
+        calls,
+        known,
+        room.Rooms(room.Place("z", "r"), {"z": "r"}, room.Policy()),
+        leader,
+        turns.Turns(),
+        admitting.Admitting(configured, datagrams.Channel(log), known, timer),
+        watching.Watching(
+            configured.store, store, records.Records(), known, timer, log
+        ),
+        casualties.Casualties(),
+        timer,
+        log,
+    )
+
+
 def _play(scenario):
     async def main():
         timer, log = fakes.VirtualClock(), fakes.Lines()
-        configured = fakes.configured()
         known = fakes.known(timer, log, fakes.target("a"))
         store, calls = Store(), Calls()
-        made = peers.Peers(
-            configured,
-            "boot-1",
-            store,
-            calls,
-            known,
-            room.Rooms(room.Place("z", "r"), {"z": "r"}, room.Policy()),
-            leading.Leading(
-                configured,
-                "boot-1",
-                store,
-                fakes.Orders(),
-                calls,
-                known,
-                timer,
-                log,
-            ),
-            turns.Turns(),
-            admitting.Admitting(
-                configured, datagrams.Channel(log), known, timer
-            ),
-            watching.Watching(
-                configured.store, store, records.Records(), known, timer, log
-            ),
-            casualties.Casualties(),
-            timer,
-            log,
-        )
+        made = _peers(fakes.configured(), known, store, calls, timer, log)
         await scenario(made, known, store, calls)
         made.abort()
 
@@ -247,3 +251,99 @@
             assert made._rooms.gate("a", virtual.now()) == "gate:1"
 
         _play(scenario)
+
+
+class Crowd:
+    """Many VMs with one store; what one tells reaches the others.
+
+    Attributes:
+        vms: Their parts among peers, by address.
+    """
+
+    def __init__(self, count, store):
+        self.vms = {}
+        self._leaders = {}
+        timer = fakes.VirtualClock()
+        for number in range(count):
+            base = fakes.configured()
+            name = f"vm-{number:03}"
+            vm = msgspec.structs.replace(base.vm, id=name, peers=name)
+            log = fakes.Lines()
+            known = fakes.known(timer, log, fakes.target("a"))
+            self.vms[name] = _peers(
+                msgspec.structs.replace(base, vm=vm),
+                known,
+                store,
+                self,
+                timer,
+                log,
+            )
+
+    async def call(self, address, path, body, timeout):
+        """Delivers a message after a while."""
+        await asyncio.sleep(0.01)
+        other = self.vms.get(address)
+        if other is None:
+            return None
+        if path == messages.ASSIGN_PATH:
+            other.take_push(messages.decode(body, messages.ReportReply))
+            return messages.encode(messages.Taken())
+        if path == messages.REPORT_PATH:
+            report = messages.decode(body, messages.Report)
+            return messages.encode(other._leader.take_report(report))
+        if path == messages.HEARD_PATH:
+            return messages.encode(other.heard())
+        return b"{}"
+
+
+class TestManyVms:
+    """What a store sees of hundreds of VMs."""
+
+    @pytest.mark.parametrize("count", [12, 195, 600])
+    def test_start(self, count):
+        """Guards against a start at which all VMs read all that there is.
+
+        Over a narrow link that takes longer than any of them waits, so each
+        asks again and the link stays full.
+        """
+        store = Store()
+
+        async def main():
+            crowd = Crowd(count, store)
+            for vm in crowd.vms.values():
+                vm.start()
+            await asyncio.sleep(4.0)
+            leaders = {vm._beliefs.leader for vm in crowd.vms.values()}
+            assert len(leaders) == 1
+            whole = store.lists[messages.VM_PREFIX]
+            whole += store.lists[messages.STORE_PREFIX]
+            assert whole < 80
+            for vm in crowd.vms.values():
+                vm._leader.step_down("end")
+                vm.abort()
+
+        virtual.run(main())
+
+    def test_lost_leader(self):
+        """Guards against hundreds of VMs that read everything at a loss."""
+        store = Store()
+
+        async def main():
+            crowd = Crowd(200, store)
+            for vm in crowd.vms.values():
+                vm.start()
+            await asyncio.sleep(4.0)
+            first = crowd.vms["vm-000"]._beliefs.leader
+            lost = crowd.vms.pop(first.vm)
+            lost._leader.step_down("killed")
+            lost.abort()
+            store.lists.clear()
+            await asyncio.sleep(4.0)
+            epochs = {vm._beliefs.leader.epoch for vm in crowd.vms.values()}
+            assert epochs == {first.epoch + 1}
+            assert store.lists[messages.VM_PREFIX] < 40
+            for vm in crowd.vms.values():
+                vm._leader.step_down("end")
+                vm.abort()
+
+        virtual.run(main())
