A gate takes no negative counts

Cause: the new test of any numbers found that a question which names fewer than no requests makes room at the target: eight places instead of seven. No daemon of ours sends one. Change: negative counts and times are taken for none. Questions that VMs send are decided as before. Also: a leader asks whether its store fails by None, not by a time that may be 0. Datagrams cut short, of strangers and of any bytes have tests.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/admitting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/admitting.py
@@ -274,8 +274,9 @@
             asked.priority,
             asked.on_time / 1000,
             asked.left / 1000,
-            asked.work / 1000,
-            asked.held,
+            max(asked.work, 0) / 1000,
+            # Fewer than none would make room at the target.
+            max(asked.held, 0),
         )
         self._tell([queue.ask(ask, now)])
         if queue.waiting:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -665,7 +665,8 @@
             failing = self._store_failing_since is not None
             await asyncio.sleep(_CONFIRM_AGAIN if failing else pause)
             await self._confirm()
-            if self._witnesses is not None and not self._store_failing_since:
+            reached = self._store_failing_since is None
+            if self._witnesses is not None and reached:
                 clear_at = max(
                     self._formers_lapse, self._authority.longer_until
                 )
