--- a/packages/mimosastile-core/src/mimosastile_core/gateway/extension.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/extension.py
@@ -4,7 +4,7 @@
 outage of the store no VM can replace it, and stopping would leave all keys
 without an owner. So it may go on for longer, and grant keys for longer, once
 each of its witnesses has found the store unreachable as well and has promised
-that.
+to tell successors until when the leader may go on.
 
 The witnesses are a few VMs that the leader names in the store. A successor
 reads the names after its own claim, so they are final. One witness that never
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
@@ -92,7 +92,7 @@
         self._witnessed = True
 
     def extend(self, confirmed: float) -> None:
-        """Notes that all witnesses have promised not to lead.
+        """Notes the promises of all witnesses.
 
         Args:
             confirmed: The last look at the store that they were told of.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/witnessing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/witnessing.py
@@ -25,7 +25,11 @@
 
 
 class Witness:
-    """Promises not to replace a leader while the store is unreachable."""
+    """Lets a leader go on while the store is unreachable, and remembers it.
+
+    Whoever leads next hears of it, this VM included; it keeps nobody from
+    leading.
+    """
 
     __slots__ = (
         "_beliefs",
