--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -43,19 +43,25 @@
         return await super().watch(prefix, after, wait)
 
 
+def _watching(store, *targets):
+    """Makes a VM's view of the store; returns it with its beliefs and log."""
+    timer, log = fakes.VirtualClock(), fakes.Lines()
+    known = fakes.known(timer, log, *targets)
+    made = watching.Watching(
+        settings.StoreSettings(address="127.0.0.1:1"),
+        store,
+        records.Records(),
+        known,
+        timer,
+        log,
+    )
+    return made, known, log
+
+
 def _play(scenario, store, known_up_to=0):
     async def main():
-        timer, log = fakes.VirtualClock(), fakes.Lines()
-        known = fakes.known(timer, log, fakes.target("a"))
+        made, known, log = _watching(store, fakes.target("a"))
         known.seen = known_up_to
-        made = watching.Watching(
-            settings.StoreSettings(address="127.0.0.1:1"),
-            store,
-            records.Records(),
-            known,
-            timer,
-            log,
-        )
         made.rely_on_leader(False)
         made.start()
         await asyncio.sleep(2.0)
@@ -124,16 +130,7 @@
         store = Slow()
 
         async def main():
-            timer, log = fakes.VirtualClock(), fakes.Lines()
-            known = fakes.known(timer, log)
-            made = watching.Watching(
-                settings.StoreSettings(address="127.0.0.1:1"),
-                store,
-                records.Records(),
-                known,
-                timer,
-                log,
-            )
+            made, _, log = _watching(store)
             made.rely_on_leader(False)
             made.start()
             await asyncio.sleep(1.0)
@@ -151,16 +148,7 @@
         store = Store()
 
         async def main():
-            timer, log = fakes.VirtualClock(), fakes.Lines()
-            known = fakes.known(timer, log)
-            made = watching.Watching(
-                settings.StoreSettings(address="127.0.0.1:1"),
-                store,
-                records.Records(),
-                known,
-                timer,
-                log,
-            )
+            made, _, _ = _watching(store)
             made.rely_on_leader(False, hurried=False)
             made.start()
             await asyncio.sleep(0.5)
