Entries of the store are decoded in one place; an unused choice goes

The record of witnesses was decoded by a copy of what decodes the leader's entry; both call one function now. Nobody reads tables that may be old any more, so read_store has no such choice. Behaviour stays as it is.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 import result
@@ -32,6 +33,8 @@
 from mimosastile_gateway import telling
 from mimosastile_gateway import witnessing
 
+_T = TypeVar("_T")
+
 _WATCHERS = 3
 """VMs that follow the store beside the leader."""
 _WATCHERS_IN_TROUBLE = 8
@@ -218,7 +221,7 @@
             self._beliefs.note_store(ok=False, why=read.err_value.detail)
             return False
         former = read.ok_value
-        known = self._decoded_leader(former)
+        known = self._decoded(former, leadership.LeaderEntry)
         believed = self._beliefs.leader
         if known and believed and known.epoch > believed.epoch:
             # Somebody was faster.
@@ -290,13 +293,12 @@
             return item.revision if item.value == value else 0
         return 0
 
-    def _decoded_leader(
-        self, item: ports.Item | None
-    ) -> leadership.LeaderEntry | None:
+    def _decoded(self, item: ports.Item | None, kind: type[_T]) -> _T | None:
+        """Returns an entry of the store; None if there is none to read."""
         if item is None:
             return None
         try:
-            return msgspec.json.decode(item.value, type=leadership.LeaderEntry)
+            return msgspec.json.decode(item.value, type=kind)
         except msgspec.DecodeError as error:
             self._events.write(
                 "leader", "entry_unreadable", key=item.key, why=str(error)
@@ -321,7 +323,7 @@
         self._store_failing_since = None
         self._started = now
         record_item = items.get(messages.WITNESSES_KEY)
-        record = self._decoded_record(record_item)
+        record = self._decoded(record_item, extension.Record)
         named = former and record and record.epoch == former.epoch
         self._formers = formers.FormerLeaders(
             now + configured.authority if former else now,
@@ -403,19 +405,6 @@
             )
             return None
 
-    def _decoded_record(
-        self, item: ports.Item | None
-    ) -> extension.Record | None:
-        if item is None:
-            return None
-        try:
-            return msgspec.json.decode(item.value, type=extension.Record)
-        except msgspec.DecodeError as error:
-            self._events.write(
-                "leader", "entry_unreadable", key=item.key, why=str(error)
-            )
-            return None
-
     def _load(self, item: ports.Item) -> None:
         table = self._decoded_table(item)
         if table is None:
@@ -688,7 +677,7 @@
         self._store_failing_since = None
         self._succession.clear()
         self._authority.replaceable = False
-        entry = self._decoded_leader(read.ok_value)
+        entry = self._decoded(read.ok_value, leadership.LeaderEntry)
         if entry is None or entry != self._entry:
             if entry is not None:
                 self._beliefs.take_leader(entry)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -311,13 +311,9 @@
         self._report_due.set()
         return True
 
-    async def read_store(self, *, stale: bool = False) -> bool:
-        """Reads leader and tables from the store.
-
-        Args:
-            stale: Whether they may be some seconds old.
-        """
-        listed = await self._store.list(messages.STORE_PREFIX, stale=stale)
+    async def read_store(self) -> bool:
+        """Reads leader and tables from the store."""
+        listed = await self._store.list(messages.STORE_PREFIX)
         if isinstance(listed, result.Err):
             self._beliefs.note_store(ok=False, why=listed.err_value.detail)
             return False
