Log the limits that targets name

Neither log nor metrics said what a target announces, so a VM that does not read a limit could not be told from ten that each keep it alone, or from one request in three that passes it. What an answer says of a target (load and limit) is now decoded in one place in the adapter; what makes no sense is logged and changes nothing. Each VM logs when a target names, changes or lifts a limit, the state dump lists the limits, and metrics count both events. An answer lifts or raises a limit only if its request was sent after the limit was heard: answers arrive in another order than they were made. Nothing is decided by it yet.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/reported.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/reported.py
@@ -1,4 +1,4 @@
-"""What a target says of its own load."""
+"""What a target says of itself in its answers."""
 
 import msgspec
 
@@ -43,13 +43,30 @@
         return usual + max(min(slowed, lost), 0.0)
 
 
+class Notice(msgspec.Struct, frozen=True):
+    """What a target says in an answer that concerns other requests as well.
+
+    Attributes:
+        load: The target's load, None if it does not say.
+        limit: Requests a second that it takes from all VMs together, None if
+            it names none that can be read.
+        names_limit: Whether it names a limit, readable or not.
+        unreadable: Headers whose values make no sense, by name.
+    """
+
+    load: TargetLoad | None = None
+    limit: float | None = None
+    names_limit: bool = False
+    unreadable: tuple[tuple[bytes, bytes], ...] = ()
+
+
 class HealthReport(msgspec.Struct, frozen=True):
     """An answer to a health check.
 
     Attributes:
-        load: The target's load, None if it does not say.
+        notice: What it says beside the check's result.
         cold_seconds: For how long it stays cold, None if it does not say.
     """
 
-    load: TargetLoad | None = None
+    notice: Notice = Notice()
     cold_seconds: float | None = None
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -13,6 +13,7 @@
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import limits
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import vacancies
 from mimosastile_gateway import clock
@@ -59,6 +60,7 @@
         vms: Entry VMs as last read from the store.
         eligibility: Which targets may run a request, by their place.
         evacuations: Zones that are evacuated.
+        limits: Rates that targets have named for all VMs together.
         seen: Store revision up to which all registrations are known.
         configuration_seen: Store revision up to which the configuration in
             force and the evacuations are the newest.
@@ -83,6 +85,7 @@
         "evacuations",
         "leader",
         "leader_since",
+        "limits",
         "route_table",
         "seen",
         "shares",
@@ -117,6 +120,7 @@
         self.evacuations = eligibility.Evacuations()
         self.eligibility = eligibility.Eligibility(configured.vm.regions)
         self._evacuated_at: dict[str, float] = {}
+        self.limits = limits.Limits()
         self.seen = 0
         self.configuration_seen = 0
         self.leader: leadership.LeaderEntry | None = None
@@ -357,6 +361,29 @@
                 known=newer.born,
             )
 
+    def hear_limit(
+        self, target: directory.Target, rate: float | None, sent_at: float
+    ) -> None:
+        """Notes what a target has said of its limit in an answer.
+
+        Args:
+            target: The target.
+            rate: Requests a second that it takes from all VMs together, None
+                if it names no limit.
+            sent_at: When the request was sent that it answers.
+        """
+        now = self._clock.now()
+        if not self.limits.hear(target.id, target.born, rate, sent_at, now):
+            return
+        self._events.write(
+            "targets",
+            "limit_lifted" if rate is None else "limit_named",
+            target=target.id,
+            service=target.service,
+            rate=rate,
+        )
+        self.signal()
+
     def lose_target(self, target: str, revision: int = 0) -> None:
         """Notes that a target's registration has vanished."""
         self.take_registrations((), ((target, revision),))
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import gc
 import resource
 import signal
@@ -55,7 +56,8 @@
         store: Makes the store's client out of the connections.
         orders: Makes the client for orders to targets.
         health: Makes the client for their health checks.
-        read_load: Reads what a target says of its load in an answer.
+        read_notice: Reads what a target says of itself in an answer's
+            headers.
         records: Reads what operators and targets wrote.
         readiness_path: Path of the balancer's question.
     """
@@ -64,7 +66,7 @@
     store: Callable[[http_client.Pool], ports.StorePort]
     orders: Callable[[http_client.Pool], ports.OrderPort]
     health: Callable[[http_client.Pool], ports.HealthPort]
-    read_load: Callable[[bytes | None], reported.TargetLoad | None]
+    read_notice: Callable[[Iterable[tuple[bytes, bytes]]], reported.Notice]
     records: ports.RecordPort
     readiness_path: str
 
@@ -192,7 +194,7 @@
         self._forwarding = forwarding.Forwarding(
             configured,
             adapter.headers,
-            adapter.read_load,
+            adapter.read_notice,
             self._pool,
             self._beliefs,
             self._rooms,
@@ -353,6 +355,7 @@
                 name: round(known.cold_seconds(name), 2)
                 for name in known.cold_targets()
             },
+            "target_limits": known.limits.dump(),
             "allowed_regions": {
                 route.name: route.regions
                 for route in (configuration.routes if configuration else ())
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterable
 import math
 
 import result
@@ -78,7 +79,7 @@
         "_peers",
         "_placing",
         "_pool",
-        "_read_load",
+        "_read_notice",
         "_rooms",
         "_settings",
     )
@@ -87,7 +88,7 @@
         self,
         configured: settings.GatewaySettings,
         names: ports.HeaderNames,
-        read_load: Callable[[bytes | None], reported.TargetLoad | None],
+        read_notice: Callable[[Iterable[tuple[bytes, bytes]]], reported.Notice],
         pool: http_client.Pool,
         known: beliefs.Beliefs,
         rooms: room.Rooms,
@@ -100,7 +101,7 @@
     ) -> None:
         self._settings = configured
         self._names = names
-        self._read_load = read_load
+        self._read_notice = read_notice
         self._pool = pool
         self._beliefs = known
         self._rooms = rooms
@@ -349,11 +350,13 @@
                 (self._names.attempt, call.attempt),
                 no_body=call.incoming.method == "HEAD",
             )
+            began = self._clock.now()
             call.sends += 1
             if not call.repeatable:
                 call.incoming.cancellable = False
             await connection.wait_whole(reply, configured.buffer_bytes)
             whole = reply.complete
+            self._learn(target, reply, began)
             answer = self._answer(call, target, connection, reply)
             whole = whole or answer.is_ok()
             return answer
@@ -393,7 +396,6 @@
         """Decides what an answer means."""
         names = self._names
         status = reply.status
-        self._learn_load(target, reply.header(names.load))
         if status in _REJECT_STATUSES and reply.header(names.not_run):
             answering = reply.header(names.target)
             if status == 421 and answering not in (None, target.id.encode()):
@@ -427,21 +429,30 @@
         rest = self._stream(connection, reply, target)
         return result.Ok(http_server.Outgoing(status, headers, body, rest))
 
-    def _learn_load(
-        self, target: directory.Target, value: bytes | None
+    def _learn(
+        self,
+        target: directory.Target,
+        reply: http_client.Reply,
+        sent_at: float,
     ) -> None:
-        if value is None:
+        """Takes what a target says of itself in an answer."""
+        answering = reply.header(self._names.target)
+        if answering not in (None, target.id.encode()):
             return
-        said = self._read_load(value)
-        if said is not None:
-            self._rooms.learn_load(target, said)
-            return
-        self._events.write(
-            "targets",
-            "load_unreadable",
-            target=target.id,
-            value=value[:_LOGGED_BYTES].decode("latin-1"),
-        )
+        notice = self._read_notice(reply.headers)
+        if notice.load is not None:
+            self._rooms.learn_load(target, notice.load)
+        sealed = reply.header(self._names.seal) is not None
+        if notice.limit is not None or (sealed and not notice.names_limit):
+            self._beliefs.hear_limit(target, notice.limit, sent_at)
+        for name, value in notice.unreadable:
+            self._events.write(
+                "targets",
+                "notice_unreadable",
+                target=target.id,
+                header=name.decode("latin-1"),
+                value=value[:_LOGGED_BYTES].decode("latin-1"),
+            )
 
     def _has_repeat(self, call: pending.Call) -> bool:
         """Whether a target's own failure need not be the caller's answer."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
@@ -25,7 +25,6 @@
         key: Key of a request, a decimal number.
         target: Identifier of the target that answers, where it says so.
         handover: Token that passes a range's state to its next owner.
-        load: What a target says of its load; empty if targets never do.
     """
 
     attempt: bytes
@@ -36,7 +35,6 @@
     key: bytes
     target: bytes
     handover: bytes
-    load: bytes = b""
 
 
 class Item(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/probing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/probing.py
@@ -110,9 +110,13 @@
             self._beliefs.directory.note_cold(
                 target.id, report.cold_seconds, self._clock.now()
             )
-        if report.load is None:
+        notice = report.notice
+        if notice.limit is not None:
+            now = self._clock.now()
+            self._beliefs.hear_limit(target, notice.limit, now)
+        if notice.load is None:
             return False
-        self._rooms.learn_load(target, report.load)
+        self._rooms.learn_load(target, notice.load)
         return True
 
     def _failed(
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -43,6 +43,52 @@
         assert found is None or found.slots > 0
 
 
+class TestNotice:
+    """What a target says beside an answer."""
+
+    @pytest.mark.parametrize(
+        ("value", "rate"),
+        [
+            (b"6.1", 6.1),
+            (b" 6.1 ", 6.1),
+            (b"0.4", 0.4),
+            (b".4", 0.4),
+            (b"12", 12.0),
+            (b"0", 0.0),
+            (b"", None),
+            (b"-3", None),
+            (b"nan", None),
+            (b"inf", None),
+            (b"1e3", None),
+            (b"many", None),
+            (b"6,1", None),
+            (b"999999999", None),
+            (b"1" * 400, None),
+        ],
+    )
+    def test_limit(self, value, rate):
+        """Guards against a limit that makes no sense."""
+        name = b"server-limit"
+        notice = headers.read_notice([(b"date", b"x"), (name, value)])
+        assert notice.limit == rate
+        assert notice.names_limit
+        unreadable = () if rate is not None else ((name, value),)
+        assert notice.unreadable == unreadable
+
+    def test_nothing(self):
+        """Most answers say nothing of the target."""
+        notice = headers.read_notice([(b"content-length", b"3")])
+        assert notice == reported.Notice()
+
+    @hypothesis.given(
+        st.lists(st.tuples(st.just(b"server-limit"), st.binary()))
+    )
+    def test_any_bytes(self, lines):
+        """Whatever a target sends, nothing breaks."""
+        notice = headers.read_notice(lines)
+        assert notice.limit is None or notice.limit >= 0
+
+
 class TestMilliseconds:
     """Times."""
 
