--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,29 @@
+"""Tests that are known to fail, as `KNOWN-RED.txt` lists them."""
+
+import pathlib
+
+import pytest
+
+_LIST = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+
+
+def pytest_collection_modifyitems(items):
+    """Expects exactly the listed tests to fail.
+
+    An entry begins with the node of a test or of a class. A listed test that
+    passes fails the run: its entry goes with the fix.
+    """
+    if not _LIST.exists():
+        return
+    listed = [
+        line.split()[0]
+        for line in _LIST.read_text(encoding="utf-8").splitlines()
+        if line.startswith("tests/")
+    ]
+    for item in items:
+        if any(
+            item.nodeid == node
+            or item.nodeid.startswith((f"{node}::", f"{node}["))
+            for node in listed
+        ):
+            item.add_marker(pytest.mark.xfail(strict=True, reason=str(_LIST)))
--- /dev/null
+++ b/tests/gateway/fleet.py
@@ -0,0 +1,441 @@
+"""Whole VMs with a leader, targets and callers, under virtual time.
+
+Everything between sockets is real: forwarding, placing, admission, reports and
+the leader's decisions. Targets and the ways between VMs are fakes.
+"""
+
+import asyncio
+import collections
+import random
+
+import msgspec
+
+from mimosastile_core.gateway import casualties
+from mimosastile_core.gateway import room
+from mimosastile_core.gateway import routes
+from mimosastile_gateway import admitting
+from mimosastile_gateway import beliefs
+from mimosastile_gateway import forwarding
+from mimosastile_gateway import http_client
+from mimosastile_gateway import http_server
+from mimosastile_gateway import leading
+from mimosastile_gateway import messages
+from mimosastile_gateway import metrics
+from mimosastile_gateway import peers
+from mimosastile_gateway import placing
+from mimosastile_gateway import probing
+from mimosastile_gateway import turns
+from mimosastile_gateway import watching
+from mimosastile_platform import headers
+from mimosastile_platform import health
+from mimosastile_platform import records
+from mimosastile_standins import virtual
+from tests.gateway import fakes
+
+KEYED, PLAIN = "s", "p"
+_WAY = 0.002
+"""Seconds between VMs, and between a VM and a target."""
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """A request that has reached a target."""
+
+    at: float
+    vm: str
+    key: int | None
+    path: str
+    sent: float = 0.0
+
+
+class Target:
+    """One target.
+
+    Attributes:
+        id: Its identifier.
+        born: Its run.
+        says: Headers of all its answers.
+        rejects: Whether it rejects requests, without running them.
+        work: Seconds of a run.
+        arrivals: Requests that have reached it.
+        passed: When each VM got an answer, with what it said.
+    """
+
+    def __init__(self, name, service, orders, *, work=0.05, slots=4):
+        self.id = name
+        self.service = service
+        self.born = 1
+        self.says = {}
+        self.rejects = False
+        self.runs = True
+        self.work = work
+        self.slots = slots
+        self.arrivals = []
+        self.passed = []
+        self._orders = orders
+        self._running = asyncio.Semaphore(slots)
+
+    @property
+    def registration(self):
+        """How it registers itself."""
+        return fakes.target(
+            self.id, self.service, born=self.born, slots=self.slots
+        )
+
+    async def handle(self, vm, path, key, sent):
+        """Answers a request; returns status and headers."""
+        said = [(n.encode(), v.encode()) for n, v in self.says.items()]
+        if path == "/health":
+            return 200, said
+        now = virtual.now()
+        self.arrivals.append(Arrival(now, vm, key, path, sent))
+        keyed = self.service == KEYED and key is not None
+        if keyed and self.id not in self._orders.holders(key):
+            return 421, [*said, (b"x-not-executed", b"1")]
+        if self.rejects:
+            not_run = [(b"x-not-executed", b"1")] if not self.runs else []
+            return 503, [*said, *not_run, (b"x-server-seal", b"s")]
+        async with self._running:
+            await asyncio.sleep(self.work)
+        said = [(n.encode(), v.encode()) for n, v in self.says.items()]
+        return 200, [*said, (b"x-server-seal", b"s")]
+
+
+class _Connection:
+    """One VM's connection to a target."""
+
+    def __init__(self, fleet, vm, target):
+        self._fleet = fleet
+        self._vm = vm
+        self._target = target
+        self._answer = None
+        self.reusable = True
+
+    def start(self, data, echo=None, *, no_body=False):
+        """Sends a request."""
+        reply = http_client.Reply(reused=False)
+        first, *lines = data.partition(b"\r\n\r\n")[0].decode().split("\r\n")
+        named = dict(line.lower().split(": ", 1) for line in lines)
+        key = named.get("x-shard-key")
+        sent = float(named.get("x-sent", 0.0))
+        self._answer = asyncio.create_task(
+            self._exchange(
+                reply,
+                first.split(" ")[1],
+                int(key) if key is not None else None,
+                sent,
+            )
+        )
+        return reply
+
+    async def _exchange(self, reply, path, key, sent):
+        await asyncio.sleep(_WAY)
+        status, said = await self._target.handle(self._vm, path, key, sent)
+        await asyncio.sleep(_WAY)
+        reply.status, reply.headers = status, said
+        reply.complete = True
+        self._target.passed.append((virtual.now(), self._vm, dict(said)))
+
+    async def wait_whole(self, reply, most):
+        """Waits for the answer."""
+        await self._answer
+
+    def abort(self):
+        """Ends it."""
+        if self._answer is not None:
+            self._answer.cancel()
+
+    def close(self):
+        """Ends it."""
+
+
+class _Pool:
+    """One VM's connections."""
+
+    def __init__(self, fleet, vm):
+        self._fleet = fleet
+        self._vm = vm
+
+    async def connect(self, address, idle, timeout):
+        """Connects to a target."""
+        target = self._fleet.targets.get(address.partition(":")[0])
+        if target is None:
+            raise http_client.NotSentError(address)
+        return _Connection(self._fleet, self._vm, target)
+
+    def give_back(self, connection, address):
+        """Takes a connection back."""
+
+
+class _Channel:
+    """One VM's way to its peers."""
+
+    def __init__(self, fleet, here):
+        self._fleet = fleet
+        self._here = here
+
+    def send(self, address, message):
+        """Sends a datagram."""
+        vm = self._fleet.reaches(self._here, address)
+        if vm is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_WAY, vm.admitting.receive, self._here, message)
+
+    async def call(self, address, path, body, timeout):
+        """Makes a call."""
+        await asyncio.sleep(_WAY)
+        vm = self._fleet.reaches(self._here, address)
+        if vm is None:
+            await asyncio.sleep(timeout)
+            return None
+        answer = await vm.answer(path, body)
+        await asyncio.sleep(_WAY)
+        return answer
+
+
+class Vm:
+    """One VM."""
+
+    def __init__(self, fleet, name):
+        base = fakes.configured(settle=0.1, settle_most=0.2)
+        configured = msgspec.structs.replace(
+            base,
+            vm=msgspec.structs.replace(base.vm, id=name, peers=name),
+        )
+        timer, self.log = fleet.clock, fakes.Lines()
+        self.name = name
+        self.beliefs = beliefs.Beliefs(configured, timer, self.log)
+        self.beliefs.take_configuration(fleet.configuration)
+        self.beliefs.take_targets(
+            [target.registration for target in fleet.targets.values()]
+        )
+        self.rooms = room.Rooms(
+            room.Place("z", "r"), {"z": "r"}, configured.rooms
+        )
+        store = fakes.Cut(fleet.store)
+        self.store = store
+        channel = _Channel(fleet, name)
+        boot = f"boot-{name}-{fleet.started}"
+        fleet.started += 1
+        self.leading = leading.Leading(
+            configured,
+            boot,
+            store,
+            fleet.orders,
+            channel,
+            self.beliefs,
+            timer,
+            self.log,
+        )
+        queues, dead = turns.Turns(), casualties.Casualties()
+        self.admitting = admitting.Admitting(
+            configured, channel, self.beliefs, timer
+        )
+        self.peers = peers.Peers(
+            configured,
+            boot,
+            store,
+            channel,
+            self.beliefs,
+            self.rooms,
+            self.leading,
+            queues,
+            self.admitting,
+            watching.Watching(
+                configured.store,
+                store,
+                records.Records(),
+                self.beliefs,
+                timer,
+                self.log,
+            ),
+            dead,
+            timer,
+            self.log,
+        )
+        pool = _Pool(fleet, name)
+        self.placing = placing.Placing(
+            configured,
+            self.beliefs,
+            self.rooms,
+            self.peers,
+            queues,
+            self.admitting,
+            timer,
+            probing.Probing(
+                health.Health(pool), self.beliefs, self.rooms, timer, self.log
+            ),
+        )
+        self.forwarding = forwarding.Forwarding(
+            configured,
+            headers.NAMES,
+            headers.read_notice,
+            pool,
+            self.beliefs,
+            self.rooms,
+            self.peers,
+            self.placing,
+            dead,
+            metrics.Metrics({}),
+            timer,
+            self.log,
+        )
+        self.peers.listens_on(name)
+        self.peers.start()
+
+    async def answer(self, path, body):
+        """Answers a peer's call."""
+        if path == messages.ASSIGN_PATH:
+            self.peers.take_push(messages.decode(body, messages.ReportReply))
+            return messages.encode(messages.Taken())
+        if path == messages.REPORT_PATH:
+            report = messages.decode(body, messages.Report)
+            return messages.encode(self.leading.take_report(report))
+        if path == messages.HEARD_PATH:
+            return messages.encode(self.peers.heard())
+        if path == messages.RELAY_PATH:
+            relay = messages.decode(body, messages.Relay)
+            return messages.encode(await self.peers.relay(relay))
+        if path == messages.EXTEND_PATH:
+            request = messages.decode(body, messages.ExtensionRequest)
+            return messages.encode(await self.leading.witness.answer(request))
+        return None
+
+    def end(self):
+        """Ends it as a kill would."""
+        self.leading.step_down("end")
+        self.peers.abort()
+
+
+class Fleet:
+    """VMs, targets and callers.
+
+    Attributes:
+        vms: By name, which is their address as well.
+        targets: By identifier.
+        cut: Pairs of VMs that do not reach each other.
+        statuses: How many answers callers got, by status.
+        refusals: Retry-After of all refusals.
+    """
+
+    def __init__(self, vms, *, keyed=6, plain=4, seed=1, **target):
+        self.clock = fakes.VirtualClock()
+        self.store, self.orders = fakes.Store(), fakes.Orders()
+        self.started = 0
+        self.cut = set()
+        self.statuses = collections.Counter()
+        self.refusals = []
+        self.chance = random.Random(seed)
+        self.targets = {}
+        for service, count in ((KEYED, keyed), (PLAIN, plain)):
+            for number in range(count):
+                name = f"{service}{number}"
+                made = Target(name, service, self.orders, **target)
+                self.targets[name] = made
+        self.configuration = _configuration()
+        self.vms = {}
+        for number in range(vms):
+            self.add_vm(f"vm-{number:03}")
+
+    def add_vm(self, name):
+        """Starts a VM."""
+        self.vms[name] = Vm(self, name)
+
+    def reaches(self, here, address):
+        """Returns a VM if another one reaches it."""
+        if (here, address) in self.cut or (address, here) in self.cut:
+            return None
+        return self.vms.get(address)
+
+    def isolate(self, *names):
+        """Cuts VMs off from all others and from the store."""
+        for name in names:
+            self.vms[name].store.failing = fakes.UNAVAILABLE
+            self.cut.update((name, other) for other in self.vms)
+
+    def take_target(self, registration):
+        """Has all VMs hear of a registration."""
+        for vm in self.vms.values():
+            vm.beliefs.take_target(registration)
+
+    def leader(self):
+        """Returns the VM that leads."""
+        return next(vm for vm in self.vms.values() if vm.leading.leading)
+
+    def end(self):
+        """Ends all VMs."""
+        for vm in self.vms.values():
+            vm.end()
+
+    async def ready(self):
+        """Waits until every key has its owner."""
+        async with asyncio.timeout(30.0):
+            while not self._serving():
+                await asyncio.sleep(0.05)
+
+    def _serving(self):
+        return all(
+            vm.beliefs.owner(KEYED, key)
+            for vm in self.vms.values()
+            for key in range(0, 65536, 4096)
+        )
+
+    def owner(self, key=0):
+        """Returns the target that owns a key."""
+        return self.targets[self.leader().beliefs.owner(KEYED, key)]
+
+    async def call(self, seconds, rate, path, key=None, vms=()):
+        """Has callers send requests at random times.
+
+        Args:
+            seconds: For how long.
+            rate: Requests a second.
+            path: `/k` for keys, `/p` for others.
+            key: Draws a key; None for requests without one.
+            vms: Names of the VMs that get them; all if empty.
+        """
+        ends = virtual.now() + seconds
+        asked = []
+        while (wait := self.chance.expovariate(rate)) + virtual.now() < ends:
+            await asyncio.sleep(wait)
+            name = self.chance.choice(sorted(vms or self.vms))
+            if name in self.vms:
+                drawn = key(self.chance) if key is not None else None
+                asked.append(asyncio.create_task(self.ask(name, path, drawn)))
+        await asyncio.sleep(max(ends - virtual.now(), 0.0))
+        return asked
+
+    async def ask(self, name, path, key=None, deadline_ms=2000):
+        """Makes one request."""
+        now = virtual.now()
+        incoming = http_server.Incoming("GET", f"{path}/".encode(), now)
+        incoming.headers = [
+            (b"host", b"h"),
+            (b"x-attempt-id", b"a%d" % self.chance.randrange(1 << 40)),
+            (b"x-deadline-ms", b"%d" % deadline_ms),
+            (b"x-sent", b"%f" % now),
+        ]
+        if key is not None:
+            incoming.headers.append((b"x-shard-key", b"%d" % key))
+        answer = await self.vms[name].forwarding.handle(incoming)
+        self.statuses[answer.status] += 1
+        named = dict(answer.headers)
+        if answer.status == 503 and b"x-server-seal" not in named:
+            self.refusals.append(float(named[b"retry-after"]))
+        return answer
+
+
+def any_key(chance):
+    """Draws any key."""
+    return chance.randrange(65536)
+
+
+def _configuration():
+    made = [
+        fakes.route(name=name, prefix=f"/{name}/", parts=(routes.Part(name),))
+        for name in (KEYED, PLAIN)
+    ]
+    services = {
+        KEYED: routes.Service(KEYED, keyed=True),
+        PLAIN: routes.Service(PLAIN),
+    }
+    return routes.Configuration(2, tuple(made), services)
