Keep the limits that targets name, over all VMs together

Callers of keys owned by a target in need were served at its cost: a target that had named a limit of 6.1 requests a second got 69 in 4 s (allowed 42), all ten VMs sending as before.

Cause: nothing read what a target announces of itself beyond its load, and the class of fault is a bound on the sum over all VMs that each VM can only see its part of.

The one mechanism for such bounds, a VM named by the leader, serves this need too: VMs report limits that their leader does not know, the leader names a sender for each limited target and tells all at once. Requests for keys ask it as the target's gate, whose queue admits at the limit; requests without a key use other targets, or the gate where all have a limit. A VM that hears nobody has a small part of its own in turns that are not saved, so the sum holds for VMs that are cut off, for 1 s of two senders, and for a lost sender (property test). Keys that do not fit move: a limit bounds what a target is reckoned to carry. What cannot run in time is refused at once; Retry-After is the gate's reckoning, at most 1 s where keys can move. Ways weighed: an equal part for each VM leaves a VM of 300 one request in 49 s, whoever asks; the sender alone, as for cold targets, would refuse nine of ten requests for its keys until they have moved.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
@@ -19,6 +19,8 @@
 
 import msgspec
 
+from mimosastile_core.gateway import limits
+
 _SMOOTHING = 0.1
 """Weight of one request in means: some ten requests to follow a change."""
 _RATIO_BOUNDS = (0.2, 5.0)
@@ -132,7 +134,12 @@
 
 
 class Queue:
-    """Places of one target, and who waits for one."""
+    """Places of one target, and who waits for one.
+
+    Attributes:
+        pace: When another request may be admitted, None if the target has
+            named no limit.
+    """
 
     __slots__ = (
         "_beyond",
@@ -145,6 +152,7 @@
         "_slots",
         "_waiting",
         "_work",
+        "pace",
     )
 
     def __init__(self, slots: int, beyond: int) -> None:
@@ -166,6 +174,7 @@
         self._numbers = 0
         self._punctual = 0.0
         self._punctual_at = 0.0
+        self.pace: limits.Pace | None = None
 
     @property
     def idle(self) -> bool:
@@ -260,10 +269,14 @@
         busy = self.busy(now) + 1
         usual = self._factor * entry.ask.work * max(busy / self._slots, 1.0)
         until = now + _LOST_LEAST + _LOST_FACTOR * usual
+        if self.pace is not None:
+            self.pace.take(now)
         self._places[entry.ask.id] = _Place(entry.ask.work, now, until, busy)
         return Decision(entry.ask, Verdict.ADMITTED)
 
     def _free(self, now: float) -> bool:
+        if self.pace is not None and self.pace.wait(now) > 0:
+            return False
         return self.busy(now) < self._slots + self._beyond
 
     @property
@@ -274,11 +287,17 @@
     def _start_seconds(self, ahead: int, now: float, *, late: bool) -> float:
         """Returns when one that waits behind others begins to run."""
         start = (ahead + 1 + self._beyond) * self._interval
-        if not late:
-            return start
-        # Those that can be on time go first, also the ones to come.
-        taken = self._punctual_rate(now) * self._interval
-        return start / max(1 - _PUNCTUAL_SHARE * taken, _LATE_ROOM)
+        if late:
+            # Those that can be on time go first, also the ones to come.
+            taken = self._punctual_rate(now) * self._interval
+            start /= max(1 - _PUNCTUAL_SHARE * taken, _LATE_ROOM)
+        return max(start, self._paced_seconds(ahead, now))
+
+    def _paced_seconds(self, ahead: int, now: float) -> float:
+        """Returns when the target's limit lets one that waits begin."""
+        if self.pace is None:
+            return 0.0
+        return self.pace.wait(now) + ahead / self.pace.rate
 
     def _start_left(self, entry: _Waiting, now: float) -> float:
         """Returns for how long it is still worth beginning."""
@@ -289,7 +308,8 @@
         """Whether its answer would be late with some others before it."""
         work = self._factor * entry.ask.work * (1 + _SPREAD)
         left = entry.ask.on_time - (now - entry.arrived) - work
-        return (ahead + self._beyond) * self._interval > left
+        begins = (ahead + self._beyond) * self._interval
+        return max(begins, self._paced_seconds(ahead, now)) > left
 
     def _order(self, entry: _Waiting, now: float) -> tuple[bool, int, int]:
         late = self._is_late(entry, now, 0)
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
@@ -103,9 +103,9 @@
         regions: Mapping[str, str],
         keyed: Container[str],
         known: directory.Directory,
-        cold: Iterable[str] = (),
+        bounded: Iterable[str] = (),
     ) -> dict[str, str]:
-        """Returns the VMs that admit requests to contended or cold targets.
+        """Returns the VMs that admit requests to contended or bounded targets.
 
         It stands as near to the target as there are VMs. A target stays
         contended until much less is asked of it, so that VMs do not go back
@@ -117,7 +117,7 @@
             keyed: Services that are divided by key. A request for another one
                 goes where there is room, and asks nobody.
             known: The targets.
-            cold: Cold targets that one VM alone may send to.
+            bounded: Targets whose rate is bounded over all VMs.
         """
         able = list(vms)
         contended = set()
@@ -130,7 +130,7 @@
                 contended.add(name)
         self._contended = contended
         found = {}
-        for name in contended.union(cold):
+        for name in contended.union(bounded):
             entry = known.get(name)
             if entry is not None and able:
                 zone = entry.target.zone
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/admitting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/admitting.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from mimosastile_core.gateway import admission
+from mimosastile_core.gateway import limits
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
 from mimosastile_gateway import datagrams
@@ -28,6 +29,8 @@
 _DONE_SECONDS = 0.01
 """Time for which places that are given back are gathered. The few requests
 that wait at the target itself cover it."""
+_LEAST_PAUSE = 0.002
+"""Shortest time until a limit lets the next request go."""
 _IDLE_QUEUES = 512
 """Targets whose queues are kept though nothing waits there; what they have
 learned of a target's speed is of use when it is contended again."""
@@ -75,6 +78,7 @@
         "_clock",
         "_done",
         "_numbers",
+        "_paced",
         "_pending",
         "_places",
         "_queues",
@@ -106,6 +110,7 @@
         self._queues: dict[str, admission.Queue] = {}
         # Not from 0: a gate may still know places of this VM's last run.
         self._numbers = round(_NUMBERS * timer.random())
+        self._paced: set[str] = set()
         self._pending: dict[int, asyncio.Future[datagrams.Decision]] = {}
         self._places: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -275,6 +280,7 @@
             )
             self._send(sender, refused)
             return
+        queue.pace = self._pace(asked.target)
         ask = admission.Ask(
             sender,
             asked.number,
@@ -288,7 +294,7 @@
         self._tell([queue.ask(ask, now)])
         if queue.waiting:
             # Waits pass even if no place is given back.
-            self._tell(queue.turn(now))
+            self._turn(asked.target)
 
     def take_decision(self, decision: datagrams.Decision) -> None:
         """Takes a gate's word."""
@@ -308,6 +314,31 @@
                         queue.done(sender, number, now, answered=answered)
                     )
 
+    def _turn(self, target: str) -> None:
+        """Decides on those that wait, also when a limit lets the next go."""
+        queue = self._queues.get(target)
+        if queue is None:
+            return
+        now = self._clock.now()
+        queue.pace = self._pace(target)
+        self._tell(queue.turn(now))
+        if queue.pace is None or not queue.waiting or target in self._paced:
+            return
+        wait = max(queue.pace.wait(now), _LEAST_PAUSE)
+        self._paced.add(target)
+        asyncio.get_running_loop().call_later(wait, self._next_paced, target)
+
+    def _next_paced(self, target: str) -> None:
+        self._paced.discard(target)
+        self._turn(target)
+
+    def _pace(self, target: str) -> limits.Pace | None:
+        """Returns the pace that a target's limit sets, if it has one."""
+        entry = self._beliefs.directory.get(target)
+        if entry is None:
+            return None
+        return self._beliefs.limits.pace(target, entry.target.born)
+
     def _tell(self, decisions: Iterable[admission.Decision]) -> None:
         for decision in decisions:
             self._send(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 import math
 
 import msgspec
@@ -120,7 +121,7 @@
         self.evacuations = eligibility.Evacuations()
         self.eligibility = eligibility.Eligibility(configured.vm.regions)
         self._evacuated_at: dict[str, float] = {}
-        self.limits = limits.Limits()
+        self.limits = limits.Limits(configured.vm.id)
         self.seen = 0
         self.configuration_seen = 0
         self.leader: leadership.LeaderEntry | None = None
@@ -363,26 +364,56 @@
 
     def hear_limit(
         self, target: directory.Target, rate: float | None, sent_at: float
-    ) -> None:
-        """Notes what a target has said of its limit in an answer.
+    ) -> bool:
+        """Takes what a target has said of its limit in an answer.
 
         Args:
             target: The target.
             rate: Requests a second that it takes from all VMs together, None
                 if it names no limit.
             sent_at: When the request was sent that it answers.
+
+        Returns:
+            Whether that is news.
         """
         now = self._clock.now()
         if not self.limits.hear(target.id, target.born, rate, sent_at, now):
-            return
+            return False
+        self._log_limit(target.id, rate, "target")
+        self.signal()
+        return True
+
+    def learn_limits(self, told: Mapping[str, limits.LimitNews]) -> None:
+        """Takes what other VMs have heard of targets' limits."""
+        now = self._clock.now()
+        changed = [
+            name
+            for name, news in told.items()
+            if self.limits.learn(name, news, now)
+        ]
+        for name in changed:
+            self._log_limit(name, told[name].rate, "peer")
+        if changed:
+            self.signal()
+
+    def _log_limit(self, target: str, rate: float | None, source: str) -> None:
         self._events.write(
             "targets",
             "limit_lifted" if rate is None else "limit_named",
-            target=target.id,
-            service=target.service,
+            target=target,
             rate=rate,
+            source=source,
         )
-        self.signal()
+
+    def limited_targets(self) -> list[str]:
+        """Returns the targets that have named a limit."""
+        if not self.limits.any:
+            return []
+        return [
+            entry.target.id
+            for entry in self.directory
+            if self.limits.pace(entry.target.id, entry.target.born)
+        ]
 
     def lose_target(self, target: str, revision: int = 0) -> None:
         """Notes that a target's registration has vanished."""
@@ -406,6 +437,9 @@
         changed = self.directory.replace(targets, now, revision)
         self.seen = max(self.seen, revision)
         self.directory.forget(now, _FORGET_SECONDS)
+        self.limits.forget_except(
+            {entry.target.id: entry.target.born for entry in self.directory}
+        )
         if changed:
             self._events.write(
                 "targets",
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/candidates.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/candidates.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Collection
 import math
 
@@ -25,6 +26,8 @@
 _NO_PLACE_SECONDS = 1.0
 """Retry-After of a request that no target may run because of its place:
 operators change that, and the keys of a service move within about a second."""
+_NOBODY_SECONDS = 0.5
+"""Time within which a VM that has started hears how many there are."""
 
 _Key = tuple[str, tuple[str, ...]]
 
@@ -37,6 +40,7 @@
         "_beliefs",
         "_clock",
         "_cold_sends",
+        "_count",
         "_pools",
         "_ready",
         "_rooms",
@@ -50,6 +54,7 @@
         rooms: room.Rooms,
         places: admitting.Admitting,
         timer: clock.Clock,
+        count: Callable[[], int],
     ) -> None:
         """Makes filters that follow what a VM knows.
 
@@ -59,21 +64,63 @@
             rooms: Loads of targets.
             places: Knows this VM's address as the only sender of a target.
             timer: The clock.
+            count: Returns how many VMs there are.
         """
         self._settings = configured
         self._beliefs = known
         self._rooms = rooms
         self._admitting = places
         self._clock = timer
+        self._count = count
         self._cold_sends = warmup.SendRate()
         self._ready: dict[_Key, list[directory.Target]] = {}
         self._pools: dict[tuple[str, tuple[str, ...], str], sampling.Pool] = {}
         known.subscribe(self._forget_ready)
 
-    def sent(self, target: directory.Target) -> None:
-        """Notes a request that is sent to a target."""
+    def sent(self, target: directory.Target, *, admitted: bool) -> None:
+        """Notes a request that is sent to a target.
+
+        Args:
+            target: The target.
+            admitted: Whether its gate has admitted it, and counted it.
+        """
+        now = self._clock.now()
         if self._beliefs.cold_seconds(target.id):
-            self._cold_sends.note(target.id, self._clock.now())
+            self._cold_sends.note(target.id, now)
+        pace = self._beliefs.limits.pace(target.id, target.born)
+        if pace is None or admitted:
+            return
+        if self._is_sender(target, now):
+            pace.take(now)
+        else:
+            pace.take_own(self._count(), now)
+
+    def _is_sender(self, target: directory.Target, now: float) -> bool:
+        """Whether this VM is named as the one that sends to a target."""
+        return self._rooms.gate(target.id, now) == self._admitting.address
+
+    def only_limited(self, call: pending.Call) -> directory.Target | None:
+        """Returns a target if all that may run a request have named a limit.
+
+        A request then waits for its turn at the gate of one, in place of
+        those that go where there is room.
+
+        Args:
+            call: A request without a key.
+        """
+        pace = self._beliefs.limits.pace
+        if not self._beliefs.limits.any:
+            return None
+        untried = self.untried(call, self._clock.now())
+        paces = {t.id: pace(t.id, t.born) for t in untried}
+        if not untried or not all(paces.values()):
+            return None
+
+        def drawn(target: directory.Target) -> float:
+            found = paces[target.id]
+            return found.rate * self._clock.random() if found else 0.0
+
+        return max(untried, key=drawn)
 
     def _forget_ready(self) -> None:
         self._ready = {}
@@ -142,7 +189,7 @@
             return (
                 target.id in asked
                 or self._rooms.load(target.id).rest_until > now
-                or self.cold_wait(target, call) > 0
+                or self.send_wait(target, call) > 0
             )
 
         count = self._rooms.policy.probes
@@ -154,8 +201,26 @@
         )
         return found or sampling.sample(drawn, count, self._clock.random, unfit)
 
-    def cold_wait(self, target: directory.Target, call: pending.Call) -> float:
-        """Returns the seconds until this VM may send to a target.
+    def send_wait(self, target: directory.Target, call: pending.Call) -> float:
+        """Returns the seconds until this VM may send to a target by itself."""
+        return max(self._cold_wait(target, call), self._limit_wait(target))
+
+    def _limit_wait(self, target: directory.Target) -> float:
+        """Returns the seconds until a target's limit lets this VM send."""
+        pace = self._beliefs.limits.pace(target.id, target.born)
+        if pace is None:
+            return 0.0
+        now = self._clock.now()
+        if self._is_sender(target, now):
+            return pace.wait(now)
+        vms = self._count()
+        if vms == 1:
+            # It leads and is the sender, or knows nobody yet.
+            return _NOBODY_SECONDS
+        return pace.own_wait(vms, now)
+
+    def _cold_wait(self, target: directory.Target, call: pending.Call) -> float:
+        """Returns the seconds until this VM may send to a cold target.
 
         Returns:
             0 for a warm one; for a cold one, until its rate allows another
@@ -165,7 +230,7 @@
         if not cold:
             return 0.0
         now = self._clock.now()
-        if self._rooms.gate(target.id, now) != self._admitting.address:
+        if not self._is_sender(target, now):
             return cold
         rate = call.service.cold_rate
         return min(self._cold_sends.wait(target.id, rate, now), cold)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -443,8 +443,9 @@
         if notice.load is not None:
             self._rooms.learn_load(target, notice.load)
         sealed = reply.header(self._names.seal) is not None
-        if notice.limit is not None or (sealed and not notice.names_limit):
-            self._beliefs.hear_limit(target, notice.limit, sent_at)
+        says = notice.limit is not None or (sealed and not notice.names_limit)
+        if says and self._beliefs.hear_limit(target, notice.limit, sent_at):
+            self._peers.hurry()
         for name, value in notice.unreadable:
             self._events.write(
                 "targets",
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -485,6 +485,7 @@
             report.configuration_seen,
             report.evacuations.zones,
         )
+        self._beliefs.learn_limits(report.limits)
         self._planner.learn(report)
         for service, keys in report.keys.items():
             keyed = self._services.get(service)
@@ -525,12 +526,13 @@
             vms=len(fresh),
             take_over=vm.id in self._succession.asked,
             evacuations=self._beliefs.evacuations,
+            limits=self._beliefs.limits.news(now),
         )
 
     def _gates(
         self, reports: Mapping[str, messages.Report], now: float
     ) -> dict[str, str]:
-        """Returns who admits requests to each contended target."""
+        """Returns who admits to contended targets, or alone sends to some."""
         if now - self._gates_at > _GATES_SECONDS:
             self._gates_at = now
             known = self._gates_chosen
@@ -543,13 +545,17 @@
                 self._settings.vm.regions,
                 self._services,
                 self._beliefs.directory,
-                self._beliefs.cold_targets(),
+                [
+                    *self._beliefs.cold_targets(),
+                    *self._beliefs.limited_targets(),
+                ],
             )
             new = self._gates_chosen.keys() - known.keys()
             if new:
                 # Until a VM hears of it, it sends to a full target.
                 self._telling.spread(
-                    gates={name: self._gates_chosen[name] for name in new}
+                    {name: self._gates_chosen[name] for name in new},
+                    self._beliefs.limits.news(now),
                 )
         return self._gates_chosen
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -11,6 +11,7 @@
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import limits as target_limits
 from mimosastile_core.gateway import routes
 
 STORE_PREFIX = "mimosastile/"
@@ -169,6 +170,7 @@
         promised: Seconds until its last promise to a leader, as a witness,
             ends; negative for one that has ended, None for none.
         evacuations: Evacuated zones that it knows.
+        limits: Limits of targets that its leader does not know.
     """
 
     vm: VmEntry
@@ -192,6 +194,7 @@
     epoch: int = -1
     promised: float | None = None
     evacuations: _Evacuations = _Evacuations()
+    limits: dict[str, target_limits.LimitNews] = {}
 
 
 class ReportReply(msgspec.Struct, frozen=True):
@@ -218,6 +221,7 @@
         vms: How many VMs report.
         take_over: Whether the reporting VM is asked to lead.
         evacuations: Evacuated zones that the leader knows.
+        limits: Limits of targets that the leader knows.
     """
 
     leader: leadership.LeaderEntry | None
@@ -238,6 +242,7 @@
     vms: int = 0
     take_over: bool = False
     evacuations: _Evacuations = _Evacuations()
+    limits: dict[str, target_limits.LimitNews] = {}
 
 
 class Taken(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -252,6 +252,7 @@
 
     def _take_told(self, reply: messages.ReportReply) -> None:
         """Takes what a leader has told of keys, targets and configuration."""
+        self._beliefs.learn_limits(reply.limits)
         for assignment in reply.assignments:
             self._beliefs.take_assignment(assignment)
         for difference in reply.differences:
@@ -438,6 +439,7 @@
             leader.epoch if leader else -1,
             self._leader.witness.promised(),
             self._beliefs.evacuations,
+            self._beliefs.limits.unknown_to_leader(self._clock.now()),
         )
 
     def _changed_factors(self) -> dict[str, float]:
@@ -529,6 +531,7 @@
             self._told_factors = {}
         self._rooms.learn_others(reply.under_way, now)
         self._rooms.learn_gates(reply.gates, now)
+        self._beliefs.limits.take_told(reply.limits, now)
         self._take_told(reply)
         self._rely(reply)
         if reply.take_over:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
@@ -51,6 +51,9 @@
 """Part of a Retry-After by which it differs between callers."""
 _NO_TARGET_SECONDS = 0.2
 """Time within which a service without any target may get one."""
+_RELIEF_SECONDS = 1.0
+"""Retry-After of a request that did not fit into its owner's limit: by then
+keys have moved so that what is left fits."""
 _MOVE_SECONDS = 0.3
 """Time in which the keys of a cold target move to a warm one."""
 _LEAST_WORK = 0.6
@@ -92,7 +95,7 @@
         self._turns = queues
         self._admitting = places
         self._candidates = candidates.Candidates(
-            configured, known, rooms, places, timer
+            configured, known, rooms, places, timer, lambda: fellows.count
         )
         self._clock = timer
         self._probing = probes
@@ -189,13 +192,13 @@
         if self._compares(call):
             compared = await self._compare(call)
             if isinstance(compared, result.Ok):
-                return result.Ok(self._begin(compared.ok_value))
+                return result.Ok(self._begin(call, compared.ok_value))
             return await self._await_room(call, compared.err_value)
         call.runs = 0.0
         queue, choice = self._choose(call, now)
         ahead = self._turns.ahead(queue, call.ticket)
         if choice.target is not None and not ahead:
-            return result.Ok(self._begin(choice.target))
+            return result.Ok(self._begin(call, choice.target))
         left = self.latest_start(call) - now
         seconds = min(choice.seconds, 1e6)
         if left <= 0 or seconds * (ahead + 1) > left:
@@ -274,10 +277,12 @@
         await asyncio.sleep(min(left, max(seconds, _COMPARE_SECONDS)))
         return None
 
-    def _begin(self, target: directory.Target) -> directory.Target:
+    def _begin(
+        self, call: pending.Call, target: directory.Target
+    ) -> directory.Target:
         """Notes a request that is sent to a target."""
         self._rooms.load(target.id).begin()
-        self._candidates.sent(target)
+        self._candidates.sent(target, admitted=call.place is not None)
         return target
 
     async def _await_any_owner(
@@ -300,13 +305,13 @@
     async def _enter(
         self, call: pending.Call, now: float
     ) -> result.Result[directory.Target, errors.Failure] | None:
-        """Asks the gate of a contended target for a place.
+        """Asks the gate of a contended or limited target for a place.
 
         Returns:
             The target or why there is no place; None if it has no gate that
-            answers, or the key has got another owner meanwhile.
+            answers, or the request goes elsewhere meanwhile.
         """
-        target = self._candidates.owner(call) if call.key is not None else None
+        target = self._gated(call)
         gate = self._rooms.gate(target.id, now) if target else None
         if target is None or gate is None:
             return None
@@ -338,20 +343,53 @@
             return None
         if isinstance(entered, admitting.Place):
             cold = self._beliefs.cold_seconds(target.id)
-            if self._candidates.owner(call) is not target or cold:
+            if not self._may_get(call, target) or cold:
                 # It has left or become cold, or its time to get work has
                 # passed meanwhile.
                 self._admitting.give_back(entered, answered=False)
                 return None
             call.place = entered
-            return result.Ok(self._begin(target))
+            return result.Ok(self._begin(call, target))
         self._peers.turned_away(target.id)
-        least = self._settings.requests.retry_after_least
-        return result.Err(
-            errors.Failure(
-                errors.ErrorKind.OVERLOADED,
-                retry_after=max(entered.seconds, least),
-            )
+        wait = self._relieved(call, target, entered.seconds)
+        wait = max(wait, self._settings.requests.retry_after_least)
+        kind = errors.ErrorKind.OVERLOADED
+        return result.Err(errors.Failure(kind, retry_after=wait))
+
+    def _gated(self, call: pending.Call) -> directory.Target | None:
+        """Returns the target that a request has to go to, if there is one."""
+        if call.key is not None:
+            return self._candidates.owner(call)
+        return self._candidates.only_limited(call)
+
+    def _may_get(self, call: pending.Call, target: directory.Target) -> bool:
+        """Whether a target may still get a request that has waited for it."""
+        if call.key is not None:
+            return self._candidates.owner(call) is target
+        known = self._beliefs.directory
+        return known.may_get_work(target.id, self._clock.now())
+
+    def _relieved(
+        self, call: pending.Call, target: directory.Target, seconds: float
+    ) -> float:
+        """Returns when a request can be expected to be run after a refusal.
+
+        Args:
+            call: The request.
+            target: Where it was to go.
+            seconds: Time until there may be room for it.
+        """
+        if self._beliefs.limits.pace(target.id, target.born) is None:
+            return seconds
+        if call.key is not None and self._is_relieved(call.service):
+            return min(seconds, _RELIEF_SECONDS)
+        return min(seconds, _LATEST_SECONDS)
+
+    def _is_relieved(self, service: routes.Service) -> bool:
+        """Whether keys that do not fit into a limit can move."""
+        return self._beliefs.store_ok and any(
+            self._beliefs.limits.pace(target.id, target.born) is None
+            for target in self._beliefs.able_owners(service)
         )
 
     def _on_time_left(self, call: pending.Call, now: float) -> float:
@@ -396,8 +434,7 @@
                 changed.cancel()
             if not done:
                 continue
-            owner = self._candidates.owner(call)
-            if not entering.done() and (owner is None or owner.id != target.id):
+            if not entering.done() and not self._may_get(call, target):
                 return True
         return False
 
@@ -410,6 +447,8 @@
         if owner is not None:
             self._peers.turned_away(owner.id)
         wait = min(choice.seconds * (ahead + 1), _LATEST_SECONDS)
+        if owner is not None:
+            wait = self._relieved(call, owner, wait)
         wait = max(wait, self._settings.requests.retry_after_least)
         return result.Err(errors.Failure(kind, retry_after=wait))
 
@@ -422,9 +461,11 @@
             target = self._candidates.owner(call)
             if target is None:
                 return service.name, room.Choice(None, 0.0)
-            cold = self._candidates.cold_wait(target, call)
-            if cold:
-                return target.id, room.Choice(None, min(cold, _MOVE_SECONDS))
+            wait = self._candidates.send_wait(target, call)
+            if self._beliefs.cold_seconds(target.id):
+                wait = min(wait, _MOVE_SECONDS)
+            if wait:
+                return target.id, room.Choice(None, wait)
             if self._rooms.full_owner(target, self._peers.count, now):
                 self._peers.hurry()
                 seconds = self._rooms.turn_seconds(
@@ -433,7 +474,7 @@
                 return target.id, room.Choice(None, seconds)
             return target.id, room.Choice(target, 0.0)
         eligible = self._candidates.untried(call, now)
-        waits = {t.id: self._candidates.cold_wait(t, call) for t in eligible}
+        waits = {t.id: self._candidates.send_wait(t, call) for t in eligible}
         candidates = [t for t in eligible if not waits[t.id]]
         if not candidates:
             soonest = min(waits.values(), default=_NO_TARGET_SECONDS)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import heat
@@ -19,6 +20,16 @@
 from mimosastile_gateway import settings
 from mimosastile_gateway import telling
 
+_LIMIT_SHARE = 0.6
+"""Part of a target's limit up to which it gets keys; counts of a few requests a
+second differ by that much by chance before keys move."""
+_LIMIT_LEAST = 0.05
+"""Requests a second that it is reckoned to carry at least."""
+_LEFT_LEAST = 0.1
+"""Part of all requests that targets without a limit are reckoned to get."""
+_LIMIT_SECONDS = 20.0
+"""For how long a limit counts that nobody has heard again: its target may have
+no keys that anyone asks for, and gets some then."""
 _LOST_REST = 3.0
 """Seconds for which a target that was silent gets no keys."""
 _COLD_SHARE = 0.5
@@ -166,13 +177,16 @@
             capacity.pop(holder, None)
         fast = keyed.fast.counts(now)
         slow = keyed.slow.counts(now)
+        asked = sum(slow.values()) / self._settings.leader.heat_slow
+        rates = self._rates(capacity, keyed.table.service)
+        capacity = self._within_limits(capacity, asked, now)
         moves = rebalance.evacuate(keyed.table, capacity, slow, lost)
         why = "evacuated"
         if not moves and not lost and self._hears_others():
             why = "isolated a hot key"
             moves = rebalance.isolate(
                 keyed.table,
-                self._rates(capacity, keyed.table.service),
+                rates,
                 {
                     key: count / self._settings.leader.heat_fast
                     for key, count in fast.items()
@@ -233,7 +247,50 @@
         reports = self._telling.fresh().values()
         works = [r.work[service] for r in reports if service in r.work]
         work = sum(works) / len(works) if works else _WORK_GUESS
-        return {holder: part / work for holder, part in capacity.items()}
+        limits = self._limits(capacity, self._clock.now())
+        return {
+            holder: min(part / work, limits.get(holder, math.inf))
+            for holder, part in capacity.items()
+        }
+
+    def _limits(
+        self, holders: Iterable[ranges.Holder], now: float
+    ) -> dict[ranges.Holder, float]:
+        """Returns the limits that targets have named lately."""
+        named = self._beliefs.limits
+        earliest = now - _LIMIT_SECONDS
+        found = {
+            holder: named.rate_since(holder.id, holder.born, earliest)
+            for holder in holders
+        }
+        return {h: rate for h, rate in found.items() if rate is not None}
+
+    def _within_limits(
+        self,
+        capacity: Mapping[ranges.Holder, float],
+        asked: float,
+        now: float,
+    ) -> dict[ranges.Holder, float]:
+        """Returns capacities that give no target more than it takes.
+
+        Args:
+            capacity: Capacities in any common unit.
+            asked: Requests a second for the whole service.
+            now: The time.
+        """
+        within = dict(capacity)
+        most = {
+            holder: max(rate * _LIMIT_SHARE, _LIMIT_LEAST)
+            for holder, rate in self._limits(capacity, now).items()
+        }
+        others = sum(p for h, p in capacity.items() if h not in most)
+        if not others or not most:
+            return {**within, **most}
+        left = max(asked - sum(most.values()), asked * _LEFT_LEAST)
+        for holder, rate in most.items():
+            if left:
+                within[holder] = min(within[holder], rate * others / left)
+        return within
 
     def learn(self, report: messages.Report) -> None:
         """Takes what a VM has newly seen of targets' speeds."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
@@ -11,6 +11,7 @@
 from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import limits
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
 from mimosastile_gateway import events
@@ -213,14 +214,24 @@
         for vm in vms:
             self._start(self._announce(vm, body))
 
-    def spread(self, gates: Mapping[str, str]) -> None:
+    def spread(
+        self,
+        gates: Mapping[str, str],
+        named: Mapping[str, limits.LimitNews],
+    ) -> None:
         """Tells all VMs at once of targets that have got a gate.
 
         Args:
             gates: Addresses of the VMs that admit, by target.
+            named: Limits of targets.
         """
         body = messages.encode(
-            messages.ReportReply(self._entry, leading=True, gates=dict(gates))
+            messages.ReportReply(
+                self._entry,
+                leading=True,
+                gates=dict(gates),
+                limits=dict(named),
+            )
         )
         zones: dict[str, list[messages.VmEntry]] = {}
         for report in self.fresh().values():
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -8,6 +8,7 @@
 import pytest
 
 from mimosastile_core.gateway import admission
+from mimosastile_core.gateway import limits
 
 SLOTS, BEYOND, WORK = 4, 3, 0.12
 AIM, DEADLINE = 0.4, 1.5
@@ -256,3 +257,34 @@
         told = queue.ask(self._ask(12), 0.0)
         assert told.verdict is admission.Verdict.REFUSED
         assert told.seconds >= 11 * WORK
+
+
+class TestLimited:
+    """A steady load above a limit that the target has named itself."""
+
+    def test_admits_at_the_limit_and_refuses_the_rest(self):
+        """Guards against places that are free and above the target's limit.
+
+        Slots stand idle then, and whoever cannot have a turn in time hears at
+        once when one can be expected.
+        """
+        queue = admission.Queue(SLOTS, BEYOND)
+        queue.pace = limits.Pace(6.1, 0.0, 0.0)
+        admitted, refused = [], []
+        decisions = []
+        for step in range(1000):
+            now = step * 0.01
+            if step % 3 == 0:
+                ask = admission.Ask("vm", step, 2, AIM, DEADLINE, WORK)
+                decisions = [queue.ask(ask, now)]
+            decisions += queue.turn(now)
+            for decision in decisions:
+                if decision.verdict is admission.Verdict.ADMITTED:
+                    admitted.append(now)
+                    queue.done("vm", decision.ask.number, now + WORK)
+                elif decision.verdict is admission.Verdict.REFUSED:
+                    refused.append(decision.seconds)
+            decisions = []
+        assert 45 <= len(admitted) <= 62
+        assert len(refused) > 200
+        assert 0 < min(refused) <= max(refused) < 5.0
--- a/tests/gateway/test_candidates.py
+++ b/tests/gateway/test_candidates.py
@@ -37,7 +37,12 @@
             self.beliefs.take_target(fakes.target(name, zone=zone))
         self.rooms = room.Rooms(room.Place("z", "r"), {"z": "r"}, room.Policy())
         self.candidates = candidates.Candidates(
-            fakes.configured(), self.beliefs, self.rooms, Places(), self.clock
+            fakes.configured(),
+            self.beliefs,
+            self.rooms,
+            Places(),
+            self.clock,
+            lambda: 3,
         )
 
     def call(self, regions=(), key=None):
@@ -167,8 +172,8 @@
                 world.rooms.learn_gates({"a": sender}, virtual.now())
             target = known.get("a").target
             for _ in range(sent):
-                world.candidates.sent(target)
-            wait = world.candidates.cold_wait(target, world.call())
+                world.candidates.sent(target, admitted=False)
+            wait = world.candidates.send_wait(target, world.call())
             assert (wait > 0) is waits
             assert wait <= 3.0
 
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -1,5 +1,7 @@
 """Limits that targets name."""
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from mimosastile_core.gateway import limits
@@ -29,14 +31,14 @@
     )
     def test_order_of_answers(self, answers, expected):
         """Guards against a limit that an answer from before it lifts."""
-        made = limits.Limits()
+        made = limits.Limits("vm-1")
         for rate, sent_at, now in answers:
             made.hear("t", 1, rate, sent_at, now)
         assert made.rate("t", 1) == expected
 
     def test_new_run(self):
         """Guards against a limit that outlives the run that named it."""
-        made = limits.Limits()
+        made = limits.Limits("vm-1")
         made.hear("t", 1, 6.1, 0.0, 1.0)
         assert made.rate("t", 2) is None
         made.hear("t", 2, 3.0, 0.5, 1.2)
@@ -58,3 +60,118 @@
             assert known.limits.dump() == {}
 
         virtual.run(main())
+
+
+class TestLearned:
+    """What one VM tells another."""
+
+    @pytest.mark.parametrize(
+        ("heard", "told", "expected"),
+        [
+            # Rate and time of the own answer; rate and time of the peer's.
+            ((None, 0.0), (6.1, 5.0), 6.1),
+            ((6.1, 4.0), (None, 5.0), None),
+            ((6.1, 4.8), (None, 5.0), 6.1),
+            ((6.1, 4.8), (9.0, 5.0), 6.1),
+            ((6.1, 4.8), (3.0, 5.0), 3.0),
+            ((6.1, 6.0), (3.0, 5.0), 6.1),
+            ((3.0, 4.0), (6.1, 5.0), 6.1),
+        ],
+    )
+    def test_newer_word_counts(self, heard, told, expected):
+        """Guards against a limit that news from before it lift."""
+        made = limits.Limits("vm-1")
+        made.hear("t", 1, heard[0], 0.0, heard[1])
+        now = 10.0
+        made.learn("t", limits.LimitNews(1, told[0], now - told[1]), now)
+        assert made.rate("t", 1) == expected
+
+    def test_report(self):
+        """Guards against limits that a leader is told again and again."""
+        one, leader = limits.Limits("vm-1"), limits.Limits("vm-2")
+        one.hear("t", 1, 6.1, 0.0, 1.0)
+        for name, news in one.unknown_to_leader(1.0).items():
+            assert leader.learn(name, news, 1.1)
+        one.take_told(leader.news(1.2), 1.2)
+        assert one.unknown_to_leader(2.0) == {}
+        one.hear("t", 1, 6.1, 2.0, 8.0)
+        assert list(one.unknown_to_leader(8.0)) == ["t"]
+        one.hear("t", 1, None, 8.5, 9.0)
+        for name, news in one.unknown_to_leader(9.0).items():
+            leader.learn(name, news, 9.1)
+        assert leader.rate("t", 1) is None
+        # A leader that knows nothing yet.
+        one.hear("t", 1, 2.0, 9.5, 9.6)
+        one.take_told({}, 10.0)
+        assert list(one.unknown_to_leader(10.0)) == ["t"]
+
+    def test_targets_that_are_gone_are_forgotten(self):
+        """Memory does not grow with the targets that ever named a limit."""
+        made = limits.Limits("vm-1")
+        for number in range(50):
+            made.hear(f"t{number}", 1, 6.1, 0.0, 1.0)
+        made.forget_except({"t1": 1, "t2": 2})
+        assert list(made.dump()) == ["t1"]
+
+
+class TestPace:
+    """When a VM may send."""
+
+    @hypothesis.settings(max_examples=100, deadline=None)
+    @hypothesis.given(
+        st.floats(0.4, 40.0),
+        st.lists(st.floats(0.001, 0.5), min_size=50, max_size=400),
+        st.lists(st.floats(4.0, 20.0), max_size=3),
+        st.sampled_from([10, 88, 300]),
+    )
+    def test_senders_that_are_replaced(self, rate, gaps, replaced, vms):
+        """Guards against an old sender and its follower in one window.
+
+        The old one goes on for as long as what its peers know of it counts,
+        and every other VM takes its own turns.
+        """
+        changes = sorted(replaced)
+        paces = [limits.Pace(rate, n / 4, 0.0) for n in range(len(changes) + 1)]
+        others = [limits.Pace(rate, n / vms, 0.0) for n in range(vms)]
+        now, sent = 0.0, []
+        for number, gap in enumerate(gaps):
+            now += gap
+            senders = {
+                sum(change <= now - behind for change in changes)
+                for behind in (0.0, 1.5)
+            }
+            for sender in senders:
+                if not paces[sender].wait(now):
+                    paces[sender].take(now)
+                    sent.append(now)
+            other = others[number % vms]
+            if not other.own_wait(vms, now):
+                other.take_own(vms, now)
+                sent.append(now)
+        most = max(
+            (sum(end - 4.0 < at <= end for at in sent) for end in sent),
+            default=0,
+        )
+        assert most <= 1.5 * rate * 4.0 + 5
+
+    @pytest.mark.parametrize("vms", [10, 88, 300])
+    def test_own_turns_are_not_saved(self, vms):
+        """Guards against all VMs using up what they saved at one moment."""
+        rate = 6.1
+        paces = [limits.Pace(rate, n / vms, 0.0) for n in range(vms)]
+        at_once = sum(not pace.own_wait(vms, 1000.0) for pace in paces)
+        assert at_once <= 3
+
+    def test_sender_saves_little(self):
+        """Guards against a rush after a quiet time."""
+        pace = limits.Pace(6.1, 0.0, 0.0)
+        sent = 0
+        while not pace.wait(1000.0):
+            pace.take(1000.0)
+            sent += 1
+        assert sent == 1
+
+    def test_no_requests_at_all(self):
+        """Guards against a target that can never say it takes more."""
+        pace = limits.Pace(0.0, 0.0, 0.0)
+        assert 1.0 < pace.wait(0.0) < 20.0
