Log what targets say of leaving and of rest

The logs could not tell a VM that reads nothing of a target's leaving from one that counts from the store's word. What an answer says is decoded beside load and limit: Server-Leaving, and Retry-After of a 503. Each VM logs it, once a run for a target that leaves, with whether its registration says so as well. Values that make no sense are logged and change nothing. Nothing is decided by it yet.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/reported.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/reported.py
@@ -51,12 +51,17 @@
         limit: Requests a second that it takes from all VMs together, None if
             it names none that can be read.
         names_limit: Whether it names a limit, readable or not.
+        leaving: Whether it says that it is about to end.
+        rest: Seconds for which it wants nothing from the VM that it answers,
+            where it turns a request away; None if it does not say.
         unreadable: Headers whose values make no sense, by name.
     """
 
     load: TargetLoad | None = None
     limit: float | None = None
     names_limit: bool = False
+    leaving: bool = False
+    rest: float | None = None
     unreadable: tuple[tuple[bytes, bytes], ...] = ()
 
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -76,6 +76,7 @@
         "_configurations",
         "_evacuated_at",
         "_events",
+        "_leaving",
         "_settings",
         "_subscribers",
         "_vacancies",
@@ -122,6 +123,7 @@
         self.eligibility = eligibility.Eligibility(configured.vm.regions)
         self._evacuated_at: dict[str, float] = {}
         self.limits = limits.Limits(configured.vm.id)
+        self._leaving: set[tuple[str, int]] = set()
         self.seen = 0
         self.configuration_seen = 0
         self.leader: leadership.LeaderEntry | None = None
@@ -415,6 +417,36 @@
             if self.limits.pace(entry.target.id, entry.target.born)
         ]
 
+    def hear_leaving(self, target: directory.Target) -> bool:
+        """Takes a target's word in an answer that it is about to end.
+
+        Returns:
+            Whether that is news.
+        """
+        run = target.id, target.born
+        if run in self._leaving:
+            return False
+        self._leaving.add(run)
+        self._events.write(
+            "targets",
+            "leaving_said",
+            target=target.id,
+            born=target.born,
+            registered=target.leaving,
+        )
+        return True
+
+    def hear_rest(self, target: directory.Target, seconds: float) -> None:
+        """Takes a target's word that it wants nothing from this VM.
+
+        Args:
+            target: The target.
+            seconds: For how long.
+        """
+        self._events.write(
+            "targets", "rest_asked", target=target.id, seconds=seconds
+        )
+
     def lose_target(self, target: str, revision: int = 0) -> None:
         """Notes that a target's registration has vanished."""
         self.take_registrations((), ((target, revision),))
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -49,6 +49,8 @@
 """Headers that concern one connection only."""
 _REJECT_STATUSES = frozenset({400, 421, 429, 503})
 """Statuses with which a target may say that it has not run a request."""
+_TURNED_AWAY = 503
+"""Status with which a target may say for how long it wants nothing."""
 _CROWDED = frozenset({errors.ErrorKind.REJECTED, errors.ErrorKind.ANSWER_LOST})
 """Failures by which a target may show that it is full."""
 _LOGGED_BYTES = 64
@@ -446,6 +448,10 @@
         says = notice.limit is not None or (sealed and not notice.names_limit)
         if says and self._beliefs.hear_limit(target, notice.limit, sent_at):
             self._peers.hurry()
+        if notice.leaving:
+            self._beliefs.hear_leaving(target)
+        if reply.status == _TURNED_AWAY and notice.rest:
+            self._beliefs.hear_rest(target, notice.rest)
         for name, value in notice.unreadable:
             self._events.write(
                 "targets",
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -75,6 +75,40 @@
         unreadable = () if rate is not None else ((name, value),)
         assert notice.unreadable == unreadable
 
+    @pytest.mark.parametrize(
+        ("value", "leaving", "readable"),
+        [
+            (b"1", True, True),
+            (b" 1 ", True, True),
+            (b"0", False, True),
+            (b"yes", False, False),
+            (b"", False, False),
+        ],
+    )
+    def test_leaving(self, value, leaving, readable):
+        """Guards against a target that is taken for one that leaves."""
+        notice = headers.read_notice([(b"server-leaving", value)])
+        assert notice.leaving is leaving
+        assert bool(notice.unreadable) is not readable
+
+    @pytest.mark.parametrize(
+        ("value", "seconds"),
+        [
+            (b"2.5", 2.5),
+            (b"0", 0.0),
+            (b"7200", 7200.0),
+            (b"-1", None),
+            (b"soon", None),
+            (b"Thu, 01 Jan 1970 00:00:00 GMT", None),
+            (b"99999999", None),
+        ],
+    )
+    def test_rest(self, value, seconds):
+        """Guards against a rest that makes no sense."""
+        notice = headers.read_notice([(b"retry-after", value)])
+        assert notice.rest == seconds
+        assert bool(notice.unreadable) is (seconds is None)
+
     def test_nothing(self):
         """Most answers say nothing of the target."""
         notice = headers.read_notice([(b"content-length", b"3")])
