Take a target's word in answers that it leaves

Callers' requests reached a target 2.2 and 3.2 s after an answer had told the same VM that it leaves (bound 2 s), while the store was slow and could not say it: 1 to 4 requests a second for 12 s, until it turned them away.

Cause: a target's leaving was known from its registration alone, which is one way of two in which it is said, and the one that fails with the store.

The directory keeps the word with the run that gave it. It counts from when it was heard, registrations that lag, lapse and come back or are written late do not take it back, and the next run of the target does. VMs report it to their leader, who moves the keys and tells all others; while the store is away keys stay where they are, and requests for them are refused at once with Retry-After 3 s, as tables are kept in the store. A service all of whose targets leave refuses at once.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -58,9 +58,12 @@
         revision: The store's revision of its last change.
         cold_until: Time until which it is taken for cold, whatever it has
             registered.
+        announced_at: When this run said in an answer that it leaves, None if
+            it has not.
     """
 
     __slots__ = (
+        "announced_at",
         "cold_until",
         "revision",
         "since",
@@ -76,6 +79,7 @@
         self.until = float("inf")
         self.revision = target.revision
         self.cold_until = 0.0
+        self.announced_at: float | None = None
 
     def warm_in(self, now: float) -> float:
         """Returns the seconds until it is warm, 0 if it is."""
@@ -115,6 +119,10 @@
         """Yields all entries."""
         return iter(self._entries.values())
 
+    def announced(self) -> Iterator[Entry]:
+        """Yields targets that leave by their own word."""
+        return (e for e in self if e.announced_at is not None)
+
     def get(self, target: str) -> Entry | None:
         """Returns the entry of a target, None if it is unknown."""
         return self._entries.get(target)
@@ -157,16 +165,51 @@
                 target.born,
                 target.address,
             )
+        if target.born != entry.target.born:
+            entry.announced_at = None
+            entry.until = float("inf")
         entry.target = target
         entry.revision = target.revision
         if entry.standing is Standing.ENDED and not fresh:
             return False
-        standing = Standing.LEAVING if target.leaving else Standing.READY
+        leaving = target.leaving or entry.announced_at is not None
+        standing = Standing.LEAVING if leaving else Standing.READY
         if entry.standing is standing and not fresh:
             return False
         entry.standing = standing
         entry.since = now
-        entry.until = now + self._grace if target.leaving else float("inf")
+        if leaving:
+            entry.until = min(entry.until, now + self._grace)
+        else:
+            entry.until = float("inf")
+        return True
+
+    def announce(self, target: str, born: int, said_at: float) -> bool:
+        """Takes a target's word in an answer that it is about to end.
+
+        The word holds for its run, whatever its registration shows: that may
+        lag, lapse and come back, or be written late.
+
+        Args:
+            target: Identifier of the target.
+            born: Which run of it.
+            said_at: When it was said.
+
+        Returns:
+            Whether that is news.
+        """
+        entry = self._entries.get(target)
+        if entry is None or entry.target.born != born:
+            return False
+        if entry.announced_at is not None:
+            return False
+        entry.announced_at = said_at
+        if entry.standing is Standing.ENDED:
+            return False
+        if entry.standing is Standing.READY:
+            entry.standing = Standing.LEAVING
+            entry.since = said_at
+        entry.until = min(entry.until, said_at + self._grace)
         return True
 
     def remove(
@@ -276,6 +319,7 @@
         entry.target = msgspec.structs.replace(
             entry.target, born=born, address=address, leaving=False
         )
+        entry.announced_at = None
         entry.standing = Standing.READY
         entry.since = now
         entry.until = float("inf")
@@ -377,6 +421,15 @@
         entry = self._entries.get(target)
         return entry is not None and now < entry.until
 
+    def all_leave(self, service: str) -> bool:
+        """Whether a service has targets that leave, and no others."""
+        standings = {
+            entry.standing
+            for entry in self._entries.values()
+            if entry.target.service == service
+        }
+        return standings - _VANISHED == {Standing.LEAVING}
+
     def ready(self, service: str) -> list[Target]:
         """Returns the registered targets of a service that do not leave."""
         return [
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -38,6 +38,8 @@
 _COLD_MARGIN = 0.2
 """Seconds for which targets of a zone are taken for cold beyond the time that
 they say, for clocks that differ."""
+_STORE_AWAY_SECONDS = 3.0
+"""Retry-After for keys that move as soon as the store is back."""
 _LOGGED_SINGLY = 20
 """Changes of registrations that have a log line each; more have one together.
 A thousand targets that start would be a thousand lines on each VM."""
@@ -76,7 +78,6 @@
         "_configurations",
         "_evacuated_at",
         "_events",
-        "_leaving",
         "_settings",
         "_subscribers",
         "_vacancies",
@@ -123,7 +124,6 @@
         self.eligibility = eligibility.Eligibility(configured.vm.regions)
         self._evacuated_at: dict[str, float] = {}
         self.limits = limits.Limits(configured.vm.id)
-        self._leaving: set[tuple[str, int]] = set()
         self.seen = 0
         self.configuration_seen = 0
         self.leader: leadership.LeaderEntry | None = None
@@ -423,18 +423,49 @@
         Returns:
             Whether that is news.
         """
-        run = target.id, target.born
-        if run in self._leaving:
+        now = self._clock.now()
+        if not self.directory.announce(target.id, target.born, now):
             return False
-        self._leaving.add(run)
+        self._log_leaving(target.id, target.born, "target")
+        self.signal()
+        return True
+
+    def learn_leaving(self, told: Iterable[messages.Leaving]) -> None:
+        """Takes what targets have said to other VMs of their leaving."""
+        now = self._clock.now()
+        news = [
+            run
+            for run in told
+            if self.directory.announce(run.target, run.born, now - run.age)
+        ]
+        for run in news:
+            self._log_leaving(run.target, run.born, "peer")
+        if news:
+            self.signal()
+
+    def _log_leaving(self, target: str, born: int, source: str) -> None:
+        entry = self.directory.get(target)
         self._events.write(
             "targets",
             "leaving_said",
-            target=target.id,
-            born=target.born,
-            registered=target.leaving,
+            target=target,
+            born=born,
+            registered=entry is not None and entry.target.leaving,
+            source=source,
         )
-        return True
+
+    def leaving_news(self) -> dict[str, messages.Leaving]:
+        """Returns what targets have said of their leaving, by target."""
+        now = self._clock.now()
+        return {
+            entry.target.id: messages.Leaving(
+                entry.target.id,
+                entry.target.born,
+                round(now - entry.announced_at, 3),
+            )
+            for entry in self.directory.announced()
+            if entry.announced_at is not None
+        }
 
     def hear_rest(self, target: directory.Target, seconds: float) -> None:
         """Takes a target's word that it wants nothing from this VM.
@@ -636,6 +667,10 @@
         now = self._clock.now()
         owner = self.owner(service, key)
         entry = self.directory.get(owner) if owner else None
+        leaves = entry and entry.standing is directory.Standing.LEAVING
+        if leaves and not self.store_ok:
+            # Tables are kept there: its keys stay where they are.
+            return _STORE_AWAY_SECONDS
         if entry is not None:
             # Its owner has vanished, and the leader has not moved it yet.
             return self._vacancies.expected(now - entry.since)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/candidates.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/candidates.py
@@ -24,8 +24,9 @@
 from mimosastile_gateway import settings
 
 _NO_PLACE_SECONDS = 1.0
-"""Retry-After of a request that no target may run because of its place:
-operators change that, and the keys of a service move within about a second."""
+"""Retry-After of a request that no target may run because of its place, or
+since all leave: operators change that, others take the place of those that
+leave, and the keys of a service move within about a second."""
 _NOBODY_SECONDS = 0.5
 """Time within which a VM that has started hears how many there are."""
 
@@ -262,7 +263,7 @@
     def excluded(
         self, call: pending.Call, now: float
     ) -> result.Err[errors.Failure] | None:
-        """Refuses a request that no target may run because of its place.
+        """Refuses a request that no target may get, by place or as it leaves.
 
         Returns:
             The refusal; None if some target may run it.
@@ -273,6 +274,8 @@
         known = self._beliefs.directory
         if self.eligible(call, now):
             return None
+        if known.all_leave(call.service.name):
+            return _no_place(f"all targets of {call.service.name} leave")
         reasons = collections.Counter(
             why.value
             for target in known.ready(call.service.name)
@@ -306,6 +309,6 @@
 
 
 def _no_place(detail: str) -> result.Err[errors.Failure]:
-    """Refuses a request because of where its targets stand."""
+    """Refuses a request that none of its targets may get."""
     kind = errors.ErrorKind.NO_TARGET
     return result.Err(errors.Failure(kind, detail, _NO_PLACE_SECONDS))
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -448,8 +448,8 @@
         says = notice.limit is not None or (sealed and not notice.names_limit)
         if says and self._beliefs.hear_limit(target, notice.limit, sent_at):
             self._peers.hurry()
-        if notice.leaving:
-            self._beliefs.hear_leaving(target)
+        if notice.leaving and self._beliefs.hear_leaving(target):
+            self._peers.hurry()
         if reply.status == _TURNED_AWAY and notice.rest:
             self._beliefs.hear_rest(target, notice.rest)
         for name, value in notice.unreadable:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -53,6 +53,9 @@
 """Seconds before each time that VMs which do not report are told who leads."""
 _CONFIRM_AGAIN = 0.3
 """Seconds between a failed look at the store and the next one."""
+_LEAVING_TOLD = 5.0
+"""Seconds for which VMs are told that a target leaves by its own word: each
+reports several times meanwhile."""
 ANSWER_SECONDS = 0.4
 """Longest time for which an answer to a report may have been on its way."""
 _RESIGN_AFTER = 0.8
@@ -486,6 +489,7 @@
             report.evacuations.zones,
         )
         self._beliefs.learn_limits(report.limits)
+        self._beliefs.learn_leaving(report.leaving)
         self._planner.learn(report)
         for service, keys in report.keys.items():
             keyed = self._services.get(service)
@@ -527,6 +531,11 @@
             take_over=vm.id in self._succession.asked,
             evacuations=self._beliefs.evacuations,
             limits=self._beliefs.limits.news(now),
+            leaving=tuple(
+                run
+                for run in self._beliefs.leaving_news().values()
+                if run.age < _LEAVING_TOLD
+            ),
         )
 
     def _gates(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -139,6 +139,20 @@
     born: int
 
 
+class Leaving(msgspec.Struct, frozen=True, array_like=True):
+    """A run of a target that has said in an answer that it leaves.
+
+    Attributes:
+        target: Identifier of the target.
+        born: Unix milliseconds of the run's start.
+        age: Seconds since it was first heard.
+    """
+
+    target: str
+    born: int
+    age: float
+
+
 class Report(msgspec.Struct, frozen=True):
     """What a VM tells its leader.
 
@@ -171,6 +185,8 @@
             ends; negative for one that has ended, None for none.
         evacuations: Evacuated zones that it knows.
         limits: Limits of targets that its leader does not know.
+        leaving: Targets that leave by their own word, as far as this leader
+            has not been told.
     """
 
     vm: VmEntry
@@ -195,6 +211,7 @@
     promised: float | None = None
     evacuations: _Evacuations = _Evacuations()
     limits: dict[str, target_limits.LimitNews] = {}
+    leaving: tuple[Leaving, ...] = ()
 
 
 class ReportReply(msgspec.Struct, frozen=True):
@@ -222,6 +239,7 @@
         take_over: Whether the reporting VM is asked to lead.
         evacuations: Evacuated zones that the leader knows.
         limits: Limits of targets that the leader knows.
+        leaving: Targets that have lately said that they leave.
     """
 
     leader: leadership.LeaderEntry | None
@@ -243,6 +261,7 @@
     take_over: bool = False
     evacuations: _Evacuations = _Evacuations()
     limits: dict[str, target_limits.LimitNews] = {}
+    leaving: tuple[Leaving, ...] = ()
 
 
 class Taken(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -89,6 +89,7 @@
         "_news_seen",
         "_news_version",
         "_report_due",
+        "_reported_leaving",
         "_reported_at",
         "_rooms",
         "_session",
@@ -101,6 +102,7 @@
         "_turns",
         "_told_factors",
         "_told_leader",
+        "_told_leaving",
         "_vms",
         "_watching",
     )
@@ -151,6 +153,8 @@
         self._vms = 1
         self._told_factors: dict[str, float] = {}
         self._told_leader: leadership.LeaderEntry | None = None
+        self._told_leaving: dict[str, int] = {}
+        self._reported_leaving: dict[str, messages.Leaving] = {}
         self._news_seen = 0
         self._news_version = -1
         self._news_evacuations = eligibility.Evacuations()
@@ -253,6 +257,7 @@
     def _take_told(self, reply: messages.ReportReply) -> None:
         """Takes what a leader has told of keys, targets and configuration."""
         self._beliefs.learn_limits(reply.limits)
+        self._beliefs.learn_leaving(reply.leaving)
         for assignment in reply.assignments:
             self._beliefs.take_assignment(assignment)
         for difference in reply.differences:
@@ -440,6 +445,16 @@
             self._leader.witness.promised(),
             self._beliefs.evacuations,
             self._beliefs.limits.unknown_to_leader(self._clock.now()),
+            self._untold_leaving(),
+        )
+
+    def _untold_leaving(self) -> tuple[messages.Leaving, ...]:
+        """Returns targets whose leaving the leader has not heard from here."""
+        self._reported_leaving = self._beliefs.leaving_news()
+        return tuple(
+            run
+            for name, run in self._reported_leaving.items()
+            if self._told_leaving.get(name) != run.born
         )
 
     def _changed_factors(self) -> dict[str, float]:
@@ -529,6 +544,11 @@
             # A new leader knows nothing of what was told to the one before.
             self._told_leader = reply.leader
             self._told_factors = {}
+            self._told_leaving = {}
+        else:
+            self._told_leaving = {
+                name: run.born for name, run in self._reported_leaving.items()
+            }
         self._rooms.learn_others(reply.under_way, now)
         self._rooms.learn_gates(reply.gates, now)
         self._beliefs.limits.take_told(reply.limits, now)
