Send nothing to a target for the rest that it asks for

An owner of keys that answered 503 with Retry-After 2.5 got 58 requests within that time from one VM (2 allowed): its VMs tried again as soon as a slot seemed free, and its callers were refused with a Retry-After of some tenths of a second.

Cause: Retry-After of a target's answer was passed over like what it says of its limit and leaving; the answer was taken for a word on its one request.

The rest is kept by run and VM (core/gateway/rests.py) and is one of the waits before this VM may send, beside the rate of a cold target and a limit: choices, samples for probes, gates and second tries pass by it. A shorter word does not cut a longer one; 0 and nonsense ask for nothing; the next run is asked at once. Requests for a key of such an owner wait if the rest ends in time, otherwise they are refused at once with at most 1 s, as another VM may be welcome. An owner that wants nothing from two VMs or more for 2 s or longer is relieved of its keys, so that a rest of hours costs about a second, unless most owners rest.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -15,6 +15,7 @@
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import limits
+from mimosastile_core.gateway import rests
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import vacancies
 from mimosastile_gateway import clock
@@ -64,6 +65,7 @@
         eligibility: Which targets may run a request, by their place.
         evacuations: Zones that are evacuated.
         limits: Rates that targets have named for all VMs together.
+        rests: Times for which targets want nothing from this VM.
         seen: Store revision up to which all registrations are known.
         configuration_seen: Store revision up to which the configuration in
             force and the evacuations are the newest.
@@ -89,6 +91,7 @@
         "leader",
         "leader_since",
         "limits",
+        "rests",
         "route_table",
         "seen",
         "shares",
@@ -124,6 +127,7 @@
         self.eligibility = eligibility.Eligibility(configured.vm.regions)
         self._evacuated_at: dict[str, float] = {}
         self.limits = limits.Limits(configured.vm.id)
+        self.rests = rests.Rests()
         self.seen = 0
         self.configuration_seen = 0
         self.leader: leadership.LeaderEntry | None = None
@@ -474,6 +478,8 @@
             target: The target.
             seconds: For how long.
         """
+        now = self._clock.now()
+        self.rests.ask(target.id, target.born, seconds, now)
         self._events.write(
             "targets", "rest_asked", target=target.id, seconds=seconds
         )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/candidates.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/candidates.py
@@ -204,7 +204,17 @@
 
     def send_wait(self, target: directory.Target, call: pending.Call) -> float:
         """Returns the seconds until this VM may send to a target by itself."""
-        return max(self._cold_wait(target, call), self._limit_wait(target))
+        wait = self._cold_wait(target, call)
+        if self._beliefs.limits.any:
+            wait = max(wait, self._limit_wait(target))
+        if self._beliefs.rests.any:
+            wait = max(wait, self.rest_wait(target))
+        return wait
+
+    def rest_wait(self, target: directory.Target) -> float:
+        """Returns for how many seconds a target wants nothing from this VM."""
+        rests = self._beliefs.rests
+        return rests.left(target.id, target.born, self._clock.now())
 
     def _limit_wait(self, target: directory.Target) -> float:
         """Returns the seconds until a target's limit lets this VM send."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -187,6 +187,8 @@
         limits: Limits of targets that its leader does not know.
         leaving: Targets that leave by their own word, as far as this leader
             has not been told.
+        resting: Seconds for which targets want nothing from this VM, where
+            keys should move for it.
     """
 
     vm: VmEntry
@@ -212,6 +214,7 @@
     evacuations: _Evacuations = _Evacuations()
     limits: dict[str, target_limits.LimitNews] = {}
     leaving: tuple[Leaving, ...] = ()
+    resting: dict[str, float] = {}
 
 
 class ReportReply(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -446,6 +446,7 @@
             self._beliefs.evacuations,
             self._beliefs.limits.unknown_to_leader(self._clock.now()),
             self._untold_leaving(),
+            self._beliefs.rests.long(self._clock.now()),
         )
 
     def _untold_leaving(self) -> tuple[messages.Leaving, ...]:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
@@ -52,8 +52,8 @@
 _NO_TARGET_SECONDS = 0.2
 """Time within which a service without any target may get one."""
 _RELIEF_SECONDS = 1.0
-"""Retry-After of a request that did not fit into its owner's limit: by then
-keys have moved so that what is left fits."""
+"""Retry-After of a request that did not fit into its owner's limit, or whose
+owner wants nothing from this VM: by then keys have moved."""
 _MOVE_SECONDS = 0.3
 """Time in which the keys of a cold target move to a warm one."""
 _LEAST_WORK = 0.6
@@ -315,8 +315,7 @@
         gate = self._rooms.gate(target.id, now) if target else None
         if target is None or gate is None:
             return None
-        if self._beliefs.cold_seconds(target.id):
-            # Its rate is bounded, and places are not.
+        if self._closed(target):
             return None
         entering = asyncio.ensure_future(
             self._admitting.enter(
@@ -342,10 +341,9 @@
             self._rooms.gate_silent(gate, self._clock.now())
             return None
         if isinstance(entered, admitting.Place):
-            cold = self._beliefs.cold_seconds(target.id)
-            if not self._may_get(call, target) or cold:
-                # It has left or become cold, or its time to get work has
-                # passed meanwhile.
+            if not self._may_get(call, target) or self._closed(target):
+                # It has left, become cold or asked for a rest, or its time to
+                # get work has passed meanwhile.
                 self._admitting.give_back(entered, answered=False)
                 return None
             call.place = entered
@@ -356,6 +354,15 @@
         kind = errors.ErrorKind.OVERLOADED
         return result.Err(errors.Failure(kind, retry_after=wait))
 
+    def _closed(self, target: directory.Target) -> bool:
+        """Whether a target gets nothing that its gate admits.
+
+        The rate of a cold one is bounded, and places are not; one that rests
+        wants nothing from this VM.
+        """
+        cold = self._beliefs.cold_seconds(target.id)
+        return cold > 0 or self._candidates.rest_wait(target) > 0
+
     def _gated(self, call: pending.Call) -> directory.Target | None:
         """Returns the target that a request has to go to, if there is one."""
         if call.key is not None:
@@ -379,6 +386,9 @@
             target: Where it was to go.
             seconds: Time until there may be room for it.
         """
+        if self._candidates.rest_wait(target):
+            # Another VM may be welcome, and keys move.
+            return min(seconds, _RELIEF_SECONDS)
         if self._beliefs.limits.pace(target.id, target.born) is None:
             return seconds
         if call.key is not None and self._is_relieved(call.service):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -4,6 +4,7 @@
 due, by what VMs report and by how targets answer orders.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 import math
@@ -20,6 +21,9 @@
 from mimosastile_gateway import settings
 from mimosastile_gateway import telling
 
+_RESTING_VMS = 2
+"""VMs from which a target must want nothing for its keys to move: what concerns
+one VM alone is that one's share of the load."""
 _LIMIT_SHARE = 0.6
 """Part of a target's limit up to which it gets keys; counts of a few requests a
 second differ by that much by chance before keys move."""
@@ -102,6 +106,7 @@
         "_factors_of",
         "_joined_at",
         "_lost_until",
+        "_resting",
         "_settings",
         "_settled_at",
         "_telling",
@@ -123,6 +128,7 @@
         self._events = log
         self._factors_of: dict[str, dict[str, float]] = {}
         self._lost_until: dict[str, float] = {}
+        self._resting: dict[str, dict[str, float]] = {}
         self._settled_at = 0.0
         self._joined_at = 0.0
 
@@ -228,6 +234,7 @@
         self, targets: Iterable[directory.Target], now: float
     ) -> dict[ranges.Holder, float]:
         factors = self._factors()
+        rested = self._rested(now)
         capacity = {}
         for target in targets:
             factor = factors.get(target.id, 1.0)
@@ -238,7 +245,9 @@
             if self._lost_until.get(target.id, 0.0) > now:
                 continue
             capacity[holder(target)] = able
-        return capacity
+        awake = {h: part for h, part in capacity.items() if h.id not in rested}
+        # Where most rest, moving their keys to the others helps nobody.
+        return awake if 2 * len(awake) >= len(capacity) else capacity
 
     def _rates(
         self, capacity: Mapping[ranges.Holder, float], service: str
@@ -296,6 +305,20 @@
         """Takes what a VM has newly seen of targets' speeds."""
         known = self._factors_of.setdefault(report.vm.id, {})
         known.update(report.factors)
+        now = self._clock.now()
+        self._resting[report.vm.id] = {
+            target: now + seconds for target, seconds in report.resting.items()
+        }
+
+    def _rested(self, now: float) -> set[str]:
+        """Returns targets that want nothing from several VMs for long."""
+        resting = collections.Counter(
+            target
+            for vm in self._telling.fresh()
+            for target, ends in self._resting.get(vm, {}).items()
+            if now < ends
+        )
+        return {t for t, vms in resting.items() if vms >= _RESTING_VMS}
 
     def _factors(self) -> dict[str, float]:
         """Returns the mean of what VMs say of each target's speed."""
