Count a leaving from when it may have happened, not from when it is heard

Five cases of tests/gateway/test_watching.py fail before (a VM whose leader was lost turns to the store seconds later; a leader's news).

A VM knows until when it knew all registrations: from its own watch, and from each answer of a leader that has seen the store. What a watch brings at once may be as old as that, what it brings after a wait is new, and news of a leader carry their age.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -138,12 +138,16 @@
             return None
         return entry.target
 
-    def put(self, target: Target, now: float) -> bool:
+    def put(
+        self, target: Target, now: float, since: float | None = None
+    ) -> bool:
         """Takes a registration; one of an older run changes nothing.
 
         Args:
             target: The target.
             now: The time.
+            since: Earliest time at which it may have been written; None for
+                now.
 
         Returns:
             Whether it matters to routing.
@@ -179,7 +183,8 @@
         entry.standing = standing
         entry.since = now
         if leaving:
-            entry.until = min(entry.until, now + self._grace)
+            entry.since = now if since is None else min(since, now)
+            entry.until = min(entry.until, entry.since + self._grace)
         else:
             entry.until = float("inf")
         return True
@@ -219,6 +224,7 @@
         *,
         late: bool = False,
         revision: int = 0,
+        since: float | None = None,
     ) -> bool:
         """Notes that a registration has vanished.
 
@@ -227,6 +233,7 @@
             now: The time.
             late: Whether it may have vanished a while ago.
             revision: The store's revision of that, 0 if it is not known.
+            since: Earliest time at which it may have vanished; None for now.
 
         Returns:
             Whether it was there.
@@ -238,9 +245,10 @@
             return False
         entry.revision = max(entry.revision, revision)
         entry.standing = Standing.MISSING
-        entry.since = now
-        grace = self._late_grace if late else self._grace
-        entry.until = min(entry.until, now + grace)
+        entry.since = now if since is None else min(since, now)
+        entry.until = min(entry.until, entry.since + self._grace)
+        if late:
+            entry.until = min(entry.until, now + self._late_grace)
         return True
 
     def end(self, target: str, born: int, now: float) -> bool:
@@ -325,7 +333,11 @@
         entry.until = float("inf")
 
     def replace(
-        self, targets: Iterable[Target], now: float, revision: int = 0
+        self,
+        targets: Iterable[Target],
+        now: float,
+        revision: int = 0,
+        since: float | None = None,
     ) -> list[str]:
         """Takes a whole list.
 
@@ -333,17 +345,20 @@
             targets: All that are registered.
             now: The time.
             revision: The store's revision of the list.
+            since: Earliest time of what it shows changed; None for now.
 
         Returns:
             The targets whose entry changed.
         """
         listed = {target.id: target for target in targets}
-        changed = [t.id for t in listed.values() if self.put(t, now)]
+        changed = [t.id for t in listed.values() if self.put(t, now, since)]
         gone = [
             known
             for known in list(self._entries)
             if known not in listed
-            and self.remove(known, now, late=True, revision=revision)
+            and self.remove(
+                known, now, late=True, revision=revision, since=since
+            )
         ]
         return changed + gone
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -41,6 +41,7 @@
 they say, for clocks that differ."""
 _STORE_AWAY_SECONDS = 3.0
 """Retry-After for keys that move as soon as the store is back."""
+_JUST_NOW: Mapping[str, float] = {}
 _LOGGED_SINGLY = 20
 """Changes of registrations that have a log line each; more have one together.
 A thousand targets that start would be a thousand lines on each VM."""
@@ -67,6 +68,8 @@
         limits: Rates that targets have named for all VMs together.
         rests: Times for which targets want nothing from this VM.
         seen: Store revision up to which all registrations are known.
+        current_at: Loop time up to which all registrations are known, None
+            if they never were. What is heard of them later happened since.
         configuration_seen: Store revision up to which the configuration in
             force and the evacuations are the newest.
         store_ok: Whether the last call to the store was answered.
@@ -85,6 +88,7 @@
         "_vacancies",
         "assignments",
         "configuration_seen",
+        "current_at",
         "directory",
         "eligibility",
         "evacuations",
@@ -130,6 +134,7 @@
         self.rests = rests.Rests()
         self.seen = 0
         self.configuration_seen = 0
+        self.current_at: float | None = None
         self.leader: leadership.LeaderEntry | None = None
         self.leader_since = 0.0
         self.vms: dict[str, messages.VmEntry] = {}
@@ -308,6 +313,7 @@
         self,
         targets: Iterable[directory.Target],
         vanished: Iterable[tuple[str, int]] = (),
+        since: Mapping[str, float] = _JUST_NOW,
     ) -> None:
         """Takes changes of registrations, with one signal for all.
 
@@ -315,17 +321,21 @@
             targets: Targets as they have registered themselves.
             vanished: Identifiers of others whose registration has vanished,
                 with the store's revision of that, 0 if it is not known.
+            since: Earliest time of each change, by target; now if it is not
+                named.
         """
         now = self._clock.now()
         written = []
         for target in targets:
             self._note_older_run(target)
-            if self.directory.put(target, now):
+            if self.directory.put(target, now, since.get(target.id)):
                 written.append(target)
         gone = [
             name
             for name, revision in vanished
-            if self.directory.remove(name, now, revision=revision)
+            if self.directory.remove(
+                name, now, revision=revision, since=since.get(name)
+            )
         ]
         if not written and not gone:
             return
@@ -503,7 +513,9 @@
         now = self._clock.now()
         for target in targets:
             self._note_older_run(target)
-        changed = self.directory.replace(targets, now, revision)
+        changed = self.directory.replace(
+            targets, now, revision, self.current_at
+        )
         self.seen = max(self.seen, revision)
         self.directory.forget(now, _FORGET_SECONDS)
         self.limits.forget_except(
@@ -571,6 +583,7 @@
                     entry.revision,
                     entry.standing is directory.Standing.MISSING,
                     max(entry.target.warm_at - now, 0.0),
+                    now - entry.since,
                 )
                 for entry in changed
                 if entry.standing is not directory.Standing.ENDED
@@ -606,6 +619,7 @@
                 for item in news.targets
                 if item.gone
             ),
+            {item.target.id: now - item.age for item in news.targets},
         )
         if news.after <= self.seen:
             # Otherwise some earlier news were lost on their way. Whoever told
@@ -613,6 +627,11 @@
             # know all up to their end.
             self.seen = max(self.seen, news.revision)
 
+    def note_current(self, at: float) -> None:
+        """Notes that all registrations are known as of some time."""
+        if self.current_at is None or at > self.current_at:
+            self.current_at = at
+
     def confirm_configuration(
         self, version: int, revision: int, zones: tuple[str, ...] = ()
     ) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -84,12 +84,14 @@
         revision: The store's revision of the change.
         gone: Whether the registration has vanished.
         warm_left: Seconds for which it is slow after its start.
+        age: Seconds since that change, at most.
     """
 
     target: directory.Target
     revision: int
     gone: bool
     warm_left: float
+    age: float = 0.0
 
 
 class News(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -554,6 +554,8 @@
         self._rooms.learn_gates(reply.gates, now)
         self._beliefs.limits.take_told(reply.limits, now)
         self._take_told(reply)
+        if reply.store and reply.seen <= self._beliefs.seen:
+            self._beliefs.note_current(now - reply.confirmed)
         self._rely(reply)
         if reply.take_over:
             self._take_over_soon()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -22,6 +22,9 @@
 _PATIENCE = 1.2
 """Seconds, by half more or less, for which a VM that has lost its leader leaves
 the configuration alone: another one leads after about a second."""
+_AT_ONCE = 0.5
+"""Seconds within which a watch answers that has not waited for a change: more
+than a slow store takes for an answer."""
 _RETRY_WAIT = 0.5
 """Longest wait in seconds of a watch that follows a failed one: it shows soon
 whether the store is back."""
@@ -126,7 +129,7 @@
         prefix: str,
         seen: Callable[[], int],
         listed: Callable[[ports.Listing], None],
-        changed: Callable[[ports.Changes], None],
+        changed: Callable[[ports.Changes, float | None], None],
     ) -> None:
         """Follows one prefix.
 
@@ -136,7 +139,8 @@
                 does not. A leader may have told it: then nothing is read that
                 is known already.
             listed: Takes a whole list.
-            changed: Takes changes.
+            changed: Takes changes, and the earliest time of them; None for
+                now.
         """
         lost = False
         while True:
@@ -183,7 +187,7 @@
         self,
         prefix: str,
         seen: Callable[[], int],
-        changed: Callable[[ports.Changes], None],
+        changed: Callable[[ports.Changes, float | None], None],
     ) -> None:
         """Follows changes until the store has dropped their history."""
         failures = 0
@@ -191,11 +195,15 @@
             await self._turn(prefix)
             revision = seen()
             wait = self._settings.watch_wait if not failures else _RETRY_WAIT
+            asked = self._clock.now()
             brought = await self._store.watch(prefix, revision, wait)
             if isinstance(brought, result.Ok):
                 failures = 0
                 self._beliefs.note_store(ok=True)
-                changed(brought.ok_value)
+                at_once = self._clock.now() - asked < _AT_ONCE
+                # What came after a wait happened at its end.
+                since = self._beliefs.current_at if at_once else None
+                changed(brought.ok_value, since)
                 if brought.ok_value.items or brought.ok_value.removed:
                     await asyncio.sleep(self._settings.watch_pause)
                 continue
@@ -259,7 +267,9 @@
         self._take_evacuated(zones, listing.revision)
         self._seen_configuration(listing.revision)
 
-    def _configuration_changed(self, changes: ports.Changes) -> None:
+    def _configuration_changed(
+        self, changes: ports.Changes, since: float | None
+    ) -> None:
         self._configurations(changes.items)
         begun = self._evacuated(item.key for item in changes.items)
         ended = self._evacuated(key for key, _ in changes.removed)
@@ -286,13 +296,19 @@
 
     def _targets_listed(self, listing: ports.Listing) -> None:
         self._beliefs.take_targets(self._read(listing.items), listing.revision)
+        self._beliefs.note_current(self._clock.now())
 
-    def _targets_changed(self, changes: ports.Changes) -> None:
-        self._targets_written(changes.items)
-        self._targets_removed(changes.removed)
+    def _targets_changed(
+        self, changes: ports.Changes, since: float | None
+    ) -> None:
+        self._targets_written(changes.items, since)
+        self._targets_removed(changes.removed, since)
         self._beliefs.seen = max(self._beliefs.seen, changes.revision)
+        self._beliefs.note_current(self._clock.now())
 
-    def _targets_written(self, items: Iterable[ports.Item]) -> None:
+    def _targets_written(
+        self, items: Iterable[ports.Item], since: float | None
+    ) -> None:
         items = list(items)
         readable = self._read(items)
         names = {target.id for target in readable}
@@ -303,14 +319,25 @@
         unreadable = [
             (name, revision) for name, revision in found if name not in names
         ]
-        self._beliefs.take_registrations(readable, unreadable)
+        self._take(readable, unreadable, since)
 
-    def _targets_removed(self, keys: Iterable[tuple[str, int]]) -> None:
+    def _targets_removed(
+        self, keys: Iterable[tuple[str, int]], since: float | None
+    ) -> None:
         prefix = self._records.targets_prefix
-        self._beliefs.take_registrations(
-            (),
-            ((key.removeprefix(prefix), revision) for key, revision in keys),
-        )
+        gone = [(key.removeprefix(prefix), revision) for key, revision in keys]
+        self._take([], gone, since)
+
+    def _take(
+        self,
+        targets: list[directory.Target],
+        vanished: list[tuple[str, int]],
+        since: float | None,
+    ) -> None:
+        names = [target.id for target in targets]
+        names += [name for name, _ in vanished]
+        times = {} if since is None else dict.fromkeys(names, since)
+        self._beliefs.take_registrations(targets, vanished, times)
 
     def _read(self, items: Iterable[ports.Item]) -> list[directory.Target]:
         found = []
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+import msgspec
 import pytest
 import result
 
@@ -214,3 +215,95 @@
             made.stop()
 
         virtual.run(main())
+
+
+class Changing(Store):
+    """Answers one watch with a target that leaves.
+
+    Attributes:
+        leaves_at: When the store acknowledges that.
+        acknowledged: The time at which it did.
+    """
+
+    def __init__(self, leaves_at):
+        super().__init__()
+        self._leaves_at = leaves_at
+        self._told = False
+
+    async def watch(self, prefix, after, wait):
+        """Answers at once, or when the target leaves."""
+        if prefix != "servers/" or self._told:
+            return await super().watch(prefix, after, wait)
+        await asyncio.sleep(max(self._leaves_at - virtual.now(), 0.0))
+        self._told = True
+        item = ports.Item("servers/a", _LEAVING, after + 1)
+        return result.Ok(ports.Changes((item,), (), after + 1))
+
+
+_LEAVING = msgspec.json.encode(
+    {
+        "ServiceName": "s",
+        "Address": "10.1.0.1:80",
+        "Zone": "z",
+        "ConfigVersion": "v1",
+        "Slots": 4,
+        "State": "draining",
+        "WarmupLeftMs": 0,
+        "SeqNo": 9,
+        "born": 1,
+    }
+)
+
+
+class TestLeavingHeardLate:
+    """A target leaves while nobody tells this VM what the store holds."""
+
+    @pytest.mark.parametrize(
+        ("current", "followed", "leaves_at"),
+        [(1.0, 3.0, 1.2), (1.0, 2.0, 1.9), (1.0, 1.1, 3.0), (0.0, 5.0, 2.0)],
+    )
+    def test_time_counts_from_when_it_may_have_left(
+        self, current, followed, leaves_at
+    ):
+        """Guards against a grace that begins only when a VM hears of it.
+
+        Its leader was lost, and it turned to the store seconds later.
+        """
+        drain = fakes.configured().bounds.drain
+
+        async def main():
+            made, known, _ = _watching(
+                Changing(leaves_at), fakes.target("a", address="10.1.0.1:80")
+            )
+            known.seen = 40
+            made.start()
+            await asyncio.sleep(current)
+            known.note_current(virtual.now())
+            await asyncio.sleep(followed - current)
+            made.rely_on_leader(False)
+            await asyncio.sleep(max(leaves_at - followed, 0.0) + 0.1)
+            entry = known.directory.get("a")
+            assert entry.target.leaving
+            assert entry.until < leaves_at + drain
+            if leaves_at > followed + 1.0:
+                assert entry.until > leaves_at + drain / 2
+            made.stop()
+
+        virtual.run(main())
+
+    def test_news_of_a_leader(self):
+        """Guards against a grace that begins anew at each VM that is told."""
+
+        async def main():
+            timer, log = fakes.VirtualClock(), fakes.Lines()
+            leader = fakes.known(timer, log, fakes.target("a"))
+            leader.take_target(fakes.target("a", leaving=True, revision=5))
+            leader.seen = 5
+            await asyncio.sleep(1.5)
+            news = leader.news_after(1, leader.version)
+            behind = fakes.known(timer, log, fakes.target("a"))
+            behind.take_news(news)
+            ends = [k.directory.get("a").until for k in (leader, behind)]
+            assert ends[0] == ends[1]
+
+        virtual.run(main())
