--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -57,6 +57,28 @@
         self.at = at
 
 
+class Arrival:
+    """A request that has reached a target, for an oracle.
+
+    Attributes:
+        attempt: Identifier of the caller's attempt.
+        target: Whom it has reached.
+        born: Which run of it.
+        at: Loop time of that.
+        rest: Seconds for which the target then wanted nothing from its
+            sender; 0 if it took the request.
+    """
+
+    __slots__ = ("at", "attempt", "born", "rest", "target")
+
+    def __init__(self, attempt: str, target: str, born: int, at: float) -> None:
+        self.attempt = attempt
+        self.target = target
+        self.born = born
+        self.at = at
+        self.rest = 0.0
+
+
 class PlatformTarget:
     """One server of a service.
 
@@ -73,6 +95,12 @@
         cold_seconds: For how long it stays cold, as it says.
         checks: Health checks that it has answered.
         zone: Where it stands.
+        limit: Requests a second that it says it takes from all VMs together,
+            None if it names no limit.
+        leaving: Whether it says in its answers that it leaves.
+        rest: Seconds for which it wants nothing from a VM whose request it
+            rejects; 0 if it does not say.
+        arrivals: Requests that have reached it.
     """
 
     __slots__ = (
@@ -86,13 +114,17 @@
         "_server",
         "_slots",
         "_work",
+        "arrivals",
         "born",
         "checks",
         "cold_seconds",
         "fault",
         "id",
+        "leaving",
+        "limit",
         "misdirected",
         "orders",
+        "rest",
         "runs",
         "service",
         "shed",
@@ -133,6 +165,10 @@
         self.cold_seconds = 0.0
         self.checks = 0
         self.zone = zone
+        self.limit: float | None = None
+        self.leaving = False
+        self.rest = 0.0
+        self.arrivals: list[Arrival] = []
         self.born = int(time.time() * 1000)
         self._keyed = keyed
         self._work = work
@@ -195,6 +231,23 @@
 
     async def _handle(
         self, incoming: http_server.Incoming
+    ) -> http_server.Outgoing:
+        """Answers a call, and says in its answer how it is."""
+        answer = await self._answer(incoming)
+        said = (*answer.headers, *self._notices())
+        return http_server.Outgoing(answer.status, said, answer.body)
+
+    def _notices(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Returns the headers that concern all requests to it."""
+        said: list[tuple[bytes, bytes]] = []
+        if self.limit is not None:
+            said.append((b"server-limit", b"%g" % self.limit))
+        if self.leaving:
+            said.append((b"server-leaving", b"1"))
+        return tuple(said)
+
+    async def _answer(
+        self, incoming: http_server.Incoming
     ) -> http_server.Outgoing:
         expected = incoming.header(b"x-expect-instance")
         if expected is not None and expected.decode() != self.id:
@@ -240,13 +293,24 @@
         self, incoming: http_server.Incoming
     ) -> http_server.Outgoing:
         echo = _echo(incoming)
+        arrival = Arrival(
+            (incoming.header(b"x-attempt-id") or b"").decode(),
+            self.id,
+            self.born,
+            asyncio.get_running_loop().time(),
+        )
+        self.arrivals.append(arrival)
         if self.fault is Fault.HANG:
             await asyncio.Event().wait()
         if self.fault is Fault.SHED_LATE:
             self.shed += 1
             await asyncio.sleep(_LATE_SECONDS)
         if self.fault in (Fault.SHED, Fault.SHED_LATE):
-            return http_server.Outgoing(503, (*echo, (b"x-not-executed", b"1")))
+            rejected = (*echo, (b"x-not-executed", b"1"))
+            if self.rest:
+                arrival.rest = self.rest
+                rejected += ((b"retry-after", b"%g" % self.rest),)
+            return http_server.Outgoing(503, rejected)
         raw = incoming.header(b"x-shard-key")
         key = int(raw) if raw is not None else None
         if self._keyed and (key is None or not self.holds(key)):
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -29,6 +29,7 @@
 from mimosastile_standins import platform_target
 from mimosastile_standins import platform_world
 from mimosastile_standins import soak_daemons
+from mimosastile_standins import soak_notices
 from mimosastile_standins import soak_oracle
 
 _RECOVERY_SECONDS = 15.0
@@ -113,6 +114,7 @@
         "_in_rotation",
         "_members",
         "_names",
+        "_notices",
         "_oracle",
         "_plan",
         "_pool",
@@ -128,6 +130,7 @@
         self._plan = plan
         self._chance = random.Random(plan.seed)
         self._oracle = soak_oracle.SoakOracle()
+        self._notices = soak_notices.Notices()
         self._store = platform_store.PlatformStore()
         self._store_address = ""
         self._daemons: list[soak_daemons.SoakDaemon] = []
@@ -208,6 +211,7 @@
             keyed=service == platform_world.KEYED,
             work=0.01,
         )
+        target.arrivals = self._notices.arrivals
         proxy = fault_proxy.FaultProxy(await target.start())
         zone = f"zone-{'ab'[number % 2]}"
         member = _Member(target, proxy, zone)
@@ -311,6 +315,7 @@
             platform_world.HOST, method, path, body, headers
         )
         began = time.monotonic()
+        self._notices.sent(attempt, daemon.name, began)
         status, answer, echoed = 0, b"", ""
         try:
             reply = connection.start(request)
@@ -318,6 +323,7 @@
                 await connection.wait_whole(reply, 1 << 30)
             status, answer = reply.status, reply.take()
             echoed = (reply.header(b"x-attempt-id") or b"").decode()
+            self._note_passed(attempt, daemon, began, reply)
         except http_client.NotSentError:
             return None
         except (http_client.AnswerLostError, TimeoutError):
@@ -333,6 +339,28 @@
             self._owes_answer(daemon, began),
         )
 
+    def _note_passed(
+        self,
+        attempt: str,
+        daemon: soak_daemons.SoakDaemon,
+        began: float,
+        reply: http_client.Reply,
+    ) -> None:
+        """Notes what a target has said in an answer that was passed on."""
+        limited = reply.header(b"server-limit") is not None
+        leaving = reply.header(b"server-leaving") is not None
+        if limited or leaving:
+            self._notices.passed(
+                soak_notices.Passed(
+                    attempt,
+                    daemon.name,
+                    began,
+                    time.monotonic(),
+                    limited,
+                    leaving,
+                )
+            )
+
     def _owes_answer(
         self, daemon: soak_daemons.SoakDaemon, began: float
     ) -> bool:
@@ -355,6 +383,8 @@
             self._spoil_target_links,
             self._restart_targets,
             self._replace_targets,
+            self._limit_targets,
+            self._turn_away,
             self._configure,
         ]
         while time.monotonic() < ends:
@@ -383,6 +413,8 @@
             self._say(f"{number.name} {daemon.name}")
             if number is signal.SIGKILL:
                 self._disturbed_at = time.monotonic()
+            if number is not signal.SIGHUP:
+                self._notices.disturb(daemon.name, time.monotonic())
             daemon.send(number)
             await asyncio.sleep(self._chance.uniform(0.0, 1.0))
 
@@ -392,9 +424,11 @@
         self._say(f"pause {[d.name for d in chosen]} for {seconds:.1f} s")
         for daemon in chosen:
             daemon.send(signal.SIGSTOP)
+            self._notices.disturb(daemon.name, time.monotonic())
         await self._while_disturbed(seconds)
         for daemon in chosen:
             daemon.send(signal.SIGCONT)
+            self._notices.disturb(daemon.name, time.monotonic())
 
     async def _spoil_store(self) -> None:
         moods = platform_store.Mood
@@ -406,8 +440,10 @@
         if mood is moods.WELL:
             self._store.drop_history()
         self._store.mood = mood
+        began = time.monotonic()
         await self._while_disturbed(seconds)
         self._store.mood = moods.WELL
+        self._notices.trouble(began, time.monotonic())
 
     async def _cut_vms_from_store(self) -> None:
         fault = self._draw_link_fault()
@@ -418,7 +454,11 @@
             f" {seconds:.1f} s"
         )
         proxies = [self._proxies[daemon.name] for daemon in chosen]
+        for daemon in chosen:
+            self._notices.disturb(daemon.name, time.monotonic())
         await self._spoil_links(proxies, fault, seconds)
+        for daemon in chosen:
+            self._notices.disturb(daemon.name, time.monotonic())
 
     async def _spoil_target_links(self) -> None:
         fault = self._draw_link_fault()
@@ -441,7 +481,9 @@
         delay = self._chance.uniform(0.01, 0.6)
         for proxy in proxies:
             proxy.set_fault(fault, delay)
+        began = time.monotonic()
         await self._while_disturbed(seconds)
+        self._notices.trouble(began, time.monotonic())
         for proxy in proxies:
             proxy.set_fault(fault_proxy.LinkFault.NONE)
 
@@ -463,7 +505,13 @@
         await self._add_target(member.target.service)
         leaving = member.target.registration("draining", "", member.zone)
         leaving["Address"] = await self._address_of(name)
+        # Its answers and its registration say so, in either order.
+        loop = asyncio.get_running_loop()
+        said, shown = self._chance.choice(((0, 3), (3, 0), (0, 0)))
+        loop.call_later(said, setattr, member.target, "leaving", True)
+        await self._while_disturbed(shown)
         self._store.put(f"servers/{name}", leaving)
+        self._notices.registered(member.target, time.monotonic())
         await self._while_disturbed(self._chance.uniform(4.0, 8.0))
         if self._members.get(name) is member:
             self._store.remove(f"servers/{name}")
@@ -471,6 +519,37 @@
             member.target.stop()
             await member.proxy.stop()
 
+    async def _limit_targets(self) -> None:
+        """Targets in need name limits, change them and name none again."""
+        free = [
+            name
+            for name, member in sorted(self._members.items())
+            if member.target.limit is None
+        ]
+        names = self._chance.sample(free, min(len(free), 2))
+        targets = [self._members[name].target for name in names]
+        rate = self._chance.choice((0.4, 3.1, 6.1))
+        self._say(f"targets {names} name a limit of {rate}")
+        began = time.monotonic()
+        for target in targets:
+            target.limit = rate
+        await self._while_disturbed(self._chance.uniform(6.0, 12.0))
+        for target in targets:
+            self._notices.limited(target, rate, began, time.monotonic())
+            target.limit = None
+
+    async def _turn_away(self) -> None:
+        """A target rejects requests and says for how long it wants none."""
+        name = self._chance.choice(sorted(self._members))
+        target = self._members[name].target
+        seconds = self._chance.uniform(1.0, 4.0)
+        self._say(f"target {name} wants nothing for {seconds:.1f} s")
+        target.rest = seconds
+        target.fault = platform_target.Fault.SHED
+        await self._while_disturbed(seconds)
+        target.fault = platform_target.Fault.NONE
+        target.rest = 0.0
+
     async def _address_of(self, name: str) -> str:
         value = self._store.value(f"servers/{name}") or b"{}"
         return str(msgspec.json.decode(value).get("Address", ""))
@@ -496,6 +575,7 @@
     def _judge(self, recovered: float) -> Verdict:
         oracle = self._oracle
         oracle.finish()
+        oracle.wrong.extend(self._notices.wrong())
         share = oracle.served_share(recovered, recovered + _JUDGED_SECONDS)
         if share < _SERVED_LEAST:
             oracle.wrong.append(f"only {share:.3f} served after recovery")
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_daemons.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_daemons.py
@@ -12,6 +12,8 @@
 _START = _ROOT / "platform" / "start.py"
 _GRACE_SECONDS = 6
 """From SIGTERM to the forced end, as the platform has it."""
+_FIRST_NETWORK, _NETWORKS = 64, 128
+"""Loopback networks; runs beside each other take different ones."""
 _CALLERS_PORT, _READY_PORT, _PEERS_PORT = 18548, 18542, 17540
 
 _SETTINGS = """
@@ -73,7 +75,8 @@
         self.name = f"vm-{number}"
         self.store = store
         self._folder = folder
-        self._ip = f"127.0.{1 + number // 250}.{1 + number % 250}"
+        network = _FIRST_NETWORK + os.getpid() % _NETWORKS
+        self._ip = f"127.{network}.{1 + number // 250}.{1 + number % 250}"
         self._zone = "ab"[number % 2]
         self.callers = f"{self._ip}:{_CALLERS_PORT}"
         self.ready = f"{self._ip}:{_READY_PORT}"
--- /dev/null
+++ b/tests/standins/test_soak_run.py
@@ -0,0 +1,15 @@
+"""A short seeded soak: real daemons as processes, faults from outside."""
+
+import asyncio
+
+from mimosastile_standins import soak
+
+SEED = 7
+
+
+def test_short_soak(tmp_path):
+    """Guards against promises that only processes under faults break."""
+    plan = soak.Plan(SEED, 20.0, vms=4, targets=4, callers=10, out=tmp_path)
+    verdict = asyncio.run(soak.run(plan))
+    assert verdict.wrong == []
+    assert verdict.runs > 500
