Read a target's limit in answers to orders as well

Order answers are decoded as all others are, and one place takes what any answer says. A limit that is named there counts, its absence lifts nothing, as such an answer need not have it. tests/gateway/test_bounded_targets.py::TestOtherAnswers fails before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -15,6 +15,7 @@
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import limits
+from mimosastile_core.gateway import reported
 from mimosastile_core.gateway import rests
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import vacancies
@@ -378,6 +379,29 @@
                 known=newer.born,
             )
 
+    def hear_notice(
+        self,
+        target: directory.Target,
+        notice: reported.Notice,
+        sent_at: float = -math.inf,
+    ) -> bool:
+        """Takes what a target has said of itself, whatever it has answered.
+
+        Args:
+            target: The target.
+            notice: What it has said.
+            sent_at: When the request was sent that it answers, if an answer
+                without a limit says that it has none.
+
+        Returns:
+            Whether that is news for all VMs.
+        """
+        news = False
+        lifts = not notice.names_limit and sent_at > -math.inf
+        if notice.limit is not None or lifts:
+            news = self.hear_limit(target, notice.limit, sent_at)
+        return news
+
     def hear_limit(
         self, target: directory.Target, rate: float | None, sent_at: float
     ) -> bool:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -445,8 +445,9 @@
         if notice.load is not None:
             self._rooms.learn_load(target, notice.load)
         sealed = reply.header(self._names.seal) is not None
-        says = notice.limit is not None or (sealed and not notice.names_limit)
-        if says and self._beliefs.hear_limit(target, notice.limit, sent_at):
+        # Only an answer of the target's own work shows that it has no limit.
+        sent_at = sent_at if sealed else -math.inf
+        if self._beliefs.hear_notice(target, notice, sent_at):
             self._peers.hurry()
         if notice.leaving and self._beliefs.hear_leaving(target):
             self._peers.hurry()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -12,6 +12,7 @@
 from mimosastile_core.gateway import formers
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
+from mimosastile_core.gateway import reported
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
 from mimosastile_gateway import events
@@ -374,6 +375,12 @@
             default=None,
         )
 
+    def _hear(self, holder: ranges.Holder, notice: reported.Notice) -> None:
+        """Takes what an owner says of itself; callers may ask it nothing."""
+        entry = self._beliefs.directory.get(holder.id)
+        if entry is not None and entry.target.born == holder.born:
+            self._beliefs.hear_notice(entry.target, notice)
+
     async def _grant(
         self, holder: ranges.Holder, owner: _Owner, state: _State
     ) -> None:
@@ -414,6 +421,7 @@
         current = self._states.get(item.piece) is state
         if isinstance(answer, result.Ok):
             exposure.until = leadership.lapsed_at(now, hold)
+            self._hear(holder, answer.ok_value)
             self._granted(holder, owner, state, sent, current)
             return
         failure = answer.err_value
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
@@ -214,8 +214,12 @@
 
     async def grant(
         self, target: str, address: str, order: GrantOrder, timeout: float
-    ) -> result.Result[None, errors.Failure]:
-        """Sends a grant to a target and waits for its answer."""
+    ) -> result.Result[reported.Notice, errors.Failure]:
+        """Sends a grant to a target and waits for its answer.
+
+        Returns:
+            What the target says of itself in its answer.
+        """
 
     async def release(
         self, target: str, address: str, order: ReleaseOrder, timeout: float
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/probing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/probing.py
@@ -111,9 +111,7 @@
                 target.id, report.cold_seconds, self._clock.now()
             )
         notice = report.notice
-        if notice.limit is not None:
-            now = self._clock.now()
-            self._beliefs.hear_limit(target, notice.limit, now)
+        self._beliefs.hear_notice(target, notice)
         if notice.load is None:
             return False
         self._rooms.learn_load(target, notice.load)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -9,6 +9,7 @@
 
 from mimosastile_core import errors
 from mimosastile_core.gateway import directory
+from mimosastile_core.gateway import reported
 from mimosastile_core.gateway import routes
 from mimosastile_gateway import beliefs
 from mimosastile_gateway import clock
@@ -115,6 +116,7 @@
         delay: Seconds until a grant arrives.
         log: All orders that arrived.
         clashes: Pairs of targets that held one key at the same time.
+        notices: What targets say of themselves in their answers.
     """
 
     def __init__(self):
@@ -126,6 +128,7 @@
         self.delay = 0.0
         self.log = []
         self.clashes = []
+        self.notices = {}
         self._tasks = []
         self._holds = collections.defaultdict(list)
         self._fences = collections.defaultdict(list)
@@ -174,7 +177,7 @@
         if name in self.silent:
             await asyncio.sleep(timeout)
             return result.Err(errors.Failure(errors.ErrorKind.ANSWER_LOST))
-        return result.Ok(None)
+        return result.Ok(self.notices.get(name, reported.Notice()))
 
     async def release(self, name, address, order, timeout):
         """Takes a release."""
--- a/tests/gateway/test_bounded_targets.py
+++ b/tests/gateway/test_bounded_targets.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mimosastile_core.gateway import reported
 from mimosastile_standins import virtual
 from tests.gateway import fleet
 
@@ -179,6 +180,24 @@
         _play(scenario, 5)
 
 
+class TestOtherAnswers:
+    """A limit that no answer to a caller's request has named yet."""
+
+    def test_answer_to_an_order(self):
+        """Guards against an owner in need whose limit its leader passes by."""
+
+        async def scenario(made):
+            target = made.owner()
+            made.orders.notices[target.id] = reported.Notice(
+                limit=3.1, names_limit=True
+            )
+            await asyncio.sleep(2.0)
+            known = [vm.beliefs.limits.dump() for vm in made.vms.values()]
+            assert all(limits == {target.id: 3.1} for limits in known)
+
+        _play(scenario, 10)
+
+
 class TestUse:
     """A target in need gets what it takes, and all again afterwards."""
 
