--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -400,6 +400,8 @@
         lifts = not notice.names_limit and sent_at > -math.inf
         if notice.limit is not None or lifts:
             news = self.hear_limit(target, notice.limit, sent_at)
+        if notice.leaving:
+            news = self.hear_leaving(target) or news
         return news
 
     def hear_limit(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -449,8 +449,6 @@
         sent_at = sent_at if sealed else -math.inf
         if self._beliefs.hear_notice(target, notice, sent_at):
             self._peers.hurry()
-        if notice.leaving and self._beliefs.hear_leaving(target):
-            self._peers.hurry()
         if reply.status == _TURNED_AWAY and notice.rest:
             self._beliefs.hear_rest(target, notice.rest)
         for name, value in notice.unreadable:
--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from mimosastile_core.gateway import reported
 from mimosastile_standins import virtual
 from tests.gateway import fakes
 from tests.gateway import fleet
@@ -101,6 +102,23 @@
 
         _play(scenario)
 
+    def test_nobody_asks_for_its_keys(self):
+        """Guards against keys that stay where no caller hears of a leaving.
+
+        Its answers to the leader's orders say it as well.
+        """
+
+        async def scenario(made):
+            target = made.owner()
+            made.orders.notices[target.id] = reported.Notice(leaving=True)
+            await asyncio.sleep(3.0)
+            assert made.owner() is not target
+            answer = await made.ask("vm-001", "/s", 0)
+            assert answer.status == 200
+            assert target.arrivals == []
+
+        _play(scenario)
+
     def test_keys_cannot_move(self):
         """Guards against callers that wait for keys while the store is away."""
 
