Let VMs that know of no sender use more of a limit

A VM without a leader's word had 0.15 of a limit's even part; with the leader lost, or in a zone that is cut off, an owner that takes 6.1 requests a second got 0.9 from all VMs together, and the rest of its callers were refused. Without a sender 0.4 keeps the sum within the users' bound as well, since a sender that others know serves only those. tests/gateway/test_limits.py counts it for 10, 88 and 300 VMs and limits of 0.4, 6.1 and 40; tests/gateway/test_bounded_targets.py holds.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/limits.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/limits.py
@@ -18,6 +18,9 @@
 half, half as much again over some seconds."""
 _OWN_SHARE = 0.15
 """Part of a limit that all other VMs may use together without being asked."""
+_ALONE_SHARE = 0.4
+"""The same of VMs that know of no named one. If only a part of all VMs hears
+nobody, its part of this comes on top of what the named VM sends."""
 _BURST_SECONDS = 0.1
 """Time whose requests may be sent at once, beside a single one."""
 _SLOT_SECONDS = 0.5
@@ -90,25 +93,29 @@
         self._refill(now)
         self._tokens -= 1.0
 
-    def own_wait(self, vms: int, now: float) -> float:
+    def own_wait(self, vms: int, now: float, *, alone: bool = False) -> float:
         """Returns the seconds until any other VM may send one.
 
         Args:
             vms: How many VMs there are.
             now: The time.
+            alone: Whether it knows of no named VM.
         """
-        turn, since, period = self._turn(vms, now)
+        turn, since, period = self._turn(vms, now, alone)
         if turn != self._used and since < min(_SLOT_SECONDS, period / 2):
             return 0.0
         return period - since
 
-    def take_own(self, vms: int, now: float) -> None:
+    def take_own(self, vms: int, now: float, *, alone: bool = False) -> None:
         """Notes a request that any other VM sends."""
-        self._used, _, _ = self._turn(vms, now)
+        self._used, _, _ = self._turn(vms, now, alone)
 
-    def _turn(self, vms: int, now: float) -> tuple[int, float, float]:
+    def _turn(
+        self, vms: int, now: float, alone: bool
+    ) -> tuple[int, float, float]:
         """Returns the number of the turn, its age and the time between two."""
-        period = vms / (self._rate * _OWN_SHARE)
+        share = _ALONE_SHARE if alone else _OWN_SHARE
+        period = vms / (self._rate * share)
         gone = now / period + self._offset
         turn = int(gone)
         return turn, (gone - turn) * period, period
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/candidates.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/candidates.py
@@ -91,14 +91,11 @@
         pace = self._beliefs.limits.pace(target.id, target.born)
         if pace is None or admitted:
             return
-        if self._is_sender(target, now):
+        gate = self._rooms.gate(target.id, now)
+        if gate == self._admitting.address:
             pace.take(now)
         else:
-            pace.take_own(self._count(), now)
-
-    def _is_sender(self, target: directory.Target, now: float) -> bool:
-        """Whether this VM is named as the one that sends to a target."""
-        return self._rooms.gate(target.id, now) == self._admitting.address
+            pace.take_own(self._count(), now, alone=gate is None)
 
     def only_limited(self, call: pending.Call) -> directory.Target | None:
         """Returns a target if all that may run a request have named a limit.
@@ -222,13 +219,14 @@
         if pace is None:
             return 0.0
         now = self._clock.now()
-        if self._is_sender(target, now):
+        gate = self._rooms.gate(target.id, now)
+        if gate == self._admitting.address:
             return pace.wait(now)
         vms = self._count()
         if vms == 1:
             # It leads and is the sender, or knows nobody yet.
             return _NOBODY_SECONDS
-        return pace.own_wait(vms, now)
+        return pace.own_wait(vms, now, alone=gate is None)
 
     def _cold_wait(self, target: directory.Target, call: pending.Call) -> float:
         """Returns the seconds until this VM may send to a cold target.
@@ -241,7 +239,7 @@
         if not cold:
             return 0.0
         now = self._clock.now()
-        if not self._is_sender(target, now):
+        if self._rooms.gate(target.id, now) != self._admitting.address:
             return cold
         rate = call.service.cold_rate
         return min(self._cold_sends.wait(target.id, rate, now), cold)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -159,8 +159,27 @@
         """Guards against all VMs using up what they saved at one moment."""
         rate = 6.1
         paces = [limits.Pace(rate, n / vms, 0.0) for n in range(vms)]
-        at_once = sum(not pace.own_wait(vms, 1000.0) for pace in paces)
-        assert at_once <= 3
+        for alone in (False, True):
+            at_once = sum(
+                not pace.own_wait(vms, 1000.0, alone=alone) for pace in paces
+            )
+            assert at_once <= 3
+
+    @pytest.mark.parametrize("vms", [10, 88, 300])
+    @pytest.mark.parametrize("rate", [0.4, 6.1, 40.0])
+    def test_vms_that_hear_nobody(self, vms, rate):
+        """Guards against cut-off VMs that each take the whole for theirs."""
+        paces = [limits.Pace(rate, (n * 0.618) % 1, 0.0) for n in range(vms)]
+        sent = []
+        for step in range(1000):
+            now = step * 0.04
+            for pace in paces:
+                if not pace.own_wait(vms, now, alone=True):
+                    pace.take_own(vms, now, alone=True)
+                    sent.append(now)
+        most = max(sum(end - 4.0 < at <= end for at in sent) for end in sent)
+        assert most <= rate * 4.0 + 2
+        assert len(sent) > 0.3 * rate * 40.0 - 2
 
     def test_sender_saves_little(self):
         """Guards against a rush after a quiet time."""
