Try what targets announce over real connections

Limits, leavings and rests were tested with fakes of targets under virtual time and by the soak; three tests now go through the platform's adapter and sockets.

--- a/tests/gateway/test_world.py
+++ b/tests/gateway/test_world.py
@@ -572,6 +572,80 @@
         _play(scenario)
 
 
+class TestAnnouncements:
+    """What targets say of themselves goes through the real adapter."""
+
+    @staticmethod
+    async def _ask_all(world, count=5):
+        for _ in range(count):
+            for vm in world.addresses:
+                await world.ask("/issue/1", None, vm, method="POST")
+
+    def test_limit(self):
+        """Guards against a limit that is not read off the wire."""
+
+        async def scenario(world):
+            world.targets["p0"].limit = 0.4
+
+            async def known():
+                await self._ask_all(world, 1)
+                return all(
+                    made.dump()["target_limits"] == {"p0": 0.4}
+                    for made in world.daemons.values()
+                )
+
+            await world.until(known)
+            began = asyncio.get_running_loop().time()
+            world.runs.clear()
+            await self._ask_all(world, 20)
+            passed = asyncio.get_running_loop().time() - began
+            got = [run for run in world.runs if run.target == "p0"]
+            assert len(got) <= 1.5 * 0.4 * max(passed, 4.0) + 5
+            assert "limit_named" in world.log("vm-0")
+
+        _play(scenario)
+
+    def test_leaving(self):
+        """Guards against a leaving that is not read off the wire."""
+
+        async def scenario(world):
+            world.targets["p0"].leaving = True
+
+            async def known():
+                await self._ask_all(world, 1)
+                return all(
+                    made.dump()["targets"]["p0"] == "leaving"
+                    for made in world.daemons.values()
+                )
+
+            await world.until(known)
+            world.runs.clear()
+            await self._ask_all(world)
+            assert {run.target for run in world.runs} == {"p1"}
+
+        _play(scenario)
+
+    def test_rest(self):
+        """Guards against a rest that is not read off the wire."""
+
+        async def scenario(world):
+            target = world.targets["p0"]
+            target.fault, target.rest = platform_target.Fault.SHED, 600.0
+
+            async def known():
+                await self._ask_all(world, 1)
+                return all(
+                    "rest_asked" in world.log(vm) for vm in world.addresses
+                )
+
+            await world.until(known)
+            target.arrivals.clear()
+            await self._ask_all(world)
+            assert target.arrivals == []
+
+        _play(scenario)
+
+
 class TestStore:
     """The store misbehaves."""
 
