Refuse a request whose last moment is too short to wait in

The shortest wait that stands beside it bounds both places. test_it_is_refused does not end on the code before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/placing.py
@@ -201,7 +201,7 @@
             return result.Ok(self._begin(call, choice.target))
         left = self.latest_start(call) - now
         seconds = min(choice.seconds, 1e6)
-        if left <= 0 or seconds * (ahead + 1) > left:
+        if max(seconds * (ahead + 1), _TICK_SECONDS) > left:
             return self._no_room(call, choice, ahead)
         await self._turns.wait(queue, call.ticket, min(left, _POLL_SECONDS))
         return None
@@ -295,7 +295,7 @@
         """
         left = self.latest_start(call) - now
         seconds = self._beliefs.seconds_without_owner(call.service.name, key)
-        if seconds >= left:
+        if max(seconds, _TICK_SECONDS) >= left:
             wait = max(seconds, SOON_SECONDS)
             kind = errors.ErrorKind.NO_OWNER
             return result.Err(errors.Failure(kind, retry_after=wait))
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -1,6 +1,7 @@
 """Where requests go, and what happens to those that wait."""
 
 import asyncio
+import math
 
 import pytest
 
@@ -271,6 +272,24 @@
         _play(scenario)
 
 
+class TestLastMoment:
+    """A request whose time is all but over."""
+
+    def test_it_is_refused(self):
+        """Guards against a request that looks again before any time passes."""
+
+        async def scenario(world):
+            await asyncio.sleep(15.0)
+            world.assign("")
+            call = world.call()
+            call.deadline -= world.placing.latest_start(call) - virtual.now()
+            while world.placing.latest_start(call) <= virtual.now():
+                call.deadline = math.nextafter(call.deadline, math.inf)
+            assert (await world.placing.find(call)).is_err()
+
+        _play(scenario)
+
+
 class TestUnreachable:
     """The only target for a key takes no connection."""
 
