Keep limits through series of faults, in a test

Kills, cuts, starts and outages of the store in series, three targets with limits each, three seeds.

--- a/tests/gateway/test_bounded_targets.py
+++ b/tests/gateway/test_bounded_targets.py
@@ -6,6 +6,7 @@
 
 from mimosastile_core.gateway import reported
 from mimosastile_standins import virtual
+from tests.gateway import fakes
 from tests.gateway import fleet
 
 CONTACT_SECONDS = 3.0
@@ -180,6 +181,56 @@
         _play(scenario, 5)
 
 
+class TestDisorder:
+    """Limits while VMs are killed, cut off and started, and the store fails."""
+
+    @pytest.mark.parametrize("seed", [1, 5, 13])
+    def test_series(self, seed):
+        """Guards against faults in series in which the sum is exceeded."""
+
+        async def scenario(made):
+            await made.call(2.0, 150.0, "/s", fleet.any_key)
+            calling = [
+                asyncio.create_task(
+                    made.call(14.0, 120.0, "/s", fleet.any_key)
+                ),
+                asyncio.create_task(made.call(14.0, 60.0, "/p")),
+                asyncio.create_task(made.call(14.0, 15.0, "/s")),
+            ]
+            limited = [
+                (target, _limit(target, made.chance.choice((0.4, 2.6, 6.1))))
+                for target in made.chance.sample(list(made.targets.values()), 3)
+            ]
+            for number in range(9):
+                await asyncio.sleep(made.chance.uniform(0.3, 1.5))
+                self._disturb(made, number)
+            self._heal(made)
+            await asyncio.gather(*calling)
+            assert [b for t, s in limited if (b := most_beyond(t, s)) > 0] == []
+
+        _play(scenario, 12, seed=seed)
+
+    def _disturb(self, made, number):
+        alive = sorted(made.vms)
+        what = made.chance.choice(("kill", "cut", "heal", "start", "store"))
+        if what == "kill" and len(alive) > 6:
+            made.vms.pop(made.chance.choice(alive)).end()
+        elif what == "cut":
+            made.isolate(*made.chance.sample(alive, len(alive) // 3))
+        elif what == "heal":
+            self._heal(made)
+        elif what == "start":
+            made.add_vm(f"vm-9{number}")
+        elif what == "store":
+            made.store.failing = fakes.UNKNOWN
+
+    def _heal(self, made):
+        made.cut.clear()
+        made.store.failing = None
+        for vm in made.vms.values():
+            vm.store.failing = None
+
+
 class TestOtherAnswers:
     """A limit that no answer to a caller's request has named yet."""
 
