Keep the grace of registrations that lapse in an outage of the store

After an outage that is all registrations that have lapsed, of targets that are well and come back within two seconds, and none of them would have got work until then. Now that counts for registrations that vanish only if no call to the store has failed since; a leaving that is written there goes on counting from then. Four cases of test_registrations_that_lapse_in_an_outage: two fail on the code before.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -341,6 +341,7 @@
         now: float,
         revision: int = 0,
         since: float | None = None,
+        gone_since: float | None = None,
     ) -> list[str]:
         """Takes a whole list.
 
@@ -348,7 +349,9 @@
             targets: All that are registered.
             now: The time.
             revision: The store's revision of the list.
-            since: Earliest time of what it shows changed; None for now.
+            since: Earliest time at which registrations may have changed; None
+                for now.
+            gone_since: The same for those that have vanished.
 
         Returns:
             The targets whose entry changed.
@@ -360,7 +363,7 @@
             for known in list(self._entries)
             if known not in listed
             and self.remove(
-                known, now, late=True, revision=revision, since=since
+                known, now, late=True, revision=revision, since=gone_since
             )
         ]
         return changed + gone
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -85,6 +85,7 @@
         "_evacuated_at",
         "_events",
         "_settings",
+        "_store_failed_at",
         "_subscribers",
         "_vacancies",
         "assignments",
@@ -140,6 +141,7 @@
         self.leader_since = 0.0
         self.vms: dict[str, messages.VmEntry] = {}
         self.store_ok = False
+        self._store_failed_at = -math.inf
         self.store_since: float | None = None
 
     def set_drain(self, seconds: float) -> None:
@@ -539,7 +541,11 @@
         for target in targets:
             self._note_older_run(target)
         changed = self.directory.replace(
-            targets, now, revision, self.current_at
+            targets,
+            now,
+            revision,
+            self.current_at,
+            self.vanished_since(self.current_at),
         )
         self.seen = max(self.seen, revision)
         self.directory.forget(now, _FORGET_SECONDS)
@@ -657,6 +663,20 @@
         if self.current_at is None or at > self.current_at:
             self.current_at = at
 
+    def vanished_since(self, since: float | None) -> float | None:
+        """Returns since when registrations may have vanished, None for now.
+
+        In an outage of the store they lapse, of targets that are well, and
+        come back within seconds; nothing follows then from how long this VM
+        has not heard of them.
+
+        Args:
+            since: Up to when all registrations were known, None for now.
+        """
+        if since is None or self._store_failed_at >= since:
+            return None
+        return since
+
     def confirm_configuration(
         self, version: int, revision: int, zones: tuple[str, ...] = ()
     ) -> None:
@@ -689,6 +709,8 @@
     def note_store(self, *, ok: bool, why: str = "") -> None:
         """Notes whether a call to the store was answered."""
         now = self._clock.now()
+        if not ok:
+            self._store_failed_at = now
         since = self.store_since
         if ok != self.store_ok:
             self._events.write(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -302,7 +302,8 @@
         self, changes: ports.Changes, since: float | None
     ) -> None:
         self._targets_written(changes.items, since)
-        self._targets_removed(changes.removed, since)
+        gone_since = self._beliefs.vanished_since(since)
+        self._targets_removed(changes.removed, gone_since)
         self._beliefs.seen = max(self._beliefs.seen, changes.revision)
         self._beliefs.note_current(self._clock.now())
 
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -40,7 +40,9 @@
         if prefix == "servers/":
             self.watches.append(after)
             if self.moods:
-                return result.Err(self.moods.pop(0))
+                mood = self.moods.pop(0)
+                answers = isinstance(mood, ports.Changes)
+                return result.Ok(mood) if answers else result.Err(mood)
         return await super().watch(prefix, after, wait)
 
 
@@ -291,6 +293,38 @@
 
         virtual.run(main())
 
+    @pytest.mark.parametrize("listed", [False, True])
+    @pytest.mark.parametrize("outage", [False, True])
+    def test_registrations_that_lapse_in_an_outage(self, outage, listed):
+        """Guards against targets that are well and get no work after an outage.
+
+        All registrations have lapsed when the store is back, and come again
+        within two seconds.
+        """
+        store = Store()
+        if outage:
+            store.moods = [fakes.UNKNOWN, fakes.UNKNOWN, fakes.UNKNOWN]
+        if listed:
+            store.moods.append(ports.HistoryLost())
+
+        async def main():
+            made, known, _ = _watching(store, fakes.target("a"))
+            known.seen = 40
+            made.start()
+            known.note_current(virtual.now())
+            await asyncio.sleep(8.0)
+            made.rely_on_leader(False)
+            gone = ports.Changes((), (("servers/a", 41),), 41)
+            if not listed:
+                store.moods.append(gone)
+            while known.directory.is_ready("a"):
+                await asyncio.sleep(0.01)
+            left = known.directory.get("a").until - virtual.now()
+            assert left > 0.4 if outage else left < 0.0
+            made.stop()
+
+        virtual.run(main())
+
     def test_news_of_a_leader(self):
         """Guards against a grace that begins anew at each VM that is told."""
 
