--- a/packages/mimosastile-core/src/mimosastile_core/gateway/limits.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/limits.py
@@ -13,9 +13,9 @@
 import msgspec
 
 _SENDER_SHARE = 0.9
-"""Part of a limit that the named VM uses. With `_OWN_SHARE` a tenth is exceeded
-at most, and while two VMs take themselves for the named one, for a second and a
-half, half as much again over some seconds."""
+"""Part of a limit that the named VM uses. With `_OWN_SHARE` the limit itself is
+exceeded by a twentieth; the rest of what targets tolerate covers the second and
+a half in which two VMs may take themselves for the named one."""
 _OWN_SHARE = 0.15
 """Part of a limit that all other VMs may use together without being asked."""
 _ALONE_SHARE = 0.4
@@ -24,8 +24,8 @@
 _BURST_SECONDS = 0.1
 """Time whose requests may be sent at once, beside a single one."""
 _SLOT_SECONDS = 0.5
-"""Longest time for which a VM's own turn is open. Turns that are not used are
-lost: if they were kept, all VMs would use theirs when the named VM is lost."""
+"""Longest slot. Slots that are not used are lost: if they were saved, all VMs
+would use theirs at the moment at which the named VM is lost."""
 _LEAST_RATE = 0.1
 """Least requests a second. A target that gets none at all could never say that
 it takes more."""
@@ -54,7 +54,11 @@
 
 
 class Pace:
-    """When this VM may send to a target that has named a limit."""
+    """Rate limiter of this VM for a target that has named a limit.
+
+    The named VM takes tokens from a bucket that holds few; any other VM has a
+    time slot in each period, at an offset of its own.
+    """
 
     __slots__ = ("_at", "_offset", "_rate", "_tokens", "_used")
 
@@ -63,8 +67,7 @@
 
         Args:
             rate: Requests a second from all VMs together.
-            offset: From 0 to 1, at which part of a round of own turns this
-                VM has its turn.
+            offset: From 0 to 1, where in a period this VM has its slot.
             now: The time.
         """
         self._rate = max(rate, _LEAST_RATE)
@@ -94,7 +97,7 @@
         self._tokens -= 1.0
 
     def own_wait(self, vms: int, now: float, *, alone: bool = False) -> float:
-        """Returns the seconds until any other VM may send one.
+        """Returns the seconds until this VM may send one if it is not named.
 
         Args:
             vms: How many VMs there are.
@@ -107,13 +110,13 @@
         return period - since
 
     def take_own(self, vms: int, now: float, *, alone: bool = False) -> None:
-        """Notes a request that any other VM sends."""
+        """Notes a request that this VM sends without being named."""
         self._used, _, _ = self._turn(vms, now, alone)
 
     def _turn(
         self, vms: int, now: float, alone: bool
     ) -> tuple[int, float, float]:
-        """Returns the number of the turn, its age and the time between two."""
+        """Returns the number of the period, its age and its length."""
         share = _ALONE_SHARE if alone else _OWN_SHARE
         period = vms / (self._rate * share)
         gone = now / period + self._offset
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/rests.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/rests.py
@@ -1,4 +1,4 @@
-"""Times for which targets want nothing from this VM."""
+"""Backoff that targets ask this VM for, with the rejection of a request."""
 
 import msgspec
 
@@ -23,9 +23,9 @@
 
 
 class Rests:
-    """The rest that each target has asked this VM for.
+    """Until when each target wants nothing from this VM.
 
-    It concerns one VM alone: a target may turn away whoever presses it most.
+    It concerns one VM alone: a target may reject whoever sends most.
     """
 
     __slots__ = ("_rests",)
