Drop an unread time and an alias, look at a run's own arrivals

Read over after the change: the soak kept with each passed answer when it was sent, which Notices has by attempt already, and walked all arrivals again for each run to find that run's. messages named the module of limits by an alias where its other fields name the type. No change of behaviour; tests lose an argument and keep their assertions.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -11,7 +11,7 @@
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import leadership
-from mimosastile_core.gateway import limits as target_limits
+from mimosastile_core.gateway import limits
 from mimosastile_core.gateway import routes
 
 STORE_PREFIX = "mimosastile/"
@@ -26,6 +26,7 @@
 _Assignment = assignments.Assignment
 _Difference = assignments.Difference
 _Evacuations = eligibility.Evacuations
+_LimitNews = limits.LimitNews
 _COMPRESS_FROM = 600
 """Bytes from which a message is compressed; smaller ones fit into a packet."""
 _COMPRESS_LEVEL = 1
@@ -214,7 +215,7 @@
     epoch: int = -1
     promised: float | None = None
     evacuations: _Evacuations = _Evacuations()
-    limits: dict[str, target_limits.LimitNews] = {}
+    limits: dict[str, _LimitNews] = {}
     leaving: tuple[Leaving, ...] = ()
     resting: dict[str, float] = {}
 
@@ -265,7 +266,7 @@
     vms: int = 0
     take_over: bool = False
     evacuations: _Evacuations = _Evacuations()
-    limits: dict[str, target_limits.LimitNews] = {}
+    limits: dict[str, _LimitNews] = {}
     leaving: tuple[Leaving, ...] = ()
 
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -323,7 +323,7 @@
                 await connection.wait_whole(reply, 1 << 30)
             status, answer = reply.status, reply.take()
             echoed = (reply.header(b"x-attempt-id") or b"").decode()
-            self._note_passed(attempt, daemon, began, reply)
+            self._note_passed(attempt, daemon, reply)
         except http_client.NotSentError:
             return None
         except (http_client.AnswerLostError, TimeoutError):
@@ -343,7 +343,6 @@
         self,
         attempt: str,
         daemon: soak_daemons.SoakDaemon,
-        began: float,
         reply: http_client.Reply,
     ) -> None:
         """Notes what a target has said in an answer that was passed on."""
@@ -354,7 +353,6 @@
                 soak_notices.Passed(
                     attempt,
                     daemon.name,
-                    began,
                     time.monotonic(),
                     limited,
                     leaving,
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_notices.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_notices.py
@@ -47,7 +47,6 @@
     Attributes:
         attempt: The caller's attempt.
         vm: Who passed it on.
-        sent: When the caller had sent it.
         at: When the caller had it.
         limited: Whether it names a limit.
         leaving: Whether it says that the target leaves.
@@ -55,7 +54,6 @@
 
     attempt: str
     vm: str
-    sent: float
     at: float
     limited: bool = False
     leaving: bool = False
@@ -139,16 +137,14 @@
             )
         ]
 
-    def _told(self, run: _Run, what: str) -> dict[str, list[float]]:
+    def _told(
+        self, arrivals: list[platform_target.Arrival], what: str
+    ) -> dict[str, list[float]]:
         """Returns when VMs passed on answers of a run that say something."""
-        of_attempt = {
-            a.attempt: (a.target, a.born)
-            for a in self.arrivals
-            if (a.target, a.born) == run
-        }
+        attempts = {arrival.attempt for arrival in arrivals}
         told: dict[str, list[float]] = collections.defaultdict(list)
         for answer in self._passed:
-            if getattr(answer, what) and answer.attempt in of_attempt:
+            if getattr(answer, what) and answer.attempt in attempts:
                 told[answer.vm].append(answer.at)
         return told
 
@@ -167,7 +163,7 @@
         self, run: _Run, arrivals: list[platform_target.Arrival]
     ) -> Iterator[str]:
         """Yields windows in which a limited target got too much."""
-        told = self._told(run, "limited")
+        told = self._told(arrivals, "limited")
         for named in self._limits.get(run, ()):
             counted = [a.at for a in arrivals if self._counts(a, named, told)]
             allowed = _LIMIT_FACTOR * named.rate * _LIMIT_WINDOW + _LIMIT_SLACK
@@ -205,7 +201,7 @@
         self, run: _Run, arrivals: list[platform_target.Arrival]
     ) -> Iterator[str]:
         """Yields requests for a target that had left for their VM."""
-        told = self._told(run, "leaving")
+        told = self._told(arrivals, "leaving")
         registered = self._registered.get(run)
         for arrival in arrivals:
             if arrival.attempt not in self._sent:
--- a/tests/standins/test_soak_notices.py
+++ b/tests/standins/test_soak_notices.py
@@ -23,9 +23,7 @@
     for number, what in passed:
         vm, at, _ = arrivals[number]
         said = {"limited": False, "leaving": False} | {what: True}
-        made.passed(
-            soak_notices.Passed(f"a{number}", vm, at, at + 0.05, **said)
-        )
+        made.passed(soak_notices.Passed(f"a{number}", vm, at + 0.05, **said))
     return made
 
 
