Log how old what a request was decided by is, and what zones wait for

No log line or metric could tell the incident's hypotheses apart: a passed request named neither its version nor how its target stood, nothing said how old a VM's knowledge is, and a relayed message that was held up showed as one silent peer.

A view's age is a lower bound by construction: each source notes when a question was asked, less the age that the answer names; a watch without a change was answered at the end of its wait; VMs that follow the store name times on the leader's clock by a reading of it that they have heard. Held-up answers cannot make a view look fresher (property test of Stamp; watch and leader's answer held up).

New: basis of passed requests, age of refusals, zone_not_told, bytes of own calls by path, two gauges, source of a configuration, age of a target's standing.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -11,6 +11,7 @@
 
 from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import configurations
+from mimosastile_core.gateway import currency
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import leadership
@@ -73,6 +74,9 @@
             if they never were. What is heard of them later happened since.
         configuration_seen: Store revision up to which the configuration in
             force and the evacuations are the newest.
+        registrations: Until when the directory surely held all registrations.
+        operated: Until when the configuration in force and the evacuations
+            surely were the newest.
         store_ok: Whether the last call to the store was answered.
         store_since: Loop time since which that is so, None before the first
             answer.
@@ -97,6 +101,8 @@
         "leader",
         "leader_since",
         "limits",
+        "operated",
+        "registrations",
         "rests",
         "route_table",
         "seen",
@@ -137,6 +143,8 @@
         self.seen = 0
         self.configuration_seen = 0
         self.current_at: float | None = None
+        self.registrations = currency.Currency()
+        self.operated = currency.Currency()
         self.leader: leadership.LeaderEntry | None = None
         self.leader_since = 0.0
         self.vms: dict[str, messages.VmEntry] = {}
@@ -176,8 +184,15 @@
         for callback in self._subscribers:
             callback()
 
-    def take_configuration(self, new: routes.Configuration) -> bool:
-        """Takes a configuration unless a newer one is in force."""
+    def take_configuration(
+        self, new: routes.Configuration, source: str = ""
+    ) -> bool:
+        """Takes a configuration unless a newer one is in force.
+
+        Args:
+            new: The configuration.
+            source: From whom it comes, for the log.
+        """
         former = self.version
         if not self._configurations.take(new):
             return False
@@ -189,6 +204,7 @@
             version=new.version,
             former=former,
             routes=len(new.routes),
+            source=source,
         )
         self.signal()
         return True
@@ -365,9 +381,20 @@
                 born=target.born,
                 service=target.service,
                 address=target.address,
+                age=self._standing_age(target.id),
             )
         for name in gone:
-            self._events.write("targets", "target_gone", target=name)
+            self._events.write(
+                "targets",
+                "target_gone",
+                target=name,
+                age=self._standing_age(name),
+            )
+
+    def _standing_age(self, target: str) -> float:
+        """Returns for how many seconds a target may have stood as it does."""
+        entry = self.directory.get(target)
+        return round(self._clock.now() - entry.since, 3) if entry else 0.0
 
     def _note_older_run(self, target: directory.Target) -> None:
         """Logs a registration of a run that is known to be over."""
@@ -630,13 +657,13 @@
         if news.evacuations is not None:
             self.take_evacuations(news.evacuations)
         if news.configuration is not None:
-            self.take_configuration(news.configuration)
+            self.take_configuration(news.configuration, "leader")
         if news.change is not None and self.configuration is not None:
             # A change of another version than the known one is left out; the
             # next report says which one that is.
             made = configurations.apply(self.configuration, news.change)
             if made is not None:
-                self.take_configuration(made)
+                self.take_configuration(made, "leader")
         self.take_registrations(
             (
                 msgspec.structs.replace(
@@ -663,6 +690,44 @@
         if self.current_at is None or at > self.current_at:
             self.current_at = at
 
+    def note_views(
+        self,
+        seen: int,
+        seen_at: float | None,
+        configuration: int,
+        evacuations: eligibility.Evacuations,
+        configuration_at: float | None,
+    ) -> None:
+        """Notes when another VM's views of the store were complete.
+
+        They say as much of this VM's if it knows all that they hold.
+
+        Args:
+            seen: Revision up to which that VM knows all registrations.
+            seen_at: When nothing was registered after that, None if unknown.
+            configuration: Version of the configuration that it knows.
+            evacuations: Evacuations that it knows.
+            configuration_at: When both were the newest, None if unknown.
+        """
+        if seen_at is not None and seen <= self.seen:
+            self.registrations.note(seen_at)
+        present = self.evacuations
+        same = evacuations.zones == present.zones
+        known = configuration <= self.version and (
+            same or evacuations.revision <= present.revision
+        )
+        if configuration_at is not None and known:
+            self.operated.note(configuration_at)
+
+    def ages(self) -> tuple[float | None, float | None]:
+        """Returns how old the views of registrations and operators' words are.
+
+        Returns:
+            Seconds of each, None for one that never was complete.
+        """
+        now = self._clock.now()
+        return self.registrations.age(now), self.operated.age(now)
+
     def vanished_since(self, since: float | None) -> float | None:
         """Returns since when registrations may have vanished, None for now.
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import gc
+import itertools
 import resource
 import signal
 
@@ -33,6 +34,8 @@
 from mimosastile_gateway import watching
 
 _TRIM_SECONDS = 1.0
+_TRAFFIC_TURNS = 5
+"""Such turns between two log lines on the bytes of own calls."""
 _COLLECT_AFTER = 20_000
 _YOUNG = 20
 _OLD = 50
@@ -128,7 +131,7 @@
         # A full target resets new connections. Requests that took those of
         # orders would then cost it its grants.
         self._order_pool = http_client.Pool(configured.requests.silent)
-        self._metrics = metrics.Metrics(self._events.counts)
+        self._metrics = metrics.Metrics(self._events.counts, self._pool.traffic)
         self._beliefs = beliefs.Beliefs(configured, self._clock, self._events)
         store = adapter.store(self._pool)
         calls = peer_calls.PeerCalls(self._pool, self._events)
@@ -343,6 +346,8 @@
             "vm": self._settings.vm.id,
             "ready": self.ready,
             "configuration": configuration.version if configuration else None,
+            "registrations_age": known.ages()[0],
+            "configuration_age": known.ages()[1],
             "leader": msgspec.to_builtins(known.leader),
             "vms": sorted(known.vms),
             "targets": {
@@ -375,9 +380,11 @@
             self._callers.limits = configuration.limits
 
     async def _trim_on(self) -> None:
-        while True:
+        for turn in itertools.count(1):
             asked = self._clock.now()
             await asyncio.sleep(_TRIM_SECONDS)
+            if turn % _TRAFFIC_TURNS == 0:
+                self._log_traffic()
             # A sample: a loop that is busy shows it in most of them.
             self._lag = self._clock.now() - asked - _TRIM_SECONDS
             self._pool.trim(_IDLE_MOST)
@@ -385,6 +392,19 @@
             known = [entry.target.id for entry in self._beliefs.directory]
             self._rooms.forget_except(known)
 
+    def _log_traffic(self) -> None:
+        """Logs the bytes of own calls since the start."""
+        counted = self._pool.traffic
+        self._events.write(
+            "daemon",
+            "traffic",
+            paths={
+                path: (sent, counted[path, "received"])
+                for (path, direction), sent in counted.items()
+                if direction == "sent"
+            },
+        )
+
     # What others ask.
 
     async def _readiness(
@@ -410,7 +430,13 @@
     def _set_gauges(self) -> None:
         known = self._beliefs
         own = self._rooms.own()
+        ages = zip(
+            ("registrations_age_seconds", "configuration_age_seconds"),
+            known.ages(),
+            strict=True,
+        )
         gauges = {
+            **{name: age for name, age in ages if age is not None},
             "configuration_version": max(known.version, 0),
             "ready": self.ready,
             "leading": self._leading.leading,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -186,7 +186,9 @@
             return errors.failed(
                 errors.ErrorKind.NO_TARGET, f"No service {name}."
             )
-        return result.Ok(self._call(incoming, route, service))
+        call = self._call(incoming, route, service)
+        call.version = configuration.version
+        return result.Ok(call)
 
     def _call(
         self,
@@ -283,6 +285,7 @@
 
     async def _send(self, call: pending.Call, target: directory.Target) -> Sent:
         began = self._clock.now()
+        call.basis = self._basis(target)
         call.tried.add(target.id)
         load = self._rooms.load(target.id)
         call.waited = load.under_way(began) > target.slots
@@ -303,6 +306,20 @@
         self._note(call, target, sent, began)
         return sent
 
+    def _basis(self, target: directory.Target) -> pending.Basis:
+        """Returns what a target is chosen by, for the log."""
+        now = self._clock.now()
+        entry = self._beliefs.directory.get(target.id)
+        ages = (
+            None if age is None else round(age, 3)
+            for age in self._beliefs.ages()
+        )
+        return pending.Basis(
+            entry.standing.value if entry else "",
+            round(now - entry.since, 3) if entry else 0.0,
+            *ages,
+        )
+
     def _late(
         self, call: pending.Call, target: directory.Target, sends: int
     ) -> Sent:
@@ -567,6 +584,8 @@
             status=answer.status,
             sends=call.sends,
             took_ms=_ms(took),
+            configuration=call.version,
+            basis=call.basis,
         )
 
     def _refused(
@@ -601,6 +620,7 @@
             took_ms=_ms(took),
             retry_after=failure.wait,
             configuration=configuration.version if configuration else None,
+            configuration_age=self._beliefs.ages()[1],
         )
         headers: list[tuple[bytes, bytes]] = [
             (b"content-type", b"text/plain; charset=utf-8")
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 import contextlib
 import socket
 import struct
@@ -380,7 +381,7 @@
 class Pool:
     """Connections to many addresses."""
 
-    __slots__ = ("_idle", "_opened", "_silent_ms")
+    __slots__ = ("_idle", "_opened", "_silent_ms", "_traffic")
 
     def __init__(self, silent: float) -> None:
         """Makes one without connections.
@@ -393,6 +394,29 @@
         self._idle: dict[str, list[Connection]] = {}
         self._opened = 0
         self._silent_ms = int(silent * 1000)
+        self._traffic: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+
+    @property
+    def traffic(self) -> Mapping[tuple[str, str], int]:
+        """Bytes of own calls by path and direction, `sent` or `received`."""
+        return self._traffic
+
+    def count(self, path: str, sent: int, received: int) -> None:
+        """Counts the bytes of a call.
+
+        Args:
+            path: Its path, with or without a query.
+            sent: Bytes of the request.
+            received: Bytes of the answer's body.
+        """
+        known = path.partition("?")[0]
+        if known.count("/") > 1:
+            # What follows is an identifier.
+            known = known[: known.index("/", 1)]
+        self._traffic[known, "sent"] += sent
+        self._traffic[known, "received"] += received
 
     @property
     def opened(self) -> int:
@@ -538,8 +562,10 @@
             reset.
     """
     connection = await pool.connect(address, idle, connect)
+    sent = request(address, method, path, body, headers)
+    pool.count(path, len(sent), 0)
     try:
-        reply = connection.start(request(address, method, path, body, headers))
+        reply = connection.start(sent)
         async with asyncio.timeout(timeout):
             await connection.wait_whole(reply, 1 << 30)
     except TimeoutError:
@@ -549,7 +575,9 @@
         connection.abort()
         raise
     pool.give_back(connection, address)
-    return Answer(reply.status, reply.headers, reply.take())
+    answer = Answer(reply.status, reply.headers, reply.take())
+    pool.count(path, 0, len(answer.body))
+    return answer
 
 
 def request(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -488,6 +488,13 @@
             report.configuration_seen,
             report.evacuations.zones,
         )
+        self._beliefs.note_views(
+            report.seen,
+            report.seen_at,
+            report.configuration,
+            report.evacuations,
+            report.configuration_at,
+        )
         self._beliefs.learn_limits(report.limits)
         self._beliefs.learn_leaving(report.leaving)
         self._planner.learn(report)
@@ -511,6 +518,7 @@
         known = self._beliefs.directory
         fresh = self._telling.fresh()
         lacking = self._telling.answer(report)
+        seen_age, configuration_age = self._beliefs.ages()
         return messages.ReportReply(
             self._entry,
             leading=True,
@@ -536,6 +544,9 @@
                 for run in self._beliefs.leaving_news().values()
                 if run.age < _LEAVING_TOLD
             ),
+            stamp=now,
+            seen_age=seen_age,
+            configuration_age=configuration_age,
         )
 
     def _gates(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -192,6 +192,9 @@
             has not been told.
         resting: Seconds for which targets want nothing from this VM, where
             keys should move for it.
+        seen_at: Time of the leader's clock at which nothing was registered
+            after `seen`, None if this VM does not follow the store.
+        configuration_at: The same for the configuration and evacuations.
     """
 
     vm: VmEntry
@@ -218,6 +221,8 @@
     limits: dict[str, _LimitNews] = {}
     leaving: tuple[Leaving, ...] = ()
     resting: dict[str, float] = {}
+    seen_at: float | None = None
+    configuration_at: float | None = None
 
 
 class ReportReply(msgspec.Struct, frozen=True):
@@ -246,6 +251,10 @@
         evacuations: Evacuated zones that the leader knows.
         limits: Limits of targets that the leader knows.
         leaving: Targets that have lately said that they leave.
+        stamp: The leader's clock when it made the answer.
+        seen_age: Seconds since nothing was registered after `seen`, None if
+            the leader cannot tell.
+        configuration_age: The same for the configuration and evacuations.
     """
 
     leader: leadership.LeaderEntry | None
@@ -268,6 +277,9 @@
     evacuations: _Evacuations = _Evacuations()
     limits: dict[str, _LimitNews] = {}
     leaving: tuple[Leaving, ...] = ()
+    stamp: float | None = None
+    seen_age: float | None = None
+    configuration_age: float | None = None
 
 
 class Taken(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
@@ -14,17 +14,21 @@
 class Metrics:
     """Counts of outcomes and times by route and outcome."""
 
-    __slots__ = ("_counts", "_events", "_gauges", "_times")
+    __slots__ = ("_counts", "_events", "_gauges", "_times", "_traffic")
 
     def __init__(
-        self, counted: Mapping[tuple[str, str], int] | None = None
+        self,
+        counted: Mapping[tuple[str, str], int] | None = None,
+        traffic: Mapping[tuple[str, str], int] | None = None,
     ) -> None:
         """Makes empty metrics.
 
         Args:
             counted: Events of the log by part and name, counted by the log;
                 whatever the daemon decides or comes to believe is one.
+            traffic: Bytes of own calls by path and direction.
         """
+        self._traffic = traffic if traffic is not None else {}
         self._events = counted if counted is not None else {}
         self._counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -72,6 +76,10 @@
         yield f"# TYPE {name} counter"
         for (part, event), count in sorted(self._events.items()):
             yield f'{name}{{part="{part}",event="{event}"}} {count}'
+        name = "mimosastile_call_bytes_total"
+        yield f"# TYPE {name} counter"
+        for (path, direction), count in sorted(self._traffic.items()):
+            yield f'{name}{{path="{path}",direction="{direction}"}} {count}'
         for gauge, value in sorted(self._gauges.items()):
             yield f"# TYPE mimosastile_{gauge} gauge"
             yield f"mimosastile_{gauge} {value:g}"
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -10,6 +10,7 @@
 from mimosastile_core import quarantine
 from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import casualties
+from mimosastile_core.gateway import currency
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import leadership
@@ -94,6 +95,7 @@
         "_rooms",
         "_session",
         "_settings",
+        "_stamp",
         "_start_spread",
         "_store",
         "_store_seconds",
@@ -153,6 +155,7 @@
         self._vms = 1
         self._told_factors: dict[str, float] = {}
         self._told_leader: leadership.LeaderEntry | None = None
+        self._stamp: currency.Stamp | None = None
         self._told_leaving: dict[str, int] = {}
         self._reported_leaving: dict[str, messages.Leaving] = {}
         self._news_seen = 0
@@ -447,8 +450,26 @@
             self._beliefs.limits.unknown_to_leader(self._clock.now()),
             self._untold_leaving(),
             self._beliefs.rests.long(self._clock.now()),
+            *self._complete_at(),
         )
 
+    def _complete_at(self) -> tuple[float | None, float | None]:
+        """Returns when this VM's views of the store were complete.
+
+        Returns:
+            Times of the leader's clock; None for those that it cannot name or
+            has from the leader itself.
+        """
+        stamp = self._stamp
+        same = self._told_leader == self._beliefs.leader
+        if stamp is None or not same or not self._follows_store:
+            return None, None
+        views = self._beliefs.registrations.at, self._beliefs.operated.at
+        seen, operated = (
+            stamp.translate(at) if at > float("-inf") else None for at in views
+        )
+        return seen, operated
+
     def _untold_leaving(self) -> tuple[messages.Leaving, ...]:
         """Returns targets whose leaving the leader has not heard from here.
 
@@ -488,6 +509,16 @@
         """Decides whether this VM follows the store itself."""
         here = self._settings.vm.id
         chosen = here in reply.watchers or self._leader.leading
+        asked = self._reported_at
+        self._beliefs.note_views(
+            reply.seen,
+            None if reply.seen_age is None else asked - reply.seen_age,
+            reply.configuration,
+            reply.evacuations,
+            None
+            if reply.configuration_age is None
+            else asked - reply.configuration_age,
+        )
         self._news_seen = reply.seen
         self._news_version = reply.configuration
         self._news_evacuations = reply.evacuations
@@ -544,6 +575,8 @@
         self._vms = reply.vms
         for death in reply.deaths:
             self._casualties.learn(death, now)
+        if reply.stamp is not None:
+            self._stamp = currency.Stamp(reply.stamp, now)
         if reply.leader != self._told_leader:
             # A new leader knows nothing of what was told to the one before.
             self._told_leader = reply.leader
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from mimosastile_core.gateway import routes
 from mimosastile_gateway import admitting
 from mimosastile_gateway import http_server
@@ -11,12 +13,30 @@
 """Share of a route's target latency that its work is guessed to take."""
 
 
+class Basis(msgspec.Struct, frozen=True):
+    """What this VM knew when it chose a request's target.
+
+    Attributes:
+        standing: How the target stood.
+        standing_age: Seconds for which it may have stood so.
+        registrations_age: Seconds since all registrations were surely known,
+            None if they never were.
+        configuration_age: The same for the configuration.
+    """
+
+    standing: str
+    standing_age: float
+    registrations_age: float | None
+    configuration_age: float | None
+
+
 class Call:
     """One request, and what has become of it so far.
 
     Attributes:
         answered: Whether its last target has answered it.
         attempt: Identifier of the caller's attempt.
+        basis: What its last target was chosen by, None before the first.
         began: When it was read.
         deadline: When its caller stops waiting.
         fingerprint: What identifies it when it comes again.
@@ -37,12 +57,14 @@
         tried: Targets that it was sent to.
         tried_for: Seconds for which its caller had been trying before.
         unreachable: How often its target took no connection.
+        version: Version of the configuration that decides on it.
         waited: Whether it may have waited at its last target.
     """
 
     __slots__ = (
         "answered",
         "attempt",
+        "basis",
         "began",
         "deadline",
         "fingerprint",
@@ -62,6 +84,7 @@
         "tried",
         "tried_for",
         "unreachable",
+        "version",
         "waited",
     )
 
@@ -87,6 +110,7 @@
         self.runs = 0.0
         self.rejects = 0
         self.unreachable = 0
+        self.version = -1
         self.maybe_ran = False
         self.waited = False
         self.answered = False
@@ -95,6 +119,7 @@
         self.place: admitting.Place | None = None
         self.timer: asyncio.Timeout | None = None
         self.ticket: turns.Ticket
+        self.basis: Basis | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
@@ -406,6 +406,16 @@
         entries = [vm.report.vm for vm in batch.vms]
         answer = await self._through_best(entries, batch.body)
         missed = self._missed(answer, {vm.address for vm in entries})
+        if missed:
+            self._events.write(
+                "leader",
+                "zone_not_told",
+                zone=entries[0].zone,
+                vms=len(entries),
+                missed=len(missed),
+                after=round(self._clock.now() - batch.vms[0].since, 3),
+                bytes=len(batch.body),
+            )
         for vm in batch.vms:
             lost = vm.report.vm.address in missed
             self._end_telling([vm], told, missed=lost)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -10,6 +10,7 @@
 
 import result
 
+from mimosastile_core.gateway import currency
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
 from mimosastile_gateway import beliefs
@@ -103,6 +104,7 @@
                 self._follow(
                     self._records.operator_prefix,
                     lambda: self._beliefs.configuration_seen,
+                    self._beliefs.operated,
                     self._configuration_listed,
                     self._configuration_changed,
                 ),
@@ -112,6 +114,7 @@
                 self._follow(
                     self._records.targets_prefix,
                     lambda: self._beliefs.seen,
+                    self._beliefs.registrations,
                     self._targets_listed,
                     self._targets_changed,
                 ),
@@ -128,6 +131,7 @@
         self,
         prefix: str,
         seen: Callable[[], int],
+        view: currency.Currency,
         listed: Callable[[ports.Listing], None],
         changed: Callable[[ports.Changes, float | None], None],
     ) -> None:
@@ -138,6 +142,7 @@
             seen: Returns the revision up to which this VM knows them, 0 if it
                 does not. A leader may have told it: then nothing is read that
                 is known already.
+            view: Until when this VM's view of them was complete.
             listed: Takes a whole list.
             changed: Takes changes, and the earliest time of them; None for
                 now.
@@ -146,26 +151,32 @@
         while True:
             await self._turn(prefix, whole=lost or not seen())
             if lost or not seen():
-                listing = await self._list(prefix)
-                if listing is None:
+                found = await self._list(prefix)
+                if found is None:
                     continue
+                listing, asked = found
                 listed(listing)
-            await self._follow_from(prefix, seen, changed)
+                view.note(asked)
+            await self._follow_from(prefix, seen, view, changed)
             lost = True
 
-    async def _list(self, prefix: str) -> ports.Listing | None:
-        """Returns a whole list; None if a leader can be relied on meanwhile.
+    async def _list(self, prefix: str) -> tuple[ports.Listing, float] | None:
+        """Reads everything, unless a leader can be relied on meanwhile.
 
         Thousands of registrations that a hundred VMs read over one narrow
         link keep it full for longer than the leader needs to tell them.
+
+        Returns:
+            The list, and when it was asked for; None if it was given up.
         """
         for failures in itertools.count(1):
+            asked = self._clock.now()
             found = await self._unless_resting(self._store.list(prefix))
             if found is None:
                 return None
             if isinstance(found, result.Ok):
                 self._beliefs.note_store(ok=True)
-                return found.ok_value
+                return found.ok_value, asked
             self._beliefs.note_store(ok=False, why=found.err_value.detail)
             await self._unless_resting(asyncio.sleep(self._pause(failures)))
         raise AssertionError("counting ends")
@@ -187,6 +198,7 @@
         self,
         prefix: str,
         seen: Callable[[], int],
+        view: currency.Currency,
         changed: Callable[[ports.Changes, float | None], None],
     ) -> None:
         """Follows changes until the store has dropped their history."""
@@ -204,7 +216,12 @@
                 # What came after a wait happened at its end.
                 since = self._beliefs.current_at if at_once else None
                 changed(brought.ok_value, since)
-                if brought.ok_value.items or brought.ok_value.removed:
+                moved = brought.ok_value.items or brought.ok_value.removed
+                waited = self._clock.now() - asked >= wait
+                # The store has answered a watch that brings nothing at the
+                # end of its wait, which began when it arrived there.
+                view.note(asked + (wait if waited and not moved else 0.0))
+                if moved:
                     await asyncio.sleep(self._settings.watch_pause)
                 continue
             lost = brought.err_value
@@ -257,7 +274,7 @@
                 continue
             read = self._records.configuration(item.value)
             if isinstance(read, result.Ok):
-                self._beliefs.take_configuration(read.ok_value)
+                self._beliefs.take_configuration(read.ok_value, "store")
             else:
                 self._refuse("configuration", item, read.err_value)
 
--- a/tests/gateway/test_beliefs.py
+++ b/tests/gateway/test_beliefs.py
@@ -200,3 +200,33 @@
             assert {t.id for t in known.able_owners(service)} == expected
 
         _play(check)
+
+
+class TestViews:
+    """How old this VM's views of the store are."""
+
+    @pytest.mark.parametrize(
+        ("seen", "version", "zones", "ages"),
+        [
+            (5, 1, (), (2.0, 3.0)),
+            (6, 1, (), (None, 3.0)),
+            (5, 2, (), (2.0, None)),
+            (5, 1, ("east",), (2.0, None)),
+            (4, 0, (), (2.0, 3.0)),
+        ],
+    )
+    def test_word_of_another_vm(self, seen, version, zones, ages):
+        """Guards against a VM that takes its view for complete as another is.
+
+        It says so only of a VM that knows all that the other one knows.
+        """
+
+        async def main():
+            known = fakes.known(fakes.VirtualClock(), fakes.Lines())
+            known.seen = 5
+            await asyncio.sleep(10.0)
+            evacuations = eligibility.Evacuations(zones, 9 if zones else 0)
+            known.note_views(seen, 8.0, version, evacuations, 7.0)
+            assert known.ages() == ages
+
+        virtual.run(main())
--- /dev/null
+++ b/tests/gateway/test_currency.py
@@ -0,0 +1,48 @@
+"""Lower bounds of the time at which a view of the store was complete."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from mimosastile_core.gateway import currency
+
+
+class TestCurrency:
+    """Bounds from several sources."""
+
+    @pytest.mark.parametrize(
+        ("noted", "now", "age"),
+        [
+            ((), 5.0, None),
+            ((3.0,), 5.0, 2.0),
+            ((3.0, 1.0), 5.0, 2.0),
+            ((1.0, 3.0), 5.0, 2.0),
+            ((6.0,), 5.0, 0.0),
+        ],
+    )
+    def test_age(self, noted, now, age):
+        """Guards against a late answer that makes a view look older."""
+        known = currency.Currency()
+        for at in noted:
+            known.note(at)
+        assert known.age(now) == age
+
+
+class TestStamp:
+    """Times that are told to a peer whose clock differs."""
+
+    @hypothesis.given(
+        offset=strategies.floats(-1e6, 1e6),
+        made=strategies.floats(0, 1e3),
+        way=strategies.floats(0, 10),
+        since=strategies.floats(-20, 20),
+    )
+    def test_never_later_than_the_truth(self, offset, made, way, since):
+        """Guards against a view that looks fresher than it is.
+
+        The peer's message was held up on its way.
+        """
+        arrived = made + way
+        stamp = currency.Stamp(made + offset, arrived)
+        told = stamp.translate(arrived + since)
+        assert told <= arrived + since + offset + 1e-6
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -6,6 +6,7 @@
 import re
 
 from mimosastile_gateway import events
+from mimosastile_gateway import http_client
 from mimosastile_gateway import metrics
 from mimosastile_standins import platform_world
 
@@ -32,6 +33,18 @@
         assert 'route="reads",outcome="passed"} 1' in text
         assert 'outcome="passed",quantile="0.5"} 20' in text
 
+    def test_bytes_of_calls(self):
+        """Bytes of own calls by path, without queries and identifiers."""
+        pool = http_client.Pool(1.0)
+        made = metrics.Metrics({}, pool.traffic)
+        pool.count("/watch?after=7", 100, 0)
+        pool.count("/watch?after=8", 100, 50)
+        pool.count("/keep/71", 10, 0)
+        text = made.text()
+        assert 'path="/watch",direction="sent"} 200' in text
+        assert 'path="/watch",direction="received"} 50' in text
+        assert 'path="/keep",direction="sent"} 10' in text
+
 
 class TestPage:
     """docs/OPERATIONS.md."""
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -149,6 +149,54 @@
         _play(scenario)
 
 
+class TestViews:
+    """How old a VM takes its views of the store for."""
+
+    @pytest.mark.parametrize("way", [0.01, 0.3])
+    def test_answer_that_takes_its_time(self, way):
+        """Guards against a leader's answer that is held up and looks fresh."""
+
+        async def scenario(made, known, store, calls):
+            reply = messages.ReportReply(
+                ENTRY,
+                leading=True,
+                store=True,
+                configuration=known.version,
+                stamp=100.0,
+                seen_age=0.5,
+                configuration_age=0.7,
+            )
+            made.take_push(_announced())
+            made._reported_at = virtual.now()
+            await asyncio.sleep(way)
+            made._take_reply(reply)
+            assert known.ages() == (
+                pytest.approx(0.5 + way),
+                pytest.approx(0.7 + way),
+            )
+
+        _play(scenario)
+
+    def test_told_to_a_leader(self):
+        """Guards against a leader that is cut off and takes its view for new.
+
+        A VM that follows the store beside it names times of its clock.
+        """
+
+        async def scenario(made, known, store, calls):
+            made.take_push(_announced())
+            made._take_reply(
+                messages.ReportReply(ENTRY, leading=True, stamp=100.0)
+            )
+            await asyncio.sleep(2.0)
+            known.registrations.note(virtual.now() - 0.5)
+            report = made._make_report()
+            assert report.seen_at == pytest.approx(101.5)
+            assert report.configuration_at is None
+
+        _play(scenario)
+
+
 class TestStore:
     """What a VM reads when it starts."""
 
--- a/tests/gateway/test_watching.py
+++ b/tests/gateway/test_watching.py
@@ -341,3 +341,32 @@
             assert ends[0] == ends[1]
 
         virtual.run(main())
+
+
+class TestAges:
+    """How old this VM's views are by its own watches."""
+
+    @pytest.mark.parametrize("held_up", [0.0, 3.0])
+    def test_watch_without_change(self, held_up):
+        """Guards against an answer that is held up and makes a view fresh."""
+
+        class HeldUp(Store):
+            """Answers come late by some seconds."""
+
+            async def watch(self, prefix, after, wait):
+                brought = await super().watch(prefix, after, wait)
+                await asyncio.sleep(held_up)
+                return brought
+
+        async def main():
+            made, known, _ = _watching(HeldUp(), fakes.target("a"))
+            known.seen = known.configuration_seen = 40
+            made.rely_on_leader(False)
+            made.start()
+            wait = settings.StoreSettings(address="").watch_wait
+            await asyncio.sleep(wait + held_up + 0.01)
+            for age in known.ages():
+                assert age == pytest.approx(held_up + 0.01, abs=0.001)
+            made.stop()
+
+        virtual.run(main())
