--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -310,6 +310,63 @@
         """Ends a lease."""
 
 
+class WatchedStore(Store):
+    """A store whose watches bring what others write."""
+
+    def __init__(self):
+        super().__init__()
+        self._history = []
+        self._written = asyncio.Event()
+
+    def put(self, key, value):
+        """Writes a key as an operator or a target would; returns when."""
+        self._revision += 1
+        self.items[key] = (value, self._revision)
+        return self._note(key)
+
+    def remove(self, key):
+        """Removes a key; returns when."""
+        self._revision += 1
+        del self.items[key]
+        return self._note(key)
+
+    def _note(self, key):
+        self._history.append((self._revision, key))
+        self._written.set()
+        self._written = asyncio.Event()
+        return asyncio.get_running_loop().time()
+
+    async def watch(self, prefix, after, wait):
+        """Waits for a change after a revision."""
+        await asyncio.sleep(0.005)
+        try:
+            async with asyncio.timeout(wait):
+                while not (keys := self._changed(prefix, after)):
+                    await self._written.wait()
+        except TimeoutError:
+            keys = ()
+        if self.failing:
+            return result.Err(self.failing)
+        written = tuple(self._item(key) for key in keys if key in self.items)
+        gone = (
+            tuple(
+                (key, revision)
+                for key, revision in keys.items()
+                if key not in self.items
+            )
+            if keys
+            else ()
+        )
+        return result.Ok(ports.Changes(written, gone, self._revision))
+
+    def _changed(self, prefix, after):
+        return {
+            key: revision
+            for revision, key in self._history
+            if revision > after and key.startswith(prefix)
+        }
+
+
 class Cut:
     """A store or targets as seen from one VM, which may be cut off.
 
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -52,6 +52,7 @@
 
     Attributes:
         id: Its identifier.
+        address: Where it registers itself, if that is in the store.
         born: Its run.
         says: Headers of all its answers.
         rejects: Whether it rejects requests, without running them.
@@ -62,6 +63,7 @@
 
     def __init__(self, name, service, orders, *, work=0.05, slots=4):
         self.id = name
+        self.address = ""
         self.service = service
         self.born = 1
         self.says = {}
@@ -81,6 +83,19 @@
             self.id, self.service, born=self.born, slots=self.slots
         )
 
+    def record(self, *, leaving=False):
+        """Returns its registration as the store holds it."""
+        return msgspec.json.encode(
+            {
+                "ServiceName": self.service,
+                "Address": self.address,
+                "Zone": "z",
+                "Slots": self.slots,
+                "State": "draining" if leaving else "ready",
+                "born": self.born,
+            }
+        )
+
     async def handle(self, vm, path, key, sent):
         """Answers a request; returns status and headers."""
         said = [(n.encode(), v.encode()) for n, v in self.says.items()]
@@ -157,7 +172,7 @@
 
     async def connect(self, address, idle, timeout):
         """Connects to a target."""
-        target = self._fleet.targets.get(address.partition(":")[0])
+        target = self._fleet.target_at(address)
         if target is None:
             raise http_client.NotSentError(address)
         return _Connection(self._fleet, self._vm, target)
@@ -197,20 +212,28 @@
 
     def __init__(self, fleet, name):
         base = fakes.configured(settle=0.1, settle_most=0.2)
+        zone = fleet.zone_of(name)
+        place = room.Place(zone, base.vm.regions[zone])
         configured = msgspec.structs.replace(
             base,
-            vm=msgspec.structs.replace(base.vm, id=name, peers=name),
+            vm=msgspec.structs.replace(
+                base.vm,
+                id=name,
+                peers=name,
+                zone=place.zone,
+                region=place.region,
+            ),
         )
         timer, self.log = fleet.clock, fakes.Lines()
         self.name = name
+        self.zone = zone
         self.beliefs = beliefs.Beliefs(configured, timer, self.log)
-        self.beliefs.take_configuration(fleet.configuration)
-        self.beliefs.take_targets(
-            [target.registration for target in fleet.targets.values()]
-        )
-        self.rooms = room.Rooms(
-            room.Place("z", "r"), {"z": "r"}, configured.rooms
-        )
+        if not fleet.watched:
+            self.beliefs.take_configuration(fleet.configuration)
+            self.beliefs.take_targets(
+                [target.registration for target in fleet.targets.values()]
+            )
+        self.rooms = room.Rooms(place, base.vm.regions, configured.rooms)
         store = fakes.Cut(fleet.store)
         self.store = store
         channel = _Channel(fleet, name)
@@ -226,6 +249,14 @@
             timer,
             self.log,
         )
+        self.watching = watching.Watching(
+            configured.store,
+            store,
+            records.Records(),
+            self.beliefs,
+            timer,
+            self.log,
+        )
         queues, dead = turns.Turns(), casualties.Casualties()
         self.admitting = admitting.Admitting(
             configured, channel, self.beliefs, timer
@@ -240,14 +271,7 @@
             self.leading,
             queues,
             self.admitting,
-            watching.Watching(
-                configured.store,
-                store,
-                records.Records(),
-                self.beliefs,
-                timer,
-                self.log,
-            ),
+            self.watching,
             dead,
             timer,
             self.log,
@@ -280,6 +304,8 @@
             self.log,
         )
         self.peers.listens_on(name)
+        if fleet.watched:
+            self.watching.start()
         self.peers.start()
 
     async def answer(self, path, body):
@@ -303,6 +329,7 @@
     def end(self):
         """Ends it as a kill would."""
         self.leading.step_down("end")
+        self.watching.stop()
         self.peers.abort()
 
 
@@ -315,12 +342,27 @@
         cut: Pairs of VMs that do not reach each other.
         statuses: How many answers callers got, by status.
         refusals: Retry-After of all refusals.
+        watched: Whether VMs learn configuration and targets from the store;
+            they know the first ones from the start otherwise.
     """
 
-    def __init__(self, vms, *, keyed=6, plain=4, seed=1, **target):
+    def __init__(
+        self,
+        vms,
+        *,
+        keyed=6,
+        plain=4,
+        seed=1,
+        zones=("z",),
+        watched=False,
+        **target,
+    ):
         self.clock = fakes.VirtualClock()
-        self.store, self.orders = fakes.Store(), fakes.Orders()
+        self.orders = fakes.Orders()
+        self.store = fakes.WatchedStore() if watched else fakes.Store()
+        self.watched = watched
         self.started = 0
+        self._zones = zones
         self.cut = set()
         self.statuses = collections.Counter()
         self.refusals = []
@@ -332,6 +374,11 @@
                 made = Target(name, service, self.orders, **target)
                 self.targets[name] = made
         self.configuration = _configuration()
+        if watched:
+            self.write_configuration(2)
+            for number, target in enumerate(self.targets.values()):
+                target.address = f"10.0.{number // 250}.{number % 250}:80"
+                self.store.put(f"servers/{target.id}", target.record())
         self.vms = {}
         for number in range(vms):
             self.add_vm(f"vm-{number:03}")
@@ -340,6 +387,51 @@
         """Starts a VM."""
         self.vms[name] = Vm(self, name)
 
+    def zone_of(self, name):
+        """Returns the zone of a VM."""
+        return self._zones[int(name.removeprefix("vm-")) % len(self._zones)]
+
+    def target_at(self, address):
+        """Returns the target at an address, None if there is none."""
+        for target in self.targets.values():
+            if address in (target.address, f"{target.id}:80"):
+                return target
+        return None
+
+    def write_configuration(self, version, extra=0):
+        """Has operators write a version; returns when.
+
+        Args:
+            version: The version.
+            extra: Number of routes besides those to the two services; all of
+                them are new with each version.
+        """
+        rules = [(name, name, f"/{name}/") for name in (KEYED, PLAIN)]
+        rules += [
+            (f"e{version}-{number}", PLAIN, f"/e{version}-{number}/")
+            for number in range(extra)
+        ]
+        written = {
+            "ConfigVersion": version,
+            "ListenerList": [
+                {
+                    "HostName": "h",
+                    "RuleSet": [_rule(*rule) for rule in rules],
+                }
+            ],
+            "ClusterList": [
+                {"Name": KEYED, "Sharded": True},
+                {"Name": PLAIN},
+            ],
+        }
+        return self.store.put("op/config", msgspec.json.encode(written))
+
+    def leave(self, target):
+        """Has a target register that it leaves; returns when."""
+        return self.store.put(
+            f"servers/{target.id}", target.record(leaving=True)
+        )
+
     def reaches(self, here, address):
         """Returns a VM if another one reaches it."""
         if (here, address) in self.cut or (address, here) in self.cut:
@@ -352,6 +444,12 @@
             self.vms[name].store.failing = fakes.UNAVAILABLE
             self.cut.update((name, other) for other in self.vms)
 
+    def rejoin(self, *names):
+        """Ends the isolation of VMs."""
+        for name in names:
+            self.vms[name].store.failing = None
+            self.cut -= {(name, other) for other in self.vms}
+
     def take_target(self, registration):
         """Has all VMs hear of a registration."""
         for vm in self.vms.values():
@@ -424,6 +522,20 @@
         return answer
 
 
+def _rule(name, service, prefix):
+    return {
+        "Name": name,
+        "RouteKind": "idempotent",
+        "MatchCriteria": {"Prefix": prefix},
+        "RouteAction": {
+            "ServiceName": service,
+            "TimeoutMs": 2000,
+            "MaxAttempts": 2,
+        },
+        "TargetLatencyMs": 400,
+    }
+
+
 def any_key(chance):
     """Draws any key."""
     return chance.randrange(65536)
