Name no sender for a limited target while a former leader may

What callers see: a target beyond its own limit turns requests away.

Cause: cut-off VMs keep a leader for up to ten seconds, and the others have a new one. Keys of former leaders were waited for, senders were not.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/formers.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/formers.py
@@ -62,6 +62,11 @@
         self._unextended_until = unextended_until
         self._extended_until = float("inf")
 
+    @property
+    def stopped_by(self) -> float:
+        """Time by which all have surely stopped."""
+        return self._known
+
     def stopped(self, now: float) -> None:
         """Notes that all are known to have stopped."""
         self._silent.clear()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -556,7 +556,8 @@
         if now - self._gates_at > _GATES_SECONDS:
             self._gates_at = now
             known = self._gates_chosen
-            self._gates_chosen = self._demand.gates(
+            limited = self._beliefs.limited_targets()
+            chosen = self._demand.gates(
                 (
                     (report.vm.address, report.vm.zone)
                     for report in reports.values()
@@ -565,11 +566,14 @@
                 self._settings.vm.regions,
                 self._services,
                 self._beliefs.directory,
-                [
-                    *self._beliefs.cold_targets(),
-                    *self._beliefs.limited_targets(),
-                ],
+                [*self._beliefs.cold_targets(), *limited],
             )
+            if self._clock.boot() < self._formers.stopped_by:
+                # A former leader may still name another sender, and the two
+                # together would be beyond the limit.
+                for name in limited:
+                    chosen.pop(name, None)
+            self._gates_chosen = chosen
             new = self._gates_chosen.keys() - known.keys()
             if new:
                 # Until a VM hears of it, it sends to a full target.
--- a/tests/gateway/test_bounded_targets.py
+++ b/tests/gateway/test_bounded_targets.py
@@ -128,8 +128,12 @@
 
         _play(scenario, 10, plain=1)
 
-    def test_vms_that_hear_nobody(self):
-        """Guards against cut-off VMs that each take the whole for theirs."""
+    @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5, 6])
+    def test_vms_that_hear_nobody(self, seed):
+        """Guards against cut-off VMs that each take the whole for theirs.
+
+        Their leader goes on for some time while the others have a new one.
+        """
 
         async def scenario(made):
             await made.call(2.0, 120.0, "/s", fleet.any_key)
@@ -139,7 +143,7 @@
             await made.call(12.0, 200.0, "/s", fleet.any_key)
             assert most_beyond(target, named) <= 0
 
-        _play(scenario, 20)
+        _play(scenario, 20, seed=seed)
 
     def test_gate_and_leader_are_lost(self):
         """Guards against an old sender and its follower that both send."""
