Look for a leader without reading the list of all VMs

Cause: a VM that has no leader 0.8 s after its start read who is registered, to find its turn among the others. n VMs read n entries each: 58 KB a VM at 300, 8.7 MB over the link between regions in the first second. What took longer than a second was given up and asked for again, so the link stayed full, reports and news were lost, and after 3 to 9 s each VM began to read all registrations as well. The class: reading that grows with the square of the VMs, repeated when the link is too slow for it.

A VM that has heard of no other one draws a lot, waits a little longer the farther it is from the store, and reads the leader's entry alone; writing it under a condition lets one through. Until it has heard of others it does not take itself for one of a few, which read all tables. A list of VMs that is needed to ask some of them is kept for 30 s.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -51,6 +51,13 @@
 with their own reading."""
 _FEW_VMS = 30
 """Up to this many VMs take over in order of rank, and read all they need."""
+_NEARNESS = 10.0
+"""Multiple of the store's distance for which a VM that does not know the others
+lets them go first: a leader in another region changes tables slowly."""
+_NEARNESS_MOST = 0.5
+"""Longest such wait, in seconds."""
+_VMS_SECONDS = 30.0
+"""For how long a list of VMs will do to ask some of them."""
 _LOOK_SECONDS = 0.6
 """Time over which VMs look for a leader that do not know how many they are."""
 _LOOK_SECONDS_PER_VM = 0.02
@@ -107,6 +114,7 @@
         "_told_leader",
         "_told_leaving",
         "_vms",
+        "_vms_read_at",
         "_watching",
     )
 
@@ -154,6 +162,7 @@
         self._misses: list[messages.Miss] = []
         self._turned_away: collections.Counter[str] = collections.Counter()
         self._vms = 1
+        self._vms_read_at = float("-inf")
         self._told_factors: dict[str, float] = {}
         self._told_leader: leadership.LeaderEntry | None = None
         self._stamp: currency.Stamp | None = None
@@ -336,7 +345,11 @@
         return True
 
     async def _read_vms(self) -> None:
-        """Reads which VMs are registered, as of some seconds ago."""
+        """Reads which VMs are registered, unless that is known."""
+        now = self._clock.now()
+        if self._beliefs.vms and now - self._vms_read_at < _VMS_SECONDS:
+            return
+        self._vms_read_at = now
         listed = await self._store.list(messages.VM_PREFIX, stale=True)
         if isinstance(listed, result.Ok):
             self._beliefs.take_vms(listed.ok_value.items)
@@ -652,8 +665,6 @@
             await self._find_leader(silent)
             return
         if self._beliefs.leader is None:
-            if silent > limit and not self._beliefs.vms:
-                await self._read_vms()
             wait = self._turn_wait(None)
             if silent < limit + wait:
                 await self._find_leader(silent)
@@ -705,8 +716,11 @@
 
     @property
     def _few(self) -> bool:
-        """Whether all VMs may read lists and tables when a leader is lost."""
-        return self.count <= _FEW_VMS
+        """Whether all VMs may read lists and tables when a leader is lost.
+
+        A VM that has heard of no other one may be one of hundreds.
+        """
+        return 1 < self.count <= _FEW_VMS
 
     def _look_wait(self) -> float:
         """Returns how long this VM waits before it reads anything, in seconds.
@@ -717,7 +731,8 @@
         out what there is to find, and the next leader announces itself.
         """
         if self.count == 1:
-            return _LOOK_SECONDS * self._lot()
+            nearness = min(_NEARNESS * self._store_seconds, _NEARNESS_MOST)
+            return _LOOK_SECONDS * self._lot() + nearness
         if self._few:
             return 0.0
         return _LOOK_SECONDS_PER_VM * self.count * self._lot()
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -60,7 +60,7 @@
             id="vm-1",
             zone="z",
             region="r",
-            regions={"z": "r", "far": "q"},
+            regions={"z": "r", "far": "q", "farther": "q"},
             ip="127.0.0.1",
             callers="127.0.0.1:0",
             readiness="127.0.0.1:0",
@@ -311,10 +311,16 @@
 
 
 class WatchedStore(Store):
-    """A store whose watches bring what others write."""
+    """A store whose watches bring what others write.
+
+    Attributes:
+        stale_seconds: How old stale lists are.
+    """
 
     def __init__(self):
         super().__init__()
+        self.stale_seconds = 0.0
+        self._times = {}
         self._history = []
         self._written = asyncio.Event()
 
@@ -330,8 +336,29 @@
         del self.items[key]
         return self._note(key)
 
+    async def commit(self, expected, writes, deleted=()):
+        """Writes under a condition."""
+        written = await super().commit(expected, writes, deleted)
+        for write in writes if written.is_ok() else ():
+            self._note(write.key)
+        return written
+
+    async def list(self, prefix, *, stale=False):
+        """Reads all keys with a prefix; without the newest if it is stale."""
+        listed = await super().list(prefix)
+        if listed.is_err() or not stale:
+            return listed
+        before = asyncio.get_running_loop().time() - self.stale_seconds
+        old = tuple(
+            item
+            for item in listed.ok_value.items
+            if self._times[item.key] < before
+        )
+        return result.Ok(ports.Listing(old, listed.ok_value.revision))
+
     def _note(self, key):
         self._history.append((self._revision, key))
+        self._times[key] = asyncio.get_running_loop().time()
         self._written.set()
         self._written = asyncio.Event()
         return asyncio.get_running_loop().time()
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -31,6 +31,7 @@
 from mimosastile_platform import records
 from mimosastile_standins import virtual
 from tests.gateway import fakes
+from tests.gateway import links
 
 KEYED, PLAIN = "s", "p"
 _WAY = 0.002
@@ -197,14 +198,31 @@
 
     async def call(self, address, path, body, timeout, *, fresh=False):
         """Makes a call."""
-        await asyncio.sleep(_WAY)
-        vm = self._fleet.reaches(self._here, address)
-        if vm is None:
-            await asyncio.sleep(timeout)
+        link = self._fleet.link
+        if link is None or not self._fleet.apart(self._here, address):
+            await asyncio.sleep(_WAY)
+            vm = self._fleet.reaches(self._here, address)
+            if vm is None:
+                await asyncio.sleep(timeout)
+                return None
+            answer = await vm.answer(path, body)
+            await asyncio.sleep(_WAY)
+            return answer
+        ways = ("back", "there")
+        if self._fleet.zone_of(self._here) != "z":
+            ways = ("there", "back")
+        try:
+            async with asyncio.timeout(timeout):
+                await link.carry(len(body) + 250, path, ways[0])
+                vm = self._fleet.reaches(self._here, address)
+                while vm is None:
+                    await asyncio.sleep(timeout)
+                answer = await vm.answer(path, body)
+                size = len(answer or b"") + 150
+                await link.carry(size, f"{path} answered", ways[1])
+                return answer
+        except TimeoutError:
             return None
-        answer = await vm.answer(path, body)
-        await asyncio.sleep(_WAY)
-        return answer
 
 
 class Vm:
@@ -235,6 +253,8 @@
             )
         self.rooms = room.Rooms(place, base.vm.regions, configured.rooms)
         store = fakes.Cut(fleet.store)
+        if fleet.link is not None and zone != "z":
+            store = links.FarStore(fleet.store, fleet.link)
         self.store = store
         channel = _Channel(fleet, name)
         boot = f"boot-{name}-{fleet.started}"
@@ -344,6 +364,8 @@
         refusals: Retry-After of all refusals.
         watched: Whether VMs learn configuration and targets from the store;
             they know the first ones from the start otherwise.
+        link: The link between zone `z`, where the store is, and all others;
+            None for one without a bound.
     """
 
     def __init__(
@@ -355,12 +377,14 @@
         seed=1,
         zones=("z",),
         watched=False,
+        link=None,
         **target,
     ):
         self.clock = fakes.VirtualClock()
         self.orders = fakes.Orders()
         self.store = fakes.WatchedStore() if watched else fakes.Store()
         self.watched = watched
+        self.link = link
         self.started = 0
         self._zones = zones
         self.cut = set()
@@ -391,6 +415,10 @@
         """Returns the zone of a VM."""
         return self._zones[int(name.removeprefix("vm-")) % len(self._zones)]
 
+    def apart(self, here, address):
+        """Whether a link lies between two VMs."""
+        return (self.zone_of(here) == "z") != (self.zone_of(address) == "z")
+
     def target_at(self, address):
         """Returns the target at an address, None if there is none."""
         for target in self.targets.values():
