Know how old the leader's view is, and count news from when they were made

What callers would see: requests for targets that left up to ten seconds ago, and versions as old (DRAIN, CONFIG), beside a leader whose calls to the store are answered while its watches are not.

Cause: ages that were assumed. A VM took all registrations for known until the leader had last seen its own entry, which says nothing of the leader's watches; those waited for 8 s and 2 s more before a silent one was found. News counted from their arrival, however long they had been on their way.

A leader's watch waits 1 s and 1 s more for its answer (a calm leader: 2 calls a second instead of a quarter), and begins again when a watcher becomes the leader. Ages come from Currency alone; a message names the leader's clock, which a VM translates by an answer that it has had from it, so that nothing on the way is assumed to be quick.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/currency.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/currency.py
@@ -19,9 +19,9 @@
         self._at = -math.inf
 
     @property
-    def at(self) -> float:
-        """The time, minus infinity if it never was complete."""
-        return self._at
+    def at(self) -> float | None:
+        """The time, None if it never was complete."""
+        return None if self._at == -math.inf else self._at
 
     def note(self, at: float) -> None:
         """Notes that the view was complete at some time."""
@@ -33,25 +33,31 @@
 
 
 class Stamp:
-    """A reading of a peer's clock, to name times that the peer understands.
+    """A reading of a peer's clock, to translate times from and to it.
 
-    The peer has read its clock before its message arrived here, so a time of
-    this clock that is translated lies before the true one, however long the
-    message took.
+    The peer has read its clock after it was asked and before its answer
+    arrived here, so that a time that is translated never lies after the true
+    one, however long the question or the answer took.
     """
 
-    __slots__ = ("_here", "_there")
+    __slots__ = ("_arrived", "_asked", "_there")
 
-    def __init__(self, there: float, here: float) -> None:
+    def __init__(self, there: float, asked: float, arrived: float) -> None:
         """Makes one.
 
         Args:
-            there: The peer's clock when it made its message.
-            here: This clock when the message arrived.
+            there: The peer's clock when it made its answer.
+            asked: This clock when the peer was asked.
+            arrived: This clock when the answer arrived.
         """
         self._there = there
-        self._here = here
+        self._asked = asked
+        self._arrived = arrived
 
-    def translate(self, at: float) -> float:
+    def to_peer(self, at: float) -> float:
         """Returns a time of this clock on the peer's, or an earlier one."""
-        return self._there + at - self._here
+        return self._there + at - self._arrived
+
+    def from_peer(self, at: float) -> float:
+        """Returns a time of the peer's clock on this, or an earlier one."""
+        return self._asked + at - self._there
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -70,8 +70,6 @@
         limits: Rates that targets have named for all VMs together.
         rests: Times for which targets want nothing from this VM.
         seen: Store revision up to which all registrations are known.
-        current_at: Loop time up to which all registrations are known, None
-            if they never were. What is heard of them later happened since.
         configuration_seen: Store revision up to which the configuration in
             force and the evacuations are the newest.
         registrations: Until when the directory surely held all registrations.
@@ -94,7 +92,6 @@
         "_vacancies",
         "assignments",
         "configuration_seen",
-        "current_at",
         "directory",
         "eligibility",
         "evacuations",
@@ -142,7 +139,6 @@
         self.rests = rests.Rests()
         self.seen = 0
         self.configuration_seen = 0
-        self.current_at: float | None = None
         self.registrations = currency.Currency()
         self.operated = currency.Currency()
         self.leader: leadership.LeaderEntry | None = None
@@ -571,8 +567,8 @@
             targets,
             now,
             revision,
-            self.current_at,
-            self.vanished_since(self.current_at),
+            self.registrations.at,
+            self.vanished_since(self.registrations.at),
         )
         self.seen = max(self.seen, revision)
         self.directory.forget(now, _FORGET_SECONDS)
@@ -651,9 +647,18 @@
             present if moved else None,
         )
 
-    def take_news(self, news: messages.News) -> None:
-        """Takes what another VM has learned from the store."""
+    def take_news(
+        self, news: messages.News, made_at: float | None = None
+    ) -> None:
+        """Takes what another VM has learned from the store.
+
+        Args:
+            news: The news.
+            made_at: When they were made, or earlier; None for now. Their ages
+                count from then.
+        """
         now = self._clock.now()
+        made_at = now if made_at is None else min(made_at, now)
         if news.evacuations is not None:
             self.take_evacuations(news.evacuations)
         if news.configuration is not None:
@@ -677,7 +682,7 @@
                 for item in news.targets
                 if item.gone
             ),
-            {item.target.id: now - item.age for item in news.targets},
+            {item.target.id: made_at - item.age for item in news.targets},
         )
         if news.after <= self.seen:
             # Otherwise some earlier news were lost on their way. Whoever told
@@ -685,11 +690,6 @@
             # know all up to their end.
             self.seen = max(self.seen, news.revision)
 
-    def note_current(self, at: float) -> None:
-        """Notes that all registrations are known as of some time."""
-        if self.current_at is None or at > self.current_at:
-            self.current_at = at
-
     def note_views(
         self,
         seen: int,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -251,7 +251,8 @@
         evacuations: Evacuated zones that the leader knows.
         limits: Limits of targets that the leader knows.
         leaving: Targets that have lately said that they leave.
-        stamp: The leader's clock when it made the answer.
+        stamp: The leader's clock when it made the answer, or a message with
+            news that it sends without being asked.
         seen_age: Seconds since nothing was registered after `seen`, None if
             the leader cannot tell.
         configuration_age: The same for the configuration and evacuations.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -267,8 +267,27 @@
             tuple(self._beliefs.assignments.values()),
         )
 
-    def _take_told(self, reply: messages.ReportReply) -> None:
-        """Takes what a leader has told of keys, targets and configuration."""
+    def _made_at(self, told: messages.ReportReply) -> float | None:
+        """Returns when the present leader made a message, or earlier.
+
+        Returns:
+            The time; None if it cannot be told, as nothing is known of that
+            leader's clock.
+        """
+        stamp = self._stamp if told.leader == self._told_leader else None
+        if stamp is None or told.stamp is None:
+            return None
+        return stamp.from_peer(told.stamp)
+
+    def _take_told(
+        self, reply: messages.ReportReply, made_at: float | None
+    ) -> None:
+        """Takes what a leader has told of keys, targets and configuration.
+
+        Args:
+            reply: What it has told.
+            made_at: When it has made that, or earlier; None if unknown.
+        """
         self._beliefs.learn_limits(reply.limits)
         self._beliefs.learn_leaving(reply.leaving)
         for assignment in reply.assignments:
@@ -276,7 +295,7 @@
         for difference in reply.differences:
             self._beliefs.take_difference(difference)
         if reply.news is not None:
-            self._beliefs.take_news(reply.news)
+            self._beliefs.take_news(reply.news, made_at)
 
     # Registration.
 
@@ -480,7 +499,7 @@
             return None, None
         views = self._beliefs.registrations.at, self._beliefs.operated.at
         seen, operated = (
-            stamp.translate(at) if at > float("-inf") else None for at in views
+            None if at is None else stamp.to_peer(at) for at in views
         )
         return seen, operated
 
@@ -546,7 +565,9 @@
     def _follow_store(self, follows: bool, *, hurried: bool = True) -> None:
         """Has this VM follow the store itself, or rely on its leader."""
         self._follows_store = follows
-        self._watching.rely_on_leader(not follows, hurried=hurried)
+        self._watching.rely_on_leader(
+            not follows, hurried=hurried, closely=self._leader.leading
+        )
 
     def _works(self) -> dict[str, float]:
         """Returns the mean work of each keyed service's own routes."""
@@ -590,7 +611,7 @@
         for death in reply.deaths:
             self._casualties.learn(death, now)
         if reply.stamp is not None:
-            self._stamp = currency.Stamp(reply.stamp, now)
+            self._stamp = currency.Stamp(reply.stamp, self._reported_at, now)
         if reply.leader != self._told_leader:
             # A new leader knows nothing of what was told to the one before.
             self._told_leader = reply.leader
@@ -603,9 +624,7 @@
         self._rooms.learn_others(reply.under_way, now)
         self._rooms.learn_gates(reply.gates, now)
         self._beliefs.limits.take_told(reply.limits, now)
-        self._take_told(reply)
-        if reply.store and reply.seen <= self._beliefs.seen:
-            self._beliefs.note_current(now - reply.confirmed)
+        self._take_told(reply, self._reported_at)
         self._rely(reply)
         if reply.take_over:
             self._take_over_soon()
@@ -624,7 +643,7 @@
         if not told.leading or told.leader != leader:
             return
         self._rooms.learn_new_gates(told.gates)
-        self._take_told(told)
+        self._take_told(told, self._made_at(told))
         if told.take_over:
             self._take_over_soon()
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -166,6 +166,9 @@
         timeout: Longest wait for one call.
         watch_wait: Longest wait of one watch; a watch that is silent for much
             longer has lost its connection.
+        watch_wait_leading: The same for a leader, by whose view all others
+            route. What it does not hear for so long, and as long again for the
+            answer, no VM may act on in time.
         watch_pause: After a watch has brought something; several changes then
             cost one call. Far less than the time within which a change has to
             be in force.
@@ -177,6 +180,7 @@
     address: str
     timeout: Positive = 1.0
     watch_wait: Positive = 8.0
+    watch_wait_leading: Positive = 1.0
     watch_pause: float = 0.25
     retry_least: Positive = 0.1
     retry_most: Positive = 0.8
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/telling.py
@@ -574,6 +574,7 @@
                 assignments=lacking.assignments,
                 differences=lacking.differences,
                 news=lacking.news,
+                stamp=self._clock.now(),
             )
         )
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -10,6 +10,7 @@
 
 import result
 
+from mimosastile_core import errors
 from mimosastile_core.gateway import currency
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
@@ -26,6 +27,10 @@
 _AT_ONCE = 0.5
 """Seconds within which a watch answers that has not waited for a change: more
 than a slow store takes for an answer."""
+_SLACK_SECONDS = 1.0
+"""Seconds beyond its wait after which a watch is taken for silent, twice as
+many after a failure: a large configuration takes part of a second over a small
+link, and to break it off again and again would bring nothing."""
 _RETRY_WAIT = 0.5
 """Longest wait in seconds of a watch that follows a failed one: it shows soon
 whether the store is back."""
@@ -44,6 +49,8 @@
     __slots__ = (
         "_beliefs",
         "_clock",
+        "_closely",
+        "_closer",
         "_events",
         "_hurried",
         "_needed",
@@ -70,12 +77,16 @@
         self._clock = timer
         self._events = log
         self._hurried = True
+        self._closely = False
+        self._closer = asyncio.Event()
         self._needed = asyncio.Event()
         self._resting = asyncio.Event()
         self._resting.set()
         self._tasks: list[asyncio.Task[None]] = []
 
-    def rely_on_leader(self, relies: bool, *, hurried: bool = True) -> None:
+    def rely_on_leader(
+        self, relies: bool, *, hurried: bool = True, closely: bool = False
+    ) -> None:
         """Rests while a leader tells what the store holds, or goes on.
 
         Each waiting watch is a call that is paid for, and their number would
@@ -88,7 +99,12 @@
                 kilobytes, and when a leader is lost all VMs turn to the store
                 at the same moment; most hear the next leader sooner than they
                 would have read it.
+            closely: Whether others rely on this VM, so that its watches must
+                not be silent for long.
         """
+        if closely and not self._closely:
+            self._closer.set()
+        self._closely = closely
         self._hurried = hurried
         if relies:
             self._needed.clear()
@@ -171,28 +187,32 @@
         """
         for failures in itertools.count(1):
             asked = self._clock.now()
-            found = await self._unless_resting(self._store.list(prefix))
+            found = await self._unless(self._resting, self._store.list(prefix))
             if found is None:
                 return None
             if isinstance(found, result.Ok):
                 self._beliefs.note_store(ok=True)
                 return found.ok_value, asked
             self._beliefs.note_store(ok=False, why=found.err_value.detail)
-            await self._unless_resting(asyncio.sleep(self._pause(failures)))
+            await self._unless(
+                self._resting, asyncio.sleep(self._pause(failures))
+            )
         raise AssertionError("counting ends")
 
-    async def _unless_resting(self, work: Coroutine[Any, Any, _T]) -> _T | None:
-        """Returns what some work brings; ends it if this VM need not look."""
+    async def _unless(
+        self, ended: asyncio.Event, work: Coroutine[Any, Any, _T]
+    ) -> _T | None:
+        """Returns what some work brings; None if something ends it before."""
         working = asyncio.ensure_future(work)
-        resting = asyncio.ensure_future(self._resting.wait())
+        ending = asyncio.ensure_future(ended.wait())
         try:
             await asyncio.wait(
-                (working, resting), return_when=asyncio.FIRST_COMPLETED
+                (working, ending), return_when=asyncio.FIRST_COMPLETED
             )
             return working.result() if working.done() else None
         finally:
             working.cancel()
-            resting.cancel()
+            ending.cancel()
 
     async def _follow_from(
         self,
@@ -206,15 +226,17 @@
         while True:
             await self._turn(prefix)
             revision = seen()
-            wait = self._settings.watch_wait if not failures else _RETRY_WAIT
+            wait = self._wait(failures)
             asked = self._clock.now()
-            brought = await self._store.watch(prefix, revision, wait)
+            brought = await self._watch(prefix, revision, wait, failures)
+            if brought is None:
+                continue
             if isinstance(brought, result.Ok):
                 failures = 0
                 self._beliefs.note_store(ok=True)
                 at_once = self._clock.now() - asked < _AT_ONCE
                 # What came after a wait happened at its end.
-                since = self._beliefs.current_at if at_once else None
+                since = view.at if at_once else None
                 changed(brought.ok_value, since)
                 moved = brought.ok_value.items or brought.ok_value.removed
                 waited = self._clock.now() - asked >= wait
@@ -246,6 +268,36 @@
                 self._beliefs.note_store(ok=False, why=why)
             await asyncio.sleep(self._pause(failures))
 
+    def _wait(self, failures: int) -> float:
+        """Returns the wait of the next watch, in seconds."""
+        if failures:
+            return _RETRY_WAIT
+        configured = self._settings
+        if self._closely:
+            return configured.watch_wait_leading
+        return configured.watch_wait
+
+    async def _watch(
+        self, prefix: str, revision: int, wait: float, failures: int
+    ) -> (
+        result.Result[ports.Changes, errors.Failure | ports.HistoryLost] | None
+    ):
+        """Waits for changes; a watch that is silent has failed.
+
+        Returns:
+            What the watch brought; None if it is to begin again with a shorter
+            wait.
+        """
+        self._closer.clear()
+        slack = _SLACK_SECONDS * (2.0 if failures else 1.0)
+        try:
+            async with asyncio.timeout(wait + slack):
+                return await self._unless(
+                    self._closer, self._store.watch(prefix, revision, wait)
+                )
+        except TimeoutError:
+            return errors.failed(errors.ErrorKind.STORE_UNKNOWN, "silent")
+
     async def _turn(self, prefix: str, *, whole: bool = False) -> None:
         """Waits until this VM has to look for itself.
 
@@ -313,7 +365,6 @@
 
     def _targets_listed(self, listing: ports.Listing) -> None:
         self._beliefs.take_targets(self._read(listing.items), listing.revision)
-        self._beliefs.note_current(self._clock.now())
 
     def _targets_changed(
         self, changes: ports.Changes, since: float | None
@@ -322,7 +373,6 @@
         gone_since = self._beliefs.vanished_since(since)
         self._targets_removed(changes.removed, gone_since)
         self._beliefs.seen = max(self._beliefs.seen, changes.revision)
-        self._beliefs.note_current(self._clock.now())
 
     def _targets_written(
         self, items: Iterable[ports.Item], since: float | None
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -320,6 +320,7 @@
     def __init__(self):
         super().__init__()
         self.stale_seconds = 0.0
+        self._silenced = 0
         self._times = {}
         self._history = []
         self._written = asyncio.Event()
@@ -330,6 +331,10 @@
         self.items[key] = (value, self._revision)
         return self._note(key)
 
+    def silence(self):
+        """Has all watches that wait now fall silent, without an end."""
+        self._silenced += 1
+
     def remove(self, key):
         """Removes a key; returns when."""
         self._revision += 1
@@ -365,6 +370,7 @@
 
     async def watch(self, prefix, after, wait):
         """Waits for a change after a revision."""
+        silenced = self._silenced
         await asyncio.sleep(0.005)
         try:
             async with asyncio.timeout(wait):
@@ -372,6 +378,8 @@
                     await self._written.wait()
         except TimeoutError:
             keys = ()
+        if silenced < self._silenced:
+            await asyncio.Event().wait()
         if self.failing:
             return result.Err(self.failing)
         written = tuple(self._item(key) for key in keys if key in self.items)
--- a/tests/gateway/test_news_in_time.py
+++ b/tests/gateway/test_news_in_time.py
@@ -9,6 +9,8 @@
 
 APPLY_SECONDS = 2.0
 """From the acknowledgement of a version until all VMs serve by it."""
+CONTACT_SECONDS = 3.0
+"""After a disruption of connections, until the bounds hold again."""
 DRAIN_SECONDS = 2.0
 """From the acknowledgement of a leaving to a target's last new request."""
 _LARGE = 200
@@ -106,3 +108,34 @@
                 await asyncio.sleep(1.0)
 
         _play(scenario, 12)
+
+
+class TestSilentWatches:
+    """All that wait for the store hear nothing more, and no end either."""
+
+    @pytest.mark.parametrize("vms", [10, 88, 300])
+    @pytest.mark.parametrize("after", [0.1, 1.5])
+    def test_leaving_and_configuration(self, vms, after):
+        """Guards against a leader that does not know and is relied on.
+
+        Its other calls to the store are answered.
+        """
+
+        async def scenario(made):
+            made.store.silence()
+            silent = virtual.now()
+            await asyncio.sleep(after)
+            target = made.targets["p0"]
+            since = made.leave(target)
+            made.write_configuration(3, 3)
+            bound = max(since + DRAIN_SECONDS, silent + CONTACT_SECONDS)
+            await made.call(bound - since, 200.0, "/p")
+            behind = [
+                name for name, vm in made.vms.items() if vm.beliefs.version < 3
+            ]
+            assert behind == []
+            await made.call(6.0, 200.0, "/p")
+            late = [a for a in target.arrivals if a.at > bound]
+            assert late == []
+
+        _play(scenario, vms, plain=12)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -177,6 +177,35 @@
 
         _play(scenario)
 
+    @pytest.mark.parametrize("way", [0.0, 1.5])
+    def test_news_that_are_held_up(self, way):
+        """Guards against a grace that begins when late news arrive."""
+
+        async def scenario(made, known, store, calls):
+            made.take_push(_announced())
+            made._reported_at = virtual.now()
+            await asyncio.sleep(0.02)
+            made._take_reply(
+                messages.ReportReply(ENTRY, leading=True, stamp=100.01)
+            )
+            await asyncio.sleep(1.0)
+            leaving = messages.TargetNews(
+                fakes.target("a", leaving=True, revision=7), 7, False, 0.0, 0.2
+            )
+            told = messages.ReportReply(
+                ENTRY,
+                leading=True,
+                news=messages.News(0, 7, (leaving,)),
+                stamp=101.01,
+            )
+            said_at = virtual.now() - 0.2
+            await asyncio.sleep(way)
+            made.take_push(told)
+            since = known.directory.get("a").since
+            assert said_at - 0.05 < since <= said_at
+
+        _play(scenario)
+
     def test_told_to_a_leader(self):
         """Guards against a leader that is cut off and takes its view for new.
 
