Bound what VMs read and report beside a leader that is slow at the start

Only VMs that the leader has asked to follow the store report news, and only once they know what it lacks. - A VM read the list of all VMs to ask three of them whether they hear the leader (9 MB). Entries are in sixteen groups by key now; a VM reads its own group, and all only where a group holds fewer than it asks.

Evidence: TestAllVmsStart::test_busy_leader, failing before with 300 VMs at 10 and 30 Mbit/s (150 and 29 VMs behind); each of the three shows there once the one before is mended. tests/gateway, tests/platform: green. The order of VMs and of groups is no part of any decision but whom to ask.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/beliefs.py
@@ -309,16 +309,21 @@
 
     def take_vms(self, items: Iterable[ports.Item]) -> None:
         """Takes the list of registered VMs."""
-        vms = {}
+        self.vms = {entry.id: entry for entry in self.read_vms(items)}
+
+    def read_vms(self, items: Iterable[ports.Item]) -> list[messages.VmEntry]:
+        """Decodes entries of VMs; one that cannot be read is left out."""
+        vms = []
         for item in items:
             try:
-                entry = msgspec.json.decode(item.value, type=messages.VmEntry)
-                vms[entry.id] = entry
+                vms.append(
+                    msgspec.json.decode(item.value, type=messages.VmEntry)
+                )
             except msgspec.DecodeError as error:
                 self._events.write(
                     "peers", "entry_unreadable", key=item.key, why=str(error)
                 )
-        self.vms = vms
+        return vms
 
     def take_target(self, target: directory.Target) -> None:
         """Takes a target's registration."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -351,6 +351,20 @@
     assignments: tuple[_Assignment, ...]
 
 
+def vm_group(vm: str) -> str:
+    """Returns the prefix of the keys of a sixteenth of all VMs, one VM's.
+
+    It is enough to find some others, and hundreds of VMs that read it at the
+    same time read little.
+    """
+    return f"{VM_PREFIX}{zlib.crc32(vm.encode()) % 16:x}/"
+
+
+def vm_key(vm: str) -> str:
+    """Returns the store's key of a VM's entry."""
+    return vm_group(vm) + vm
+
+
 def table_key(service: str) -> str:
     """Returns the store's key of a service's table."""
     return TABLE_PREFIX + service
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -88,6 +88,8 @@
         "_deaths",
         "_ended",
         "_events",
+        "_fellows",
+        "_follows_asked",
         "_follows_store",
         "_found_at",
         "_heard_at",
@@ -105,6 +107,7 @@
         "_settings",
         "_stamp",
         "_start_spread",
+        "_started_at",
         "_store",
         "_store_seconds",
         "_tasks",
@@ -151,6 +154,7 @@
         self._session = 0
         self._report_due = asyncio.Event()
         self._start_spread = 1.0
+        self._started_at = float("-inf")
         self._found_at = float("-inf")
         self._reported_at = float("-inf")
         self._store_seconds = 0.0
@@ -163,6 +167,7 @@
         self._turned_away: collections.Counter[str] = collections.Counter()
         self._vms = 1
         self._vms_read_at = float("-inf")
+        self._fellows: tuple[messages.VmEntry, ...] = ()
         self._told_factors: dict[str, float] = {}
         self._told_leader: leadership.LeaderEntry | None = None
         self._stamp: currency.Stamp | None = None
@@ -171,6 +176,7 @@
         self._news_seen = 0
         self._news_version = -1
         self._news_evacuations = eligibility.Evacuations()
+        self._follows_asked = False
         self._follows_store = True
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -200,7 +206,7 @@
 
     def start(self) -> None:
         """Registers this VM and begins to report."""
-        self._heard_at = self._clock.now()
+        self._heard_at = self._started_at = self._clock.now()
         self._start_spread = 0.5 + self._clock.random()
         self._tasks = [
             asyncio.create_task(self._register(), name="register"),
@@ -337,7 +343,7 @@
         session = opened.ok_value.id
         entry = self.entry
         write = ports.Write(
-            messages.VM_PREFIX + entry.id,
+            messages.vm_key(entry.id),
             msgspec.json.encode(entry),
             session,
         )
@@ -364,14 +370,29 @@
         return True
 
     async def _read_vms(self) -> None:
-        """Reads which VMs are registered, unless that is known."""
+        """Reads some VMs that are registered, all if they are few.
+
+        What was read lately will do.
+        """
         now = self._clock.now()
-        if self._beliefs.vms and now - self._vms_read_at < _VMS_SECONDS:
+        if self._fellows and now - self._vms_read_at < _VMS_SECONDS:
             return
         self._vms_read_at = now
+        here = self._settings.vm.id
+        if not self._few:
+            group = messages.vm_group(here)
+            listed = await self._store.list(group, stale=True)
+            if isinstance(listed, result.Err):
+                return
+            found = self._beliefs.read_vms(listed.ok_value.items)
+            self._fellows = tuple(vm for vm in found if vm.id != here)
+            if len(self._fellows) >= _ASKED_PEERS:
+                return
         listed = await self._store.list(messages.VM_PREFIX, stale=True)
         if isinstance(listed, result.Ok):
             self._beliefs.take_vms(listed.ok_value.items)
+            everyone = self._beliefs.vms.values()
+            self._fellows = tuple(vm for vm in everyone if vm.id != here)
 
     def _take_item(self, item: ports.Item) -> None:
         try:
@@ -442,11 +463,15 @@
             await self._replace_leader(silent)
 
     def _grace(self) -> float:
-        """Returns how long this VM waits before it looks for itself."""
-        if self._beliefs.seen:
-            return 0.0
+        """Returns how long this VM waits before it looks for itself.
+
+        While VMs start, targets register as well; each VM that followed that by
+        itself would read as much as all others.
+        """
         led = self._beliefs.leader is not None
-        return self._start_spread * (_LED_START_GRACE if led else _START_GRACE)
+        grace = self._start_spread * (_LED_START_GRACE if led else _START_GRACE)
+        started = self._clock.now() - self._started_at > grace
+        return 0.0 if started and self._beliefs.seen else grace
 
     def _make_report(self) -> messages.Report:
         keys, self._keys = dict(self._keys), collections.defaultdict(list)
@@ -529,10 +554,12 @@
     def _own_news(self) -> messages.News | None:
         """Returns what this VM has read from the store and its leader lacks.
 
-        A leader that is cut off from the store learns it from whoever follows
-        the store as well.
+        A leader that is cut off from the store learns it from those that it
+        has asked to follow the store as well. Until it has answered, this VM
+        does not know what it lacks, and would tell it everything.
         """
-        if self._leader.leading or not self._follows_store:
+        answered = self._told_leader == self._beliefs.leader
+        if self._leader.leading or not answered or not self._follows_asked:
             return None
         return self._beliefs.news_after(
             self._news_seen, self._news_version, self._news_evacuations
@@ -560,7 +587,8 @@
             reply.configuration_seen,
             reply.evacuations.zones,
         )
-        self._follow_store(chosen or not reply.store)
+        self._follows_asked = chosen or not reply.store
+        self._follow_store(self._follows_asked)
 
     def _follow_store(self, follows: bool, *, hurried: bool = True) -> None:
         """Has this VM follow the store itself, or rely on its leader."""
@@ -798,7 +826,7 @@
         """
         others = [
             entry
-            for entry in self._beliefs.vms.values()
+            for entry in self._fellows or self._beliefs.vms.values()
             if entry.id not in (leader.vm, self._settings.vm.id)
         ]
         others.sort(key=lambda _: self._clock.random())
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -218,6 +218,8 @@
                 while vm is None:
                     await asyncio.sleep(timeout)
                 answer = await vm.answer(path, body)
+                if path == messages.REPORT_PATH:
+                    await asyncio.sleep(self._fleet.report_seconds)
                 size = len(answer or b"") + 150
                 await link.carry(size, f"{path} answered", ways[1])
                 return answer
@@ -364,6 +366,8 @@
         refusals: Retry-After of all refusals.
         watched: Whether VMs learn configuration and targets from the store;
             they know the first ones from the start otherwise.
+        report_seconds: Time that an answer to a report from beyond the link
+            takes.
         link: The link between zone `z`, where the store is, and all others;
             None for one without a bound.
     """
@@ -385,6 +389,7 @@
         self.store = fakes.WatchedStore() if watched else fakes.Store()
         self.watched = watched
         self.link = link
+        self.report_seconds = 0.0
         self.started = 0
         self._zones = zones
         self.cut = set()
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -241,7 +241,7 @@
             await asyncio.sleep(0.2)
             assert calls.told == []
             entry = messages.VmEntry("vm-2", "boot-vm-2", "two:1", "z")
-            key = messages.VM_PREFIX + "vm-2"
+            key = messages.vm_key("vm-2")
             store.items[key] = (msgspec.json.encode(entry), 3)
             await asyncio.sleep(1.0)
             assert [address for _, address in calls.told] == ["two:1"]
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -102,6 +102,26 @@
 
         _play(scenario, vms, mbps, over)
 
+    @pytest.mark.parametrize(("vms", "mbps"), [(88, 10), (300, 10), (300, 30)])
+    def test_busy_leader(self, vms, mbps):
+        """Guards against VMs that all read what registers at the start.
+
+        The leader answers their reports too late while hundreds of targets
+        register.
+        """
+
+        async def scenario(made, link):
+            made.report_seconds = 0.6
+            await asyncio.sleep(_REGISTER_SECONDS)
+            made.report_seconds = 0.0
+            await asyncio.sleep(_READY_SECONDS - _REGISTER_SECONDS)
+            assert _behind(made, 2) == []
+            made.write_configuration(3, 5)
+            await asyncio.sleep(APPLY_SECONDS)
+            assert _behind(made, 3) == []
+
+        _play(scenario, vms, mbps, 0.3)
+
     @pytest.mark.parametrize("vms", [12, 88, 300, 600])
     def test_bytes_between_regions(self, vms):
         """Guards against reading that grows with the square of the VMs."""
