Say 404 only by a configuration that can be shown to be new enough

Clients give up after a 404; after 503 they come again.

Cause: a VM answered by the configuration it had, however old, as it did not know how old that was. Class: an answer about the absence of something, given without knowing until when one knew.

A VM that finds no route looks at the age of its view. Beyond nine tenths of the time within which a version has to be in force it asks its leader, and waits a quarter of a second at most; if the view is still too old, the answer is 503 configuration_old with Retry-After 0.5. The bound is the platform's, a setting. Routes that a VM knows are served as before, also behind a cut: a zone that is cut off serves what it can.

Evidence: test_vm_that_is_behind (10 and 88 VMs; cut off for 2, 5, 20 s) fails before in all six cases; test_where_there_is_none shows that VMs in touch still say 404 (10, 88, 300 VMs).

--- a/packages/mimosastile-core/src/mimosastile_core/errors.py
+++ b/packages/mimosastile-core/src/mimosastile_core/errors.py
@@ -46,6 +46,7 @@
     CANCELLED = "cancelled"
     SHUTTING_DOWN = "shutting_down"
     NOT_CONFIGURED = "not_configured"
+    CONFIGURATION_OLD = "configuration_old"
     NO_ROUTE = "no_route"
     HELD_BACK = "held_back"
     REJECTED = "rejected"
@@ -121,6 +122,9 @@
     ErrorKind.CANCELLED: _unsure(499, "The caller went away."),
     ErrorKind.SHUTTING_DOWN: _busy(503, 1, "This entry VM is stopping."),
     ErrorKind.NOT_CONFIGURED: _busy(503, 0.3, "No configuration is known yet."),
+    ErrorKind.CONFIGURATION_OLD: _busy(
+        503, 0.5, "No route is known, and there may be a newer configuration."
+    ),
     ErrorKind.NO_ROUTE: _refused(404, "No route leads there."),
     ErrorKind.HELD_BACK: _refused(
         503, "Targets died while they ran this request."
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -55,6 +55,13 @@
 """Failures by which a target may show that it is full."""
 _LOGGED_BYTES = 64
 """Bytes of an unreadable header that a log line holds."""
+_APPLY_SHARE = 0.9
+"""Part of the time within which a version has to be in force that the view of
+the configuration may be old for a request to be told that no route leads
+there."""
+_ASK_SECONDS = 0.25
+"""Longest wait for the leader's word that there is no newer version: the way to
+another region and back, ten times."""
 _FIXED_SHARE = 0.8
 _RATIO_SHARE = 0.9
 """Parts of the bound on repeats that are used; the rest covers requests that
@@ -137,6 +144,11 @@
     ) -> http_server.Outgoing:
         """Answers a caller's request."""
         call = self._classify(incoming)
+        if _is_unrouted(call) and not self._configuration_is_new():
+            await self._peers.ask_leader(_ASK_SECONDS)
+            call = self._classify(incoming)
+            if _is_unrouted(call) and not self._configuration_is_new():
+                call = errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
         if isinstance(call, result.Err):
             return self._refused(None, incoming, call.err_value)
         taken = call.ok_value
@@ -190,6 +202,12 @@
         call.version = configuration.version
         return result.Ok(call)
 
+    def _configuration_is_new(self) -> bool:
+        """Whether no version is missing that has to be in force by now."""
+        bound = self._settings.bounds.configuration * _APPLY_SHARE
+        age = self._beliefs.ages()[1]
+        return age is not None and age < bound
+
     def _call(
         self,
         incoming: http_server.Incoming,
@@ -659,6 +677,13 @@
     )
 
 
+def _is_unrouted(
+    call: result.Result[pending.Call, errors.Failure],
+) -> bool:
+    failure = call.err()
+    return failure is not None and failure.kind is errors.ErrorKind.NO_ROUTE
+
+
 def _is_key(value: bytes | None) -> bool:
     return value is not None and value.isdigit() and int(value) < ranges.KEYS
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peers.py
@@ -80,6 +80,7 @@
         "_address",
         "_admitting",
         "_alive",
+        "_answered",
         "_beliefs",
         "_boot",
         "_calls",
@@ -153,6 +154,7 @@
         self._address = configured.vm.peers
         self._session = 0
         self._report_due = asyncio.Event()
+        self._answered = asyncio.Event()
         self._start_spread = 1.0
         self._started_at = float("-inf")
         self._found_at = float("-inf")
@@ -257,6 +259,15 @@
         if self._clock.now() - self._reported_at > _HURRIED_SECONDS:
             self._report_due.set()
 
+    async def ask_leader(self, seconds: float) -> None:
+        """Reports soon and waits until the leader has answered.
+
+        Args:
+            seconds: Longest wait.
+        """
+        self.hurry()
+        await clock.wait(self._answered, seconds)
+
     def missed(self, service: str, key: int, target: str) -> None:
         """Notes that a target rejected a key that it should own."""
         if len(self._misses) < _KEYS_PER_REPORT:
@@ -654,6 +665,8 @@
         self._beliefs.limits.take_told(reply.limits, now)
         self._take_told(reply, self._reported_at)
         self._rely(reply)
+        self._answered.set()
+        self._answered = asyncio.Event()
         if reply.take_over:
             self._take_over_soon()
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -59,6 +59,8 @@
         retry_ratio: Repeated sends allowed per request.
         retry_window: Over which they are counted.
         retry_fixed: Repeated sends allowed besides, all VMs together.
+        configuration: From the acknowledgement of a version until requests are
+            handled by it.
         evacuation: From the acknowledgement of an evacuation to the last
             request that a target of the zone gets.
     """
@@ -69,6 +71,7 @@
     retry_ratio: float = 0.2
     retry_window: Positive = 10.0
     retry_fixed: float = 60.0
+    configuration: Positive = 2.0
     evacuation: Positive = 5.0
 
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -427,6 +427,9 @@
                 await asyncio.sleep(args[-1])
                 kind = errors.ErrorKind.UNREACHABLE
                 return result.Err(errors.Failure(kind))
-            return await call(*args, **kwargs)
+            answer = await call(*args, **kwargs)
+            # A watch waits for long; what it brings behind a cut is lost.
+            lost = self.failing and name == "watch"
+            return result.Err(self.failing) if lost else answer
 
         return through
--- a/tests/gateway/test_news_in_time.py
+++ b/tests/gateway/test_news_in_time.py
@@ -139,3 +139,42 @@
             assert late == []
 
         _play(scenario, vms, plain=12)
+
+
+class TestUnknownRoutes:
+    """Requests for which a VM knows no route."""
+
+    @pytest.mark.parametrize("vms", [10, 88, 300])
+    def test_where_there_is_none(self, vms):
+        """Guards against callers who are told to come again in vain."""
+
+        async def scenario(made):
+            for name in made.vms:
+                answer = await made.ask(name, "/nowhere")
+                assert answer.status == 404
+
+        _play(scenario, vms)
+
+    @pytest.mark.parametrize("vms", [10, 88])
+    @pytest.mark.parametrize("seconds", [2.0, 5.0, 20.0])
+    def test_vm_that_is_behind(self, vms, seconds):
+        """Guards against 404 for a route that was added long ago."""
+
+        async def scenario(made):
+            behind = _heads(made, 2)
+            made.isolate(*behind)
+            made.write_configuration(3, 1)
+            await asyncio.sleep(seconds)
+            asked = virtual.now()
+            for name in behind:
+                answer = await made.ask(name, "/e3-0")
+                assert answer.status == 503
+                assert 0 < made.refusals[-1] < 1.0
+            assert virtual.now() - asked < 1.0
+            made.rejoin(*behind)
+            await asyncio.sleep(APPLY_SECONDS)
+            for name in behind:
+                answer = await made.ask(name, "/e3-0")
+                assert answer.status == 200
+
+        _play(scenario, vms)
