Wait for a stopped leader's last orders before keys move

Cause: a leader reckons with its own orders arriving up to a second late where they cross a region, and sends the last ones earlier by as much when its authority ends. One that stops sooner, as it hears of its successor, has sent until that moment; the successor took the moment at which it follows for the time of its last order.

Evidence: TestFullLink in test_leading (a renewal is 0.9 s on its way when the leader is replaced and says so; the new one cannot connect to that target): two holders in all four cases before, at any phase of the renewals. Without the leader's word the bound by its authority holds already.

Where there are several regions a former leader's orders are taken to arrive until a second after it follows. Cost: keys of targets that are silent when a leader is replaced wait a second longer; others are renewed as before. tests/gateway, tests/platform, tests/core, layout: green.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/formers.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/formers.py
@@ -12,6 +12,7 @@
     __slots__ = (
         "_calm_until",
         "_extended_until",
+        "_held_up",
         "_hold",
         "_known",
         "_longer_until",
@@ -34,6 +35,7 @@
         longer_until: float = float("-inf"),
         witnesses: Iterable[extension.Witness] = (),
         unextended_until: float = float("inf"),
+        held_up: float = 0.0,
     ) -> None:
         """Makes one.
 
@@ -48,7 +50,11 @@
             witnesses: Witnesses of the last one, if it named some.
             unextended_until: When that one has stopped if one of these made no
                 promise.
+            held_up: Seconds for which what a leader sent until it stopped may
+                be on its way. One whose authority ends sends its last orders
+                earlier by as much.
         """
+        self._held_up = held_up
         self._until = until
         self._longer_until = longer_until
         self._known = until
@@ -64,13 +70,13 @@
 
     @property
     def stopped_by(self) -> float:
-        """Time by which all have surely stopped."""
+        """Time by which all orders of theirs have surely arrived."""
         return self._known
 
     def stopped(self, now: float) -> None:
         """Notes that all are known to have stopped."""
         self._silent.clear()
-        self._known = min(self._known, now)
+        self._known = min(self._known, now + self._held_up)
 
     def follows(self, vm: str, now: float, longer: float | None) -> None:
         """Notes that a VM follows the present leader and gives no orders.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/granting.py
@@ -21,7 +21,7 @@
 
 _RETRY_SECONDS = 0.1
 """Pause after an order that was not answered."""
-_LINK_QUEUE_SECONDS = 1.0
+LINK_QUEUE_SECONDS = 1.0
 """Longest wait of bytes before a link between regions. Callers' requests that
 cross it time out after that, which empties it; 0.8 s was seen at worst."""
 _FENCE_AFTER = 1.0
@@ -465,7 +465,7 @@
         vm = self._settings.vm
         zone = entry.target.zone if entry else ""
         near = vm.regions.get(zone) == vm.region
-        return 0.0 if near else _LINK_QUEUE_SECONDS
+        return 0.0 if near else LINK_QUEUE_SECONDS
 
     def _granted(
         self,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leading.py
@@ -338,6 +338,7 @@
             self.longer_until,
             record.witnesses if record and named else (),
             now + configured.unextended,
+            granting.LINK_QUEUE_SECONDS if self._several_regions else 0.0,
         )
         if not entry.unsure:
             # There was none, or it was an earlier run of this daemon, whose
@@ -387,6 +388,10 @@
                     if vm.id not in fresh
                 )
 
+    @property
+    def _several_regions(self) -> bool:
+        return len(set(self._settings.vm.regions.values())) > 1
+
     def _unsure(self, former: leadership.LeaderEntry | None) -> tuple[str, ...]:
         """Returns the VMs that may still give orders as former leaders."""
         if former is None:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -408,12 +408,14 @@
     Attributes:
         failing: Failure of every call, None while the VM reaches it.
         dead: Targets that this VM does not reach.
+        refused: Targets at which nothing takes its connections.
     """
 
     def __init__(self, whole):
         self._whole = whole
         self.failing = None
         self.dead = set()
+        self.refused = set()
 
     def __getattr__(self, name):
         """Returns a call that fails while this VM is cut off."""
@@ -423,8 +425,10 @@
             if self.failing:
                 await asyncio.sleep(0.005)
                 return result.Err(self.failing)
-            if self.dead and args[0] in self.dead:
-                await asyncio.sleep(args[-1])
+            lost = self.dead | self.refused
+            if lost and args[0] in lost:
+                refused = args[0] in self.refused
+                await asyncio.sleep(0.001 if refused else args[-1])
                 kind = errors.ErrorKind.UNREACHABLE
                 return result.Err(errors.Failure(kind))
             answer = await call(*args, **kwargs)
--- a/tests/gateway/test_leading.py
+++ b/tests/gateway/test_leading.py
@@ -438,6 +438,48 @@
         virtual.run(main())
 
 
+class TestFullLink:
+    """Orders of a leader that wait before a link between regions."""
+
+    @pytest.mark.parametrize("says", [True, False])
+    @pytest.mark.parametrize("wait", [0.0, 0.3, 0.6, 0.9])
+    def test_arrive_after_it_was_replaced(self, wait, says):
+        """Guards against keys given away while such an order arrives.
+
+        The leader stops and follows its successor, or a witness shows when it
+        had to stop; what it sent until then arrives up to a second later.
+        """
+
+        async def main():
+            store, orders = fakes.Store(), fakes.Orders()
+            targets = [
+                fakes.target(n, zone=zone)
+                for n, zone in (("a", "far"), ("b", "z"), ("c", "z"))
+            ]
+            clock = fakes.VirtualClock()
+            reach = [fakes.Cut(orders) for _ in range(2)]
+            one, two = (
+                Vm(f"vm-{i + 1}", store, reach[i], targets, clock)
+                for i in range(2)
+            )
+            await one.leading.take_over("test")
+            await _until(lambda: _owned(orders, 0))
+            await asyncio.sleep(1.0 + wait)
+            orders.queued["a"] = 0.9
+            reach[1].refused = {"a"}
+            await asyncio.sleep(0.6)
+            await two.leading.take_over("test")
+            one.leading.step_down("replaced")
+            if says:
+                word = one.leading.longer_grants()
+                two.leading.take_report(one.report(longer=word))
+            await _until(lambda: orders.holders(0) - {"a"} != set(), seconds=60)
+            assert orders.clashes == []
+            two.leading.step_down("end")
+
+        virtual.run(main())
+
+
 class TestThirdLeader:
     """Leaders follow each other faster than the first one notices."""
 
