Measure in the soak how late changes are in force

Each version now adds a route; every daemon is asked for it until it knows it, and a 404 of a VM in touch later than 2 s after the acknowledgement is wrong. The verdict names the latest effect of an older version and of a leaving, and the margins.

--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -228,7 +228,11 @@
                 f"seed {number}: {len(verdict.wrong)} wrong, "
                 f"{len(verdict.faults)} faults, {verdict.runs} runs, "
                 f"served after {verdict.served_after:.3f}, "
-                f"answers {verdict.attempts}"
+                f"answers {verdict.attempts}, "
+                f"in force {verdict.lateness.configuration:.2f} s late with "
+                f"{verdict.lateness.configuration_margin:.2f} s left, leaving "
+                f"{verdict.lateness.leaving:.2f} s with "
+                f"{verdict.lateness.leaving_margin:.2f} s left"
             )
             for line in verdict.wrong[:10]:
                 _printing.say(f"  {line}")
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_world.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_world.py
@@ -32,8 +32,8 @@
             `regions`: those that the plain service's route allows.
     """
     rules = [
-        _rule("reads", "idempotent", "/read/", KEYED),
-        _rule(
+        rule("reads", "idempotent", "/read/", KEYED),
+        rule(
             "issues",
             "non_idempotent",
             "/issue/",
@@ -59,7 +59,7 @@
     }
 
 
-def _rule(
+def rule(
     name: str,
     kind: str,
     prefix: str,
@@ -67,6 +67,16 @@
     timeout: int = 2000,
     regions: Iterable[str] = (),
 ) -> dict[str, Any]:
+    """Returns one route as operators write it.
+
+    Args:
+        name: Its name.
+        kind: What may be repeated.
+        prefix: Beginning of its paths.
+        service: Where its requests go.
+        timeout: Milliseconds that a caller is kept waiting at most.
+        regions: Those that it allows; empty for all.
+    """
     return {
         "Name": name,
         "RouteKind": kind,
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -20,6 +20,7 @@
 import random
 import signal
 import time
+from typing import Any
 
 import msgspec
 
@@ -29,6 +30,7 @@
 from mimosastile_standins import platform_target
 from mimosastile_standins import platform_world
 from mimosastile_standins import soak_daemons
+from mimosastile_standins import soak_lateness
 from mimosastile_standins import soak_notices
 from mimosastile_standins import soak_oracle
 
@@ -43,6 +45,10 @@
 _PAUSE_SECONDS = 0.05
 _DEADLINE_MS = 2000
 _START_SECONDS = 30.0
+_RULES_KEPT = 6
+"""Versions whose routes stay; a probe of an older one ends."""
+_PROBE_SECONDS = 0.2
+_OK = 200
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -75,6 +81,7 @@
         attempts: Callers' attempts by status.
         served_after: Share of requests served after the last fault.
         runs: Requests that targets ran.
+        lateness: How late changes were in force at VMs in touch.
     """
 
     seed: int
@@ -83,6 +90,7 @@
     attempts: dict[str, int]
     served_after: float
     runs: int
+    lateness: soak_lateness.Lateness
 
 
 class _Member:
@@ -112,13 +120,16 @@
         "_disturbed_at",
         "_faults",
         "_in_rotation",
+        "_lag",
         "_members",
         "_names",
         "_notices",
         "_oracle",
         "_plan",
         "_pool",
+        "_probes",
         "_proxies",
+        "_rules",
         "_store",
         "_store_address",
         "_stopping",
@@ -131,6 +142,9 @@
         self._chance = random.Random(plan.seed)
         self._oracle = soak_oracle.SoakOracle()
         self._notices = soak_notices.Notices()
+        self._lag = soak_lateness.Lag(self._notices)
+        self._rules: dict[int, dict[str, Any]] = {}
+        self._probes: set[asyncio.Task[None]] = set()
         self._store = platform_store.PlatformStore()
         self._store_address = ""
         self._daemons: list[soak_daemons.SoakDaemon] = []
@@ -556,10 +570,73 @@
         version = next(self._versions)
         self._say(f"configuration {version}")
         timeout = self._chance.choice((1500, 2000, 2500))
+        self._rules[version] = platform_world.rule(
+            f"v{version}", "idempotent", f"/v{version}/", platform_world.PLAIN
+        )
+        while len(self._rules) > _RULES_KEPT:
+            del self._rules[min(self._rules)]
         self._store.put(
             "op/config",
-            platform_world.configuration(version, plain_timeout=timeout),
+            platform_world.configuration(
+                version,
+                plain_timeout=timeout,
+                extra=tuple(self._rules.values()),
+            ),
+        )
+        self._lag.written(version, time.monotonic())
+        for daemon in self._daemons:
+            probe = asyncio.create_task(self._probe(daemon, version))
+            self._probes.add(probe)
+            probe.add_done_callback(self._probes.discard)
+
+    async def _probe(
+        self, daemon: soak_daemons.SoakDaemon, version: int
+    ) -> None:
+        """Asks a daemon for a new route until it knows it."""
+        while version in self._rules and not self._stopping:
+            sent = time.monotonic()
+            status = await self._probe_once(daemon, version)
+            if version not in self._rules:
+                return
+            self._lag.probed(
+                soak_lateness.Probe(daemon.name, version, sent, status)
+            )
+            if status == _OK:
+                return
+            await asyncio.sleep(_PROBE_SECONDS)
+
+    async def _probe_once(
+        self, daemon: soak_daemons.SoakDaemon, version: int
+    ) -> int:
+        """Returns the status of a request on a new route, 0 for none."""
+        attempt = f"p{next(self._attempts)}"
+        request = http_client.request(
+            platform_world.HOST,
+            "GET",
+            f"/v{version}/{attempt}",
+            None,
+            (
+                (b"X-Attempt-Id", attempt.encode()),
+                (b"X-Deadline-Ms", b"%d" % _DEADLINE_MS),
+            ),
         )
+        try:
+            connection = await self._pool.connect(daemon.callers, 0.0, 0.5)
+        except http_client.NotSentError:
+            return 0
+        try:
+            reply = connection.start(request)
+            async with asyncio.timeout(_DEADLINE_MS / 1000):
+                await connection.wait_whole(reply, 1 << 30)
+            return reply.status
+        except (
+            http_client.NotSentError,
+            http_client.AnswerLostError,
+            TimeoutError,
+        ):
+            return 0
+        finally:
+            connection.abort()
 
     async def _while_disturbed(self, seconds: float) -> None:
         ends = time.monotonic() + seconds
@@ -574,6 +651,7 @@
         oracle = self._oracle
         oracle.finish()
         oracle.wrong.extend(self._notices.wrong())
+        oracle.wrong.extend(self._lag.wrong())
         share = oracle.served_share(recovered, recovered + _JUDGED_SECONDS)
         if share < _SERVED_LEAST:
             oracle.wrong.append(f"only {share:.3f} served after recovery")
@@ -590,6 +668,7 @@
             dict(counts),
             round(share, 4),
             len(oracle.runs),
+            self._lag.report(),
         )
 
 
