--- a/packages/mimosastile-standins/src/mimosastile_standins/capacity.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/capacity.py
@@ -414,9 +414,10 @@
 - *Witnesses.* One record in the store, one look at the store each in an outage.
 - *Gates.* Datagrams of under 100 bytes; each serves the rate of one target. The
   leader names one for contended targets only, and tells all VMs at once.
-- *Looking for a leader.* By lots, few VMs at a time; above 30 VMs nobody reads
-  tables. Before, each VM without a leader read the list of all VMs and all
-  tables in every round: at 300 VMs the region beyond the link stayed dark.
+- *Looking for a leader.* By lots; a VM that knows of no other reads the
+  leader's entry alone, and a sixteenth of the list of VMs to ask some; above 30
+  VMs nobody reads tables. What n VMs read and report at a start grows with n
+  (`tests/gateway/test_start.py`, 12 to 600 VMs).
 
 What grows with the VMs: reports, their answers, one lease each, and one message
 in each zone for each change. What grows with the targets: orders and the
