Judge who is bound by an acknowledgement in one place of the soak

Read over after the change: the soak decided three times, in the same words, whether a VM was in touch since shortly before an acknowledgement, and worked out twice how long after a registered leaving a request was sent, once to judge it and once to report it. in_touch and _after_registered serve both now; what excuses a VM is private again. Slots of Watching are in order. Behaviour and assertions unchanged.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/watching.py
@@ -44,10 +44,10 @@
     """
 
     __slots__ = (
+        "_anew",
         "_beliefs",
         "_clock",
         "_closely",
-        "_anew",
         "_events",
         "_needed",
         "_patience",
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_lateness.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_lateness.py
@@ -81,10 +81,8 @@
         """Yields probes handled by older versions, with their lateness."""
         for probe in self._probes:
             written = self._written[probe.version]
-            since = written - soak_notices.CONTACT_SECONDS
-            calm = self._notices.calm(probe.vm, since, probe.sent)
-            well = self._notices.well(since, probe.sent)
-            if probe.status == _NOT_FOUND and calm and well:
+            bound = self._notices.in_touch(probe.vm, written, probe.sent)
+            if probe.status == _NOT_FOUND and bound:
                 yield probe, probe.sent - written
 
     def wrong(self) -> list[str]:
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_notices.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_notices.py
@@ -148,17 +148,22 @@
                 told[answer.vm].append(answer.at)
         return told
 
-    def calm(self, vm: str, since: float, until: float) -> bool:
+    def _calm(self, vm: str, since: float, until: float) -> bool:
         """Whether nothing has excused a VM for some time."""
         times = self._disturbed[vm]
         return not any(since <= at <= until for at in times)
 
-    def well(self, since: float, until: float) -> bool:
+    def _well(self, since: float, until: float) -> bool:
         """Whether no link was harmed for some time."""
         return not any(
             began <= until and since <= ended for began, ended in self._trouble
         )
 
+    def in_touch(self, vm: str, acknowledged: float, until: float) -> bool:
+        """Whether a VM is bound by what was acknowledged at some time."""
+        since = acknowledged - CONTACT_SECONDS
+        return self._calm(vm, since, until) and self._well(since, until)
+
     def _over_limit(
         self, run: _Run, arrivals: list[platform_target.Arrival]
     ) -> Iterator[str]:
@@ -171,7 +176,7 @@
                 got
                 for at in counted
                 if at > named.began + CONTACT_SECONDS
-                and self.well(at - 2 * _LIMIT_WINDOW, at)
+                and self._well(at - 2 * _LIMIT_WINDOW, at)
                 and (got := _within(counted, at)) > allowed
             )
             for got in itertools.islice(over, 1):
@@ -195,43 +200,46 @@
             if named.began <= at <= arrival.at - _TOLD_SECONDS
         ]
         since = arrival.at - 2 * _LIMIT_WINDOW
-        return bool(heard) and self.calm(vm, since, arrival.at)
+        return bool(heard) and self._calm(vm, since, arrival.at)
 
     def _after_leaving(
         self, run: _Run, arrivals: list[platform_target.Arrival]
     ) -> Iterator[str]:
         """Yields requests for a target that had left for their VM."""
         told = self._told(arrivals, "leaving")
-        registered = self._registered.get(run)
         for arrival in arrivals:
             if arrival.attempt not in self._sent:
                 continue
             vm, sent = self._sent[arrival.attempt]
             heard = min(told[vm], default=sent)
-            if sent > heard + DRAIN_SECONDS and self.calm(vm, heard, sent):
+            if sent > heard + DRAIN_SECONDS and self._calm(vm, heard, sent):
                 yield f"{vm} sent {arrival.attempt} to {run[0]}, as it left"
-            if registered is None:
-                continue
-            late = sent > registered + DRAIN_SECONDS
-            since = registered - CONTACT_SECONDS
-            calm = self.calm(vm, since, sent) and self.well(since, sent)
-            if late and calm:
+            late = self._after_registered(arrival)
+            if late is not None and late > DRAIN_SECONDS:
                 yield f"{vm} sent {arrival.attempt} to {run[0]}, registered out"
 
+    def _after_registered(
+        self, arrival: platform_target.Arrival
+    ) -> float | None:
+        """Returns how long after a registered leaving a request was sent.
+
+        Returns:
+            Seconds, negative before it; None if nothing was registered or the
+            VM is excused.
+        """
+        registered = self._registered.get((arrival.target, arrival.born))
+        if registered is None or arrival.attempt not in self._sent:
+            return None
+        vm, sent = self._sent[arrival.attempt]
+        if not self.in_touch(vm, registered, sent):
+            return None
+        return sent - registered
+
     def after_leaving(self) -> Iterator[float]:
         """Yields how long after a registered leaving requests were sent."""
-        for arrival in self.arrivals:
-            run = arrival.target, arrival.born
-            if run not in self._registered or arrival.attempt not in self._sent:
-                continue
-            vm, sent = self._sent[arrival.attempt]
-            registered = self._registered[run]
-            since = registered - CONTACT_SECONDS
-            excused = not self.calm(vm, since, sent) or not self.well(
-                since, sent
-            )
-            if sent > registered and not excused:
-                yield sent - registered
+        for late in map(self._after_registered, self.arrivals):
+            if late is not None and late > 0:
+                yield late
 
     def _in_rest(
         self, arrivals: list[platform_target.Arrival]
@@ -246,7 +254,7 @@
             for asked in own:
                 ends = asked.at + asked.rest
                 got = sum(asked.at + _TOLD_SECONDS < a.at < ends for a in own)
-                if got > _REST_REQUESTS and self.calm(vm, asked.at, ends):
+                if got > _REST_REQUESTS and self._calm(vm, asked.at, ends):
                     yield f"{vm} sent {got} to {asked.target} in its rest"
                     break
 
