Tell which targets and services a VM cannot reach

When VMs lost their links to all targets, their callers were refused, and neither logs nor metrics could tell a VM that reaches nobody from one whose targets fail one by one, or a leader without targets from one without the store.

Connection attempts of both pools are attributed to targets. Nothing is decided by it yet.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -29,6 +29,7 @@
 from mimosastile_gateway import metrics
 from mimosastile_gateway import peer_calls
 from mimosastile_gateway import ports
+from mimosastile_gateway import reach_monitoring
 from mimosastile_gateway import settings
 from mimosastile_gateway import store_watching
 from mimosastile_gateway import wait_queues
@@ -101,6 +102,7 @@
         "_order_pool",
         "_membership",
         "_pool",
+        "_reach_monitor",
         "_readiness_server",
         "_balancer",
         "_settings",
@@ -139,6 +141,11 @@
         self._cluster = cluster_state.ClusterState(
             configured, self._clock, self._events
         )
+        self._reach_monitor = reach_monitoring.ReachMonitor(
+            self._cluster, self._clock, self._events
+        )
+        for pool in (self._pool, self._order_pool):
+            pool.on_attempt = self._reach_monitor.record_attempt
         store = adapter.store(self._pool)
         calls = peer_calls.PeerCalls(self._pool, self._events)
         boot = self._clock.new_id()
@@ -366,6 +373,8 @@
             "targets": {
                 entry.target.id: entry.status.value for entry in state.directory
             },
+            "targets_unreachable": sorted(self._reach_monitor.unreachable()),
+            "services_unreachable": sorted(self._reach_monitor.isolated),
             "assignments": state.versions(),
             "evacuated_zones": state.evacuations.zones,
             "cold_targets": {
@@ -458,6 +467,8 @@
             "requests_under_way": sum(own.values()),
             "targets_in_use": len(own),
             "targets_known": sum(1 for _ in state.directory),
+            "targets_unreachable": len(self._reach_monitor.unreachable()),
+            "services_unreachable": len(self._reach_monitor.isolated),
             "vms_known": self._membership.count,
             "loop_lag_seconds": round(self._loop_lag, 4),
             "processor_seconds": round(_processor_seconds(), 3),
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import contextlib
@@ -391,9 +392,20 @@
 
 
 class Pool:
-    """Pool of idle connections, by address."""
+    """Pool of idle connections, by address.
 
-    __slots__ = ("_idle", "_opened", "_silent_timeout_ms", "_traffic")
+    Attributes:
+        on_attempt: Called with the address and the outcome of each attempt to
+            open a connection.
+    """
+
+    __slots__ = (
+        "_idle",
+        "_opened",
+        "_silent_timeout_ms",
+        "_traffic",
+        "on_attempt",
+    )
 
     def __init__(self, silent_timeout: float) -> None:
         """Creates an empty pool.
@@ -406,6 +418,7 @@
         self._idle: dict[str, list[Connection]] = {}
         self._opened = 0
         self._silent_timeout_ms = int(silent_timeout * 1000)
+        self.on_attempt: Callable[[str, bool], None] = _ignore_attempt
         self._traffic: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -500,12 +513,18 @@
                     lambda: Connection(address), host, int(port)
                 )
         except (OSError, ValueError, TimeoutError) as error:
+            self.on_attempt(address, False)
             raise NotSentError(f"{address}: {error or 'timeout'}") from error
         self._opened += 1
+        self.on_attempt(address, True)
         connection.detect_dead_peer(self._silent_timeout_ms)
         return connection
 
 
+def _ignore_attempt(address: str, connected: bool) -> None:
+    """Ignores the outcome of a connection attempt."""
+
+
 def _set_keepalive(sock: socket.socket | None, silent_timeout_ms: int) -> None:
     """Makes the kernel detect that the remote end is unreachable."""
     if sock is None:
