--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -118,6 +118,7 @@
         adapter: Adapter,
         log: events.EventLog | None = None,
         timer: clock.Clock | None = None,
+        make_pool: Callable[[float], http_client.Pool] = http_client.Pool,
     ) -> None:
         """Creates a daemon without starting it.
 
@@ -126,17 +127,19 @@
             adapter: The platform's adapter.
             log: Event log; None for one on standard output.
             timer: Clock; None for the system's.
+            make_pool: Creates a connection pool from the seconds of
+                unacknowledged data after which a connection ends.
         """
         vm = configured.vm
         self._settings = configured
         self._adapter = adapter
         self._events = log or events.EventLog(vm.id)
         self._clock = timer or clock.Clock()
-        self._pool = http_client.Pool(configured.requests.silent)
+        self._pool = make_pool(configured.requests.silent)
         # Orders have connections of their own: an overloaded target resets new
         # ones, and if requests had taken those of orders, the renewals of its
         # grants would fail.
-        self._order_pool = http_client.Pool(configured.requests.silent)
+        self._order_pool = make_pool(configured.requests.silent)
         self._metrics = metrics.Metrics(self._events.counts, self._pool.traffic)
         self._cluster = cluster_state.ClusterState(
             configured, self._clock, self._events
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -173,7 +173,7 @@
         self._served += 1
         self._expected_echo = echo
         self._no_body = no_body
-        transport.write(data)
+        self._write(transport, data)
         return response
 
     async def wait_complete(
@@ -242,6 +242,9 @@
         finally:
             self._waiter = None
 
+    def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+        transport.write(data)
+
     def _wake(self) -> None:
         waiter = self._waiter
         if waiter is not None and not waiter.done():
@@ -504,13 +507,16 @@
         for address in list(self._idle):
             self.close_idle(address)
 
+    def _new_connection(self, address: str) -> Connection:
+        return Connection(address)
+
     async def _open(self, address: str, timeout: float) -> Connection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(address), host, int(port)
+                    lambda: self._new_connection(address), host, int(port)
                 )
         except (OSError, ValueError, TimeoutError) as error:
             self.on_attempt(address, False)
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -184,6 +184,11 @@
         self._address = ""
         self._server = http_server.Server(self._handle)
 
+    @property
+    def address(self) -> str:
+        """Host and port on which the target listens."""
+        return self._address
+
     async def start(self) -> str:
         """Starts to listen and returns the address."""
         self._address = await self._server.listen("127.0.0.1:0")
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_world.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_world.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 import contextlib
+import functools
 import itertools
 import os
 import tempfile
@@ -13,6 +14,7 @@
 from mimosastile_gateway import http_client
 from mimosastile_gateway import settings
 from mimosastile_platform import boot
+from mimosastile_standins import partitions
 from mimosastile_standins import platform_store
 from mimosastile_standins import platform_target
 
@@ -101,6 +103,7 @@
         targets: Targets by identifier.
         daemons: Daemons by VM.
         addresses: Daemons' addresses for callers, by VM.
+        partitions: Partitions between daemons and targets, by VM.
         runs: Executions by targets.
     """
 
@@ -112,6 +115,7 @@
         "_store_address",
         "addresses",
         "daemons",
+        "partitions",
         "runs",
         "store",
         "targets",
@@ -122,6 +126,7 @@
         self.targets: dict[str, platform_target.PlatformTarget] = {}
         self.daemons: dict[str, daemon.Daemon] = {}
         self.addresses: dict[str, str] = {}
+        self.partitions: dict[str, partitions.Partition] = {}
         self.runs: list[platform_target.Execution] = []
         self._pool = http_client.Pool(2.0)
         self._attempts = itertools.count(1)
@@ -189,16 +194,37 @@
             tempfile.gettempdir(), os.O_TMPFILE | os.O_RDWR, 0o600
         )
         self._log_files[name] = descriptor
+        partition = self.partitions[name] = partitions.Partition()
         running = daemon.Daemon(
             configured,
             boot.adapter(configured),
             events.EventLog(name, descriptor),
+            make_pool=functools.partial(
+                partitions.PartitionablePool, partition=partition
+            ),
         )
         await running.start()
         self.daemons[name] = running
         self.addresses[name] = running.callers_address
         return running
 
+    def cut_targets(
+        self,
+        vm: str,
+        mode: partitions.PartitionMode,
+        targets: Iterable[str] | None = None,
+    ) -> None:
+        """Partitions a VM from targets until its partition is ended.
+
+        Args:
+            vm: The VM.
+            mode: What happens to its connections.
+            targets: Identifiers of the targets; None for all.
+        """
+        names = self.targets if targets is None else targets
+        cut = {self.targets[name].address for name in names}
+        self.partitions[vm].begin(mode, cut.__contains__)
+
     def kill_vm(self, name: str) -> None:
         """Stops a daemon as if its process had been killed."""
         self.addresses.pop(name)
