Forward requests through a peer while a VM has no path to their target

Cause: a VM had no other way to serve a request than its own connections. It tried target after target, 0.3 s each, or waited for the owner of a key until no time was left. Leaving the rotation would not help: it needs half of a zone's VMs in it, and kept connections stay. So the way is missing, not a notice.

A VM that reaches no target of a service, or lately took no connection from the owner of a key, forwards the request to a peer that does, over the address for peers. The peer handles it like its own, with its admission, limits, gate and retries, and says in its response what came of it; a refusal for want of a path goes to the next peer, three at most. A forwarded request is never forwarded again, so two cut VMs cannot pass it back and forth. The number of targets that may get it and the rest of its deadline go with it; its key and its part of the retry budget are counted at the first VM alone. Only VMs in the regions of a route get its requests. A caller that leaves resets the connection to the peer, and so the peer's. A stopping VM takes no more forwarded requests and ends those that it has.

A leader lists up to eight peers, nearest first and others for each VM, to VMs that ask for them in their reports; without a leader the VMs last read from the store serve. Peers are weighed by requests under way and distance. An isolated VM tries a target again four times a second and returns to its own connections as soon as one takes a connection; its backoffs end then. Gates are not given to isolated VMs.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
@@ -199,6 +199,11 @@
         self._update_failure_share(0.0, now)
         self._unreachable_count = 0
 
+    def reached(self) -> None:
+        """Records that this VM's path to the target works again."""
+        self.backoff_until = -math.inf
+        self._unreachable_count = 0
+
     def failed(self, now: float) -> None:
         """Records a failure or a rejection."""
         self._update_failure_share(1.0, now)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -10,8 +10,10 @@
 
 import msgspec
 
+from mimosastile_core import errors
 from mimosastile_core.gateway import crash_detection
 from mimosastile_core.gateway import load_balancing
+from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import target_feedback
 from mimosastile_gateway import admission_service
 from mimosastile_gateway import clock
@@ -28,6 +30,7 @@
 from mimosastile_gateway import messages
 from mimosastile_gateway import metrics
 from mimosastile_gateway import peer_calls
+from mimosastile_gateway import peer_forwarding
 from mimosastile_gateway import ports
 from mimosastile_gateway import reach_monitoring
 from mimosastile_gateway import settings
@@ -44,6 +47,8 @@
 reference cycles, and each full collection traverses all objects."""
 _RESPONSE_MARGIN_SECONDS = 0.15
 """Time kept at the end of a graceful stop for sending the last responses."""
+_FORWARDING_HEADER_BYTES = 1024
+"""Size of the headers that forwarding adds to a request, at most."""
 _MAX_IDLE_SECONDS = 5.0
 _SETTINGS_POLL_SECONDS = 1.0
 """Interval at which the settings file is checked for changes: half of the time
@@ -144,11 +149,6 @@
         self._cluster = cluster_state.ClusterState(
             configured, self._clock, self._events
         )
-        self._reach_monitor = reach_monitoring.ReachMonitor(
-            self._cluster, self._clock, self._events
-        )
-        for pool in (self._pool, self._order_pool):
-            pool.on_attempt = self._reach_monitor.record_attempt
         store = adapter.store(self._pool)
         calls = peer_calls.PeerCalls(self._pool, self._events)
         boot = self._clock.new_id()
@@ -157,6 +157,16 @@
             vm.regions,
             configured.rooms,
         )
+        self._reach_monitor = reach_monitoring.ReachMonitor(
+            self._pool,
+            configured.requests.connect,
+            self._cluster,
+            self._balancer,
+            self._clock,
+            self._events,
+        )
+        for pool in (self._pool, self._order_pool):
+            pool.on_attempt = self._reach_monitor.record_attempt
         self._leader_role = leader_role.LeaderRole(
             configured,
             boot,
@@ -193,6 +203,7 @@
             self._admission,
             self._watcher,
             crashes,
+            self._reach_monitor,
             self._clock,
             self._events,
         )
@@ -221,6 +232,16 @@
             self._balancer,
             self._membership,
             dispatcher,
+            peer_forwarding.PeerForwarder(
+                configured,
+                adapter.headers,
+                self._pool,
+                self._cluster,
+                self._membership,
+                self._reach_monitor,
+                self._clock,
+                self._events,
+            ),
             crashes,
             self._metrics,
             self._clock,
@@ -288,10 +309,13 @@
         )
         self._caller_server.stop_listening()
         self._caller_server.close_idle()
-        while self._caller_server.busy and self._clock.now() - began < grace:
+        while (
+            self._caller_server.busy or self._peer_server.busy
+        ) and self._clock.now() - began < grace:
             await asyncio.sleep(0.02)
         self._leader_role.step_down("this daemon stops")
         self._watcher.stop()
+        self._reach_monitor.stop()
         await self._membership.stop()
         if self._maintenance is not None:
             self._maintenance.cancel()
@@ -316,6 +340,7 @@
         """Stops everything at once, as the end of the process would."""
         self._leader_role.step_down("this daemon ends")
         self._watcher.stop()
+        self._reach_monitor.stop()
         self._membership.abort()
         if self._maintenance is not None:
             self._maintenance.cancel()
@@ -401,7 +426,15 @@
     def _on_change(self) -> None:
         configuration = self._cluster.configuration
         if configuration is not None:
-            self._caller_server.limits = configuration.limits
+            limits = configuration.limits
+            self._caller_server.limits = limits
+            # A forwarded request has more headers than the caller's.
+            messages_limits = routes.CallerLimits()
+            self._peer_server.limits = routes.CallerLimits(
+                max(messages_limits.header_bytes, limits.header_bytes)
+                + _FORWARDING_HEADER_BYTES,
+                max(messages_limits.body_bytes, limits.body_bytes),
+            )
 
     async def _maintain(self) -> None:
         for cycle in itertools.count(1):
@@ -482,6 +515,8 @@
     async def _handle_peer_call(
         self, incoming: http_server.Request
     ) -> http_server.Response:
+        if peer_forwarding.origin(incoming):
+            return await self._handle_forwarded(incoming)
         path = incoming.target.decode("latin-1")
         try:
             response = await self._dispatch_peer_call(path, incoming.body)
@@ -494,6 +529,17 @@
             return http_server.Response(404)
         return http_server.Response(200, _JSON, messages.encode(response))
 
+    async def _handle_forwarded(
+        self, incoming: http_server.Request
+    ) -> http_server.Response:
+        """Handles a caller's request that another VM has forwarded."""
+        incoming.forwarded = True
+        if self._stopping:
+            return self._forwarder.refuse(
+                incoming, errors.Failure(errors.ErrorKind.SHUTTING_DOWN)
+            )
+        return await self._forwarder.handle(incoming)
+
     async def _dispatch_peer_call(
         self, path: str, body: bytes
     ) -> msgspec.Struct | None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/dispatching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/dispatching.py
@@ -1,6 +1,7 @@
 """Dispatches requests to targets, with queueing, admission and refusal."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import math
 
@@ -176,19 +177,29 @@
             await clock.wait(self._cluster.changed, left)
 
     async def acquire_target(
-        self, call: pending.Call
-    ) -> result.Result[directory.Target, errors.Failure]:
+        self,
+        call: pending.Call,
+        gives_up: Callable[[pending.Call], bool] | None = None,
+    ) -> result.Result[directory.Target, errors.Failure] | None:
         """Waits until a target has a free slot, and takes it.
 
         The caller gives the slot back with `finish`.
 
+        Args:
+            call: The request.
+            gives_up: Whether a request should no longer wait; None if all
+                should.
+
         Returns:
-            The target, or the reason why none is free in time.
+            The target, or the reason why none is free in time; None if the wait
+            was given up.
         """
         while True:
             acquired = await self._try_acquire(call)
             if acquired is not None:
                 return acquired
+            if gives_up is not None and gives_up(call):
+                return None
 
     async def _try_acquire(
         self, call: pending.Call
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
 import math
@@ -27,26 +26,11 @@
 from mimosastile_gateway import http_server
 from mimosastile_gateway import membership
 from mimosastile_gateway import metrics
+from mimosastile_gateway import peer_forwarding
 from mimosastile_gateway import pending
 from mimosastile_gateway import ports
 from mimosastile_gateway import settings
 
-_HOP_BY_HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-"""Hop-by-hop headers, which are never forwarded."""
 _REJECT_STATUSES = frozenset({400, 421, 429, 503})
 """Statuses with which a target may report that it did not run a request."""
 _BACKOFF_STATUS = 503
@@ -89,6 +73,7 @@
         "_retry_ages",
         "_membership",
         "_dispatcher",
+        "_peer_forwarder",
         "_pool",
         "_read_feedback",
         "_balancer",
@@ -107,6 +92,7 @@
         balancer: load_balancing.LoadBalancer,
         own_membership: membership.Membership,
         dispatcher: dispatching.Dispatcher,
+        peer_forwarder: peer_forwarding.PeerForwarder,
         crashes: crash_detection.CrashDetector,
         request_metrics: metrics.Metrics,
         timer: clock.Clock,
@@ -123,6 +109,7 @@
         self._clock = timer
         self._events = event_log
         self._dispatcher = dispatcher
+        self._peer_forwarder = peer_forwarder
         self._crashes = crashes
         self._retry_ages: dict[str, caller_retries.RetryAge] = {}
         self._retry_budgets: dict[str, retry_budget.RetryBudget] = {}
@@ -167,6 +154,12 @@
         finally:
             self._active_calls.discard(call)
 
+    def refuse(
+        self, incoming: http_server.Request, failure: errors.Failure
+    ) -> http_server.Response:
+        """Returns the refusal of a request that is not handled."""
+        return self._refuse(None, incoming, failure)
+
     def cap_deadlines(self, at: float) -> None:
         """Caps the deadlines of all present and future requests.
 
@@ -248,15 +241,23 @@
         key = incoming.header(names.key)
         if service.keyed and _is_key(key):
             call.key = int(key or b"0")
-            self._membership.record_request(service.name, call.key)
         call.header_lines = [
             name + b": " + value
             for name, value in incoming.headers
-            if name not in _HOP_BY_HOP_HEADERS
+            if name not in http_client.HOP_BY_HOP_HEADERS
             and name not in (names.deadline, names.expected_target)
+            and not (incoming.forwarded and name in peer_forwarding.HEADERS)
         ]
         call.fingerprint = _fingerprint(incoming, key)
         call.ticket = self._dispatcher.ticket(route.priority)
+        if incoming.forwarded:
+            call.origin = peer_forwarding.origin(incoming)
+            sends_left = peer_forwarding.sends_left(incoming)
+            call.max_sends = min(call.max_sends, sends_left)
+            return call
+        # The VM that forwarded a request has counted it.
+        if call.key is not None:
+            self._membership.record_request(service.name, call.key)
         self._retry_budget(service.name).request(self._clock.now())
         return call
 
@@ -278,11 +279,25 @@
     async def _forward(self, call: pending.Call) -> http_server.Response:
         last: errors.Failure | None = None
         while True:
-            if self._crashes.is_held(call.fingerprint, self._clock.now()):
-                held = errors.Failure(errors.ErrorKind.HELD_BACK)
-                failure = _final_failure(call, last, held)
+            refusal = self._refusal_before_send(call)
+            if refusal is not None:
+                failure = _final_failure(call, last, refusal)
                 return self._refuse(call, call.incoming, failure)
-            acquired = await self._dispatcher.acquire_target(call)
+            peer = self._peer_forwarder.choose(call)
+            if peer is not None:
+                sent = await self._peer_forwarder.send(call, peer)
+                if isinstance(sent, result.Ok):
+                    self._record_forwarded(call, sent.ok_value)
+                    return sent.ok_value
+                last = sent.err_value
+                if not self._may_retry(call, last):
+                    return self._refuse(call, call.incoming, last)
+                continue
+            acquired = await self._dispatcher.acquire_target(
+                call, self._can_forward
+            )
+            if acquired is None:
+                continue
             if isinstance(acquired, result.Err):
                 failure = _final_failure(call, last, acquired.err_value)
                 return self._refuse(call, call.incoming, failure)
@@ -292,12 +307,36 @@
             last = sent.err_value
             if not self._may_retry(call, last):
                 return self._refuse(call, call.incoming, last)
-            if last.kind is errors.ErrorKind.WRONG_FENCE:
-                await self._dispatcher.await_owner_change(
-                    call, acquired.ok_value
-                )
-            if last.kind is errors.ErrorKind.UNREACHABLE:
-                await self._dispatcher.await_reachable(call, acquired.ok_value)
+            await self._await_retry(call, acquired.ok_value, last)
+
+    def _can_forward(self, call: pending.Call) -> bool:
+        """Whether a request that waits for a target should use a peer."""
+        return self._peer_forwarder.choose(call) is not None
+
+    def _refusal_before_send(self, call: pending.Call) -> errors.Failure | None:
+        """Returns why a request must not be sent; None if it may."""
+        if self._crashes.is_held(call.fingerprint, self._clock.now()):
+            return errors.Failure(errors.ErrorKind.HELD_BACK)
+        if call.origin and self._peer_forwarder.lacks_path(call):
+            return errors.Failure(
+                errors.ErrorKind.UNREACHABLE,
+                f"No path to {call.service.name} here either.",
+            )
+        return None
+
+    async def _await_retry(
+        self,
+        call: pending.Call,
+        target: directory.Target,
+        failure: errors.Failure,
+    ) -> None:
+        """Waits until it is of use to send again after a failure."""
+        if failure.kind is errors.ErrorKind.WRONG_FENCE:
+            await self._dispatcher.await_owner_change(call, target)
+        if failure.kind is errors.ErrorKind.UNREACHABLE:
+            call.connect_failures += 1
+            if not call.origin and not self._can_forward(call):
+                await self._dispatcher.await_reachable(call, target)
 
     def _may_retry(self, call: pending.Call, failure: errors.Failure) -> bool:
         """Whether to send again after a failure; spends the retry budget."""
@@ -313,7 +352,7 @@
             return now < self._dispatcher.latest_start(call)
         if call.maybe_ran and not call.repeatable:
             return False
-        if call.send_count >= call.route.attempts and maybe_ran:
+        if call.send_count >= call.max_sends and maybe_ran:
             return False
         if now >= self._dispatcher.latest_start(call):
             return False
@@ -436,18 +475,14 @@
         self, call: pending.Call, target: directory.Target
     ) -> bytes:
         names = self._header_names
-        incoming = call.incoming
         margin = self._settings.requests.margin
         left = max(call.deadline - margin - self._clock.now(), 0.001)
-        lines = [
-            b"%b %b HTTP/1.1" % (incoming.method.encode(), incoming.target),
-            *call.header_lines,
-            b"%b: %d" % (names.deadline, int(left * 1000)),
-            b"%b: %b" % (names.expected_target, target.id.encode()),
-        ]
-        if incoming.body or incoming.method in ("POST", "PUT", "PATCH"):
-            lines.append(b"Content-Length: %d" % len(incoming.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + incoming.body
+        return call.encode(
+            (
+                (names.deadline, b"%d" % int(left * 1000)),
+                (names.expected_target, target.id.encode()),
+            )
+        )
 
     def _interpret_response(
         self,
@@ -488,12 +523,18 @@
         headers = tuple(
             (name, value)
             for name, value in reply.headers
-            if name not in _HOP_BY_HOP_HEADERS
+            if name not in http_client.HOP_BY_HOP_HEADERS
         )
         body = reply.take()
+        if call.origin:
+            headers += tuple(
+                peer_forwarding.outcome_headers(
+                    peer_forwarding.PASSED, call.send_count
+                )
+            )
         if reply.complete:
             return result.Ok(http_server.Response(status, headers, body))
-        remaining_body = self._stream(connection, reply, target)
+        remaining_body = self._pool.stream(connection, reply, target.address)
         return result.Ok(
             http_server.Response(status, headers, body, remaining_body)
         )
@@ -533,29 +574,11 @@
         now = self._clock.now()
         return (
             call.repeatable
-            and call.send_count < call.route.attempts
+            and call.send_count < call.max_sends
             and now < self._dispatcher.latest_start(call)
             and self._retry_budget(call.service.name).left(now) >= 1
         )
 
-    async def _stream(
-        self,
-        connection: http_client.Connection,
-        reply: http_client.IncomingResponse,
-        target: directory.Target,
-    ) -> AsyncIterator[bytes]:
-        """Streams the rest of a large response body."""
-        usable = False
-        try:
-            while chunk := await connection.read_chunk(reply):
-                yield chunk
-            usable = True
-        finally:
-            if usable:
-                self._pool.release(connection, target.address)
-            else:
-                connection.abort()
-
     def _record_outcome(
         self,
         call: pending.Call,
@@ -617,6 +640,16 @@
 
     # Responses to callers.
 
+    def _record_forwarded(
+        self, call: pending.Call, response: http_server.Response
+    ) -> None:
+        """Counts a response that came through a peer."""
+        sealed = self._header_names.seal in dict(response.headers)
+        outcome = "forwarded" if sealed else "refused_by_peer"
+        elapsed = self._clock.now() - call.received_at
+        self._outcome_counts[outcome] += 1
+        self._metrics.record(call.route.name, outcome, elapsed)
+
     def _record_passed(
         self,
         call: pending.Call,
@@ -684,6 +717,12 @@
             headers.append((self._header_names.attempt, attempt))
         if failure.response.ran is errors.Ran.NO and failure.wait:
             headers.append((b"retry-after", b"%g" % failure.wait))
+        if incoming.forwarded:
+            headers.extend(
+                peer_forwarding.outcome_headers(
+                    kind.encode(), call.send_count if call else 0
+                )
+            )
         text = failure.response.text.encode() + b"\n"
         return http_server.Response(
             failure.response.status, tuple(headers), text
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -16,6 +17,22 @@
 
 import httptools
 
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Hop-by-hop headers, which are never forwarded."""
 _MAX_IDLE_CONNECTIONS = 64
 """Idle connections kept per address."""
 _STREAM_BUFFER_BYTES = 2 << 20
@@ -474,6 +491,42 @@
                 connection.close()
         return await self._open(address, timeout)
 
+    async def connect_new(self, address: str, timeout: float) -> Connection:
+        """Returns a new connection even if there are idle ones.
+
+        Args:
+            address: Host and port.
+            timeout: Connect timeout in seconds.
+
+        Raises:
+            NotSentError: No connection could be opened.
+        """
+        return await self._open(address, timeout)
+
+    async def stream(
+        self, connection: Connection, response: IncomingResponse, address: str
+    ) -> AsyncIterator[bytes]:
+        """Yields the rest of a response's body, then releases its connection.
+
+        Args:
+            connection: The connection on which the response arrives.
+            response: The response.
+            address: Host and port of the connection.
+
+        Raises:
+            ResponseLostError: The connection ended or failed before.
+        """
+        complete = False
+        try:
+            while chunk := await connection.read_chunk(response):
+                yield chunk
+            complete = True
+        finally:
+            if complete:
+                self.release(connection, address)
+            else:
+                connection.abort()
+
     def release(self, connection: Connection, address: str) -> None:
         """Returns a connection to the pool; closes one that is not reusable."""
         kept = self._idle.setdefault(address, [])
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -36,6 +36,8 @@
         cancellable: Whether its handler is cancelled when the caller
             disconnects.
         disconnected: Whether the caller has disconnected.
+        forwarded: Whether another entry VM has forwarded the request; set by
+            the handler.
     """
 
     __slots__ = (
@@ -44,6 +46,7 @@
         "cancellable",
         "headers",
         "disconnected",
+        "forwarded",
         "method",
         "target",
     )
@@ -56,6 +59,7 @@
         self.received_at = received_at
         self.cancellable = True
         self.disconnected = False
+        self.forwarded = False
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if there is none."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -16,6 +16,7 @@
 from mimosastile_core.gateway import demand
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import former_leaders
+from mimosastile_core.gateway import forwarding_peers
 from mimosastile_core.gateway import key_rates
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import lease_extension
@@ -609,6 +610,28 @@
             stamp=now,
             seen_age=self._cluster.registrations_age,
             configuration_age=self._cluster.configuration_age,
+            peers=self._peers_for(report, fresh_reports),
+        )
+
+    def _peers_for(
+        self, report: messages.Report, reports: Mapping[str, messages.Report]
+    ) -> tuple[forwarding_peers.Peer, ...]:
+        """Returns the VMs through which a VM may reach more targets."""
+        if not report.wants_peers:
+            return ()
+        isolated = set(report.isolated)
+        return forwarding_peers.nearest(
+            (
+                forwarding_peers.Peer(other.vm.address, other.vm.zone)
+                for other in reports.values()
+                if other.vm.id != report.vm.id
+                and not other.stopping
+                and isolated.isdisjoint(other.isolated)
+                and other.unreachable < report.unreachable
+            ),
+            report.vm.id,
+            report.vm.zone,
+            self._settings.vm.regions,
         )
 
     def _current_gates(
@@ -627,7 +650,7 @@
                 (
                     (report.vm.address, report.vm.zone)
                     for report in reports.values()
-                    if not report.stopping
+                    if not report.stopping and not report.isolated
                 ),
                 self._settings.vm.regions,
                 self._services,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Iterable
 import zlib
 
 import msgspec
@@ -12,6 +13,7 @@
 from mimosastile_core.gateway import crash_detection
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
+from mimosastile_core.gateway import forwarding_peers
 from mimosastile_core.gateway import freshness
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import load_balancing
@@ -24,6 +26,7 @@
 from mimosastile_gateway import messages
 from mimosastile_gateway import peer_calls
 from mimosastile_gateway import ports
+from mimosastile_gateway import reach_monitoring
 from mimosastile_gateway import settings
 from mimosastile_gateway import store_watching
 from mimosastile_gateway import wait_queues
@@ -80,6 +83,9 @@
 _FIND_LEADER_SECONDS = 2.0
 """Time without a leader after which a VM looks for one in the store, and
 interval of such lookups."""
+_PEERS_VALID_SECONDS = 1.5
+"""Age up to which a leader's list of peers is used, and for which a VM asks for
+it after a request had to be forwarded."""
 _QUERIED_PEERS = 3
 """Number of peers that are queried whether they receive messages from the
 leader, before it is replaced."""
@@ -105,6 +111,7 @@
         "_events",
         "_follow_requested",
         "_follows_store",
+        "_forwarding_peers",
         "_found_at",
         "_full_target_requests",
         "_keys",
@@ -115,7 +122,10 @@
         "_leader_seen_at",
         "_leader_version",
         "_misses",
+        "_monitor",
         "_peers",
+        "_peers_listed_at",
+        "_peers_wanted_at",
         "_queues",
         "_report_due",
         "_reported_at",
@@ -147,6 +157,7 @@
         admission: admission_service.AdmissionService,
         watcher: store_watching.StoreWatcher,
         crashes: crash_detection.CrashDetector,
+        monitor: reach_monitoring.ReachMonitor,
         timer: clock.Clock,
         log: events.EventLog,
     ) -> None:
@@ -161,6 +172,7 @@
         self._admission = admission
         self._watcher = watcher
         self._crashes = crashes
+        self._monitor = monitor
         self._clock = timer
         self._events = log
         self._address = configured.vm.peers
@@ -184,6 +196,9 @@
         self._vms = 1
         self._vms_read_at = float("-inf")
         self._peers: tuple[messages.VmEntry, ...] = ()
+        self._forwarding_peers: tuple[forwarding_peers.Peer, ...] = ()
+        self._peers_listed_at = float("-inf")
+        self._peers_wanted_at = float("-inf")
         self._sent_factors: dict[str, float] = {}
         self._synced_leader: leadership.LeaderEntry | None = None
         self._clock_offset: freshness.ClockOffset | None = None
@@ -285,6 +300,36 @@
         self.report_soon()
         await clock.wait(self._leader_responded, seconds)
 
+    def request_peers(self) -> None:
+        """Asks the leader for peers to forward requests to."""
+        now = self._clock.now()
+        if now - self._peers_wanted_at > _PEERS_VALID_SECONDS:
+            self.report_soon()
+        self._peers_wanted_at = now
+
+    def forwarding_peers(self) -> Iterable[forwarding_peers.Peer]:
+        """Returns the peers that may reach what this VM does not.
+
+        Without a recent list of the leader, these are the leader and the VMs
+        that were last read from the store.
+        """
+        age = self._clock.now() - self._peers_listed_at
+        if self._forwarding_peers and age < _PEERS_VALID_SECONDS:
+            return self._forwarding_peers
+        here = self._settings.vm.id
+        known = {vm.id: vm for vm in self._peers} | self._cluster.vms
+        peers = {
+            vm.address: forwarding_peers.Peer(vm.address, vm.zone)
+            for vm in known.values()
+            if vm.id != here
+        }
+        leader = self._cluster.leader
+        if leader is not None and leader.vm != here:
+            peers.setdefault(
+                leader.address, forwarding_peers.Peer(leader.address, "")
+            )
+        return peers.values()
+
     def report_miss(self, service: str, key: int, target: str) -> None:
         """Records that a target rejected a key that it should own."""
         if len(self._misses) < _KEYS_PER_REPORT:
@@ -563,6 +608,9 @@
             self._unreported_leaving(),
             self._cluster.backoffs.long_backoffs(self._clock.now()),
             *self._complete_at(),
+            tuple(sorted(self._monitor.isolated)),
+            len(self._monitor.unreachable()),
+            self._clock.now() - self._peers_wanted_at < _PEERS_VALID_SECONDS,
         )
 
     def _complete_at(self) -> tuple[float | None, float | None]:
@@ -717,6 +765,9 @@
         self._leader_seen_at = now
         self._leader.handle_reply(reply)
         self._vms = reply.vms
+        if reply.peers:
+            self._forwarding_peers = reply.peers
+            self._peers_listed_at = now
         for death in reply.crashes:
             self._crashes.record_crash(death, now)
         if reply.stamp is not None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -10,6 +10,7 @@
 from mimosastile_core.gateway import configurations
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
+from mimosastile_core.gateway import forwarding_peers
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import limits
 from mimosastile_core.gateway import routes
@@ -27,6 +28,7 @@
 _Difference = assignments.Difference
 _Evacuations = eligibility.Evacuations
 _LimitUpdate = limits.LimitUpdate
+_Peer = forwarding_peers.Peer
 _COMPRESS_FROM_BYTES = 600
 """Size in bytes from which a message is compressed; smaller ones fit into one
 packet anyway."""
@@ -200,6 +202,9 @@
             revision of the registrations, None if this VM does not watch the
             store.
         configuration_at: The same for the configuration and evacuations.
+        isolated: Services of which the VM reaches no target.
+        unreachable: Number of targets that the VM could not reach lately.
+        wants_peers: Whether the VM has requests to forward to peers.
     """
 
     vm: VmEntry
@@ -232,6 +237,9 @@
     backoffs: dict[str, float] = msgspec.field(name="resting", default={})
     seen_at: float | None = None
     configuration_at: float | None = None
+    isolated: tuple[str, ...] = ()
+    unreachable: int = 0
+    wants_peers: bool = False
 
 
 class ReportReply(msgspec.Struct, frozen=True):
@@ -269,6 +277,8 @@
         seen_age: Seconds since `seen` was the newest revision of the
             registrations, None if the leader has no such time.
         configuration_age: The same for the configuration and evacuations.
+        peers: VMs that reach more targets than the reporting one, if it wants
+            peers; the nearest first.
     """
 
     leader: leadership.LeaderEntry | None
@@ -296,6 +306,7 @@
     stamp: float | None = None
     seen_age: float | None = None
     configuration_age: float | None = None
+    peers: tuple[_Peer, ...] = ()
 
 
 class UpdateAck(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -1,6 +1,7 @@
 """A caller's request while it is being forwarded."""
 
 import asyncio
+from collections.abc import Iterable
 
 import msgspec
 
@@ -38,6 +39,7 @@
         attempt: Identifier of the caller's attempt.
         basis: The state by which the last target was chosen, None before the
             first.
+        connect_failures: How many targets accepted no connection.
         received_at: When the request was read.
         deadline: When the caller stops waiting.
         fingerprint: The same whenever the request is repeated.
@@ -46,7 +48,10 @@
         header_lines: The header lines that go to a target.
         incoming: The request as received.
         key: The request's key, None if the service is not keyed.
+        max_sends: How many targets may get the request.
         maybe_ran: Whether a target may have run the request.
+        origin: VM that forwarded the request to this one; empty for a request
+            that came from its caller.
         permit: Its permit at a contended target.
         reject_count: How many targets have rejected the key.
         route: The request's route.
@@ -56,6 +61,7 @@
         service: The service that it goes to.
         ticket: Its ticket in this VM's wait queues.
         timer: Times out the exchange with a target, None outside of one.
+        tried_peers: Addresses of the peers that it was forwarded to.
         tried_targets: Identifiers of the targets that it was sent to.
         prior_retry_seconds: How long the caller had been retrying before.
         unreachable_count: How often the target was unreachable.
@@ -67,6 +73,7 @@
         "answered",
         "attempt",
         "basis",
+        "connect_failures",
         "received_at",
         "deadline",
         "fingerprint",
@@ -74,7 +81,9 @@
         "header_lines",
         "incoming",
         "key",
+        "max_sends",
         "maybe_ran",
+        "origin",
         "permit",
         "reject_count",
         "route",
@@ -83,6 +92,7 @@
         "service",
         "ticket",
         "timer",
+        "tried_peers",
         "tried_targets",
         "prior_retry_seconds",
         "unreachable_count",
@@ -108,7 +118,10 @@
         self.key: int | None = None
         self.fingerprint = ""
         self.header_lines: list[bytes] = []
+        self.origin = ""
         self.send_count = 0
+        self.max_sends = route.attempts
+        self.connect_failures = 0
         self.expected_runs = 0.0
         self.reject_count = 0
         self.unreachable_count = 0
@@ -116,6 +129,7 @@
         self.maybe_ran = False
         self.maybe_queued = False
         self.answered = False
+        self.tried_peers: set[str] = set()
         self.tried_targets: set[str] = set()
         self.prior_retry_seconds = 0.0
         self.permit: admission_service.Permit | None = None
@@ -127,3 +141,19 @@
     def repeatable(self) -> bool:
         """Whether the request may run more than once."""
         return self.route.kind.repeatable
+
+    def encode(self, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+        """Encodes the request to send it on.
+
+        Args:
+            headers: Headers in addition to the caller's.
+        """
+        incoming = self.incoming
+        lines = [
+            b"%b %b HTTP/1.1" % (incoming.method.encode(), incoming.target),
+            *self.header_lines,
+            *(b"%b: %b" % header for header in headers),
+        ]
+        if incoming.body or incoming.method in ("POST", "PUT", "PATCH"):
+            lines.append(b"Content-Length: %d" % len(incoming.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + incoming.body
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -14,7 +14,9 @@
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
+from mimosastile_gateway import http_client
 from mimosastile_gateway import ports
+from mimosastile_gateway import reach_monitoring
 from mimosastile_gateway import settings
 
 UNAVAILABLE = errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE, "down")
@@ -107,6 +109,13 @@
     return made
 
 
+def new_reach_monitor(cluster, balancer, timer, log):
+    """Returns a monitor of targets whose attempts a test records."""
+    return reach_monitoring.ReachMonitor(
+        http_client.Pool(2.0), 0.3, cluster, balancer, timer, log
+    )
+
+
 def view_ages(cluster):
     """Returns the ages of the views of registrations and configuration."""
     return cluster.registrations_age, cluster.configuration_age
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -24,6 +24,7 @@
 from mimosastile_gateway import membership
 from mimosastile_gateway import messages
 from mimosastile_gateway import metrics
+from mimosastile_gateway import peer_forwarding
 from mimosastile_gateway import store_watching
 from mimosastile_gateway import wait_queues
 from mimosastile_platform import headers
@@ -309,6 +310,9 @@
         self.admission = admission_service.AdmissionService(
             configured, channel, self.cluster, timer
         )
+        self.reach_monitor = fakes.new_reach_monitor(
+            self.cluster, self.balancer, timer, self.log
+        )
         self.membership = membership.Membership(
             configured,
             boot,
@@ -321,6 +325,7 @@
             self.admission,
             self.watcher,
             detector,
+            self.reach_monitor,
             timer,
             self.log,
         )
@@ -350,6 +355,16 @@
             self.balancer,
             self.membership,
             self.dispatcher,
+            peer_forwarding.PeerForwarder(
+                configured,
+                headers.NAMES,
+                pool,
+                self.cluster,
+                self.membership,
+                self.reach_monitor,
+                timer,
+                self.log,
+            ),
             detector,
             metrics.Metrics({}),
             timer,
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -73,17 +73,16 @@
         timer,
         log,
     )
+    balancer = load_balancing.LoadBalancer(
+        load_balancing.Location("z", "r"), {"z": "r"}, load_balancing.Policy()
+    )
     return membership.Membership(
         configured,
         f"boot-{vm}",
         store,
         calls,
         state,
-        load_balancing.LoadBalancer(
-            load_balancing.Location("z", "r"),
-            {"z": "r"},
-            load_balancing.Policy(),
-        ),
+        balancer,
         leader,
         wait_queues.WaitQueues(),
         admission_service.AdmissionService(
@@ -93,6 +92,7 @@
             configured.store, store, records.RecordDecoder(), state, timer, log
         ),
         crash_detection.CrashDetector(),
+        fakes.new_reach_monitor(state, balancer, timer, log),
         timer,
         log,
     )
