Replace a leader that has no path to the owners of keys

Cause: a leader is replaced when it loses the store or falls silent. This one had both, so its lease stayed valid, while it could renew no grant; and only it may.

A leader that is isolated from a service divided by key, or whose orders find no connection to two owners or more that have responded to other VMs since, asks VMs to lead that report the store, no isolated service in common and fewer unreachable targets. An isolated VM does not take over when asked, is asked last by a stopping leader, and waits as long as the weakest VM when there is none. Orders without a response are no reason: others would get none either.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -174,6 +174,7 @@
             adapter.orders(self._order_pool),
             calls,
             self._cluster,
+            self._reach_monitor,
             self._clock,
             self._events,
         )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 
 import result
 
@@ -108,16 +109,25 @@
             None after a success.
         failures: Consecutive failed orders.
         refused: Whether the target has refused a current fence.
+        unreachable: Whether the last order found no connection.
         wake: Interrupts the wait for the next due grant.
         task: Sends the grants to the target.
     """
 
-    __slots__ = ("failing_since", "failures", "refused", "task", "wake")
+    __slots__ = (
+        "failing_since",
+        "failures",
+        "refused",
+        "task",
+        "unreachable",
+        "wake",
+    )
 
     def __init__(self) -> None:
         self.failing_since: float | None = None
         self.failures = 0
         self.refused = False
+        self.unreachable = False
         self.wake = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
 
@@ -248,6 +258,22 @@
             > detection_timeout - configured.order_timeout
         )
 
+    def cut_off_owners(self) -> list[str]:
+        """Returns owners that other VMs reach and this one does not.
+
+        They take no connection for orders, but have responded to callers of
+        other VMs since.
+        """
+        return [
+            holder.id
+            for holder, owner in self._owners.items()
+            if owner.unreachable
+            and owner.failures > 1
+            and owner.failing_since is not None
+            and self._last_alive_at.get(holder.id, -math.inf)
+            > owner.failing_since
+        ]
+
     def needs_fence(self, holder: ranges.Holder) -> bool:
         """Whether a target needs new fences before it may be granted keys."""
         owner = self._owners.get(holder)
@@ -515,6 +541,7 @@
         if failure.kind is errors.ErrorKind.TARGET_REPLACED:
             exposure.until = now
             self._cluster.end_incarnation(holder.id, holder.born)
+        owner.unreachable = failure.kind is errors.ErrorKind.UNREACHABLE
         owner.failures += 1
         owner.failing_since = (
             sent_at if owner.failing_since is None else owner.failing_since
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -32,6 +32,7 @@
 from mimosastile_gateway import peer_calls
 from mimosastile_gateway import planning
 from mimosastile_gateway import ports
+from mimosastile_gateway import reach_monitoring
 from mimosastile_gateway import settings
 from mimosastile_gateway import witnessing
 
@@ -63,6 +64,9 @@
 _RESIGN_AFTER_SECONDS = 0.8
 """Seconds without the store after which the leader asks a VM that reaches it to
 take over: long enough for one lost packet, short compared to a grant."""
+_MAX_CUT_OFF_OWNERS = 1
+"""Owners that other VMs reach and a leader does not, up to which it goes on
+leading: the keys of a single one move to another target."""
 _READ_ATTEMPTS = 5
 """Attempts of a new leader to read the tables before it gives up."""
 
@@ -97,7 +101,9 @@
         "_has_led",
         "_last_alive_at",
         "_lease",
+        "_monitor",
         "_orders",
+        "_path_successors",
         "_planner",
         "_publish_timer",
         "_published_at",
@@ -129,6 +135,7 @@
         orders: ports.OrderPort,
         calls: peer_calls.PeerCalls,
         cluster: cluster_state.ClusterState,
+        monitor: reach_monitoring.ReachMonitor,
         timer: clock.Clock,
         log: events.EventLog,
     ) -> None:
@@ -141,6 +148,7 @@
             orders: Sends orders to targets.
             calls: Client for calls to peers.
             cluster: This VM's view of the cluster.
+            monitor: Knows the targets that this VM does not reach.
             timer: The clock.
             log: The event log.
         """
@@ -149,6 +157,7 @@
         self._store = store
         self._orders = orders
         self._cluster = cluster
+        self._monitor = monitor
         self._clock = timer
         self._events = log
         self._crashes = crash_detection.CrashDetector()
@@ -182,6 +191,7 @@
         self._term_started_at = 0.0
         self._store_failing_since: float | None = None
         self._successors = successors.SuccessorSelection()
+        self._path_successors = successors.SuccessorSelection()
         self._tasks: list[asyncio.Task[Any]] = []
         self._taking_over = False
 
@@ -365,6 +375,7 @@
         self._planner = self._new_planner()
         self._demand = demand.Demand(dissemination.REPORT_MAX_AGE_SECONDS)
         self._successors.clear()
+        self._path_successors.clear()
         self._store_failing_since = None
         self._term_started_at = now
         record_item = items.get(messages.WITNESSES_KEY)
@@ -599,7 +610,8 @@
             crashes=self._crashes.crashes(now),
             watchers=self._current_watchers(fresh_reports),
             vms=len(fresh_reports),
-            take_over=vm.id in self._successors.asked,
+            take_over=vm.id in self._successors.asked
+            or vm.id in self._path_successors.asked,
             evacuations=self._cluster.evacuations,
             limits=self._cluster.limits.updates(now),
             leaving=tuple(
@@ -860,10 +872,68 @@
     def _successor_candidates(self) -> list[messages.VmEntry]:
         """Returns other VMs that report a reachable store, best first."""
         candidates = [
-            report.vm
+            report
             for report in self._disseminator.fresh().values()
             if report.store and report.vm.id != self._settings.vm.id
         ]
+        candidates.sort(key=lambda r: (bool(r.isolated), r.vm.order, r.vm.id))
+        return [report.vm for report in candidates]
+
+    # Leading without a path to targets.
+
+    @property
+    def lacks_path(self) -> bool:
+        """Whether this VM reaches no target of a service divided by key."""
+        configuration = self._cluster.configuration
+        return configuration is not None and any(
+            service.keyed and self._monitor.is_isolated(service.name)
+            for service in configuration.services.values()
+        )
+
+    def _replace_if_cut_off(self) -> None:
+        """Asks VMs that reach more targets to lead, if owners are cut off.
+
+        Grants cannot be renewed without a path to their owners, and no other
+        VM may renew them.
+        """
+        cut_off = [
+            owner
+            for keyed in self._services.values()
+            for owner in keyed.reconciler.cut_off_owners()
+        ]
+        if not self.lacks_path and len(cut_off) <= _MAX_CUT_OFF_OWNERS:
+            self._path_successors.clear()
+            return
+        candidates = self._candidates_with_path()
+        asked = self._path_successors.next(
+            [vm.id for vm in candidates], self._clock.boottime()
+        )
+        if not asked:
+            return
+        self._disseminator.request_takeover(
+            vm for vm in candidates if vm.id in asked
+        )
+        self._events.write(
+            "leader",
+            "asks_successor_with_path",
+            successors=asked,
+            isolated=sorted(self._monitor.isolated),
+            cut_off=cut_off,
+        )
+
+    def _candidates_with_path(self) -> list[messages.VmEntry]:
+        """Returns VMs that reach the store and more targets than this one."""
+        unreachable = len(self._monitor.unreachable())
+        isolated = self._monitor.isolated
+        candidates = [
+            report.vm
+            for report in self._disseminator.fresh().values()
+            if report.vm.id != self._settings.vm.id
+            and report.store
+            and not report.stopping
+            and isolated.isdisjoint(report.isolated)
+            and report.unreachable < unreachable
+        ]
         return sorted(candidates, key=lambda vm: (vm.order, vm.id))
 
     # Planning.
@@ -872,6 +942,7 @@
         """Plans the tables of all sharded services at regular intervals."""
         while True:
             await asyncio.sleep(self._settings.leader.plan)
+            self._replace_if_cut_off()
             try:
                 await self._plan()
             except Exception as error:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -796,6 +796,8 @@
 
     def _take_over_soon(self) -> None:
         """Starts to take over as the leader, at the leader's request."""
+        if self._leader.lacks_path:
+            return
         task = asyncio.create_task(self._take_over("requested by leader"))
         self._tasks.append(task)
         task.add_done_callback(self._tasks.remove)
@@ -950,6 +952,9 @@
         """Returns the seconds for which better VMs may take over first."""
         configured = self._settings.leader
         weakness = 1.0 - self._settings.vm.strength
+        if self._leader.lacks_path:
+            # A leader without a path to targets cannot renew grants.
+            weakness = 1.0
         if self._few:
             ranked = configured.rank_wait * self._rank(leader)
         else:
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -9,6 +9,7 @@
 
 from mimosastile_core import errors
 from mimosastile_core.gateway import directory
+from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import target_feedback
 from mimosastile_gateway import clock
@@ -109,8 +110,11 @@
     return made
 
 
-def new_reach_monitor(cluster, balancer, timer, log):
+def new_reach_monitor(cluster, timer, log, balancer=None):
     """Returns a monitor of targets whose attempts a test records."""
+    balancer = balancer or load_balancing.LoadBalancer(
+        load_balancing.Location("z", "r"), {"z": "r"}, load_balancing.Policy()
+    )
     return reach_monitoring.ReachMonitor(
         http_client.Pool(2.0), 0.3, cluster, balancer, timer, log
     )
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -285,6 +285,9 @@
         channel = _Channel(fleet, name)
         boot = f"boot-{name}-{fleet.started}"
         fleet.started += 1
+        self.reach_monitor = fakes.new_reach_monitor(
+            self.cluster, timer, self.log, self.balancer
+        )
         self.leader_role = leader_role.LeaderRole(
             configured,
             boot,
@@ -292,6 +295,7 @@
             fleet.orders,
             channel,
             self.cluster,
+            self.reach_monitor,
             timer,
             self.log,
         )
@@ -310,9 +314,6 @@
         self.admission = admission_service.AdmissionService(
             configured, channel, self.cluster, timer
         )
-        self.reach_monitor = fakes.new_reach_monitor(
-            self.cluster, self.balancer, timer, self.log
-        )
         self.membership = membership.Membership(
             configured,
             boot,
--- a/tests/gateway/test_leader_role.py
+++ b/tests/gateway/test_leader_role.py
@@ -27,6 +27,9 @@
         self.cluster = fakes.new_cluster_state(self.clock, self.log, *targets)
         configured = fakes.configured(settle=0.1, settle_most=0.2)
         vm = msgspec.structs.replace(configured.vm, id=name)
+        self.monitor = fakes.new_reach_monitor(
+            self.cluster, self.clock, self.log
+        )
         self.leader_role = leader_role.LeaderRole(
             msgspec.structs.replace(configured, vm=vm),
             f"boot-{name}",
@@ -34,6 +37,7 @@
             orders,
             peer_calls.PeerCalls(http_client.Pool(1.0), self.log),
             self.cluster,
+            self.monitor,
             self.clock,
             self.log,
         )
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -63,6 +63,7 @@
 def _member(configured, state, store, calls, timer, log):
     """Returns the membership of one VM."""
     vm = configured.vm.id
+    monitor = fakes.new_reach_monitor(state, timer, log)
     leader = leader_role.LeaderRole(
         configured,
         f"boot-{vm}",
@@ -70,19 +71,21 @@
         fakes.Orders(),
         calls,
         state,
+        monitor,
         timer,
         log,
     )
-    balancer = load_balancing.LoadBalancer(
-        load_balancing.Location("z", "r"), {"z": "r"}, load_balancing.Policy()
-    )
     return membership.Membership(
         configured,
         f"boot-{vm}",
         store,
         calls,
         state,
-        balancer,
+        load_balancing.LoadBalancer(
+            load_balancing.Location("z", "r"),
+            {"z": "r"},
+            load_balancing.Policy(),
+        ),
         leader,
         wait_queues.WaitQueues(),
         admission_service.AdmissionService(
@@ -92,7 +95,7 @@
             configured.store, store, records.RecordDecoder(), state, timer, log
         ),
         crash_detection.CrashDetector(),
-        fakes.new_reach_monitor(state, balancer, timer, log),
+        monitor,
         timer,
         log,
     )
--- a/tests/gateway/test_witnessing.py
+++ b/tests/gateway/test_witnessing.py
@@ -66,6 +66,7 @@
             fleet.orders,
             Calls(fleet, name),
             self.cluster,
+            fakes.new_reach_monitor(self.cluster, fleet.clock, self.log),
             fleet.clock,
             self.log,
         )
