Confirm crashes of targets only while other targets respond

Six VMs that lost their links reported one request each as having killed its target, while all targets were up. Three such reports of one request make all VMs refuse it for a minute.

Cause: a lost response followed by a connection that fails counted as a crash of the target. A VM that loses its own link sees the same at every target.

A crash is confirmed only if another target has responded after the loss and before the attempt to connect. Otherwise the loss stays open, for three seconds as before.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/crash_detection.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/crash_detection.py
@@ -3,9 +3,12 @@
 Occasionally a request crashes every target that starts to run it, and is sent
 again by its caller. Responses are lost for many other reasons, though, and a
 request must not be refused because a link loses packets. The difference is that
-a target that has crashed accepts no connections for some seconds.
+a target that has crashed accepts no connections for some seconds, while others
+go on to respond: if none does, the fault is this VM's own link.
 """
 
+import math
+
 from mimosastile_core import config
 from mimosastile_core import quarantine
 
@@ -19,9 +22,10 @@
 class CrashDetector:
     """Lost responses observed by one VM, and the crashes that caused them."""
 
-    __slots__ = ("_crashes", "_lost")
+    __slots__ = ("_crashes", "_lost", "_responses")
 
     def __init__(self) -> None:
+        self._responses: list[tuple[float, str]] = []
         self._crashes = quarantine.CrashHistory()
         self._lost: dict[str, list[tuple[float, str]]] = {}
 
@@ -40,24 +44,43 @@
         ]
         self._lost[target] = [*recent, (now, request)]
 
-    def record_response(self, target: str) -> None:
+    def record_response(self, target: str, now: float) -> None:
         """Records that a target responds; earlier losses were no crashes."""
         self._lost.pop(target, None)
+        # The last responses of two targets: one of them is another target than
+        # any that has crashed.
+        others = [r for r in self._responses if r[1] != target]
+        self._responses = [*others[-1:], (now, target)]
 
     def confirm_crashes(
-        self, target: str, now: float, id_prefix: str
+        self, target: str, attempted_at: float, now: float, id_prefix: str
     ) -> list[quarantine.Crash]:
         """Records that a target accepts no connections.
 
+        Losses after which no other target has responded before the attempt stay
+        unconfirmed, as this VM may have lost its link.
+
         Args:
             target: The target.
+            attempted_at: Time at which the connection was attempted.
             now: Current time.
             id_prefix: Prefix for the identifiers of the crashes.
 
         Returns:
             The crashes that this confirms.
         """
-        lost = self._lost.pop(target, ())
+        linked_at = max(
+            (
+                at
+                for at, responder in self._responses
+                if responder != target and at <= attempted_at
+            ),
+            default=-math.inf,
+        )
+        losses = self._lost.pop(target, [])
+        lost = [loss for loss in losses if loss[0] < linked_at]
+        if pending := [loss for loss in losses if loss[0] >= linked_at]:
+            self._lost[target] = pending
         deaths = [
             quarantine.Crash(
                 f"{id_prefix}-{number}", request, target, 0, now - at
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -378,7 +378,9 @@
                 sent = await self._exchange(call, target)
                 call.answered = sent.is_ok()
         except TimeoutError:
-            sent = self._timeout_failure(call, target, earlier_sends)
+            sent = self._timeout_failure(
+                call, target, earlier_sends, started_at
+            )
         finally:
             call.timer = None
             self._dispatcher.finish(call, target)
@@ -397,12 +399,16 @@
         )
 
     def _timeout_failure(
-        self, call: pending.Call, target: directory.Target, earlier_sends: int
+        self,
+        call: pending.Call,
+        target: directory.Target,
+        earlier_sends: int,
+        started_at: float,
     ) -> SendResult:
         """Returns the failure of a request that timed out at a target."""
         if call.send_count == earlier_sends:
             # The request was still waiting for a connection.
-            self._record_unreachable(target)
+            self._record_unreachable(target, started_at)
             return errors.failed(
                 errors.ErrorKind.QUEUE_TIMEOUT,
                 f"No connection to {target.id} in time.",
@@ -411,12 +417,14 @@
             errors.ErrorKind.DEADLINE, f"{target.id} did not respond in time."
         )
 
-    def _record_unreachable(self, target: directory.Target) -> None:
+    def _record_unreachable(
+        self, target: directory.Target, attempted_at: float
+    ) -> None:
         """Records that a target accepts no connection."""
         now = self._clock.now()
         self._balancer.load(target.id).unreachable(now)
         crashes = self._crashes.confirm_crashes(
-            target.id, now, self._clock.new_id()
+            target.id, attempted_at, now, self._clock.new_id()
         )
         if crashes:
             self._membership.report_crashes(crashes)
@@ -431,6 +439,7 @@
         self, call: pending.Call, target: directory.Target
     ) -> SendResult:
         request_settings = self._settings.requests
+        attempted_at = self._clock.now()
         idle = (
             request_settings.idle
             if call.repeatable
@@ -441,7 +450,7 @@
                 target.address, idle, request_settings.connect
             )
         except http_client.NotSentError as error:
-            self._record_unreachable(target)
+            self._record_unreachable(target, attempted_at)
             return errors.failed(errors.ErrorKind.UNREACHABLE, str(error))
         usable = False
         try:
@@ -590,7 +599,7 @@
         now = self._clock.now()
         load = self._balancer.load(target.id)
         if isinstance(sent, result.Ok):
-            self._crashes.record_response(target.id)
+            self._crashes.record_response(target.id, now)
             self._membership.record_response(target.id)
             response = sent.ok_value
             if response.status < 500 and response.body_stream is None:
