Guard forwarded requests: whole bodies, truthful refusals, bounded sends

The excluded only peer made a VM refuse what could be served. Requests under way already weigh a slow peer down.

A stand-in target records the headers that reach it and can pad its responses.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -41,6 +41,9 @@
 _KEEP_ALIVE_SHARE = 0.6
 """Part of the timeout announced by Keep-Alive within which a connection may be
 reused."""
+_OVERDUE_SHARE = 0.5
+"""Part of the connect timeout after which an attempt counts as failed although
+its caller gave up before the timeout."""
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _NO_BODY = frozenset({204, 304})
 
@@ -566,11 +569,16 @@
     async def _open(self, address: str, timeout: float) -> Connection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        began = loop.time()
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
                     lambda: self._new_connection(address), host, int(port)
                 )
+        except asyncio.CancelledError:
+            if loop.time() - began > _OVERDUE_SHARE * timeout:
+                self.on_attempt(address, False)
+            raise
         except (OSError, ValueError, TimeoutError) as error:
             self.on_attempt(address, False)
             raise NotSentError(f"{address}: {error or 'timeout'}") from error
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peer_forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peer_forwarding.py
@@ -163,13 +163,16 @@
             ) as call.timer:
                 sent = await self._exchange(call, peer)
         except TimeoutError:
-            self._peers.record_silent(peer.address, self._clock.now())
+            # The target may be slow rather than the peer, so the peer is not
+            # excluded; the requests that it has keep others away from it.
             kind = (
                 errors.ErrorKind.UNREACHABLE
                 if call.send_count == earlier_sends
                 else errors.ErrorKind.DEADLINE
             )
-            sent = errors.failed(kind, f"Peer {peer.address} is silent.")
+            sent = errors.failed(
+                kind, f"Peer {peer.address} did not respond in time."
+            )
         finally:
             call.timer = None
             self._peers.end(peer.address)
--- a/packages/mimosastile-standins/src/mimosastile_standins/partitions.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/partitions.py
@@ -127,7 +127,9 @@
         mode = self._partition.mode_for(address)
         if mode is PartitionMode.NONE:
             return await super()._open(address, timeout)
-        if not mode.refuses:
-            await asyncio.sleep(timeout)
-        self.on_attempt(address, False)
+        try:
+            if not mode.refuses:
+                await asyncio.sleep(timeout)
+        finally:
+            self.on_attempt(address, False)
         raise http_client.NotSentError(f"{address}: partitioned")
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -103,6 +103,8 @@
         rest: Backoff in seconds that a rejection asks of the sending VM; 0
             for none.
         arrivals: Requests that reached the target.
+        header_names: Names of all headers of requests that reached it.
+        padding_bytes: Size of the padding after the text of a response.
     """
 
     __slots__ = (
@@ -121,11 +123,13 @@
         "checks",
         "cold_seconds",
         "fault",
+        "header_names",
         "id",
         "leaving",
         "limit",
         "misdirected",
         "orders",
+        "padding_bytes",
         "rest",
         "runs",
         "service",
@@ -172,6 +176,8 @@
         self.leaving = False
         self.rest = 0.0
         self.arrivals: list[Arrival] = []
+        self.header_names: set[bytes] = set()
+        self.padding_bytes = 0
         self.born = int(time.time() * 1000)
         self._keyed = keyed
         self._work = work
@@ -309,6 +315,7 @@
             asyncio.get_running_loop().time(),
         )
         self.arrivals.append(arrival)
+        self.header_names.update(name for name, _ in incoming.headers)
         if self.fault is Fault.HANG:
             await asyncio.Event().wait()
         if self.fault is Fault.SHED_LATE:
@@ -353,7 +360,7 @@
         )
         if self.fault is Fault.FAIL:
             return http_server.Response(500, sealed, b"failed")
-        text = f"{self.id} ran {attempt}".encode()
+        text = f"{self.id} ran {attempt}".encode() + bytes(self.padding_bytes)
         return http_server.Response(200, sealed, text)
 
     # Orders.
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -9,6 +9,7 @@
 import pytest
 
 from mimosastile_gateway import http_client
+from mimosastile_standins import virtual
 
 ECHO = (b"x-id", b"7")
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\n"
@@ -248,3 +249,31 @@
                 await pool.connect("127.0.0.1:1", 1.0, 1.0)
 
         _run(_Target(), scenario)
+
+
+class TestAttempts:
+    """Outcomes of attempts to connect."""
+
+    @pytest.mark.parametrize(
+        ("gives_up_after", "attempts"),
+        [(0.4, [False]), (0.2, [False]), (0.05, [])],
+        ids=["timeout", "caller gives up late", "caller gives up early"],
+    )
+    def test_caller_gives_up(self, monkeypatch, gives_up_after, attempts):
+        """Guards against unreachable targets hidden by short deadlines."""
+
+        async def never(*_):
+            await asyncio.Event().wait()
+
+        async def main():
+            loop = asyncio.get_running_loop()
+            monkeypatch.setattr(loop, "create_connection", never)
+            pool = http_client.Pool(2.0)
+            seen = []
+            pool.on_attempt = lambda _, connected: seen.append(connected)
+            with pytest.raises((TimeoutError, http_client.NotSentError)):
+                async with asyncio.timeout(gives_up_after):
+                    await pool.connect("127.0.0.1:1", 0.0, 0.3)
+            assert seen == attempts
+
+        virtual.run(main())
