Let the soak cut daemons off from all targets, and check their callers

The soak had no fault between one daemon and the targets, so it could not show callers that were refused by VMs without a path. Its daemons now start with pools behind a partition, which a signal and a file control: connections hang, are reset, or live on while new ones are refused, for some daemons or all of a zone, beside all other faults.

The check is the users' rule: from 3 s after the beginning, first tries at such VMs are served two thirds as often as at the others, beyond 10 + 1 in 50 failures; VMs out of touch for other reasons do not count. The verdict names the lowest share and its margin. Checks that attribute an arrival to the VM that took the request leave out periods in which it used its peers.

--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -233,7 +233,10 @@
                 f"in force {verdict.lateness.configuration:.2f} s late with "
                 f"{verdict.lateness.configuration_margin:.2f} s left, leaving "
                 f"{verdict.lateness.leaving:.2f} s with "
-                f"{verdict.lateness.leaving_margin:.2f} s left"
+                f"{verdict.lateness.leaving_margin:.2f} s left, "
+                f"without targets {verdict.reach.served:.3f} served, "
+                f"others {verdict.reach.others:.3f}, margin "
+                f"{verdict.reach.margin:.3f} of {verdict.reach.tries} tries"
             )
             for line in verdict.wrong[:10]:
                 _printing.say(f"  {line}")
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -26,6 +26,7 @@
 
 from mimosastile_gateway import http_client
 from mimosastile_standins import fault_proxy
+from mimosastile_standins import partitions
 from mimosastile_standins import platform_store
 from mimosastile_standins import platform_target
 from mimosastile_standins import platform_world
@@ -33,6 +34,7 @@
 from mimosastile_standins import soak_lateness
 from mimosastile_standins import soak_notices
 from mimosastile_standins import soak_oracle
+from mimosastile_standins import soak_reach
 
 _RECOVERY_SECONDS = 15.0
 """Guaranteed maximum time from the end of the last fault to recovery."""
@@ -49,6 +51,8 @@
 _MAX_KEPT_RULES = 6
 """Configuration versions whose routes are kept. Probes of older ones end."""
 _PROBE_INTERVAL_SECONDS = 0.2
+_ZONE_SHARE = 0.3
+"""Share of the partitions that hit all VMs of a zone."""
 _OK = 200
 
 
@@ -83,6 +87,7 @@
         served_after: Share of requests served after recovery.
         runs: Number of requests that targets executed.
         lateness: Delay of changes at VMs that were not disturbed.
+        reach: Service at VMs that were partitioned from all targets.
     """
 
     seed: int
@@ -92,6 +97,7 @@
     served_after: float
     runs: int
     lateness: soak_lateness.Lateness
+    reach: soak_reach.Reach
 
 
 class _ProxiedTarget:
@@ -126,6 +132,7 @@
         "_pool",
         "_probes",
         "_proxies",
+        "_reach",
         "_rng",
         "_rules",
         "_started_at",
@@ -144,6 +151,7 @@
         self._oracle = soak_oracle.SoakOracle()
         self._feedback = soak_notices.FeedbackChecker()
         self._lateness = soak_lateness.LatenessChecker(self._feedback)
+        self._reach = soak_reach.ReachChecker(self._feedback)
         self._rules: dict[int, dict[str, Any]] = {}
         self._probes: set[asyncio.Task[None]] = set()
         self._store = platform_store.PlatformStore()
@@ -401,6 +409,7 @@
             self._limit_targets,
             self._shed_requests,
             self._change_configuration,
+            self._partition_vms,
         ]
         while time.monotonic() < ends:
             kind = self._rng.choice(kinds)
@@ -480,6 +489,32 @@
         for daemon in chosen:
             self._feedback.record_vm_fault(daemon.name, time.monotonic())
 
+    async def _partition_vms(self) -> None:
+        """Cuts daemons off from all targets; all of a zone in some cases."""
+        chosen = self._sample_daemons(self._rng.choice((1, 2, 3)))
+        if self._rng.random() < _ZONE_SHARE:
+            zone = chosen[0].zone
+            chosen = [d for d in self._daemons if d.zone == zone]
+        modes = list(partitions.PartitionMode)[1:]
+        mode = self._rng.choice(modes)
+        seconds = self._rng.uniform(0.5, 8.0)
+        names = [daemon.name for daemon in chosen]
+        self._record_fault(
+            f"{names} without targets, {mode.value}, {seconds:.1f} s"
+        )
+        began = time.monotonic()
+        for daemon in chosen:
+            daemon.set_partition(mode)
+        await self._wait_during_fault(seconds)
+        for daemon in chosen:
+            daemon.set_partition(partitions.PartitionMode.NONE)
+        ended = time.monotonic()
+        self._reach.record_partition(
+            soak_reach.Partitioned(frozenset(names), began, ended)
+        )
+        for name in names:
+            self._feedback.record_detour(name, began, ended)
+
     async def _inject_target_link_fault(self) -> None:
         fault = self._draw_link_fault()
         names = self._rng.sample(sorted(self._targets), 2)
@@ -668,6 +703,7 @@
         oracle.finish()
         oracle.violations.extend(self._feedback.violations())
         oracle.violations.extend(self._lateness.violations())
+        oracle.violations.extend(self._reach.violations(oracle.outcomes))
         share = oracle.served_share(recovered, recovered + _RECOVERED_SECONDS)
         if share < _MIN_SERVED_SHARE:
             oracle.violations.append(
@@ -687,6 +723,7 @@
             round(share, 4),
             len(oracle.runs),
             self._lateness.report(),
+            self._reach.report(oracle.outcomes),
         )
 
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_daemons.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_daemons.py
@@ -8,10 +8,15 @@
 import sys
 import time
 
+from mimosastile_standins import partitions
+from mimosastile_standins import soak_start
+
 _ROOT = pathlib.Path(__file__).resolve().parents[4]
-_START = _ROOT / "platform" / "start.py"
+_START = pathlib.Path(soak_start.__file__)
 _GRACE_SECONDS = 6
 """Time from SIGTERM to SIGKILL, as on the platform."""
+_SIGNAL_READY_SECONDS = 2.0
+"""Time after its launch in which a process may not handle signals yet."""
 _FIRST_NETWORK, _NETWORKS = 64, 128
 """Loopback networks. Concurrent soaks use different ones."""
 _CALLERS_PORT, _READY_PORT, _PEERS_PORT = 18548, 18542, 17540
@@ -46,6 +51,7 @@
         stopping_since: Time of SIGTERM, None before it.
         store: Address of the store.
         unexpected_exits: Number of exits without a preceding signal.
+        zone: Availability zone of the VM.
     """
 
     __slots__ = (
@@ -53,9 +59,10 @@
         "_grace_timer",
         "_ip",
         "_keep_running",
+        "_launched_at",
+        "_partition_file",
         "_process",
         "_supervisor",
-        "_zone",
         "callers_address",
         "name",
         "ready_address",
@@ -63,6 +70,7 @@
         "stopping_since",
         "store",
         "unexpected_exits",
+        "zone",
     )
 
     def __init__(self, number: int, store: str, folder: pathlib.Path) -> None:
@@ -78,11 +86,13 @@
         self._folder = folder
         network = _FIRST_NETWORK + os.getpid() % _NETWORKS
         self._ip = f"127.{network}.{1 + number // 250}.{1 + number % 250}"
-        self._zone = "ab"[number % 2]
+        self.zone = f"zone-{'ab'[number % 2]}"
         self.callers_address = f"{self._ip}:{_CALLERS_PORT}"
         self.ready_address = f"{self._ip}:{_READY_PORT}"
         self._process: asyncio.subprocess.Process | None = None
         self._supervisor: asyncio.Task[None] | None = None
+        self._partition_file = folder
+        self._launched_at = float("-inf")
         self._keep_running = False
         self._grace_timer: asyncio.Task[None] | None = None
         self.signalled_at = float("-inf")
@@ -93,12 +103,13 @@
         """Starts the process and restarts it whenever it exits."""
         self._folder.mkdir(parents=True, exist_ok=True)
         path = self._folder / f"{self.name}.toml"
+        self._partition_file = path.with_suffix(soak_start.MODE_SUFFIX)
         path.write_text(
             _SETTINGS.format(
                 name=self.name,
                 ip=self._ip,
-                zone=f"zone-{self._zone}",
-                region=f"region-{self._zone}",
+                zone=self.zone,
+                region=self.zone.replace("zone", "region"),
                 peers=_PEERS_PORT,
                 callers=_CALLERS_PORT,
                 ready=_READY_PORT,
@@ -123,6 +134,7 @@
                 env=environment,
                 cwd=_ROOT,
             )
+        self._launched_at = time.monotonic()
         self.stopping_since = None
 
     async def _supervise(self, path: pathlib.Path) -> None:
@@ -136,6 +148,19 @@
             if self._keep_running:
                 await self._launch(path)
 
+    def set_partition(self, mode: partitions.PartitionMode) -> None:
+        """Cuts the process off from all targets, or ends that.
+
+        A process that starts later reaches them.
+        """
+        self._partition_file.write_text(mode.value, encoding="utf-8")
+        if time.monotonic() - self._launched_at < _SIGNAL_READY_SECONDS:
+            # Without its handler, the signal would end the process.
+            return
+        if self._process is not None and self._process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(signal.SIGUSR2)
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it is running."""
         if self._process is None or self._process.returncode is not None:
