Keep a leader whose targets are down for all VMs

While all targets of a small service divided by key were down, a leader that tried to renew their grants was isolated from it, and asked the next VM, which had not tried yet, to lead; that one would have found the same, and so on through the fleet.

A leader is replaced only if a target of the service has responded to a VM since the leader lost it. A VM that is isolated waits longer before it replaces a lost leader only if that leader has listed it peers with a path within 3 s.

test_isolated_leader has the case of targets that are down, which failed before.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/reachability.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/reachability.py
@@ -34,6 +34,11 @@
         """Whether this VM reaches no target of a service."""
         return service in self._isolated
 
+    def isolated_seconds(self, service: str, now: float) -> float | None:
+        """Returns for how long no target was reached; None if one is."""
+        since = self._isolated.get(service)
+        return None if since is None else now - since
+
     def record_connected(
         self, service: str, target: str, now: float
     ) -> float | None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 from typing import Any
 from typing import TypeVar
 
@@ -901,7 +902,8 @@
             for keyed in self._services.values()
             for owner in keyed.reconciler.cut_off_owners()
         ]
-        if not self.lacks_path and len(cut_off) <= _MAX_CUT_OFF_OWNERS:
+        alone = self._is_alone_isolated()
+        if not alone and len(cut_off) <= _MAX_CUT_OFF_OWNERS:
             self._path_successors.clear()
             return
         candidates = self._candidates_with_path()
@@ -921,6 +923,29 @@
             cut_off=cut_off,
         )
 
+    def _is_alone_isolated(self) -> bool:
+        """Whether other VMs reach a service from whose targets this one is cut.
+
+        If its targets are down, another leader would not reach them either.
+        """
+        configuration = self._cluster.configuration
+        if configuration is None:
+            return False
+        isolated = {
+            service.name: seconds
+            for service in configuration.services.values()
+            if service.keyed
+            and (seconds := self._monitor.isolated_seconds(service.name))
+            is not None
+        }
+        now = self._clock.boottime()
+        return any(
+            now - self._last_alive_at.get(entry.target.id, -math.inf)
+            < isolated[entry.target.service]
+            for entry in self._cluster.directory
+            if entry.target.service in isolated
+        )
+
     def _candidates_with_path(self) -> list[messages.VmEntry]:
         """Returns VMs that reach the store and more targets than this one."""
         unreachable = len(self._monitor.unreachable())
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -86,6 +86,9 @@
 _PEERS_VALID_SECONDS = 1.5
 """Age up to which a leader's list of peers is used, and for which a VM asks for
 it after a request had to be forwarded."""
+_PATH_KNOWN_SECONDS = 3.0
+"""Age up to which such a list shows that other VMs can lead better: longer than
+leaders are usually missed before they are replaced."""
 _QUERIED_PEERS = 3
 """Number of peers that are queried whether they receive messages from the
 leader, before it is replaced."""
@@ -952,7 +955,7 @@
         """Returns the seconds for which better VMs may take over first."""
         configured = self._settings.leader
         weakness = 1.0 - self._settings.vm.strength
-        if self._leader.lacks_path:
+        if self._leader.lacks_path and self._peers_had_path():
             # A leader without a path to targets cannot renew grants.
             weakness = 1.0
         if self._few:
@@ -961,6 +964,11 @@
             ranked = self._lookup_wait()
         return ranked + configured.weak_wait * weakness
 
+    def _peers_had_path(self) -> bool:
+        """Whether the last leader has lately listed VMs with a path."""
+        age = self._clock.now() - self._peers_listed_at
+        return age < _PATH_KNOWN_SECONDS
+
     def _rank(self, leader: leadership.LeaderEntry | None) -> int:
         """Returns the number of VMs that should take over before this one."""
         epoch = leader.epoch if leader else 0
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -77,6 +77,10 @@
         """Whether this VM reaches no target of a service."""
         return self._reachability.is_isolated(service)
 
+    def isolated_seconds(self, service: str) -> float | None:
+        """Returns for how long no target was reached; None if one is."""
+        return self._reachability.isolated_seconds(service, self._clock.now())
+
     def seconds_since_failure(self, service: str, target: str) -> float:
         """Returns the age of the last failed attempt to reach a target.
 
--- a/tests/gateway/test_cut_off_leader.py
+++ b/tests/gateway/test_cut_off_leader.py
@@ -39,14 +39,16 @@
     """The VM that is asked to lead."""
 
     @pytest.mark.parametrize(
-        ("reports", "asked"),
+        ("alive", "reports", "asked"),
         [
-            ({"vm-2": {}}, ["vm-2"]),
-            ({"vm-2": {"isolated": ("s",), "unreachable": 3}}, []),
-            ({"vm-2": {"unreachable": 3}}, []),
-            ({"vm-2": {"stopping": True}}, []),
-            ({"vm-2": {"reaches_store": False}}, []),
+            (True, {"vm-2": {}}, ["vm-2"]),
+            (False, {"vm-2": {}}, []),
+            (True, {"vm-2": {"isolated": ("s",), "unreachable": 3}}, []),
+            (True, {"vm-2": {"unreachable": 3}}, []),
+            (True, {"vm-2": {"stopping": True}}, []),
+            (True, {"vm-2": {"reaches_store": False}}, []),
             (
+                True,
                 {
                     "vm-2": {"isolated": ("s",), "unreachable": 3},
                     "vm-3": {"unreachable": 1},
@@ -56,6 +58,7 @@
         ],
         ids=[
             "one with a path",
+            "targets that are down",
             "cut off as well",
             "reaches no more",
             "stopping",
@@ -63,7 +66,7 @@
             "the one with a path",
         ],
     )
-    def test_isolated_leader(self, reports, asked):
+    def test_isolated_leader(self, alive, reports, asked):
         """Guards against a successor that cannot renew grants either."""
 
         async def scenario(vms, orders):
@@ -74,6 +77,10 @@
                         vm.report(**reports[vm.name])
                     )
             _cut_off(leader, "abc")
+            await asyncio.sleep(0.1)
+            leader.leader_role.handle_report(
+                leader.report(responsive=("a",) if alive else ())
+            )
             await asyncio.sleep(0.4)
             assert sorted(set(_asked(leader))) == asked
 
