Give contended targets a gate although all VMs are isolated from another service

When all targets of one service were down, every VM was isolated from it, none qualified as a gate, and contended or limited targets of all other services lost theirs.

VMs without isolated services are preferred; if there is none, all that do not stop may be gates. test_cut_off_leader::TestGates: the case of all failed before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -659,11 +659,12 @@
             self._gates_selected_at = now
             previous = self._selected_gates
             limited = self._cluster.limited_targets()
+            going_on = [r for r in reports.values() if not r.stopping]
+            with_path = [r for r in going_on if not r.isolated]
             chosen = self._demand.gates(
                 (
                     (report.vm.address, report.vm.zone)
-                    for report in reports.values()
-                    if not report.stopping and not report.isolated
+                    for report in with_path or going_on
                 ),
                 self._settings.vm.regions,
                 self._services,
--- a/tests/gateway/test_cut_off_leader.py
+++ b/tests/gateway/test_cut_off_leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from mimosastile_core.gateway import routes
@@ -153,3 +154,30 @@
             assert vm.leader_role.lacks_path is lacks
 
         _run(scenario)
+
+
+class TestGates:
+    """The VMs that admit requests to contended targets."""
+
+    @pytest.mark.parametrize(
+        ("isolated", "gate"),
+        [(("vm-2",), "vm-3"), (("vm-3",), "vm-2"), (("vm-2", "vm-3"), "any")],
+        ids=["one", "the other", "all"],
+    )
+    def test_isolated_vms(self, isolated, gate):
+        """Guards against contended targets without any gate."""
+
+        async def scenario(vms, orders):
+            leader, *others = vms
+            for vm in others:
+                report = vm.report(
+                    isolated=("other",) if vm.name in isolated else (),
+                    under_way={"a": 9},
+                )
+                entry = msgspec.structs.replace(report.vm, address=vm.name)
+                report = msgspec.structs.replace(report, vm=entry)
+                await asyncio.sleep(0.2)
+                reply = leader.leader_role.handle_report(report)
+            assert reply.gates["a"] == gate or gate == "any"
+
+        _run(scenario)
