Keep lists of peers for as long as reports take, and believe empty ones

A list of peers was used for 1.5 s, while 300 VMs report every 1.4 s and 1,000 every 4.2 s. Between two lists all requests of an isolated VM went to the leader. They also did when the leader had answered that nobody reaches more, though refused there. Found by reading, with the report interval of large fleets.

A list counts for two reports at least. A reply tells no list from an empty one; with an empty one nothing is forwarded. TestForwardingPeers: 300 and 1,000 VMs and the empty list failed before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -430,11 +430,11 @@
             limits = configuration.limits
             self._caller_server.limits = limits
             # A forwarded request has more headers than the caller's.
-            messages_limits = routes.CallerLimits()
+            message_limits = routes.CallerLimits()
             self._peer_server.limits = routes.CallerLimits(
-                max(messages_limits.header_bytes, limits.header_bytes)
+                max(message_limits.header_bytes, limits.header_bytes)
                 + _FORWARDING_HEADER_BYTES,
-                max(messages_limits.body_bytes, limits.body_bytes),
+                max(message_limits.body_bytes, limits.body_bytes),
             )
 
     async def _maintain(self) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -628,10 +628,10 @@
 
     def _peers_for(
         self, report: messages.Report, reports: Mapping[str, messages.Report]
-    ) -> tuple[forwarding_peers.Peer, ...]:
+    ) -> tuple[forwarding_peers.Peer, ...] | None:
         """Returns the VMs through which a VM may reach more targets."""
         if not report.wants_peers:
-            return ()
+            return None
         isolated = set(report.isolated)
         return forwarding_peers.nearest(
             (
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -84,8 +84,10 @@
 """Time without a leader after which a VM looks for one in the store, and
 interval of such lookups."""
 _PEERS_VALID_SECONDS = 1.5
-"""Age up to which a leader's list of peers is used, and for which a VM asks for
-it after a request had to be forwarded."""
+"""Least age up to which a leader's list of peers is used, and for which a VM
+asks for it after a request had to be forwarded."""
+_PEERS_VALID_REPORTS = 2.0
+"""The same as a number of reports, which are less frequent among many VMs."""
 _PATH_KNOWN_SECONDS = 3.0
 """Age up to which such a list shows that other VMs can lead better: longer than
 leaders are usually missed before they are replaced."""
@@ -303,10 +305,23 @@
         self.report_soon()
         await clock.wait(self._leader_responded, seconds)
 
+    @property
+    def _report_interval(self) -> float:
+        """Mean seconds between two reports."""
+        configured = self._settings.leader
+        return configured.report + configured.report_per_vm * self.count
+
+    @property
+    def _peers_valid_seconds(self) -> float:
+        """Age up to which a leader's list of peers is used."""
+        return max(
+            _PEERS_VALID_SECONDS, _PEERS_VALID_REPORTS * self._report_interval
+        )
+
     def request_peers(self) -> None:
         """Asks the leader for peers to forward requests to."""
         now = self._clock.now()
-        if now - self._peers_wanted_at > _PEERS_VALID_SECONDS:
+        if now - self._peers_wanted_at > self._peers_valid_seconds:
             self.report_soon()
         self._peers_wanted_at = now
 
@@ -314,10 +329,11 @@
         """Returns the peers that may reach what this VM does not.
 
         Without a recent list of the leader, these are the leader and the VMs
-        that were last read from the store.
+        that were last read from the store. A list without peers says that no VM
+        reaches more.
         """
         age = self._clock.now() - self._peers_listed_at
-        if self._forwarding_peers and age < _PEERS_VALID_SECONDS:
+        if age < self._peers_valid_seconds:
             return self._forwarding_peers
         here = self._settings.vm.id
         known = {vm.id: vm for vm in self._peers} | self._cluster.vms
@@ -519,8 +535,7 @@
         for the next interval.
         """
         while True:
-            configured = self._settings.leader
-            interval = configured.report + configured.report_per_vm * self.count
+            interval = self._report_interval
             interval *= 0.9 + 0.2 * self._clock.random()
             await clock.wait(self._report_due, interval)
             self._report_due.clear()
@@ -613,7 +628,8 @@
             *self._complete_at(),
             tuple(sorted(self._monitor.isolated)),
             len(self._monitor.unreachable()),
-            self._clock.now() - self._peers_wanted_at < _PEERS_VALID_SECONDS,
+            self._clock.now() - self._peers_wanted_at
+            < self._peers_valid_seconds,
         )
 
     def _complete_at(self) -> tuple[float | None, float | None]:
@@ -768,7 +784,7 @@
         self._leader_seen_at = now
         self._leader.handle_reply(reply)
         self._vms = reply.vms
-        if reply.peers:
+        if reply.peers is not None:
             self._forwarding_peers = reply.peers
             self._peers_listed_at = now
         for death in reply.crashes:
@@ -967,7 +983,7 @@
     def _peers_had_path(self) -> bool:
         """Whether the last leader has lately listed VMs with a path."""
         age = self._clock.now() - self._peers_listed_at
-        return age < _PATH_KNOWN_SECONDS
+        return bool(self._forwarding_peers) and age < _PATH_KNOWN_SECONDS
 
     def _rank(self, leader: leadership.LeaderEntry | None) -> int:
         """Returns the number of VMs that should take over before this one."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -277,8 +277,8 @@
         seen_age: Seconds since `seen` was the newest revision of the
             registrations, None if the leader has no such time.
         configuration_age: The same for the configuration and evacuations.
-        peers: VMs that reach more targets than the reporting one, if it wants
-            peers; the nearest first.
+        peers: VMs that reach more targets than the reporting one, the nearest
+            first; None if it wants no peers.
     """
 
     leader: leadership.LeaderEntry | None
@@ -306,7 +306,7 @@
     stamp: float | None = None
     seen_age: float | None = None
     configuration_age: float | None = None
-    peers: tuple[_Peer, ...] = ()
+    peers: tuple[_Peer, ...] | None = None
 
 
 class UpdateAck(msgspec.Struct, frozen=True):
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mimosastile_core.gateway import crash_detection
+from mimosastile_core.gateway import forwarding_peers
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import load_balancing
 from mimosastile_gateway import admission_service
@@ -434,3 +435,67 @@
                 vm.abort()
 
         virtual.run(main())
+
+
+class TestForwardingPeers:
+    """Peers through which a VM reaches targets that it does not reach."""
+
+    _LEADER = leadership.LeaderEntry("vm-9", "b", 3, "leader:1")
+    _PEER = forwarding_peers.Peer("peer:1", "z")
+
+    def _listed(self, vms, peers):
+        return messages.ReportReply(
+            self._LEADER, leading=True, vms=vms, peers=peers
+        )
+
+    @pytest.mark.parametrize(
+        ("vms", "seconds", "valid"),
+        [
+            (10, 1.0, True),
+            (10, 2.0, False),
+            (300, 2.0, True),
+            (300, 3.0, False),
+            (1000, 8.0, True),
+        ],
+    )
+    def test_list_lasts_until_next_reports(self, vms, seconds, valid):
+        """Guards against a leader that gets all requests between two lists."""
+
+        async def scenario(member, state, store, calls):
+            member._take_reply(self._listed(vms, (self._PEER,)))
+            await asyncio.sleep(seconds)
+            addresses = [peer.address for peer in member.forwarding_peers()]
+            assert addresses == (["peer:1"] if valid else ["leader:1"])
+
+        _run(scenario)
+
+    def test_no_peer_reaches_more(self):
+        """Guards against requests to a leader that has no path either."""
+
+        async def scenario(member, state, store, calls):
+            member._take_reply(self._listed(10, ()))
+            assert not list(member.forwarding_peers())
+
+        _run(scenario)
+
+    def test_reply_without_list(self):
+        """A reply to a report that wants no peers leaves the list as it is."""
+
+        async def scenario(member, state, store, calls):
+            member._take_reply(self._listed(10, (self._PEER,)))
+            member._take_reply(self._listed(10, None))
+            assert list(member.forwarding_peers()) == [self._PEER]
+
+        _run(scenario)
+
+    def test_wants_peers_while_forwarding(self):
+        """Guards against reports that stop asking during a partition."""
+
+        async def scenario(member, state, store, calls):
+            assert not member._make_report().wants_peers
+            member.request_peers()
+            assert member._make_report().wants_peers
+            await asyncio.sleep(2.0)
+            assert not member._make_report().wants_peers
+
+        _run(scenario)
