Forward nothing through the leader of many VMs before it has listed peers

Suspected cause: after all VMs were killed, owners of hot keys and slow links take no connection for a moment, and VMs without a list of peers send all that they cannot place to the one VM that they know, the leader.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -329,12 +329,15 @@
         """Returns the peers that may reach what this VM does not.
 
         Without a recent list of the leader, these are the leader and the VMs
-        that were last read from the store. A list without peers says that no VM
+        that were last read from the store, unless there are many VMs: their
+        requests would overload the leader. A list without peers says that no VM
         reaches more.
         """
         age = self._clock.now() - self._peers_listed_at
         if age < self._peers_valid_seconds:
             return self._forwarding_peers
+        if self.count > _FEW_VMS:
+            return ()
         here = self._settings.vm.id
         known = {vm.id: vm for vm in self._peers} | self._cluster.vms
         peers = {
