Share the test runner of small worlds, and the rule of who reaches more

Three test files each had the same function that runs a scenario in a world; it is one in tests/gateway/worlds.py now. The filter for peers to list and for leaders with a path was written twice; both call _reaches_more. Behaviour and assertions are the same.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -632,15 +632,13 @@
         """Returns the VMs through which a VM may reach more targets."""
         if not report.wants_peers:
             return None
-        isolated = set(report.isolated)
+        isolated = frozenset(report.isolated)
         return forwarding_peers.nearest(
             (
                 forwarding_peers.Peer(other.vm.address, other.vm.zone)
                 for other in reports.values()
                 if other.vm.id != report.vm.id
-                and not other.stopping
-                and isolated.isdisjoint(other.isolated)
-                and other.unreachable < report.unreachable
+                and _reaches_more(other, isolated, report.unreachable)
             ),
             report.vm.id,
             report.vm.zone,
@@ -956,9 +954,7 @@
             for report in self._disseminator.fresh().values()
             if report.vm.id != self._settings.vm.id
             and report.store
-            and not report.stopping
-            and isolated.isdisjoint(report.isolated)
-            and report.unreachable < unreachable
+            and _reaches_more(report, isolated, unreachable)
         ]
         return sorted(candidates, key=lambda vm: (vm.order, vm.id))
 
@@ -1143,6 +1139,23 @@
         }
 
 
+def _reaches_more(
+    report: messages.Report, isolated: frozenset[str], unreachable: int
+) -> bool:
+    """Whether a VM goes on running and reaches more targets than another.
+
+    Args:
+        report: Report of the VM.
+        isolated: Services of which the other VM reaches no target.
+        unreachable: Number of targets that the other VM could not reach.
+    """
+    return (
+        not report.stopping
+        and isolated.isdisjoint(report.isolated)
+        and report.unreachable < unreachable
+    )
+
+
 def _without_released(
     table: ranges.RangeTable, released: Mapping[ranges.Piece, Iterable[int]]
 ) -> ranges.RangeTable:
--- a/tests/gateway/test_partitioned_vms.py
+++ b/tests/gateway/test_partitioned_vms.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mimosastile_standins import partitions
-from mimosastile_standins import platform_world
+from tests.gateway import worlds
 
 _MODES = list(partitions.PartitionMode)[1:]
 _MODE_NAMES = [mode.value for mode in _MODES]
@@ -19,21 +19,6 @@
 """Share of the first tries at other VMs that VMs without targets must serve."""
 
 
-def _run_scenario(scenario, **sizes):
-    """Runs a scenario in a new world and stops the world."""
-
-    async def main():
-        world = platform_world.World()
-        try:
-            async with asyncio.timeout(60):
-                await world.start(**sizes)
-                await scenario(world)
-        finally:
-            await world.stop()
-
-    asyncio.run(main())
-
-
 def _leader(world):
     """Returns the VM that leads, None if there is none."""
     leading = (
@@ -90,7 +75,7 @@
             world.cut_targets(cut, mode)
             await _check_served(world, [cut])
 
-        _run_scenario(scenario, vms=3)
+        worlds.run_scenario(scenario, vms=3)
 
     @pytest.mark.parametrize("mode", _MODES, ids=_MODE_NAMES)
     def test_all_but_one(self, mode):
@@ -102,7 +87,7 @@
                 world.cut_targets(vm, mode)
             await _check_served(world, cut)
 
-        _run_scenario(scenario, vms=3)
+        worlds.run_scenario(scenario, vms=3)
 
     @pytest.mark.parametrize("mode", _MODES, ids=_MODE_NAMES)
     def test_one_service(self, mode):
@@ -114,7 +99,7 @@
             world.cut_targets(cut, mode, keyed)
             await _check_served(world, [cut])
 
-        _run_scenario(scenario, vms=2)
+        worlds.run_scenario(scenario, vms=2)
 
     @pytest.mark.parametrize("mode", _MODES, ids=_MODE_NAMES)
     def test_one_owner(self, mode):
@@ -125,7 +110,7 @@
             world.cut_targets(cut, mode, ["k0"])
             await _check_served(world, [cut])
 
-        _run_scenario(scenario, vms=2)
+        worlds.run_scenario(scenario, vms=2)
 
     @pytest.mark.parametrize("mode", _MODES, ids=_MODE_NAMES)
     def test_end_of_partition(self, mode):
@@ -147,7 +132,7 @@
                 world.kill_vm(vm)
             await world.wait_until(lambda: _serves(world, cut))
 
-        _run_scenario(scenario, vms=2)
+        worlds.run_scenario(scenario, vms=2)
 
 
 class TestLeader:
@@ -170,7 +155,7 @@
                 await world.wait_until(replaced)
             await _check_served(world, [leader])
 
-        _run_scenario(scenario, vms=3)
+        worlds.run_scenario(scenario, vms=3)
 
 
 class TestCrashes:
@@ -207,4 +192,4 @@
             await world.wait_until(isolated)
             assert "target_died" not in world.log(cut)
 
-        _run_scenario(scenario, vms=2)
+        worlds.run_scenario(scenario, vms=2)
--- a/tests/gateway/test_peer_forwarding.py
+++ b/tests/gateway/test_peer_forwarding.py
@@ -13,26 +13,11 @@
 from mimosastile_gateway import peer_forwarding
 from mimosastile_standins import partitions
 from mimosastile_standins import platform_target
-from mimosastile_standins import platform_world
+from tests.gateway import worlds
 
 _RESET = partitions.PartitionMode.RESET
 
 
-def _run_scenario(scenario, **sizes):
-    """Runs a scenario in a new world and stops the world."""
-
-    async def main():
-        world = platform_world.World()
-        try:
-            async with asyncio.timeout(60):
-                await world.start(**sizes)
-                await scenario(world)
-        finally:
-            await world.stop()
-
-    asyncio.run(main())
-
-
 async def _isolate(world, *vms):
     """Cuts VMs off from all targets and waits until they have noticed."""
     for vm in vms:
@@ -76,7 +61,7 @@
                 names |= target.header_names
             assert not names & peer_forwarding.HEADERS
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     @pytest.mark.parametrize("padding", [10, 3 << 19], ids=["small", "large"])
     def test_whole_body(self, padding):
@@ -91,7 +76,7 @@
             assert answer.body.endswith(bytes(padding))
             assert len(answer.body) > padding
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     @pytest.mark.parametrize(
         ("fault", "statuses"),
@@ -124,7 +109,7 @@
             attempts = collections.Counter(run.attempt for run in world.runs)
             assert max(attempts.values()) == 1
 
-        _run_scenario(scenario, vms=3)
+        worlds.run_scenario(scenario, vms=3)
 
     def test_bound_on_sends(self):
         """Guards against peers that each send a request as often as allowed."""
@@ -138,7 +123,7 @@
                 # The route allows two targets.
                 assert _ran(world, answer) <= 2
 
-        _run_scenario(scenario, vms=3)
+        worlds.run_scenario(scenario, vms=3)
 
 
 class TestPeers:
@@ -167,7 +152,7 @@
                 ]
                 assert len(tried) <= 3
 
-        _run_scenario(scenario, vms=3)
+        worlds.run_scenario(scenario, vms=3)
 
     def test_peer_crashes(self):
         """Guards against "not run" for a request that was lost at a peer."""
@@ -190,7 +175,7 @@
             assert answer.status == 502
             assert _ran(world, answer) == 1
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_peer_stops(self):
         """Guards against a planned stop that cuts forwarded requests off."""
@@ -218,7 +203,7 @@
             assert (await sent).status == 200
             await stopping
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_caller_disconnects(self):
         """Guards against work for callers of another VM that have left."""
@@ -237,7 +222,7 @@
 
             await world.wait_until(cancelled, 3.0)
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
 
 class TestDeadline:
@@ -255,4 +240,4 @@
                 assert answer.status == 504
             assert "did not respond in time" not in world.log("vm-0")
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
--- a/tests/gateway/test_world.py
+++ b/tests/gateway/test_world.py
@@ -16,21 +16,7 @@
 from mimosastile_gateway import messages
 from mimosastile_standins import platform_target
 from mimosastile_standins import platform_world
-
-
-def _run_scenario(scenario, **sizes):
-    """Runs a scenario in a new world and stops the world."""
-
-    async def main():
-        world = platform_world.World()
-        try:
-            async with asyncio.timeout(60):
-                await world.start(**sizes)
-                await scenario(world)
-        finally:
-            await world.stop()
-
-    asyncio.run(main())
+from tests.gateway import worlds
 
 
 def _table(world):
@@ -62,7 +48,7 @@
             attempts = collections.Counter(run.attempt for run in world.runs)
             assert set(attempts.values()) == {1}
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     @pytest.mark.parametrize(
         ("path", "status"), [("/nowhere/1", 404), ("/read", 404)]
@@ -73,7 +59,7 @@
         async def scenario(world):
             assert (await world.send_request(path, 1)).status == status
 
-        _run_scenario(scenario, vms=1)
+        worlds.run_scenario(scenario, vms=1)
 
     def test_new_configuration(self):
         """An added route is served, a removed one is not."""
@@ -104,7 +90,7 @@
             assert "configuration_unreadable" in world.log("vm-0")
             assert "target_unreadable" in world.log("vm-0")
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
 
 class TestOverload:
@@ -135,7 +121,7 @@
                 task.cancel()
             await asyncio.gather(*asked, return_exceptions=True)
 
-        _run_scenario(scenario, vms=1, keyed=1, plain=0)
+        worlds.run_scenario(scenario, vms=1, keyed=1, plain=0)
 
 
 class TestTargets:
@@ -161,7 +147,7 @@
             await world.wait_until(served, 20.0)
             assert "k0" not in {h.id for h in _table(world).owners()}
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_leaving_target(self):
         """A target announces that it is leaving; its keys move before it ends.
@@ -184,7 +170,7 @@
             await world.wait_until(moved)
             assert statuses == {200}
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_address_taken_by_another_service(self):
         """A target crashes and a target of another service gets its address.
@@ -206,7 +192,7 @@
             # One for each VM, and those under way.
             assert victim.misdirected <= 12
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     @pytest.mark.parametrize(
         ("fault", "statuses"),
@@ -242,7 +228,7 @@
             for run in world.runs:
                 assert len(_ran(world, run.attempt)) == 1
 
-        _run_scenario(scenario, vms=1)
+        worlds.run_scenario(scenario, vms=1)
 
     def test_caller_disconnects(self):
         """A letter waits at a full target, and its reader disconnects.
@@ -263,7 +249,7 @@
             await asyncio.sleep(1.0)
             assert sum(target.shed for target in plain) == 1
 
-        _run_scenario(scenario, vms=1)
+        worlds.run_scenario(scenario, vms=1)
 
 
 class TestVms:
@@ -303,7 +289,7 @@
                 await asyncio.sleep(0.05)
             assert set(statuses) == {200}
 
-        _run_scenario(scenario, vms=3)
+        worlds.run_scenario(scenario, vms=3)
 
     def test_all_vms_crash(self):
         """All VMs crash at once, and new ones start without state.
@@ -321,7 +307,7 @@
             await world.wait_until(world._serves_keys)
             assert _table(world).next_fence >= before.next_fence
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_graceful_stop(self):
         """A VM stops under load and still responds to all accepted requests."""
@@ -345,7 +331,7 @@
             await stopping
             daemon.abort()
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_silent_target_during_stop(self):
         """Guards against a stop that closes connections without a response.
@@ -387,7 +373,7 @@
             assert {a.status for a in answers} <= {503, 504}
             await ending
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
 
 class TestEligibility:
@@ -427,7 +413,7 @@
                 assert answer.status == 200
             assert {run.target for run in world.runs} == {"far"}
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_no_target_in_the_regions(self):
         """Guards against waiting for a target that cannot exist."""
@@ -451,7 +437,7 @@
             assert world.runs == []
             assert "outside the allowed regions" in world.log("vm-0")
 
-        _run_scenario(scenario, vms=1)
+        worlds.run_scenario(scenario, vms=1)
 
     def test_evacuation(self):
         """Guards against work for targets of an evacuated zone.
@@ -503,7 +489,7 @@
 
             await world.wait_until(used)
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_evacuated_everywhere(self):
         """Guards against requests that wait while all zones are evacuated."""
@@ -535,7 +521,7 @@
 
             await world.wait_until(served)
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
 
 class TestLoadReports:
@@ -565,7 +551,7 @@
             assert ran["p0"] <= len(world.addresses)
             assert world.targets["p1"].checks > 20
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_cold_target(self):
         """Guards against a cold target that gets the load of a warm one."""
@@ -597,7 +583,7 @@
             assert most <= 3.3 * 1.5 + 8
             assert len(times) < 30
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
 
 class TestTargetFeedback:
@@ -631,7 +617,7 @@
             assert len(got) <= 1.5 * 0.4 * max(passed, 4.0) + 5
             assert "limit_named" in world.log("vm-0")
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_leaving(self):
         """Guards against a leaving state that is not read from the response."""
@@ -651,7 +637,7 @@
             await self._ask_all(world)
             assert {run.target for run in world.runs} == {"p1"}
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_backoff(self):
         """Guards against a backoff that is not read from the response."""
@@ -671,7 +657,7 @@
             await self._ask_all(world)
             assert target.arrivals == []
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
 
 class TestStore:
@@ -698,7 +684,7 @@
             world.store.behavior = behaviors.HEALTHY
             assert (await world.send_request("/read/x", 7)).status == 200
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
 
     def test_history_dropped(self):
         """A target leaves, and the store drops the history of its watches."""
@@ -716,4 +702,4 @@
                 await world.send_request("/issue/1", method="POST")
             ).status == 200
 
-        _run_scenario(scenario)
+        worlds.run_scenario(scenario)
