--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -14,6 +14,8 @@
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import limits
 from mimosastile_core.gateway import routes
+from mimosastile_core.gateway import service_room
+from mimosastile_core.gateway import target_speeds
 
 STORE_PREFIX = "mimosastile/"
 LEADER_KEY = STORE_PREFIX + "leader"
@@ -29,6 +31,9 @@
 _Evacuations = eligibility.Evacuations
 _LimitUpdate = limits.LimitUpdate
 _Peer = forwarding_peers.Peer
+_RouteDemand = service_room.RouteDemand
+_RouteShare = service_room.RouteShare
+_SpeedSample = target_speeds.SpeedSample
 _COMPRESS_FROM_BYTES = 600
 """Size in bytes from which a message is compressed; smaller ones fit into one
 packet anyway."""
@@ -205,6 +210,8 @@
         isolated: Services of which the VM reaches no target.
         unreachable: Number of targets that the VM could not reach lately.
         wants_peers: Whether the VM has requests to forward to peers.
+        demand: Requests since the last report, by service and route.
+        speeds: Measured speeds of targets that changed since the last report.
     """
 
     vm: VmEntry
@@ -240,6 +247,8 @@
     isolated: tuple[str, ...] = ()
     unreachable: int = 0
     wants_peers: bool = False
+    demand: dict[str, dict[str, _RouteDemand]] = {}
+    speeds: dict[str, _SpeedSample] = {}
 
 
 class ReportReply(msgspec.Struct, frozen=True):
@@ -279,6 +288,9 @@
         configuration_age: The same for the configuration and evacuations.
         peers: VMs that reach more targets than the reporting one, the nearest
             first; None if it wants no peers.
+        shares: What routes may use of the services that lack capacity, by
+            service and route.
+        speeds: Speeds of targets that the reporting VM has not measured.
     """
 
     leader: leadership.LeaderEntry | None
@@ -307,6 +319,8 @@
     seen_age: float | None = None
     configuration_age: float | None = None
     peers: tuple[_Peer, ...] | None = None
+    shares: dict[str, dict[str, _RouteShare]] = {}
+    speeds: dict[str, _SpeedSample] = {}
 
 
 class UpdateAck(msgspec.Struct, frozen=True):
