Let probes of targets outlive the requests that wait for them

Cause: a probe without response after 0.1 s was ended and its connection closed. Change: the request waits 0.1 s as before, the probe goes on for a second and keeps its connection; requests share the running probe of a target; the target gets nothing while its response is late. Counts in dump and gauges. test_world patches the new time limit too, so that its probes still wait for all responses.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
@@ -44,7 +44,7 @@
 requests wait there."""
 _DISTANCE_STEP_SECONDS = 0.1
 """Size, in seconds of handicap, of one distance rank."""
-_SILENT_BACKOFF_SECONDS = 0.3
+SILENT_BACKOFF_SECONDS = 0.3
 """Backoff after a target did not report its load in time. A full target answers
 no new request until one of its requests ends."""
 _COUNTS_VALID_SECONDS = 1.5
@@ -221,7 +221,7 @@
     def load_report_missed(self, now: float) -> None:
         """Records that the target did not report its load in time."""
         self.backoff_until = max(
-            self.backoff_until, now + _SILENT_BACKOFF_SECONDS
+            self.backoff_until, now + SILENT_BACKOFF_SECONDS
         )
 
     def _update_failure_share(self, value: float, now: float) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -107,6 +107,7 @@
         "_order_pool",
         "_membership",
         "_pool",
+        "_prober",
         "_reach_monitor",
         "_readiness_server",
         "_balancer",
@@ -208,6 +209,13 @@
             self._clock,
             self._events,
         )
+        self._prober = load_probing.LoadProber(
+            adapter.health(self._pool),
+            self._cluster,
+            self._balancer,
+            self._clock,
+            self._events,
+        )
         dispatcher = dispatching.Dispatcher(
             configured,
             self._cluster,
@@ -216,13 +224,7 @@
             queues,
             self._admission,
             self._clock,
-            load_probing.LoadProber(
-                adapter.health(self._pool),
-                self._cluster,
-                self._balancer,
-                self._clock,
-                self._events,
-            ),
+            self._prober,
         )
         self._forwarder = forwarding.Forwarder(
             configured,
@@ -420,6 +422,7 @@
             "leading": self._leader_role.dump(),
             "forwarding": self._forwarder.dump(),
             "gates": self._admission.dump(),
+            "probes": self._prober.dump(),
             "connections_opened": self._pool.opened,
             "log_lines_dropped": self._events.dropped,
         }
@@ -506,6 +509,10 @@
             "targets_known": sum(1 for _ in state.directory),
             "targets_unreachable": len(self._reach_monitor.unreachable()),
             "services_unreachable": len(self._reach_monitor.isolated),
+            **{
+                f"probes_{outcome}": count
+                for outcome, count in self._prober.dump().items()
+            },
             "vms_known": self._membership.count,
             "loop_lag_seconds": round(self._loop_lag, 4),
             "processor_seconds": round(_processor_seconds(), 3),
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/load_probing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/load_probing.py
@@ -1,6 +1,13 @@
-"""Probes targets for their current load before a request is dispatched."""
+"""Probes targets for their current load before a request is dispatched.
+
+A full target answers on an open connection at once, on a new one only when a
+slot is free. A probe therefore outlives the requests that wait for it: it keeps
+its connection, and the late response still updates the recorded load. Requests
+that probe the same target meanwhile share the probe.
+"""
 
 import asyncio
+import collections
 from collections.abc import Iterable
 
 import result
@@ -16,8 +23,12 @@
 from mimosastile_gateway import ports
 
 _RESPONSE_TIMEOUT_SECONDS = 0.1
-"""Longest wait for a target's load: twice the round trip to another region,
-with a new connection. A target that responds later is not chosen."""
+"""Longest wait of a request for a target's load: twice the round trip to
+another region, with a new connection. A target that responds later is not
+chosen."""
+_PROBE_TIMEOUT_SECONDS = 1.0
+"""Time after which a probe without a response ends and its connection is
+closed: a full target usually has a free slot before."""
 _EXTRA_WAIT_SECONDS = 0.01
 """Wait for further responses after the first one, in addition to the time that
 the first one took."""
@@ -27,7 +38,8 @@
     """Health checks whose load reports serve one dispatching decision."""
 
     __slots__ = (
-        "_running_probes",
+        "_counts",
+        "_running",
         "_cluster",
         "_clock",
         "_events",
@@ -52,9 +64,8 @@
             timer: The clock.
             event_log: The event log.
         """
-        self._running_probes: set[asyncio.Future[directory.Target | None]] = (
-            set()
-        )
+        self._running: dict[str, asyncio.Task[directory.Target | None]] = {}
+        self._counts: collections.Counter[str] = collections.Counter()
         self._health = health
         self._cluster = cluster
         self._balancer = balancer
@@ -75,39 +86,71 @@
         """
         started_at = self._clock.now()
         running = {
-            asyncio.ensure_future(self._probe(target, service.health_path))
+            self._shared_probe(target, service.health_path)
             for target in targets
         }
-        for task in running:
-            # A probe still updates the recorded load after the wait for it has
-            # ended.
-            self._running_probes.add(task)
-            task.add_done_callback(self._running_probes.discard)
         responded: list[directory.Target] = []
-        timeout: float | None = None
-        while running:
+        timeout = _RESPONSE_TIMEOUT_SECONDS
+        while running and timeout > 0:
             done, running = await asyncio.wait(
-                running, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+                running,
+                timeout=timeout,
+                return_when=asyncio.FIRST_COMPLETED,
             )
             if not done:
                 break
+            elapsed = self._clock.now() - started_at
+            if not responded:
+                # The other targets get as long again.
+                timeout = elapsed + _EXTRA_WAIT_SECONDS
+            timeout = min(timeout, _RESPONSE_TIMEOUT_SECONDS - elapsed)
             responded.extend(
                 t for task in done if (t := task.result()) is not None
             )
-            if responded and timeout is None:
-                timeout = self._clock.now() - started_at + _EXTRA_WAIT_SECONDS
         return responded
 
+    def dump(self) -> dict[str, int]:
+        """Returns counts of probes by outcome, and how many are running."""
+        return {**self._counts, "running": len(self._running)}
+
+    def _shared_probe(
+        self, target: directory.Target, path: str
+    ) -> asyncio.Task[directory.Target | None]:
+        """Returns the running probe of a target, or starts one."""
+        task = self._running.get(target.id)
+        if task is not None:
+            self._counts["shared"] += 1
+            return task
+        self._counts["started"] += 1
+        task = asyncio.create_task(self._probe(target, path), name="probe")
+        self._running[target.id] = task
+        task.add_done_callback(lambda _: self._running.pop(target.id))
+        return task
+
     async def _probe(
         self, target: directory.Target, path: str
     ) -> directory.Target | None:
-        """Probes one target; returns it if it reported its load."""
-        checked = await self._health.check(
-            target, path, _RESPONSE_TIMEOUT_SECONDS
+        """Probes one target; returns it if it reported its load.
+
+        The target gets no requests while it is late with its response.
+        """
+        load = self._balancer.load(target.id)
+        check = asyncio.ensure_future(
+            self._health.check(target, path, _PROBE_TIMEOUT_SECONDS)
         )
+        timeout = _RESPONSE_TIMEOUT_SECONDS
+        late = False
+        while not (await asyncio.wait((check,), timeout=timeout))[0]:
+            timeout = load_balancing.SILENT_BACKOFF_SECONDS
+            self._counts["late"] += not late
+            late = True
+            load.load_report_missed(self._clock.now())
+        checked = check.result()
         if isinstance(checked, result.Err):
             self._record_failure(target, checked.err_value)
             return None
+        if late:
+            load.reached()
         return target if self._record_report(target, checked.ok_value) else None
 
     def _record_report(
@@ -127,6 +170,7 @@
     def _record_failure(
         self, target: directory.Target, failure: errors.Failure
     ) -> None:
+        self._counts["failed"] += 1
         load = self._balancer.load(target.id)
         if failure.kind is errors.ErrorKind.ANSWER_LOST:
             load.load_report_missed(self._clock.now())
--- a/tests/gateway/test_world.py
+++ b/tests/gateway/test_world.py
@@ -531,6 +531,7 @@
     def _long_probe_timeouts(self, monkeypatch):
         """Lets probes wait for all responses, however slow the machine is."""
         monkeypatch.setattr(load_probing, "_RESPONSE_TIMEOUT_SECONDS", 10.0)
+        monkeypatch.setattr(load_probing, "_PROBE_TIMEOUT_SECONDS", 10.0)
         monkeypatch.setattr(load_probing, "_EXTRA_WAIT_SECONDS", 10.0)
 
     def test_slow_targets_are_avoided(self):
