Expect a proof of lost paths, and one new leader for one cut

Three targets that crash at the same time count as a service without a path; a leader that loses the targets divided by key together with other VMs is followed by VMs that are cut off as well, or by none.

--- a/tests/gateway/test_partitioned_vms.py
+++ b/tests/gateway/test_partitioned_vms.py
@@ -29,6 +29,14 @@
     return next(leading, None)
 
 
+def _epoch(world):
+    """Returns the latest epoch that a VM has led in."""
+    return max(
+        daemon.dump()["leading"]["epoch"] or 0
+        for daemon in world.daemons.values()
+    )
+
+
 def _followers(world):
     leader = _leader(world)
     return [name for name in world.daemons if name != leader]
@@ -158,6 +166,54 @@
         worlds.run_scenario(scenario, vms=3)
 
 
+    @pytest.mark.parametrize("left", [1, 2, 3])
+    @pytest.mark.parametrize("mode", _MODES[:2], ids=_MODE_NAMES[:2])
+    def test_replaced_once(self, mode, left):
+        """Guards against successors that are cut off as their leader is."""
+
+        async def scenario(world):
+            leader = _leader(world)
+            epoch = _epoch(world)
+            cut = [leader, *_followers(world)][: len(world.daemons) - left]
+            keyed = [name for name in world.targets if name[0] == "k"]
+            for vm in cut:
+                world.cut_targets(vm, mode, keyed)
+
+            async def replaced():
+                return _leader(world) not in (None, *cut)
+
+            await world.wait_until(replaced)
+            await _check_served(world, cut)
+            assert _epoch(world) == epoch + 1
+
+        worlds.run_scenario(scenario, vms=5)
+
+    @pytest.mark.parametrize("mode", _MODES[:2], ids=_MODE_NAMES[:2])
+    def test_all_cut(self, mode):
+        """Guards against a leader replaced by one that reaches no more."""
+
+        async def scenario(world):
+            leader = _leader(world)
+            epoch = _epoch(world)
+            first = _followers(world)[-1]
+            for vm in world.daemons:
+                world.cut_targets(vm, mode)
+
+            async def isolated():
+                await _serves(world, leader)
+                return world.daemons[leader].dump()["services_unreachable"]
+
+            await world.wait_until(isolated)
+            for _ in range(5):
+                await _serves(world, first)
+            assert _epoch(world) == epoch
+            world.partitions[first].end()
+            await _check_served(world, list(world.daemons))
+            assert _epoch(world) == epoch + 1
+
+        worlds.run_scenario(scenario, vms=3)
+
+
 class TestCrashes:
     """Requests that are lost when a VM is cut off."""
 
--- a/tests/gateway/test_reach_monitoring.py
+++ b/tests/gateway/test_reach_monitoring.py
@@ -146,3 +146,17 @@
                 assert not monitor.is_isolated("s")
 
         _run(scenario, *targets)
+
+    def test_crashed_targets(self):
+        """Guards against crashes of some targets taken for a cut link."""
+        targets = [fakes.target(name) for name in "abcdef"]
+
+        async def scenario(monitor, cluster, log, pool, balancer):
+            pool.reachable = True
+            for name in "abc":
+                monitor.record_attempt(f"{name}:80", False)
+            await asyncio.sleep(1.0)
+            assert not log.named("service_unreachable")
+            assert not pool.closed
+
+        _run(scenario, *targets)
