Prove a lost path before a service is isolated or a leader replaced

Cause: three attempts in a row without a connection counted as a lost path. Full targets leave connections hanging and crashed ones refuse them, so both were taken for a cut, closed idle connections and replaced leaders; the VMs that were asked to lead had not tried their own path.

Attempts shorter than half of the connect timeout do not count. Idle connections are closed if the service is silent as well. A leader names what its successor has to reach, asks VMs of all zones in growing rounds, and each proves that by connecting. A leader that is announced while a VM reads the store is no longer replaced by it.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -167,6 +167,7 @@
         )
         for pool in (self._pool, self._order_pool):
             pool.on_attempt = self._reach_monitor.record_attempt
+            pool.on_response = self._reach_monitor.record_response
         self._leader_role = leader_role.LeaderRole(
             configured,
             boot,
@@ -402,8 +403,7 @@
             "targets": {
                 entry.target.id: entry.status.value for entry in state.directory
             },
-            "targets_unreachable": sorted(self._reach_monitor.unreachable()),
-            "services_unreachable": sorted(self._reach_monitor.isolated),
+            **self._reach_monitor.dump(),
             "assignments": state.versions(),
             "evacuated_zones": state.evacuations.zones,
             "cold_targets": {
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
@@ -13,6 +13,7 @@
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import limits
+from mimosastile_core.gateway import path_proofs
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
@@ -226,14 +227,24 @@
             if vm.id != self._here:
                 self._start(self._announce(vm, body))
 
-    def request_takeover(self, vms: Iterable[messages.VmEntry]) -> None:
+    def request_takeover(
+        self,
+        vms: Iterable[messages.VmEntry],
+        path_proof: path_proofs.PathProof | None = None,
+    ) -> None:
         """Requests VMs at once to take over as the leader.
 
         Args:
             vms: The VMs.
+            path_proof: What they have to reach before; None for nothing.
         """
         body = messages.encode(
-            messages.ReportReply(self._entry, leading=True, take_over=True)
+            messages.ReportReply(
+                self._entry,
+                leading=True,
+                take_over=True,
+                path_proof=path_proof,
+            )
         )
         for vm in vms:
             self._start(self._announce(vm, body))
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -17,6 +17,8 @@
 
 import httptools
 
+from mimosastile_core.gateway import reachability
+
 HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -41,9 +43,6 @@
 _KEEP_ALIVE_SHARE = 0.6
 """Part of the timeout announced by Keep-Alive within which a connection may be
 reused."""
-_OVERDUE_SHARE = 0.5
-"""Part of the connect timeout after which an attempt counts as failed although
-its caller gave up before the timeout."""
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _NO_BODY = frozenset({204, 304})
 
@@ -101,7 +100,11 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection, with at most one pending request."""
+    """One connection, with at most one pending request.
+
+    Attributes:
+        on_response: Called with the address for the head of each response.
+    """
 
     __slots__ = (
         "_address",
@@ -121,6 +124,7 @@
         "_served",
         "_transport",
         "_waiter",
+        "on_response",
     )
 
     def __init__(self, address: str) -> None:
@@ -146,6 +150,7 @@
         self._served = 0
         self._idle_since = 0.0
         self._reuse_seconds = float("inf")
+        self.on_response: Callable[[str], None] = _ignore_response
 
     @property
     def reusable(self) -> bool:
@@ -329,6 +334,7 @@
 
     def on_headers_complete(self) -> None:
         """Decides whether this response belongs to the pending request."""
+        self.on_response(self._address)
         response = self._response
         status = self._parser.get_status_code()
         if response is None or self._discarding:
@@ -418,8 +424,9 @@
     """Pool of idle connections, by address.
 
     Attributes:
-        on_attempt: Called with the address and the outcome of each attempt to
-            open a connection.
+        on_attempt: Called with the address, the outcome and the duration in
+            seconds of each attempt to open a connection.
+        on_response: Called with the address for the head of each response.
     """
 
     __slots__ = (
@@ -428,6 +435,7 @@
         "_silent_timeout_ms",
         "_traffic",
         "on_attempt",
+        "on_response",
     )
 
     def __init__(self, silent_timeout: float) -> None:
@@ -441,7 +449,10 @@
         self._idle: dict[str, list[Connection]] = {}
         self._opened = 0
         self._silent_timeout_ms = int(silent_timeout * 1000)
-        self.on_attempt: Callable[[str, bool], None] = _ignore_attempt
+        self.on_attempt: Callable[[str, reachability.Outcome, float], None] = (
+            _ignore_attempt
+        )
+        self.on_response: Callable[[str], None] = _ignore_response
         self._traffic: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -576,22 +587,36 @@
                     lambda: self._new_connection(address), host, int(port)
                 )
         except asyncio.CancelledError:
-            if loop.time() - began > _OVERDUE_SHARE * timeout:
-                self.on_attempt(address, False)
+            seconds = loop.time() - began
+            self.on_attempt(address, reachability.Outcome.HUNG, seconds)
             raise
-        except (OSError, ValueError, TimeoutError) as error:
-            self.on_attempt(address, False)
+        except (OSError, ValueError) as error:
+            timed_out = isinstance(error, TimeoutError)
+            outcome = (
+                reachability.Outcome.HUNG
+                if timed_out
+                else reachability.Outcome.REFUSED
+            )
+            self.on_attempt(address, outcome, loop.time() - began)
             raise NotSentError(f"{address}: {error or 'timeout'}") from error
         self._opened += 1
-        self.on_attempt(address, True)
+        connection.on_response = self.on_response
+        seconds = loop.time() - began
+        self.on_attempt(address, reachability.Outcome.CONNECTED, seconds)
         connection.detect_dead_peer(self._silent_timeout_ms)
         return connection
 
 
-def _ignore_attempt(address: str, connected: bool) -> None:
+def _ignore_attempt(
+    address: str, outcome: reachability.Outcome, seconds: float
+) -> None:
     """Ignores the outcome of a connection attempt."""
 
 
+def _ignore_response(address: str) -> None:
+    """Ignores a response."""
+
+
 def _set_keepalive(sock: socket.socket | None, silent_timeout_ms: int) -> None:
     """Makes the kernel detect that the remote end is unreachable."""
     if sock is None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -4,7 +4,6 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
-import math
 from typing import Any
 from typing import TypeVar
 
@@ -30,6 +29,7 @@
 from mimosastile_gateway import events
 from mimosastile_gateway import grant_reconciliation
 from mimosastile_gateway import messages
+from mimosastile_gateway import path_succession
 from mimosastile_gateway import peer_calls
 from mimosastile_gateway import planning
 from mimosastile_gateway import ports
@@ -65,9 +65,6 @@
 _RESIGN_AFTER_SECONDS = 0.8
 """Seconds without the store after which the leader asks a VM that reaches it to
 take over: long enough for one lost packet, short compared to a grant."""
-_MAX_CUT_OFF_OWNERS = 1
-"""Owners that other VMs reach and a leader does not, up to which it goes on
-leading: the keys of a single one move to another target."""
 _READ_ATTEMPTS = 5
 """Attempts of a new leader to read the tables before it gives up."""
 
@@ -104,7 +101,7 @@
         "_lease",
         "_monitor",
         "_orders",
-        "_path_successors",
+        "_path_succession",
         "_planner",
         "_publish_timer",
         "_published_at",
@@ -192,7 +189,9 @@
         self._term_started_at = 0.0
         self._store_failing_since: float | None = None
         self._successors = successors.SuccessorSelection()
-        self._path_successors = successors.SuccessorSelection()
+        self._path_succession = path_succession.PathSuccession(
+            configured.vm.id, cluster, monitor, self._disseminator, timer, log
+        )
         self._tasks: list[asyncio.Task[Any]] = []
         self._taking_over = False
 
@@ -256,6 +255,8 @@
 
     async def _take_over(self, why: str) -> bool:
         """Writes the leader's entry, reads the tables and starts the term."""
+        # A leader that is announced during the read is not to be replaced.
+        cached = self._cluster.leader
         read = await self._store.read(messages.LEADER_KEY)
         if isinstance(read, result.Err):
             # If the leader is cut off from the store too, it asks another VM.
@@ -265,7 +266,6 @@
             return False
         stored_item = read.ok_value
         stored = self._decode(stored_item, leadership.LeaderEntry)
-        cached = self._cluster.leader
         if stored and cached and stored.epoch > cached.epoch:
             # Another VM took over first.
             self._cluster.record_leader(stored)
@@ -376,7 +376,7 @@
         self._planner = self._new_planner()
         self._demand = demand.Demand(dissemination.REPORT_MAX_AGE_SECONDS)
         self._successors.clear()
-        self._path_successors.clear()
+        self._path_succession.clear()
         self._store_failing_since = None
         self._term_started_at = now
         record_item = items.get(messages.WITNESSES_KEY)
@@ -591,6 +591,7 @@
         self._demand.record(vm.id, report.under_way, report.waiting, now)
         target_directory = self._cluster.directory
         fresh_reports = self._disseminator.fresh()
+        path_proof = self._path_succession.proof_for(vm.id)
         missing = self._disseminator.updates_for_reply(report)
         return messages.ReportReply(
             self._entry,
@@ -611,8 +612,7 @@
             crashes=self._crashes.crashes(now),
             watchers=self._current_watchers(fresh_reports),
             vms=len(fresh_reports),
-            take_over=vm.id in self._successors.asked
-            or vm.id in self._path_successors.asked,
+            take_over=vm.id in self._successors.asked or path_proof is not None,
             evacuations=self._cluster.evacuations,
             limits=self._cluster.limits.updates(now),
             leaving=tuple(
@@ -624,6 +624,7 @@
             seen_age=self._cluster.registrations_age,
             configuration_age=self._cluster.configuration_age,
             peers=self._peers_for(report, fresh_reports),
+            path_proof=path_proof,
         )
 
     def _peers_for(
@@ -884,80 +885,18 @@
     @property
     def lacks_path(self) -> bool:
         """Whether this VM reaches no target of a service divided by key."""
-        configuration = self._cluster.configuration
-        return configuration is not None and any(
-            service.keyed and self._monitor.is_isolated(service.name)
-            for service in configuration.services.values()
+        return bool(
+            path_succession.isolated_services(self._cluster, self._monitor)
         )
 
     def _replace_if_cut_off(self) -> None:
-        """Asks VMs that reach more targets to lead, if owners are cut off.
-
-        Grants cannot be renewed without a path to their owners, and no other
-        VM may renew them.
-        """
-        cut_off = [
+        """Asks VMs that reach more targets to lead, if owners are cut off."""
+        self._path_succession.update(
             owner
             for keyed in self._services.values()
             for owner in keyed.reconciler.cut_off_owners()
-        ]
-        alone = self._is_alone_isolated()
-        if not alone and len(cut_off) <= _MAX_CUT_OFF_OWNERS:
-            self._path_successors.clear()
-            return
-        candidates = self._candidates_with_path()
-        asked = self._path_successors.next(
-            [vm.id for vm in candidates], self._clock.boottime()
-        )
-        if not asked:
-            return
-        self._disseminator.request_takeover(
-            vm for vm in candidates if vm.id in asked
-        )
-        self._events.write(
-            "leader",
-            "asks_successor_with_path",
-            successors=asked,
-            isolated=sorted(self._monitor.isolated),
-            cut_off=cut_off,
         )
 
-    def _is_alone_isolated(self) -> bool:
-        """Whether other VMs reach a service from whose targets this one is cut.
-
-        If its targets are down, another leader would not reach them either.
-        """
-        configuration = self._cluster.configuration
-        if configuration is None:
-            return False
-        isolated = {
-            service.name: seconds
-            for service in configuration.services.values()
-            if service.keyed
-            and (seconds := self._monitor.isolated_seconds(service.name))
-            is not None
-        }
-        now = self._clock.boottime()
-        return any(
-            now - self._last_alive_at.get(entry.target.id, -math.inf)
-            < isolated[entry.target.service]
-            for entry in self._cluster.directory
-            if entry.target.service in isolated
-        )
-
-    def _candidates_with_path(self) -> list[messages.VmEntry]:
-        """Returns VMs that reach the store and more targets than this one."""
-        unreachable = len(self._monitor.unreachable())
-        isolated = self._monitor.isolated
-        candidates = [
-            report.vm
-            for report in self._disseminator.fresh().values()
-            if report.vm.id != self._settings.vm.id
-            and report.store
-            and _reaches_more(report, isolated, unreachable)
-        ]
-        return sorted(candidates, key=lambda vm: (vm.order, vm.id))
-
     # Planning.
 
     async def _plan_loop(self) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -17,6 +17,7 @@
 from mimosastile_core.gateway import freshness
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import load_balancing
+from mimosastile_core.gateway import path_proofs
 from mimosastile_core.gateway import ranges
 from mimosastile_gateway import admission_service
 from mimosastile_gateway import clock
@@ -24,6 +25,7 @@
 from mimosastile_gateway import events
 from mimosastile_gateway import leader_role
 from mimosastile_gateway import messages
+from mimosastile_gateway import path_succession
 from mimosastile_gateway import peer_calls
 from mimosastile_gateway import ports
 from mimosastile_gateway import reach_monitoring
@@ -131,6 +133,7 @@
         "_peers",
         "_peers_listed_at",
         "_peers_wanted_at",
+        "_prover",
         "_queues",
         "_report_due",
         "_reported_at",
@@ -178,6 +181,8 @@
         self._watcher = watcher
         self._crashes = crashes
         self._monitor = monitor
+        self._prover = path_succession.PathProver(state, monitor, log)
+        monitor.on_change = self.report_soon
         self._clock = timer
         self._events = log
         self._address = configured.vm.peers
@@ -814,13 +819,24 @@
         self._leader_responded.set()
         self._leader_responded = asyncio.Event()
         if reply.take_over:
-            self._take_over_soon()
+            self._take_over_soon(reply.path_proof)
 
-    def _take_over_soon(self) -> None:
-        """Starts to take over as the leader, at the leader's request."""
-        if self._leader.lacks_path:
+    def _take_over_soon(self, path_proof: path_proofs.PathProof | None) -> None:
+        """Starts to take over as the leader, at the leader's request.
+
+        Args:
+            path_proof: What this VM has to reach before; None for nothing.
+        """
+        if path_proof is None and self._leader.lacks_path:
             return
-        task = asyncio.create_task(self._take_over("requested by leader"))
+        why = "requested by leader"
+        task = asyncio.create_task(
+            self._take_over(why)
+            if path_proof is None
+            else self._prover.take_over(
+                path_proof, lambda: self._take_over(why)
+            )
+        )
         self._tasks.append(task)
         task.add_done_callback(self._tasks.remove)
 
@@ -834,7 +850,7 @@
         self._balancer.add_gates(update.gates)
         self._apply_update(update, self._made_at(update))
         if update.take_over:
-            self._take_over_soon()
+            self._take_over_soon(update.path_proof)
 
     async def relay(self, relay: messages.Relay) -> messages.Relayed:
         """Applies a leader's update for a zone, and relays it in the zone.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -13,6 +13,7 @@
 from mimosastile_core.gateway import forwarding_peers
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import limits
+from mimosastile_core.gateway import path_proofs
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import service_room
 from mimosastile_core.gateway import target_speeds
@@ -30,6 +31,7 @@
 _Difference = assignments.Difference
 _Evacuations = eligibility.Evacuations
 _LimitUpdate = limits.LimitUpdate
+_PathProof = path_proofs.PathProof
 _Peer = forwarding_peers.Peer
 _RouteDemand = service_room.RouteDemand
 _RouteShare = service_room.RouteShare
@@ -291,6 +293,8 @@
         shares: What routes may use of the services that lack capacity, by
             service and route.
         speeds: Speeds of targets that the reporting VM has not measured.
+        path_proof: What a VM that is requested to lead has to reach before it
+            does; None if the leader lacks no path.
     """
 
     leader: leadership.LeaderEntry | None
@@ -321,6 +325,7 @@
     peers: tuple[_Peer, ...] | None = None
     shares: dict[str, dict[str, _RouteShare]] = {}
     speeds: dict[str, _SpeedSample] = {}
+    path_proof: _PathProof | None = None
 
 
 class UpdateAck(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/path_succession.py
@@ -0,0 +1,209 @@
+"""Replaces a leader that reaches no owners of keys by a VM that does.
+
+Grants cannot be renewed without a path to their owners, and no other VM may
+renew them.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterable
+
+from mimosastile_core.gateway import path_proofs
+from mimosastile_gateway import clock
+from mimosastile_gateway import cluster_state
+from mimosastile_gateway import dissemination
+from mimosastile_gateway import events
+from mimosastile_gateway import messages
+from mimosastile_gateway import reach_monitoring
+
+
+def isolated_services(
+    cluster: cluster_state.ClusterState, monitor: reach_monitoring.ReachMonitor
+) -> list[str]:
+    """Returns the services divided by key of which a VM reaches no target."""
+    configuration = cluster.configuration
+    if configuration is None:
+        return []
+    return [
+        service.name
+        for service in configuration.services.values()
+        if service.keyed and monitor.is_isolated(service.name)
+    ]
+
+
+class PathSuccession:
+    """Asks VMs to lead while the leader lacks a path to owners."""
+
+    __slots__ = (
+        "_clock",
+        "_cluster",
+        "_disseminator",
+        "_events",
+        "_monitor",
+        "_selection",
+        "_vm",
+        "proof",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        cluster: cluster_state.ClusterState,
+        monitor: reach_monitoring.ReachMonitor,
+        disseminator: dissemination.Disseminator,
+        timer: clock.Clock,
+        log: events.EventLog,
+    ) -> None:
+        """Creates the succession of a VM that has asked nobody.
+
+        Args:
+            vm: Identifier of this VM.
+            cluster: This VM's view of the cluster.
+            monitor: Knows the targets that this VM does not reach.
+            disseminator: Sends requests to VMs and has their reports.
+            timer: The clock.
+            log: The event log.
+        """
+        self._vm = vm
+        self._cluster = cluster
+        self._monitor = monitor
+        self._disseminator = disseminator
+        self._clock = timer
+        self._events = log
+        self._selection = path_proofs.PathSuccessors()
+        self.proof: path_proofs.PathProof | None = None
+
+    def clear(self) -> None:
+        """Resets the record of the VMs asked."""
+        self._selection.clear()
+        self.proof = None
+
+    def proof_for(self, vm: str) -> path_proofs.PathProof | None:
+        """Returns what a VM has to prove before it leads.
+
+        Returns:
+            The proof; None if the VM is not asked to lead.
+        """
+        return self.proof if vm in self._selection.asked else None
+
+    def update(self, cut_off: Iterable[str]) -> None:
+        """Asks VMs to lead if this leader lacks a path.
+
+        Args:
+            cut_off: Owners that take no orders from this VM, and that have
+                responded to other VMs since.
+        """
+        owners = [o for o in cut_off if not self._monitor.has_responded(o)]
+        isolated = isolated_services(self._cluster, self._monitor)
+        self.proof = path_proofs.needed_proof(isolated, owners)
+        if self.proof is None:
+            self._selection.clear()
+            return
+        candidates = self._candidates()
+        asked = self._selection.next(
+            [path_proofs.Candidate(vm.id, vm.zone) for vm in candidates],
+            self._clock.boottime(),
+        )
+        if not asked:
+            return
+        self._disseminator.request_takeover(
+            (vm for vm in candidates if vm.id in asked), self.proof
+        )
+        self._events.write(
+            "leader",
+            "asks_successor_with_path",
+            successors=asked,
+            isolated=isolated,
+            cut_off=owners,
+        )
+
+    def _candidates(self) -> list[messages.VmEntry]:
+        """Returns VMs that reach the store and may reach more targets."""
+        isolated = self._monitor.isolated
+        candidates = [
+            report.vm
+            for report in self._disseminator.fresh().values()
+            if report.vm.id != self._vm
+            and report.store
+            and not report.stopping
+            and isolated.isdisjoint(report.isolated)
+        ]
+        return sorted(candidates, key=lambda vm: (vm.order, vm.id))
+
+
+class PathProver:
+    """Proves the path of a VM that is asked to lead."""
+
+    __slots__ = ("_cluster", "_events", "_monitor", "_proving")
+
+    def __init__(
+        self,
+        cluster: cluster_state.ClusterState,
+        monitor: reach_monitoring.ReachMonitor,
+        log: events.EventLog,
+    ) -> None:
+        """Creates a prover.
+
+        Args:
+            cluster: This VM's view of the cluster.
+            monitor: Attempts to reach targets.
+            log: The event log.
+        """
+        self._cluster = cluster
+        self._monitor = monitor
+        self._events = log
+        self._proving = False
+
+    async def take_over(
+        self,
+        proof: path_proofs.PathProof,
+        take_over: Callable[[], Coroutine[None, None, None]],
+    ) -> None:
+        """Takes over from the current leader if this VM proves its path.
+
+        Args:
+            proof: What the leader does not reach.
+            take_over: Takes over as the leader.
+        """
+        if self._proving:
+            return
+        self._proving = True
+        leader = self._cluster.leader
+        try:
+            proved = await self._proves(proof)
+        finally:
+            self._proving = False
+        if proved and self._cluster.leader == leader:
+            await take_over()
+
+    async def _proves(self, proof: path_proofs.PathProof) -> bool:
+        """Whether this VM reaches more than the leader that asks."""
+        configuration = self._cluster.configuration
+        if configuration is None:
+            return False
+        keyed = [s.name for s in configuration.services.values() if s.keyed]
+        reached, owners_reached = await asyncio.gather(
+            asyncio.gather(
+                *(
+                    self._monitor.reaches(
+                        name, by_connecting=name in proof.services
+                    )
+                    for name in keyed
+                )
+            ),
+            self._monitor.reaches_targets(proof.owners),
+        )
+        unreached = [
+            name for name, ok in zip(keyed, reached, strict=True) if not ok
+        ]
+        proved = owners_reached and path_proofs.suffices(proof, unreached)
+        self._events.write(
+            "leader",
+            "path_proved" if proved else "path_not_proved",
+            services=proof.services,
+            owners=proof.owners,
+            unreached=unreached,
+            owners_reached=owners_reached,
+        )
+        return proved
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
 
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import load_balancing
@@ -13,13 +16,22 @@
 
 _PROBE_SECONDS = 0.25
 """Mean interval between two attempts to reach an isolated service again."""
+_OVERDUE_SHARE = 0.5
+"""Part of the connect timeout from which an attempt that ended without any
+outcome counts as one that hung."""
+_PROOF_TARGETS = 3
+"""Targets at which a VM attempts to connect to prove its path to a service."""
 
 
 class ReachMonitor:
     """Attributes connection attempts to targets and records their outcome.
 
-    While a service is isolated, its requests take another way, so this monitor
-    itself attempts to connect to its targets.
+    It verifies itself whether the path to a service is lost. While a service is
+    isolated, its requests take another way, so this monitor also attempts to
+    connect to its targets.
+
+    Attributes:
+        on_change: Called when an isolation has begun or ended.
     """
 
     __slots__ = (
@@ -34,6 +46,8 @@
         "_reachability",
         "_target_counts",
         "_targets_by_address",
+        "_verifying",
+        "on_change",
     )
 
     def __init__(
@@ -66,6 +80,8 @@
         self._target_counts: collections.Counter[str] = collections.Counter()
         self._outdated = True
         self._probing: asyncio.Task[None] | None = None
+        self._verifying: dict[str, asyncio.Task[None]] = {}
+        self.on_change: Callable[[], None] = _ignore_change
         cluster.subscribe(self._mark_outdated)
 
     @property
@@ -77,69 +93,181 @@
         """Whether this VM reaches no target of a service."""
         return self._reachability.is_isolated(service)
 
-    def isolated_seconds(self, service: str) -> float | None:
-        """Returns for how long no target was reached; None if one is."""
-        return self._reachability.isolated_seconds(service, self._clock.now())
-
     def seconds_since_failure(self, service: str, target: str) -> float:
         """Returns the age of the last failed attempt to reach a target.
 
-        It is infinite if there was none, or a later attempt succeeded.
+        It is infinite if there was none, a later attempt succeeded, or the
+        attempt timed out while the target responds over open connections.
         """
         return self._reachability.seconds_since_failure(
             service, target, self._clock.now()
         )
 
-    def stop(self) -> None:
-        """Stops all attempts to reach isolated services."""
-        if self._probing is not None:
-            self._probing.cancel()
+    def has_responded(self, target: str) -> bool:
+        """Whether a target responded to this VM within the last second."""
+        return self._reachability.target_has_responded(
+            target, self._clock.now()
+        )
 
     def unreachable(self) -> frozenset[str]:
         """Returns the targets that could not be reached lately."""
         return self._reachability.unreachable(self._clock.now())
 
-    def record_attempt(self, address: str, connected: bool) -> None:
+    def dump(self) -> dict[str, object]:
+        """Returns what is known of paths, for the state dump."""
+        return {
+            "targets_unreachable": sorted(self.unreachable()),
+            "services_unreachable": sorted(self.isolated),
+            "services_verified": sorted(self._verifying),
+        }
+
+    def stop(self) -> None:
+        """Stops all attempts to reach targets."""
+        for task in (self._probing, *self._verifying.values()):
+            if task is not None:
+                task.cancel()
+
+    def record_attempt(
+        self, address: str, outcome: reachability.Outcome, seconds: float
+    ) -> None:
         """Records the outcome of an attempt to open a connection.
 
         Args:
             address: Host and port.
-            connected: Whether the connection was opened.
+            outcome: How the attempt ended.
+            seconds: Its duration.
         """
-        if self._outdated:
-            self._update_targets()
-        target = self._targets_by_address.get(address)
+        target = self._target_at(address)
         if target is None:
-            # The store or another VM.
             return
         service = target.service
         now = self._clock.now()
-        if connected:
-            seconds = self._reachability.record_connected(
-                service, target.id, now
+        if outcome is reachability.Outcome.CONNECTED:
+            ended = self._reachability.record_connected(service, target.id, now)
+            self._on_evidence(target, ended)
+            return
+        hung = outcome is reachability.Outcome.HUNG
+        if hung and seconds < _OVERDUE_SHARE * self._connect_timeout:
+            return
+        if (
+            self._reachability.record_failed(
+                service, target.id, self._target_counts[service], now, hung=hung
             )
-            if seconds is not None:
-                self._on_reached(target, seconds)
-        elif self._reachability.record_failed(
-            service, target.id, self._target_counts[service], now
+            and service not in self._verifying
         ):
+            self._verifying[service] = asyncio.create_task(
+                self._verify(service), name="verify"
+            )
+
+    def record_response(self, address: str) -> None:
+        """Records a response over any connection.
+
+        Args:
+            address: Host and port of the connection.
+        """
+        target = self._target_at(address)
+        if target is not None:
+            ended = self._reachability.record_response(
+                target.service, target.id, self._clock.now()
+            )
+            self._on_evidence(target, ended)
+
+    async def reaches(self, service: str, *, by_connecting: bool) -> bool:
+        """Proves that this VM reaches a service.
+
+        Args:
+            service: The service.
+            by_connecting: Whether only a new connection is a proof, and not a
+                response within the last second.
+        """
+        responded = self._reachability.has_responded(service, self._clock.now())
+        if responded and not by_connecting and not self.is_isolated(service):
+            return True
+        targets = self._shuffled_targets(service)[:_PROOF_TARGETS]
+        outcomes = await self._attempt(targets)
+        return reachability.Outcome.CONNECTED in outcomes
+
+    async def reaches_targets(self, targets: Iterable[str]) -> bool:
+        """Proves by new connections that this VM reaches all given targets."""
+        entries = [self._cluster.directory.get(name) for name in targets]
+        known = [entry.target for entry in entries if entry is not None]
+        outcomes = await self._attempt(known)
+        return len(known) == len(entries) and all(
+            outcome is reachability.Outcome.CONNECTED for outcome in outcomes
+        )
+
+    async def _verify(self, service: str) -> None:
+        """Attempts to reach other targets until the path is certain."""
+        try:
+            verdict = reachability.Verdict.UNDECIDED
+            while verdict is reachability.Verdict.UNDECIDED:
+                began_at = self._clock.now()
+                targets = self._reachability.verification_targets(
+                    service, self._shuffled_targets(service), began_at
+                )
+                outcomes = await self._attempt(targets)
+                verdict = self._reachability.conclude(
+                    service, began_at, outcomes, self._clock.now()
+                )
+        finally:
+            del self._verifying[service]
+        if verdict is reachability.Verdict.ISOLATED:
             self._on_isolated(service)
+        else:
+            self._events.write(
+                "targets",
+                "path_verified",
+                service=service,
+                outcomes=[outcome.value for outcome in outcomes],
+            )
+
+    async def _attempt(
+        self, targets: Collection[directory.Target]
+    ) -> list[reachability.Outcome]:
+        """Attempts to connect to several targets at the same time."""
+        return await asyncio.gather(
+            *(self._connect(target.address) for target in targets)
+        )
+
+    async def _connect(self, address: str) -> reachability.Outcome:
+        """Attempts to connect; the pool reports the outcome as well."""
+        began_at = self._clock.now()
+        try:
+            connection = await self._pool.connect_new(
+                address, self._connect_timeout
+            )
+        except http_client.NotSentError:
+            seconds = self._clock.now() - began_at
+            if seconds < _OVERDUE_SHARE * self._connect_timeout:
+                return reachability.Outcome.REFUSED
+            return reachability.Outcome.HUNG
+        self._pool.release(connection, address)
+        return reachability.Outcome.CONNECTED
 
     def _on_isolated(self, service: str) -> None:
+        silent = self._reachability.is_silent(service)
         self._events.write(
             "targets",
             "service_unreachable",
             service=service,
             targets=self._target_counts[service],
             unreachable=len(self.unreachable()),
+            silent=silent,
         )
-        for target in self._targets(service):
-            # Their connections may hang without an end.
-            self._pool.close_idle(target.address)
+        if silent:
+            for target in self._targets(service):
+                # Their connections may hang without an end.
+                self._pool.close_idle(target.address)
         if self._probing is None or self._probing.done():
             self._probing = asyncio.create_task(self._probe(), name="reach")
+        self.on_change()
 
-    def _on_reached(self, target: directory.Target, seconds: float) -> None:
+    def _on_evidence(
+        self, target: directory.Target, seconds: float | None
+    ) -> None:
+        """Handles the end of an isolation, if a target's evidence ended one."""
+        if seconds is None:
+            return
         self._events.write(
             "targets",
             "service_reached",
@@ -149,6 +277,7 @@
         )
         for each in self._targets(target.service):
             self._balancer.load(each.id).reached()
+        self.on_change()
 
     def _targets(self, service: str) -> list[directory.Target]:
         return [
@@ -158,6 +287,11 @@
             and entry.status is directory.TargetStatus.READY
         ]
 
+    def _shuffled_targets(self, service: str) -> list[directory.Target]:
+        return sorted(
+            self._targets(service), key=lambda _: self._clock.random()
+        )
+
     async def _probe(self) -> None:
         """Attempts to reach isolated services until none is left."""
         while self._reachability.isolated:
@@ -167,18 +301,13 @@
             )
 
     async def _probe_service(self, service: str) -> None:
-        targets = self._targets(service)
-        if not targets:
-            return
-        address = targets[int(self._clock.random() * len(targets))].address
-        try:
-            connection = await self._pool.connect_new(
-                address, self._connect_timeout
-            )
-        except http_client.NotSentError:
-            # The pool has reported the failed attempt to this monitor.
-            return
-        self._pool.release(connection, address)
+        await self._attempt(self._shuffled_targets(service)[:1])
+
+    def _target_at(self, address: str) -> directory.Target | None:
+        """Returns the target at an address, None for the store and peers."""
+        if self._outdated:
+            self._update_targets()
+        return self._targets_by_address.get(address)
 
     def _mark_outdated(self) -> None:
         self._outdated = True
@@ -196,3 +325,7 @@
         self._reachability.retain(
             (entry.target.service, entry.target.id) for entry in entries
         )
+
+
+def _ignore_change() -> None:
+    """Ignores a change."""
--- a/packages/mimosastile-standins/src/mimosastile_standins/partitions.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/partitions.py
@@ -11,6 +11,7 @@
 import enum
 import weakref
 
+from mimosastile_core.gateway import reachability
 from mimosastile_gateway import http_client
 
 
@@ -127,9 +128,16 @@
         mode = self._partition.mode_for(address)
         if mode is PartitionMode.NONE:
             return await super()._open(address, timeout)
+        outcome = (
+            reachability.Outcome.REFUSED
+            if mode.refuses
+            else reachability.Outcome.HUNG
+        )
+        began = asyncio.get_running_loop().time()
         try:
             if not mode.refuses:
                 await asyncio.sleep(timeout)
         finally:
-            self.on_attempt(address, False)
+            seconds = asyncio.get_running_loop().time() - began
+            self.on_attempt(address, outcome, seconds)
         raise http_client.NotSentError(f"{address}: partitioned")
