Bound the Retry-After of keys without an owner by two seconds

Cause: a VM that cannot know what a key without an owner waits for expected the longest case, the lease of a lost leader and a whole grant: 9.8 s after 2.2 s.

Change: such keys are expected within 2 s at most. What is known, a handover or the grant of a crashed target, is said as before.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/unowned_ranges.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/unowned_ranges.py
@@ -16,6 +16,10 @@
 _HANDOVER_SECONDS = 0.6
 """Time within which nearly all handovers end: a release waits for the requests
 in progress."""
+_MAX_UNKNOWN_SECONDS = 2.0
+"""Longest expected time if a VM cannot know what an owner waits for: a leader
+that is replaced, a path that is lost, or a grant that was extended. Most of
+these end far earlier than the longest grant."""
 
 
 class _UnownedRange:
@@ -86,7 +90,8 @@
             return 0.0
         if unowned_seconds < self._crash_seconds:
             return self._crash_seconds - unowned_seconds
-        return max(self._longest_seconds - unowned_seconds, _HANDOVER_SECONDS)
+        left = self._longest_seconds - unowned_seconds
+        return min(max(left, _HANDOVER_SECONDS), _MAX_UNKNOWN_SECONDS)
 
 
 def _unowned_since(
