--- a/tests/gateway/test_cut_off_leader.py
+++ b/tests/gateway/test_cut_off_leader.py
@@ -189,6 +189,28 @@
         _run(scenario)
 
 
+    def test_announced_during_take_over(self):
+        """Guards against VMs asked together that replace each other."""
+
+        async def scenario(vms, orders):
+            leader, first, second = vms
+            for vm in (first, second):
+                vm.cluster.record_leader(leader.cluster.leader)
+            taking = asyncio.create_task(first.leader_role.take_over("asked"))
+            # The second one reads after the first one has written its entry.
+            await asyncio.sleep(0.007)
+            late = asyncio.create_task(second.leader_role.take_over("asked"))
+            await asyncio.sleep(0.004)
+            entry = msgspec.structs.replace(
+                leader.cluster.leader, vm=first.name, epoch=2, boot="boot-vm-2"
+            )
+            second.cluster.record_leader(entry)
+            assert await taking
+            assert not await late
+
+        _run(scenario)
+
+
 class TestLacksPath:
     """When a VM should not lead."""
 
