--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -9,9 +9,12 @@
 import random
 
 import msgspec
+import result
 
+from mimosastile_core import errors
 from mimosastile_core.gateway import crash_detection
 from mimosastile_core.gateway import load_balancing
+from mimosastile_core.gateway import reachability
 from mimosastile_core.gateway import routes
 from mimosastile_gateway import admission_service
 from mimosastile_gateway import cluster_state
@@ -249,6 +252,37 @@
             return None
 
 
+class _Orders:
+    """One VM's orders to targets, which a cut from all targets stops.
+
+    Attributes:
+        monitor: Gets the attempts to connect of orders that are stopped.
+        cut: Whether the VM is cut off from all targets.
+    """
+
+    def __init__(self, orders):
+        self._orders = orders
+        self.monitor = None
+        self.cut = False
+
+    async def grant(self, name, address, order, timeout):
+        """Sends a grant to a target."""
+        if self.cut:
+            return await self._hang(address, timeout)
+        return await self._orders.grant(name, address, order, timeout)
+
+    async def release(self, name, address, order, timeout):
+        """Sends a release to a target."""
+        if self.cut:
+            return await self._hang(address, timeout)
+        return await self._orders.release(name, address, order, timeout)
+
+    async def _hang(self, address, timeout):
+        await asyncio.sleep(timeout)
+        self.monitor.record_attempt(address, reachability.Outcome.HUNG, timeout)
+        return result.Err(errors.Failure(errors.ErrorKind.UNREACHABLE))
+
+
 class Vm:
     """One VM with all parts of its daemon."""
 
@@ -285,14 +319,17 @@
         channel = _Channel(fleet, name)
         boot = f"boot-{name}-{fleet.started}"
         fleet.started += 1
+        self.target_pool = fakes.TargetPool()
         self.reach_monitor = fakes.new_reach_monitor(
-            self.cluster, timer, self.log, self.balancer
+            self.cluster, timer, self.log, self.balancer, self.target_pool
         )
+        self.orders = _Orders(fleet.orders)
+        self.orders.monitor = self.reach_monitor
         self.leader_role = leader_role.LeaderRole(
             configured,
             boot,
             store,
-            fleet.orders,
+            self.orders,
             channel,
             self.cluster,
             self.reach_monitor,
@@ -398,8 +435,16 @@
             )
         return None
 
+    def cut_targets(self, *, cut=True):
+        """Cuts this VM off from all targets, or ends that."""
+        self.orders.cut = cut
+        self.target_pool.default = (
+            reachability.Outcome.HUNG if cut else reachability.Outcome.CONNECTED
+        )
+
     def end(self):
         """Stops the daemon as a kill would."""
+        self.reach_monitor.stop()
         self.leader_role.step_down("end")
         self.watcher.stop()
         self.membership.abort()
--- a/tests/gateway/test_cut_off_leader.py
+++ b/tests/gateway/test_cut_off_leader.py
@@ -188,7 +188,6 @@
 
         _run(scenario)
 
-
     def test_announced_during_take_over(self):
         """Guards against VMs asked together that replace each other."""
 
