--- a/tests/gateway/test_path_succession.py
+++ b/tests/gateway/test_path_succession.py
@@ -56,15 +56,16 @@
     """Some VMs lose all targets, the leader among them."""
 
     @pytest.mark.parametrize("vms", [12, 30, 88])
-    @pytest.mark.parametrize("seed", range(4))
-    def test_keys_keep_owners(self, vms, seed):
+    @pytest.mark.parametrize("left", [1, 3, 10])
+    @pytest.mark.parametrize("seed", range(2))
+    def test_keys_keep_owners(self, vms, left, seed):
         """Guards against a service lost for as long as a cut lasts."""
 
         async def scenario(world):
-            rng = random.Random(seed)
             [leader] = _leaders(world)
             others = [name for name in world.vms if name != leader]
-            cut = [leader, *rng.sample(others, rng.randrange(len(others)))]
+            random.Random(seed).shuffle(others)
+            cut = [leader, *others[left:]]
             before = _changes(world)
             for name in cut:
                 world.vms[name].cut_targets()
