Take silence since an attempt began as evidence, and keep connections longer

Change: a hung attempt at an owner counts unless the owner responded since the attempt began; a service is isolated after 0.6 s of silence. Idle connections are closed only once the isolation has lasted as long again.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/reachability.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/reachability.py
@@ -25,9 +25,10 @@
 """Targets at which a verification attempts to connect at the same time."""
 _FAILURE_VALID_SECONDS = 5.0
 """Age up to which a failed attempt counts."""
-_SILENT_SECONDS = 1.0
+_SILENT_SECONDS = 0.6
 """Time without any response after which a service whose connections hang is
-isolated: a target that is full goes on responding over open connections."""
+isolated: targets that are full go on responding over open connections. It is
+the time of an attempt that hangs and of one round of verification."""
 
 
 class Outcome(enum.Enum):
@@ -51,6 +52,7 @@
 
 class _Failure(msgspec.Struct, frozen=True):
     at: float
+    began_at: float
     hung: bool
 
 
@@ -87,14 +89,23 @@
         """Whether this VM reaches no target of a service."""
         return service in self._isolated
 
-    def is_silent(self, service: str) -> bool:
-        """Whether a service is isolated and open connections are silent too.
+    def hangs(self, service: str) -> bool:
+        """Whether a service is isolated as connections to it hang.
 
-        If new connections are refused, open ones may live on.
+        If new connections are refused instead, open ones may live on.
         """
         isolation = self._isolated.get(service)
         return isolation is not None and isolation.hung
 
+    def is_silent(self, service: str, now: float) -> bool:
+        """Whether open connections to an isolated service are dead or hang."""
+        isolation = self._isolated.get(service)
+        return (
+            isolation is not None
+            and isolation.hung
+            and now - isolation.since > _SILENT_SECONDS
+        )
+
     def record_connected(
         self, service: str, target: str, now: float
     ) -> float | None:
@@ -133,7 +144,7 @@
         failure = failures.get(target)
         if failure is not None and failure.hung:
             del failures[target]
-        return self._end(service, now) if self.is_silent(service) else None
+        return self._end(service, now) if self.hangs(service) else None
 
     def record_failed(
         self,
@@ -143,6 +154,7 @@
         now: float,
         *,
         hung: bool,
+        seconds: float = 0.0,
     ) -> bool:
         """Records that no connection to a target could be opened.
 
@@ -152,12 +164,13 @@
             targets: Number of known targets of the service.
             now: Current time.
             hung: Whether the attempt timed out rather than being refused.
+            seconds: Duration of the attempt.
 
         Returns:
             Whether the path to the service has to be verified.
         """
         failures = self._failures.setdefault(service, {})
-        failures[target] = _Failure(now, hung)
+        failures[target] = _Failure(now, now - seconds, hung)
         if service in self._isolated or not targets:
             return False
         after = max(
@@ -227,12 +240,12 @@
         return Verdict.ISOLATED
 
     def has_responded(self, service: str, now: float) -> bool:
-        """Whether a target of a service responded within the last second."""
+        """Whether a target of a service responded a moment ago."""
         at = self._responded_at.get(service, -math.inf)
         return now - at < _SILENT_SECONDS
 
     def target_has_responded(self, target: str, now: float) -> bool:
-        """Whether a target responded within the last second."""
+        """Whether a target responded a moment ago."""
         at = self._target_responded_at.get(target, -math.inf)
         return now - at < _SILENT_SECONDS
 
@@ -242,10 +255,10 @@
         """Returns the age of a target's failure; infinite without one.
 
         A connection that was opened later ends the failure. An attempt that
-        hung at a target that responds is none: the target is full.
+        hung while the target responded is none: the target is full.
         """
         failure = self._failures.get(service, {}).get(target)
-        if failure is None or not self._counts(target, failure, now):
+        if failure is None or not self._counts(target, failure):
             return math.inf
         return now - failure.at
 
@@ -258,7 +271,7 @@
             if service in self._isolated
             or (
                 now - failure.at < _FAILURE_VALID_SECONDS
-                and self._counts(target, failure, now)
+                and self._counts(target, failure)
             )
         )
 
@@ -289,8 +302,9 @@
         isolation = self._isolated.pop(service, None)
         return None if isolation is None else now - isolation.since
 
-    def _counts(self, target: str, failure: _Failure, now: float) -> bool:
-        return not (failure.hung and self.target_has_responded(target, now))
+    def _counts(self, target: str, failure: _Failure) -> bool:
+        responded_at = self._target_responded_at.get(target, -math.inf)
+        return not failure.hung or responded_at < failure.began_at
 
     def _seconds_since_attempt(
         self, service: str, target: str, now: float
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -104,7 +104,7 @@
         )
 
     def has_responded(self, target: str) -> bool:
-        """Whether a target responded to this VM within the last second."""
+        """Whether a target responded to this VM a moment ago."""
         return self._reachability.target_has_responded(
             target, self._clock.now()
         )
@@ -149,12 +149,15 @@
         hung = outcome is reachability.Outcome.HUNG
         if hung and seconds < _OVERDUE_SHARE * self._connect_timeout:
             return
-        if (
-            self._reachability.record_failed(
-                service, target.id, self._target_counts[service], now, hung=hung
-            )
-            and service not in self._verifying
-        ):
+        suspected = self._reachability.record_failed(
+            service,
+            target.id,
+            self._target_counts[service],
+            now,
+            hung=hung,
+            seconds=seconds,
+        )
+        if suspected and service not in self._verifying:
             self._verifying[service] = asyncio.create_task(
                 self._verify(service), name="verify"
             )
@@ -178,7 +181,7 @@
         Args:
             service: The service.
             by_connecting: Whether only a new connection is a proof, and not a
-                response within the last second.
+                response a moment ago.
         """
         responded = self._reachability.has_responded(service, self._clock.now())
         if responded and not by_connecting and not self.is_isolated(service):
@@ -245,19 +248,14 @@
         return reachability.Outcome.CONNECTED
 
     def _on_isolated(self, service: str) -> None:
-        silent = self._reachability.is_silent(service)
         self._events.write(
             "targets",
             "service_unreachable",
             service=service,
             targets=self._target_counts[service],
             unreachable=len(self.unreachable()),
-            silent=silent,
+            hangs=self._reachability.hangs(service),
         )
-        if silent:
-            for target in self._targets(service):
-                # Their connections may hang without an end.
-                self._pool.close_idle(target.address)
         if self._probing is None or self._probing.done():
             self._probing = asyncio.create_task(self._probe(), name="reach")
         self.on_change()
@@ -301,6 +299,10 @@
             )
 
     async def _probe_service(self, service: str) -> None:
+        if self._reachability.is_silent(service, self._clock.now()):
+            for target in self._targets(service):
+                # Their connections may hang without an end.
+                self._pool.close_idle(target.address)
         await self._attempt(self._shuffled_targets(service)[:1])
 
     def _target_at(self, address: str) -> directory.Target | None:
