Run admission gates on strong VMs, and wait for them as long as round trips take

Change: VMs of less than half of the strongest one's strength are no gates where there are others in the region; the timeout of a permit request follows measured round trips (RFC 6298), 0.2 s at least.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
@@ -20,6 +20,10 @@
 progress and waiting: from then on some of them wait."""
 _GATE_BELOW_SHARE = 0.5
 """The same below which a target loses its gate."""
+_WEAK_SHARE = 0.5
+"""Strength of a VM, as a share of the strongest one's, below which it is no
+gate if there are others: its link is taken up by the responses that it passes
+on, and messages of a gate wait behind them or are lost."""
 
 
 class _Report(msgspec.Struct):
@@ -111,10 +115,12 @@
         keyed: Container[str],
         targets: directory.Directory,
         bounded: Iterable[str] = (),
+        weak: Container[str] = (),
     ) -> dict[str, str]:
         """Returns the admission gates of contended and rate-limited targets.
 
-        A gate is a VM as near to the target as possible. A target stays
+        A gate is a VM as near to the target as possible; a VM of the target's
+        zone that is weak comes after others of its region. A target stays
         contended until its load is much lower. This keeps VMs from switching
         back and forth between using a gate and sending directly.
 
@@ -125,6 +131,7 @@
                 services go to any target with capacity and need no gate.
             targets: The targets.
             bounded: Targets with a limit on the rate of all VMs.
+            weak: Addresses of VMs that should not be gates.
         """
         candidates = list(vms)
         contended = set()
@@ -148,8 +155,9 @@
                 gates[name] = min(
                     candidates,
                     key=lambda vm, zone=zone, name=name: (  # type: ignore[misc]
-                        vm[1] != zone,
                         regions.get(vm[1]) != regions.get(zone),
+                        vm[0] in weak,
+                        vm[1] != zone,
                         zlib.crc32(f"{vm[0]}/{name}".encode()),
                     ),
                 )[0]
@@ -174,6 +182,16 @@
         _add_counts(self._wanted, ((t, -c) for t, c in report.wanted.items()))
 
 
+def weak_vms(strengths: Mapping[str, float]) -> frozenset[str]:
+    """Returns the VMs that should not be admission gates.
+
+    Args:
+        strengths: Strength of each VM's processor and link, by address.
+    """
+    least = _WEAK_SHARE * max(strengths.values(), default=0.0)
+    return frozenset(vm for vm, value in strengths.items() if value < least)
+
+
 def _add_counts(
     sums: dict[str, int], counts: Iterable[tuple[str, int]]
 ) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/admission_service.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/admission_service.py
@@ -14,14 +14,18 @@
 
 from mimosastile_core.gateway import admission
 from mimosastile_core.gateway import limits
+from mimosastile_core.gateway import round_trips
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import datagrams
 from mimosastile_gateway import settings
 
 _RESPONSE_TIMEOUT_SECONDS = 0.2
-"""Longest wait for a gate's first response, several round trips to another
-region. Then the request is repeated, as datagrams may be lost."""
+"""Wait for a gate's first response, several round trips to another region, if
+round trips do not take longer. Then the request is repeated, as datagrams may
+be lost."""
+_MAX_RESPONSE_TIMEOUT_SECONDS = 0.8
+"""Longest wait for a gate's first response while round trips take long."""
 _MAX_UNANSWERED_REQUESTS = 2
 """Consecutive requests without any response after which a gate counts as
 lost."""
@@ -79,6 +83,7 @@
         "_cluster",
         "_channel",
         "_clock",
+        "_round_trips",
         "_done_batches",
         "_last_number",
         "_paced_targets",
@@ -115,6 +120,9 @@
         # this VM's previous incarnation.
         self._last_number = round(_MAX_FIRST_NUMBER * timer.random())
         self._paced_targets: set[str] = set()
+        self._round_trips = round_trips.RoundTrips(
+            _RESPONSE_TIMEOUT_SECONDS, _MAX_RESPONSE_TIMEOUT_SECONDS
+        )
         self._pending_decisions: dict[
             int, asyncio.Future[datagrams.Decision]
         ] = {}
@@ -175,6 +183,7 @@
         verdict: admission.Verdict | None = None
         try:
             unanswered = 0
+            timeout = self._round_trips.timeout
             while unanswered < _MAX_UNANSWERED_REQUESTS:
                 elapsed = self._clock.now() - started_at
                 if elapsed > left:
@@ -188,7 +197,9 @@
                     round(1000 * work),
                     max(own_requests - self._permit_counts[gate, target], 0),
                 )
-                decision = await self._request_decision(gate, request)
+                decision = await self._request_decision(
+                    gate, request, timeout, repeated=unanswered > 0
+                )
                 if decision is None:
                     unanswered += 1
                     continue
@@ -224,16 +235,32 @@
         )
 
     async def _request_decision(
-        self, gate: str, request: datagrams.PermitRequest
+        self,
+        gate: str,
+        request: datagrams.PermitRequest,
+        timeout: float,
+        *,
+        repeated: bool,
     ) -> datagrams.Decision | None:
-        """Sends a request to a gate; returns its last decision, if any."""
+        """Sends a request to a gate; returns its last decision, if any.
+
+        Args:
+            gate: Address of the gate.
+            request: The request.
+            timeout: Longest wait in seconds for the first response.
+            repeated: Whether it was sent before without a response.
+        """
         loop = asyncio.get_running_loop()
+        sent_at = self._clock.now()
         future = self._pending_decisions[request.number] = loop.create_future()
         decision: datagrams.Decision | None = None
         try:
             self._send(gate, request)
-            async with asyncio.timeout(_RESPONSE_TIMEOUT_SECONDS):
+            async with asyncio.timeout(timeout):
                 decision = await future
+            if not repeated and gate != self.address:
+                # The response to a repeated message may be that to the first.
+                self._round_trips.record(self._clock.now() - sent_at)
             if decision.verdict is admission.Verdict.WAITS:
                 future = self._pending_decisions[request.number] = (
                     loop.create_future()
@@ -241,6 +268,8 @@
                 async with asyncio.timeout(_DECISION_TIMEOUT_SECONDS):
                     decision = await future
         except TimeoutError:
+            if decision is None:
+                self._round_trips.record_timeout()
             return decision
         finally:
             del self._pending_decisions[request.number]
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -669,6 +669,9 @@
                 self._services,
                 self._cluster.directory,
                 [*self._cluster.cold_targets(), *limited],
+                demand.weak_vms(
+                    {r.vm.address: r.vm.strength for r in reports.values()}
+                ),
             )
             if self._clock.boottime() < self._former_leaders.stopped_by:
                 # A former leader may still name another VM as the sender, and
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -74,6 +74,37 @@
         sums.record("vm-1", {"z": 9}, {}, 0.0)
         assert sums.gates(vms, REGIONS, {"s"}, _targets()) == {"z": expected}
 
+    @pytest.mark.parametrize(
+        ("vms", "weak", "expected"),
+        [
+            ((("one:1", "c"), ("two:1", "b")), ("one:1",), "two:1"),
+            ((("one:1", "c"), ("two:1", "c")), ("one:1",), "two:1"),
+            ((("one:1", "c"), ("two:1", "a")), ("one:1",), "one:1"),
+            ((("one:1", "c"),), ("one:1",), "one:1"),
+        ],
+        ids=["zone", "same zone", "no other region", "no other VM"],
+    )
+    def test_weak_vm(self, vms, weak, expected):
+        """Guards against gates behind links that responses take up."""
+        sums = demand.Demand(1.5)
+        sums.record("vm-1", {"z": 9}, {}, 0.0)
+        found = sums.gates(vms, REGIONS, {"s"}, _targets(), (), weak)
+        assert found == {"z": expected}
+
+    @pytest.mark.parametrize(
+        ("strengths", "expected"),
+        [
+            ({}, set()),
+            ({"a": 0.0, "b": 0.0}, set()),
+            ({"a": 0.3, "b": 0.3}, set()),
+            ({"a": 0.3, "b": 0.5}, set()),
+            ({"a": 0.2, "b": 0.5, "c": 0.1}, {"a", "c"}),
+        ],
+    )
+    def test_weak_vms(self, strengths, expected):
+        """Guards against VMs of one kind without any gate."""
+        assert demand.weak_vms(strengths) == expected
+
     def test_service_without_keys(self):
         """Its requests can go to other targets and need no gate."""
         sums = demand.Demand(1.5)
