Wait for the other targets when a probe fails at once

Cause: found in review: a refused probe counted as the first response, so that the others got 10 ms more and a free target was not found. Change: only a load report begins the shorter wait.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/load_probing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/load_probing.py
@@ -90,6 +90,7 @@
             for target in targets
         }
         responded: list[directory.Target] = []
+        first_after = 0.0
         timeout = _RESPONSE_TIMEOUT_SECONDS
         while running and timeout > 0:
             done, running = await asyncio.wait(
@@ -99,14 +100,15 @@
             )
             if not done:
                 break
+            found = [t for task in done if (t := task.result()) is not None]
             elapsed = self._clock.now() - started_at
-            if not responded:
-                # The other targets get as long again.
-                timeout = elapsed + _EXTRA_WAIT_SECONDS
-            timeout = min(timeout, _RESPONSE_TIMEOUT_SECONDS - elapsed)
-            responded.extend(
-                t for task in done if (t := task.result()) is not None
-            )
+            timeout = _RESPONSE_TIMEOUT_SECONDS - elapsed
+            if found or responded:
+                # The other targets get as long as the first one took.
+                first_after = first_after or elapsed
+                ends_after = 2 * first_after + _EXTRA_WAIT_SECONDS
+                timeout = min(timeout, ends_after - elapsed)
+            responded.extend(found)
         return responded
 
     def dump(self) -> dict[str, int]:
--- a/tests/gateway/test_load_probing.py
+++ b/tests/gateway/test_load_probing.py
@@ -22,17 +22,21 @@
     Attributes:
         seconds: Time of each target's response; infinite for none.
         checked: Targets that were checked, with the timeout.
+        refusing: Targets whose checks fail after their time.
     """
 
     def __init__(self, seconds):
         self.seconds = seconds
         self.checked = []
+        self.refusing = set()
 
     async def check(self, target, path, timeout):
         """Responds after the target's time, or fails at the timeout."""
         self.checked.append((target.id, timeout))
         seconds = self.seconds[target.id]
         await asyncio.sleep(min(seconds, timeout))
+        if target.id in self.refusing:
+            return errors.failed(errors.ErrorKind.UNREACHABLE, "refused")
         if seconds > timeout:
             return errors.failed(errors.ErrorKind.ANSWER_LOST, "timed out")
         load = target_feedback.TargetLoad(1, 0, 4)
@@ -84,6 +88,22 @@
 
         _run(seconds, scenario)
 
+    @pytest.mark.parametrize("shared", [False, True])
+    def test_refused_at_once(self, shared):
+        """Guards against a failed probe that ends the wait for the others."""
+
+        async def scenario(prober, targets, checks, balancer):
+            checks.refusing = {"a"}
+            if shared:
+                first = asyncio.create_task(prober.probe(targets[:1], _SERVICE))
+                await asyncio.sleep(0)
+            found = await prober.probe(targets, _SERVICE)
+            assert [t.id for t in found] == ["b"]
+            if shared:
+                assert not await first
+
+        _run({"a": 0.001, "b": 0.05}, scenario)
+
 
 class TestLateResponses:
     """Full targets, which respond when a slot is free."""
@@ -97,7 +117,7 @@
             await asyncio.sleep(0.01)
             load = balancer.load("a")
             assert load.backoff_until > virtual.now()
-            await asyncio.sleep(0.6)
+            await asyncio.sleep(0.4)
             assert load.reported_load is not None
             assert load.backoff_until <= virtual.now()
 
