Let probes that hang raise a suspicion

Cause: attempts of less than half of the connect timeout no longer counted.

Change: an attempt that hung for a third of the timeout counts toward a suspicion, but not as a failure of its target. After a verification that finds a path, the next one waits for a second.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/reachability.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/reachability.py
@@ -23,6 +23,9 @@
 verified. Fewer may have crashed at the same time."""
 _VERIFIED_TARGETS = 5
 """Targets at which a verification attempts to connect at the same time."""
+_REFUTED_SECONDS = 1.0
+"""Time after a verification that found a path in which none begins: while
+targets stay full, each one costs attempts at five of them."""
 _FAILURE_VALID_SECONDS = 5.0
 """Age up to which a failed attempt counts."""
 _SILENT_SECONDS = 0.6
@@ -65,9 +68,11 @@
     """Attempts to connect and responses of one VM, by service and target."""
 
     __slots__ = (
+        "_brief_failures",
         "_failures",
         "_isolated",
         "_reached_at",
+        "_refuted_at",
         "_responded_at",
         "_target_responded_at",
     )
@@ -78,6 +83,8 @@
         self._responded_at: dict[str, float] = {}
         self._target_responded_at: dict[str, float] = {}
         self._failures: dict[str, dict[str, _Failure]] = {}
+        self._brief_failures: dict[str, dict[str, float]] = {}
+        self._refuted_at: dict[str, float] = {}
         self._isolated: dict[str, _Isolation] = {}
 
     @property
@@ -169,21 +176,52 @@
         Returns:
             Whether the path to the service has to be verified.
         """
-        failures = self._failures.setdefault(service, {})
-        failures[target] = _Failure(now, now - seconds, hung)
-        if service in self._isolated or not targets:
+        self._failures.setdefault(service, {})[target] = _Failure(
+            now, now - seconds, hung
+        )
+        return self._is_suspected(service, targets, now)
+
+    def record_brief(
+        self, service: str, target: str, targets: int, now: float
+    ) -> bool:
+        """Records that a short attempt hung, which says little of the target.
+
+        Args:
+            service: Service of the target.
+            target: Identifier of the target.
+            targets: Number of known targets of the service.
+            now: Current time.
+
+        Returns:
+            Whether the path to the service has to be verified.
+        """
+        self._brief_failures.setdefault(service, {})[target] = now
+        return self._is_suspected(service, targets, now)
+
+    def _is_suspected(self, service: str, targets: int, now: float) -> bool:
+        refuted_at = self._refuted_at.get(service, -math.inf)
+        if (
+            service in self._isolated
+            or not targets
+            or now - refuted_at < _REFUTED_SECONDS
+        ):
             return False
         after = max(
             self._reached_at.get(service, -math.inf),
             now - _FAILURE_VALID_SECONDS,
         )
         hung_after = max(after, self._responded_at.get(service, -math.inf))
-        in_a_row = sum(
-            1
-            for failure in failures.values()
+        failed = {
+            target
+            for target, failure in self._failures.get(service, {}).items()
             if failure.at > (hung_after if failure.hung else after)
+        }
+        failed.update(
+            target
+            for target, at in self._brief_failures.get(service, {}).items()
+            if at > hung_after
         )
-        return in_a_row >= min(_SUSPECT_TARGETS, targets)
+        return len(failed) >= min(_SUSPECT_TARGETS, targets)
 
     def verification_targets(
         self, service: str, targets: Iterable[directory.Target], now: float
@@ -232,7 +270,7 @@
         responded_at = self._responded_at.get(service, -math.inf)
         if reached or (hung and responded_at >= began_at):
             # Failures before the proof of a path count no more.
-            self._reached_at[service] = now
+            self._reached_at[service] = self._refuted_at[service] = now
             return Verdict.REACHED
         if hung and now - responded_at < _SILENT_SECONDS:
             return Verdict.UNDECIDED
@@ -293,7 +331,11 @@
             for service, failures in self._failures.items()
             if service in services
         }
+        for failed in self._brief_failures.values():
+            _keep(failed, names)
+        _keep(self._brief_failures, services)
         _keep(self._reached_at, services)
+        _keep(self._refuted_at, services)
         _keep(self._responded_at, services)
         _keep(self._isolated, services)
         _keep(self._target_responded_at, names)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -19,6 +19,10 @@
 _OVERDUE_SHARE = 0.5
 """Part of the connect timeout from which an attempt that ended without any
 outcome counts as one that hung."""
+_BRIEF_SHARE = 0.3
+"""Part of the connect timeout from which one counts toward a suspicion: probes
+are given up before the other part, and while all of them fail, no request makes
+any attempt."""
 _PROOF_TARGETS = 3
 """Targets at which a VM attempts to connect to prove its path to a service."""
 
@@ -147,16 +151,17 @@
             self._on_evidence(target, ended)
             return
         hung = outcome is reachability.Outcome.HUNG
-        if hung and seconds < _OVERDUE_SHARE * self._connect_timeout:
+        count = self._target_counts[service]
+        if not hung or seconds >= _OVERDUE_SHARE * self._connect_timeout:
+            suspected = self._reachability.record_failed(
+                service, target.id, count, now, hung=hung, seconds=seconds
+            )
+        elif seconds >= _BRIEF_SHARE * self._connect_timeout:
+            suspected = self._reachability.record_brief(
+                service, target.id, count, now
+            )
+        else:
             return
-        suspected = self._reachability.record_failed(
-            service,
-            target.id,
-            self._target_counts[service],
-            now,
-            hung=hung,
-            seconds=seconds,
-        )
         if suspected and service not in self._verifying:
             self._verifying[service] = asyncio.create_task(
                 self._verify(service), name="verify"
