Verify cut-off owners at the leader, and ignore requests of former leaders

The leader's orders had failed at owners that were replaced by other targets at the same addresses; the VMs that it asked connected to these. And a VM acted on a request in a reply of a leader that had been replaced meanwhile.

Change: the leader itself connects to the owners before it asks, once a second. A reply's request to lead counts only if its leader is the current one, as it does for updates.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -524,6 +524,7 @@
             return
         for task in self._tasks:
             task.cancel()
+        self._path_succession.clear()
         self._disseminator.stop()
         if self._witnesses is not None:
             self._witnesses.stop()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -818,7 +818,8 @@
         self._rely(reply)
         self._leader_responded.set()
         self._leader_responded = asyncio.Event()
-        if reply.take_over:
+        if reply.take_over and reply.leader == self._cluster.leader:
+            # A leader that was replaced meanwhile must not ask.
             self._take_over_soon(reply.path_proof)
 
     def _take_over_soon(self, path_proof: path_proofs.PathProof | None) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/path_succession.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/path_succession.py
@@ -17,6 +17,9 @@
 from mimosastile_gateway import messages
 from mimosastile_gateway import reach_monitoring
 
+_VERIFY_SECONDS = 1.0
+"""Interval in which a leader verifies which owners take no connection."""
+
 
 def isolated_services(
     cluster: cluster_state.ClusterState, monitor: reach_monitoring.ReachMonitor
@@ -42,6 +45,9 @@
         "_events",
         "_monitor",
         "_selection",
+        "_unreached",
+        "_verified_at",
+        "_verifying",
         "_vm",
         "proof",
     )
@@ -72,12 +78,19 @@
         self._clock = timer
         self._events = log
         self._selection = path_proofs.PathSuccessors()
+        self._unreached: list[str] = []
+        self._verified_at = float("-inf")
+        self._verifying: asyncio.Task[None] | None = None
         self.proof: path_proofs.PathProof | None = None
 
     def clear(self) -> None:
-        """Resets the record of the VMs asked."""
+        """Resets the record of the VMs asked, at the begin or end of a term."""
         self._selection.clear()
         self.proof = None
+        self._unreached = []
+        if self._verifying is not None:
+            self._verifying.cancel()
+            self._verifying = None
 
     def proof_for(self, vm: str) -> path_proofs.PathProof | None:
         """Returns what a VM has to prove before it leads.
@@ -94,8 +107,8 @@
             cut_off: Owners that take no orders from this VM, and that have
                 responded to other VMs since.
         """
-        owners = [o for o in cut_off if not self._monitor.has_responded(o)]
         isolated = isolated_services(self._cluster, self._monitor)
+        owners = self._verified(cut_off)
         self.proof = path_proofs.needed_proof(isolated, owners)
         if self.proof is None:
             self._selection.clear()
@@ -118,6 +131,29 @@
             cut_off=owners,
         )
 
+    def _verified(self, cut_off: Iterable[str]) -> list[str]:
+        """Returns the owners that have taken no connection for a proof.
+
+        An order may have failed at a target that was full or down and is back,
+        or whose address belongs to another one now.
+        """
+        owners = [
+            owner
+            for owner in cut_off
+            if not self._monitor.has_responded(owner)
+            and self._cluster.directory.get(owner) is not None
+        ]
+        now = self._clock.boottime()
+        if len(owners) > 1 and now - self._verified_at > _VERIFY_SECONDS:
+            self._verified_at = now
+            self._verifying = asyncio.create_task(
+                self._verify(owners), name="verify-owners"
+            )
+        return [owner for owner in owners if owner in self._unreached]
+
+    async def _verify(self, owners: list[str]) -> None:
+        self._unreached = await self._monitor.unreached(owners)
+
     def _candidates(self) -> list[messages.VmEntry]:
         """Returns VMs that reach the store and may reach more targets."""
         isolated = self._monitor.isolated
@@ -183,7 +219,7 @@
         if configuration is None:
             return False
         keyed = [s.name for s in configuration.services.values() if s.keyed]
-        reached, owners_reached = await asyncio.gather(
+        reached, owners_unreached = await asyncio.gather(
             asyncio.gather(
                 *(
                     self._monitor.reaches(
@@ -192,18 +228,18 @@
                     for name in keyed
                 )
             ),
-            self._monitor.reaches_targets(proof.owners),
+            self._monitor.unreached(proof.owners),
         )
         unreached = [
             name for name, ok in zip(keyed, reached, strict=True) if not ok
         ]
-        proved = owners_reached and path_proofs.suffices(proof, unreached)
+        proved = not owners_unreached and path_proofs.suffices(proof, unreached)
         self._events.write(
             "leader",
             "path_proved" if proved else "path_not_proved",
             services=proof.services,
             owners=proof.owners,
             unreached=unreached,
-            owners_reached=owners_reached,
+            owners_unreached=owners_unreached,
         )
         return proved
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -195,14 +195,17 @@
         outcomes = await self._attempt(targets)
         return reachability.Outcome.CONNECTED in outcomes
 
-    async def reaches_targets(self, targets: Iterable[str]) -> bool:
-        """Proves by new connections that this VM reaches all given targets."""
-        entries = [self._cluster.directory.get(name) for name in targets]
-        known = [entry.target for entry in entries if entry is not None]
+    async def unreached(self, targets: Iterable[str]) -> list[str]:
+        """Returns the targets that take no new connection, or are unknown."""
+        entries = {name: self._cluster.directory.get(name) for name in targets}
+        known = [e.target for e in entries.values() if e is not None]
         outcomes = await self._attempt(known)
-        return len(known) == len(entries) and all(
-            outcome is reachability.Outcome.CONNECTED for outcome in outcomes
-        )
+        reached = {
+            target.id
+            for target, outcome in zip(known, outcomes, strict=True)
+            if outcome is reachability.Outcome.CONNECTED
+        }
+        return [name for name in entries if name not in reached]
 
     async def _verify(self, service: str) -> None:
         """Attempts to reach other targets until the path is certain."""
--- a/tests/gateway/test_cut_off_leader.py
+++ b/tests/gateway/test_cut_off_leader.py
@@ -100,21 +100,33 @@
         _run(scenario)
 
     @pytest.mark.parametrize(
-        ("responsive", "asks"),
-        [(("a", "b"), True), (("a",), False), ((), False)],
-        ids=["two that others reach", "one", "none"],
+        ("responsive", "cut", "asks"),
+        [
+            ("ab", "ab", True),
+            ("a", "ab", False),
+            ("", "ab", False),
+            ("ab", "", False),
+            ("ab", "a", False),
+        ],
+        ids=[
+            "two that others reach",
+            "one",
+            "none",
+            "two that are back, or addresses in use again",
+            "one that is back",
+        ],
     )
-    def test_owners_that_others_reach(self, responsive, asks):
+    def test_owners_that_others_reach(self, responsive, cut, asks):
         """Guards against grants that lapse as some owners are cut off."""
 
         async def scenario(vms, orders):
             leader, other, _ = vms
             orders.dead = {"a", "b"}
-            _cut_off(leader, "ab")
+            _cut_off(leader, cut)
             for _ in range(8):
                 await asyncio.sleep(0.2)
                 leader.leader_role.handle_report(
-                    other.report(responsive=responsive)
+                    other.report(responsive=tuple(responsive))
                 )
             assert bool(_asked(leader)) is asks
 
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -160,6 +160,28 @@
         _run(scenario)
 
 
+class TestRequestToLead:
+    """Requests to lead in responses to reports."""
+
+    @pytest.mark.parametrize("replaced", [False, True])
+    def test_leader_replaced_meanwhile(self, replaced):
+        """Guards against VMs that replace a leader which another one asked."""
+
+        async def scenario(member, state, store, calls):
+            member.apply_push(_announced())
+            if replaced:
+                state.record_leader(
+                    msgspec.structs.replace(ENTRY, vm="vm-3", epoch=4)
+                )
+            member._take_reply(
+                messages.ReportReply(ENTRY, leading=True, take_over=True)
+            )
+            await asyncio.sleep(0.1)
+            assert (messages.LEADER_KEY in store.items) is not replaced
+
+        _run(scenario)
+
+
 class TestViews:
     """The age of a VM's views of the store."""
 
--- a/tests/gateway/test_reach_monitoring.py
+++ b/tests/gateway/test_reach_monitoring.py
@@ -248,15 +248,15 @@
         _run(scenario, *map(fakes.target, "abc"))
 
     @pytest.mark.parametrize(
-        ("owners", "reached"),
-        [("a", True), ("ab", True), ("ac", False), ("ax", False), ("", True)],
+        ("owners", "unreached"),
+        [("a", ""), ("ab", ""), ("ac", "c"), ("ax", "x"), ("", "")],
         ids=["one", "all", "one fails", "one unknown", "none asked for"],
     )
-    def test_owners(self, owners, reached):
+    def test_owners(self, owners, unreached):
         """Guards against a successor that reaches other targets only."""
 
         async def scenario(monitor, cluster, log, pool, balancer):
             pool.outcomes = {"a:80": _CONNECTED, "b:80": _CONNECTED}
-            assert await monitor.reaches_targets(owners) is reached
+            assert await monitor.unreached(owners) == list(unreached)
 
         _run(scenario, *map(fakes.target, "abc"))
