Forward requests while the loss of a path is verified

Change: from a suspicion on, until a target responds or is reached, requests of callers take the way through a peer; those of peers do not.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/reachability.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/reachability.py
@@ -277,6 +277,13 @@
         self._isolated[service] = _Isolation(now, hung)
         return Verdict.ISOLATED
 
+    def has_path_since(self, service: str, at: float) -> bool:
+        """Whether a target of a service responded or was reached since."""
+        return at <= max(
+            self._reached_at.get(service, -math.inf),
+            self._responded_at.get(service, -math.inf),
+        )
+
     def has_responded(self, service: str, now: float) -> bool:
         """Whether a target of a service responded a moment ago."""
         at = self._responded_at.get(service, -math.inf)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peer_forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peer_forwarding.py
@@ -114,6 +114,9 @@
         service = call.service.name
         if self._monitor.is_isolated(service):
             return True
+        if not call.origin and self._monitor.is_suspected(service):
+            # A detour costs a hop; an attempt that hangs costs 0.3 s.
+            return True
         if call.key is None:
             return call.connect_failures >= _MAX_UNREACHABLE_TARGETS
         owner = self._cluster.owner(service, call.key)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -49,6 +49,7 @@
         "_probing",
         "_reachability",
         "_target_counts",
+        "_suspected_at",
         "_targets_by_address",
         "_verifying",
         "on_change",
@@ -84,6 +85,7 @@
         self._target_counts: collections.Counter[str] = collections.Counter()
         self._outdated = True
         self._probing: asyncio.Task[None] | None = None
+        self._suspected_at: dict[str, float] = {}
         self._verifying: dict[str, asyncio.Task[None]] = {}
         self.on_change: Callable[[], None] = _ignore_change
         cluster.subscribe(self._mark_outdated)
@@ -97,6 +99,13 @@
         """Whether this VM reaches no target of a service."""
         return self._reachability.is_isolated(service)
 
+    def is_suspected(self, service: str) -> bool:
+        """Whether a path is being verified, and nothing has shown one yet."""
+        at = self._suspected_at.get(service)
+        return at is not None and not self._reachability.has_path_since(
+            service, at
+        )
+
     def seconds_since_failure(self, service: str, target: str) -> float:
         """Returns the age of the last failed attempt to reach a target.
 
@@ -209,6 +218,7 @@
 
     async def _verify(self, service: str) -> None:
         """Attempts to reach other targets until the path is certain."""
+        self._suspected_at[service] = self._clock.now()
         try:
             verdict = reachability.Verdict.UNDECIDED
             while verdict is reachability.Verdict.UNDECIDED:
@@ -221,7 +231,7 @@
                     service, began_at, outcomes, self._clock.now()
                 )
         finally:
-            del self._verifying[service]
+            del self._verifying[service], self._suspected_at[service]
         if verdict is reachability.Verdict.ISOLATED:
             self._on_isolated(service)
         else:
--- a/tests/gateway/test_reach_monitoring.py
+++ b/tests/gateway/test_reach_monitoring.py
@@ -161,6 +161,24 @@
 
         _run(scenario, *targets)
 
+    @pytest.mark.parametrize("responds", [True, False])
+    def test_suspected(self, responds):
+        """Guards against requests that hang until a cut is verified."""
+
+        async def scenario(monitor, cluster, log, pool, balancer):
+            assert not monitor.is_suspected("s")
+            _fail(monitor, "abc")
+            await asyncio.sleep(0.1)
+            assert monitor.is_suspected("s")
+            if responds:
+                monitor.record_response("d:80")
+                assert not monitor.is_suspected("s")
+            await asyncio.sleep(0.4)
+            assert not monitor.is_suspected("s")
+            assert monitor.is_isolated("s") is not responds
+
+        _run(scenario, *map(fakes.target, "abcd"))
+
     def test_last_response(self):
         """Guards against an isolation while responses are under way."""
 
