--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -19,6 +19,10 @@
 _OVERDUE_SHARE = 0.5
 """Part of the connect timeout from which an attempt that ended without any
 outcome counts as one that hung."""
+_BRIEF_SHARE = 0.3
+"""Part of the connect timeout from which one counts toward a suspicion: probes
+are given up before the other part, and while all of them fail, no request makes
+any attempt."""
 _PROOF_TARGETS = 3
 """Targets at which a VM attempts to connect to prove its path to a service."""
 
@@ -45,6 +49,7 @@
         "_probing",
         "_reachability",
         "_target_counts",
+        "_suspected_at",
         "_targets_by_address",
         "_verifying",
         "on_change",
@@ -80,6 +85,7 @@
         self._target_counts: collections.Counter[str] = collections.Counter()
         self._outdated = True
         self._probing: asyncio.Task[None] | None = None
+        self._suspected_at: dict[str, float] = {}
         self._verifying: dict[str, asyncio.Task[None]] = {}
         self.on_change: Callable[[], None] = _ignore_change
         cluster.subscribe(self._mark_outdated)
@@ -93,6 +99,13 @@
         """Whether this VM reaches no target of a service."""
         return self._reachability.is_isolated(service)
 
+    def is_suspected(self, service: str) -> bool:
+        """Whether a path is being verified, and nothing has shown one yet."""
+        at = self._suspected_at.get(service)
+        return at is not None and not self._reachability.has_path_since(
+            service, at
+        )
+
     def seconds_since_failure(self, service: str, target: str) -> float:
         """Returns the age of the last failed attempt to reach a target.
 
@@ -147,16 +160,17 @@
             self._on_evidence(target, ended)
             return
         hung = outcome is reachability.Outcome.HUNG
-        if hung and seconds < _OVERDUE_SHARE * self._connect_timeout:
+        count = self._target_counts[service]
+        if not hung or seconds >= _OVERDUE_SHARE * self._connect_timeout:
+            suspected = self._reachability.record_failed(
+                service, target.id, count, now, hung=hung, seconds=seconds
+            )
+        elif seconds >= _BRIEF_SHARE * self._connect_timeout:
+            suspected = self._reachability.record_brief(
+                service, target.id, count, now
+            )
+        else:
             return
-        suspected = self._reachability.record_failed(
-            service,
-            target.id,
-            self._target_counts[service],
-            now,
-            hung=hung,
-            seconds=seconds,
-        )
         if suspected and service not in self._verifying:
             self._verifying[service] = asyncio.create_task(
                 self._verify(service), name="verify"
@@ -190,17 +204,21 @@
         outcomes = await self._attempt(targets)
         return reachability.Outcome.CONNECTED in outcomes
 
-    async def reaches_targets(self, targets: Iterable[str]) -> bool:
-        """Proves by new connections that this VM reaches all given targets."""
-        entries = [self._cluster.directory.get(name) for name in targets]
-        known = [entry.target for entry in entries if entry is not None]
+    async def unreached(self, targets: Iterable[str]) -> list[str]:
+        """Returns the targets that take no new connection, or are unknown."""
+        entries = {name: self._cluster.directory.get(name) for name in targets}
+        known = [e.target for e in entries.values() if e is not None]
         outcomes = await self._attempt(known)
-        return len(known) == len(entries) and all(
-            outcome is reachability.Outcome.CONNECTED for outcome in outcomes
-        )
+        reached = {
+            target.id
+            for target, outcome in zip(known, outcomes, strict=True)
+            if outcome is reachability.Outcome.CONNECTED
+        }
+        return [name for name in entries if name not in reached]
 
     async def _verify(self, service: str) -> None:
         """Attempts to reach other targets until the path is certain."""
+        self._suspected_at[service] = self._clock.now()
         try:
             verdict = reachability.Verdict.UNDECIDED
             while verdict is reachability.Verdict.UNDECIDED:
@@ -213,7 +231,7 @@
                     service, began_at, outcomes, self._clock.now()
                 )
         finally:
-            del self._verifying[service]
+            del self._verifying[service], self._suspected_at[service]
         if verdict is reachability.Verdict.ISOLATED:
             self._on_isolated(service)
         else:
--- a/tests/gateway/test_reach_monitoring.py
+++ b/tests/gateway/test_reach_monitoring.py
@@ -73,14 +73,37 @@
 
         _run(scenario, fakes.target("a"))
 
-    def test_short_attempts(self):
-        """Guards against probes with short timeouts taken for a cut link."""
+    @pytest.mark.parametrize(
+        ("seconds", "outcome", "verified", "isolated"),
+        [
+            (0.05, _HUNG, False, False),
+            (0.1, _CONNECTED, True, False),
+            (0.1, _HUNG, True, True),
+        ],
+        ids=["given up early", "probes of full targets", "probes of a cut"],
+    )
+    def test_short_attempts(self, seconds, outcome, verified, isolated):
+        """Guards against a cut that only probes could find, and find not."""
 
         async def scenario(monitor, cluster, log, pool, balancer):
-            _fail(monitor, "abc", seconds=0.1)
-            await asyncio.sleep(1.0)
-            assert not pool.attempts
+            pool.default = outcome
+            _fail(monitor, "abc", seconds=seconds)
             assert not monitor.unreachable()
+            await asyncio.sleep(0.4)
+            assert bool(pool.attempts) is verified
+            assert monitor.is_isolated("s") is isolated
+
+        _run(scenario, *map(fakes.target, "abcd"))
+
+    def test_full_targets_again(self):
+        """Guards against full targets that cost attempts without end."""
+
+        async def scenario(monitor, cluster, log, pool, balancer):
+            pool.default = _CONNECTED
+            for _ in range(30):
+                _fail(monitor, "abc", seconds=0.1)
+                await asyncio.sleep(0.1)
+            assert 8 <= len(pool.attempts) <= 12
 
         _run(scenario, *map(fakes.target, "abcd"))
 
@@ -138,6 +161,24 @@
 
         _run(scenario, *targets)
 
+    @pytest.mark.parametrize("responds", [True, False])
+    def test_suspected(self, responds):
+        """Guards against requests that hang until a cut is verified."""
+
+        async def scenario(monitor, cluster, log, pool, balancer):
+            assert not monitor.is_suspected("s")
+            _fail(monitor, "abc")
+            await asyncio.sleep(0.1)
+            assert monitor.is_suspected("s")
+            if responds:
+                monitor.record_response("d:80")
+                assert not monitor.is_suspected("s")
+            await asyncio.sleep(0.4)
+            assert not monitor.is_suspected("s")
+            assert monitor.is_isolated("s") is not responds
+
+        _run(scenario, *map(fakes.target, "abcd"))
+
     def test_last_response(self):
         """Guards against an isolation while responses are under way."""
 
@@ -225,15 +266,15 @@
         _run(scenario, *map(fakes.target, "abc"))
 
     @pytest.mark.parametrize(
-        ("owners", "reached"),
-        [("a", True), ("ab", True), ("ac", False), ("ax", False), ("", True)],
+        ("owners", "unreached"),
+        [("a", ""), ("ab", ""), ("ac", "c"), ("ax", "x"), ("", "")],
         ids=["one", "all", "one fails", "one unknown", "none asked for"],
     )
-    def test_owners(self, owners, reached):
+    def test_owners(self, owners, unreached):
         """Guards against a successor that reaches other targets only."""
 
         async def scenario(monitor, cluster, log, pool, balancer):
             pool.outcomes = {"a:80": _CONNECTED, "b:80": _CONNECTED}
-            assert await monitor.reaches_targets(owners) is reached
+            assert await monitor.unreached(owners) == list(unreached)
 
         _run(scenario, *map(fakes.target, "abc"))
