Mend what a review of proven paths found

Cause: a service divided by key that has no targets kept every VM from leading in place of a cut-off leader; a refusal noticed after 0.15 s counted as a timeout, so that a cut in which open connections live on was not found; an exception while a successor was asked ended the renewals of all services; a stopping VM could lead. Change: services without targets need no path; the pool says how an attempt ended; the record of VMs asked is kept for a second without a need; the rest as named. Conclusion: left open: a VM repeats its proof with every report while it is asked; isolation under overload at VMs with less than two responses a second.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -48,7 +48,15 @@
 
 
 class NotSentError(Exception):
-    """No byte of the request was sent."""
+    """No byte of the request was sent.
+
+    Attributes:
+        hung: Whether an attempt to connect timed out rather than being refused.
+    """
+
+    def __init__(self, message: str, *, hung: bool = False) -> None:
+        super().__init__(message)
+        self.hung = hung
 
 
 class ResponseLostError(Exception):
@@ -598,7 +606,9 @@
                 else reachability.Outcome.REFUSED
             )
             self.on_attempt(address, outcome, loop.time() - began)
-            raise NotSentError(f"{address}: {error or 'timeout'}") from error
+            raise NotSentError(
+                f"{address}: {error or 'timeout'}", hung=timed_out
+            ) from error
         self._opened += 1
         connection.on_response = self.on_response
         seconds = loop.time() - began
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -907,8 +907,8 @@
         """Plans the tables of all sharded services at regular intervals."""
         while True:
             await asyncio.sleep(self._settings.leader.plan)
-            self._replace_if_cut_off()
             try:
+                self._replace_if_cut_off()
                 await self._plan()
             except Exception as error:
                 # A fault in one service must not end the renewals of all.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -828,19 +828,23 @@
         Args:
             path_proof: What this VM has to reach before; None for nothing.
         """
+        if self._admission.stopping:
+            return
         if path_proof is None and self._leader.lacks_path:
             return
-        why = "requested by leader"
         task = asyncio.create_task(
-            self._take_over(why)
+            self._take_over_on_request()
             if path_proof is None
-            else self._prover.take_over(
-                path_proof, lambda: self._take_over(why)
-            )
+            else self._prover.take_over(path_proof, self._take_over_on_request)
         )
         self._tasks.append(task)
         task.add_done_callback(self._tasks.remove)
 
+    async def _take_over_on_request(self) -> None:
+        # A stop may have begun while this VM proved its path.
+        if not self._admission.stopping:
+            await self._take_over("requested by leader")
+
     def apply_push(self, update: messages.ReportReply) -> None:
         """Applies an update that a leader has sent unrequested."""
         if update.leader is not None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/path_succession.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/path_succession.py
@@ -19,6 +19,9 @@
 
 _VERIFY_SECONDS = 1.0
 """Interval in which a leader verifies which owners take no connection."""
+_CLEAR_SECONDS = 1.0
+"""Time without a need after which the record of the VMs asked is reset. A path
+that comes and goes would otherwise lead to requests to the same VMs only."""
 
 
 def isolated_services(
@@ -44,6 +47,7 @@
         "_disseminator",
         "_events",
         "_monitor",
+        "_needed_at",
         "_selection",
         "_unreached",
         "_verified_at",
@@ -77,6 +81,7 @@
         self._disseminator = disseminator
         self._clock = timer
         self._events = log
+        self._needed_at = float("-inf")
         self._selection = path_proofs.PathSuccessors()
         self._unreached: list[str] = []
         self._verified_at = float("-inf")
@@ -110,13 +115,15 @@
         isolated = isolated_services(self._cluster, self._monitor)
         owners = self._verified(cut_off)
         self.proof = path_proofs.needed_proof(isolated, owners)
+        now = self._clock.boottime()
         if self.proof is None:
-            self._selection.clear()
+            if now - self._needed_at > _CLEAR_SECONDS:
+                self._selection.clear()
             return
+        self._needed_at = now
         candidates = self._candidates()
         asked = self._selection.next(
-            [path_proofs.Candidate(vm.id, vm.zone) for vm in candidates],
-            self._clock.boottime(),
+            [path_proofs.Candidate(vm.id, vm.zone) for vm in candidates], now
         )
         if not asked:
             return
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -49,6 +49,7 @@
         "_probing",
         "_reachability",
         "_target_counts",
+        "_stopped",
         "_suspected_at",
         "_targets_by_address",
         "_verifying",
@@ -85,6 +86,7 @@
         self._target_counts: collections.Counter[str] = collections.Counter()
         self._outdated = True
         self._probing: asyncio.Task[None] | None = None
+        self._stopped = False
         self._suspected_at: dict[str, float] = {}
         self._verifying: dict[str, asyncio.Task[None]] = {}
         self.on_change: Callable[[], None] = _ignore_change
@@ -135,7 +137,8 @@
         }
 
     def stop(self) -> None:
-        """Stops all attempts to reach targets."""
+        """Stops all attempts to reach targets, and begins no others."""
+        self._stopped = True
         for task in (self._probing, *self._verifying.values()):
             if task is not None:
                 task.cancel()
@@ -171,7 +174,7 @@
             )
         else:
             return
-        if suspected and service not in self._verifying:
+        if suspected and not self._stopped and service not in self._verifying:
             self._verifying[service] = asyncio.create_task(
                 self._verify(service), name="verify"
             )
@@ -202,7 +205,8 @@
             return True
         targets = self._shuffled_targets(service)[:_PROOF_TARGETS]
         outcomes = await self._attempt(targets)
-        return reachability.Outcome.CONNECTED in outcomes
+        # A service without targets needs no path.
+        return not outcomes or reachability.Outcome.CONNECTED in outcomes
 
     async def unreached(self, targets: Iterable[str]) -> list[str]:
         """Returns the targets that take no new connection, or are unknown."""
@@ -252,16 +256,14 @@
 
     async def _connect(self, address: str) -> reachability.Outcome:
         """Attempts to connect; the pool reports the outcome as well."""
-        began_at = self._clock.now()
         try:
             connection = await self._pool.connect_new(
                 address, self._connect_timeout
             )
-        except http_client.NotSentError:
-            seconds = self._clock.now() - began_at
-            if seconds < _OVERDUE_SHARE * self._connect_timeout:
-                return reachability.Outcome.REFUSED
-            return reachability.Outcome.HUNG
+        except http_client.NotSentError as error:
+            if error.hung:
+                return reachability.Outcome.HUNG
+            return reachability.Outcome.REFUSED
         self._pool.release(connection, address)
         return reachability.Outcome.CONNECTED
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/partitions.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/partitions.py
@@ -140,4 +140,6 @@
         finally:
             seconds = asyncio.get_running_loop().time() - began
             self.on_attempt(address, outcome, seconds)
-        raise http_client.NotSentError(f"{address}: partitioned")
+        raise http_client.NotSentError(
+            f"{address}: partitioned", hung=not mode.refuses
+        )
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -117,6 +117,7 @@
     Attributes:
         outcomes: By address, how attempts end that do not succeed.
         default: How attempts at all other addresses end.
+        refused_after: Seconds after which attempts end that do not hang.
         attempts: Addresses of all attempts.
         closed: Addresses whose idle connections were closed.
         released: Connections that were kept.
@@ -126,6 +127,7 @@
     def __init__(self):
         self.outcomes = {}
         self.default = reachability.Outcome.CONNECTED
+        self.refused_after = 0.001
         self.attempts = []
         self.closed = []
         self.released = []
@@ -135,13 +137,15 @@
         """Connects, fails at once or after the timeout."""
         self.attempts.append(address)
         outcome = self.outcomes.get(address, self.default)
-        seconds = 0.001
+        seconds = self.refused_after
         if outcome is reachability.Outcome.HUNG:
             seconds = timeout
         await asyncio.sleep(seconds)
         self.on_attempt(address, outcome, seconds)
         if outcome is not reachability.Outcome.CONNECTED:
-            raise http_client.NotSentError(address)
+            raise http_client.NotSentError(
+                address, hung=outcome is reachability.Outcome.HUNG
+            )
         return address
 
     def close_idle(self, address):
--- a/tests/gateway/test_reach_monitoring.py
+++ b/tests/gateway/test_reach_monitoring.py
@@ -243,6 +243,36 @@
 class TestProofs:
     """What a VM proves before it leads."""
 
+    def test_service_without_targets(self):
+        """Guards against an empty service that keeps all VMs from leading."""
+
+        async def scenario(monitor, cluster, log, pool, balancer):
+            assert await monitor.reaches("s", by_connecting=True)
+            assert await monitor.reaches("empty", by_connecting=True)
+            pool.default = reachability.Outcome.HUNG
+            assert not await monitor.reaches("s", by_connecting=True)
+
+        _run(scenario, fakes.target("a"))
+
+    def test_late_refusals(self):
+        """Guards against refusals that are noticed late and count as hung."""
+        targets = [fakes.target(name) for name in "abcdefgh"]
+
+        async def scenario(monitor, cluster, log, pool, balancer):
+            pool.default = reachability.Outcome.REFUSED
+            pool.refused_after = 0.25
+            for name in "abc":
+                monitor.record_attempt(
+                    f"{name}:80", reachability.Outcome.REFUSED, 0.25
+                )
+            for _ in range(5):
+                # Open connections live on.
+                monitor.record_response("h:80")
+                await asyncio.sleep(0.1)
+            assert monitor.is_isolated("s")
+
+        _run(scenario, *targets)
+
     @pytest.mark.parametrize(
         ("outcomes", "responded", "by_connecting", "reached"),
         [
