Bound extended grants in the leader's entry, and judge each former term

Cause: keys of a silent target wait for the grants of former leaders. Where no VM is left that could tell, a new leader waited for the longest grant that targets accept (10 s); where leaders followed each other within seconds, the witnesses of the one that vanished no longer counted and the wait began anew with each claim.

Change: a leader declares the longest of its extended grants with its claim (setting longest_hold, 6 s) and its lease is made from that entry. Entries list the terms whose grants may not have expired. What witnesses, followers and restarted daemons tell counts for the term that it concerns; a leader that still runs reports until when the grants of all terms before its own last. A daemon's next incarnation proves the end of the former one at its start, not at its first report. A version that declares nothing is waited for as before.

Conclusion: the bound is what is left after a loss of all; the leader lease of 10 s where the former leader's VM stays away and no witness is left.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/leadership.py
@@ -20,8 +20,12 @@
 so that a leader sees on resumption that its lease has expired.
 """
 
+from collections.abc import Sequence
+
 import msgspec
 
+_MAX_TERMS = 32
+"""Former terms that an entry lists; an entry stays below three kilobytes."""
 CLOCK_DRIFT = 0.02
 """Largest fraction by which a target's clock may run slow, as guaranteed by the
 platform."""
@@ -29,6 +33,36 @@
 """Seconds added to the duration of a grant, for delivery within a host."""
 
 
+class Term(msgspec.Struct, frozen=True, array_like=True):
+    """One term of a leader, as its successors list it.
+
+    Attributes:
+        vm: Identifier of the VM.
+        boot: Identifier of the daemon's incarnation, empty if unknown.
+        epoch: Epoch of the term, -1 if unknown.
+        hold_bound: Longest duration in seconds of the term's extended grants;
+            0 if the leader declared none.
+    """
+
+    vm: str
+    boot: str = ""
+    epoch: int = -1
+    hold_bound: float = 0.0
+
+
+def listed_terms(terms: Sequence[Term]) -> tuple[Term, ...]:
+    """Returns the former terms that an entry lists, in order of their epochs.
+
+    If there are too many, one unknown term stands for the earliest ones. No VM
+    reports for it, so a successor waits the longest time for it.
+    """
+    if len(terms) <= _MAX_TERMS:
+        return tuple(terms)
+    split = len(terms) - _MAX_TERMS + 1
+    unknown = Term("", "", terms[split - 1].epoch)
+    return (unknown, *terms[split:])
+
+
 class LeaderEntry(msgspec.Struct, frozen=True):
     """The leader as recorded in the store.
 
@@ -41,6 +75,12 @@
             when this one took over. Leaders may follow each other faster than
             the first one notices, and each successor has to wait for all of
             them.
+        hold_bound: Longest duration in seconds of this leader's extended
+            grants. It is in the store before the first grant, so a successor
+            relies on it when nobody is left to report. 0 if not declared: the
+            leader may extend grants up to what targets accept.
+        formers: Earlier terms whose grants may not have expired when this
+            leader took over, in order of their epochs.
     """
 
     vm: str
@@ -48,6 +88,23 @@
     epoch: int
     address: str
     unsure: tuple[str, ...] = ()
+    hold_bound: float = 0.0
+    formers: tuple[Term, ...] = ()
+
+    @property
+    def term(self) -> Term:
+        """This leader's own term."""
+        return Term(self.vm, self.boot, self.epoch, self.hold_bound)
+
+    @property
+    def earlier_terms(self) -> tuple[Term, ...]:
+        """Terms before this one whose grants may not have expired.
+
+        A leader that lists VMs only knows neither their epochs nor bounds.
+        """
+        listed = {term.vm for term in self.formers}
+        unknown = tuple(Term(vm) for vm in self.unsure if vm not in listed)
+        return unknown + self.formers
 
 
 class LeaderLease:
@@ -63,6 +120,7 @@
         "_confirmed",
         "_extended_until",
         "_extended_grants_until",
+        "_hold_bound",
         "_span_seconds",
         "_unextended_seconds",
         "_witnessed",
@@ -70,7 +128,10 @@
     )
 
     def __init__(
-        self, span: float, unextended_span: float | None = None
+        self,
+        span: float,
+        unextended_span: float | None = None,
+        hold_bound: float = float("inf"),
     ) -> None:
         """Creates a lease that allows no orders.
 
@@ -79,8 +140,11 @@
                 the promises of all witnesses if there are witnesses.
             unextended_span: Seconds for which it is valid without these
                 promises, if there are witnesses.
+            hold_bound: Longest duration of an extended grant in seconds, as
+                declared in the leader's entry.
         """
         self._span_seconds = span
+        self._hold_bound = hold_bound
         self._unextended_seconds = (
             span if unextended_span is None else unextended_span
         )
@@ -169,8 +233,8 @@
         owners if this leader is lost during the outage. Grants are not extended
         if only this leader is cut off from the store: its successor would have
         to wait for them before it could move the keys of a crashed target. No
-        grant outlasts this leader's lease by more than `usual`, which is what a
-        successor waits for.
+        grant outlasts this leader's lease by more than `usual`, and no extended
+        grant is longer than the declared bound: a successor waits for either.
 
         Args:
             now: Current time.
@@ -184,6 +248,7 @@
             return usual
         if not self.extended if self._witnessed else self.replaceable:
             return usual
+        longest = min(longest, self._hold_bound)
         return max(usual, min(longest, self.expires_at - arrival + usual))
 
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -498,6 +498,7 @@
             "configuration_version": max(state.version, 0),
             "ready": self.ready,
             "leading": self._leader_role.is_leader,
+            "former_grants_seconds": self._leader_role.former_grants_seconds,
             "store_reached": state.store_ok,
             "log_lines_dropped": self._events.dropped,
             "connections_opened": self._pool.opened,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -99,11 +99,13 @@
         "_events",
         "_former_leaders",
         "_gates_selected_at",
-        "_has_led",
+        "_led_epoch",
         "_last_alive_at",
         "_lease",
         "_monitor",
+        "_noted_wait",
         "_orders",
+        "_own_extended_until",
         "_path_successors",
         "_planner",
         "_publish_timer",
@@ -114,6 +116,7 @@
         "_serial",
         "_services",
         "_settings",
+        "_started_at",
         "_store",
         "_store_failing_since",
         "_successors",
@@ -171,9 +174,12 @@
             configured, boot, store, cluster, timer, log
         )
         self._witnesses: witnessing.Witnesses | None = None
-        self._lease = self._new_lease()
+        self._lease = self._new_lease(0.0)
         self._entry: leadership.LeaderEntry | None = None
-        self._has_led = False
+        self._own_extended_until = float("-inf")
+        self._started_at = timer.boottime()
+        self._led_epoch: int | None = None
+        self._noted_wait: tuple[leadership.Term, str] | None = None
         self._revision = 0
         self._serial = 0
         self._publish_timer: asyncio.TimerHandle | None = None
@@ -209,11 +215,16 @@
         # on the safe side.
         self.extended_grants_until = now + reply.extended_grants
 
-    def _new_lease(self) -> leadership.LeaderLease:
-        """Returns a leader lease that permits no orders yet."""
+    def _new_lease(self, hold_bound: float) -> leadership.LeaderLease:
+        """Returns a leader lease that permits no orders yet.
+
+        Args:
+            hold_bound: Longest duration of an extended grant in seconds, as
+                declared in the leader's entry.
+        """
         configured = self._settings.leader
         return leadership.LeaderLease(
-            configured.authority, configured.unextended
+            configured.authority, configured.unextended, hold_bound
         )
 
     @property
@@ -279,6 +290,11 @@
             epoch + 1,
             self.address,
             self._unconfirmed_leaders(stored),
+            min(
+                self._settings.leader.longest_hold,
+                self._settings.bounds.hold_most,
+            ),
+            self._unexpired_terms(stored),
         )
         sent_at = self._clock.boottime()
         revision = await self._write_leader(entry, stored_item)
@@ -291,9 +307,22 @@
         items = await self._read_all()
         if items is None or items[messages.LEADER_KEY].revision != revision:
             return False
-        self._lease = self._new_lease()
+        cached = self._cluster.leader
+        if cached and cached.epoch > entry.epoch:
+            # A later leader may rely on a report of this VM as its follower.
+            return False
+        own_terms = former_leaders.Follower(
+            entry.vm,
+            entry.boot,
+            self.extended_grants_seconds(),
+            self.own_extended_seconds(),
+            self.led_epoch,
+            self.running_seconds,
+        )
+        self._own_extended_until = self._own_extended_grants_until
+        self._lease = self._new_lease(entry.hold_bound)
         self._lease.confirm(sent_at)
-        self._start_term(entry, revision, items, stored)
+        self._start_term(entry, revision, items, own_terms)
         self._events.write(
             "leader",
             "leading",
@@ -358,7 +387,7 @@
         entry: leadership.LeaderEntry,
         revision: int,
         items: Mapping[str, ports.Item],
-        former: leadership.LeaderEntry | None,
+        own_terms: former_leaders.Follower,
     ) -> None:
         """Initializes the state of a term and starts its tasks.
 
@@ -366,12 +395,11 @@
             entry: This leader's entry.
             revision: Store revision of the entry.
             items: All items in the store, by key.
-            former: The former leader's entry, None if there was none.
+            own_terms: What this VM knows of its own earlier terms.
         """
         now = self._clock.boottime()
         configured = self._settings.leader
         self._entry = entry
-        self._has_led = True
         self._revision = revision
         self._planner = self._new_planner()
         self._demand = demand.Demand(dissemination.REPORT_MAX_AGE_SECONDS)
@@ -381,24 +409,21 @@
         self._term_started_at = now
         record_item = items.get(messages.WITNESSES_KEY)
         record = self._decode(record_item, lease_extension.Record)
-        of_former = former and record and record.epoch == former.epoch
         self._former_leaders = former_leaders.FormerLeaders(
-            now + configured.authority if former else now,
-            entry.unsure,
+            now + configured.authority if entry.formers else now,
+            entry.formers,
             self.regular_grants_until,
             configured.hold,
             self._settings.bounds.hold_most,
             self.extended_grants_until,
-            record.witnesses if record and of_former else (),
+            record,
             now + configured.unextended,
             grant_reconciliation.LINK_QUEUE_SECONDS
             if self._spans_regions
             else 0.0,
         )
-        if not entry.unsure:
-            # There was no former leader, or it was an earlier incarnation of
-            # this daemon, whose extended grants may not have expired.
-            self._former_leaders.record_stopped(now)
+        self._former_leaders.record_follower(own_terms, now)
+        self._led_epoch = entry.epoch
         self._former_leaders.record_promise(
             self._witness.identity, self._witness.promised_seconds(), now
         )
@@ -416,6 +441,7 @@
         for key, item in items.items():
             if key.startswith(messages.TABLE_PREFIX):
                 self._load_table(item)
+        self._former_leaders.record_usual_hold(self._usual_hold)
         self._cluster.record_leader(entry)
         self._tasks = [
             asyncio.create_task(self._plan_loop(), name="plan"),
@@ -423,6 +449,8 @@
             asyncio.create_task(self._announce(), name="announce"),
         ]
         self._disseminator.begin(entry)
+        self._noted_wait = None
+        self._note_former_wait()
         self._schedule_publish()
 
     async def _announce(self) -> None:
@@ -463,6 +491,25 @@
         unconfirmed.add(former.vm)
         return tuple(sorted(unconfirmed - {self._settings.vm.id}))
 
+    def _unexpired_terms(
+        self, former: leadership.LeaderEntry | None
+    ) -> tuple[leadership.Term, ...]:
+        """Returns former terms whose grants may not have expired."""
+        if former is None:
+            return ()
+        led_seconds = self._clock.boottime() - self._cluster.leader_since
+        # Leaders before the former one stopped within its first `authority`
+        # seconds, and no grant is longer than targets accept.
+        expired_after = (
+            leadership.grant_expiry(
+                self._settings.leader.authority, self._settings.bounds.hold_most
+            )
+            + grant_reconciliation.LINK_QUEUE_SECONDS
+        )
+        if self._cluster.leader == former and led_seconds > expired_after:
+            return (former.term,)
+        return leadership.listed_terms((*former.earlier_terms, former.term))
+
     def _decode_table(self, item: ports.Item) -> ranges.RangeTable | None:
         """Decodes a stored table; None if it is unreadable."""
         try:
@@ -545,14 +592,8 @@
             return messages.ReportReply(cached_leader, leading=False)
         now = self._clock.now()
         vm = report.vm
-        boot = self._clock.boottime()
-        # A VM that reports to this leader does not lead itself.
-        self._former_leaders.record_follower(
-            vm.id, boot, report.extended_grants
-        )
         if report.epoch >= self._entry.epoch:
-            witness = lease_extension.Witness(vm.id, vm.boot)
-            self._former_leaders.record_promise(witness, report.promised, boot)
+            self._record_follower(report)
         if report.state_update is not None:
             self._cluster.apply_update(report.state_update)
         self._cluster.confirm_configuration(
@@ -626,6 +667,27 @@
             peers=self._peers_for(report, fresh_reports),
         )
 
+    def _record_follower(self, report: messages.Report) -> None:
+        """Records what a follower of this term reports of earlier terms.
+
+        A VM that follows this leader does not lead itself. A report that it
+        sent to an earlier term of this VM proves nothing: it may have led since
+        and may not have noticed its replacement.
+        """
+        now = self._clock.boottime()
+        vm = report.vm
+        follower = former_leaders.Follower(
+            vm.id,
+            vm.boot,
+            report.extended_grants,
+            report.own_extended,
+            report.led_epoch,
+            report.running,
+        )
+        self._former_leaders.record_follower(follower, now)
+        witness = lease_extension.Witness(vm.id, vm.boot)
+        self._former_leaders.record_promise(witness, report.promised, now)
+
     def _peers_for(
         self, report: messages.Report, reports: Mapping[str, messages.Report]
     ) -> tuple[forwarding_peers.Peer, ...] | None:
@@ -684,25 +746,55 @@
                 )
         return self._selected_gates
 
+    @property
+    def led_epoch(self) -> int:
+        """Epoch of the last term since the daemon's start, -1 for none."""
+        return -1 if self._led_epoch is None else self._led_epoch
+
+    @property
+    def running_seconds(self) -> float:
+        """Seconds since the daemon's start."""
+        return self._clock.boottime() - self._started_at
+
+    @property
+    def _usual_hold(self) -> float:
+        """Longest duration of grants that the tables name, in seconds."""
+        tables = (keyed.table for keyed in self._services.values())
+        return max((t.hold for t in tables), default=0.0)
+
     @property
     def _former_grants_expire_at(self) -> float:
         """Time at which all grants of former leaders have expired."""
-        tables = (keyed.table for keyed in self._services.values())
-        return self._former_leaders.grants_expire_at(
-            max((t.hold for t in tables), default=0.0)
-        )
+        return self._former_leaders.grants_expire_at(self._usual_hold)
 
     def extended_grants_seconds(self) -> float | None:
         """Returns the seconds until extended grants have expired.
 
         None if this VM has not led since its daemon started.
         """
-        return self._extended_grants_seconds() if self._has_led else None
+        if self._led_epoch is None:
+            return None
+        return self._extended_grants_seconds()
+
+    @property
+    def _own_extended_grants_until(self) -> float:
+        """Time at which extended grants of all own terms have expired."""
+        return max(self._own_extended_until, self._lease.extended_grants_until)
+
+    def own_extended_seconds(self) -> float | None:
+        """Returns the seconds until own extended grants have expired.
+
+        None if this VM has not led since its daemon started.
+        """
+        if self._led_epoch is None:
+            return None
+        until = self._own_extended_grants_until
+        return max(until - self._clock.boottime(), 0.0)
 
     def _extended_grants_seconds(self) -> float:
         """Seconds until own and former leaders' extended grants expire."""
         until = max(
-            self._lease.extended_grants_until, self._former_grants_expire_at
+            self._own_extended_grants_until, self._former_grants_expire_at
         )
         return max(until - self._clock.boottime(), 0.0)
 
@@ -792,6 +884,33 @@
                 )
             )
 
+    @property
+    def former_grants_seconds(self) -> float:
+        """Seconds until all grants of former leaders have expired."""
+        if self._entry is None:
+            return 0.0
+        return max(self._former_grants_expire_at - self._clock.boottime(), 0.0)
+
+    def _note_former_wait(self) -> None:
+        """Logs for whose grants this leader waits, and why, on each change."""
+        seconds = self.former_grants_seconds
+        last = self._former_leaders.last_to_expire(self._usual_hold)
+        noted = last if seconds > 0.0 else None
+        if noted == self._noted_wait:
+            return
+        self._noted_wait = noted
+        if noted is not None:
+            term, evidence = noted
+            self._events.write(
+                "leader",
+                "waits_for_former",
+                vm=term.vm,
+                epoch=term.epoch,
+                hold_bound=term.hold_bound,
+                evidence=evidence,
+                seconds=round(seconds, 2),
+            )
+
     # Leadership in the store.
 
     async def _confirm_loop(self) -> None:
@@ -802,6 +921,7 @@
             await asyncio.sleep(_CONFIRM_RETRY_SECONDS if failing else pause)
             await self._confirm()
             reached = self._store_failing_since is None
+            self._note_former_wait()
             if self._witnesses is not None and reached:
                 clear_at = max(
                     self._former_grants_expire_at,
@@ -1128,6 +1248,7 @@
             "leading": self.is_leader,
             "epoch": self._entry.epoch if self._entry else None,
             "witnesses": self._witnesses.dump() if self._witnesses else [],
+            "former_grants_seconds": round(self.former_grants_seconds, 2),
             "tables": {
                 name: {
                     "version": keyed.table.version,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -633,6 +633,9 @@
             len(self._monitor.unreachable()),
             self._clock.now() - self._peers_wanted_at
             < self._peers_valid_seconds,
+            led_epoch=self._leader.led_epoch,
+            running=self._leader.running_seconds,
+            own_extended=self._leader.own_extended_seconds(),
         )
 
     def _complete_at(self) -> tuple[float | None, float | None]:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -212,6 +212,12 @@
         wants_peers: Whether the VM has requests to forward to peers.
         demand: Requests since the last report, by service and route.
         speeds: Measured speeds of targets that changed since the last report.
+        led_epoch: Epoch of the last term that the VM has led since it started,
+            -1 for none. `extended_grants` covers this term, and all grants of
+            earlier terms.
+        running: Seconds since the VM's daemon started, 0 if unknown.
+        own_extended: Seconds until the extended grants that this VM gave in all
+            its terms since it started have expired; None as above.
     """
 
     vm: VmEntry
@@ -249,6 +255,9 @@
     wants_peers: bool = False
     demand: dict[str, dict[str, _RouteDemand]] = {}
     speeds: dict[str, _SpeedSample] = {}
+    led_epoch: int = -1
+    running: float = 0.0
+    own_extended: float | None = None
 
 
 class ReportReply(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -96,6 +96,11 @@
         hold: Grant duration in normal operation. The keys of a target that
             crashed stay unavailable until its grant expires; a new leader has
             to renew grants within this time.
+        longest_hold: Longest duration of a grant that is extended in an outage
+            of the store, declared in the leader's entry. While the leader lives
+            it renews such grants until its lease expires. Keys outlive a leader
+            that crashes in the outage by this time, and a successor to which
+            nobody can report waits for it.
         renew: Interval between two renewals of a grant: four per duration.
         renew_slowest: Longest interval between two renewals, for many ranges.
             Well below the time in which a target restarts.
@@ -135,6 +140,7 @@
     extension_after: Positive = 0.6
     confirm: Positive = 0.5
     hold: Positive = 2.0
+    longest_hold: Positive = 6.0
     renew: Positive = 0.5
     renew_slowest: Positive = 1.0
     orders_per_second: Positive = 1000.0
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -84,3 +84,37 @@
         found = leadership.renewal_pace(ranges, usual, 1.0, 1000.0)
         assert found.renew == pytest.approx(renew)
         assert found.hold == pytest.approx(hold)
+
+
+class TestTerms:
+    """Former terms that an entry lists."""
+
+    def test_leader_of_an_earlier_version(self):
+        """Guards against forgetting leaders that are listed by VM only."""
+        listed = leadership.Term("b", "x", 4, 4.0)
+        entry = leadership.LeaderEntry(
+            "c", "y", 5, "", ("a", "b"), 4.0, (listed,)
+        )
+        assert entry.earlier_terms == (leadership.Term("a"), listed)
+        assert entry.term == leadership.Term("c", "y", 5, 4.0)
+
+    def test_many_terms(self):
+        """An unknown term stands for the earliest ones."""
+        terms = [leadership.Term("a", "x", n, 4.0) for n in range(40)]
+        listed = leadership.listed_terms(terms)
+        assert len(listed) == 32
+        assert listed[0] == leadership.Term("", "", 8)
+        assert listed[1:] == tuple(terms[9:])
+
+
+class TestHoldBound:
+    """The declared bound on extended grants."""
+
+    @pytest.mark.parametrize(
+        ("bound", "usual", "expected"), [(4.0, 2.0, 4.0), (1.0, 2.0, 2.0)]
+    )
+    def test_extended_grant(self, bound, usual, expected):
+        """Guards against a grant longer than a successor waits for."""
+        lease = leadership.LeaderLease(SPAN, hold_bound=bound)
+        lease.confirm(0.0)
+        assert lease.grant_seconds(2.0, 2.0, usual, 10.0, 1.6) == expected
