Divide a service's capacity by rank where it does not suffice

VMs report requests by service and route; the leader keeps an account of each service's capacity and demand, and replies with shares once routes of different rank use a service without free slots. A VM enforces its part before it looks for a target.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
@@ -59,6 +59,10 @@
         self._contended: set[str] = set()
         self._wanted: dict[str, int] = {}
 
+    def set_valid_seconds(self, seconds: float) -> None:
+        """Sets the time in seconds for which a report counts."""
+        self._valid_seconds = seconds
+
     def record(
         self,
         vm: str,
@@ -104,6 +108,17 @@
                 counts[name] = count
         return counts
 
+    def occupied(self, slots: Mapping[str, int]) -> tuple[int, int]:
+        """Returns the busy slots and the requests in progress of targets.
+
+        Args:
+            slots: Slots by target.
+        """
+        counts = [
+            (self._under_way.get(name, 0), n) for name, n in slots.items()
+        ]
+        return sum(min(c, n) for c, n in counts), sum(c for c, _ in counts)
+
     def gates(
         self,
         vms: Iterable[tuple[str, str]],
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
@@ -1,14 +1,56 @@
-"""Division of a service's capacity among the routes that use it."""
+"""Division of a service's capacity among the routes that use it.
+
+Capacity and load are in slots: a load of one keeps one slot of a target of mean
+speed busy. A division takes effect only while a service is used by routes of
+different ranks and has no free capacity.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import math
 
 import msgspec
 
+FULL_SHARE = 0.9
+"""Share of the capacity that is divided. Above it, waiting times rise
+steeply."""
+_FLOOR_SHARE = 0.4
+"""Least share of a route's requests that is served, relative to the share of
+all requests to the service: a route counts as starved below a quarter."""
+_FREE_BELOW = 0.8
+"""Share of busy slots below which a service has free capacity."""
+_FULL_FROM = 0.9
+"""Share of busy slots from which a service has none."""
+_CROWDED_FROM = 1.5
+"""Requests per slot from which a service is slower than calculated."""
+_MIN_CORRECTION = 0.25
+_MAX_CORRECTION = 8.0
+"""Bounds on measured relative to calculated capacity."""
+_CORRECTION_SECONDS = 1.0
+"""Time in which the correction changes by a factor of e."""
+_FADE_SECONDS = 10.0
+"""Time constant in which capacity above the calculated one is forgotten after
+a division."""
+_ENOUGH_SHARE = 1 - 1e-6
+"""Share of a route's load from which it counts as served in full."""
+_RATE_SECONDS = 0.5
+"""Time constant of the rates that are divided."""
+_PART_SECONDS = 3.0
+"""Time constant of the rates that the VMs' parts are computed from. A VM gets a
+few requests a second, so shorter ones would be chance."""
+_EVEN_SHARE = 0.2
+"""Share of a route's rate that is spread evenly over the VMs, for requests at
+VMs that had none lately."""
+_MIN_RATE = 0.01
+"""Requests per second below which a VM's demand is dropped."""
+
 
 class RouteDemand(msgspec.Struct, frozen=True, array_like=True):
     """Requests of one route for one service, as one VM has received them.
 
     Attributes:
         rate: Requests per second, refused ones included.
-        work: Mean service time in seconds.
+        work: Mean service time in seconds; 0 if the VM has measured none.
     """
 
     rate: float
@@ -16,13 +58,296 @@
 
 
 class RouteShare(msgspec.Struct, frozen=True, array_like=True):
-    """What a route may use of a service.
+    """What a route may use of a service that lacks capacity.
 
     Attributes:
-        rate: Requests per second of all VMs together; infinite while the
-            service has capacity for all that is requested.
+        rate: Requests per second of all VMs together.
         part: Part of it that the receiving VM may use, from 0 to 1.
+        work: Mean service time in seconds.
+        limited: Whether requests above the rate are refused. Otherwise they
+            displace requests of limited routes.
     """
 
     rate: float
     part: float
+    work: float = 0.0
+    limited: bool = True
+
+
+class Competitor(msgspec.Struct, frozen=True):
+    """A route's demand for a service.
+
+    Attributes:
+        route: Name of the route.
+        rank: Its priority; 0 is the most urgent.
+        rate: Requests per second at all VMs.
+        work: Mean service time in seconds.
+        regions: Regions in which its requests may run; empty for any.
+    """
+
+    route: str
+    rank: int
+    rate: float
+    work: float
+    regions: tuple[str, ...] = ()
+
+    @property
+    def load(self) -> float:
+        """Slots that the route's requests would keep busy."""
+        return self.rate * self.work
+
+
+class Occupancy(msgspec.Struct, frozen=True):
+    """How full the targets of a service are.
+
+    Attributes:
+        busy: Share of the slots that are busy.
+        crowding: Requests in progress per slot.
+    """
+
+    busy: float
+    crowding: float
+
+
+def divide(
+    competitors: Iterable[Competitor], capacity: Mapping[str, float]
+) -> dict[str, float]:
+    """Divides capacity by rank, with a floor for each route.
+
+    Routes of the same rank get the same share of their load. Capacity outside
+    of a route's regions is of no use to it.
+
+    Args:
+        competitors: The routes that use the service.
+        capacity: Capacity in slots by region.
+
+    Returns:
+        Slots by route, at most the route's load.
+    """
+    routes = [c for c in competitors if c.load > 0]
+    granted = {c.route: 0.0 for c in routes}
+    total = sum(c.load for c in routes)
+    if not total:
+        return granted
+    free = dict(capacity)
+    floor = _FLOOR_SHARE * min(1.0, sum(free.values()) / total)
+    _fill(routes, {c.route: c.load * floor for c in routes}, free, granted)
+    for rank in sorted({c.rank for c in routes}):
+        of_rank = [c for c in routes if c.rank == rank]
+        wanted = {c.route: c.load - granted[c.route] for c in of_rank}
+        even = min(1.0, sum(free.values()) / max(sum(wanted.values()), 1e-9))
+        first = {route: load * even for route, load in wanted.items()}
+        _fill(of_rank, first, free, granted)
+        rest = {c.route: c.load - granted[c.route] for c in of_rank}
+        _fill(of_rank, rest, free, granted)
+    return granted
+
+
+def _fill(
+    routes: Iterable[Competitor],
+    wanted: Mapping[str, float],
+    free: dict[str, float],
+    granted: dict[str, float],
+) -> None:
+    """Moves free capacity to routes, those bound to fewer regions first."""
+    for c in sorted(routes, key=lambda c: len(c.regions) or math.inf):
+        regions = [r for r in free if not c.regions or r in c.regions]
+        available = sum(free[r] for r in regions)
+        if available <= 0:
+            continue
+        taken = min(wanted[c.route], available)
+        granted[c.route] += taken
+        for region in regions:
+            # Keys and requests are spread by capacity.
+            free[region] *= 1 - taken / available
+
+
+class Division:
+    """The division of one service, corrected by what its targets show.
+
+    Calculated capacity is wrong where targets fail, where keys are uneven or
+    where the measured service times are. Slots that are free while requests are
+    refused raise it; requests that queue at most targets lower it.
+
+    Attributes:
+        capacity: Corrected capacity in slots.
+        correction: Corrected relative to calculated capacity.
+        granted: Slots by route; empty while there is no division.
+        load: Slots that all routes together ask for.
+    """
+
+    __slots__ = ("_updated_at", "capacity", "correction", "granted", "load")
+
+    def __init__(self, now: float) -> None:
+        """Creates the state of a service without a division."""
+        self.correction = 1.0
+        self.capacity = 0.0
+        self.load = 0.0
+        self.granted: dict[str, float] = {}
+        self._updated_at = now
+
+    @property
+    def active(self) -> bool:
+        """Whether the capacity is divided."""
+        return bool(self.granted)
+
+    def update(
+        self,
+        competitors: list[Competitor],
+        capacity: Mapping[str, float],
+        occupancy: Occupancy,
+        now: float,
+        *,
+        limits_first: bool,
+    ) -> None:
+        """Computes the division anew.
+
+        Args:
+            competitors: The routes that use the service.
+            capacity: Calculated capacity in slots by region.
+            occupancy: How full the targets are.
+            now: The time.
+            limits_first: Whether the most urgent routes are limited as well.
+        """
+        elapsed = min(max(now - self._updated_at, 0.0), _CORRECTION_SECONDS)
+        self._updated_at = now
+        ranks = {c.rank for c in competitors if c.load > 0}
+        top = min(ranks, default=0)
+        first = sum(c.load for c in competitors if c.rank == top)
+        self.capacity = sum(capacity.values()) * self.correction
+        # Without limits, the most urgent routes alone can crowd the targets.
+        explained = first > self.capacity * FULL_SHARE and not limits_first
+        self._correct(occupancy, elapsed, explained=explained)
+        corrected = {r: c * self.correction for r, c in capacity.items()}
+        self.capacity = sum(corrected.values())
+        self.load = sum(c.load for c in competitors)
+        begins = self.active or occupancy.busy >= _FULL_FROM
+        if len(ranks) < 2 or not self.capacity or not begins:
+            self.granted = {}
+            return
+        granted = divide(
+            competitors, {r: c * FULL_SHARE for r, c in corrected.items()}
+        )
+        enough = all(
+            granted[c.route] >= c.load * _ENOUGH_SHARE
+            for c in competitors
+            if c.load > 0
+        )
+        self.granted = {} if enough else granted
+
+    def _correct(
+        self, occupancy: Occupancy, elapsed: float, *, explained: bool
+    ) -> None:
+        """Adapts the correction to what the targets show."""
+        step = math.exp(elapsed / _CORRECTION_SECONDS)
+        crowded = (
+            occupancy.busy >= _FULL_FROM and occupancy.crowding >= _CROWDED_FROM
+        )
+        if occupancy.busy < _FREE_BELOW:
+            if self.active or self.correction < 1:
+                self.correction *= step
+        elif crowded and not explained:
+            self.correction /= step
+        if not self.active and self.correction > 1:
+            fading = math.exp(-elapsed / _FADE_SECONDS)
+            self.correction = 1 + (self.correction - 1) * fading
+        self.correction = min(
+            max(self.correction, _MIN_CORRECTION), _MAX_CORRECTION
+        )
+
+
+class _Rate:
+    """One VM's requests of a route for a service.
+
+    Attributes:
+        fast: Requests per second over the short time constant.
+        slow: The same over the long one.
+        work: Mean service time in seconds.
+    """
+
+    __slots__ = ("fast", "slow", "work")
+
+    def __init__(self, rate: float) -> None:
+        self.fast = rate
+        self.slow = rate
+        self.work = 0.0
+
+
+class DemandAccount:
+    """Requests of all VMs by service and route, from their reports."""
+
+    __slots__ = ("_rates", "_reported_at", "_totals")
+
+    def __init__(self) -> None:
+        """Creates an account without reports."""
+        self._rates: dict[str, dict[tuple[str, str], _Rate]] = {}
+        self._reported_at: dict[str, float] = {}
+        self._totals: dict[tuple[str, str], list[float]] = {}
+
+    def record(
+        self,
+        vm: str,
+        demand: Mapping[str, Mapping[str, RouteDemand]],
+        now: float,
+    ) -> None:
+        """Records a VM's report."""
+        reported = {
+            (service, route): item
+            for service, by_route in demand.items()
+            for route, item in by_route.items()
+            if math.isfinite(item.rate) and item.rate >= 0
+        }
+        rates = self._rates.setdefault(vm, {})
+        elapsed = max(now - self._reported_at.get(vm, -math.inf), 0.0)
+        self._reported_at[vm] = now
+        fast = 1 - math.exp(-elapsed / _RATE_SECONDS)
+        slow = 1 - math.exp(-elapsed / _PART_SECONDS)
+        self._add(rates, -1)
+        for name, item in reported.items():
+            entry = rates.setdefault(name, _Rate(item.rate))
+            if math.isfinite(item.work) and item.work > 0:
+                entry.work = item.work
+        for name, entry in list(rates.items()):
+            rate = reported[name].rate if name in reported else 0.0
+            entry.fast += (rate - entry.fast) * fast
+            entry.slow += (rate - entry.slow) * slow
+            if max(entry.fast, entry.slow) < _MIN_RATE:
+                del rates[name]
+        self._add(rates, 1)
+
+    def drop_before(self, earliest: float) -> None:
+        """Drops the demand of VMs whose last report is older."""
+        old = [vm for vm, at in self._reported_at.items() if at < earliest]
+        for vm in old:
+            del self._reported_at[vm]
+            self._add(self._rates.pop(vm), -1)
+
+    def total(self, service: str, route: str) -> RouteDemand:
+        """Returns the demand of all VMs."""
+        rate, _, load, measured = self._totals.get(
+            (service, route), (0.0, 0.0, 0.0, 0.0)
+        )
+        work = load / measured if measured > _MIN_RATE else 0.0
+        return RouteDemand(max(rate, 0.0), max(work, 0.0))
+
+    def part(self, vm: str, service: str, route: str) -> float:
+        """Returns a VM's part of a route's requests for a service."""
+        count = len(self._reported_at)
+        if vm not in self._reported_at:
+            return 0.0
+        total = self._totals.get((service, route), (0.0, 0.0))[1]
+        entry = self._rates[vm].get((service, route))
+        if total <= _MIN_RATE:
+            return 1 / count
+        own = entry.slow / total if entry else 0.0
+        return (1 - _EVEN_SHARE) * min(own, 1.0) + _EVEN_SHARE / count
+
+    def _add(self, rates: Mapping[tuple[str, str], _Rate], sign: int) -> None:
+        """Adds a VM's rates to the totals, or subtracts them."""
+        for name, entry in rates.items():
+            total = self._totals.setdefault(name, [0.0, 0.0, 0.0, 0.0])
+            total[0] += sign * entry.fast
+            total[1] += sign * entry.slow
+            if entry.work:
+                total[2] += sign * entry.fast * entry.work
+                total[3] += sign * entry.fast
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
@@ -17,6 +17,7 @@
 from mimosastile_core.gateway import freshness
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import limits
+from mimosastile_core.gateway import route_limits
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import target_feedback
 from mimosastile_core.gateway import unowned_ranges
@@ -106,6 +107,7 @@
         "leader_since",
         "limits",
         "registrations_freshness",
+        "route_limits",
         "route_table",
         "seen",
         "shares",
@@ -143,6 +145,7 @@
         self.eligibility = eligibility.Eligibility(configured.vm.regions)
         self._evacuation_began: dict[str, float] = {}
         self.limits = limits.TargetLimits(configured.vm.id)
+        self.route_limits = route_limits.RouteLimits(timer.random)
         self.backoffs = backoffs.Backoffs()
         self.seen = 0
         self.configuration_seen = 0
@@ -207,6 +210,7 @@
             return False
         self.route_table = routes.RouteTable(new.routes)
         self.shares.keep(new.routes)
+        self.route_limits.keep(new.routes)
         self._events.write(
             "configuration",
             "configuration_taken",
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -123,6 +123,7 @@
         return {
             "outcomes": dict(self._outcome_counts),
             "waiting": self._dispatcher.queue_lengths(),
+            "route_limits": self._cluster.route_limits.dump(now),
             "under_way": self._balancer.own(),
             "repeats_left": {
                 name: round(budget.left(now), 1)
@@ -148,6 +149,9 @@
         if isinstance(classified, result.Err):
             return self._refuse(None, incoming, classified.err_value)
         call = classified.ok_value
+        limited = self._route_limit_failure(call)
+        if limited is not None:
+            return self._refuse(call, incoming, limited)
         self._active_calls.add(call)
         try:
             return await self._forward(call)
@@ -309,6 +313,26 @@
                 return self._refuse(call, call.incoming, last)
             await self._await_retry(call, acquired.ok_value, last)
 
+    def _route_limit_failure(self, call: pending.Call) -> errors.Failure | None:
+        """Returns the refusal of a request above its route's share.
+
+        The VM that forwarded a request has applied the limit.
+        """
+        if call.origin:
+            return None
+        now = self._clock.now()
+        seconds = self._cluster.route_limits.admit(
+            call.service.name, call.route.name, now
+        )
+        if not seconds:
+            return None
+        wait = max(seconds, self._settings.requests.retry_after_least)
+        return errors.Failure(
+            errors.ErrorKind.OVERLOADED,
+            f"Above the share of its route at {call.service.name}.",
+            wait,
+        )
+
     def _can_forward(self, call: pending.Call) -> bool:
         """Whether a request that waits for a target should use a peer."""
         return self._peer_forwarder.choose(call) is not None
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -34,6 +34,7 @@
 from mimosastile_gateway import planning
 from mimosastile_gateway import ports
 from mimosastile_gateway import reach_monitoring
+from mimosastile_gateway import room_accounting
 from mimosastile_gateway import settings
 from mimosastile_gateway import witnessing
 
@@ -109,6 +110,7 @@
         "_publish_timer",
         "_published_at",
         "_revision",
+        "_room",
         "_selected_gates",
         "_selected_watchers",
         "_serial",
@@ -184,6 +186,7 @@
         self._watchers_selected_at = float("-inf")
         self._selected_watchers: tuple[str, ...] = ()
         self._planner = self._new_planner()
+        self._room = self._new_room()
         self._services: dict[str, planning.KeyedService] = {}
         self._former_leaders = former_leaders.FormerLeaders(0.0)
         self.address = configured.vm.peers
@@ -230,6 +233,20 @@
             self._events,
         )
 
+    def _new_room(self) -> room_accounting.RoomAccounting:
+        return room_accounting.RoomAccounting(
+            self._settings,
+            self._cluster,
+            self._planner.slowness,
+            self._clock,
+            self._events,
+        )
+
+    @property
+    def room(self) -> room_accounting.RoomAccounting:
+        """The account of services that lack capacity, kept while leading."""
+        return self._room
+
     @property
     def is_leader(self) -> bool:
         """Whether this VM leads and has not observed a successor."""
@@ -374,6 +391,7 @@
         self._has_led = True
         self._revision = revision
         self._planner = self._new_planner()
+        self._room = self._new_room()
         self._demand = demand.Demand(dissemination.REPORT_MAX_AGE_SECONDS)
         self._successors.clear()
         self._path_successors.clear()
@@ -592,6 +610,7 @@
         target_directory = self._cluster.directory
         fresh_reports = self._disseminator.fresh()
         missing = self._disseminator.updates_for_reply(report)
+        self._room.record(report, len(fresh_reports))
         return messages.ReportReply(
             self._entry,
             leading=True,
@@ -624,6 +643,7 @@
             seen_age=self._cluster.registrations_age,
             configuration_age=self._cluster.configuration_age,
             peers=self._peers_for(report, fresh_reports),
+            shares=self._room.shares_for(vm.id),
         )
 
     def _peers_for(
@@ -1128,6 +1148,7 @@
             "leading": self.is_leader,
             "epoch": self._entry.epoch if self._entry else None,
             "witnesses": self._witnesses.dump() if self._witnesses else [],
+            "capacity": self._room.dump() if self.is_leader else {},
             "tables": {
                 name: {
                     "version": keyed.table.version,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -633,6 +633,10 @@
             len(self._monitor.unreachable()),
             self._clock.now() - self._peers_wanted_at
             < self._peers_valid_seconds,
+            self._cluster.route_limits.take_demand(
+                lambda route: self._balancer.work(route, 0.0),
+                self._clock.now(),
+            ),
         )
 
     def _complete_at(self) -> tuple[float | None, float | None]:
@@ -806,6 +810,8 @@
                 name: leaving.born
                 for name, leaving in self._reported_leaving.items()
             }
+        epoch = reply.leader.epoch if reply.leader else -1
+        self._cluster.route_limits.apply(reply.shares, epoch, now)
         self._balancer.record_other_requests(reply.under_way, now)
         self._balancer.replace_gates(reply.gates, now)
         self._cluster.limits.record_leader_view(reply.limits, now)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
@@ -14,7 +14,14 @@
 class Metrics:
     """Request counts by route and outcome, latencies by outcome, and gauges."""
 
-    __slots__ = ("_counts", "_event_counts", "_gauges", "_times", "_traffic")
+    __slots__ = (
+        "_counts",
+        "_event_counts",
+        "_gauges",
+        "_labelled_gauges",
+        "_times",
+        "_traffic",
+    )
 
     def __init__(
         self,
@@ -34,6 +41,7 @@
         )
         self._times: dict[str, histogram.HdrHistogram] = {}
         self._gauges: dict[str, float] = {}
+        self._labelled_gauges: dict[str, dict[tuple[str, str], float]] = {}
 
     def record(self, route: str, outcome: str, seconds: float) -> None:
         """Counts a request that has ended.
@@ -55,6 +63,19 @@
         """Sets the value of a gauge."""
         self._gauges[name] = value
 
+    def set_route_gauges(
+        self, values: Mapping[tuple[str, str, str], float]
+    ) -> None:
+        """Replaces all gauges that have a service and a route.
+
+        Args:
+            values: Values by name, service and route.
+        """
+        self._labelled_gauges = {}
+        for (name, service, route), value in values.items():
+            by_label = self._labelled_gauges.setdefault(name, {})
+            by_label[service, route] = value
+
     def text(self) -> str:
         """Returns all metrics in the Prometheus text format."""
         return "\n".join(self._lines()) + "\n"
@@ -83,3 +104,8 @@
         for gauge, value in sorted(self._gauges.items()):
             yield f"# TYPE mimosastile_{gauge} gauge"
             yield f"mimosastile_{gauge} {value:g}"
+        for gauge, by_label in sorted(self._labelled_gauges.items()):
+            yield f"# TYPE mimosastile_{gauge} gauge"
+            for (service, route), value in sorted(by_label.items()):
+                labels = f'service="{service}",route="{route}"'
+                yield f"mimosastile_{gauge}{{{labels}}} {value:g}"
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -364,6 +364,10 @@
         )
         return {t for t, vms in vm_counts.items() if vms >= _BACKOFF_VMS}
 
+    def slowness(self) -> dict[str, float]:
+        """Returns each target's slowness relative to the mean of all."""
+        return self._mean_slowness()
+
     def _mean_slowness(self) -> dict[str, float]:
         """Returns each target's slowness, averaged over reporting VMs."""
         fresh = self._disseminator.fresh()
