Measure a divided service's capacity by what its busy slots serve

A correction by crowding swung between its bounds under simulated load, and small buckets at many VMs refused what others had room for. Capacity is now measured by served load; VMs admit the same share of requests, bounded by a bucket.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
@@ -108,16 +108,16 @@
                 counts[name] = count
         return counts
 
-    def occupied(self, slots: Mapping[str, int]) -> tuple[int, int]:
-        """Returns the busy slots and the requests in progress of targets.
+    def busy(self, slots: Mapping[str, int]) -> int:
+        """Returns how many slots of targets are busy.
 
         Args:
             slots: Slots by target.
         """
-        counts = [
-            (self._under_way.get(name, 0), n) for name, n in slots.items()
-        ]
-        return sum(min(c, n) for c, n in counts), sum(c for c, _ in counts)
+        return sum(
+            min(self._under_way.get(name, 0), count)
+            for name, count in slots.items()
+        )
 
     def gates(
         self,
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/route_limits.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/route_limits.py
@@ -8,8 +8,13 @@
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import service_room
 
-_BURST_SECONDS = 0.3
-"""Seconds for which unused requests are kept."""
+_BURST_SECONDS = 0.5
+_BURST_REQUESTS = 4.0
+"""Unused requests that are kept, in seconds of the rate and at least. With a
+smaller burst, chance would refuse requests at one VM that fit at another."""
+_RATE_MARGIN = 1.25
+"""A VM's rate relative to its part of the share. The admitted part of requests
+keeps all VMs together to the share; this bounds a VM whose requests rise."""
 _VALID_SECONDS = 3.0
 """Age up to which shares apply unchanged: a new leader replies by then."""
 _WIDEN_SECONDS = 1.0
@@ -33,16 +38,28 @@
         tokens: Requests that may be sent now.
         work: Mean service time in seconds.
         limited: Whether requests without a token are refused.
+        admitted: Share of the requests that are admitted.
+        due: Admitted share of the requests so far, less those sent.
     """
 
-    __slots__ = ("at", "limited", "share", "tokens", "work")
+    __slots__ = (
+        "admitted",
+        "at",
+        "due",
+        "limited",
+        "share",
+        "tokens",
+        "work",
+    )
 
-    def __init__(self, tokens: float, now: float) -> None:
-        self.tokens = tokens
+    def __init__(self, due: float, now: float) -> None:
+        self.tokens = _BURST_REQUESTS
         self.at = now
         self.share = 0.0
         self.work = 0.0
         self.limited = True
+        self.admitted = 1.0
+        self.due = due
 
     def refill(self, widening: float, now: float) -> float:
         """Adds the tokens of the time since the last refill.
@@ -50,13 +67,26 @@
         Returns:
             The rate in requests per second.
         """
-        rate = self.share * widening
-        burst = max(1.0, rate * _BURST_SECONDS)
+        rate = self.share * widening * _RATE_MARGIN
+        burst = max(_BURST_REQUESTS, rate * _BURST_SECONDS)
         added = rate * max(now - self.at, 0.0)
         self.tokens = min(self.tokens + added, burst)
         self.at = now
         return rate
 
+    def take(self, widening: float) -> bool:
+        """Takes a token if the request is among those admitted."""
+        if self.limited:
+            self.due += min(self.admitted * widening, 1.0)
+            if self.due < 1 or self.tokens < 1:
+                self.due = min(self.due, 1.0)
+                return False
+            self.due -= 1
+        elif self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
 
 class RouteLimits:
     """Counts a VM's requests by service and route, and limits them."""
@@ -69,6 +99,7 @@
         "_ranks",
         "_random",
         "_refused",
+        "_served",
         "_taken_at",
     )
 
@@ -82,6 +113,7 @@
         self._random = random
         self._buckets: dict[_Name, _Bucket] = {}
         self._counts: collections.Counter[_Name] = collections.Counter()
+        self._served: collections.Counter[_Name] = collections.Counter()
         self._refused: collections.Counter[_Name] = collections.Counter()
         self._ranks: dict[_Name, int] = {}
         self._epoch = -1
@@ -101,11 +133,15 @@
         elapsed = max(now - self._taken_at, 0.05)
         self._taken_at = now
         demand: dict[str, dict[str, service_room.RouteDemand]] = {}
-        for (service, route), count in self._counts.items():
+        for service, route in self._counts.keys() | self._served.keys():
+            name = service, route
             demand.setdefault(service, {})[route] = service_room.RouteDemand(
-                round(count / elapsed, 3), round(work(route), 4)
+                round(self._counts[name] / elapsed, 3),
+                round(work(route), 4),
+                round(self._served[name] / elapsed, 3),
             )
         self._counts.clear()
+        self._served.clear()
         return demand
 
     def keep(self, configured: Iterable[routes.Route]) -> None:
@@ -153,6 +189,7 @@
             bucket.share = share.rate * share.part
             bucket.work = share.work
             bucket.limited = share.limited
+            bucket.admitted = share.admitted
 
     def admit(self, service: str, route: str, now: float) -> float:
         """Counts a caller's request and returns whether it may be sent.
@@ -167,15 +204,17 @@
         if bucket is None or not widening:
             return 0.0
         rate = bucket.refill(widening, now)
-        if bucket.tokens >= 1:
-            bucket.tokens -= 1
+        if bucket.take(widening):
             return 0.0
         if not bucket.limited:
             self._displace(service, bucket, self._ranks[name], now)
             return 0.0
         self._refused[name] += 1
-        wait = (1 - bucket.tokens) / rate if rate else _MAX_WAIT_SECONDS
-        return min(wait, _MAX_WAIT_SECONDS)
+        return min(1 / rate, _MAX_WAIT_SECONDS) if rate else _MAX_WAIT_SECONDS
+
+    def record_response(self, service: str, route: str) -> None:
+        """Counts a target's response to a request."""
+        self._served[service, route] += 1
 
     def dump(self, now: float) -> dict[str, object]:
         """Returns the limits and what they refused, for the state dump."""
@@ -221,5 +260,5 @@
         for bucket in buckets:
             bucket.refill(self._widening(now), now)
             cost = urgent.work / bucket.work if bucket.work else 1.0
-            floor = -max(1.0, bucket.share * _BURST_SECONDS)
+            floor = -max(_BURST_REQUESTS, bucket.share * _BURST_SECONDS)
             bucket.tokens = max(bucket.tokens - cost / len(buckets), floor)
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
@@ -11,26 +11,29 @@
 
 import msgspec
 
-FULL_SHARE = 0.9
-"""Share of the capacity that is divided. Above it, waiting times rise
-steeply."""
+FULL_SHARE = 0.95
+"""Share of the capacity that is divided; slots are also idle between two
+requests."""
 _FLOOR_SHARE = 0.4
 """Least share of a route's requests that is served, relative to the share of
 all requests to the service: a route counts as starved below a quarter."""
 _FREE_BELOW = 0.8
 """Share of busy slots below which a service has free capacity."""
 _FULL_FROM = 0.9
-"""Share of busy slots from which a service has none."""
-_CROWDED_FROM = 1.5
-"""Requests per slot from which a service is slower than calculated."""
+"""Share of busy slots from which waiting times rise steeply."""
+_MEASURED_FROM = 0.5
+"""Share of busy slots from which capacity is measured by what is served."""
+_MEASURED_SECONDS = 3.0
+"""Time constant of measured capacity."""
 _MIN_CORRECTION = 0.25
-_MAX_CORRECTION = 8.0
+_MAX_CORRECTION = 4.0
 """Bounds on measured relative to calculated capacity."""
-_CORRECTION_SECONDS = 1.0
-"""Time in which the correction changes by a factor of e."""
-_FADE_SECONDS = 10.0
-"""Time constant in which capacity above the calculated one is forgotten after
-a division."""
+_RAISE_SECONDS = 1.0
+"""Time in which shares rise by a factor of e while slots are free."""
+_RAISE_UPDATES = 2.0
+"""The same in report intervals, after which the effect is visible."""
+_MAX_RAISE = 4.0
+"""Bound on the rise."""
 _ENOUGH_SHARE = 1 - 1e-6
 """Share of a route's load from which it counts as served in full."""
 _RATE_SECONDS = 0.5
@@ -51,10 +54,12 @@
     Attributes:
         rate: Requests per second, refused ones included.
         work: Mean service time in seconds; 0 if the VM has measured none.
+        served: Responses of targets per second.
     """
 
     rate: float
     work: float
+    served: float = 0.0
 
 
 class RouteShare(msgspec.Struct, frozen=True, array_like=True):
@@ -66,12 +71,14 @@
         work: Mean service time in seconds.
         limited: Whether requests above the rate are refused. Otherwise they
             displace requests of limited routes.
+        admitted: Share of the requests that the rate suffices for.
     """
 
     rate: float
     part: float
     work: float = 0.0
     limited: bool = True
+    admitted: float = 1.0
 
 
 class Competitor(msgspec.Struct, frozen=True):
@@ -102,11 +109,13 @@
 
     Attributes:
         busy: Share of the slots that are busy.
-        crowding: Requests in progress per slot.
+        served: Load that is served, in slots.
+        interval: Seconds between two reports of a VM.
     """
 
     busy: float
-    crowding: float
+    served: float
+    interval: float
 
 
 def divide(
@@ -165,9 +174,9 @@
 class Division:
     """The division of one service, corrected by what its targets show.
 
-    Calculated capacity is wrong where targets fail, where keys are uneven or
-    where the measured service times are. Slots that are free while requests are
-    refused raise it; requests that queue at most targets lower it.
+    Calculated capacity is wrong where targets fail, keys are uneven or service
+    times have changed. What the busy slots serve corrects it. Slots that are
+    free while requests are refused raise the shares in addition.
 
     Attributes:
         capacity: Corrected capacity in slots.
@@ -176,7 +185,14 @@
         load: Slots that all routes together ask for.
     """
 
-    __slots__ = ("_updated_at", "capacity", "correction", "granted", "load")
+    __slots__ = (
+        "_raise",
+        "_updated_at",
+        "capacity",
+        "correction",
+        "granted",
+        "load",
+    )
 
     def __init__(self, now: float) -> None:
         """Creates the state of a service without a division."""
@@ -184,6 +200,7 @@
         self.capacity = 0.0
         self.load = 0.0
         self.granted: dict[str, float] = {}
+        self._raise = 1.0
         self._updated_at = now
 
     @property
@@ -197,8 +214,6 @@
         capacity: Mapping[str, float],
         occupancy: Occupancy,
         now: float,
-        *,
-        limits_first: bool,
     ) -> None:
         """Computes the division anew.
 
@@ -207,26 +222,21 @@
             capacity: Calculated capacity in slots by region.
             occupancy: How full the targets are.
             now: The time.
-            limits_first: Whether the most urgent routes are limited as well.
         """
-        elapsed = min(max(now - self._updated_at, 0.0), _CORRECTION_SECONDS)
+        elapsed = max(now - self._updated_at, 0.0)
         self._updated_at = now
-        ranks = {c.rank for c in competitors if c.load > 0}
-        top = min(ranks, default=0)
-        first = sum(c.load for c in competitors if c.rank == top)
-        self.capacity = sum(capacity.values()) * self.correction
-        # Without limits, the most urgent routes alone can crowd the targets.
-        explained = first > self.capacity * FULL_SHARE and not limits_first
-        self._correct(occupancy, elapsed, explained=explained)
+        self._measure(sum(capacity.values()), occupancy, elapsed)
         corrected = {r: c * self.correction for r, c in capacity.items()}
         self.capacity = sum(corrected.values())
         self.load = sum(c.load for c in competitors)
+        ranks = {c.rank for c in competitors if c.load > 0}
         begins = self.active or occupancy.busy >= _FULL_FROM
         if len(ranks) < 2 or not self.capacity or not begins:
             self.granted = {}
             return
+        usable = FULL_SHARE * self._raise
         granted = divide(
-            competitors, {r: c * FULL_SHARE for r, c in corrected.items()}
+            competitors, {r: c * usable for r, c in corrected.items()}
         )
         enough = all(
             granted[c.route] >= c.load * _ENOUGH_SHARE
@@ -235,25 +245,23 @@
         )
         self.granted = {} if enough else granted
 
-    def _correct(
-        self, occupancy: Occupancy, elapsed: float, *, explained: bool
+    def _measure(
+        self, capacity: float, occupancy: Occupancy, elapsed: float
     ) -> None:
-        """Adapts the correction to what the targets show."""
-        step = math.exp(elapsed / _CORRECTION_SECONDS)
-        crowded = (
-            occupancy.busy >= _FULL_FROM and occupancy.crowding >= _CROWDED_FROM
-        )
-        if occupancy.busy < _FREE_BELOW:
-            if self.active or self.correction < 1:
-                self.correction *= step
-        elif crowded and not explained:
-            self.correction /= step
-        if not self.active and self.correction > 1:
-            fading = math.exp(-elapsed / _FADE_SECONDS)
-            self.correction = 1 + (self.correction - 1) * fading
-        self.correction = min(
-            max(self.correction, _MIN_CORRECTION), _MAX_CORRECTION
-        )
+        """Adapts the correction and the rise to what the targets show."""
+        if occupancy.busy >= _MEASURED_FROM and capacity and occupancy.served:
+            measured = occupancy.served / (occupancy.busy * capacity)
+            weight = 1 - math.exp(-elapsed / _MEASURED_SECONDS)
+            self.correction += (measured - self.correction) * weight
+            self.correction = min(
+                max(self.correction, _MIN_CORRECTION), _MAX_CORRECTION
+            )
+        seconds = max(_RAISE_SECONDS, _RAISE_UPDATES * occupancy.interval)
+        step = math.exp(min(elapsed / seconds, 1.0))
+        if self.active and occupancy.busy < _FREE_BELOW:
+            self._raise = min(self._raise * step, _MAX_RAISE)
+        elif occupancy.busy >= _FULL_FROM:
+            self._raise = max(self._raise / step, 1.0)
 
 
 class _Rate:
@@ -262,15 +270,23 @@
     Attributes:
         fast: Requests per second over the short time constant.
         slow: The same over the long one.
+        served: Responses per second over the short one.
         work: Mean service time in seconds.
     """
 
-    __slots__ = ("fast", "slow", "work")
+    __slots__ = ("fast", "served", "slow", "work")
 
-    def __init__(self, rate: float) -> None:
-        self.fast = rate
-        self.slow = rate
-        self.work = 0.0
+    def __init__(self, item: RouteDemand) -> None:
+        self.fast = item.rate
+        self.slow = item.rate
+        self.served = item.served
+        self.work = item.work
+
+
+_NO_DEMAND = RouteDemand(0.0, 0.0)
+_TOTALS = 5
+"""Sums over the VMs: rates over the two time constants, load and rate of VMs
+that have measured the work, and responses."""
 
 
 class DemandAccount:
@@ -295,7 +311,7 @@
             (service, route): item
             for service, by_route in demand.items()
             for route, item in by_route.items()
-            if math.isfinite(item.rate) and item.rate >= 0
+            if _is_valid(item)
         }
         rates = self._rates.setdefault(vm, {})
         elapsed = max(now - self._reported_at.get(vm, -math.inf), 0.0)
@@ -304,14 +320,14 @@
         slow = 1 - math.exp(-elapsed / _PART_SECONDS)
         self._add(rates, -1)
         for name, item in reported.items():
-            entry = rates.setdefault(name, _Rate(item.rate))
-            if math.isfinite(item.work) and item.work > 0:
-                entry.work = item.work
+            entry = rates.setdefault(name, _Rate(item))
+            entry.work = item.work or entry.work
         for name, entry in list(rates.items()):
-            rate = reported[name].rate if name in reported else 0.0
-            entry.fast += (rate - entry.fast) * fast
-            entry.slow += (rate - entry.slow) * slow
-            if max(entry.fast, entry.slow) < _MIN_RATE:
+            item = reported.get(name, _NO_DEMAND)
+            entry.fast += (item.rate - entry.fast) * fast
+            entry.slow += (item.rate - entry.slow) * slow
+            entry.served += (item.served - entry.served) * fast
+            if max(entry.fast, entry.slow, entry.served) < _MIN_RATE:
                 del rates[name]
         self._add(rates, 1)
 
@@ -324,18 +340,18 @@
 
     def total(self, service: str, route: str) -> RouteDemand:
         """Returns the demand of all VMs."""
-        rate, _, load, measured = self._totals.get(
-            (service, route), (0.0, 0.0, 0.0, 0.0)
+        rate, _, load, measured, served = self._totals.get(
+            (service, route), (0.0,) * _TOTALS
         )
         work = load / measured if measured > _MIN_RATE else 0.0
-        return RouteDemand(max(rate, 0.0), max(work, 0.0))
+        return RouteDemand(max(rate, 0.0), max(work, 0.0), max(served, 0.0))
 
     def part(self, vm: str, service: str, route: str) -> float:
         """Returns a VM's part of a route's requests for a service."""
         count = len(self._reported_at)
         if vm not in self._reported_at:
             return 0.0
-        total = self._totals.get((service, route), (0.0, 0.0))[1]
+        total = self._totals.get((service, route), (0.0,) * _TOTALS)[1]
         entry = self._rates[vm].get((service, route))
         if total <= _MIN_RATE:
             return 1 / count
@@ -345,9 +361,18 @@
     def _add(self, rates: Mapping[tuple[str, str], _Rate], sign: int) -> None:
         """Adds a VM's rates to the totals, or subtracts them."""
         for name, entry in rates.items():
-            total = self._totals.setdefault(name, [0.0, 0.0, 0.0, 0.0])
+            total = self._totals.setdefault(name, [0.0] * _TOTALS)
             total[0] += sign * entry.fast
             total[1] += sign * entry.slow
             if entry.work:
                 total[2] += sign * entry.fast * entry.work
                 total[3] += sign * entry.fast
+            total[4] += sign * entry.served
+
+
+def _is_valid(item: RouteDemand) -> bool:
+    """Whether a reported demand can be used."""
+    return all(
+        math.isfinite(value) and value >= 0
+        for value in (item.rate, item.work, item.served)
+    )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -690,6 +690,10 @@
         response: http_server.Response,
         now: float,
     ) -> None:
+        if response.status < 500:
+            self._cluster.route_limits.record_response(
+                call.service.name, call.route.name
+            )
         elapsed = now - call.received_at
         self._outcome_counts["passed"] += 1
         self._metrics.record(call.route.name, "passed", elapsed)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
@@ -62,6 +62,7 @@
         "_cluster",
         "_demand",
         "_events",
+        "_interval",
         "_occupied",
         "_services",
         "_settings",
@@ -93,6 +94,7 @@
         self._slowness = slowness
         self._clock = timer
         self._events = log
+        self._interval = configured.leader.report
         self._valid_seconds = _VALID_SECONDS
         self._demand = service_room.DemandAccount()
         self._occupied = demand.Demand(_VALID_SECONDS)
@@ -109,8 +111,10 @@
         """
         now = self._clock.now()
         leader = self._settings.leader
-        interval = leader.report + leader.report_per_vm * vms
-        self._valid_seconds = max(_VALID_SECONDS, _VALID_INTERVALS * interval)
+        self._interval = leader.report + leader.report_per_vm * vms
+        self._valid_seconds = max(
+            _VALID_SECONDS, _VALID_INTERVALS * self._interval
+        )
         self._demand.record(report.vm.id, report.demand, now)
         self._occupied.set_valid_seconds(self._valid_seconds)
         self._occupied.record(report.vm.id, report.under_way, {}, now)
@@ -165,12 +169,13 @@
         first = min((c.rank for c in service.competitors), default=0)
         shares = {}
         for c in service.competitors:
-            cut = granted[c.route] < c.load
+            admitted = granted[c.route] / c.load
             shares[c.route] = service_room.RouteShare(
-                round(granted[c.route] / c.work if cut else c.rate, 3),
+                round(admitted * c.rate, 3),
                 round(self._demand.part(vm, name, c.route), 5),
                 round(c.work, 4),
-                cut and (limits_first or c.rank > first),
+                admitted < 1 and (limits_first or c.rank > first),
+                round(admitted, 4),
             )
         return shares
 
@@ -216,18 +221,18 @@
         )
 
     def _divide(self, name: str, service: _Service, now: float) -> None:
-        busy, under_way = self._occupied.occupied(service.slots)
+        busy = self._occupied.busy(service.slots)
         slots = sum(service.slots.values())
         was_active = service.division.active
+        served = sum(
+            self._demand.total(name, c.route).served * c.work
+            for c in service.competitors
+        )
+        occupancy = service_room.Occupancy(
+            busy / slots if slots else 0.0, served, self._interval
+        )
         service.division.update(
-            service.competitors,
-            service.capacity,
-            service_room.Occupancy(
-                busy / slots if slots else 0.0,
-                under_way / slots if slots else 0.0,
-            ),
-            now,
-            limits_first=not self._is_keyed(name),
+            service.competitors, service.capacity, occupancy, now
         )
         if was_active and not service.division.active:
             service.logged = {}
