--- a/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
@@ -108,16 +108,19 @@
                 counts[name] = count
         return counts
 
-    def busy(self, slots: Mapping[str, int]) -> int:
+    def busy(self, slots: Mapping[str, int], *, spread: bool) -> int:
         """Returns how many slots of targets are busy.
 
         Args:
             slots: Slots by target.
+            spread: Whether requests go to any target with a free slot. Counts
+                of many VMs are old; single targets then seem to have free
+                slots by chance.
         """
-        return sum(
-            min(self._under_way.get(name, 0), count)
-            for name, count in slots.items()
-        )
+        counts = {name: self._under_way.get(name, 0) for name in slots}
+        if spread:
+            return min(sum(counts.values()), sum(slots.values()))
+        return sum(min(counts[name], count) for name, count in slots.items())
 
     def gates(
         self,
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
@@ -11,10 +11,11 @@
 
 import msgspec
 
-FULL_SHARE = 0.95
-"""Share of the capacity that is divided; slots are also idle between two
-requests."""
-_FLOOR_SHARE = 0.4
+_SURPLUS_SHARE = 0.05
+"""Capacity that is granted in addition, to the least urgent routes. What does
+not fit waits at the targets, which run the more urgent first, and keeps slots
+from being idle between two requests."""
+_FLOOR_SHARE = 0.35
 """Least share of a route's requests that is served, relative to the share of
 all requests to the service: a route counts as starved below a quarter."""
 _FREE_BELOW = 0.8
@@ -23,8 +24,13 @@
 """Share of busy slots from which waiting times rise steeply."""
 _MEASURED_FROM = 0.5
 """Share of busy slots from which capacity is measured by what is served."""
+_STEADY_WITHIN = 0.1
+"""Change of the share of busy slots within which capacity is measured."""
 _MEASURED_SECONDS = 3.0
 """Time constant of measured capacity."""
+_MIN_MEASURED_SECONDS = 0.5
+"""Seconds of measurement before the first division, as after a change of the
+leader."""
 _MIN_CORRECTION = 0.25
 _MAX_CORRECTION = 4.0
 """Bounds on measured relative to calculated capacity."""
@@ -109,11 +115,14 @@
 
     Attributes:
         busy: Share of the slots that are busy.
+        tight: The same for the fullest region that a route is bound to; of all
+            slots if none is.
         served: Load that is served, in slots.
         interval: Seconds between two reports of a VM.
     """
 
     busy: float
+    tight: float
     served: float
     interval: float
 
@@ -171,6 +180,20 @@
             free[region] *= 1 - taken / available
 
 
+def _add_surplus(
+    competitors: Iterable[Competitor],
+    granted: dict[str, float],
+    surplus: float,
+) -> None:
+    """Grants a surplus to the least urgent routes that lack capacity."""
+    for c in sorted(competitors, key=lambda c: -c.rank):
+        if c.load <= 0:
+            continue
+        added = min(c.load - granted[c.route], surplus)
+        granted[c.route] += added
+        surplus -= added
+
+
 class Division:
     """The division of one service, corrected by what its targets show.
 
@@ -186,6 +209,8 @@
     """
 
     __slots__ = (
+        "_busy",
+        "_measured_seconds",
         "_raise",
         "_updated_at",
         "capacity",
@@ -200,6 +225,8 @@
         self.capacity = 0.0
         self.load = 0.0
         self.granted: dict[str, float] = {}
+        self._busy = 0.0
+        self._measured_seconds = 0.0
         self._raise = 1.0
         self._updated_at = now
 
@@ -230,14 +257,17 @@
         self.capacity = sum(corrected.values())
         self.load = sum(c.load for c in competitors)
         ranks = {c.rank for c in competitors if c.load > 0}
-        begins = self.active or occupancy.busy >= _FULL_FROM
+        begins = self.active or (
+            occupancy.tight >= _FULL_FROM
+            and self._measured_seconds >= _MIN_MEASURED_SECONDS
+        )
         if len(ranks) < 2 or not self.capacity or not begins:
             self.granted = {}
             return
-        usable = FULL_SHARE * self._raise
         granted = divide(
-            competitors, {r: c * usable for r, c in corrected.items()}
+            competitors, {r: c * self._raise for r, c in corrected.items()}
         )
+        _add_surplus(competitors, granted, self.capacity * _SURPLUS_SHARE)
         enough = all(
             granted[c.route] >= c.load * _ENOUGH_SHARE
             for c in competitors
@@ -249,18 +279,32 @@
         self, capacity: float, occupancy: Occupancy, elapsed: float
     ) -> None:
         """Adapts the correction and the rise to what the targets show."""
-        if occupancy.busy >= _MEASURED_FROM and capacity and occupancy.served:
-            measured = occupancy.served / (occupancy.busy * capacity)
-            weight = 1 - math.exp(-elapsed / _MEASURED_SECONDS)
+        lag = _RATE_SECONDS + occupancy.interval / 2
+        weight = 1 - math.exp(-elapsed / lag)
+        self._busy += (occupancy.busy - self._busy) * weight
+        # Responses are counted later than requests in progress.
+        steady = abs(occupancy.busy - self._busy) < _STEADY_WITHIN
+        busy_enough = self._busy >= _MEASURED_FROM
+        if busy_enough and steady and capacity and occupancy.served:
+            # Counts of many VMs are old, and so too low at full targets.
+            busy = 1.0 if self._busy >= _FULL_FROM else self._busy
+            measured = occupancy.served / (busy * capacity)
+            elapsed = min(elapsed, _MIN_MEASURED_SECONDS)
+            self._measured_seconds += elapsed
+            # At first the mean of all measurements.
+            weight = max(
+                1 - math.exp(-elapsed / _MEASURED_SECONDS),
+                elapsed / max(self._measured_seconds, _RATE_SECONDS),
+            )
             self.correction += (measured - self.correction) * weight
             self.correction = min(
                 max(self.correction, _MIN_CORRECTION), _MAX_CORRECTION
             )
         seconds = max(_RAISE_SECONDS, _RAISE_UPDATES * occupancy.interval)
         step = math.exp(min(elapsed / seconds, 1.0))
-        if self.active and occupancy.busy < _FREE_BELOW:
+        if self.active and occupancy.tight < _FREE_BELOW:
             self._raise = min(self._raise * step, _MAX_RAISE)
-        elif occupancy.busy >= _FULL_FROM:
+        elif occupancy.tight >= _FULL_FROM:
             self._raise = max(self._raise / step, 1.0)
 
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
@@ -40,14 +40,14 @@
         competitors: The routes that have requests for it.
         division: Its division.
         logged: Shares of their load that routes got when last logged.
-        slots: Slots by target.
+        slots: Slots by region and target.
     """
 
     __slots__ = ("capacity", "competitors", "division", "logged", "slots")
 
     def __init__(self, now: float) -> None:
         self.capacity: dict[str, float] = {}
-        self.slots: dict[str, int] = {}
+        self.slots: dict[str, dict[str, int]] = {}
         self.competitors: list[service_room.Competitor] = []
         self.division = service_room.Division(now)
         self.logged: dict[str, float] = {}
@@ -221,18 +221,12 @@
         )
 
     def _divide(self, name: str, service: _Service, now: float) -> None:
-        busy = self._occupied.busy(service.slots)
-        slots = sum(service.slots.values())
         was_active = service.division.active
-        served = sum(
-            self._demand.total(name, c.route).served * c.work
-            for c in service.competitors
-        )
-        occupancy = service_room.Occupancy(
-            busy / slots if slots else 0.0, served, self._interval
-        )
         service.division.update(
-            service.competitors, service.capacity, occupancy, now
+            service.competitors,
+            service.capacity,
+            self._occupancy(name, service),
+            now,
         )
         if was_active and not service.division.active:
             service.logged = {}
@@ -240,6 +234,27 @@
         elif service.division.active:
             self._log_shares(name, service, began=not was_active)
 
+    def _occupancy(
+        self, name: str, service: _Service
+    ) -> service_room.Occupancy:
+        """Returns how full the targets of a service are."""
+        slots = {r: sum(s.values()) for r, s in service.slots.items()}
+        spread = not self._is_keyed(name)
+        busy = {
+            region: self._occupied.busy(by_target, spread=spread)
+            for region, by_target in service.slots.items()
+        }
+        overall = sum(busy.values()) / max(sum(slots.values()), 1)
+        bound = {r for c in service.competitors for r in c.regions if r in busy}
+        tight = max((busy[r] / max(slots[r], 1) for r in bound), default=0.0)
+        served = sum(
+            self._demand.total(name, c.route).served * c.work
+            for c in service.competitors
+        )
+        return service_room.Occupancy(
+            overall, max(overall, tight), served, self._interval
+        )
+
     def _log_shares(self, name: str, service: _Service, *, began: bool) -> None:
         """Logs a division that has begun or changed much."""
         division = service.division
@@ -280,7 +295,8 @@
                 service.capacity[region] = (
                     service.capacity.get(region, 0.0) + slots
                 )
-                service.slots[target.id] = target.slots
+                by_region = service.slots.setdefault(region, {})
+                by_region[target.id] = target.slots
 
 
 def _effective_slots(
--- a/tests/gateway/rooms.py
+++ b/tests/gateway/rooms.py
@@ -251,6 +251,10 @@
     def _start(self, target):
         while target.queue and target.running < SLOTS:
             entry = heapq.heappop(target.queue)
+            _, _, arrived_at, item, vm, _ = entry
+            if self.clock.time + self.work - arrived_at > item.aim:
+                self._leave(target, vm)
+                continue
             target.running += 1
             seconds = self.work * (0.5 + self.rng.random())
             self._at(self.clock.time + seconds, self._end, target, entry)
@@ -258,10 +262,13 @@
     def _end(self, target, entry):
         _, _, arrived_at, item, vm, counted = entry
         target.running -= 1
-        vm.under_way[target.registered.id] -= 1
-        if not vm.under_way[target.registered.id]:
-            del vm.under_way[target.registered.id]
+        self._leave(target, vm)
         in_time = self.clock.time - arrived_at <= item.aim
         self.on_time[item.route.name] += counted and in_time
         vm.limits.record_response(SERVICE, item.route.name)
         self._start(target)
+
+    def _leave(self, target, vm):
+        vm.under_way[target.registered.id] -= 1
+        if not vm.under_way[target.registered.id]:
+            del vm.under_way[target.registered.id]
