--- a/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
@@ -241,6 +241,8 @@
         capacity: Mapping[str, float],
         occupancy: Occupancy,
         now: float,
+        *,
+        gated: bool = False,
     ) -> None:
         """Computes the division anew.
 
@@ -249,6 +251,8 @@
             capacity: Calculated capacity in slots by region.
             occupancy: How full the targets are.
             now: The time.
+            gated: Whether targets run the more urgent of two waiting requests
+                first.
         """
         elapsed = max(now - self._updated_at, 0.0)
         self._updated_at = now
@@ -267,7 +271,8 @@
         granted = divide(
             competitors, {r: c * self._raise for r, c in corrected.items()}
         )
-        _add_surplus(competitors, granted, self.capacity * _SURPLUS_SHARE)
+        if gated:
+            _add_surplus(competitors, granted, self.capacity * _SURPLUS_SHARE)
         enough = all(
             granted[c.route] >= c.load * _ENOUGH_SHARE
             for c in competitors
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
@@ -227,6 +227,7 @@
             service.capacity,
             self._occupancy(name, service),
             now,
+            gated=self._is_keyed(name),
         )
         if was_active and not service.division.active:
             service.logged = {}
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -81,6 +81,23 @@
         """An invalid configuration gives an error text."""
         assert RECORDS.configuration(raw).err_value
 
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            ("Priority", "high"),
+            ("Priority", None),
+            ("TargetLatencyMs", -1),
+            ("RouteAction", {"WeightedServices": [{"Weight": -1}]}),
+        ],
+    )
+    def test_unusable_rank_aim_or_weight(self, field, value):
+        """Guards against a division by numbers that make no sense."""
+        raw = platform_world.configuration()
+        raw["ListenerList"][0]["RuleSet"][0][field] = value
+        why = RECORDS.configuration(json.dumps(raw).encode()).err_value
+        assert why.count("\n") == 0
+        assert field in why or "RouteAction" in why
+
     def test_unknown_fields_are_ignored(self):
         """Unknown fields are ignored, as later versions may add some."""
         raw = platform_world.configuration() | {"New": {"Field": 1}}
