--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -12,6 +12,7 @@
 
 from mimosastile_core import errors
 from mimosastile_core.gateway import crash_detection
+from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import target_feedback
@@ -248,7 +249,10 @@
             self._clock,
             self._events,
         )
-        self._caller_server = http_server.Server(self._forwarder.handle)
+        self._caller_server = http_server.Server(
+            self._forwarder.handle,
+            held=held_bytes.HeldBytes(configured.requests.memory_bytes),
+        )
         self._readiness_server = http_server.Server(self._handle_readiness)
         self._peer_server = http_server.Server(self._handle_peer_call)
         self._metrics_server = http_server.Server(self._handle_metrics)
@@ -420,6 +424,7 @@
             "leading": self._leader_role.dump(),
             "forwarding": self._forwarder.dump(),
             "gates": self._admission.dump(),
+            "held_bytes": self._caller_server.held.dump(),
             "connections_opened": self._pool.opened,
             "log_lines_dropped": self._events.dropped,
         }
@@ -446,6 +451,7 @@
             # One sample a cycle is enough: a busy event loop is late in most
             # cycles.
             self._loop_lag = self._clock.now() - slept_at - _MAINTENANCE_SECONDS
+            self._caller_server.sample_unsent()
             self._pool.trim(_MAX_IDLE_SECONDS)
             self._order_pool.trim(_MAX_IDLE_SECONDS)
             targets = [entry.target.id for entry in self._cluster.directory]
@@ -507,6 +513,7 @@
             "targets_unreachable": len(self._reach_monitor.unreachable()),
             "services_unreachable": len(self._reach_monitor.isolated),
             "vms_known": self._membership.count,
+            "held_bytes": self._caller_server.held.total,
             "loop_lag_seconds": round(self._loop_lag, 4),
             "processor_seconds": round(_processor_seconds(), 3),
         }
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -13,6 +13,7 @@
 from mimosastile_core.gateway import caller_retries
 from mimosastile_core.gateway import crash_detection
 from mimosastile_core.gateway import directory
+from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import retry_budget
@@ -78,6 +79,7 @@
         "_read_feedback",
         "_balancer",
         "_settings",
+        "_target_bodies",
     )
 
     def __init__(
@@ -116,6 +118,7 @@
         self._outcome_counts: collections.Counter[str] = collections.Counter()
         self._active_calls: set[pending.Call] = set()
         self._latest_deadline = math.inf
+        self._target_bodies = held_bytes.TargetBodies()
 
     def dump(self) -> dict[str, object]:
         """Returns counts of outcomes and of requests in progress."""
@@ -124,6 +127,7 @@
             "outcomes": dict(self._outcome_counts),
             "waiting": self._dispatcher.queue_lengths(),
             "route_limits": self._cluster.route_limits.dump(now),
+            "bodies_at_targets": self._target_bodies.dump(),
             "under_way": self._balancer.own(),
             "repeats_left": {
                 name: round(budget.left(now), 1)
@@ -367,6 +371,8 @@
         now = self._clock.now()
         maybe_ran = failure.response.ran is not errors.Ran.NO
         call.maybe_ran = call.maybe_ran or maybe_ran
+        if failure.kind is errors.ErrorKind.OVERLOADED:
+            return False
         if call.incoming.disconnected:
             # The request was not cancelled, as it may have run. Its caller has
             # left, so no further attempt is of use.
@@ -394,6 +400,14 @@
         call.maybe_queued = load.under_way(started_at) > target.slots
         earlier_sends = call.send_count
         call.answered = False
+        size = len(call.incoming.body)
+        if not self._target_bodies.admits(target.id, size, self._body_limit):
+            self._dispatcher.finish(call, target)
+            return errors.failed(
+                errors.ErrorKind.OVERLOADED,
+                f"{target.id} holds as much of this VM as the largest body.",
+            )
+        self._target_bodies.begin(target.id, size)
         sent: SendResult
         try:
             async with asyncio.timeout_at(
@@ -407,10 +421,18 @@
             )
         finally:
             call.timer = None
+            self._target_bodies.end(target.id, size)
             self._dispatcher.finish(call, target)
         self._record_outcome(call, target, sent, started_at)
         return sent
 
+    @property
+    def _body_limit(self) -> int:
+        """Bytes of the largest body that callers may send."""
+        configuration = self._cluster.configuration
+        limits = configuration.limits if configuration else None
+        return (limits or routes.CallerLimits()).body_bytes
+
     def _basis(self, target: directory.Target) -> pending.Basis:
         """Returns the state by which a target is chosen, for the log."""
         now = self._clock.now()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import routes
 
 _BACKLOG = 1024
@@ -21,6 +22,9 @@
 after the response in progress."""
 _WRITE_BUFFER_BYTES = 256 << 10
 """Bytes buffered for a slow caller before a streamed response pauses."""
+_MEMORY_RETRY_AFTER = ((b"retry-after", b"1"),)
+"""Headers of a refusal for want of memory: slow callers hold theirs for
+seconds."""
 _REASONS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
 
 
@@ -109,9 +113,11 @@
         "_closed",
         "_current",
         "_head_bytes",
+        "_held_bytes",
         "_incoming",
         "_final",
         "_loop",
+        "_owner",
         "_parser",
         "_queue",
         "_server",
@@ -132,6 +138,8 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._held_bytes = 0
+        self._owner = ""
         self._queue: list[tuple[Request, bool]] = []
         self._current: Request | None = None
         self._task: asyncio.Task[None] | None = None
@@ -174,6 +182,8 @@
         """Configures the socket and waits for the first request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self._owner = str(peer[0]) if peer else ""
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
@@ -205,6 +215,8 @@
         self._stop_timer()
         self._server.closed(self)
         self._queue.clear()
+        if self._task is None:
+            self._release(self._held_bytes)
         current = self._current
         if current is not None:
             current.disconnected = True
@@ -253,6 +265,8 @@
         most = self._server.limits.body_bytes
         if length is not None and length.isdigit() and int(length) > most:
             self._reject(413)
+        elif length is not None and not self._server.admits(length):
+            self._reject(503, _MEMORY_RETRY_AFTER)
         elif (incoming.header(b"expect") or b"").lower() == b"100-continue":
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -260,6 +274,8 @@
         """Buffers a piece of a body."""
         self._body.append(body)
         self._body_bytes += len(body)
+        self._held_bytes += len(body)
+        self._server.held.hold(self._owner, len(body))
         if self._body_bytes > self._server.limits.body_bytes:
             self._reject(413)
 
@@ -287,9 +303,12 @@
                 response = await self._server.handle(incoming)
                 self._current = None
                 await self._send_response(incoming, response, keep_alive)
+                self._release(len(incoming.body))
         finally:
             self._task = None
             self._current = None
+            if self._closed:
+                self._release(self._held_bytes)
         if not self._closed:
             self._start_timer(self._server.limits.idle_seconds)
 
@@ -339,17 +358,29 @@
         if self._head_bytes > self._server.limits.header_bytes:
             self._reject(431)
 
-    def _reject(self, status: int) -> None:
-        """Sends an error for an invalid request and closes the connection."""
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the caller has not read yet."""
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport else 0
+
+    def _release(self, size: int) -> None:
+        """Counts bytes of bodies as no longer held."""
+        self._held_bytes -= size
+        self._server.held.release(self._owner, size)
+
+    def _reject(
+        self, status: int, headers: tuple[tuple[bytes, bytes], ...] = ()
+    ) -> None:
+        """Sends a refusal and closes the connection."""
         if self._closed or self._final:
             return
         self._final = True
         self._incoming = None
         self._stop_timer()
         if self._task is None:
-            self._write(
-                _format_head(Response(status), final=True, head_only=False)
-            )
+            response = Response(status, headers)
+            self._write(_format_head(response, final=True, head_only=False))
             self._close()
 
     def _start_timer(self, seconds: float) -> None:
@@ -385,6 +416,7 @@
         "_handler",
         "_listener",
         "_work",
+        "held",
         "limits",
         "stopping",
     )
@@ -393,6 +425,7 @@
         self,
         handler: Handler,
         limits: routes.CallerLimits | None = None,
+        held: held_bytes.HeldBytes | None = None,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -400,12 +433,14 @@
             handler: Returns the response to each request.
             limits: Limits on requests and connections; may be replaced while
                 the server runs.
+            held: Counts the bytes held for callers; None for no bound.
         """
         self._handler = handler
         self._listener: asyncio.Server | None = None
         self._connections: set[Connection] = set()
         self._work = 0
         self.limits = limits or routes.CallerLimits()
+        self.held = held or held_bytes.HeldBytes()
         self.stopping = False
 
     @property
@@ -435,6 +470,19 @@
         bound = self._listener.sockets[0].getsockname()
         return f"{bound[0]}:{bound[1]}"
 
+    def sample_unsent(self) -> None:
+        """Counts the bytes of responses that callers have not read yet."""
+        self.held.sample_unsent(
+            sum(connection.unsent_bytes for connection in self._connections)
+        )
+
+    def admits(self, length: bytes) -> bool:
+        """Whether there is memory for a body of an announced length."""
+        if not length.isdigit() or int(length) < held_bytes.LARGE_BYTES:
+            return True
+        self.sample_unsent()
+        return self.held.admits(int(length))
+
     def stop_listening(self) -> None:
         """Stops accepting connections."""
         if self._listener is not None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -212,6 +212,8 @@
             connections, as callers are not spread evenly over VMs.
         silent: Time of unacknowledged data after which the kernel ends a
             connection.
+        memory_bytes: Bytes held for callers up to which large bodies are
+            accepted, 0 for no bound.
     """
 
     connect: Positive = 0.3
@@ -222,6 +224,7 @@
     retry_after_least: Positive = 0.05
     own_connections: Positive = 2.0
     silent: Positive = 2.0
+    memory_bytes: int = 0
 
 
 class StopSettings(_Strict, frozen=True):
--- /dev/null
+++ b/tests/gateway/test_held_bytes.py
@@ -0,0 +1,131 @@
+"""Tests of the bytes that a VM holds for callers and targets."""
+
+import asyncio
+
+import pytest
+
+from mimosastile_core.gateway import held_bytes
+from mimosastile_gateway import http_server
+
+_LARGE = held_bytes.LARGE_BYTES
+
+
+def _post(size):
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+    return head + b"x" * size
+
+
+def _run(scenario, limit):
+    async def main():
+        release = asyncio.Event()
+
+        async def handler(incoming):
+            await release.wait()
+            return http_server.Response(200, (), incoming.body)
+
+        held = held_bytes.HeldBytes(limit)
+        server = http_server.Server(handler, held=held)
+        address = await server.listen("127.0.0.1:0")
+        host, port = address.split(":")
+        try:
+            async with asyncio.timeout(10):
+                await scenario(
+                    server,
+                    release,
+                    lambda: asyncio.open_connection(host, int(port)),
+                )
+        finally:
+            server.stop_listening()
+            server.abort()
+            await asyncio.sleep(0.01)
+
+    asyncio.run(main())
+
+
+async def _until(condition):
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+class TestCallers:
+    """Bodies from callers, and responses to them."""
+
+    def test_large_body_near_the_bound(self):
+        """Guards against a process that is ended for its use of memory.
+
+        A second large body does not fit; the first is served, small ones too.
+        """
+
+        async def scenario(server, release, connect):
+            first_reader, first = await connect()
+            first.write(_post(2 * _LARGE))
+            await _until(lambda: server.held.total == 2 * _LARGE)
+            reader, second = await connect()
+            second.write(_post(2 * _LARGE)[:1000])
+            refusal = await reader.read()
+            assert refusal.startswith(b"HTTP/1.1 503")
+            assert b"retry-after: 1" in refusal
+            small_reader, small = await connect()
+            small.write(_post(10))
+            release.set()
+            for served in (first_reader, small_reader):
+                line = await served.readline()
+                assert line.startswith(b"HTTP/1.1 200")
+            await _until(lambda: not server.held.dump()["requests"])
+            for writer in (first, second, small):
+                writer.close()
+
+        _run(scenario, 3 * _LARGE)
+
+    def test_nothing_is_held_for_callers_that_left(self):
+        """Guards against growth from callers that leave midway."""
+
+        async def scenario(server, release, connect):
+            for sent in (_LARGE // 2, _LARGE + 200):
+                _, writer = await connect()
+                writer.write(_post(_LARGE)[:sent])
+                await _until(lambda: server.held.total > 0)
+                writer.close()
+                await _until(lambda: server.held.total == 0)
+            assert server.held.dump()["owners"] == {}
+
+        _run(scenario, 0)
+
+    def test_unread_responses_count(self):
+        """Guards against slow callers that nobody counts."""
+
+        async def scenario(server, release, connect):
+            release.set()
+            _, writer = await connect()
+            writer.transport.pause_reading()
+            writer.write(_post(200 * _LARGE))
+            await _until(lambda: server.held.dump()["peaks"])
+            while not server.held.dump()["responses"]:
+                await asyncio.sleep(0.01)
+                server.sample_unsent()
+            assert not server.admits(b"%d" % (400 * _LARGE))
+            writer.close()
+
+        _run(scenario, 500 * _LARGE)
+
+
+class TestTargets:
+    """Bodies that targets hold."""
+
+    @pytest.mark.parametrize(
+        ("held", "size", "admitted"),
+        [
+            (0, 8 * _LARGE, True),
+            (8 * _LARGE, _LARGE, False),
+            (8 * _LARGE, 100, True),
+            (4 * _LARGE, 4 * _LARGE, True),
+        ],
+    )
+    def test_one_largest_body_at_a_time(self, held, size, admitted):
+        """Guards against targets that crash for want of memory."""
+        bodies = held_bytes.TargetBodies()
+        bodies.begin("t", held)
+        assert bodies.admits("t", size, 8 * _LARGE) is admitted
+        bodies.end("t", held)
+        assert bodies.dump()["total"] == 0
+        assert bodies.admits("t", size, 8 * _LARGE)
