--- a/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
@@ -11,10 +11,10 @@
 
 import msgspec
 
-_SURPLUS_SHARE = 0.05
-"""Capacity that is granted in addition, to the least urgent routes. What does
-not fit waits at the targets, which run the more urgent first, and keeps slots
-from being idle between two requests."""
+_SURPLUS_SHARE = 0.3
+"""Capacity that is granted in addition, to the least urgent routes, where the
+targets have gates. What does not fit waits there, and the gates, which know
+each slot, run the more urgent first."""
 _FLOOR_SHARE = 0.35
 """Least share of a route's requests that is served, relative to the share of
 all requests to the service: a route counts as starved below a quarter."""
