Limit routes only where another kind competes for the same capacity

Routes below a twentieth of the load are no competitors, and the most urgent ones are limited only where another would fall below its floor.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
@@ -18,6 +18,11 @@
 _FLOOR_SHARE = 0.35
 """Least share of a route's requests that is served, relative to the share of
 all requests to the service: a route counts as starved below a quarter."""
+_MIN_LOAD_SHARE = 0.05
+"""Share of a service's load from which a route counts as a competitor."""
+_PROTECTED_BELOW = 1.2
+"""Share of its floor below which a route needs protection from the most urgent
+ones."""
 _FREE_BELOW = 0.8
 """Share of busy slots below which a service has free capacity."""
 _FULL_FROM = 0.9
@@ -205,6 +210,7 @@
         capacity: Corrected capacity in slots.
         correction: Corrected relative to calculated capacity.
         granted: Slots by route; empty while there is no division.
+        limited: Routes that may not use more than what is granted to them.
         load: Slots that all routes together ask for.
     """
 
@@ -216,6 +222,7 @@
         "capacity",
         "correction",
         "granted",
+        "limited",
         "load",
     )
 
@@ -225,6 +232,7 @@
         self.capacity = 0.0
         self.load = 0.0
         self.granted: dict[str, float] = {}
+        self.limited: frozenset[str] = frozenset()
         self._busy = 0.0
         self._measured_seconds = 0.0
         self._raise = 1.0
@@ -260,7 +268,10 @@
         corrected = {r: c * self.correction for r, c in capacity.items()}
         self.capacity = sum(corrected.values())
         self.load = sum(c.load for c in competitors)
-        ranks = {c.rank for c in competitors if c.load > 0}
+        counted = [
+            c for c in competitors if c.load > self.load * _MIN_LOAD_SHARE
+        ]
+        ranks = {c.rank for c in counted}
         begins = self.active or (
             occupancy.tight >= _FULL_FROM
             and self._measured_seconds >= _MIN_MEASURED_SECONDS
@@ -269,16 +280,34 @@
             self.granted = {}
             return
         granted = divide(
-            competitors, {r: c * self._raise for r, c in corrected.items()}
+            counted, {r: c * self._raise for r, c in corrected.items()}
+        )
+        protects = not gated and self._needs_protection(
+            [c for c in counted if c.rank > min(ranks)], granted
         )
         if gated:
-            _add_surplus(competitors, granted, self.capacity * _SURPLUS_SHARE)
-        enough = all(
-            granted[c.route] >= c.load * _ENOUGH_SHARE
-            for c in competitors
-            if c.load > 0
+            _add_surplus(counted, granted, self.capacity * _SURPLUS_SHARE)
+        self.limited = frozenset(
+            c.route
+            for c in counted
+            if granted[c.route] < c.load * _ENOUGH_SHARE
+            and (c.rank > min(ranks) or protects)
+        )
+        self.granted = granted if self.limited else {}
+
+    def _needs_protection(
+        self, less_urgent: Iterable[Competitor], granted: Mapping[str, float]
+    ) -> bool:
+        """Whether a route would fall below its floor without limits on all.
+
+        Where each gets more, the most urgent routes lack capacity that the
+        others do not use, as in a region that these are not bound to.
+        """
+        floor = _FLOOR_SHARE * min(1.0, self.capacity * self._raise / self.load)
+        return any(
+            granted[c.route] < c.load * floor * _PROTECTED_BELOW
+            for c in less_urgent
         )
-        self.granted = {} if enough else granted
 
     def _measure(
         self, capacity: float, occupancy: Occupancy, elapsed: float
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
@@ -165,16 +165,16 @@
     ) -> dict[str, service_room.RouteShare]:
         """Returns a VM's shares of one divided service."""
         granted = service.division.granted
-        limits_first = not self._is_keyed(name)
-        first = min((c.rank for c in service.competitors), default=0)
         shares = {}
         for c in service.competitors:
-            admitted = granted[c.route] / c.load
+            if c.route not in granted:
+                continue
+            admitted = min(granted[c.route] / c.load, 1.0)
             shares[c.route] = service_room.RouteShare(
                 round(admitted * c.rate, 3),
                 round(self._demand.part(vm, name, c.route), 5),
                 round(c.work, 4),
-                admitted < 1 and (limits_first or c.rank > first),
+                c.route in service.division.limited,
                 round(admitted, 4),
             )
         return shares
@@ -262,6 +262,7 @@
         served = {
             c.route: round(division.granted[c.route] / c.load, 3)
             for c in service.competitors
+            if c.route in division.limited
         }
         changed = any(
             abs(share - service.logged.get(route, 1.0)) > _LOGGED_CHANGE
--- a/tests/gateway/rooms.py
+++ b/tests/gateway/rooms.py
@@ -96,13 +96,11 @@
         self.settings = fakes.configured()
         self.targets = [
             _Target(
-                fakes.target(f"t{n}", SERVICE, zone=zone, slots=SLOTS),
+                fakes.target(f"{zone}-{n}", SERVICE, zone=zone, slots=SLOTS),
                 self.settings.vm.regions[zone],
             )
             for zone, count in targets.items()
-            for n in range(len(targets) * 1000)
-            if n % len(targets) == list(targets).index(zone)
-            and n // len(targets) < count
+            for n in range(count)
         ]
         self.cluster = fakes.new_cluster_state(
             self.clock, self.log, *(t.registered for t in self.targets)
--- a/tests/gateway/test_service_room.py
+++ b/tests/gateway/test_service_room.py
@@ -139,6 +139,26 @@
         room.count(6.3, 9)
         assert room.credit("urgent") > 1 - _TOLERANCE
 
+    def test_urgent_route_that_nobody_competes_with(self):
+        """Guards against limits of a route for the sake of hardly any other.
+
+        The urgent route alone has too little capacity in its region. What else
+        there is runs in another one, or makes next to no requests.
+        """
+        room = rooms.Room(
+            12,
+            [
+                rooms.kind("urgent", 1, 300.0, regions=("r",)),
+                rooms.kind("bulk", 2, 150.0, aim=3.0),
+                rooms.kind("rare", 0, 5.0),
+            ],
+            {"z": 12, "far": 12},
+        )
+        room.run(8.0)
+        shares = room.leader.shares_for("vm0").get(rooms.SERVICE, {})
+        assert "rare" not in shares
+        assert not shares or not shares["urgent"].limited
+
     def test_route_bound_to_a_region(self):
         """A bulk route bound to a region leaves the other one alone."""
         room = rooms.Room(
