--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -519,10 +519,7 @@
         }
         for name, value in gauges.items():
             self._metrics.set_gauge(name, value)
-        leads = self._leader_role.is_leader
-        self._metrics.set_route_gauges(
-            self._leader_role.room.gauges() if leads else {}
-        )
+        self._metrics.set_route_gauges(self._leader_role.room.gauges())
 
     async def _handle_peer_call(
         self, incoming: http_server.Request
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -548,6 +548,7 @@
         for keyed in self._services.values():
             keyed.reconciler.stop()
         self._services = {}
+        self._room = self._new_room()
         self._events.write("leader", "stepped_down", epoch=entry.epoch, why=why)
 
     # Reports of VMs.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
@@ -18,7 +18,7 @@
         "_counts",
         "_event_counts",
         "_gauges",
-        "_labelled_gauges",
+        "_route_gauges",
         "_times",
         "_traffic",
     )
@@ -41,7 +41,7 @@
         )
         self._times: dict[str, histogram.HdrHistogram] = {}
         self._gauges: dict[str, float] = {}
-        self._labelled_gauges: dict[str, dict[tuple[str, str], float]] = {}
+        self._route_gauges: Mapping[str, Mapping[tuple[str, str], float]] = {}
 
     def record(self, route: str, outcome: str, seconds: float) -> None:
         """Counts a request that has ended.
@@ -64,17 +64,14 @@
         self._gauges[name] = value
 
     def set_route_gauges(
-        self, values: Mapping[tuple[str, str, str], float]
+        self, values: Mapping[str, Mapping[tuple[str, str], float]]
     ) -> None:
         """Replaces all gauges that have a service and a route.
 
         Args:
-            values: Values by name, service and route.
+            values: Values by name, then by service and route.
         """
-        self._labelled_gauges = {}
-        for (name, service, route), value in values.items():
-            by_label = self._labelled_gauges.setdefault(name, {})
-            by_label[service, route] = value
+        self._route_gauges = values
 
     def text(self) -> str:
         """Returns all metrics in the Prometheus text format."""
@@ -104,7 +101,7 @@
         for gauge, value in sorted(self._gauges.items()):
             yield f"# TYPE mimosastile_{gauge} gauge"
             yield f"mimosastile_{gauge} {value:g}"
-        for gauge, by_label in sorted(self._labelled_gauges.items()):
+        for gauge, by_label in sorted(self._route_gauges.items()):
             yield f"# TYPE mimosastile_{gauge} gauge"
             for (service, route), value in sorted(by_label.items()):
                 labels = f'service="{service}",route="{route}"'
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
@@ -132,16 +132,25 @@
         }
         return {name: by_route for name, by_route in shares.items() if by_route}
 
-    def gauges(self) -> dict[tuple[str, str, str], float]:
-        """Returns gauges by name, service and route; empty route for none."""
-        found: dict[tuple[str, str, str], float] = {}
+    def gauges(self) -> dict[str, dict[tuple[str, str], float]]:
+        """Returns gauges in slots by name, then by service and route.
+
+        A service's capacity has an empty route.
+        """
+        capacity: dict[tuple[str, str], float] = {}
+        load: dict[tuple[str, str], float] = {}
+        share: dict[tuple[str, str], float] = {}
         for name, service in self._services.items():
-            found["room_capacity_slots", name, ""] = service.division.capacity
+            capacity[name, ""] = service.division.capacity
             for c in service.competitors:
                 granted = service.division.granted.get(c.route, c.load)
-                found["room_demand_slots", name, c.route] = c.load
-                found["room_share_slots", name, c.route] = granted
-        return found
+                load[name, c.route] = c.load
+                share[name, c.route] = granted
+        return {
+            "room_capacity_slots": capacity,
+            "room_demand_slots": load,
+            "room_share_slots": share,
+        }
 
     def dump(self) -> dict[str, object]:
         """Returns the account for the state dump, in slots."""
