--- a/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
@@ -124,12 +124,23 @@
             slots if none is.
         served: Load that is served, in slots.
         interval: Seconds between two reports of a VM.
+        regions: Share of busy slots by region, where requests go to any target
+            with a free slot.
     """
 
     busy: float
     tight: float
     served: float
     interval: float
+    regions: dict[str, float] = {}
+
+    def has_free_slots(self, competitor: Competitor) -> bool:
+        """Whether a region that a route may use has free capacity."""
+        return any(
+            busy < _FREE_BELOW
+            for region, busy in self.regions.items()
+            if not competitor.regions or region in competitor.regions
+        )
 
 
 def divide(
@@ -292,6 +303,7 @@
             for c in counted
             if granted[c.route] < c.load * _ENOUGH_SHARE
             and (c.rank > min(ranks) or protects)
+            and not occupancy.has_free_slots(c)
         )
         self.granted = granted if self.limited else {}
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
@@ -261,8 +261,13 @@
             self._demand.total(name, c.route).served * c.work
             for c in service.competitors
         )
+        by_region = {r: busy[r] / max(slots[r], 1) for r in slots}
         return service_room.Occupancy(
-            overall, max(overall, tight), served, self._interval
+            overall,
+            max(overall, tight),
+            served,
+            self._interval,
+            by_region if spread else {},
         )
 
     def _log_shares(self, name: str, service: _Service, *, began: bool) -> None:
--- a/tests/gateway/test_service_room.py
+++ b/tests/gateway/test_service_room.py
@@ -159,6 +159,20 @@
         assert "rare" not in shares
         assert not shares or not shares["urgent"].limited
 
+    def test_region_that_is_free(self):
+        """Guards against refusals beside free slots of another region."""
+        room = rooms.Room(
+            12,
+            [
+                rooms.kind("urgent", 1, 300.0, regions=("r",)),
+                rooms.kind("bulk", 2, 100.0, aim=3.0),
+            ],
+            {"z": 12, "far": 12},
+        )
+        room.run(9.0)
+        refused = [vm.limits.dump(9.0)["refused"] for vm in room.vms]
+        assert not any("s/bulk" in by_route for by_route in refused)
+
     def test_route_bound_to_a_region(self):
         """A bulk route bound to a region leaves the other one alone."""
         room = rooms.Room(
