--- a/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/demand.py
@@ -63,6 +63,10 @@
         self._contended: set[str] = set()
         self._wanted: dict[str, int] = {}
 
+    def set_valid_seconds(self, seconds: float) -> None:
+        """Sets the time in seconds for which a report counts."""
+        self._valid_seconds = seconds
+
     def record(
         self,
         vm: str,
@@ -108,6 +112,20 @@
                 counts[name] = count
         return counts
 
+    def busy(self, slots: Mapping[str, int], *, spread: bool) -> int:
+        """Returns how many slots of targets are busy.
+
+        Args:
+            slots: Slots by target.
+            spread: Whether requests go to any target with a free slot. Counts
+                of many VMs are old; single targets then seem to have free
+                slots by chance.
+        """
+        counts = {name: self._under_way.get(name, 0) for name in slots}
+        if spread:
+            return min(sum(counts.values()), sum(slots.values()))
+        return sum(min(counts[name], count) for name, count in slots.items())
+
     def gates(
         self,
         vms: Iterable[tuple[str, str]],
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -34,6 +34,7 @@
 from mimosastile_gateway import planning
 from mimosastile_gateway import ports
 from mimosastile_gateway import reach_monitoring
+from mimosastile_gateway import room_accounting
 from mimosastile_gateway import settings
 from mimosastile_gateway import witnessing
 
@@ -108,6 +109,7 @@
         "_publish_timer",
         "_published_at",
         "_revision",
+        "_room",
         "_selected_gates",
         "_selected_watchers",
         "_serial",
@@ -187,6 +189,7 @@
         self._watchers_selected_at = float("-inf")
         self._selected_watchers: tuple[str, ...] = ()
         self._planner = self._new_planner()
+        self._room = self._new_room()
         self._services: dict[str, planning.KeyedService] = {}
         self._former_leaders = former_leaders.FormerLeaders(0.0)
         self.address = configured.vm.peers
@@ -240,6 +243,20 @@
             self._events,
         )
 
+    def _new_room(self) -> room_accounting.RoomAccounting:
+        return room_accounting.RoomAccounting(
+            self._settings,
+            self._cluster,
+            self._planner.slowness,
+            self._clock,
+            self._events,
+        )
+
+    @property
+    def room(self) -> room_accounting.RoomAccounting:
+        """The account of services that lack capacity, kept while leading."""
+        return self._room
+
     @property
     def is_leader(self) -> bool:
         """Whether this VM leads and has not observed a successor."""
@@ -402,6 +419,7 @@
         self._entry = entry
         self._revision = revision
         self._planner = self._new_planner()
+        self._room = self._new_room()
         self._demand = demand.Demand(dissemination.REPORT_MAX_AGE_SECONDS)
         self._successors.clear()
         self._path_succession.clear()
@@ -578,6 +596,7 @@
         for keyed in self._services.values():
             keyed.reconciler.stop()
         self._services = {}
+        self._room = self._new_room()
         self._events.write("leader", "stepped_down", epoch=entry.epoch, why=why)
 
     # Reports of VMs.
@@ -635,6 +654,7 @@
         fresh_reports = self._disseminator.fresh()
         path_proof = self._path_succession.proof_for(vm.id)
         missing = self._disseminator.updates_for_reply(report)
+        self._room.record(report, len(fresh_reports))
         return messages.ReportReply(
             self._entry,
             leading=True,
@@ -667,6 +687,7 @@
             configuration_age=self._cluster.configuration_age,
             peers=self._peers_for(report, fresh_reports),
             path_proof=path_proof,
+            shares=self._room.shares_for(vm.id),
         )
 
     def _record_follower(self, report: messages.Report) -> None:
@@ -1192,6 +1213,7 @@
             "epoch": self._entry.epoch if self._entry else None,
             "witnesses": self._witnesses.dump() if self._witnesses else [],
             "former_grants_seconds": round(self.former_grants_seconds, 2),
+            "capacity": self._room.dump() if self.is_leader else {},
             "tables": {
                 name: {
                     "version": keyed.table.version,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -641,6 +641,10 @@
             led_epoch=self._leader.led_epoch,
             running=self._leader.running_seconds,
             own_extended=self._leader.own_extended_seconds(),
+            self._cluster.route_limits.take_demand(
+                lambda route: self._balancer.work(route, 0.0),
+                self._clock.now(),
+            ),
         )
 
     def _complete_at(self) -> tuple[float | None, float | None]:
@@ -814,6 +818,8 @@
                 name: leaving.born
                 for name, leaving in self._reported_leaving.items()
             }
+        epoch = reply.leader.epoch if reply.leader else -1
+        self._cluster.route_limits.apply(reply.shares, epoch, now)
         self._balancer.record_other_requests(reply.under_way, now)
         self._balancer.replace_gates(reply.gates, now)
         self._cluster.limits.record_leader_view(reply.limits, now)
