Measure targets' speeds while requests wait, and join them at the leader

Cause: a target's speed was learned only from responses that did not wait, so under load nothing was learned; gated requests counted as not waiting although they do; VMs' factors were averaged without weight. Change: the number of requests that a request finds at its target, as reported by the target or counted, gives its time in service times. VMs report samples since their last report, gates measure targets that report no load, the leader joins all by weight and age and notices changes, and VMs that have not measured a target get the joined estimate.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
@@ -8,17 +8,24 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import math
 
 import msgspec
 
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import target_feedback
+from mimosastile_core.gateway import target_speeds
 
 _SMOOTHING_WEIGHT = 0.15
 """Weight of one response in the mean: the mean follows a change within about
 seven responses."""
 _FACTOR_BOUNDS = (0.2, 20.0)
+_MAX_PRIOR_SAMPLES = 10.0
+"""Responses that the other VMs' estimate of a target's speed is worth."""
+_MIN_ROUTE_SAMPLES = 8
+"""Responses of a route from which its mean service time shows which targets are
+fast."""
 _FAILURE_HALF_LIFE_SECONDS = 2.0
 """Half-life of the recorded failure share."""
 _FAILURE_WEIGHT = 4.0
@@ -51,6 +58,7 @@
 """Oldest age at which the counts of other VMs and the gates are used."""
 
 
+_NOT_WAITED = target_speeds.Occupancy(1.0)
 _SAME_CHOICE_SHARE = 0.5
 """Estimated share of other VMs that choose the same target as this one. They
 are located elsewhere, and their callers' requests come at other times."""
@@ -114,6 +122,7 @@
         "others",
         "others_at",
         "own",
+        "prior_samples",
         "reported_load",
         "samples",
         "sent",
@@ -124,7 +133,8 @@
         self.others = 0
         self.others_at = -math.inf
         self.factor = 1.0
-        self.samples = 0
+        self.samples = 0.0
+        self.prior_samples = 0.0
         self.sent = 0
         self.backoff_until = -math.inf
         self.reported_load: target_feedback.TargetLoad | None = None
@@ -176,24 +186,34 @@
             -age / _FAILURE_HALF_LIFE_SECONDS
         )
 
-    def answered(self, seconds: float, work: float, now: float) -> None:
+    def answered(
+        self, seconds: float, work: float, now: float, weight: float = 1.0
+    ) -> None:
         """Records a response and its service time.
 
         Args:
             seconds: Service time, without queueing at the target.
             work: Mean service time of such requests at all targets.
             now: The time.
+            weight: Weight of the response, from 0 to 1.
         """
         low, high = _FACTOR_BOUNDS
         ratio = min(max(seconds / max(work, 1e-3), low), high)
         # One request in a hundred takes several times as long. A few of them do
         # not make a target slow.
-        step = max(_SMOOTHING_WEIGHT, 1 / (self.samples + 1))
+        known = self.samples + self.prior_samples
+        step = max(_SMOOTHING_WEIGHT * weight, weight / (known + weight))
         ratio = min(ratio, 3 * self.factor)
         self.factor += (ratio - self.factor) * step
-        self.samples += 1
+        self.samples += weight
         self.responded(now)
 
+    def assume(self, speed: target_speeds.SpeedSample) -> None:
+        """Takes over what other VMs have measured until this VM has."""
+        if not self.samples:
+            self.factor = speed.factor
+            self.prior_samples = min(speed.samples, _MAX_PRIOR_SAMPLES)
+
     def responded(self, now: float) -> None:
         """Records that the target responded, with any service time."""
         self._update_failure_share(0.0, now)
@@ -260,6 +280,7 @@
         "_reporting_services",
         "_route_means",
         "_silent_gates_until",
+        "_speeds",
     )
 
     def __init__(
@@ -277,10 +298,11 @@
         self._policy = policy
         self._loads: dict[str, TargetStats] = {}
         self._reporting_services: set[str] = set()
-        self._route_means: dict[str, tuple[float, float]] = {}
+        self._route_means: dict[str, tuple[float, float, int]] = {}
         self._gates: dict[str, str] = {}
         self._gates_updated_at = -math.inf
         self._silent_gates_until: dict[str, float] = {}
+        self._speeds = target_speeds.SpeedMeter()
 
     def load(self, target: str) -> TargetStats:
         """Returns the recorded load of a target."""
@@ -297,6 +319,7 @@
             for name, load in self._loads.items()
             if name in kept or load.own
         }
+        self._speeds.retain(kept)
 
     def own(self) -> dict[str, int]:
         """Returns this VM's requests in progress by target."""
@@ -315,6 +338,25 @@
             if load.samples
         }
 
+    def take_speeds(
+        self, now: float, *, standing: bool
+    ) -> dict[str, target_speeds.SpeedSample]:
+        """Returns the speeds to report; see `SpeedMeter.take`."""
+        return self._speeds.take(now, standing=standing)
+
+    def assume_speeds(
+        self, speeds: Mapping[str, target_speeds.SpeedSample]
+    ) -> None:
+        """Takes over speeds that other VMs have measured."""
+        for target, speed in speeds.items():
+            self.load(target).assume(speed)
+
+    def record_gate_speed(
+        self, target: str, sample: target_speeds.SpeedSample, now: float
+    ) -> None:
+        """Records what this VM has measured as the gate of a target."""
+        self._speeds.record(target, sample.factor, sample.samples, now)
+
     @property
     def policy(self) -> Policy:
         """Limits on the load of targets, and the cost of distance."""
@@ -461,11 +503,11 @@
 
     def work(self, route: str, default_work: float) -> float:
         """Returns the mean service time in seconds of a route's requests."""
-        return self._route_means.get(route, (default_work, 0.0))[0]
+        return self._route_means.get(route, (default_work, 0.0, 0))[0]
 
     def size(self, route: str) -> float:
         """Returns the mean bytes of a route's requests and responses."""
-        return self._route_means.get(route, (0.0, 0.0))[1]
+        return self._route_means.get(route, (0.0, 0.0, 0))[1]
 
     def answered(
         self,
@@ -475,7 +517,7 @@
         size: int,
         now: float,
         *,
-        waited: bool = False,
+        occupancy: target_speeds.Occupancy = _NOT_WAITED,
     ) -> None:
         """Records a complete response.
 
@@ -485,19 +527,26 @@
             seconds: Time from sending to the end of the response.
             size: Bytes of the request and the response.
             now: The time.
-            waited: Whether the request may have been queued at the target. Its
-                time then says nothing about the target's speed.
+            occupancy: How long the request was at the target in service times.
+                With a weight of 0 its time says nothing about the target.
         """
-        mean, bytes_mean = self._route_means.get(route, (seconds, float(size)))
         load = self.load(target)
-        if waited:
+        weight = occupancy.weight
+        if not weight:
             load.responded(now)
             return
+        seconds /= occupancy.service_times
+        mean, bytes_mean, count = self._route_means.get(
+            route, (seconds, float(size), 0)
+        )
+        step = weight * max(_SMOOTHING_WEIGHT / 5, 1 / (count + 1))
         clamped = min(seconds, 5 * mean)
-        mean += (clamped - mean) * _SMOOTHING_WEIGHT / 5
-        bytes_mean += (size - bytes_mean) * _SMOOTHING_WEIGHT / 5
-        self._route_means[route] = (mean, bytes_mean)
-        load.answered(seconds, mean, now)
+        mean += (clamped - mean) * step
+        bytes_mean += (size - bytes_mean) * step
+        self._route_means[route] = (mean, bytes_mean, count + 1)
+        load.answered(seconds, mean, now, weight)
+        if count >= _MIN_ROUTE_SAMPLES:
+            self._speeds.record(target, seconds / max(mean, 1e-3), weight, now)
 
     def expected_seconds(
         self,
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/target_speeds.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/target_speeds.py
@@ -1,7 +1,60 @@
-"""Measured speeds of targets, as exchanged between VMs and their leader."""
+"""Measured speeds of targets: estimates of each VM, joined by the leader.
+
+With hundreds of VMs each one gets a few responses a minute from a target, and
+single service times vary by their own mean. So no VM knows a target's speed
+well, but all together do: VMs report what they have measured since their last
+report, and the leader joins the samples. A leader that has just started gets
+all standing estimates with the first reports, and a VM that has not measured a
+target gets the joined one.
+
+Requests that wait are measured too, since targets are never idle when speeds
+matter most. A request that finds `n` requests at a target of `c` slots, its own
+included, takes about `n / c` service times.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import itertools
+import math
 
 import msgspec
 
+from mimosastile_core.gateway import target_feedback
+
+FACTOR_BOUNDS = (0.1, 20.0)
+"""Bounds on a service time relative to the mean."""
+_MAX_OCCUPANCY = 4.0
+"""Upper bound on the service times that a request is assumed to have taken. A
+target that states a longer queue than it has would otherwise seem fast."""
+_COUNTED_WEIGHT = 0.3
+"""Weight of a response whose wait follows from counts of other VMs only, which
+are some tenths of a second old."""
+_STANDING_SAMPLES = 12.0
+"""Samples that a VM's standing estimate is worth at most: those that a moving
+mean retains."""
+_STEADY_SECONDS = 45.0
+_RECENT_SECONDS = 2.0
+"""Time constants of the joined means. The long one makes speeds exact within a
+tenth at a few responses per second, the short one shows changes."""
+_MIN_RECENT_SAMPLES = 6.0
+"""Samples from which the recent mean may replace the steady one."""
+_CHANGE_DEVIATIONS = 3.0
+"""Standard errors by which the recent mean must differ to do so, with service
+times that vary by their own mean."""
+_PRIOR_SAMPLES = 3.0
+"""Samples that the assumption of a mean speed is worth."""
+_MAX_DEVIATION = 3.0
+"""Ratio to the joined estimate up to which one report counts in full."""
+_MAX_REPORT_SHARE = 2.0
+"""Samples of one report that count, relative to the mean of all reports: one VM
+with false samples must not outweigh the others."""
+_MIN_REPORT_SAMPLES = 2.0
+_KNOWN_SAMPLES = 8.0
+"""Samples from which a joined estimate is passed on to VMs."""
+_MAX_PASSED_ON = 64
+"""Maximum number of estimates in one response to a report, and of standing
+estimates in one report."""
+
 
 class SpeedSample(msgspec.Struct, frozen=True, array_like=True):
     """What one VM has measured of a target's speed.
@@ -14,5 +67,243 @@
     """
 
     factor: float
-    samples: int
+    samples: float
     age: float
+
+
+class Occupancy(msgspec.Struct, frozen=True):
+    """How long a request was at a target, in service times.
+
+    Attributes:
+        service_times: The estimate, 1 if it did not wait.
+        weight: Weight of the response as a sample, from 0 to 1.
+    """
+
+    service_times: float
+    weight: float = 1.0
+
+
+def occupancy(
+    slots: int,
+    reported: target_feedback.TargetLoad | None,
+    under_way: int,
+    *,
+    gated: bool,
+) -> Occupancy:
+    """Estimates how long a request was at its target.
+
+    Args:
+        slots: Number of requests that the target runs at a time.
+        reported: The load in its response, None if it states none. A request
+            leaves as many behind as it found, on average.
+        under_way: Requests of all VMs there when it was sent, its own included,
+            as far as known.
+        gated: Whether a gate admitted it. Then only the gate knows the number.
+    """
+    if reported is not None:
+        found = reported.running + reported.waiting
+        return Occupancy(min(max(found / slots, 1.0), _MAX_OCCUPANCY))
+    if gated:
+        return Occupancy(1.0, 0.0)
+    if under_way <= slots:
+        return Occupancy(1.0)
+    return Occupancy(min(under_way / slots, _MAX_OCCUPANCY), _COUNTED_WEIGHT)
+
+
+class SpeedMeter:
+    """One VM's samples of targets' speeds, and its standing estimates."""
+
+    __slots__ = ("_standing", "_unreported")
+
+    def __init__(self) -> None:
+        """Makes a meter without samples."""
+        self._unreported: dict[str, tuple[float, float]] = {}
+        self._standing: dict[str, tuple[float, float, float]] = {}
+
+    def record(
+        self, target: str, ratio: float, weight: float, now: float
+    ) -> None:
+        """Records the service time of a response.
+
+        Args:
+            target: Identifier of the target.
+            ratio: Service time relative to the mean of such requests.
+            weight: Weight of the response, from 0 to 1.
+            now: The time.
+        """
+        low, high = FACTOR_BOUNDS
+        ratio = min(max(ratio, low), high)
+        total, count = self._unreported.get(target, (0.0, 0.0))
+        self._unreported[target] = (total + ratio * weight, count + weight)
+        total, count, _ = self._standing.get(target, (0.0, 0.0, now))
+        keep = 1 - weight / _STANDING_SAMPLES
+        self._standing[target] = (
+            total * keep + ratio * weight,
+            count * keep + weight,
+            now,
+        )
+
+    def retain(self, targets: Iterable[str]) -> None:
+        """Drops targets that no longer exist."""
+        kept = set(targets)
+        for name in self._standing.keys() - kept:
+            del self._standing[name]
+            self._unreported.pop(name, None)
+
+    def take(self, now: float, *, standing: bool) -> dict[str, SpeedSample]:
+        """Returns what to report, and resets what was recorded for it.
+
+        Args:
+            now: The time.
+            standing: Whether to return standing estimates, for a leader that
+                has none, instead of the samples since the last report. Their
+                number is bounded; which they are differs between VMs.
+        """
+        unreported, self._unreported = self._unreported, {}
+        if standing:
+            return {
+                name: _sample(total, count, now - at)
+                for name, (total, count, at) in itertools.islice(
+                    self._standing.items(), _MAX_PASSED_ON
+                )
+                if count
+            }
+        return {
+            name: _sample(total, count, 0.0)
+            for name, (total, count) in unreported.items()
+            if count
+        }
+
+
+def _sample(total: float, count: float, age: float) -> SpeedSample:
+    return SpeedSample(round(total / count, 3), round(count, 2), round(age, 1))
+
+
+class _Mean:
+    """A mean in which samples lose weight with time."""
+
+    __slots__ = ("at", "count", "seconds", "total")
+
+    def __init__(self, seconds: float, now: float) -> None:
+        self.total = 0.0
+        self.count = 0.0
+        self.seconds = seconds
+        self.at = now
+
+    @property
+    def value(self) -> float:
+        return self.total / self.count if self.count else 1.0
+
+    def add(self, value: float, samples: float, now: float) -> None:
+        keep = math.exp(min(self.at - now, 0.0) / self.seconds)
+        self.at = now
+        self.total = self.total * keep + value * samples
+        self.count = self.count * keep + samples
+
+
+class _Joined:
+    """The samples of one target from all VMs."""
+
+    __slots__ = ("recent", "steady")
+
+    def __init__(self, now: float) -> None:
+        self.steady = _Mean(_STEADY_SECONDS, now)
+        self.recent = _Mean(_RECENT_SECONDS, now)
+
+    @property
+    def factor(self) -> float:
+        """The estimate; an uncertain one is near 1."""
+        steady = self.steady
+        return (steady.total + _PRIOR_SAMPLES) / (steady.count + _PRIOR_SAMPLES)
+
+    def add(self, factor: float, samples: float, now: float) -> None:
+        """Adds samples of one VM; resets the mean after a change of speed."""
+        if self.steady.count >= _MIN_RECENT_SAMPLES:
+            known = self.factor
+            bounds = (known / _MAX_DEVIATION, known * _MAX_DEVIATION)
+            factor = min(max(factor, bounds[0]), bounds[1])
+        self.steady.add(factor, samples, now)
+        self.recent.add(factor, samples, now)
+        recent = self.recent
+        if recent.count < _MIN_RECENT_SAMPLES:
+            return
+        change = abs(math.log(recent.value / self.steady.value))
+        if change > _CHANGE_DEVIATIONS / math.sqrt(recent.count):
+            self.steady.total = recent.total
+            self.steady.count = recent.count
+
+
+class JoinedSpeeds:
+    """The leader's estimates of all targets' speeds."""
+
+    __slots__ = ("_joined", "_known_by_vm", "_mean_samples")
+
+    def __init__(self) -> None:
+        """Makes estimates without samples."""
+        self._joined: dict[str, _Joined] = {}
+        self._known_by_vm: dict[str, tuple[str, set[str]]] = {}
+        self._mean_samples = 1.0
+
+    def record(
+        self, vm: str, boot: str, samples: Mapping[str, SpeedSample], now: float
+    ) -> None:
+        """Joins the samples of one report.
+
+        Args:
+            vm: The reporting VM.
+            boot: Its incarnation.
+            samples: Its samples by target.
+            now: The time.
+        """
+        known = self._known(vm, boot)
+        low, high = FACTOR_BOUNDS
+        for target, sample in samples.items():
+            if not (sample.samples > 0 and low <= sample.factor <= high):
+                continue
+            known.add(target)
+            most = max(
+                _MAX_REPORT_SHARE * self._mean_samples, _MIN_REPORT_SAMPLES
+            )
+            count = min(sample.samples, most)
+            self._mean_samples += (count - self._mean_samples) * 0.01
+            count *= math.exp(-max(sample.age, 0.0) / _STEADY_SECONDS)
+            joined = self._joined.get(target)
+            if joined is None:
+                joined = self._joined[target] = _Joined(now)
+            joined.add(sample.factor, count, now)
+
+    def retain(self, targets: Iterable[str], vms: Iterable[str]) -> None:
+        """Drops targets and VMs that no longer exist."""
+        kept = set(targets)
+        self._joined = {t: j for t, j in self._joined.items() if t in kept}
+        for vm in self._known_by_vm.keys() - set(vms):
+            del self._known_by_vm[vm]
+
+    def factors(self) -> dict[str, float]:
+        """Returns each measured target's service time relative to the mean."""
+        return {target: j.factor for target, j in self._joined.items()}
+
+    def unmeasured(
+        self, vm: str, boot: str, now: float
+    ) -> dict[str, SpeedSample]:
+        """Returns estimates that a VM neither measured nor received yet."""
+        known = self._known(vm, boot)
+        missing = {
+            target: SpeedSample(
+                round(joined.factor, 3),
+                round(joined.steady.count, 1),
+                round(max(now - joined.steady.at, 0.0), 1),
+            )
+            for target, joined in self._joined.items()
+            if target not in known and joined.steady.count >= _KNOWN_SAMPLES
+        }
+        passed = dict(itertools.islice(missing.items(), _MAX_PASSED_ON))
+        known.update(passed)
+        return passed
+
+    def _known(self, vm: str, boot: str) -> set[str]:
+        """Returns the targets whose speeds an incarnation of a VM knows."""
+        recorded = self._known_by_vm.get(vm)
+        if recorded is None or recorded[0] != boot:
+            recorded = self._known_by_vm[vm] = (boot, set())
+        return recorded[1]
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/admission_service.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/admission_service.py
@@ -14,6 +14,7 @@
 
 from mimosastile_core.gateway import admission
 from mimosastile_core.gateway import limits
+from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import datagrams
@@ -140,6 +141,11 @@
             if not queue.idle
         }
 
+    def take_speeds(self) -> dict[str, target_speeds.SpeedSample]:
+        """Returns what this VM has measured as a gate since the last call."""
+        samples = ((t, q.take_speed()) for t, q in self._queues.items())
+        return {target: sample for target, sample in samples if sample}
+
     # Requesting permits.
 
     async def request_permit(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -18,6 +18,7 @@
 from mimosastile_core.gateway import retry_budget
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import target_feedback
+from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import dispatching
@@ -367,7 +368,8 @@
         call.basis = self._basis(target)
         call.tried_targets.add(target.id)
         load = self._balancer.load(target.id)
-        call.maybe_queued = load.under_way(started_at) > target.slots
+        call.found = load.under_way(started_at)
+        call.gated = call.permit is not None
         earlier_sends = call.send_count
         call.answered = False
         sent: SendResult
@@ -606,10 +608,10 @@
                 self._balancer.answered(
                     call.route.name,
                     target.id,
-                    (now - started_at) / (call.expected_runs or 1.0),
+                    now - started_at,
                     len(response.body) + len(call.incoming.body),
                     now,
-                    waited=call.maybe_queued and not call.expected_runs,
+                    occupancy=_occupancy(call, target, load),
                 )
             elif response.status >= 500:
                 load.failed(now)
@@ -738,6 +740,19 @@
         )
 
 
+def _occupancy(
+    call: pending.Call,
+    target: directory.Target,
+    load: load_balancing.TargetStats,
+) -> target_speeds.Occupancy:
+    """Returns how long a request was at its target in service times."""
+    if call.expected_runs:
+        return target_speeds.Occupancy(call.expected_runs)
+    return target_speeds.occupancy(
+        target.slots, load.reported_load, call.found, gated=call.gated
+    )
+
+
 def _final_failure(
     call: pending.Call, last: errors.Failure | None, current: errors.Failure
 ) -> errors.Failure:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -624,6 +624,7 @@
             seen_age=self._cluster.registrations_age,
             configuration_age=self._cluster.configuration_age,
             peers=self._peers_for(report, fresh_reports),
+            speeds=self._planner.unmeasured_speeds(vm),
         )
 
     def _peers_for(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -18,6 +18,7 @@
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import ranges
+from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import admission_service
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
@@ -633,8 +634,22 @@
             len(self._monitor.unreachable()),
             self._clock.now() - self._peers_wanted_at
             < self._peers_valid_seconds,
+            speeds=self._measured_speeds(),
         )
 
+    def _measured_speeds(self) -> dict[str, target_speeds.SpeedSample]:
+        """Returns the samples of targets' speeds since the last report.
+
+        A new leader gets the standing estimates of all targets instead.
+        """
+        now = self._clock.now()
+        for name, sample in self._admission.take_speeds().items():
+            entry = self._cluster.directory.get(name)
+            if entry and not self._balancer.reports_load(entry.target.service):
+                self._balancer.record_gate_speed(name, sample, now)
+        synced = self._synced_leader == self._cluster.leader
+        return self._balancer.take_speeds(now, standing=not synced)
+
     def _complete_at(self) -> tuple[float | None, float | None]:
         """Returns when this VM's views of the store were complete.
 
@@ -806,6 +821,7 @@
                 name: leaving.born
                 for name, leaving in self._reported_leaving.items()
             }
+        self._balancer.assume_speeds(reply.speeds)
         self._balancer.record_other_requests(reply.under_way, now)
         self._balancer.replace_gates(reply.gates, now)
         self._cluster.limits.record_leader_view(reply.limits, now)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -66,7 +66,9 @@
         prior_retry_seconds: How long the caller had been retrying before.
         unreachable_count: How often the target was unreachable.
         version: Version of the configuration that was applied.
-        maybe_queued: Whether the request may have waited at the last target.
+        found: Requests of all VMs at the last target when it was sent, itself
+            included, as far as this VM knew.
+        gated: Whether the last target's gate admitted it.
     """
 
     __slots__ = (
@@ -97,7 +99,8 @@
         "prior_retry_seconds",
         "unreachable_count",
         "version",
-        "maybe_queued",
+        "found",
+        "gated",
     )
 
     def __init__(
@@ -127,7 +130,8 @@
         self.unreachable_count = 0
         self.version = -1
         self.maybe_ran = False
-        self.maybe_queued = False
+        self.found = 0
+        self.gated = False
         self.answered = False
         self.tried_peers: set[str] = set()
         self.tried_targets: set[str] = set()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -13,6 +13,7 @@
 from mimosastile_core.gateway import key_rates
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import rebalance
+from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import dissemination
@@ -54,8 +55,10 @@
 """Maximum number of merged ranges per change; each merge needs one more
 grant."""
 _MERGE_INTERVAL_SECONDS = 2.0
+_PRUNE_INTERVAL_SECONDS = 10.0
+"""Interval between two removals of ended targets and VMs from the speeds."""
 _MIN_SLOWNESS = 0.3
-_MAX_SLOWNESS = 8.0
+_MAX_SLOWNESS = 16.0
 """Bounds on the estimated slowness of a target, relative to the mean."""
 
 
@@ -131,7 +134,8 @@
         "_merged_at",
         "_released_at",
         "_settings",
-        "_slowness_by_vm",
+        "_speeds",
+        "_speeds_pruned_at",
     )
 
     def __init__(
@@ -156,7 +160,8 @@
         self._cluster = cluster
         self._clock = timer
         self._events = log
-        self._slowness_by_vm: dict[str, dict[str, float]] = {}
+        self._speeds = target_speeds.JoinedSpeeds()
+        self._speeds_pruned_at = 0.0
         self._excluded_until: dict[str, float] = {}
         self._backoffs_by_vm: dict[str, dict[str, float]] = {}
         self._released_at = 0.0
@@ -266,7 +271,7 @@
         self, targets: Iterable[directory.Target], now: float
     ) -> dict[ranges.Holder, float]:
         """Returns the usable targets' capacities in concurrent requests."""
-        factors = self._mean_slowness()
+        factors = self._speeds.factors()
         backing_off = self._targets_in_backoff(now)
         capacity = {}
         for target in targets:
@@ -346,13 +351,31 @@
         return limited
 
     def record_report(self, report: messages.Report) -> None:
-        """Records the slowness factors and backoffs of a VM's report."""
-        factors = self._slowness_by_vm.setdefault(report.vm.id, {})
-        factors.update(report.factors)
+        """Records the speeds of targets and the backoffs of a VM's report."""
         now = self._clock.now()
         self._backoffs_by_vm[report.vm.id] = {
             target: now + seconds for target, seconds in report.backoffs.items()
         }
+        samples = report.speeds
+        if not samples:
+            # A VM of an older version, or one that has measured nothing.
+            samples = {
+                target: target_speeds.SpeedSample(factor, 1.0, 0.0)
+                for target, factor in report.factors.items()
+            }
+        self._speeds.record(report.vm.id, report.vm.boot, samples, now)
+        if now - self._speeds_pruned_at > _PRUNE_INTERVAL_SECONDS:
+            self._speeds_pruned_at = now
+            self._speeds.retain(
+                (entry.target.id for entry in self._cluster.directory),
+                self._disseminator.fresh(),
+            )
+
+    def unmeasured_speeds(
+        self, vm: messages.VmEntry
+    ) -> dict[str, target_speeds.SpeedSample]:
+        """Returns speeds of targets that a VM has not measured itself."""
+        return self._speeds.unmeasured(vm.id, vm.boot, self._clock.now())
 
     def _targets_in_backoff(self, now: float) -> set[str]:
         """Returns targets that have asked several VMs to back off."""
@@ -364,16 +387,6 @@
         )
         return {t for t, vms in vm_counts.items() if vms >= _BACKOFF_VMS}
 
-    def _mean_slowness(self) -> dict[str, float]:
-        """Returns each target's slowness, averaged over reporting VMs."""
-        fresh = self._disseminator.fresh()
-        sums: dict[str, list[float]] = {}
-        for vm, factors in self._slowness_by_vm.items():
-            if vm in fresh:
-                for target, factor in factors.items():
-                    sums.setdefault(target, []).append(factor)
-        return {t: sum(all_) / len(all_) for t, all_ in sums.items()}
-
     def _lost(
         self,
         keyed: KeyedService,
