Place keys by measured speeds and expected utilisation

Cause: the thresholds of moves were 25% and three deviations of a count over six seconds, 40% for a target of ten requests a second, however near targets were to their capacity. Change: gates tell how many requests an admitted one finds at its target. Thresholds fall between 60 and 85% of utilisation; a third time constant of 20 s shows steady imbalance; targets that exceeded their share only in the past lose no keys.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
@@ -25,7 +25,6 @@
 import msgspec
 
 from mimosastile_core.gateway import limits
-from mimosastile_core.gateway import target_speeds
 
 _SMOOTHING_WEIGHT = 0.1
 """Weight of one request in means: a mean follows a change within about ten
@@ -54,8 +53,6 @@
 _ON_TIME_PRECEDENCE = 0.8
 """Share of that rate that is assumed to go before a late request. It is below 1
 since the rate is measured over only a few dozen requests."""
-_SPEED_WEIGHT = 0.5
-"""Weight of a returned permit as a sample of the target's speed."""
 _MIN_LATE_SHARE = 0.05
 """Least share of a target's rate that late requests are assumed to get."""
 
@@ -102,11 +99,14 @@
         request: The request.
         verdict: The outcome.
         seconds: Expected time until it is admitted.
+        found: If admitted, number of requests at the target, this one included;
+            0 if unknown. It shows how long the request is going to wait there.
     """
 
     request: PermitRequest
     verdict: Verdict
     seconds: float = 0.0
+    found: int = 0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -167,7 +167,6 @@
         "_on_time_count_at",
         "_permits",
         "_slots",
-        "_speed_sum",
         "_target_queue",
         "_waiting",
         "_work_factor",
@@ -187,7 +186,6 @@
         self._target_queue = target_queue
         self._mean_work = 0.0
         self._work_factor = 1.0
-        self._speed_sum = (0.0, 0)
         self._permits: dict[tuple[str, int], _Permit] = {}
         self._held: dict[str, tuple[int, float]] = {}
         self._waiting: list[_Waiting] = []
@@ -298,7 +296,7 @@
         self._permits[entry.request.id] = _Permit(
             entry.request.work, now, expires_at, busy
         )
-        return Decision(entry.request, Verdict.ADMITTED)
+        return Decision(entry.request, Verdict.ADMITTED, found=busy)
 
     def _free(self, now: float) -> bool:
         if self.limiter is not None and self.limiter.wait(now) > 0:
@@ -352,20 +350,6 @@
             max(ratio, low * self._work_factor), high * self._work_factor
         )
         self._work_factor += (ratio - self._work_factor) * _SMOOTHING_WEIGHT
-        total, count = self._speed_sum
-        self._speed_sum = total + ratio, count + 1
-
-    def take_speed(self) -> target_speeds.SpeedSample | None:
-        """Returns the speed measured since the last call, None if it was not.
-
-        It includes the way of a permit to its VM and back.
-        """
-        total, count = self._speed_sum
-        self._speed_sum = (0.0, 0)
-        if not count:
-            return None
-        weight = count * _SPEED_WEIGHT
-        return target_speeds.SpeedSample(total / count, weight, 0.0)
 
     def _on_time_rate(self, now: float) -> float:
         """Returns the on-time admissions per second."""
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
@@ -351,12 +351,6 @@
         for target, speed in speeds.items():
             self.load(target).assume(speed)
 
-    def record_gate_speed(
-        self, target: str, sample: target_speeds.SpeedSample, now: float
-    ) -> None:
-        """Records what this VM has measured as the gate of a target."""
-        self._speeds.record(target, sample.factor, sample.samples, now)
-
     @property
     def policy(self) -> Policy:
         """Limits on the load of targets, and the cost of distance."""
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
@@ -36,6 +36,12 @@
         sigmas: Standard deviations of a request count by which the load must
             also exceed the share. With three, chance moves keys at most about
             once in several hundred evaluations.
+        near_excess: The same as `excess` for a target near its capacity, where
+            a tenth more load doubles the waiting time.
+        near_sigmas: The same as `sigmas` there. Moves by chance are more
+            frequent, and each costs less than the waits it may prevent.
+        near_from: Utilisation of a target from which the thresholds fall.
+        near_at: Utilisation from which `near_excess` and `near_sigmas` hold.
         most_moves: Maximum number of pieces that move in one change; bounds the
             size of a change and the work of a leader.
         most_ranges: Ranges per target on average above which only whole ranges
@@ -46,9 +52,26 @@
     lone_share: float = 0.6
     faster: float = 1.25
     sigmas: float = 3.0
+    near_excess: float = 0.05
+    near_sigmas: float = 1.0
+    near_from: float = 0.6
+    near_at: float = 0.85
     most_moves: int = 16
     most_ranges: float = 8.0
 
+    def threshold(self, fair: float, utilisation: float) -> float:
+        """Returns the load above its fair share at which a target loses keys.
+
+        Args:
+            fair: The fair share, as a request count.
+            utilisation: Load of the target relative to its capacity.
+        """
+        near = (utilisation - self.near_from) / (self.near_at - self.near_from)
+        near = min(max(near, 0.0), 1.0)
+        excess = self.excess + (self.near_excess - self.excess) * near
+        sigmas = self.sigmas + (self.near_sigmas - self.sigmas) * near
+        return max(excess * fair, sigmas * math.sqrt(max(fair, 1.0)))
+
 
 class _Piece:
     """A range, or part of one, with the request rates of its keys."""
@@ -72,15 +95,17 @@
 class _Balance:
     """Loads of targets while moves are being chosen."""
 
-    __slots__ = ("_capacity", "fair", "loads", "pieces")
+    __slots__ = ("_capacity", "_full", "fair", "loads", "pieces")
 
     def __init__(
         self,
         table: ranges.RangeTable,
         capacity: Mapping[ranges.Holder, float],
         requests: Mapping[int, float],
+        full: float = math.inf,
     ) -> None:
         self._capacity = capacity
+        self._full = full
         ordered = sorted(requests.items())
         self.pieces: dict[ranges.Holder, list[_Piece]] = {}
         self.loads = dict.fromkeys(capacity, 0.0)
@@ -108,6 +133,18 @@
         """Returns the load of a target above its fair share."""
         return self.loads.get(holder, 0.0) - self.fair.get(holder, 0.0)
 
+    def utilisation(self, holder: ranges.Holder) -> float:
+        """Returns the load of a target relative to its capacity."""
+        able = self._capacity.get(holder, 0.0) * self._full
+        return self.loads.get(holder, 0.0) / able if able else 0.0
+
+    def urgency(self, holder: ranges.Holder, policy: Policy) -> float:
+        """Returns the excess of a target relative to the threshold of moves."""
+        threshold = policy.threshold(
+            self.fair.get(holder, 0.0), self.utilisation(holder)
+        )
+        return self.excess(holder) / threshold
+
     def fastest(self, first: ranges.Holder) -> ranges.Holder:
         """Returns the fastest target among those below their fair share.
 
@@ -244,11 +281,31 @@
     return moves
 
 
+def utilisations(
+    table: ranges.RangeTable,
+    capacity: Mapping[ranges.Holder, float],
+    requests: Mapping[int, float],
+    full: float,
+) -> dict[ranges.Holder, float]:
+    """Returns each target's load relative to its capacity.
+
+    Args:
+        table: Current table.
+        capacity: Capacity of each target.
+        requests: Requests by key.
+        full: Requests per unit of capacity at which a target is always busy.
+    """
+    balance = _Balance(table, capacity, requests, full)
+    return {holder: balance.utilisation(holder) for holder in capacity}
+
+
 def spread(
     table: ranges.RangeTable,
     capacity: Mapping[ranges.Holder, float],
     requests: Mapping[int, float],
     policy: Policy,
+    full: float = math.inf,
+    recent: Mapping[int, float] | None = None,
 ) -> list[ranges.Move]:
     """Returns moves from the most loaded targets to the least loaded.
 
@@ -257,8 +314,20 @@
         capacity: Capacity of each target that may own keys, in any common unit.
         requests: Requests by key.
         policy: Thresholds for moves.
+        full: Requests per unit of capacity at which a target is always busy.
+            The thresholds of targets near that are tighter; infinite
+            if unknown.
+        recent: Requests by key over a shorter time. Targets that exceed their
+            share only in the past lose no keys, as the load has moved on.
     """
-    balance = _Balance(table, capacity, requests)
+    balance = _Balance(table, capacity, requests, full)
+    if recent is not None:
+        now = _Balance(table, capacity, recent)
+        balance.pieces = {
+            h: pieces
+            for h, pieces in balance.pieces.items()
+            if now.excess(h) > 0
+        }
     spare_ranges = int(policy.most_ranges * len(capacity)) - len(table.ranges)
     moves: list[ranges.Move] = []
     while len(moves) < policy.most_moves:
@@ -274,17 +343,15 @@
 def _next_move(
     balance: _Balance, policy: Policy, may_cut: bool
 ) -> tuple[_Piece, ranges.Move] | None:
-    by_excess = sorted(balance.pieces, key=balance.excess, reverse=True)
-    for holder in itertools.islice(by_excess, 4):
-        excess = balance.excess(holder)
-        fair = balance.fair.get(holder, 0.0)
-        noise = policy.sigmas * math.sqrt(max(fair, 1.0))
-        if excess <= max(policy.excess * fair, noise):
+    urgencies = {h: balance.urgency(h, policy) for h in balance.pieces}
+    most_urgent = sorted(urgencies, key=urgencies.__getitem__, reverse=True)
+    for holder in itertools.islice(most_urgent, 4):
+        if urgencies[holder] <= 1:
             return None
         to = balance.emptiest(holder)
         if to is None:
             return None
-        wanted = min(excess, -balance.excess(to))
+        wanted = min(balance.excess(holder), -balance.excess(to))
         found = _best_interval(balance.pieces[holder], wanted, may_cut)
         if found is not None:
             piece, first, last = found
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/target_speeds.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/target_speeds.py
@@ -19,13 +19,11 @@
 
 import msgspec
 
-from mimosastile_core.gateway import target_feedback
-
 FACTOR_BOUNDS = (0.1, 20.0)
 """Bounds on a service time relative to the mean."""
 _MAX_OCCUPANCY = 4.0
-"""Upper bound on the service times that a request is assumed to have taken. A
-target that states a longer queue than it has would otherwise seem fast."""
+"""Upper bound on the service times that a request is assumed to have taken, as
+counts may be wrong."""
 _COUNTED_WEIGHT = 0.3
 """Weight of a response whose wait follows from counts of other VMs only, which
 are some tenths of a second old."""
@@ -83,31 +81,25 @@
     weight: float = 1.0
 
 
-def occupancy(
-    slots: int,
-    reported: target_feedback.TargetLoad | None,
-    under_way: int,
-    *,
-    gated: bool,
-) -> Occupancy:
+def occupancy(slots: int, found: int, *, gated: bool) -> Occupancy:
     """Estimates how long a request was at its target.
 
+    The load in a target's response is of no use for it: that many requests
+    arrived while this one was there. A target that gets few requests would seem
+    slow, and be given even fewer.
+
     Args:
         slots: Number of requests that the target runs at a time.
-        reported: The load in its response, None if it states none. A request
-            leaves as many behind as it found, on average.
-        under_way: Requests of all VMs there when it was sent, its own included,
-            as far as known.
-        gated: Whether a gate admitted it. Then only the gate knows the number.
+        found: Requests of all VMs there when it was sent, its own included, as
+            far as known; 0 if unknown.
+        gated: Whether a gate admitted it. The gate's count is exact.
     """
-    if reported is not None:
-        found = reported.running + reported.waiting
-        return Occupancy(min(max(found / slots, 1.0), _MAX_OCCUPANCY))
-    if gated:
+    if not found:
         return Occupancy(1.0, 0.0)
-    if under_way <= slots:
+    if found <= slots:
         return Occupancy(1.0)
-    return Occupancy(min(under_way / slots, _MAX_OCCUPANCY), _COUNTED_WEIGHT)
+    service_times = min(found / slots, _MAX_OCCUPANCY)
+    return Occupancy(service_times, 1.0 if gated else _COUNTED_WEIGHT)
 
 
 class SpeedMeter:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/admission_service.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/admission_service.py
@@ -14,7 +14,6 @@
 
 from mimosastile_core.gateway import admission
 from mimosastile_core.gateway import limits
-from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import datagrams
@@ -58,11 +57,16 @@
         gate: Address of the VM that granted it.
         target: The target.
         number: Number of the request, unique within this VM.
+        found: Number of requests at the target when it was granted, this one
+            included; 0 if unknown.
     """
 
-    __slots__ = ("gate", "number", "target")
+    __slots__ = ("found", "gate", "number", "target")
 
-    def __init__(self, gate: str, target: str, number: int) -> None:
+    def __init__(
+        self, gate: str, target: str, number: int, found: int = 0
+    ) -> None:
+        self.found = found
         self.gate = gate
         self.target = target
         self.number = number
@@ -141,11 +145,6 @@
             if not queue.idle
         }
 
-    def take_speeds(self) -> dict[str, target_speeds.SpeedSample]:
-        """Returns what this VM has measured as a gate since the last call."""
-        samples = ((t, q.take_speed()) for t, q in self._queues.items())
-        return {target: sample for target, sample in samples if sample}
-
     # Requesting permits.
 
     async def request_permit(
@@ -202,7 +201,7 @@
                 verdict = decision.verdict
                 if verdict is admission.Verdict.ADMITTED:
                     self._permit_counts[gate, target] += 1
-                    return Permit(gate, target, number)
+                    return Permit(gate, target, number, decision.found)
                 if verdict is admission.Verdict.REFUSED:
                     return admission.Refusal(decision.wait_ms / 1000)
                 if verdict is None:
@@ -372,6 +371,7 @@
                     decision.request.number,
                     decision.verdict,
                     round(1000 * decision.seconds),
+                    decision.found,
                 ),
             )
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/datagrams.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/datagrams.py
@@ -47,11 +47,14 @@
         verdict: The verdict; None if the gate does not run the admission queue
             of the target.
         wait_ms: Expected milliseconds until the request is admitted.
+        found: Number of requests at the target when it was admitted, itself
+            included; 0 if unknown.
     """
 
     number: int
     verdict: admission.Verdict | None
     wait_ms: int
+    found: int = 0
 
 
 class ReturnedPermits(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -368,8 +368,10 @@
         call.basis = self._basis(target)
         call.tried_targets.add(target.id)
         load = self._balancer.load(target.id)
-        call.found = load.under_way(started_at)
         call.gated = call.permit is not None
+        call.found = (
+            call.permit.found if call.permit else load.under_way(started_at)
+        )
         earlier_sends = call.send_count
         call.answered = False
         sent: SendResult
@@ -611,7 +613,7 @@
                     now - started_at,
                     len(response.body) + len(call.incoming.body),
                     now,
-                    occupancy=_occupancy(call, target, load),
+                    occupancy=_occupancy(call, target),
                 )
             elif response.status >= 500:
                 load.failed(now)
@@ -741,16 +743,12 @@
 
 
 def _occupancy(
-    call: pending.Call,
-    target: directory.Target,
-    load: load_balancing.TargetStats,
+    call: pending.Call, target: directory.Target
 ) -> target_speeds.Occupancy:
     """Returns how long a request was at its target in service times."""
     if call.expected_runs:
         return target_speeds.Occupancy(call.expected_runs)
-    return target_speeds.occupancy(
-        target.slots, load.reported_load, call.found, gated=call.gated
-    )
+    return target_speeds.occupancy(target.slots, call.found, gated=call.gated)
 
 
 def _final_failure(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -509,6 +509,7 @@
             reconciler,
             key_rates.KeyRates(configured.heat_fast, now),
             key_rates.KeyRates(configured.heat_slow, now),
+            key_rates.KeyRates(configured.heat_steady, now),
         )
 
     def step_down_if_outranked(self, entry: leadership.LeaderEntry) -> None:
@@ -573,8 +574,7 @@
         for service, keys in report.keys.items():
             keyed = self._services.get(service)
             if keyed is not None:
-                keyed.fast_rates.add(keys, now)
-                keyed.slow_rates.add(keys, now)
+                keyed.record_requests(keys, now)
         received_at = self._clock.boottime()
         self._last_alive_at.update(
             dict.fromkeys(report.responsive, received_at)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -643,10 +643,6 @@
         A new leader gets the standing estimates of all targets instead.
         """
         now = self._clock.now()
-        for name, sample in self._admission.take_speeds().items():
-            entry = self._cluster.directory.get(name)
-            if entry and not self._balancer.reports_load(entry.target.service):
-                self._balancer.record_gate_speed(name, sample, now)
         synced = self._synced_leader == self._cluster.leader
         return self._balancer.take_speeds(now, standing=not synced)
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -67,7 +67,7 @@
         unreachable_count: How often the target was unreachable.
         version: Version of the configuration that was applied.
         found: Requests of all VMs at the last target when it was sent, itself
-            included, as far as this VM knew.
+            included, as counted by this VM or its gate; 0 if unknown.
         gated: Whether the last target's gate admitted it.
     """
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -55,6 +55,9 @@
 """Maximum number of merged ranges per change; each merge needs one more
 grant."""
 _MERGE_INTERVAL_SECONDS = 2.0
+_STEADY_INTERVAL_SECONDS = 1.0
+"""Interval between two evaluations of the steady load, the counts of which
+change slowly and are many."""
 _PRUNE_INTERVAL_SECONDS = 10.0
 """Interval between two removals of ended targets and VMs from the speeds."""
 _MIN_SLOWNESS = 0.3
@@ -71,6 +74,8 @@
         reconciler: Sends the orders of the table.
         fast_rates: Request rates of keys over the short time constant.
         slow_rates: Request rates of keys over the long time constant.
+        steady_rates: The same over the longest one.
+        utilisations: Expected load of targets relative to their capacity.
     """
 
     __slots__ = (
@@ -80,7 +85,10 @@
         "reconciler",
         "revision",
         "slow_rates",
+        "steady_at",
+        "steady_rates",
         "table",
+        "utilisations",
     )
 
     def __init__(
@@ -90,6 +98,7 @@
         reconciler: grant_reconciliation.GrantReconciler,
         fast_rates: key_rates.KeyRates,
         slow_rates: key_rates.KeyRates,
+        steady_rates: key_rates.KeyRates,
     ) -> None:
         """Creates the state of a service for its first or stored table.
 
@@ -99,15 +108,24 @@
             reconciler: Sends the orders of the table.
             fast_rates: Request rates of keys over the short time constant.
             slow_rates: Request rates of keys over the long time constant.
+            steady_rates: The same over the longest one.
         """
         self.table = table
         self.revision = revision
         self.reconciler = reconciler
         self.fast_rates = fast_rates
         self.slow_rates = slow_rates
+        self.steady_rates = steady_rates
+        self.steady_at = -math.inf
+        self.utilisations: dict[str, float] = {}
         self._moved_key: int | None = None
         self._key_moved_at = 0.0
 
+    def record_requests(self, keys: list[int], now: float) -> None:
+        """Counts requests by key."""
+        for rates in (self.fast_rates, self.slow_rates, self.steady_rates):
+            rates.add(keys, now)
+
     def record_moves(self, moves: Iterable[ranges.Move], now: float) -> None:
         """Records the time of a move that concerns a single key."""
         for move in moves:
@@ -221,7 +239,8 @@
         fast = keyed.fast_rates.counts(now)
         slow = keyed.slow_rates.counts(now)
         request_rate = sum(slow.values()) / self._settings.leader.heat_slow
-        rates = self._rates(capacity, keyed.table.service)
+        duration = self._duration(keyed.table.service)
+        rates = self._rates(capacity, duration)
         capacity = self._within_rate_limits(capacity, request_rate, now)
         moves = rebalance.evacuate(keyed.table, capacity, slow, lost)
         why = "evacuated"
@@ -245,8 +264,16 @@
             if not moves:
                 why = "spread"
                 moves = rebalance.spread(
-                    keyed.table, capacity, slow, self._settings.balance
+                    keyed.table,
+                    capacity,
+                    slow,
+                    self._settings.balance,
+                    self._settings.leader.heat_slow / duration,
                 )
+            if not moves and now - keyed.steady_at > _STEADY_INTERVAL_SECONDS:
+                why = "spread steady load"
+                keyed.steady_at = now
+                moves = self._spread_steady(keyed, capacity, slow, duration)
         if not moves:
             return None
         keyed.record_moves(moves, now)
@@ -256,6 +283,7 @@
             service=keyed.table.service,
             why=why,
             lost=[holder.id for holder in lost],
+            utilisation=_summary(keyed.utilisations),
             moves=[(m.first, m.last, m.to.id) for m in moves],
             version=keyed.table.version,
         )
@@ -289,17 +317,38 @@
         # If most targets back off, the others cannot take over their keys.
         return available if 2 * len(available) >= len(capacity) else capacity
 
+    def _spread_steady(
+        self,
+        keyed: KeyedService,
+        capacity: Mapping[ranges.Holder, float],
+        recent: Mapping[int, float],
+        duration: float,
+    ) -> list[ranges.Move]:
+        """Moves load that has long been more than a target's share."""
+        steady = keyed.steady_rates.counts(self._clock.now())
+        full = self._settings.leader.heat_steady / duration
+        utilisations = rebalance.utilisations(
+            keyed.table, capacity, steady, full
+        )
+        keyed.utilisations = {
+            holder.id: round(share, 3) for holder, share in utilisations.items()
+        }
+        return rebalance.spread(
+            keyed.table, capacity, steady, self._settings.balance, full, recent
+        )
+
+    def _duration(self, service: str) -> float:
+        """Returns the mean duration of a service's requests in seconds."""
+        reports = self._disseminator.fresh().values()
+        durations = [r.work[service] for r in reports if service in r.work]
+        if not durations:
+            return _DEFAULT_REQUEST_SECONDS
+        return sum(durations) / len(durations)
+
     def _rates(
-        self, capacity: Mapping[ranges.Holder, float], service: str
+        self, capacity: Mapping[ranges.Holder, float], duration: float
     ) -> dict[ranges.Holder, float]:
         """Returns capacities in requests per second."""
-        reports = self._disseminator.fresh().values()
-        durations = [r.work[service] for r in reports if service in r.work]
-        duration = (
-            sum(durations) / len(durations)
-            if durations
-            else _DEFAULT_REQUEST_SECONDS
-        )
         limits = self._rate_limits(capacity, self._clock.now())
         return {
             holder: min(slots / duration, limits.get(holder, math.inf))
@@ -440,6 +489,17 @@
         return table
 
 
+def _summary(utilisations: Mapping[str, float]) -> dict[str, float]:
+    """Returns the mean and the highest utilisation of targets."""
+    if not utilisations:
+        return {}
+    shares = utilisations.values()
+    return {
+        "mean": round(sum(shares) / len(shares), 3),
+        "highest": max(shares),
+    }
+
+
 def holder(target: directory.Target) -> ranges.Holder:
     """Returns a target's incarnation as an owner of keys."""
     return ranges.Holder(target.id, target.born, target.address)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -128,6 +128,8 @@
         plan: Interval between two checks of the balance of load.
         heat_fast: Time constant of request rates that show a sudden hot spot.
         heat_slow: Time constant of request rates that show lasting imbalance.
+        heat_steady: The same for imbalance that is less than chance over
+            `heat_slow`, but of weight where targets are near their capacity.
     """
 
     authority: Positive = 10.0
@@ -152,6 +154,7 @@
     plan: Positive = 0.25
     heat_fast: Positive = 1.0
     heat_slow: Positive = 6.0
+    heat_steady: Positive = 20.0
 
     def renewal_pace(self, ranges: int) -> leadership.RenewalPace:
         """Returns interval and duration of grants for a number of ranges."""
