Scale utilisation by the time that counts have been kept

Change: counts know how many seconds they amount to. A change of speed is seen by the median of the last reports, as a target that becomes much slower answers rarely; targets of even speed move as before.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/key_rates.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/key_rates.py
@@ -11,7 +11,7 @@
     newest weighing most.
     """
 
-    __slots__ = ("_at", "_counts", "_scale", "_seconds")
+    __slots__ = ("_at", "_counts", "_scale", "_seconds", "_started_at")
 
     _RESCALE = 1e6
     """Weight of new requests above which all counts are scaled back, far below
@@ -32,6 +32,15 @@
         # update at each request.
         self._scale = 1.0
         self._at = now
+        self._started_at = now
+
+    def window(self, now: float) -> float:
+        """Returns the seconds whose requests the counts amount to.
+
+        It is less than the time constant until that has passed several times.
+        """
+        age = max(now - self._started_at, 0.0)
+        return self._seconds * -math.expm1(-age / self._seconds)
 
     def add(self, keys: Iterable[int], now: float, weight: float = 1.0) -> None:
         """Counts requests.
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
@@ -23,7 +23,7 @@
 _FACTOR_BOUNDS = (0.2, 20.0)
 _MAX_PRIOR_SAMPLES = 10.0
 """Responses that the other VMs' estimate of a target's speed is worth."""
-_MIN_ROUTE_SAMPLES = 8
+_MIN_ROUTE_SAMPLES = 3
 """Responses of a route from which its mean service time shows which targets are
 fast."""
 _FAILURE_HALF_LIFE_SECONDS = 2.0
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
@@ -20,6 +20,10 @@
 
 from mimosastile_core.gateway import ranges
 
+_UNEVEN_RATIO = 1.4
+"""Ratio of capacities, without the tenths at both ends, from which targets are
+uneven. Estimates of equal targets differ by up to 1.3."""
+
 
 class Policy(msgspec.Struct, frozen=True):
     """Thresholds from which moves are worth their cost.
@@ -54,8 +58,8 @@
     sigmas: float = 3.0
     near_excess: float = 0.05
     near_sigmas: float = 1.0
-    near_from: float = 0.6
-    near_at: float = 0.85
+    near_from: float = 0.5
+    near_at: float = 0.75
     most_moves: int = 16
     most_ranges: float = 8.0
 
@@ -281,6 +285,19 @@
     return moves
 
 
+def differs(capacity: Mapping[ranges.Holder, float]) -> bool:
+    """Whether targets differ in capacity by more than their estimates vary.
+
+    Where they do not, a table that is even stays so, and tighter thresholds
+    would only move keys by chance.
+    """
+    ordered = sorted(capacity.values())
+    if not ordered:
+        return False
+    tenth = len(ordered) // 10
+    return ordered[-1 - tenth] > _UNEVEN_RATIO * ordered[tenth]
+
+
 def utilisations(
     table: ranges.RangeTable,
     capacity: Mapping[ranges.Holder, float],
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/target_speeds.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/target_speeds.py
@@ -12,10 +12,12 @@
 included, takes about `n / c` service times.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 import itertools
 import math
+import statistics
 
 import msgspec
 
@@ -31,14 +33,17 @@
 """Samples that a VM's standing estimate is worth at most: those that a moving
 mean retains."""
 _STEADY_SECONDS = 45.0
-_RECENT_SECONDS = 2.0
-"""Time constants of the joined means. The long one makes speeds exact within a
-tenth at a few responses per second, the short one shows changes."""
-_MIN_RECENT_SAMPLES = 6.0
-"""Samples from which the recent mean may replace the steady one."""
+"""Time constant of the joined means. It makes speeds exact within a tenth at a
+few responses per second."""
+_RECENT_REPORTS = 8
+_RECENT_SECONDS = 10.0
+"""Number and age of the last reports on a target that show a change. Their
+median is compared, as a single VM may be wrong."""
+_MIN_RECENT_REPORTS = 3
 _CHANGE_DEVIATIONS = 3.0
-"""Standard errors by which the recent mean must differ to do so, with service
-times that vary by their own mean."""
+"""Standard errors by which the median must differ from the mean, with service
+times that vary by their own mean. A target that becomes much slower responds
+rarely; three reports are enough for a sixfold change."""
 _PRIOR_SAMPLES = 3.0
 """Samples that the assumption of a mean speed is worth."""
 _MAX_DEVIATION = 3.0
@@ -200,7 +205,9 @@
 
     def __init__(self, now: float) -> None:
         self.steady = _Mean(_STEADY_SECONDS, now)
-        self.recent = _Mean(_RECENT_SECONDS, now)
+        self.recent: collections.deque[tuple[float, float]] = collections.deque(
+            maxlen=_RECENT_REPORTS
+        )
 
     @property
     def factor(self) -> float:
@@ -210,19 +217,21 @@
 
     def add(self, factor: float, samples: float, now: float) -> None:
         """Adds samples of one VM; resets the mean after a change of speed."""
-        if self.steady.count >= _MIN_RECENT_SAMPLES:
-            known = self.factor
-            bounds = (known / _MAX_DEVIATION, known * _MAX_DEVIATION)
-            factor = min(max(factor, bounds[0]), bounds[1])
-        self.steady.add(factor, samples, now)
-        self.recent.add(factor, samples, now)
-        recent = self.recent
-        if recent.count < _MIN_RECENT_SAMPLES:
+        self.recent.append((factor, now))
+        known = self.factor
+        bounded = min(
+            max(factor, known / _MAX_DEVIATION), known * _MAX_DEVIATION
+        )
+        self.steady.add(bounded, samples, now)
+        recent = [f for f, at in self.recent if now - at < _RECENT_SECONDS]
+        if len(recent) < _MIN_RECENT_REPORTS:
             return
-        change = abs(math.log(recent.value / self.steady.value))
-        if change > _CHANGE_DEVIATIONS / math.sqrt(recent.count):
-            self.steady.total = recent.total
-            self.steady.count = recent.count
+        median = statistics.median(recent)
+        change = abs(math.log(median / self.steady.value))
+        if change > _CHANGE_DEVIATIONS / math.sqrt(len(recent)):
+            bound = median * _MAX_DEVIATION
+            self.steady.total = sum(min(f, bound) for f in recent)
+            self.steady.count = float(len(recent))
 
 
 class JoinedSpeeds:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -489,6 +489,7 @@
     def _set_gauges(self) -> None:
         state = self._cluster
         own = self._balancer.own()
+        utilisations = self._leader_role.utilisations()
         ages = {
             "registrations_age_seconds": state.registrations_age,
             "configuration_age_seconds": state.configuration_age,
@@ -507,6 +508,8 @@
             "targets_unreachable": len(self._reach_monitor.unreachable()),
             "services_unreachable": len(self._reach_monitor.isolated),
             "vms_known": self._membership.count,
+            "utilisation_highest": max(utilisations, default=0.0),
+            "utilisation_mean": sum(utilisations) / max(len(utilisations), 1),
             "loop_lag_seconds": round(self._loop_lag, 4),
             "processor_seconds": round(_processor_seconds(), 3),
         }
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -1134,11 +1134,23 @@
                     "version": keyed.table.version,
                     "ranges": len(keyed.table.ranges),
                     "grants": keyed.reconciler.dump(),
+                    "utilisations": keyed.utilisations,
                 }
                 for name, keyed in self._services.items()
             },
+            "speeds": self._planner.speeds(),
         }
 
+    def utilisations(self) -> list[float]:
+        """Returns the expected utilisation of all targets with keys."""
+        if self._entry is None:
+            return []
+        return [
+            share
+            for keyed in self._services.values()
+            for share in keyed.utilisations.values()
+        ]
+
 
 def _reaches_more(
     report: messages.Report, isolated: frozenset[str], unreachable: int
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -268,7 +268,9 @@
                     capacity,
                     slow,
                     self._settings.balance,
-                    self._settings.leader.heat_slow / duration,
+                    keyed.slow_rates.window(now) / duration
+                    if rebalance.differs(capacity)
+                    else math.inf,
                 )
             if not moves and now - keyed.steady_at > _STEADY_INTERVAL_SECONDS:
                 why = "spread steady load"
@@ -325,14 +327,17 @@
         duration: float,
     ) -> list[ranges.Move]:
         """Moves load that has long been more than a target's share."""
-        steady = keyed.steady_rates.counts(self._clock.now())
-        full = self._settings.leader.heat_steady / duration
+        now = self._clock.now()
+        steady = keyed.steady_rates.counts(now)
+        full = keyed.steady_rates.window(now) / duration
         utilisations = rebalance.utilisations(
             keyed.table, capacity, steady, full
         )
         keyed.utilisations = {
             holder.id: round(share, 3) for holder, share in utilisations.items()
         }
+        if not rebalance.differs(capacity):
+            return []
         return rebalance.spread(
             keyed.table, capacity, steady, self._settings.balance, full, recent
         )
@@ -420,6 +425,11 @@
                 self._disseminator.fresh(),
             )
 
+    def speeds(self) -> dict[str, float]:
+        """Returns the service times of targets relative to the mean."""
+        factors = self._speeds.factors().items()
+        return {target: round(factor, 3) for target, factor in factors}
+
     def unmeasured_speeds(
         self, vm: messages.VmEntry
     ) -> dict[str, target_speeds.SpeedSample]:
