--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -264,18 +264,14 @@
             if not moves:
                 why = "spread"
                 moves = rebalance.spread(
-                    keyed.table,
-                    capacity,
-                    slow,
-                    self._settings.balance,
-                    keyed.slow_rates.window(now) / duration
-                    if rebalance.differs(capacity)
-                    else math.inf,
+                    keyed.table, capacity, slow, self._settings.balance
                 )
-            if not moves and now - keyed.steady_at > _STEADY_INTERVAL_SECONDS:
-                why = "spread steady load"
+            if now - keyed.steady_at > _STEADY_INTERVAL_SECONDS:
                 keyed.steady_at = now
-                moves = self._spread_steady(keyed, capacity, slow, duration)
+                steady = self._spread_steady(keyed, capacity, slow, duration)
+                if steady and not moves:
+                    why = "spread steady load"
+                    moves = steady
         if not moves:
             return None
         keyed.record_moves(moves, now)
@@ -336,7 +332,9 @@
         keyed.utilisations = {
             holder.id: round(share, 3) for holder, share in utilisations.items()
         }
-        if not rebalance.differs(capacity):
+        load = sum(c * utilisations[h] for h, c in capacity.items())
+        if not rebalance.differs(capacity) or load > sum(capacity.values()):
+            # Moves do not help a service that lacks capacity.
             return []
         return rebalance.spread(
             keyed.table, capacity, steady, self._settings.balance, full, recent
