--- a/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
@@ -53,9 +53,6 @@
 _ON_TIME_PRECEDENCE = 0.8
 """Share of that rate that is assumed to go before a late request. It is below 1
 since the rate is measured over only a few dozen requests."""
-_PERMIT_WAY_SECONDS = 0.1
-"""Time from the end of a request to the start of the next one at the target:
-a permit's return, its grant and the request may all cross regions."""
 _MIN_LATE_SHARE = 0.05
 """Least share of a target's rate that late requests are assumed to get."""
 
@@ -304,28 +301,16 @@
     def _free(self, now: float) -> bool:
         if self.limiter is not None and self.limiter.wait(now) > 0:
             return False
-        return self.busy(now) < self._slots + self._queue_length
+        return self.busy(now) < self._slots + self._target_queue
 
     @property
     def _interval(self) -> float:
         """Expected seconds between two returned permits."""
         return self._work_factor * self._mean_work / self._slots
 
-    @property
-    def _queue_length(self) -> int:
-        """Number of requests that may wait at the target itself.
-
-        At a slow target, permits return rarely, and one request bridges the way
-        of a permit. Each further one makes all responses later.
-        """
-        if not self._interval:
-            return self._target_queue
-        needed = math.ceil(_PERMIT_WAY_SECONDS / self._interval)
-        return min(max(needed, 1), self._target_queue)
-
     def _expected_wait(self, ahead: int, now: float, *, late: bool) -> float:
         """Returns the expected wait of a request behind others."""
-        wait = (ahead + 1 + self._queue_length) * self._interval
+        wait = (ahead + 1 + self._target_queue) * self._interval
         if late:
             # Requests that can be on time go first, including future ones.
             taken = self._on_time_rate(now) * self._interval
@@ -347,7 +332,7 @@
         """Whether the response would be late behind `ahead` requests."""
         work = self._work_factor * entry.request.work * (1 + _LATE_MARGIN_SHARE)
         left = entry.request.on_time - (now - entry.arrived) - work
-        wait = (ahead + self._queue_length) * self._interval
+        wait = (ahead + self._target_queue) * self._interval
         return max(wait, self._limiter_wait(ahead, now)) > left
 
     def _position(self, entry: _Waiting, now: float) -> tuple[bool, int, int]:
