--- a/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/load_balancing.py
@@ -211,7 +211,8 @@
     def assume(self, speed: target_speeds.SpeedSample) -> None:
         """Takes over what other VMs have measured until this VM has."""
         if not self.samples:
-            self.factor = speed.factor
+            low, high = _FACTOR_BOUNDS
+            self.factor = min(max(speed.factor, low), high)
             self.prior_samples = min(speed.samples, _MAX_PRIOR_SAMPLES)
 
     def responded(self, now: float) -> None:
--- a/tests/gateway/test_key_rates.py
+++ b/tests/gateway/test_key_rates.py
@@ -37,3 +37,14 @@
         counts = key_rates.KeyRates(1.0, 10.0)
         counts.add([1], 9.0)
         assert counts.counts(9.0)[1] == pytest.approx(1.0)
+
+    def test_window(self):
+        """Guards against new counts that are taken for a low request rate."""
+        counts = key_rates.KeyRates(20.0, 0.0)
+        for step in range(3000):
+            now = step / 1000
+            counts.add([3], now)
+        assert counts.counts(now)[3] / counts.window(now) == pytest.approx(
+            1000, rel=0.02
+        )
+        assert counts.window(1000.0) == pytest.approx(20.0)
--- a/tests/gateway/test_load_balancing.py
+++ b/tests/gateway/test_load_balancing.py
@@ -8,6 +8,7 @@
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import target_feedback
+from mimosastile_core.gateway import target_speeds
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b"}
 
@@ -138,6 +139,32 @@
         load.answered(3.0, 0.1, 1.0)
         assert load.factor < 1.5
 
+    def test_assumes_what_other_vms_have_measured(self):
+        """Guards against a restarted VM that takes all targets for equal."""
+        balancer = _balancer()
+        speed = target_speeds.SpeedSample(3.0, 200.0, 1.0)
+        balancer.assume_speeds({"x": speed})
+        assert _choose(balancer, [_target("x"), _target("y")]).target.id == "y"
+        balancer.answered("r", "x", 0.1, 100, 10.0)
+        assert 2.5 < balancer.load("x").factor < 3.0
+        balancer.assume_speeds({"x": speed})
+        assert balancer.load("x").factor < 3.0
+
+    @pytest.mark.parametrize("found", [1, 4, 6, 7])
+    def test_speed_is_measured_while_requests_wait(self, found):
+        """Guards against speeds that go unmeasured, or wrong, under load."""
+        balancer = _balancer()
+        occupancy = target_speeds.occupancy(4, found, gated=True)
+        for _ in range(50):
+            for target, work in (("x", 0.3), ("y", 0.1)):
+                seconds = work * max(found / 4, 1)
+                balancer.answered(
+                    "r", target, seconds, 100, 10.0, occupancy=occupancy
+                )
+        factors = balancer.factors()
+        assert factors["x"] / factors["y"] == pytest.approx(3.0, rel=0.15)
+        assert balancer.work("r", 1.0) == pytest.approx(0.2, rel=0.2)
+
     def test_backoff_grows_up_to_a_bound(self):
         """Repeated connection failures lengthen the backoff up to a bound."""
         load = load_balancing.TargetStats()
