--- a/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/admission.py
@@ -99,11 +99,14 @@
         request: The request.
         verdict: The outcome.
         seconds: Expected time until it is admitted.
+        found: If admitted, number of requests at the target, this one included;
+            0 if unknown. It shows how long the request is going to wait there.
     """
 
     request: PermitRequest
     verdict: Verdict
     seconds: float = 0.0
+    found: int = 0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -293,7 +296,7 @@
         self._permits[entry.request.id] = _Permit(
             entry.request.work, now, expires_at, busy
         )
-        return Decision(entry.request, Verdict.ADMITTED)
+        return Decision(entry.request, Verdict.ADMITTED, found=busy)
 
     def _free(self, now: float) -> bool:
         if self.limiter is not None and self.limiter.wait(now) > 0:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/admission_service.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/admission_service.py
@@ -61,11 +61,16 @@
         gate: Address of the VM that granted it.
         target: The target.
         number: Number of the request, unique within this VM.
+        found: Number of requests at the target when it was granted, this one
+            included; 0 if unknown.
     """
 
-    __slots__ = ("gate", "number", "target")
+    __slots__ = ("found", "gate", "number", "target")
 
-    def __init__(self, gate: str, target: str, number: int) -> None:
+    def __init__(
+        self, gate: str, target: str, number: int, found: int = 0
+    ) -> None:
+        self.found = found
         self.gate = gate
         self.target = target
         self.number = number
@@ -207,7 +212,7 @@
                 verdict = decision.verdict
                 if verdict is admission.Verdict.ADMITTED:
                     self._permit_counts[gate, target] += 1
-                    return Permit(gate, target, number)
+                    return Permit(gate, target, number, decision.found)
                 if verdict is admission.Verdict.REFUSED:
                     return admission.Refusal(decision.wait_ms / 1000)
                 if verdict is None:
@@ -395,6 +400,7 @@
                     decision.request.number,
                     decision.verdict,
                     round(1000 * decision.seconds),
+                    decision.found,
                 ),
             )
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -19,6 +19,7 @@
 from mimosastile_core.gateway import retry_budget
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import target_feedback
+from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import dispatching
@@ -397,7 +398,10 @@
         call.basis = self._basis(target)
         call.tried_targets.add(target.id)
         load = self._balancer.load(target.id)
-        call.maybe_queued = load.under_way(started_at) > target.slots
+        call.gated = call.permit is not None
+        call.found = (
+            call.permit.found if call.permit else load.under_way(started_at)
+        )
         earlier_sends = call.send_count
         call.answered = False
         size = len(call.incoming.body)
@@ -652,10 +656,10 @@
                 self._balancer.answered(
                     call.route.name,
                     target.id,
-                    (now - started_at) / (call.expected_runs or 1.0),
+                    now - started_at,
                     len(response.body) + len(call.incoming.body),
                     now,
-                    waited=call.maybe_queued and not call.expected_runs,
+                    occupancy=_occupancy(call, target),
                 )
             elif response.status >= 500:
                 load.failed(now)
@@ -788,6 +792,15 @@
         )
 
 
+def _occupancy(
+    call: pending.Call, target: directory.Target
+) -> target_speeds.Occupancy:
+    """Returns how long a request was at its target in service times."""
+    if call.expected_runs:
+        return target_speeds.Occupancy(call.expected_runs)
+    return target_speeds.occupancy(target.slots, call.found, gated=call.gated)
+
+
 def _final_failure(
     call: pending.Call, last: errors.Failure | None, current: errors.Failure
 ) -> errors.Failure:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -574,6 +574,7 @@
             reconciler,
             key_rates.KeyRates(configured.heat_fast, now),
             key_rates.KeyRates(configured.heat_slow, now),
+            key_rates.KeyRates(configured.heat_steady, now),
         )
 
     def step_down_if_outranked(self, entry: leadership.LeaderEntry) -> None:
@@ -634,8 +635,7 @@
         for service, keys in report.keys.items():
             keyed = self._services.get(service)
             if keyed is not None:
-                keyed.fast_rates.add(keys, now)
-                keyed.slow_rates.add(keys, now)
+                keyed.record_requests(keys, now)
         received_at = self._clock.boottime()
         self._last_alive_at.update(
             dict.fromkeys(report.responsive, received_at)
@@ -688,6 +688,7 @@
             peers=self._peers_for(report, fresh_reports),
             path_proof=path_proof,
             shares=self._room.shares_for(vm.id),
+            speeds=self._planner.unmeasured_speeds(vm),
         )
 
     def _record_follower(self, report: messages.Report) -> None:
@@ -1219,11 +1220,23 @@
                     "version": keyed.table.version,
                     "ranges": len(keyed.table.ranges),
                     "grants": keyed.reconciler.dump(),
+                    "utilisations": keyed.utilisations,
                 }
                 for name, keyed in self._services.items()
             },
+            "speeds": self._planner.speeds(),
         }
 
+    def utilisations(self) -> list[float]:
+        """Returns the expected utilisation of all targets with keys."""
+        if self._entry is None:
+            return []
+        return [
+            share
+            for keyed in self._services.values()
+            for share in keyed.utilisations.values()
+        ]
+
 
 def _reaches_more(
     report: messages.Report, isolated: frozenset[str], unreachable: int
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -19,6 +19,7 @@
 from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import path_proofs
 from mimosastile_core.gateway import ranges
+from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import admission_service
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
@@ -645,8 +646,18 @@
                 lambda route: self._balancer.work(route, 0.0),
                 self._clock.now(),
             ),
+            speeds=self._measured_speeds(),
         )
 
+    def _measured_speeds(self) -> dict[str, target_speeds.SpeedSample]:
+        """Returns the samples of targets' speeds since the last report.
+
+        A new leader gets the standing estimates of all targets instead.
+        """
+        now = self._clock.now()
+        synced = self._synced_leader == self._cluster.leader
+        return self._balancer.take_speeds(now, standing=not synced)
+
     def _complete_at(self) -> tuple[float | None, float | None]:
         """Returns when this VM's views of the store were complete.
 
@@ -820,6 +831,7 @@
             }
         epoch = reply.leader.epoch if reply.leader else -1
         self._cluster.route_limits.apply(reply.shares, epoch, now)
+        self._balancer.assume_speeds(reply.speeds)
         self._balancer.record_other_requests(reply.under_way, now)
         self._balancer.replace_gates(reply.gates, now)
         self._cluster.limits.record_leader_view(reply.limits, now)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -13,6 +13,7 @@
 from mimosastile_core.gateway import key_rates
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import rebalance
+from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import dissemination
@@ -54,8 +55,13 @@
 """Maximum number of merged ranges per change; each merge needs one more
 grant."""
 _MERGE_INTERVAL_SECONDS = 2.0
+_STEADY_INTERVAL_SECONDS = 1.0
+"""Interval between two evaluations of the steady load, the counts of which
+change slowly and are many."""
+_PRUNE_INTERVAL_SECONDS = 10.0
+"""Interval between two removals of ended targets and VMs from the speeds."""
 _MIN_SLOWNESS = 0.3
-_MAX_SLOWNESS = 8.0
+_MAX_SLOWNESS = 16.0
 """Bounds on the estimated slowness of a target, relative to the mean."""
 
 
@@ -68,6 +74,8 @@
         reconciler: Sends the orders of the table.
         fast_rates: Request rates of keys over the short time constant.
         slow_rates: Request rates of keys over the long time constant.
+        steady_rates: The same over the longest one.
+        utilisations: Expected load of targets relative to their capacity.
     """
 
     __slots__ = (
@@ -77,7 +85,10 @@
         "reconciler",
         "revision",
         "slow_rates",
+        "steady_at",
+        "steady_rates",
         "table",
+        "utilisations",
     )
 
     def __init__(
@@ -87,6 +98,7 @@
         reconciler: grant_reconciliation.GrantReconciler,
         fast_rates: key_rates.KeyRates,
         slow_rates: key_rates.KeyRates,
+        steady_rates: key_rates.KeyRates,
     ) -> None:
         """Creates the state of a service for its first or stored table.
 
@@ -96,15 +108,24 @@
             reconciler: Sends the orders of the table.
             fast_rates: Request rates of keys over the short time constant.
             slow_rates: Request rates of keys over the long time constant.
+            steady_rates: The same over the longest one.
         """
         self.table = table
         self.revision = revision
         self.reconciler = reconciler
         self.fast_rates = fast_rates
         self.slow_rates = slow_rates
+        self.steady_rates = steady_rates
+        self.steady_at = -math.inf
+        self.utilisations: dict[str, float] = {}
         self._moved_key: int | None = None
         self._key_moved_at = 0.0
 
+    def record_requests(self, keys: list[int], now: float) -> None:
+        """Counts requests by key."""
+        for rates in (self.fast_rates, self.slow_rates, self.steady_rates):
+            rates.add(keys, now)
+
     def record_moves(self, moves: Iterable[ranges.Move], now: float) -> None:
         """Records the time of a move that concerns a single key."""
         for move in moves:
@@ -131,7 +152,8 @@
         "_merged_at",
         "_released_at",
         "_settings",
-        "_slowness_by_vm",
+        "_speeds",
+        "_speeds_pruned_at",
     )
 
     def __init__(
@@ -156,7 +178,8 @@
         self._cluster = cluster
         self._clock = timer
         self._events = log
-        self._slowness_by_vm: dict[str, dict[str, float]] = {}
+        self._speeds = target_speeds.JoinedSpeeds()
+        self._speeds_pruned_at = 0.0
         self._excluded_until: dict[str, float] = {}
         self._backoffs_by_vm: dict[str, dict[str, float]] = {}
         self._released_at = 0.0
@@ -216,7 +239,8 @@
         fast = keyed.fast_rates.counts(now)
         slow = keyed.slow_rates.counts(now)
         request_rate = sum(slow.values()) / self._settings.leader.heat_slow
-        rates = self._rates(capacity, keyed.table.service)
+        duration = self._duration(keyed.table.service)
+        rates = self._rates(capacity, duration)
         capacity = self._within_rate_limits(capacity, request_rate, now)
         moves = rebalance.evacuate(keyed.table, capacity, slow, lost)
         why = "evacuated"
@@ -242,6 +266,12 @@
                 moves = rebalance.spread(
                     keyed.table, capacity, slow, self._settings.balance
                 )
+            if now - keyed.steady_at > _STEADY_INTERVAL_SECONDS:
+                keyed.steady_at = now
+                steady = self._spread_steady(keyed, capacity, slow, duration)
+                if steady and not moves:
+                    why = "spread steady load"
+                    moves = steady
         if not moves:
             return None
         keyed.record_moves(moves, now)
@@ -251,6 +281,7 @@
             service=keyed.table.service,
             why=why,
             lost=[holder.id for holder in lost],
+            utilisation=_summary(keyed.utilisations),
             moves=[(m.first, m.last, m.to.id) for m in moves],
             version=keyed.table.version,
         )
@@ -266,7 +297,7 @@
         self, targets: Iterable[directory.Target], now: float
     ) -> dict[ranges.Holder, float]:
         """Returns the usable targets' capacities in concurrent requests."""
-        factors = self._mean_slowness()
+        factors = self._speeds.factors()
         backing_off = self._targets_in_backoff(now)
         capacity = {}
         for target in targets:
@@ -284,17 +315,43 @@
         # If most targets back off, the others cannot take over their keys.
         return available if 2 * len(available) >= len(capacity) else capacity
 
+    def _spread_steady(
+        self,
+        keyed: KeyedService,
+        capacity: Mapping[ranges.Holder, float],
+        recent: Mapping[int, float],
+        duration: float,
+    ) -> list[ranges.Move]:
+        """Moves load that has long been more than a target's share."""
+        now = self._clock.now()
+        steady = keyed.steady_rates.counts(now)
+        full = keyed.steady_rates.window(now) / duration
+        utilisations = rebalance.utilisations(
+            keyed.table, capacity, steady, full
+        )
+        keyed.utilisations = {
+            holder.id: round(share, 3) for holder, share in utilisations.items()
+        }
+        load = sum(c * utilisations[h] for h, c in capacity.items())
+        if not rebalance.differs(capacity) or load > sum(capacity.values()):
+            # Moves do not help a service that lacks capacity.
+            return []
+        return rebalance.spread(
+            keyed.table, capacity, steady, self._settings.balance, full, recent
+        )
+
+    def _duration(self, service: str) -> float:
+        """Returns the mean duration of a service's requests in seconds."""
+        reports = self._disseminator.fresh().values()
+        durations = [r.work[service] for r in reports if service in r.work]
+        if not durations:
+            return _DEFAULT_REQUEST_SECONDS
+        return sum(durations) / len(durations)
+
     def _rates(
-        self, capacity: Mapping[ranges.Holder, float], service: str
+        self, capacity: Mapping[ranges.Holder, float], duration: float
     ) -> dict[ranges.Holder, float]:
         """Returns capacities in requests per second."""
-        reports = self._disseminator.fresh().values()
-        durations = [r.work[service] for r in reports if service in r.work]
-        duration = (
-            sum(durations) / len(durations)
-            if durations
-            else _DEFAULT_REQUEST_SECONDS
-        )
         limits = self._rate_limits(capacity, self._clock.now())
         return {
             holder: min(slots / duration, limits.get(holder, math.inf))
@@ -346,13 +403,36 @@
         return limited
 
     def record_report(self, report: messages.Report) -> None:
-        """Records the slowness factors and backoffs of a VM's report."""
-        factors = self._slowness_by_vm.setdefault(report.vm.id, {})
-        factors.update(report.factors)
+        """Records the speeds of targets and the backoffs of a VM's report."""
         now = self._clock.now()
         self._backoffs_by_vm[report.vm.id] = {
             target: now + seconds for target, seconds in report.backoffs.items()
         }
+        samples = report.speeds
+        if not samples:
+            # A VM of an older version, or one that has measured nothing.
+            samples = {
+                target: target_speeds.SpeedSample(factor, 1.0, 0.0)
+                for target, factor in report.factors.items()
+            }
+        self._speeds.record(report.vm.id, report.vm.boot, samples, now)
+        if now - self._speeds_pruned_at > _PRUNE_INTERVAL_SECONDS:
+            self._speeds_pruned_at = now
+            self._speeds.retain(
+                (entry.target.id for entry in self._cluster.directory),
+                self._disseminator.fresh(),
+            )
+
+    def speeds(self) -> dict[str, float]:
+        """Returns the service times of targets relative to the mean."""
+        factors = self._speeds.factors().items()
+        return {target: round(factor, 3) for target, factor in factors}
+
+    def unmeasured_speeds(
+        self, vm: messages.VmEntry
+    ) -> dict[str, target_speeds.SpeedSample]:
+        """Returns speeds of targets that a VM has not measured itself."""
+        return self._speeds.unmeasured(vm.id, vm.boot, self._clock.now())
 
     def _targets_in_backoff(self, now: float) -> set[str]:
         """Returns targets that have asked several VMs to back off."""
@@ -431,6 +511,17 @@
         return table
 
 
+def _summary(utilisations: Mapping[str, float]) -> dict[str, float]:
+    """Returns the mean and the highest utilisation of targets."""
+    if not utilisations:
+        return {}
+    shares = utilisations.values()
+    return {
+        "mean": round(sum(shares) / len(shares), 3),
+        "highest": max(shares),
+    }
+
+
 def holder(target: directory.Target) -> ranges.Holder:
     """Returns a target's incarnation as an owner of keys."""
     return ranges.Holder(target.id, target.born, target.address)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -270,6 +270,20 @@
         assert refused.seconds >= 11 * WORK
 
 
+class TestFound:
+    """The number of requests that an admitted one finds at its target."""
+
+    def test_goes_with_the_decision(self):
+        """Guards against waits at a target that count as its slowness."""
+        queue = admission.AdmissionQueue(SLOTS, TARGET_QUEUE)
+        requests = [
+            admission.PermitRequest("vm", n, 0, 9.0, 9.0, WORK)
+            for n in range(8)
+        ]
+        decisions = [queue.decide(r, 0.0) for r in requests]
+        assert [d.found for d in decisions] == [1, 2, 3, 4, 5, 6, 7, 0]
+
+
 class TestRateLimit:
     """A steady load above the rate limit that the target has set."""
 
