--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -247,7 +247,7 @@
         return room_accounting.RoomAccounting(
             self._settings,
             self._cluster,
-            self._planner.slowness,
+            self._planner.speeds,
             self._clock,
             self._events,
         )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -642,7 +642,7 @@
             led_epoch=self._leader.led_epoch,
             running=self._leader.running_seconds,
             own_extended=self._leader.own_extended_seconds(),
-            self._cluster.route_limits.take_demand(
+            demand=self._cluster.route_limits.take_demand(
                 lambda route: self._balancer.work(route, 0.0),
                 self._clock.now(),
             ),
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -444,20 +444,6 @@
         )
         return {t for t, vms in vm_counts.items() if vms >= _BACKOFF_VMS}
 
-    def slowness(self) -> dict[str, float]:
-        """Returns each target's slowness relative to the mean of all."""
-        return self._mean_slowness()
-
-    def _mean_slowness(self) -> dict[str, float]:
-        """Returns each target's slowness, averaged over reporting VMs."""
-        fresh = self._disseminator.fresh()
-        sums: dict[str, list[float]] = {}
-        for vm, factors in self._slowness_by_vm.items():
-            if vm in fresh:
-                for target, factor in factors.items():
-                    sums.setdefault(target, []).append(factor)
-        return {t: sum(all_) / len(all_) for t, all_ in sums.items()}
-
     def _lost(
         self,
         keyed: KeyedService,
