Mend what a review of the bounds on holds found

Cause: the declared bound did not cover a leader's own usual grants. With usual grants longer than the bound, restarted with shorter ones, a successor gave keys away early: two owners, which the wait of ten seconds had covered before. Change: the bound is at least the usual duration. Grants of a term of an unknown incarnation are judged by all that its VM reports.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/former_leaders.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/former_leaders.py
@@ -211,10 +211,13 @@
                 transit = max(self._transit_seconds, _RESTART_TRANSIT_SECONDS)
                 stopped_by = min(stopped_by, now - ran + transit)
             former.confirm_stopped(stopped_by)
-            if own_seconds is not None and same:
+            # Grants of a term of an unknown incarnation may not be among the
+            # VM's own ones.
+            seconds = own_seconds if former.term.boot else extended_seconds
+            if seconds is not None and same:
                 former.reported = True
                 former.extended_grants_until = max(
-                    former.extended_grants_until, now + own_seconds
+                    former.extended_grants_until, now + seconds
                 )
         last_term_listed = any(
             (former.term.boot, former.term.epoch)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -217,6 +217,17 @@
         # on the safe side.
         self.extended_grants_until = now + reply.extended_grants
 
+    @property
+    def _declared_bound(self) -> float:
+        """Longest grant of a term in seconds.
+
+        It covers usual grants too: a successor may be configured with shorter
+        ones.
+        """
+        configured = self._settings.leader
+        longest = max(configured.longest_hold, configured.hold)
+        return min(longest, self._settings.bounds.hold_most)
+
     def _new_lease(self, hold_bound: float) -> leadership.LeaderLease:
         """Returns a leader lease that permits no orders yet.
 
@@ -307,10 +318,7 @@
             epoch + 1,
             self.address,
             self._unconfirmed_leaders(stored),
-            min(
-                self._settings.leader.longest_hold,
-                self._settings.bounds.hold_most,
-            ),
+            self._declared_bound,
             self._unexpired_terms(stored),
         )
         sent_at = self._clock.boottime()
@@ -459,6 +467,7 @@
         for key, item in items.items():
             if key.startswith(messages.TABLE_PREFIX):
                 self._load_table(item)
+        # The tables are gone after this term, and reports go on.
         self._former_leaders.record_usual_hold(self._usual_hold)
         self._cluster.record_leader(entry)
         self._tasks = [
--- a/tests/gateway/test_witnessing.py
+++ b/tests/gateway/test_witnessing.py
@@ -316,6 +316,43 @@
 
         virtual.run(main())
 
+    @pytest.mark.parametrize("seconds", [0.2, 0.5])
+    def test_shorter_usual_grants(self, seconds):
+        """Guards against waits by the usual grants of the successor."""
+
+        async def main():
+            fleet = await _started_fleet(longest_hold=2.0, hold=4.0)
+            fleet.orders.dead.add("a")
+            fleet._leader_settings = {"longest_hold": 2.0, "hold": 2.0}
+            for name in _VMS:
+                fleet.start(name)
+            await asyncio.sleep(seconds)
+            await fleet.take_over("vm-2")
+            for vm in fleet.vms.values():
+                vm.cluster.record_leader(fleet.vms["vm-2"].cluster.leader)
+            await asyncio.sleep(8.0)
+            assert fleet.orders.clashes == []
+            fleet.stop()
+
+        virtual.run(main())
+
+    def test_usual_grants_of_a_table(self):
+        """Guards against reports that forget the long grants of a table."""
+
+        async def main():
+            fleet = await _started_fleet(
+                renew_slowest=1.0, orders_per_second=2.0, longest_hold=2.0
+            )
+            await fleet.take_over("vm-2")
+            second = fleet.vms["vm-2"].leader_role
+            leading = second.extended_grants_seconds()
+            await fleet.take_over("vm-3")
+            await asyncio.sleep(0.01)
+            assert second.extended_grants_seconds() >= leading - 0.1
+            fleet.stop()
+
+        virtual.run(main())
+
     def test_leader_of_an_earlier_version(self):
         """Guards against relying on a bound that the leader did not declare."""
 
@@ -685,6 +722,21 @@
     (History.outage_ends, 0.0),
     (History.fourth_leads, 2.5),
 ]
+_LEADER_RESTARTED_IN_OUTAGE = [
+    (History.outage, 2.5),
+    (History.target_dead, 0.0),
+    (History.leader_restarts, 0.0),
+    (History.outage_ends, 0.0),
+    (History.fourth_leads, 2.5),
+]
+_LEADS_AGAIN_AFTER_OUTAGE = [
+    (History.outage, 2.5),
+    (History.target_dead, 0.0),
+    (History.outage_ends, 0.0),
+    (History.second_leads, 0.7),
+    (History.first_leads, 0.7),
+    (History.fourth_leads, 2.5),
+]
 _RESTARTED_SUCCESSOR = [
     (History.second_leads, 0.7),
     (History.outage, 2.5),
@@ -737,6 +789,18 @@
         lambda f, w, _, now: _record_promise(f, w, None, now),
         _PARTITIONED_IN_OUTAGE,
     ),
+    "promises to a leader that restarts": (
+        former_leaders.FormerLeaders,
+        "record_promise",
+        lambda f, w, _, now: _record_promise(f, w, None, now),
+        _LEADER_RESTARTED_IN_OUTAGE,
+    ),
+    "own grants of earlier terms": (
+        leader_role.LeaderRole,
+        "_own_extended_grants_until",
+        property(lambda role: role._lease.extended_grants_until),
+        _LEADS_AGAIN_AFTER_OUTAGE,
+    ),
     "runs": (
         former_leaders.FormerLeaders,
         "record_promise",
