--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 BENCH ?= bench
 SITES ?= deployments
 # Deployments and how many days are hunted on each; see CONTRIBUTING.md.
-REGRESSIONS := shifted/pisma-urednistvu-now-grown:8 large/pisma-urednistvu-large:8 further-grown/gclta-gateway-grown:8 further/gclta-gateway:40 sites/scl-gateway:40
+REGRESSIONS := demands/emcd-manizales-grown:8 demands/nkunga-gw-grown:8 shifted/pisma-urednistvu-now-grown:8 large/pisma-urednistvu-large:8 further-grown/gclta-gateway-grown:8 further/gclta-gateway:40 sites/scl-gateway:40
 FILES ?= $(wildcard scenarios/*.toml)
 
 .PHONY: bench-target bench-bare bench-entry bench-load
