Mend what a review of the division and the speeds found

Cause: an owner without capacity made thresholds of moves undefined, so that calm targets lost keys; a request pipelined behind a refused body was handled although its connection ended; a limit at one service of a weighted route shifted its shares; a bound of bodies at targets refused what had been served; a huge reported rate stayed in the sums for a whole term.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/held_bytes.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/held_bytes.py
@@ -82,8 +82,7 @@
     """Bodies of the requests that targets hold from one VM.
 
     A target crashes when the requests that it holds exceed its memory, which
-    only it knows. It has to take one request of the largest size, so a VM sends
-    no more than that at a time.
+    only it knows, so they are counted and not bounded.
     """
 
     __slots__ = ("_held", "_peak")
@@ -93,16 +92,6 @@
         self._held: collections.Counter[str] = collections.Counter()
         self._peak = 0
 
-    def admits(self, target: str, size: int, limit: int) -> bool:
-        """Whether a target may get another body.
-
-        Args:
-            target: Identifier of the target.
-            size: Bytes of the body.
-            limit: Bytes of the largest body that callers may send.
-        """
-        return size < LARGE_BYTES or self._held[target] + size <= limit
-
     def begin(self, target: str, size: int) -> None:
         """Records that a request is sent."""
         if size:
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/rebalance.py
@@ -146,8 +146,10 @@
 
     def utilisation(self, holder: ranges.Holder) -> float:
         """Returns the load of a target relative to its capacity."""
-        able = self._capacity.get(holder, 0.0) * self._full
-        return self.loads.get(holder, 0.0) / able if able else 0.0
+        able = self._capacity.get(holder, 0.0)
+        if not able or not self.bounded:
+            return 0.0
+        return self.loads.get(holder, 0.0) / (able * self._full)
 
     def urgency(self, holder: ranges.Holder, policy: Policy) -> float:
         """Returns the excess of a target relative to the threshold of moves."""
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
@@ -47,6 +47,8 @@
 """Bound on the rise."""
 _ENOUGH_SHARE = 1 - 1e-6
 """Share of a route's load from which it counts as served in full."""
+_MAX_REPORTED = 1e6
+"""Largest rate, in requests per second, that a report of one VM may state."""
 _RATE_SECONDS = 0.5
 """Time constant of the rates that are divided."""
 _PART_SECONDS = 3.0
@@ -101,6 +103,7 @@
         rate: Requests per second at all VMs.
         work: Mean service time in seconds.
         regions: Regions in which its requests may run; empty for any.
+        weighted: Whether the route divides its requests among services.
     """
 
     route: str
@@ -108,6 +111,7 @@
     rate: float
     work: float
     regions: tuple[str, ...] = ()
+    weighted: bool = False
 
     @property
     def load(self) -> float:
@@ -304,6 +308,8 @@
             if granted[c.route] < c.load * _ENOUGH_SHARE
             and (c.rank > min(ranks) or protects)
             and not occupancy.has_free_slots(c)
+            # A limit at one of its services would shift its shares.
+            and not c.weighted
         )
         self.granted = granted if self.limited else {}
 
@@ -463,6 +469,6 @@
 def _is_valid(item: RouteDemand) -> bool:
     """Whether a reported demand can be used."""
     return all(
-        math.isfinite(value) and value >= 0
+        0 <= value <= _MAX_REPORTED
         for value in (item.rate, item.work, item.served)
     )
--- a/packages/mimosastile-core/src/mimosastile_core/gateway/target_speeds.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/target_speeds.py
@@ -282,6 +282,8 @@
         self._joined = {t: j for t, j in self._joined.items() if t in kept}
         for vm in self._known_by_vm.keys() - set(vms):
             del self._known_by_vm[vm]
+        for _, known in self._known_by_vm.values():
+            known &= kept
 
     def factors(self) -> dict[str, float]:
         """Returns each measured target's service time relative to the mean."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -405,12 +405,6 @@
         earlier_sends = call.send_count
         call.answered = False
         size = len(call.incoming.body)
-        if not self._target_bodies.admits(target.id, size, self._body_limit):
-            self._dispatcher.finish(call, target)
-            return errors.failed(
-                errors.ErrorKind.OVERLOADED,
-                f"{target.id} holds as much of this VM as the largest body.",
-            )
         self._target_bodies.begin(target.id, size)
         sent: SendResult
         try:
@@ -430,13 +424,6 @@
         self._record_outcome(call, target, sent, started_at)
         return sent
 
-    @property
-    def _body_limit(self) -> int:
-        """Bytes of the largest body that callers may send."""
-        configuration = self._cluster.configuration
-        limits = configuration.limits if configuration else None
-        return (limits or routes.CallerLimits()).body_bytes
-
     def _basis(self, target: directory.Target) -> pending.Basis:
         """Returns the state by which a target is chosen, for the log."""
         now = self._clock.now()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -235,6 +235,9 @@
 
     def on_message_begin(self) -> None:
         """Starts a request."""
+        if self._final:
+            # The connection ends with a response that is already decided.
+            return
         self._incoming = Request("", b"", self._loop.time())
         self._url = b""
         self._body = []
@@ -272,6 +275,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffers a piece of a body."""
+        if self._incoming is None:
+            return
         self._body.append(body)
         self._body_bytes += len(body)
         self._held_bytes += len(body)
@@ -304,6 +309,8 @@
                 self._current = None
                 await self._send_response(incoming, response, keep_alive)
                 self._release(len(incoming.body))
+                if self._final:
+                    break
         finally:
             self._task = None
             self._current = None
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
@@ -226,7 +226,12 @@
     ) -> service_room.Competitor:
         total = self._demand.total(service, route.name)
         return service_room.Competitor(
-            route.name, route.priority, total.rate, total.work, route.regions
+            route.name,
+            route.priority,
+            total.rate,
+            total.work,
+            route.regions,
+            len(route.parts) > 1,
         )
 
     def _divide(self, name: str, service: _Service, now: float) -> None:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -172,6 +172,37 @@
         _run(scenario)
 
 
+class TestRefusedBody:
+    """A body that is refused before it is read, between other requests."""
+
+    @pytest.mark.parametrize("seconds", [0.0, 0.1])
+    def test_requests_behind_it(self, seconds):
+        """Guards against requests that run behind a connection's last answer.
+
+        Their answers would be lost, or stand where another one is due.
+        """
+
+        async def scenario(server, handler, reader, writer):
+            handler.delay = seconds
+            requests = (
+                [b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"] if seconds else []
+            )
+            requests += [
+                b"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 51\r\n\r\n"
+                + b"x" * 51,
+                b"POST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+            ]
+            writer.write(b"".join(requests))
+            received = await _read_all(reader)
+            await asyncio.sleep(0.2)
+            targets = [request.target for request in handler.requests]
+            assert targets == ([b"/1"] if seconds else [])
+            assert received.count(b"HTTP/1.1 ") == 1
+            assert server.held.total == 0
+
+        _run(scenario)
+
+
 class TestLeaving:
     """Callers that disconnect, and a server that stops."""
 
--- a/tests/gateway/test_rebalance.py
+++ b/tests/gateway/test_rebalance.py
@@ -129,6 +129,21 @@
         even = 65536 / sum(capacity.values())
         assert max(widths[h] / (c * even) for h, c in capacity.items()) < 1.2
 
+    def test_owner_without_capacity(self):
+        """Guards against moves chosen by a share of no capacity."""
+        first = _table().ranges[0]
+        others = range(first.last + 1, 65536)
+        heat = collections.Counter(random.Random(4).choices(others, k=6000))
+        heat[first.first] = 1
+        capacity = dict.fromkeys(HOLDERS, 4.0)
+        del capacity[first.owner]
+        assert not rebalance.spread(_table(), capacity, heat, POLICY)
+        hot = next(r for r in _table().ranges if r.owner == HOLDERS[2])
+        heat.update({hot.first + n: 20 for n in range(100)})
+        moves = rebalance.spread(_table(), capacity, heat, POLICY)
+        assert moves
+        assert all(hot.first <= m.first <= hot.last for m in moves)
+
     def test_load_that_has_moved_on(self):
         """Guards against moves of keys that were hot some seconds ago."""
         capacity = dict.fromkeys(HOLDERS, 4.0)
