Keep weighted routes out of the division altogether

Cause: never limited, they would still have displaced requests of limited routes, and urgent routes could have been limited for their floor. Change: no shares for weighted routes, no protection of them.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/service_room.py
@@ -298,7 +298,8 @@
             counted, {r: c * self._raise for r, c in corrected.items()}
         )
         protects = not gated and self._needs_protection(
-            [c for c in counted if c.rank > min(ranks)], granted
+            [c for c in counted if c.rank > min(ranks) and not c.weighted],
+            granted,
         )
         if gated:
             _add_surplus(counted, granted, self.capacity * _SURPLUS_SHARE)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/room_accounting.py
@@ -176,7 +176,7 @@
         granted = service.division.granted
         shares = {}
         for c in service.competitors:
-            if c.route not in granted:
+            if c.weighted or c.route not in granted:
                 continue
             admitted = min(granted[c.route] / c.load, 1.0)
             shares[c.route] = service_room.RouteShare(
--- a/tests/gateway/test_service_room.py
+++ b/tests/gateway/test_service_room.py
@@ -60,6 +60,30 @@
         assert granted == pytest.approx({"bound": 4.0, "free": 8.0}, abs=0.5)
 
 
+class TestWeightedRoutes:
+    """Routes that divide their requests among several services."""
+
+    @pytest.mark.parametrize("weighted", [False, True])
+    def test_never_limited(self, weighted):
+        """Guards against shares of a weighted route that a limit shifts.
+
+        An urgent route is not limited for the sake of one without limit.
+        """
+        bulk = service_room.Competitor("bulk", 2, 8.0, 1.0, (), weighted)
+        division = service_room.Division(0.0)
+        full = service_room.Occupancy(1.0, 1.0, 10.0, 0.2, {"r": 1.0})
+        for step in range(40):
+            division.update(
+                [_competitor("urgent", 0, 8.0), bulk],
+                {"r": 10.0},
+                full,
+                step / 10,
+                gated=False,
+            )
+        assert "urgent" not in division.limited
+        assert ("bulk" in division.limited) is not weighted
+
+
 class TestPressed:
     """Two kinds that together want 1.5 times the capacity."""
 
