--- a/packages/mimosastile-gateway/src/mimosastile_gateway/load_probing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/load_probing.py
@@ -29,6 +29,8 @@
 _PROBE_TIMEOUT_SECONDS = 1.0
 """Time after which a probe without a response ends and its connection is
 closed: a full target usually has a free slot before."""
+_COUNTED = ("started", "shared", "late", "failed")
+"""Outcomes of probes that are counted."""
 _EXTRA_WAIT_SECONDS = 0.01
 """Wait for further responses after the first one, in addition to the time that
 the first one took."""
@@ -113,7 +115,8 @@
 
     def dump(self) -> dict[str, int]:
         """Returns counts of probes by outcome, and how many are running."""
-        return {**self._counts, "running": len(self._running)}
+        counts = {name: self._counts[name] for name in _COUNTED}
+        return {**counts, "running": len(self._running)}
 
     def _shared_probe(
         self, target: directory.Target, path: str
--- a/tests/gateway/test_load_probing.py
+++ b/tests/gateway/test_load_probing.py
@@ -144,6 +144,7 @@
             assert len(checks.checked) == 2
             await asyncio.sleep(0.2)
             assert prober.dump() == {
+                "failed": 0,
                 "late": 1,
                 "running": 1,
                 "shared": 38,
