Remove a check without cases, and keep properties before methods

Cause: the bound of bodies at targets went; with it the only failure of a send that was an overload. A property stood between private methods. Change: both mended, behaviour as before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -372,8 +372,6 @@
         now = self._clock.now()
         maybe_ran = failure.response.ran is not errors.Ran.NO
         call.maybe_ran = call.maybe_ran or maybe_ran
-        if failure.kind is errors.ErrorKind.OVERLOADED:
-            return False
         if call.incoming.disconnected:
             # The request was not cancelled, as it may have run. Its caller has
             # left, so no further attempt is of use.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -176,6 +176,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the caller has not read yet."""
+        transport = self._transport
+        return transport.get_write_buffer_size() if transport else 0
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -365,12 +371,6 @@
         if self._head_bytes > self._server.limits.header_bytes:
             self._reject(431)
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes of responses that the caller has not read yet."""
-        transport = self._transport
-        return transport.get_write_buffer_size() if transport else 0
-
     def _release(self, size: int) -> None:
         """Counts bytes of bodies as no longer held."""
         self._held_bytes -= size
