Count responses that belong to no request, and log what confirms a release

The event of a freed range named neither the attempts nor the token of the release, and a response that belonged to no pending request left no trace, so logs could not tell whether a copy had been taken for another response. The event now has both, and a gauge counts unmatched responses of both pools.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -437,9 +437,15 @@
             "probes": self._prober.dump(),
             "held_bytes": self._caller_server.held.dump(),
             "connections_opened": self._pool.opened,
+            "responses_unmatched": self._unmatched_responses,
             "log_lines_dropped": self._events.dropped,
         }
 
+    @property
+    def _unmatched_responses(self) -> int:
+        """Number of responses so far that belonged to no pending request."""
+        return self._pool.unmatched + self._order_pool.unmatched
+
     def _on_change(self) -> None:
         configuration = self._cluster.configuration
         if configuration is not None:
@@ -521,6 +527,7 @@
             "store_reached": state.store_ok,
             "log_lines_dropped": self._events.dropped,
             "connections_opened": self._pool.opened,
+            "responses_unmatched": self._unmatched_responses,
             "requests_under_way": sum(own.values()),
             "targets_in_use": len(own),
             "targets_known": sum(1 for _ in state.directory),
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -673,6 +673,8 @@
             last=item.last,
             fence=former.fence,
             how=how,
+            attempts=attempts,
+            handover=state.handover if how == "released" else "",
             seconds=round(self._clock.boottime() - started_at, 3),
         )
         state.released.add(former.fence)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -112,6 +112,8 @@
 
     Attributes:
         on_response: Called with the address for the head of each response.
+        on_unmatched: Called for each response that belongs to no pending
+            request.
     """
 
     __slots__ = (
@@ -133,6 +135,7 @@
         "_transport",
         "_waiter",
         "on_response",
+        "on_unmatched",
     )
 
     def __init__(self, address: str) -> None:
@@ -159,6 +162,7 @@
         self._idle_since = 0.0
         self._reuse_seconds = float("inf")
         self.on_response: Callable[[str], None] = _ignore_response
+        self.on_unmatched: Callable[[], None] = _ignore_unmatched
 
     @property
     def reusable(self) -> bool:
@@ -305,6 +309,7 @@
         """Parses received bytes."""
         if self._response is None:
             # No request is pending: a second or late response.
+            self.on_unmatched()
             self.close()
             return
         try:
@@ -353,6 +358,8 @@
             # An interim response, or a late one to an earlier request. The
             # response to the pending request follows.
             self._discarding = True
+            if status >= 200:
+                self.on_unmatched()
             if status >= 200 and _ends_at_close(headers, status):
                 self._fail("unterminated response to another request")
             return
@@ -442,6 +449,7 @@
         "_opened",
         "_silent_timeout_ms",
         "_traffic",
+        "_unmatched",
         "on_attempt",
         "on_response",
     )
@@ -456,6 +464,7 @@
         """
         self._idle: dict[str, list[Connection]] = {}
         self._opened = 0
+        self._unmatched = 0
         self._silent_timeout_ms = int(silent_timeout * 1000)
         self.on_attempt: Callable[[str, reachability.Outcome, float], None] = (
             _ignore_attempt
@@ -490,6 +499,15 @@
         """Number of connections opened so far."""
         return self._opened
 
+    @property
+    def unmatched(self) -> int:
+        """Number of responses so far that belonged to no pending request."""
+        return self._unmatched
+
+    def count_unmatched(self) -> None:
+        """Counts a response that belonged to no pending request."""
+        self._unmatched += 1
+
     async def connect(
         self, address: str, idle: float, timeout: float
     ) -> Connection:
@@ -611,6 +629,7 @@
             ) from error
         self._opened += 1
         connection.on_response = self.on_response
+        connection.on_unmatched = self.count_unmatched
         seconds = loop.time() - began
         self.on_attempt(address, reachability.Outcome.CONNECTED, seconds)
         connection.detect_dead_peer(self._silent_timeout_ms)
@@ -627,6 +646,10 @@
     """Ignores a response."""
 
 
+def _ignore_unmatched() -> None:
+    """Ignores a response that belongs to no request."""
+
+
 def _set_keepalive(sock: socket.socket | None, silent_timeout_ms: int) -> None:
     """Makes the kernel detect that the remote end is unreachable."""
     if sock is None:
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -211,6 +211,23 @@
         _run(target, scenario)
         assert target.connections == 2
 
+    @pytest.mark.parametrize(
+        ("raw", "idle_bytes", "unmatched"),
+        [(WHOLE, b"", 0), (OTHER + WHOLE, b"", 1), (WHOLE, OTHER, 1)],
+        ids=["none", "late", "idle"],
+    )
+    def test_unmatched_responses_are_counted(self, raw, idle_bytes, unmatched):
+        """Counts responses that belong to no pending request."""
+        target = _Target(raw)
+
+        async def scenario(pool, address):
+            await _request(pool, address)
+            target.writers[0].write(idle_bytes)
+            await asyncio.sleep(0.02)
+            assert pool.unmatched == unmatched
+
+        _run(target, scenario)
+
     def test_idle_too_long(self):
         """A connection beyond the allowed idle time is not reused."""
         target = _Target(WHOLE, WHOLE)
