Add failing tests of orders that are falsely concluded

Copies of responses to orders, grants that a restarted target accepted for its earlier incarnation, and a renewal of a replaced table give two targets the same keys, or end a grant in force.

test_next_incarnation_ends_the_wait had a target that registers a later incarnation and takes no orders at its address.

--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -199,7 +199,7 @@
         self._fleet = fleet
         self._vm = vm
 
-    async def connect(self, address, idle, timeout):
+    async def connect(self, address, idle, timeout, echo=None):
         """Connects to a target."""
         target = self._fleet.target_at(address)
         if target is None:
--- a/tests/gateway/test_grant_reconciliation.py
+++ b/tests/gateway/test_grant_reconciliation.py
@@ -146,6 +146,42 @@
         _run(main())
 
 
+class TestReplacedTable:
+    """Orders of a table that has been replaced."""
+
+    def test_grant_that_waited_for_a_permit(self, monkeypatch):
+        """A former owner is granted keys that another target owns by now.
+
+        Its renewal waits until another order ends, while its keys are moved
+        without a response from it.
+        """
+
+        async def main():
+            monkeypatch.setattr(
+                grant_reconciliation, "_MAX_CONCURRENT_GRANTS", 1
+            )
+            rig = Rig()
+            await rig.wait_granted(0)
+            await rig.wait_granted(HALF)
+            rig.orders.lost_releases.add("a")
+            # A grant to the other target takes the only permit.
+            rig.orders.queued["b"] = 0.0
+            permit = rig.reconciler._grant_permits
+            await permit.acquire()
+            await asyncio.sleep(1.0)
+            rig.orders.queued.clear()
+            rig.move(0, HALF - 2, B)
+            await asyncio.sleep(5.0)
+            permit.release()
+            await rig.wait_granted(0)
+            await asyncio.sleep(2.0)
+            assert not rig.orders.clashes
+            assert rig.orders.holders(0) == {"b"}
+            rig.reconciler.stop()
+
+        _run(main())
+
+
 class TestManyRanges:
     """A table with a longer grant duration than the settings."""
 
@@ -255,7 +291,10 @@
 
         _run(main())
 
-    def test_next_incarnation_ends_the_wait(self):
+    @pytest.mark.parametrize(
+        ("address", "reachable"), [("a:80", True), ("a:81", False)]
+    )
+    def test_next_incarnation_ends_the_wait(self, address, reachable):
         """A target that loses its keys registers a later incarnation.
 
         The grants of the earlier incarnation have ended with it. Waiting for
@@ -267,12 +306,67 @@
             await rig.wait_granted(0)
             rig.orders.dead.add("a")
             rig.move(0, HALF - 1, B)
-            rig.cluster.apply_target(fakes.target("a", born=2))
+            if reachable:
+                rig.orders.restart("a")
+                rig.orders.dead.clear()
+            rig.cluster.apply_target(fakes.target("a", born=2, address=address))
             assert await rig.wait_granted(0) < 0.6
             rig.reconciler.stop()
 
         _run(main())
 
+    @pytest.mark.parametrize("reachable", [True, False])
+    @pytest.mark.parametrize("down", [0.05, 0.6, 1.2])
+    def test_next_incarnation_holds_earlier_grants(self, down, reachable):
+        """Keys are given away that a restarted target has been granted.
+
+        A target restarts at once and accepts a renewal that was meant for its
+        earlier incarnation, before it registers the later one.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.wait_granted(0)
+            rig.orders.dead.add("a")
+            rig.orders.restart("a")
+            await asyncio.sleep(down)
+            rig.orders.dead.clear()
+            await asyncio.sleep(1.0)
+            if not reachable:
+                rig.orders.dead.add("a")
+            rig.cluster.apply_target(fakes.target("a", born=2))
+            rig.move(0, HALF - 1, B)
+            await rig.wait_granted(0)
+            assert not rig.orders.clashes
+            rig.reconciler.stop()
+
+        _run(main())
+
+    def test_grants_of_an_earlier_incarnation_count_after_new_fences(self):
+        """Keys are given away while the grants under older fences last.
+
+        A restarted target has accepted a renewal meant for its earlier
+        incarnation, and gets no order any more under its later one.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.wait_granted(0)
+            rig.orders.restart("a")
+            await asyncio.sleep(1.0)
+            assert rig.orders.holders(0) == {"a"}
+            rig.orders.dead.add("a")
+            restarted = ranges.Holder("a", 2, "a:80")
+            rig.cluster.apply_target(fakes.target("a", born=2))
+            rig.table = ranges.refence(rig.table, {A: restarted}, "c2")
+            rig.reconciler.apply(rig.table)
+            rig.move(0, HALF - 1, B)
+            await rig.wait_granted(0)
+            assert not rig.orders.clashes
+            rig.reconciler.stop()
+
+        _run(main())
+
     def test_refused_fence_requires_a_new_one(self):
         """A target has seen a higher fence than the table's.
 
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -195,6 +195,65 @@
         _run(target, scenario)
         assert target.connections == 2
 
+    @pytest.mark.parametrize(
+        ("echo", "connections"), [(ECHO, 2), ((b"x-id", b"6"), 1)]
+    )
+    def test_not_repeated_on_its_connection(self, echo, connections):
+        """A copy of a rejection answers the same request that is sent again.
+
+        The echo tells responses to different requests apart, not those to two
+        sends of one.
+        """
+        rejection = b"HTTP/1.1 503 X\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n"
+        target = _Target(rejection, WHOLE)
+
+        async def scenario(pool, address):
+            assert (await _request(pool, address))[0] == 503
+            connection = await pool.connect(address, 5.0, 1.0, echo)
+            connection.close()
+
+        _run(target, scenario)
+        assert target.connections == connections
+
+    def test_avoided_connection_stays_open(self):
+        """A connection that one request must not use serves others."""
+        rejection = b"HTTP/1.1 503 X\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n"
+        target = _Target(rejection)
+
+        async def scenario(pool, address):
+            await _request(pool, address)
+            avoiding = await pool.connect(address, 5.0, 1.0, ECHO)
+            other = await pool.connect(address, 5.0, 1.0)
+            assert avoiding is not other
+            avoiding.close()
+            other.close()
+
+        _run(target, scenario)
+        assert target.connections == 2
+
+    def test_response_to_another_request(self):
+        """A request that no response echoes gets the response to another one.
+
+        A health check shares its connections with requests.
+        """
+        silent = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        target = _Target(OTHER + silent)
+
+        async def scenario(pool, address):
+            response = await http_client.call(
+                pool,
+                address,
+                "GET",
+                "/health",
+                timeout=1.0,
+                connect=1.0,
+                idle=1.0,
+                echo=(b"x-id", None),
+            )
+            assert response.body == b"ok"
+
+        _run(target, scenario)
+
     def test_bytes_while_idle(self):
         """Guards against a second response that arrives between two requests.
 
