Send no request again on a connection on which it has failed

A connection remembers the requests that failed on it, and the pool passes it over for these. A copy arrives where one of the next responses on its connection is expected, so on any other connection it cannot meet a second send. Calls of the gateway itself may name a header that their response does not have, and a test of whether a response certainly belongs to them.

TestReuse::test_not_repeated_on_its_connection and the two tests beside it failed before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -459,9 +459,10 @@
             if call.repeatable
             else request_settings.idle_careful
         )
+        echo = (self._header_names.attempt, call.attempt)
         try:
             connection = await self._pool.connect(
-                target.address, idle, request_settings.connect
+                target.address, idle, request_settings.connect, echo
             )
         except http_client.NotSentError as error:
             self._record_unreachable(target, attempted_at)
@@ -470,7 +471,7 @@
         try:
             reply = connection.start(
                 self._encode_request(call, target),
-                (self._header_names.attempt, call.attempt),
+                echo,
                 no_body=call.incoming.method == "HEAD",
             )
             sent_at = self._clock.now()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -3,6 +3,11 @@
 This module never retries: it writes each request once. If a request names a
 header for its response to echo, a response without it is discarded. Bytes that
 arrive on a connection without a pending request close the connection.
+
+A target may send a copy of an earlier response where the response to the next
+request is expected. The echo tells the two apart, unless the same request is
+sent again. Therefore a repeated request never uses a connection on which its
+first response, which was not a success, has arrived.
 """
 
 import asyncio
@@ -43,9 +48,16 @@
 _KEEP_ALIVE_SHARE = 0.6
 """Part of the timeout announced by Keep-Alive within which a connection may be
 reused."""
+_REMEMBERED_FAILURES = 32
+"""Requests that failed on a connection and are not repeated on it. A copy of a
+response arrives where one of the next responses is expected."""
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _NO_BODY = frozenset({204, 304})
 
+Echo = tuple[bytes, bytes | None]
+"""Name of a header and its value in the response that belongs to a request; no
+value if responses with the header belong to other requests."""
+
 
 class NotSentError(Exception):
     """No byte of the request was sent.
@@ -63,6 +75,10 @@
     """The request was sent, but no complete response arrived."""
 
 
+class ForeignResponseError(ResponseLostError):
+    """A response arrived that may belong to an earlier request."""
+
+
 class IncomingResponse:
     """A response, which fills while it is received.
 
@@ -73,7 +89,9 @@
         buffered_bytes: Size of these pieces.
         received_bytes: Size of the body received so far.
         complete: Whether the whole response was received.
-        reused: Whether its connection had served another request before.
+        reused: Whether its connection had served another request before. Only
+            without one is a response that echoes nothing certain to belong to
+            its request.
     """
 
     __slots__ = (
@@ -121,6 +139,7 @@
         "_closing",
         "_expected_echo",
         "_error",
+        "_failed_echoes",
         "_headers",
         "_idle_since",
         "_discarding",
@@ -152,7 +171,10 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._waiter: asyncio.Future[None] | None = None
         self._error: Exception | None = None
-        self._expected_echo: tuple[bytes, bytes] | None = None
+        self._expected_echo: Echo | None = None
+        self._failed_echoes: collections.deque[Echo] = collections.deque(
+            maxlen=_REMEMBERED_FAILURES
+        )
         self._discarding = False
         self._no_body = False
         self._until_close = False
@@ -182,10 +204,14 @@
         """
         return self.idle_seconds(now) < min(idle, self._reuse_seconds)
 
+    def has_failed(self, echo: Echo) -> bool:
+        """Whether a response to the same request was not a success."""
+        return echo in self._failed_echoes
+
     def start(
         self,
         data: bytes,
-        echo: tuple[bytes, bytes] | None = None,
+        echo: Echo | None = None,
         *,
         no_body: bool = False,
     ) -> IncomingResponse:
@@ -193,7 +219,8 @@
 
         Args:
             data: Head and body of the request.
-            echo: Header, with value, that the response must carry.
+            echo: Header, with value, that the response must carry, or must
+                not carry if there is no value.
             no_body: Whether the response has no body even if its head
                 announces one, as for HEAD.
 
@@ -407,6 +434,9 @@
         self._response = None
         self._until_close = False
         self._idle_since = self._loop.time()
+        echo = self._expected_echo
+        if echo is not None and echo[1] is not None and response.status >= 300:
+            self._failed_echoes.append(echo)
         transport = self._transport
         if transport is not None and transport.get_write_buffer_size():
             # The response arrived before the whole request was written. The
@@ -509,7 +539,11 @@
         self._unmatched += 1
 
     async def connect(
-        self, address: str, idle: float, timeout: float
+        self,
+        address: str,
+        idle: float,
+        timeout: float,
+        echo: Echo | None = None,
     ) -> Connection:
         """Returns an idle connection or a new one.
 
@@ -517,19 +551,35 @@
             address: Host and port.
             idle: Maximum idle time in seconds of a connection that is reused.
             timeout: Connect timeout in seconds for a new one.
+            echo: Echo of the request that the connection is for. One on which
+                the same request has failed is not used.
 
         Raises:
             NotSentError: No connection could be opened.
         """
-        kept = self._idle.get(address)
         now = asyncio.get_running_loop().time()
-        while kept:
+        connection = self._take_idle(address, idle, now, echo)
+        return connection or await self._open(address, timeout)
+
+    def _take_idle(
+        self, address: str, idle: float, now: float, echo: Echo | None
+    ) -> Connection | None:
+        """Removes the latest usable idle connection from the pool."""
+        kept = self._idle.get(address)
+        avoided = []
+        found = None
+        while kept and found is None:
             connection = kept.pop()
             if connection.reusable and connection.is_fresh(now, idle):
-                return connection
-            if not connection.reusable or connection.idle_seconds(now) > idle:
+                if echo is not None and connection.has_failed(echo):
+                    avoided.append(connection)
+                else:
+                    found = connection
+            elif not connection.reusable or connection.idle_seconds(now) > idle:
                 connection.close()
-        return await self._open(address, timeout)
+        if kept is not None:
+            kept.extend(reversed(avoided))
+        return found
 
     async def connect_new(self, address: str, timeout: float) -> Connection:
         """Returns a new connection even if there are idle ones.
@@ -673,16 +723,23 @@
         status: HTTP status.
         headers: Names in lower case with values.
         body: The whole body.
+        reused: Whether its connection had served another request before.
     """
 
-    __slots__ = ("body", "headers", "status")
+    __slots__ = ("body", "headers", "reused", "status")
 
     def __init__(
-        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        *,
+        reused: bool = False,
     ) -> None:
         self.status = status
         self.headers = headers
         self.body = body
+        self.reused = reused
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if there is none."""
@@ -700,6 +757,9 @@
     timeout: float,
     connect: float,
     idle: float,
+    echo: Echo | None = None,
+    belongs: Callable[[Response], bool] | None = None,
+    new_connection: bool = False,
 ) -> Response:
     """Sends one of the gateway's own requests and receives the whole response.
 
@@ -713,17 +773,28 @@
         timeout: Seconds to wait for the response.
         connect: Connect timeout in seconds.
         idle: Maximum idle time in seconds of a connection that is reused.
+        echo: Header, with value, that the response must carry, or must not
+            carry if there is no value.
+        belongs: Whether a response certainly belongs to this request; None if
+            every response does. Responses on new connections always do.
+        new_connection: Whether to use no connection that is open already.
 
     Raises:
         NotSentError: No byte was sent.
+        ForeignResponseError: The response does not certainly belong to this
+            request; the connection was reset.
         ResponseLostError: No complete response arrived in time; the
             connection was reset.
     """
-    connection = await pool.connect(address, idle, connect)
+    connection = (
+        await pool.connect_new(address, connect)
+        if new_connection
+        else await pool.connect(address, idle, connect)
+    )
     sent = request(address, method, path, body, headers)
     pool.count_bytes(path, len(sent), 0)
     try:
-        response = connection.start(sent)
+        response = connection.start(sent, echo)
         async with asyncio.timeout(timeout):
             await connection.wait_complete(response, 1 << 30)
     except TimeoutError:
@@ -732,8 +803,21 @@
     except BaseException:
         connection.abort()
         raise
+    complete = Response(
+        response.status,
+        response.headers,
+        response.take(),
+        reused=response.reused,
+    )
+    if complete.reused and belongs is not None and not belongs(complete):
+        # The response to this request may still follow on the connection.
+        pool.count_unmatched()
+        connection.abort()
+        raise ForeignResponseError(
+            f"{address}: response {complete.status} may belong to an earlier"
+            " request"
+        )
     pool.release(connection, address)
-    complete = Response(response.status, response.headers, response.take())
     pool.count_bytes(path, 0, len(complete.body))
     return complete
 
