Ask a restarted target to release what its earlier incarnation was granted

Two targets held the same keys for the duration of a grant: a target restarted within a second under its identifier and accepted a renewal that was meant for its earlier incarnation. Its registration then ended the wait for the earlier incarnation, and the keys went to another target at once. The same after a table with new fences, as grants were recorded by incarnation and forgotten.

A registration proves that the earlier process has ended, not that the later one holds nothing. Grants are recorded by target, and a later incarnation at the same address has to confirm the release, one round trip, or the grants have to expire. A target that has restarted at another address ends the wait once its former address accepts no connection. This makes the record of uncertain incarnations superfluous.

test_next_incarnation_holds_earlier_grants (four of six cases) and test_grants_of_an_earlier_incarnation_count_after_new_fences failed before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -156,7 +156,6 @@
         "_states_by_owner",
         "_stopped",
         "_table",
-        "_uncertain_incarnations",
     )
 
     def __init__(
@@ -198,8 +197,7 @@
         self._states: dict[ranges.Piece, _PieceState] = {}
         self._states_by_owner: dict[ranges.Holder, list[_PieceState]] = {}
         self._owners: dict[ranges.Holder, _OwnerStatus] = {}
-        self._uncertain_incarnations: set[ranges.Holder] = set()
-        self._exposures: dict[ranges.Holder, list[_Exposure]] = {}
+        self._exposures: dict[str, list[_Exposure]] = {}
         self._stopped = False
         self._grant_permits = asyncio.Semaphore(_MAX_CONCURRENT_GRANTS)
 
@@ -407,10 +405,6 @@
         for holder in holders:
             owner = self._owners.get(holder)
             if owner is not None:
-                if owner.failing_since is not None:
-                    # A later incarnation of the target may accept the new
-                    # grants.
-                    self._uncertain_incarnations.add(holder)
                 owner.failing_since = None
                 owner.failures = 0
                 owner.refused = False
@@ -510,7 +504,7 @@
             self._lease.record_extended_grant(
                 leadership.grant_expiry(latest_arrival, grant_seconds)
             )
-        self._exposures.setdefault(holder, []).append(exposure)
+        self._exposures.setdefault(holder.id, []).append(exposure)
         order = ports.GrantOrder(
             item.first, item.last, item.fence, grant_seconds, state.handover
         )
@@ -657,8 +651,14 @@
                     state.handover = response.ok_value
                     how = "released"
                     break
-                if response.err_value.kind is errors.ErrorKind.TARGET_REPLACED:
+                kind = response.err_value.kind
+                if kind is errors.ErrorKind.TARGET_REPLACED:
                     self._cluster.end_incarnation(holder.id, holder.born)
+                if kind is errors.ErrorKind.UNREACHABLE and self._has_moved(
+                    holder
+                ):
+                    how = "run ended"
+                    break
                 remaining = expires_at - self._clock.boottime()
                 await asyncio.sleep(
                     min(max(remaining, 0.0), _ORDER_RETRY_SECONDS)
@@ -687,7 +687,9 @@
         """Returns the time at which a target's grants for a range expire."""
         expiries = (
             exposure.until
-            for exposure in self._exposures.get(holder, ())
+            # A later incarnation may have accepted grants meant for an
+            # earlier one.
+            for exposure in self._exposures.get(holder.id, ())
             if exposure.first <= item.last and item.first <= exposure.last
         )
         # A former leader may have renewed the grants too, regardless of the
@@ -695,37 +697,29 @@
         return max((self._former_grants_expire_at, *expiries))
 
     def _incarnation_ended(self, holder: ranges.Holder) -> bool:
-        """Whether an incarnation of a target and its grants have ended.
+        """Whether no incarnation of a target can hold keys at its address."""
+        return self._cluster.directory.has_left_address(holder.id, holder.born)
+
+    def _has_moved(self, holder: ranges.Holder) -> bool:
+        """Whether a target has restarted at another address.
 
-        A later incarnation proves that the earlier one has ended. The latest
-        grants may still be held by the later incarnation under the earlier
-        one's name, if the target did not respond before they were sent or a
-        former leader may have sent some. In that case the later incarnation
-        has to confirm a release, or the grants have to expire.
+        This ends the wait for its earlier incarnation unless that one still
+        accepts connections. After a restart at the same address, the later
+        incarnation may have accepted grants meant for the earlier one, so it
+        has to confirm a release.
         """
-        target_directory = self._cluster.directory
-        if target_directory.has_left_address(holder.id, holder.born):
-            return True
-        if holder in self._uncertain_incarnations:
-            return False
-        if self._clock.boottime() < self._former_grants_expire_at:
-            return False
-        return target_directory.has_restarted(holder.id, holder.born)
+        entry = self._cluster.directory.get(holder.id)
+        return (
+            entry is not None
+            and entry.target.born > holder.born
+            and entry.target.address != holder.address
+        )
 
     def _prune_expired(self) -> None:
-        """Drops expired exposures and targets no longer in the table."""
+        """Drops expired exposures."""
         now = self._clock.boottime()
         self._exposures = {
-            holder: unexpired
-            for holder, all_ in self._exposures.items()
+            target: unexpired
+            for target, all_ in self._exposures.items()
             if (unexpired := [e for e in all_ if e.until > now])
         }
-        holders = (
-            holder
-            for state in self._states.values()
-            for holder in (
-                state.item.owner,
-                *(former.holder for former in state.item.formers),
-            )
-        )
-        self._uncertain_incarnations.intersection_update(holders)
