Send no grant that a replaced table required

A renewal that waited for a free permit while its keys moved was sent under the former fence. If the former owner had received no release, it accepted the grant, and two targets held the keys. After the wait the range is looked up again.

TestReplacedTable::test_grant_that_waited_for_a_permit failed before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -452,6 +452,10 @@
             async with self._grant_permits:
                 if not self._lease.is_valid(self._clock.boottime() + max_delay):
                     continue
+                if self._states.get(state.item.piece) is not state:
+                    # The table has been replaced during the wait. Another
+                    # target may own the keys by now.
+                    continue
                 await self._grant(holder, owner, state)
 
     def _next_due(self, holder: ranges.Holder) -> _PieceState | None:
