Report every connect error as a request not sent

Callers got no response at all: with an address such as 127.0.0.1:99999, `create_connection` raises OverflowError, which the pool did not expect.

The pool now turns any error of the connect into NotSentError, which every caller of the pool maps to a failure: no byte was sent, so nothing else can be concluded. Cancellation is no Exception and is still passed on.

The two rows of test_address_that_cannot_be_dialled with ports out of range failed before (OverflowError); the others guard the kinds that were ValueErrors.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -598,7 +598,8 @@
             seconds = loop.time() - began
             self.on_attempt(address, reachability.Outcome.HUNG, seconds)
             raise
-        except (OSError, ValueError) as error:
+        except Exception as error:
+            # Such as OverflowError for a port and UnicodeError for a host.
             timed_out = isinstance(error, TimeoutError)
             outcome = (
                 reachability.Outcome.HUNG
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -252,6 +252,36 @@
 
         _run(_Target(), scenario)
 
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "127.0.0.1:99999",
+            "127.0.0.1:-1",
+            "127.0.0.1:port",
+            "127.0.0.1",
+            "a" * 70 + ".b:80",
+            "a\0b:80",
+            "\udcff:80",
+            "..:80",
+            "",
+        ],
+    )
+    def test_address_that_cannot_be_dialled(self, address):
+        """Guards against a request that never gets a response.
+
+        An error of another type would end the handler of the caller's request.
+        """
+        seen = []
+
+        async def scenario(pool, _):
+            pool.on_attempt = lambda _, outcome, __: seen.append(outcome)
+            with pytest.raises(http_client.NotSentError) as raised:
+                await pool.connect(address, 1.0, 1.0)
+            assert not raised.value.hung
+
+        _run(_Target(), scenario)
+        assert seen == [reachability.Outcome.REFUSED]
+
 
 class TestAttempts:
     """Outcomes of attempts to connect."""
