--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import enum
+import operator
 
 import msgspec
 
@@ -44,6 +45,10 @@
     ENDED = "ended"
 
 
+_identity = operator.attrgetter("born", "address")
+"""What distinguishes the process that a registration names."""
+_routing = operator.attrgetter("service", "zone", "slots")
+"""What else of a registration decides which requests a target gets."""
 _VANISHED = frozenset({TargetStatus.MISSING, TargetStatus.ENDED})
 
 
@@ -155,6 +160,7 @@
             Whether the change affects routing.
         """
         entry = self._entries.get(target.id)
+        previous = entry.target if entry is not None else None
         if entry is not None and target.revision < entry.revision:
             return False
         if entry is not None and target.born < entry.target.born:
@@ -164,13 +170,7 @@
             return False
         if entry is None:
             entry = self._entries[target.id] = Entry(target, now)
-            is_new = True
-        else:
-            previous = entry.target
-            is_new = (previous.born, previous.address) != (
-                target.born,
-                target.address,
-            )
+        is_new = previous is None or _identity(previous) != _identity(target)
         if target.born != entry.target.born:
             entry.announced_at = None
             entry.until = float("inf")
@@ -181,7 +181,7 @@
         leaving = target.leaving or entry.announced_at is not None
         status = TargetStatus.LEAVING if leaving else TargetStatus.READY
         if entry.status is status and not is_new:
-            return False
+            return previous is None or _routing(previous) != _routing(target)
         entry.status = status
         entry.since = now
         if leaving:
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -85,6 +85,9 @@
             ({"born": 2}, True),
             ({"address": "10.0.0.2:80"}, True),
             ({"leaving": True}, True),
+            ({"service": "other"}, True),
+            ({"zone": "y"}, True),
+            ({"slots": 5}, True),
         ],
     )
     def test_changes_that_affect_routing(self, change, affects_routing):
