Ignore registrations that name no target

Callers saw two targets hold the same keys for up to 1.2 s, requests on one service's route run by another service, and requests without any response. An entry from another writer, under the identifier of a live target and without ConfigVersion, WarmupLeftMs and SeqNo, counted as a restart of the target at another address: three fields had defaults or were not read.

A malformed value is no removal, neither in a watch nor in a list that is read again.

A registration for an unnamed service is kept apart until a configuration names it, because registrations may arrive before the configuration that they belong to; VMs pass it on like others, as a receiver's revision would otherwise skip it.

Each key is logged once, with a bound on the keys remembered, and each rejected revision is counted by reason.

The registrations of the tests' own targets lacked three fields; they are whole now.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -1,6 +1,7 @@
 """Directory of targets: their registrations, and which may get new work."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -344,6 +345,7 @@
         revision: int = 0,
         since: float | None = None,
         gone_since: float | None = None,
+        present: Collection[str] = (),
     ) -> list[str]:
         """Replaces all registrations by a complete list.
 
@@ -355,6 +357,8 @@
                 for now.
             gone_since: Earliest time at which registrations may have vanished;
                 None for now.
+            present: Identifiers in the list that have not vanished, although
+                they may not be among `targets`.
 
         Returns:
             Identifiers of the targets whose entry changed.
@@ -365,6 +369,7 @@
             target
             for target in list(self._entries)
             if target not in listed
+            and target not in present
             and self.remove(
                 target, now, late=True, revision=revision, since=gone_since
             )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
@@ -25,6 +25,7 @@
 from mimosastile_gateway import events
 from mimosastile_gateway import messages
 from mimosastile_gateway import ports
+from mimosastile_gateway import rejected_registrations
 from mimosastile_gateway import settings
 
 _REMOVED_TARGET_RETENTION_SECONDS = 30.0
@@ -57,6 +58,18 @@
 seconds; a VM reports twice a second."""
 
 
+class _Deferred(msgspec.Struct, frozen=True):
+    """A registration for a service that no known configuration names.
+
+    Attributes:
+        target: The target that it would name.
+        since: Earliest time at which it may have been written.
+    """
+
+    target: directory.Target
+    since: float
+
+
 class ClusterState:
     """Current cluster state as seen by this VM, with change notification.
 
@@ -73,6 +86,7 @@
             request.
         evacuations: Zones that are evacuated.
         limits: Rate limits that targets have set for all VMs together.
+        rejected: Registrations that name no target.
         backoffs: Backoffs that targets have requested from this VM.
         seen: Store revision up to which all registrations are included.
         configuration_seen: Store revision up to which the configuration in
@@ -90,6 +104,7 @@
         "_changed",
         "_clock",
         "_configurations",
+        "_deferred",
         "_evacuation_began",
         "_events",
         "_settings",
@@ -107,6 +122,7 @@
         "leader_since",
         "limits",
         "registrations_freshness",
+        "rejected",
         "route_limits",
         "route_table",
         "seen",
@@ -144,6 +160,8 @@
         self.evacuations = eligibility.Evacuations()
         self.eligibility = eligibility.Eligibility(configured.vm.regions)
         self._evacuation_began: dict[str, float] = {}
+        self._deferred: dict[str, _Deferred] = {}
+        self.rejected = rejected_registrations.RejectedRegistrations(log)
         self.limits = limits.TargetLimits(configured.vm.id)
         self.route_limits = route_limits.RouteLimits(timer.random)
         self.backoffs = backoffs.Backoffs()
@@ -219,6 +237,12 @@
             routes=len(new.routes),
             source=source,
         )
+        deferred = self._deferred
+        self._deferred = {}
+        self.apply_registrations(
+            [item.target for item in deferred.values()],
+            since={name: item.since for name, item in deferred.items()},
+        )
         self.signal()
         return True
 
@@ -352,6 +376,40 @@
         """Applies a target's registration."""
         self.apply_registrations((target,))
 
+    def _named(
+        self, targets: Iterable[directory.Target], since: Mapping[str, float]
+    ) -> list[directory.Target]:
+        """Returns the targets whose service the configuration names.
+
+        The others are kept until a configuration names their service: a
+        registration may arrive before the configuration that it belongs to.
+        Until then, what is known of the target holds.
+        """
+        now = self._clock.now()
+        configuration = self.configuration
+        services = configuration.services if configuration else {}
+        named = []
+        for target in targets:
+            deferred = self._deferred.get(target.id)
+            if deferred and deferred.target.revision > target.revision:
+                continue
+            if target.service in services:
+                self._deferred.pop(target.id, None)
+                named.append(target)
+                continue
+            self._deferred[target.id] = _Deferred(
+                target, since.get(target.id, now)
+            )
+            if configuration is not None:
+                self.rejected.record(
+                    target.id,
+                    target.revision,
+                    ports.Rejection(
+                        ports.RejectionReason.SERVICE, repr(target.service)
+                    ),
+                )
+        return named
+
     def apply_registrations(
         self,
         targets: Iterable[directory.Target],
@@ -369,10 +427,13 @@
         """
         now = self._clock.now()
         written = []
-        for target in targets:
+        for target in self._named(targets, since):
             self._log_older_incarnation(target)
             if self.directory.put(target, now, since.get(target.id)):
                 written.append(target)
+        vanished = list(vanished)
+        for name, revision in vanished:
+            self._forget_deferred(name, revision)
         gone = [
             name
             for name, revision in vanished
@@ -394,6 +455,12 @@
             self._log_each_change(written, gone)
         self.signal()
 
+    def _forget_deferred(self, target: str, revision: int) -> None:
+        """Drops a deferred registration that was removed from the store."""
+        deferred = self._deferred.get(target)
+        if deferred and (not revision or revision > deferred.target.revision):
+            del self._deferred[target]
+
     def _log_each_change(
         self, written: Iterable[directory.Target], gone: Iterable[str]
     ) -> None:
@@ -588,18 +655,42 @@
             self.signal()
 
     def replace_targets(
-        self, targets: list[directory.Target], revision: int = 0
+        self,
+        targets: list[directory.Target],
+        revision: int = 0,
+        rejected: Collection[str] = (),
     ) -> None:
-        """Replaces all targets by a list, as of a revision of the store."""
+        """Replaces all targets by a list, as of a revision of the store.
+
+        Args:
+            targets: The registrations that name a target.
+            revision: The store's revision of the list.
+            rejected: Identifiers whose registration names no target; what is
+                known of them holds.
+        """
         now = self._clock.now()
-        for target in targets:
+        view_at = self.registrations_freshness.at
+        since = (
+            {}
+            if view_at is None
+            else {target.id: view_at for target in targets}
+        )
+        listed = {target.id for target in targets}.union(rejected)
+        self._deferred = {
+            name: item
+            for name, item in self._deferred.items()
+            if name in listed or item.target.revision > revision
+        }
+        named = self._named(targets, since)
+        for target in named:
             self._log_older_incarnation(target)
         changed = self.directory.replace(
-            targets,
+            named,
             now,
             revision,
-            self.registrations_freshness.at,
-            self.removed_since(self.registrations_freshness.at),
+            view_at,
+            self.removed_since(view_at),
+            listed,
         )
         self.seen = max(self.seen, revision)
         self.directory.drop_vanished(now, _REMOVED_TARGET_RETENTION_SECONDS)
@@ -664,21 +755,40 @@
         changed = (
             self.directory.since_revision(seen) if self.seen > seen else []
         )
-        if newer is None and not changed and not moved:
+        deferred = (
+            item
+            for item in self._deferred.values()
+            if self.seen > seen and item.target.revision > seen
+        )
+        # The receiver may have the configuration that names their services.
+        held = tuple(
+            messages.TargetUpdate(
+                msgspec.structs.replace(item.target, warm_at=0.0),
+                item.target.revision,
+                gone=False,
+                warm_left=max(item.target.warm_at - now, 0.0),
+                age=now - item.since,
+            )
+            for item in deferred
+        )
+        if newer is None and not changed and not held and not moved:
             return None
         return messages.StateUpdate(
             seen,
             max(self.seen, seen),
-            tuple(
-                messages.TargetUpdate(
-                    msgspec.structs.replace(entry.target, warm_at=0.0),
-                    entry.revision,
-                    entry.status is directory.TargetStatus.MISSING,
-                    max(entry.target.warm_at - now, 0.0),
-                    now - entry.since,
-                )
-                for entry in changed
-                if entry.status is not directory.TargetStatus.ENDED
+            (
+                *(
+                    messages.TargetUpdate(
+                        msgspec.structs.replace(entry.target, warm_at=0.0),
+                        entry.revision,
+                        entry.status is directory.TargetStatus.MISSING,
+                        max(entry.target.warm_at - now, 0.0),
+                        now - entry.since,
+                    )
+                    for entry in changed
+                    if entry.status is not directory.TargetStatus.ENDED
+                ),
+                *held,
             ),
             newer if isinstance(newer, routes.Configuration) else None,
             newer if isinstance(newer, configurations.Change) else None,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -539,6 +539,7 @@
         }
         for name, value in gauges.items():
             self._metrics.set_gauge(name, value)
+        self._metrics.set_rejected(self._cluster.rejected.counts)
         self._metrics.set_retries(self._retry_budgets.counts)
         self._metrics.set_route_gauges(self._leader_role.room.gauges())
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
@@ -20,6 +20,7 @@
         "_counts",
         "_event_counts",
         "_gauges",
+        "_rejected",
         "_retries",
         "_route_gauges",
         "_times",
@@ -44,6 +45,7 @@
         )
         self._times: dict[str, histogram.HdrHistogram] = {}
         self._gauges: dict[str, float] = {}
+        self._rejected: Mapping[str, int] = {}
         self._retries: Mapping[str, retry_budget.RetryCounts] = {}
         self._route_gauges: Mapping[str, Mapping[tuple[str, str], float]] = {}
 
@@ -67,6 +69,10 @@
         """Sets the value of a gauge."""
         self._gauges[name] = value
 
+    def set_rejected(self, counts: Mapping[str, int]) -> None:
+        """Replaces the counts of rejected registrations by reason."""
+        self._rejected = counts
+
     def set_retries(
         self, counts: Mapping[str, retry_budget.RetryCounts]
     ) -> None:
@@ -108,12 +114,11 @@
         yield f"# TYPE {name} counter"
         for (path, direction), count in sorted(self._traffic.items()):
             yield f'{name}{{path="{path}",direction="{direction}"}} {count}'
-        name = "mimosastile_retries_total"
+        name = "mimosastile_rejected_registrations_total"
         yield f"# TYPE {name} counter"
-        for service, retries in sorted(self._retries.items()):
-            labels = f'service="{service}",outcome='
-            yield f'{name}{{{labels}"taken"}} {retries.taken}'
-            yield f'{name}{{{labels}"denied"}} {retries.denied}'
+        for reason, count in sorted(self._rejected.items()):
+            yield f'{name}{{reason="{reason}"}} {count}'
+        yield from self._retry_lines()
         for gauge, value in sorted(self._gauges.items()):
             yield f"# TYPE mimosastile_{gauge} gauge"
             yield f"mimosastile_{gauge} {value:g}"
@@ -122,3 +127,11 @@
             for (service, route), value in sorted(by_label.items()):
                 labels = f'service="{service}",route="{route}"'
                 yield f"mimosastile_{gauge}{{{labels}}} {value:g}"
+
+    def _retry_lines(self) -> Iterator[str]:
+        name = "mimosastile_retries_total"
+        yield f"# TYPE {name} counter"
+        for service, retries in sorted(self._retries.items()):
+            labels = f'service="{service}",outcome='
+            yield f'{name}{{{labels}"taken"}} {retries.taken}'
+            yield f'{name}{{{labels}"denied"}} {retries.denied}'
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/ports.py
@@ -1,5 +1,6 @@
 """Interfaces that a platform's adapter implements: names, formats and calls."""
 
+import enum
 from typing import Protocol
 
 import msgspec
@@ -244,6 +245,27 @@
         """Makes a health check; the HTTP status is not evaluated."""
 
 
+class RejectionReason(enum.Enum):
+    """Why a registration names no target."""
+
+    MALFORMED = "malformed"
+    STATE = "state"
+    ADDRESS = "address"
+    SERVICE = "service"
+
+
+class Rejection(msgspec.Struct, frozen=True):
+    """A registration that names no target.
+
+    Attributes:
+        reason: The reason.
+        detail: What was found, for the log.
+    """
+
+    reason: RejectionReason
+    detail: str
+
+
 class RecordPort(Protocol):
     """Decodes the records of operators and targets in the store."""
 
@@ -269,5 +291,5 @@
 
     def target(
         self, item: Item, now: float
-    ) -> result.Result[directory.Target, str]:
-        """Decodes a registration; returns an error text if it is invalid."""
+    ) -> result.Result[directory.Target, Rejection]:
+        """Decodes a registration; returns why it names no target otherwise."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
@@ -341,7 +341,7 @@
             if isinstance(read, result.Ok):
                 self._cluster.apply_configuration(read.ok_value, "store")
             else:
-                self._log_malformed("configuration", item, read.err_value)
+                self._log_malformed(item, read.err_value)
 
     def _configuration_listed(self, listing: ports.Listing) -> None:
         """Applies the whole list of the operators' keys."""
@@ -380,8 +380,13 @@
 
     def _targets_listed(self, listing: ports.Listing) -> None:
         """Applies the whole list of registrations."""
+        prefix = self._records.targets_prefix
+        targets = self._decode(listing.items)
+        listed = {item.key.removeprefix(prefix) for item in listing.items}
         self._cluster.replace_targets(
-            self._decode(listing.items), listing.revision
+            targets,
+            listing.revision,
+            listed - {target.id for target in targets},
         )
 
     def _targets_changed(
@@ -395,17 +400,7 @@
     def _targets_written(
         self, items: Iterable[ports.Item], since: float | None
     ) -> None:
-        items = list(items)
-        readable = self._decode(items)
-        names = {target.id for target in readable}
-        prefix = self._records.targets_prefix
-        found = ((i.key.removeprefix(prefix), i.revision) for i in items)
-        # A registration that was overwritten with malformed data counts as
-        # removed.
-        unreadable = [
-            (name, revision) for name, revision in found if name not in names
-        ]
-        self._apply(readable, unreadable, since)
+        self._apply(self._decode(items), [], since)
 
     def _targets_removed(
         self, keys: Iterable[tuple[str, int]], since: float | None
@@ -426,19 +421,24 @@
         self._cluster.apply_registrations(targets, vanished, times)
 
     def _decode(self, items: Iterable[ports.Item]) -> list[directory.Target]:
+        """Returns the targets that items name; records those that name none."""
         found = []
         for item in items:
             read = self._records.target(item, self._clock.now())
             if isinstance(read, result.Ok):
                 found.append(read.ok_value)
-            else:
-                self._log_malformed("target", item, read.err_value)
+                continue
+            self._cluster.rejected.record(
+                item.key.removeprefix(self._records.targets_prefix),
+                item.revision,
+                read.err_value,
+            )
         return found
 
-    def _log_malformed(self, kind: str, item: ports.Item, why: str) -> None:
+    def _log_malformed(self, item: ports.Item, why: str) -> None:
         self._events.write(
             "store",
-            f"{kind}_unreadable",
+            "configuration_unreadable",
             key=item.key,
             revision=item.revision,
             why=why,
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -111,8 +111,11 @@
                 "ServiceName": self.service,
                 "Address": self.address,
                 "Zone": "z",
+                "ConfigVersion": "v1",
                 "Slots": self.slots,
                 "State": "draining" if leaving else "ready",
+                "WarmupLeftMs": 0,
+                "SeqNo": 1,
                 "born": self.born,
             }
         )
--- a/tests/gateway/test_cluster_state.py
+++ b/tests/gateway/test_cluster_state.py
@@ -8,6 +8,7 @@
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import routes
+from mimosastile_gateway import cluster_state
 from mimosastile_gateway import messages
 from mimosastile_standins import virtual
 from tests.gateway import fakes
@@ -89,6 +90,104 @@
         _run(check)
 
 
+_OTHER = routes.Configuration(
+    2,
+    services={name: routes.Service(name) for name in ("s", "later")},
+)
+
+
+class TestDeferredRegistrations:
+    """Registrations for services that no known configuration names."""
+
+    @pytest.mark.parametrize("listed", [False, True])
+    def test_service_is_named_later(self, listed):
+        """Guards against a target of a new service that is never used."""
+
+        def check(state):
+            target = fakes.target("b", "later", revision=5)
+            if listed:
+                state.replace_targets([fakes.target("a"), target], 5)
+            else:
+                state.apply_target(target)
+            assert state.directory.get("b") is None
+            state.apply_configuration(_OTHER)
+            assert state.directory.is_ready("b")
+
+        _run(check)
+
+    @pytest.mark.parametrize("listed", [False, True])
+    def test_removed_before_its_service_is_named(self, listed):
+        """Guards against a registration that outlives its removal."""
+
+        def check(state):
+            state.apply_target(fakes.target("b", "later", revision=5))
+            if listed:
+                state.replace_targets([fakes.target("a")], 6)
+            else:
+                state.remove_target("b", 6)
+            state.apply_configuration(_OTHER)
+            assert state.directory.get("b") is None
+
+        _run(check)
+
+    def test_superseded_before_its_service_is_named(self):
+        """Guards against an earlier registration that replaces a later one."""
+
+        def check(state):
+            state.apply_target(
+                fakes.target("a", "later", born=9, revision=5, address="x:1")
+            )
+            state.apply_target(fakes.target("a", revision=6))
+            state.apply_configuration(_OTHER)
+            assert state.directory.get("a").target.born == 1
+            assert not state.directory.has_restarted("a", 1)
+
+        _run(check)
+
+    def test_reaches_other_vms(self):
+        """Guards against a VM that never learns of a target of a new service.
+
+        The leader has passed on the registration's revision before either of
+        them had the configuration.
+        """
+
+        def check(leader):
+            follower = _state()
+            leader.apply_target(fakes.target("b", "later", revision=5))
+            leader.seen = 5
+            follower.apply_update(leader.updates_since(0, 1))
+            assert follower.seen == 5
+            assert follower.directory.get("b") is None
+            for vm in (leader, follower):
+                vm.apply_configuration(_OTHER)
+                assert vm.directory.is_ready("b")
+
+        _run(check)
+
+    def test_before_the_first_configuration(self):
+        """Guards against stray registrations at a daemon's start.
+
+        Without a configuration, no service is known to be unknown.
+        """
+
+        async def main():
+            log = fakes.MemoryEvents()
+            state = cluster_state.ClusterState(
+                fakes.configured(), fakes.VirtualClock(), log
+            )
+            stray = fakes.target("a", "unknown", born=9, revision=4)
+            state.replace_targets([stray, fakes.target("b", revision=3)], 5)
+            assert not state.rejected.counts
+            state.apply_configuration(_OTHER)
+            assert state.directory.is_ready("b")
+            assert state.directory.get("a") is None
+            assert state.rejected.counts == {"service": 1}
+            state.apply_target(fakes.target("a", revision=6))
+            assert state.directory.get("a").target.born == 1
+
+        virtual.run(main())
+
+
 class TestConfigurationSeen:
     """The store revision up to which the configuration is the newest."""
 
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -45,6 +45,13 @@
         assert 'path="/watch",direction="received"} 50' in text
         assert 'path="/keep",direction="sent"} 10' in text
 
+    def test_rejected_registrations(self):
+        """Registrations that name no target are counted by reason."""
+        exposed = metrics.Metrics()
+        exposed.set_rejected({"address": 2})
+        name = "mimosastile_rejected_registrations_total"
+        assert f'{name}{{reason="address"}} 2' in exposed.text()
+
 
 class TestPage:
     """docs/OPERATIONS.md."""
--- a/tests/gateway/test_start.py
+++ b/tests/gateway/test_start.py
@@ -27,8 +27,11 @@
             "ServiceName": fleet.PLAIN,
             "Address": f"10.1.{number // 250}.{number % 250}:80",
             "Zone": "z",
+            "ConfigVersion": "v1",
             "Slots": 4,
             "State": "ready",
+            "WarmupLeftMs": 0,
+            "SeqNo": 1,
             "born": 1790548315080 + number,
         }
         fleet_under_test.store.put(
--- a/tests/gateway/test_store_watching.py
+++ b/tests/gateway/test_store_watching.py
@@ -339,6 +339,123 @@
         virtual.run(main())
 
 
+_OWN = {
+    "ServiceName": "s",
+    "Address": "10.1.0.1:80",
+    "Zone": "z",
+    "ConfigVersion": "v1",
+    "Slots": 4,
+    "State": "ready",
+    "WarmupLeftMs": 0,
+    "SeqNo": 9,
+    "born": 1,
+}
+_STRAY = _OWN | {"Address": "10.1.0.9:80", "born": 7}
+_ALL_REASONS = [
+    *(
+        ({k: v for k, v in _STRAY.items() if k != field}, "malformed")
+        for field in _STRAY
+    ),
+    (_STRAY | {"Slots": "4"}, "malformed"),
+    (7, "malformed"),
+    (_STRAY | {"State": "asleep"}, "state"),
+    (_STRAY | {"Address": "10.1.0.9:99999"}, "address"),
+    (_STRAY | {"ServiceName": "unknown"}, "service"),
+]
+
+
+class RegistrationStore(Store):
+    """A store with the registration of target "a", and changes of it."""
+
+    def __init__(self, *values):
+        super().__init__()
+        self.items = [
+            ports.Item("servers/a", msgspec.json.encode(value), 41 + number)
+            for number, value in enumerate(values)
+        ]
+        self.removed_at = None
+
+    async def list(self, prefix, *, stale=False):
+        """Returns the newest registration."""
+        self.lists[prefix] += 1
+        if prefix != "servers/":
+            return result.Ok(ports.Listing((), 0))
+        return result.Ok(ports.Listing((self.items[-1],), 60))
+
+    def script(self):
+        """Makes watches return each registration, then a removal, if any."""
+        self.scripted = [
+            ports.Changes((item,), (), item.revision) for item in self.items
+        ]
+        if self.removed_at is not None:
+            removal = (("servers/a", self.removed_at),)
+            self.scripted.append(ports.Changes((), removal, self.removed_at))
+
+
+class TestRejectedRegistrations:
+    """Registrations from another writer, under the identifier of a target."""
+
+    @pytest.mark.parametrize("listed", [False, True])
+    @pytest.mark.parametrize(("stray", "reason"), _ALL_REASONS)
+    def test_entry_before_it_holds(self, stray, reason, listed):
+        """Guards against a live target that loses its keys to a stray entry.
+
+        A stray registration has a later start and another address. It is no
+        restart, and a list that contains it does not lack the target.
+        """
+        store = RegistrationStore(_OWN, stray)
+        if listed:
+            store.scripted = [ports.HistoryLost()]
+        else:
+            store.script()
+        own = fakes.target("a", address="10.1.0.1:80", revision=41)
+
+        async def scenario(state, log):
+            entry = state.directory.get("a")
+            assert entry.target.born == own.born
+            assert entry.target.address == own.address
+            assert entry.target.service == own.service
+            assert state.directory.is_ready("a")
+            assert not state.directory.has_restarted("a", own.born)
+            assert state.rejected.counts == {reason: 1}
+            [line] = log.named("target_unreadable")
+            assert (line["target"], line["reason"]) == ("a", reason)
+
+        async def main():
+            watcher, state, log = _watcher(store, own)
+            state.seen = 40
+            watcher.set_leader_reliable(False)
+            watcher.start()
+            await asyncio.sleep(4.0)
+            await scenario(state, log)
+            watcher.stop()
+
+        virtual.run(main())
+
+    def test_logged_once(self):
+        """Guards against a log that another writer fills."""
+        strays = [_STRAY | {"Slots": None, "SeqNo": n} for n in range(5)]
+        store = RegistrationStore(_OWN, *strays)
+        store.script()
+
+        async def scenario(state, log):
+            assert state.rejected.counts == {"malformed": 5}
+            assert len(log.named("target_unreadable")) == 1
+
+        _run(scenario, store, 40)
+
+    def test_removal_counts(self):
+        """The key's removal counts, whoever wrote its last value."""
+        store = RegistrationStore(_OWN, _STRAY | {"State": "asleep"})
+        store.removed_at = 45
+        store.script()
+
+        async def scenario(state, log):
+            assert not state.directory.is_ready("a")
+
+        _run(scenario, store, 40)
+
+
 class TestAges:
     """The age of this VM's views by its own watches."""
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -17,6 +17,7 @@
     "ServiceName": "s",
     "Address": "10.0.0.1:80",
     "Zone": "z",
+    "ConfigVersion": "v1",
     "Slots": 4,
     "State": "ready",
     "WarmupLeftMs": 1500,
@@ -144,12 +145,64 @@
             {"ServiceName": ""},
             {"WarmupLeftMs": -1},
             {"born": 1.5},
+            {"born": -1},
+            {"born": 1 << 64},
+            {"Slots": 1 << 64},
+            {"born": True},
+            {"born": "17"},
+            {"Zone": ""},
+            {"Zone": 1},
+            {"ConfigVersion": 1},
+            {"SeqNo": "3"},
+            {"SeqNo": 1.5},
+            {"WarmupLeftMs": None},
         ],
     )
     def test_from_another_writer(self, change):
         """An invalid registration of another writer gives no target."""
         assert _target(REGISTRATION | change).is_err()
 
+    @pytest.mark.parametrize("field", list(REGISTRATION))
+    def test_lacks_a_field(self, field):
+        """Guards against a registration that counts as a target's restart.
+
+        Targets write all fields; another writer's registration under a known
+        identifier would take the keys from a target that still holds them.
+        """
+        partial = {k: v for k, v in REGISTRATION.items() if k != field}
+        rejection = _target(partial).err_value
+        assert rejection.reason is ports.RejectionReason.MALFORMED
+        assert field in rejection.detail
+
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "127.0.0.1:99999",
+            "127.0.0.1:65536",
+            "127.0.0.1:0",
+            "127.0.0.1:-1",
+            "127.0.0.1:",
+            "127.0.0.1",
+            "127.0.0.1:\u0664",
+            "127.0.0.1:" + "9" * 5000,
+            "1.2.3.400:80",
+            "1.2.3:80",
+            "....:80",
+            "nowhere:80",
+            ":80",
+            "",
+        ],
+    )
+    def test_address_that_cannot_be_dialled(self, address):
+        """Guards against requests to an address that no connect accepts."""
+        rejection = _target(REGISTRATION | {"Address": address}).err_value
+        assert rejection.reason is ports.RejectionReason.ADDRESS
+
+    def test_unknown_state(self):
+        """A state that targets do not have is a reason of its own."""
+        rejection = _target(REGISTRATION | {"State": "asleep"}).err_value
+        assert rejection.reason is ports.RejectionReason.STATE
+
     @hypothesis.given(raw=st.binary(max_size=100) | _JSON)
     @hypothesis.settings(derandomize=True, deadline=None)
     def test_anything(self, raw):
