Tie the proof of a target's end to the address that responded

Requests and keys could be taken from a live target that had moved: a response under another identifier at its former address ended the incarnation, wherever it was registered by then. Reports of other VMs, which arrive late, did too.

The proof now names the address that responded, in a VM's report as well, and concerns the recorded registration only if the address is the same. An older VM's report has none and counts as before.

test_proof_names_its_address fails before for another address (the argument did not exist).

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -255,7 +255,9 @@
             entry.until = min(entry.until, now + self._late_grace)
         return True
 
-    def record_end(self, target: str, born: int, now: float) -> bool:
+    def record_end(
+        self, target: str, born: int, now: float, address: str = ""
+    ) -> bool:
         """Records proof that an incarnation of a target has ended.
 
         The proof is that its address responds under another target's
@@ -267,6 +269,8 @@
             target: Identifier of the target.
             born: Start of its incarnation.
             now: Current time.
+            address: Address that responded; empty for the recorded one. Another
+                process there says nothing of a target that has moved.
 
         Returns:
             Whether this changes the target's status.
@@ -274,13 +278,17 @@
         entry = self._entries.get(target)
         if entry is None or entry.target.born != born:
             return False
+        if address and entry.target.address != address:
+            return False
         if entry.status is TargetStatus.ENDED:
             return False
         entry.status = TargetStatus.ENDED
         entry.since = entry.until = now
         return True
 
-    def has_left_address(self, target: str, born: int) -> bool:
+    def has_left_address(
+        self, target: str, born: int, address: str = ""
+    ) -> bool:
         """Whether a target's address has responded under another identifier.
 
         This proves that any process that ran there under the target's
@@ -294,11 +302,13 @@
         Args:
             target: Identifier of the target.
             born: Start of its incarnation.
+            address: The address; empty for the recorded one.
         """
         entry = self._entries.get(target)
         return (
             entry is not None
             and entry.target.born == born
+            and address in ("", entry.target.address)
             and entry.status is TargetStatus.ENDED
         )
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
@@ -489,7 +489,7 @@
         return round(self._clock.now() - entry.since, 3) if entry else 0.0
 
     def _log_older_incarnation(self, target: directory.Target) -> None:
-        """Logs a registration of an incarnation that has already ended."""
+        """Logs a registration of an incarnation before the known one."""
         newer = self.directory.newer_incarnation(target)
         if newer is not None:
             self._events.write(
@@ -646,9 +646,19 @@
         """Records that a target's registration was removed."""
         self.apply_registrations((), ((target, revision),))
 
-    def end_incarnation(self, target: str, born: int) -> None:
-        """Records the proof that an incarnation of a target has ended."""
-        if self.directory.record_end(target, born, self._clock.now()):
+    def end_incarnation(
+        self, target: str, born: int, address: str = ""
+    ) -> None:
+        """Records the proof that an incarnation of a target has ended.
+
+        Args:
+            target: Identifier of the target.
+            born: Start of its incarnation.
+            address: Address that responded under another identifier; empty for
+                the one that is recorded.
+        """
+        now = self._clock.now()
+        if self.directory.record_end(target, born, now, address):
             self._events.write(
                 "targets", "target_ended", target=target, born=born
             )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -652,7 +652,9 @@
         for death in report.crashes:
             self._crashes.record_crash(death, now)
         for ended in report.ended:
-            self._cluster.end_incarnation(ended.target, ended.born)
+            self._cluster.end_incarnation(
+                ended.target, ended.born, ended.address
+            )
         for miss in report.ownership_misses:
             keyed = self._services.get(miss.service)
             if keyed is not None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -282,8 +282,10 @@
 
     def record_end(self, target: directory.Target) -> None:
         """Records that another target responds at a target's address."""
-        self._ended.append(messages.EndedTarget(target.id, target.born))
-        self._cluster.end_incarnation(target.id, target.born)
+        self._ended.append(
+            messages.EndedTarget(target.id, target.born, target.address)
+        )
+        self._cluster.end_incarnation(target.id, target.born, target.address)
 
     def report_full_target(self, target: str) -> None:
         """Records a request that was refused because a target is full.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -147,10 +147,13 @@
     Attributes:
         target: Identifier of the target.
         born: Start of the incarnation in Unix milliseconds.
+        address: Address that responded under another identifier; empty from a
+            VM of an older version.
     """
 
     target: str
     born: int
+    address: str = ""
 
 
 class LeavingTarget(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/gateway/test_cluster_state.py
+++ b/tests/gateway/test_cluster_state.py
@@ -188,6 +188,22 @@
         virtual.run(main())
 
 
+class TestEndOfIncarnations:
+    """Other VMs' proofs that an incarnation has ended."""
+
+    @pytest.mark.parametrize(
+        ("address", "ended"), [("", True), ("a:80", True), ("a:79", False)]
+    )
+    def test_proof_names_its_address(self, address, ended):
+        """Guards against a proof that concerns an address already left."""
+
+        def check(state):
+            state.end_incarnation("a", 1, address)
+            assert state.directory.has_left_address("a", 1) is ended
+
+        _run(check)
+
+
 class TestConfigurationSeen:
     """The store revision up to which the configuration is the newest."""
 
