Keep a table's owner when an earlier incarnation registers

A table may name a later incarnation of a target than the leader has read, as one that registers late is the only one in its directory. The planner gave the keys new fences for the earlier incarnation at once, without a release: both could hold them.

The owner is now replaced in place only by its own or a later incarnation. For an earlier one the keys are moved, so the owner is asked for a release and its grants are waited for.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/planning.py
@@ -213,6 +213,9 @@
             owner: current[owner.id]
             for owner in keyed.table.owners()
             if owner.id in current
+            # An earlier incarnation's registration proves no end of the owner,
+            # whose keys are moved with a release instead.
+            and current[owner.id].born >= owner.born
             and (
                 current[owner.id] != owner
                 or keyed.reconciler.needs_fence(owner)
