--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -100,6 +100,17 @@
 
         _run(_respond(status), scenario)
 
+    def test_refused_by_the_target_itself(self):
+        """Guards against a live target that counts as replaced."""
+
+        async def scenario(client, address, requests):
+            granted = await client.grant("i-1", address, GRANT, 1.0)
+            assert granted.err_value.kind is errors.ErrorKind.BAD_REQUEST
+            granted = await client.grant("i-2", address, GRANT, 1.0)
+            assert granted.err_value.kind is errors.ErrorKind.TARGET_REPLACED
+
+        _run(_respond(421, ((b"X-Instance-Id", b"i-1"),)), scenario)
+
     def test_no_response(self):
         """An order without a response may take effect later."""
 
