Wait for the grants of an incarnation that registers again

Keys were given on without waiting for an earlier incarnation of a target once a later one had registered, even if the earlier one had registered again since. It may be alive, and the later registration false.

The directory now keeps the earliest start that has registered again after a later one. From that incarnation on, nothing is known to have ended until a yet later one registers: their grants have to expire. A late write of an ended incarnation costs that wait too; without one a restart is as fast as before.

Seven rows of test_registrations failed before.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -66,6 +66,8 @@
             registration.
         announced_at: Time at which this incarnation announced its shutdown in a
             response, None if it has not.
+        unended_born: Start of the earliest incarnation that has registered
+            again after a later one; None if none has.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         "since",
         "status",
         "target",
+        "unended_born",
         "until",
     )
 
@@ -86,6 +89,12 @@
         self.revision = target.revision
         self.cold_until = 0.0
         self.announced_at: float | None = None
+        self.unended_born: int | None = None
+
+    def record_unended(self, born: int) -> None:
+        """Records that an earlier incarnation has registered again."""
+        if self.unended_born is None or born < self.unended_born:
+            self.unended_born = born
 
     def warm_in(self, now: float) -> float:
         """Returns the seconds until the target is warm, 0 if it is."""
@@ -149,7 +158,11 @@
     def put(
         self, target: Target, now: float, since: float | None = None
     ) -> bool:
-        """Records a registration; one of an older incarnation has no effect.
+        """Records a registration.
+
+        One of an older incarnation changes no routing, but that incarnation is
+        no longer known to have ended: it may be alive, and the later
+        registration may be false.
 
         Args:
             target: The target.
@@ -168,12 +181,14 @@
             # The store now holds the older incarnation's registration; a
             # removal that follows has a higher revision.
             entry.revision = target.revision
+            entry.record_unended(target.born)
             return False
         if entry is None:
             entry = self._entries[target.id] = Entry(target, now)
         is_new = previous is None or _identity(previous) != _identity(target)
         if target.born != entry.target.born:
             entry.announced_at = None
+            entry.unended_born = None
             entry.until = float("inf")
         entry.target = target
         entry.revision = target.revision
@@ -313,14 +328,20 @@
         )
 
     def has_restarted(self, target: str, born: int) -> bool:
-        """Whether an incarnation later than a given one has registered.
+        """Whether a later incarnation's registration proves an earlier's end.
+
+        It does unless the earlier one has registered again since. That may be
+        a write which was carried out late, or the earlier incarnation may be
+        alive; its grants have to expire then.
 
         Args:
             target: Identifier of the target.
             born: Start of the given incarnation.
         """
         entry = self._entries.get(target)
-        return entry is not None and entry.target.born > born
+        if entry is None or entry.target.born <= born:
+            return False
+        return entry.unended_born is None or born < entry.unended_born
 
     def record_incarnation(
         self, target: str, born: int, address: str, now: float
@@ -344,6 +365,7 @@
             entry.target, born=born, address=address, leaving=False
         )
         entry.announced_at = None
+        entry.unended_born = None
         entry.status = TargetStatus.READY
         entry.since = now
         entry.until = float("inf")
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -111,3 +111,62 @@
         assert entries.get("t1")
         entries.drop_vanished(32.0, 30.0)
         assert entries.get("t1") is None
+
+
+class TestEndOfIncarnations:
+    """What proves that an incarnation of a target has ended."""
+
+    @pytest.mark.parametrize(
+        ("births", "ended"),
+        [
+            ([5], []),
+            ([5, 7], [5]),
+            ([7, 5], []),
+            ([5, 7, 5], []),
+            ([5, 7, 5, 7], []),
+            ([5, 7, 5, 9], [5, 7]),
+            ([5, 7, 9, 7], [5]),
+            ([5, 7, 9, 7, 5], []),
+            ([5, 7, 9, 5, 7], []),
+            ([9, 5], []),
+        ],
+    )
+    def test_registrations(self, births, ended):
+        """Guards against keys taken from an incarnation that is alive.
+
+        A later incarnation's registration proves the end of earlier ones,
+        except of those that have registered again since.
+        """
+        entries = _directory()
+        for revision, born in enumerate(births, 1):
+            entries.put(_target(born=born, revision=revision), 0.0)
+        latest = max(births)
+        assert entries.get("t1").target.born == latest
+        found = [b for b in (5, 7) if entries.has_restarted("t1", b)]
+        assert found == ended
+
+    def test_earlier_state_of_the_store(self):
+        """An earlier revision that arrives late is no new registration."""
+        entries = _directory(_target(born=7, revision=4))
+        entries.put(_target(born=5, revision=3), 0.0)
+        assert entries.has_restarted("t1", 5)
+
+    @pytest.mark.parametrize(
+        ("address", "ended"),
+        [("", True), ("10.0.0.1:80", True), ("10.0.0.9:80", False)],
+    )
+    def test_address_that_the_target_has_left(self, address, ended):
+        """Guards against a proof from an address that a target has moved from.
+
+        Another target answers there; the one that has moved is alive.
+        """
+        entries = _directory(_target())
+        assert entries.record_end("t1", 1, 1.0, address) is ended
+        assert entries.has_left_address("t1", 1) is ended
+
+    def test_other_address_was_left(self):
+        """A proof at the recorded address holds for no other one."""
+        entries = _directory(_target())
+        entries.record_end("t1", 1, 1.0)
+        assert entries.has_left_address("t1", 1, "10.0.0.1:80")
+        assert not entries.has_left_address("t1", 1, "10.0.0.9:80")
