Wait for the leader whose entry cannot be read

An unreadable leader's entry counted as none: the next leader waited for no former one's grants, and began again with epoch 1, which VMs that had followed the former leader ignore. Keys could have two holders, and those VMs no leader.

The entry now stands for an unknown leader, for whose grants the next one waits longest. Its epoch is taken as the entry's revision, which no epoch exceeds, as each leader writes to the store.

The rows of test_unreadable_entry_of_a_former_leader failed before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -309,6 +309,10 @@
             # Another VM took over first.
             self._cluster.record_leader(stored)
             return False
+        if stored is None and stored_item is not None:
+            # An unreadable entry is some leader's. Each leader writes to the
+            # store, so no epoch exceeds the revision of its entry.
+            stored = leadership.LeaderEntry("", "", stored_item.revision, "")
         epoch = max(
             stored.epoch if stored else 0, cached.epoch if cached else 0
         )
--- a/tests/gateway/test_leader_role.py
+++ b/tests/gateway/test_leader_role.py
@@ -92,6 +92,29 @@
 
         virtual.run(main())
 
+    @pytest.mark.parametrize("raw", [b"", b"{", b'{"vm": 7}', b'{"vm": "\xff"}'])
+    def test_unreadable_entry_of_a_former_leader(self, raw):
+        """Guards against grants of a former leader that nobody waits for.
+
+        The entry tells neither who led nor in which epoch. The next leader
+        waits for it, and VMs that followed it follow the next one.
+        """
+
+        async def main():
+            store, _, (one, two) = _setup("vm-1", "vm-2")
+            former = leadership.LeaderEntry("vm-9", "boot-vm-9", 3, "")
+            two.cluster.record_leader(former)
+            for _ in range(3):
+                await store.commit({}, (ports.Write("other", b""),))
+            await store.commit({}, (ports.Write(messages.LEADER_KEY, raw),))
+            assert await one.leader_role.take_over("test")
+            one.leader_role.handle_report(two.report())
+            assert one.leader_role.former_grants_seconds > 0.0
+            assert two.cluster.record_leader(one.cluster.leader)
+            one.leader_role.step_down("end")
+
+        virtual.run(main())
+
     def test_overtaken_while_reading(self):
         """Guards against a term that starts after a report as a follower.
 
