Merge evidence that an incarnation has ended

A target that has restarted at another address ends the wait for its former incarnation only while that one has not registered again, and a target has left an address only if the recorded one responded.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -1,10 +1,12 @@
 """Directory of targets: their registrations, and which may get new work."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import enum
+import operator
 
 import msgspec
 
@@ -44,6 +46,10 @@
     ENDED = "ended"
 
 
+_identity = operator.attrgetter("born", "address")
+"""What distinguishes the process that a registration names."""
+_routing = operator.attrgetter("service", "zone", "slots")
+"""What else of a registration decides which requests a target gets."""
 _VANISHED = frozenset({TargetStatus.MISSING, TargetStatus.ENDED})
 
 
@@ -60,6 +66,8 @@
             registration.
         announced_at: Time at which this incarnation announced its shutdown in a
             response, None if it has not.
+        unended_born: Start of the earliest incarnation that has registered
+            again after a later one; None if none has.
     """
 
     __slots__ = (
@@ -69,6 +77,7 @@
         "since",
         "status",
         "target",
+        "unended_born",
         "until",
     )
 
@@ -80,6 +89,12 @@
         self.revision = target.revision
         self.cold_until = 0.0
         self.announced_at: float | None = None
+        self.unended_born: int | None = None
+
+    def record_unended(self, born: int) -> None:
+        """Records that an earlier incarnation has registered again."""
+        if self.unended_born is None or born < self.unended_born:
+            self.unended_born = born
 
     def warm_in(self, now: float) -> float:
         """Returns the seconds until the target is warm, 0 if it is."""
@@ -143,7 +158,11 @@
     def put(
         self, target: Target, now: float, since: float | None = None
     ) -> bool:
-        """Records a registration; one of an older incarnation has no effect.
+        """Records a registration.
+
+        One of an older incarnation changes no routing, but that incarnation is
+        no longer known to have ended: it may be alive, and the later
+        registration may be false.
 
         Args:
             target: The target.
@@ -155,24 +174,21 @@
             Whether the change affects routing.
         """
         entry = self._entries.get(target.id)
+        previous = entry.target if entry is not None else None
         if entry is not None and target.revision < entry.revision:
             return False
         if entry is not None and target.born < entry.target.born:
             # The store now holds the older incarnation's registration; a
             # removal that follows has a higher revision.
             entry.revision = target.revision
+            entry.record_unended(target.born)
             return False
         if entry is None:
             entry = self._entries[target.id] = Entry(target, now)
-            is_new = True
-        else:
-            previous = entry.target
-            is_new = (previous.born, previous.address) != (
-                target.born,
-                target.address,
-            )
+        is_new = previous is None or _identity(previous) != _identity(target)
         if target.born != entry.target.born:
             entry.announced_at = None
+            entry.unended_born = None
             entry.until = float("inf")
         entry.target = target
         entry.revision = target.revision
@@ -181,7 +197,7 @@
         leaving = target.leaving or entry.announced_at is not None
         status = TargetStatus.LEAVING if leaving else TargetStatus.READY
         if entry.status is status and not is_new:
-            return False
+            return previous is None or _routing(previous) != _routing(target)
         entry.status = status
         entry.since = now
         if leaving:
@@ -254,7 +270,9 @@
             entry.until = min(entry.until, now + self._late_grace)
         return True
 
-    def record_end(self, target: str, born: int, now: float) -> bool:
+    def record_end(
+        self, target: str, born: int, now: float, address: str = ""
+    ) -> bool:
         """Records proof that an incarnation of a target has ended.
 
         The proof is that its address responds under another target's
@@ -266,6 +284,8 @@
             target: Identifier of the target.
             born: Start of its incarnation.
             now: Current time.
+            address: Address that responded; empty for the recorded one. Another
+                process there says nothing of a target that has moved.
 
         Returns:
             Whether this changes the target's status.
@@ -273,13 +293,17 @@
         entry = self._entries.get(target)
         if entry is None or entry.target.born != born:
             return False
+        if address and entry.target.address != address:
+            return False
         if entry.status is TargetStatus.ENDED:
             return False
         entry.status = TargetStatus.ENDED
         entry.since = entry.until = now
         return True
 
-    def has_left_address(self, target: str, born: int) -> bool:
+    def has_left_address(
+        self, target: str, born: int, address: str = ""
+    ) -> bool:
         """Whether a target's address has responded under another identifier.
 
         This proves that any process that ran there under the target's
@@ -293,23 +317,31 @@
         Args:
             target: Identifier of the target.
             born: Start of its incarnation.
+            address: The address; empty for the recorded one.
         """
         entry = self._entries.get(target)
         return (
             entry is not None
             and entry.target.born == born
+            and address in ("", entry.target.address)
             and entry.status is TargetStatus.ENDED
         )
 
     def has_restarted(self, target: str, born: int) -> bool:
-        """Whether an incarnation later than a given one has registered.
+        """Whether a later incarnation's registration proves an earlier's end.
+
+        It does unless the earlier one has registered again since. That may be
+        a write which was carried out late, or the earlier incarnation may be
+        alive; its grants have to expire then.
 
         Args:
             target: Identifier of the target.
             born: Start of the given incarnation.
         """
         entry = self._entries.get(target)
-        return entry is not None and entry.target.born > born
+        if entry is None or entry.target.born <= born:
+            return False
+        return entry.unended_born is None or born < entry.unended_born
 
     def record_incarnation(
         self, target: str, born: int, address: str, now: float
@@ -333,6 +365,7 @@
             entry.target, born=born, address=address, leaving=False
         )
         entry.announced_at = None
+        entry.unended_born = None
         entry.status = TargetStatus.READY
         entry.since = now
         entry.until = float("inf")
@@ -344,6 +377,7 @@
         revision: int = 0,
         since: float | None = None,
         gone_since: float | None = None,
+        present: Collection[str] = (),
     ) -> list[str]:
         """Replaces all registrations by a complete list.
 
@@ -355,6 +389,8 @@
                 for now.
             gone_since: Earliest time at which registrations may have vanished;
                 None for now.
+            present: Identifiers in the list that have not vanished, although
+                they may not be among `targets`.
 
         Returns:
             Identifiers of the targets whose entry changed.
@@ -365,6 +401,7 @@
             target
             for target in list(self._entries)
             if target not in listed
+            and target not in present
             and self.remove(
                 target, now, late=True, revision=revision, since=gone_since
             )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -538,7 +538,9 @@
             owner.refused = owner.refused or current
         if failure.kind is errors.ErrorKind.TARGET_REPLACED:
             exposure.until = now
-            self._cluster.end_incarnation(holder.id, holder.born)
+            self._cluster.end_incarnation(
+                holder.id, holder.born, holder.address
+            )
         owner.unreachable = failure.kind is errors.ErrorKind.UNREACHABLE
         owner.failures += 1
         owner.failing_since = (
@@ -657,7 +659,9 @@
                     break
                 kind = response.err_value.kind
                 if kind is errors.ErrorKind.TARGET_REPLACED:
-                    self._cluster.end_incarnation(holder.id, holder.born)
+                    self._cluster.end_incarnation(
+                        holder.id, holder.born, holder.address
+                    )
                 if kind is errors.ErrorKind.UNREACHABLE and self._has_moved(
                     holder
                 ):
@@ -702,7 +706,9 @@
 
     def _incarnation_ended(self, holder: ranges.Holder) -> bool:
         """Whether no incarnation of a target can hold keys at its address."""
-        return self._cluster.directory.has_left_address(holder.id, holder.born)
+        return self._cluster.directory.has_left_address(
+            holder.id, holder.born, holder.address
+        )
 
     def _has_moved(self, holder: ranges.Holder) -> bool:
         """Whether a target has restarted at another address.
@@ -712,11 +718,12 @@
         incarnation may have accepted grants meant for the earlier one, so it
         has to confirm a release.
         """
-        entry = self._cluster.directory.get(holder.id)
+        target_directory = self._cluster.directory
+        entry = target_directory.get(holder.id)
         return (
             entry is not None
-            and entry.target.born > holder.born
             and entry.target.address != holder.address
+            and target_directory.has_restarted(holder.id, holder.born)
         )
 
     def _prune_expired(self) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -309,6 +309,10 @@
             # Another VM took over first.
             self._cluster.record_leader(stored)
             return False
+        if stored is None and stored_item is not None:
+            # An unreadable entry is some leader's. Each leader writes to the
+            # store, so no epoch exceeds the revision of its entry.
+            stored = leadership.LeaderEntry("", "", stored_item.revision, "")
         epoch = max(
             stored.epoch if stored else 0, cached.epoch if cached else 0
         )
@@ -652,7 +656,9 @@
         for death in report.crashes:
             self._crashes.record_crash(death, now)
         for ended in report.ended:
-            self._cluster.end_incarnation(ended.target, ended.born)
+            self._cluster.end_incarnation(
+                ended.target, ended.born, ended.address
+            )
         for miss in report.ownership_misses:
             keyed = self._services.get(miss.service)
             if keyed is not None:
