Cancel a grant under way when its table is replaced

A target that restarted took keys that it had released, after they were given on: a renewal waited for its connection while the table was replaced, and was sent afterwards under the former fence, which a restarted target does not refuse.

What it may have reached counts until it expires, as for every order without a response.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -109,6 +109,7 @@
             None after a success.
         failures: Consecutive failed orders.
         refused: Whether the target has refused a current fence.
+        sending: The piece whose grant is being sent, None for none.
         unreachable: Whether the last order found no connection.
         wake: Interrupts the wait for the next due grant.
         task: Sends the grants to the target.
@@ -118,6 +119,7 @@
         "failing_since",
         "failures",
         "refused",
+        "sending",
         "task",
         "unreachable",
         "wake",
@@ -127,6 +129,7 @@
         self.failing_since: float | None = None
         self.failures = 0
         self.refused = False
+        self.sending: _PieceState | None = None
         self.unreachable = False
         self.wake = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
@@ -350,8 +353,7 @@
             for task in state.releasing.values():
                 task.cancel()
         for owner in self._owners.values():
-            if owner.task is not None:
-                owner.task.cancel()
+            self._cancel_grants(owner)
         self._owners = {}
 
     def _derived_state(
@@ -387,19 +389,33 @@
         """Starts and stops grant tasks to match the owners in the table."""
         states_by_owner = self._states_by_owner
         for holder in [h for h in self._owners if h not in states_by_owner]:
-            owner = self._owners.pop(holder)
-            if owner.task is not None:
-                owner.task.cancel()
+            self._cancel_grants(self._owners.pop(holder))
         for holder in states_by_owner:
             owner = self._owners.setdefault(holder, _OwnerStatus())
             if owner.refused:
                 owner.refused = False
+            if owner.sending is not None and not self._is_current(
+                owner.sending
+            ):
+                # The grant must not arrive after the keys have been released.
+                self._cancel_grants(owner)
             if owner.task is None and not self._stopped:
                 owner.task = asyncio.create_task(
                     self._grant_loop(holder, owner), name=f"grant-{holder.id}"
                 )
             owner.wake.set()
 
+    def _is_current(self, state: _PieceState) -> bool:
+        """Whether a piece is still in the table."""
+        return self._states.get(state.item.piece) is state
+
+    def _cancel_grants(self, owner: _OwnerStatus) -> None:
+        """Ends the task that sends an owner's grants."""
+        if owner.task is not None:
+            owner.task.cancel()
+            owner.task = None
+        owner.sending = None
+
     def resume(self, holders: Iterable[ranges.Holder]) -> None:
         """Resumes grants to targets whose pieces have got new fences."""
         for holder in holders:
@@ -452,11 +468,13 @@
             async with self._grant_permits:
                 if not self._lease.is_valid(self._clock.boottime() + max_delay):
                     continue
-                if self._states.get(state.item.piece) is not state:
+                if not self._is_current(state):
                     # The table has been replaced during the wait. Another
                     # target may own the keys by now.
                     continue
+                owner.sending = state
                 await self._grant(holder, owner, state)
+                owner.sending = None
 
     def _next_due(self, holder: ranges.Holder) -> _PieceState | None:
         """Returns the piece due first; new pieces come before renewals."""
@@ -523,7 +541,7 @@
             exposure.until += self._transit_delay(holder)
             if grant_seconds > self._regular_grant_seconds:
                 self._lease.record_extended_grant(exposure.until)
-        current = self._states.get(item.piece) is state
+        current = self._is_current(state)
         if isinstance(response, result.Ok):
             exposure.until = leadership.grant_expiry(now, grant_seconds)
             self._apply_feedback(holder, response.ok_value)
