Add a failing test of a former address that belongs to another target

Keys stay without an owner until a grant expires, although another target answers the release at the former address. A target that has restarted at another address ends the wait only if its former address accepts no connection; a 421 is recorded only if the directory still has the earlier incarnation.

With former leaders' or extended grants the wait is longer. No key has two owners by this.

--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -182,6 +182,7 @@
         silent: Targets that receive orders but do not respond.
         dead: Targets that orders do not reach.
         lost_releases: Targets that releases do not reach.
+        replaced: Targets whose addresses belong to others by now.
         queued: By target, the seconds after which grants arrive although their
             connections have been reset before.
         work: Seconds until a release is confirmed.
@@ -196,6 +197,7 @@
         self.silent = set()
         self.dead = set()
         self.lost_releases = set()
+        self.replaced = set()
         self.queued = {}
         self.work = 0.05
         self.delay = 0.0
@@ -217,6 +219,8 @@
 
     async def grant(self, name, address, order, timeout):
         """Sends a grant to a target."""
+        if name in self.replaced:
+            return result.Err(errors.Failure(errors.ErrorKind.TARGET_REPLACED))
         if name in self.dead:
             await asyncio.sleep(timeout)
             return result.Err(errors.Failure(errors.ErrorKind.UNREACHABLE))
@@ -256,6 +260,8 @@
 
     async def release(self, name, address, order, timeout):
         """Sends a release to a target."""
+        if name in self.replaced:
+            return result.Err(errors.Failure(errors.ErrorKind.TARGET_REPLACED))
         if name in self.dead or name in self.lost_releases:
             await asyncio.sleep(timeout)
             return result.Err(errors.Failure(errors.ErrorKind.UNREACHABLE))
--- a/tests/gateway/test_grant_reconciliation.py
+++ b/tests/gateway/test_grant_reconciliation.py
@@ -315,6 +315,25 @@
 
         _run(main())
 
+    def test_another_target_at_the_former_address(self):
+        """Keys wait for a grant whose target has certainly ended.
+
+        The target has restarted at another address, and its former one belongs
+        to another target, which says so in its response to the release.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.wait_granted(0)
+            await asyncio.sleep(1.0)
+            rig.cluster.apply_target(fakes.target("a", born=2, address="a:81"))
+            rig.orders.replaced.add("a")
+            rig.move(0, HALF - 1, B)
+            assert await rig.wait_granted(0) < 0.6
+            rig.reconciler.stop()
+
+        _run(main())
+
     @pytest.mark.parametrize("reachable", [True, False])
     @pytest.mark.parametrize("down", [0.05, 0.6, 1.2])
     def test_next_incarnation_holds_earlier_grants(self, down, reachable):
