Add a failing test of a renewal to a target that needs a new fence

A renewal waits for a free permit while its target is silent for more than a second. It is then sent under the old fence, although the target may have restarted and forgotten its fences (needs_fence is true). After the wait only the lease and the piece are looked up again.

--- a/tests/gateway/test_grant_reconciliation.py
+++ b/tests/gateway/test_grant_reconciliation.py
@@ -181,6 +181,37 @@
 
         _run(main())
 
+    def test_silent_target_after_the_wait_for_a_permit(self, monkeypatch):
+        """A restarted target is granted its old fence by a delayed renewal.
+
+        The target does not respond, and more than a second passes while its
+        renewal waits until another order ends.
+        """
+
+        async def main():
+            monkeypatch.setattr(
+                grant_reconciliation, "_MAX_CONCURRENT_GRANTS", 1
+            )
+            rig = Rig()
+            await rig.wait_granted(0)
+            await rig.wait_granted(HALF)
+            rig.orders.dead.add("a")
+            while rig.reconciler._owners[A].failing_since is None:
+                await asyncio.sleep(0.01)
+            permit = rig.reconciler._grant_permits
+            await permit.acquire()
+            await asyncio.sleep(3.0)
+            rig.orders.restart("a")
+            rig.orders.dead.clear()
+            rig.orders.log.clear()
+            assert rig.reconciler.needs_fence(A)
+            permit.release()
+            await asyncio.sleep(0.2)
+            assert not [x for x in rig.orders.log if x[1] == "a"]
+            rig.reconciler.stop()
+
+        _run(main())
+
 
 class TestManyRanges:
     """A table with a longer grant duration than the settings."""
