Add a failing test of records of grants that are never dropped

A leader's memory grows by one record for each renewal (1200 for each of two ranges in 600 s, 100 allowed) while no table changes, as expired exposures are dropped only when a table is applied. Every release goes through all of them.

--- a/tests/gateway/test_grant_reconciliation.py
+++ b/tests/gateway/test_grant_reconciliation.py
@@ -145,6 +145,18 @@
 
         _run(main())
 
+    def test_records_of_grants_are_bounded(self):
+        """A leader's memory grows while its tables do not change."""
+
+        async def main():
+            rig = Rig()
+            await asyncio.sleep(600.0)
+            exposures = rig.reconciler._exposures.values()
+            assert sum(map(len, exposures)) < 100
+            rig.reconciler.stop()
+
+        _run(main())
+
 
 class TestReplacedTable:
     """Orders of a table that has been replaced."""
