Add a failing test of a grant that a copy confirms before it arrives

Two targets hold a key for 0.8 s. A copy of an earlier response, sent right after that one, meets a grant that is still on its way on a full link. The grant counts as acknowledged, so the time that it may spend on the link is left out of its expiry; the target loses the releases, and the keys are given on at the expiry. A 200 on a used connection does not prove that the order has arrived.

--- /dev/null
+++ b/tests/platform/test_order_scripts.py
@@ -0,0 +1,172 @@
+"""Scripted histories of orders: no key has two owners."""
+
+import asyncio
+from unittest import mock
+
+from mimosastile_core.gateway import former_leaders
+from mimosastile_core.gateway import leadership
+from mimosastile_core.gateway import ranges
+from mimosastile_gateway import grant_reconciliation
+from mimosastile_gateway import http_client
+from mimosastile_platform import orders
+from mimosastile_standins import virtual
+from tests.gateway import fakes
+from tests.platform import order_world
+
+_SHORT_SECONDS = 0.001
+_COPIES = {
+    200: b"HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n",
+    409: b"HTTP/1.1 409 -\r\nContent-Length: 0\r\n\r\n",
+}
+HALF = 32768
+
+
+class _World(order_world.World):
+    """A world in which a script sets the way of each order.
+
+    Attributes:
+        connecting: By address, the seconds until a connection is open.
+        copies: By target, the status of a response whose copy arrives once
+            the next order has been sent.
+        transits: By target, the seconds for which each of the next orders is
+            on its way.
+    """
+
+    def __init__(self):
+        super().__init__(order_world.Draws(1, ()))
+        self.transits = {}
+        self.connecting = {}
+        self.copies = {}
+
+    def is_slow_link(self, process):
+        """Whether bytes to a process are delivered after a reset."""
+        return process.zone == "far"
+
+    def transit_seconds(self, process):
+        """Returns the seconds until bytes arrive at a process."""
+        status = self.copies.pop(process.id, None)
+        if status is not None:
+            for connection in process.connections:
+                connection._send(_COPIES[status])
+        transits = self.transits.get(process.id)
+        return transits.pop(0) if transits else _SHORT_SECONDS
+
+    async def connect(self, factory, host, port):
+        """Opens a connection."""
+        await asyncio.sleep(self.connecting.get(f"{host}:{port}", 0.0))
+        return await super().connect(factory, host, port)
+
+
+class _Target(order_world.Process):
+    """A target that may lose releases.
+
+    Attributes:
+        loses_releases: Whether releases are neither carried out nor answered.
+    """
+
+    loses_releases = False
+
+    async def respond(self, request):
+        """Carries an order out; returns the answer, None if there is none."""
+        if self.loses_releases and request.path == "/release":
+            return None
+        return await super().respond(request)
+
+
+class Rig:
+    """A leader's orders to two targets over simulated connections."""
+
+    def __init__(self, zone="z"):
+        self.world = _World()
+        self.clock = fakes.VirtualClock()
+        self.log = fakes.MemoryEvents()
+        self.log.write = lambda part, event, **fields: self.world.note(
+            f"{event} {fields}"
+        )
+        self.cluster = fakes.new_cluster_state(
+            self.clock,
+            self.log,
+            fakes.target("a", zone=zone),
+            fakes.target("b"),
+        )
+        self.targets = {}
+        for name, where in (("a", zone), ("b", "z")):
+            target = _Target(self.world, name, 1, f"{name}:80", where)
+            target._drift = 1.02
+            self.targets[name] = self.world.processes[f"{name}:80"] = target
+        self.lease = leadership.LeaderLease(1e9)
+        self.lease.confirm(0.0)
+        self.pool = http_client.Pool(2.0)
+        self.reconciler = grant_reconciliation.GrantReconciler(
+            fakes.configured(trouble_after=1e9),
+            orders.OrderClient(self.pool),
+            self.cluster,
+            self.clock,
+            self.log,
+            self.lease,
+            former_leaders.FormerLeaders(0.0),
+            {},
+            lambda: None,
+        )
+        a, b = (ranges.Holder(n, 1, f"{n}:80") for n in "ab")
+        self.holders = {"a": a, "b": b}
+        self.table = ranges.initial_table("s", {a: 1.0, b: 1.0}, "c1")
+        self.reconciler.apply(self.table)
+
+    def move(self, first, last, to):
+        """Moves keys and applies the new table, as a commit would."""
+        moves = [ranges.Move(first, last, self.holders[to])]
+        self.table = ranges.move(self.table, moves, "c")
+        self.reconciler.apply(self.table)
+
+    def holds(self, name, key):
+        """Returns a target's unexpired hold of a key, None without one."""
+        return self.targets[name].held(key // order_world.POINT_WIDTH)
+
+    async def until(self, condition, seconds=20.0):
+        """Waits for a condition."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.001)
+
+
+def _run(scenario, zone="z"):
+    async def main():
+        rig = Rig(zone)
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "create_connection", rig.world.connect):
+            sampling = rig.world.spawn(rig.world.sample())
+            await rig.until(lambda: rig.holds("a", 0) and rig.holds("b", HALF))
+            try:
+                await scenario(rig)
+            finally:
+                sampling.cancel()
+                rig.reconciler.stop()
+                rig.pool.close()
+        assert not rig.world.violations, "\n".join(rig.world.trace)
+
+    virtual.run(main())
+
+
+class TestOwners:
+    """The rule on owners under troubles that have to meet."""
+
+    def test_copy_arrives_before_its_order(self):
+        """Keys are given away before a grant on a full link has expired.
+
+        A copy confirms the grant nearly a second before the target gets it,
+        and the target carries out no release.
+        """
+
+        async def scenario(rig):
+            await asyncio.sleep(0.2)
+            rig.targets["a"].loses_releases = True
+            rig.world.transits["a"] = [0.9]
+            rig.world.copies["a"] = 200
+            await rig.until(lambda: "a" not in rig.world.copies)
+            await asyncio.sleep(0.05)
+            rig.move(0, HALF - 1, "b")
+            await rig.until(lambda: rig.holds("b", 0))
+            assert not rig.holds("a", 0), "\n".join(rig.world.trace)
+
+        _run(scenario, "far")
