Add a failing test of a grant that is repeated and refused

A copied refusal makes the client send a grant again that the target has accepted. A part of its keys is released in between, so the repetition is refused, and the refusal ends the record of the first one. If connections are reset and the target is cut off then, the rest of the keys is given on too early.

--- a/tests/platform/test_order_scripts.py
+++ b/tests/platform/test_order_scripts.py
@@ -170,3 +170,31 @@
             assert not rig.holds("a", 0), "\n".join(rig.world.trace)
 
         _run(scenario, "far")
+
+    def test_repeated_grant_is_refused(self):
+        """The refusal of a repeated grant ends the record of the first one.
+
+        A copied refusal makes the client repeat a grant. A part of the keys is
+        released meanwhile, so the repetition is refused, and the target is not
+        reached afterwards.
+        """
+
+        async def scenario(rig):
+            await asyncio.sleep(0.2)
+            target = rig.targets["a"]
+            rig.world.copies["a"] = 409
+            rig.world.transits["a"] = [0.0, 0.1]
+            await rig.until(lambda: "a" not in rig.world.copies)
+            await asyncio.sleep(0.02)
+            rig.move(0, 4095, "b")
+            await rig.until(lambda: not rig.holds("a", 0))
+            await asyncio.sleep(0.08)
+            target.cut = True
+            for connection in tuple(target.connections):
+                connection.reset()
+            await asyncio.sleep(0.7)
+            rig.move(4096, HALF - 1, "b")
+            await rig.until(lambda: rig.holds("b", 8192))
+            assert not rig.holds("a", 8192), "\n".join(rig.world.trace)
+
+        _run(scenario)
