Add a failing test of a grant that arrives after the leader lease

A leader's grant arrives up to 0.25 s after its lease has ended, and outlasts what its successor waits for. The check of the lease counts order_timeout for an order, but the time to open a connection comes before that timeout begins.

--- a/tests/platform/test_order_scripts.py
+++ b/tests/platform/test_order_scripts.py
@@ -198,3 +198,26 @@
             assert not rig.holds("a", 8192), "\n".join(rig.world.trace)
 
         _run(scenario)
+
+    def test_order_does_not_arrive_after_the_lease(self):
+        """A grant is given after the leader lease has ended.
+
+        Its connection takes long to open and the network is slow.
+        """
+
+        async def scenario(rig):
+            await asyncio.sleep(0.1)
+            target = rig.targets["a"]
+            for connection in tuple(target.connections):
+                connection.reset()
+            rig.world.connecting["a:80"] = 0.2
+            rig.world.transits["a"] = [0.2]
+            # The lease ends just after the longest time of an order.
+            ends_at = rig.clock.boottime() + 0.75
+            rig.lease._span_seconds = ends_at
+            await asyncio.sleep(3.0)
+            held = target.holds[0]
+            arrived_at = held.until - 2.0 * 1.02
+            assert arrived_at <= ends_at, "\n".join(rig.world.trace)
+
+        _run(scenario)
