Add a failing test of an end that was seen at another address

Two targets hold the same keys. The end of a target is recorded by identifier and start, without the address at which another target responded. If an entry names a wrong address for a while under the same start, the response there ends the wait for the target that works at the right one.

Such an entry can only come from another writer; whether one is taken depends on the decoder of entries.

--- a/tests/platform/test_order_scripts.py
+++ b/tests/platform/test_order_scripts.py
@@ -90,10 +90,8 @@
             fakes.target("b"),
         )
         self.targets = {}
-        for name, where in (("a", zone), ("b", "z")):
-            target = _Target(self.world, name, 1, f"{name}:80", where)
-            target._drift = 1.02
-            self.targets[name] = self.world.processes[f"{name}:80"] = target
+        self._start("a", 1, zone)
+        self._start("b", 1, "z")
         self.lease = leadership.LeaderLease(1e9)
         self.lease.confirm(0.0)
         self.pool = http_client.Pool(2.0)
@@ -113,6 +111,15 @@
         self.table = ranges.initial_table("s", {a: 1.0, b: 1.0}, "c1")
         self.reconciler.apply(self.table)
 
+    def _start(self, name, born, zone):
+        target = _Target(self.world, name, born, f"{name}:80", zone)
+        target._drift = 1.02
+        self.targets[name] = self.world.processes[f"{name}:80"] = target
+
+    def restart(self, name):
+        """Starts a later incarnation of a target."""
+        self._start(name, 2, self.targets[name].zone)
+
     def move(self, first, last, to):
         """Moves keys and applies the new table, as a commit would."""
         moves = [ranges.Move(first, last, self.holders[to])]
@@ -221,3 +228,21 @@
             assert arrived_at <= ends_at, "\n".join(rig.world.trace)
 
         _run(scenario)
+
+    def test_end_at_another_address(self):
+        """A target that holds keys is taken for ended.
+
+        Its registration named another target's address for a while, and that
+        target's response there is taken for the end of this one.
+        """
+
+        async def scenario(rig):
+            rig.cluster.apply_target(fakes.target("a", address="b:80"))
+            rig.cluster.end_incarnation("a", 1)
+            rig.targets["a"].loses_releases = True
+            await asyncio.sleep(0.2)
+            rig.move(0, HALF - 1, "b")
+            await rig.until(lambda: rig.holds("b", 0))
+            assert not rig.holds("a", 0), "\n".join(rig.world.trace)
+
+        _run(scenario)
