Add a failing test of a grant that waits for its connection

A target that has restarted takes keys that it had released, after they were given on. A renewal waits for its connection while its table is replaced, and is sent afterwards under the former fence, which the restarted target does not refuse. The table is looked up before the connection is opened only, and a confirmed release does not wait for orders under way.

--- a/tests/platform/test_order_scripts.py
+++ b/tests/platform/test_order_scripts.py
@@ -246,3 +246,26 @@
             assert not rig.holds("a", 0), "\n".join(rig.world.trace)
 
         _run(scenario)
+
+    def test_connection_opens_after_a_release(self):
+        """A restarted target is granted keys that it has released before.
+
+        A renewal waits for its connection while the keys are given on.
+        """
+
+        async def scenario(rig):
+            await asyncio.sleep(0.45)
+            target = rig.targets["a"]
+            for connection in tuple(target.connections):
+                connection.reset()
+            rig.world.connecting["a:80"] = 0.2
+            await asyncio.sleep(0.08)
+            rig.world.connecting.clear()
+            rig.move(0, 4095, "b")
+            await rig.until(lambda: rig.holds("b", 0))
+            rig.world.end(target)
+            rig.restart("a")
+            await asyncio.sleep(0.3)
+            assert not rig.holds("a", 0), "\n".join(rig.world.trace)
+
+        _run(scenario)
