--- a/tests/gateway/test_grant_reconciliation.py
+++ b/tests/gateway/test_grant_reconciliation.py
@@ -145,6 +145,18 @@
 
         _run(main())
 
+    def test_records_of_grants_are_bounded(self):
+        """A leader's memory grows while its tables do not change."""
+
+        async def main():
+            rig = Rig()
+            await asyncio.sleep(600.0)
+            exposures = rig.reconciler._exposures.values()
+            assert sum(map(len, exposures)) < 100
+            rig.reconciler.stop()
+
+        _run(main())
+
 
 class TestReplacedTable:
     """Orders of a table that has been replaced."""
@@ -181,6 +193,37 @@
 
         _run(main())
 
+    def test_silent_target_after_the_wait_for_a_permit(self, monkeypatch):
+        """A restarted target is granted its old fence by a delayed renewal.
+
+        The target does not respond, and more than a second passes while its
+        renewal waits until another order ends.
+        """
+
+        async def main():
+            monkeypatch.setattr(
+                grant_reconciliation, "_MAX_CONCURRENT_GRANTS", 1
+            )
+            rig = Rig()
+            await rig.wait_granted(0)
+            await rig.wait_granted(HALF)
+            rig.orders.dead.add("a")
+            while rig.reconciler._owners[A].failing_since is None:
+                await asyncio.sleep(0.01)
+            permit = rig.reconciler._grant_permits
+            await permit.acquire()
+            await asyncio.sleep(3.0)
+            rig.orders.restart("a")
+            rig.orders.dead.clear()
+            rig.orders.log.clear()
+            assert rig.reconciler.needs_fence(A)
+            permit.release()
+            await asyncio.sleep(0.2)
+            assert not [x for x in rig.orders.log if x[1] == "a"]
+            rig.reconciler.stop()
+
+        _run(main())
+
 
 class TestManyRanges:
     """A table with a longer grant duration than the settings."""
@@ -315,6 +358,25 @@
 
         _run(main())
 
+    def test_another_target_at_the_former_address(self):
+        """Keys wait for a grant whose target has certainly ended.
+
+        The target has restarted at another address, and its former one belongs
+        to another target, which says so in its response to the release.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.wait_granted(0)
+            await asyncio.sleep(1.0)
+            rig.cluster.apply_target(fakes.target("a", born=2, address="a:81"))
+            rig.orders.replaced.add("a")
+            rig.move(0, HALF - 1, B)
+            assert await rig.wait_granted(0) < 0.6
+            rig.reconciler.stop()
+
+        _run(main())
+
     @pytest.mark.parametrize("reachable", [True, False])
     @pytest.mark.parametrize("down", [0.05, 0.6, 1.2])
     def test_next_incarnation_holds_earlier_grants(self, down, reachable):
