--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -468,9 +468,10 @@
             async with self._grant_permits:
                 if not self._lease.is_valid(self._clock.boottime() + max_delay):
                     continue
-                if not self._is_current(state):
-                    # The table has been replaced during the wait. Another
-                    # target may own the keys by now.
+                if not self._is_current(state) or self.needs_fence(holder):
+                    # During the wait, the table has been replaced or the target
+                    # has fallen silent. Another target may own the keys by now,
+                    # or this one may have forgotten its fences.
                     continue
                 owner.sending = state
                 await self._grant(holder, owner, state)
@@ -526,7 +527,14 @@
             self._lease.record_extended_grant(
                 leadership.grant_expiry(latest_arrival, grant_seconds)
             )
-        self._exposures.setdefault(holder.id, []).append(exposure)
+        self._exposures[holder.id] = [
+            *(
+                e
+                for e in self._exposures.get(holder.id, ())
+                if e.until > sent_at
+            ),
+            exposure,
+        ]
         order = ports.GrantOrder(
             item.first, item.last, item.fence, grant_seconds, state.handover
         )
@@ -543,7 +551,10 @@
                 self._lease.record_extended_grant(exposure.until)
         current = self._is_current(state)
         if isinstance(response, result.Ok):
-            exposure.until = leadership.grant_expiry(now, grant_seconds)
+            # The response may be a copy of an earlier one, which shows that the
+            # order has been sent, not that it has arrived.
+            arrived_by = max(now, sent_at + self._transit_delay(holder))
+            exposure.until = leadership.grant_expiry(arrived_by, grant_seconds)
             self._apply_feedback(holder, response.ok_value)
             self._note_granted(holder, owner, state, sent_at, current)
             return
@@ -680,6 +691,8 @@
                     self._cluster.end_incarnation(
                         holder.id, holder.born, holder.address
                     )
+                    how = "run ended"
+                    break
                 if kind is errors.ErrorKind.UNREACHABLE and self._has_moved(
                     holder
                 ):
