--- a/tests/gateway/test_store_watching.py
+++ b/tests/gateway/test_store_watching.py
@@ -391,3 +391,85 @@
             watcher.stop()
 
         virtual.run(main())
+
+
+class TestAlone:
+    """A VM to which no leader responds."""
+
+    @pytest.mark.parametrize("followed", [False, True])
+    def test_age_of_the_configuration(self, followed):
+        """Guards against a view that ages beside a store that responds.
+
+        Watches may hang that began with a long wait, before the leader fell
+        silent.
+        """
+        store = fakes.WatchedStore()
+
+        async def main():
+            watcher, state, _ = _watcher(store, fakes.target("a"))
+            state.configuration_seen = 1
+            watcher.set_leader_reliable(not followed)
+            watcher.start()
+            await asyncio.sleep(0.5)
+            state.configuration_freshness.record(virtual.now())
+            store.stall_watches()
+            watcher.set_leader_reliable(False, alone=True)
+            await asyncio.sleep(0.2)
+            for _ in range(100):
+                assert state.configuration_age < 1.2
+                await asyncio.sleep(0.1)
+            watcher.stop()
+
+        virtual.run(main())
+
+    @pytest.mark.parametrize("refreshed", [False, True])
+    def test_refresh(self, refreshed):
+        """Guards against requests that wait while a read is delayed."""
+        store = fakes.WatchedStore()
+
+        async def main():
+            watcher, state, _ = _watcher(store, fakes.target("a"))
+            state.configuration_seen = 1
+            watcher.set_leader_reliable(False, read_delay=8.0, alone=True)
+            watcher.start()
+            await asyncio.sleep(1.0)
+            if refreshed:
+                began = virtual.now()
+                await watcher.refresh(0.5)
+                assert virtual.now() - began < 0.2
+            assert (state.configuration_age is not None) is refreshed
+            watcher.stop()
+
+        virtual.run(main())
+
+    def test_store_is_reached_by_another_call(self):
+        """Guards against a backoff that goes on once the store responds."""
+
+        class Failing(Store):
+            """A store whose watches fail until another call succeeds."""
+
+            reached = False
+
+            async def watch(self, prefix, after, wait):
+                if not self.reached:
+                    return result.Err(fakes.UNKNOWN)
+                return await super().watch(prefix, after, wait)
+
+        store = Failing()
+
+        async def main():
+            watcher, state, _ = _watcher(store, fakes.target("a"))
+            state.seen = state.configuration_seen = 40
+            state.record_store_status(ok=True)
+            watcher.set_leader_reliable(False, alone=True)
+            watcher.start()
+            for _ in range(10):
+                await asyncio.sleep(1.7)
+                store.reached = True
+                state.record_store_status(ok=True)
+                await asyncio.sleep(0.15)
+                assert state.configuration_age < 0.2
+                store.reached = False
+            watcher.stop()
+
+        virtual.run(main())
