Ask for the age of the configuration also on known routes

Callers got answers by version 12 though version 15 had been acknowledged more than 3.0 s before, without any configuration_old in the log.

Cause: the age of the configuration decided only whether an unknown route got 404 or 503. A known route was used whatever its age, also by a VM that had just been in contact with the store. The class: a view is taken for current because nothing contradicts it.

A request is now compared by the time at which it was read. If the view is older than nine tenths of the time limit, no leader responds and the store did so within the time limit of contact, the VM reads at once; the request waits for up to 0.5 s and is refused with 503 otherwise. While a leader responds nothing changes, as it pushes what it knows. A VM that has had no contact for longer counts as cut off and serves by what it has.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -43,13 +43,12 @@
 """Failures that may show that a target is full."""
 _MAX_LOGGED_HEADER_BYTES = 64
 """Longest part of an unreadable header value that is logged."""
-_MAX_CONFIGURATION_AGE_SHARE = 0.9
-"""How old the view of the configuration may be for a request to be refused for
-want of a route, as a share of the time within which a version has to be in
-force."""
 _LEADER_QUERY_TIMEOUT_SECONDS = 0.25
 """Longest wait for the leader to confirm that there is no newer version: ten
 times the round trip to another region."""
+_REFRESH_TIMEOUT_SECONDS = 0.5
+"""Longest wait for the store to confirm the configuration, or to return a newer
+one: a slow response, or one over a full link."""
 
 SendResult = result.Result[http_server.Response, errors.Failure]
 
@@ -134,6 +133,10 @@
         self, incoming: http_server.Request
     ) -> http_server.Response:
         """Returns the response to a caller's request."""
+        if self._must_refresh(incoming):
+            await self._membership.refresh_configuration(
+                _REFRESH_TIMEOUT_SECONDS
+            )
         classified = self._classify(incoming)
         if _is_unrouted(classified) and not self._configuration_is_current():
             await self._membership.report_and_wait(
@@ -145,6 +148,8 @@
                 and not self._configuration_is_current()
             ):
                 classified = errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
+        elif self._must_refresh(incoming):
+            classified = errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
         if isinstance(classified, result.Err):
             return self._refuse(None, incoming, classified.err_value)
         call = classified.ok_value
@@ -209,11 +214,22 @@
 
     def _configuration_is_current(self) -> bool:
         """Whether this VM has every version that has to be in force by now."""
-        bound = (
-            self._settings.bounds.configuration * _MAX_CONFIGURATION_AGE_SHARE
+        return self._cluster.configuration_is_current(self._clock.now())
+
+    def _must_refresh(self, incoming: http_server.Request) -> bool:
+        """Whether a newer configuration may have to apply to a request.
+
+        That is not known to a VM to which no leader responds, but which was
+        lately in contact with the store. One that is cut off serves by what it
+        has.
+        """
+        cluster = self._cluster
+        return (
+            cluster.configuration_age is not None
+            and not cluster.configuration_is_current(incoming.received_at)
+            and not self._membership.leader_responds
+            and not cluster.is_cut_off
         )
-        age = self._cluster.configuration_age
-        return age is not None and age < bound
 
     def _make_call(
         self,
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -23,6 +23,8 @@
 
 UNAVAILABLE = errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE, "down")
 UNKNOWN = errors.Failure(errors.ErrorKind.STORE_UNKNOWN, "no answer")
+_HANGING_SECONDS = 1.0
+"""Time after which a hanging call has failed, as in the real client."""
 
 
 class VirtualClock(clock.Clock):
@@ -478,6 +480,7 @@
 
     Attributes:
         failing: Failure of every call, None while calls get through.
+        hanging: Names of calls that time out.
         dead: Targets that this VM does not reach; calls time out.
         refused: Targets that refuse this VM's connections.
     """
@@ -485,6 +488,7 @@
     def __init__(self, inner):
         self._inner = inner
         self.failing = None
+        self.hanging = set()
         self.dead = set()
         self.refused = set()
 
@@ -496,6 +500,9 @@
             if failing := self.failing:
                 await asyncio.sleep(0.005)
                 return result.Err(failing)
+            if name in self.hanging:
+                await asyncio.sleep(_HANGING_SECONDS)
+                return result.Err(UNKNOWN)
             lost = self.dead | self.refused
             if lost and args[0] in lost:
                 refused = args[0] in self.refused
@@ -505,7 +512,8 @@
             response = await call(*args, **kwargs)
             # A watch may wait for long. If the VM is cut off meanwhile, the
             # response of the watch is lost.
-            lost = self.failing and name == "watch"
-            return result.Err(self.failing) if lost else response
+            if name == "watch" and (self.failing or name in self.hanging):
+                return result.Err(self.failing or UNKNOWN)
+            return response
 
         return through
--- a/tests/gateway/test_news_in_time.py
+++ b/tests/gateway/test_news_in_time.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mimosastile_standins import virtual
+from tests.gateway import fakes
 from tests.gateway import fleet
 from tests.gateway import links
 
@@ -215,3 +216,94 @@
                 assert response.status == 200
 
         _run(scenario, vms)
+
+
+class TestKnownRoutes:
+    """Requests on routes that every version has."""
+
+    @pytest.mark.parametrize("vms", [10, 88])
+    @pytest.mark.parametrize("seconds", [4.0, 9.0])
+    def test_reads_fail(self, vms, seconds):
+        """Guards against an old version used by a VM that the store reaches.
+
+        No leader responds to the VM, its reads of the store time out, and its
+        registration is renewed all the same.
+        """
+
+        async def scenario(cluster):
+            name = _relays(cluster, 1)[0]
+            vm = cluster.vms[name]
+            vm.store.hanging = {"watch", "list", "read", "commit"}
+            cluster.cut.update((name, other) for other in cluster.vms)
+            since = cluster.write_configuration(3, 3)
+            await cluster.call(seconds, 100.0, "/p", vms=[name])
+            vm.store.hanging = set()
+            arrivals = [
+                arrival
+                for target in cluster.targets.values()
+                for arrival in target.arrivals
+                if arrival.vm == name and arrival.sent > since + APPLY_SECONDS
+            ]
+            assert vm.cluster.version == 2
+            assert arrivals == []
+
+        _run(scenario, vms, plain=12)
+
+    @pytest.mark.parametrize("vms", [10, 88])
+    def test_reached_again(self, vms):
+        """Guards against a configuration not read once the store responds."""
+
+        async def scenario(cluster):
+            name = _relays(cluster, 1)[0]
+            vm = cluster.vms[name]
+            cluster.isolate(name)
+            cluster.write_configuration(3, 3)
+            await asyncio.sleep(8.0)
+            vm.store.failing = None
+            await vm.store.read("unused")
+            vm.cluster.record_store_status(ok=True)
+            response = await cluster.ask(name, "/e3-0")
+            assert response.status == 200
+            assert vm.cluster.version == 3
+
+        _run(scenario, vms, plain=12)
+
+    @pytest.mark.parametrize("vms", [10, 88])
+    def test_isolated_vm(self, vms):
+        """Guards against a VM that is cut off for long and serves nobody."""
+
+        async def scenario(cluster):
+            name = _relays(cluster, 1)[0]
+            cluster.isolate(name)
+            await asyncio.sleep(CONTACT_SECONDS)
+            await cluster.call(20.0, 50.0, "/p", vms=[name])
+            assert set(cluster.statuses) == {200}
+
+        _run(scenario, vms, plain=12)
+
+    @pytest.mark.parametrize("vms", [10, 88, 300])
+    @pytest.mark.parametrize("killed", [1, 2])
+    def test_leader_is_lost(self, vms, killed):
+        """Guards against requests refused while VMs have no leader."""
+
+        async def scenario(cluster):
+            for _ in range(killed):
+                leader = cluster.leader()
+                cluster.vms.pop(leader.name).end()
+                await cluster.call(6.0, 600.0, "/p")
+            assert set(cluster.statuses) == {200}
+
+        _run(scenario, vms, plain=12)
+
+    @pytest.mark.parametrize("vms", [10, 88])
+    @pytest.mark.parametrize("failure", [fakes.UNAVAILABLE, fakes.UNKNOWN])
+    def test_store_is_lost(self, vms, failure):
+        """Guards against requests refused in an outage of the store."""
+
+        async def scenario(cluster):
+            for vm in cluster.vms.values():
+                vm.store.failing = failure
+            await cluster.call(8.0, 300.0, "/p")
+            assert set(cluster.statuses) == {200}
+
+        _run(scenario, vms, plain=12)
