--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -46,7 +46,7 @@
 _LEADER_QUERY_TIMEOUT_SECONDS = 0.25
 """Longest wait for the leader to confirm that there is no newer version: ten
 times the round trip to another region."""
-_REFRESH_TIMEOUT_SECONDS = 0.5
+_REFRESH_TIMEOUT_SECONDS = 0.4
 """Longest wait for the store to confirm the configuration, or to return a newer
 one: a slow response, or one over a full link."""
 
@@ -133,23 +133,7 @@
         self, incoming: http_server.Request
     ) -> http_server.Response:
         """Returns the response to a caller's request."""
-        if self._must_refresh(incoming):
-            await self._membership.refresh_configuration(
-                _REFRESH_TIMEOUT_SECONDS
-            )
-        classified = self._classify(incoming)
-        if _is_unrouted(classified) and not self._configuration_is_current():
-            await self._membership.report_and_wait(
-                _LEADER_QUERY_TIMEOUT_SECONDS
-            )
-            classified = self._classify(incoming)
-            if (
-                _is_unrouted(classified)
-                and not self._configuration_is_current()
-            ):
-                classified = errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
-        elif self._must_refresh(incoming):
-            classified = errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
+        classified = await self._classify_by_current(incoming)
         if isinstance(classified, result.Err):
             return self._refuse(None, incoming, classified.err_value)
         call = classified.ok_value
@@ -187,6 +171,34 @@
 
     # Classifying a request.
 
+    async def _classify_by_current(
+        self, incoming: http_server.Request
+    ) -> result.Result[pending.Call, errors.Failure]:
+        """Classifies a request by a configuration that is new enough.
+
+        Waits briefly if that has to be confirmed.
+        """
+        refreshes = self._must_refresh(incoming)
+        if refreshes:
+            await self._membership.refresh_configuration(
+                _REFRESH_TIMEOUT_SECONDS
+            )
+        classified = self._classify(incoming)
+        if _is_unrouted(classified) and not self._configuration_is_current():
+            if not refreshes:
+                await self._membership.report_and_wait(
+                    _LEADER_QUERY_TIMEOUT_SECONDS
+                )
+                classified = self._classify(incoming)
+            if (
+                _is_unrouted(classified)
+                and not self._configuration_is_current()
+            ):
+                return errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
+        elif self._must_refresh(incoming):
+            return errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
+        return classified
+
     def _classify(
         self, incoming: http_server.Request
     ) -> result.Result[pending.Call, errors.Failure]:
