Add a failing test of a former leader's renewal after a restart

Two targets hold the same keys. A former leader that has not noticed its replacement renews a grant that the target has released to the successor. Fences protect only until the target restarts; if it does within a second under its identifier and address, it takes the renewal. A confirmed release does not wait for former leaders, and the former leader sends to a target that has registered a later incarnation.

--- a/tests/platform/test_order_scripts.py
+++ b/tests/platform/test_order_scripts.py
@@ -95,21 +95,25 @@
         self.lease = leadership.LeaderLease(1e9)
         self.lease.confirm(0.0)
         self.pool = http_client.Pool(2.0)
-        self.reconciler = grant_reconciliation.GrantReconciler(
+        self.reconciler = self.new_reconciler()
+        a, b = (ranges.Holder(n, 1, f"{n}:80") for n in "ab")
+        self.holders = {"a": a, "b": b}
+        self.table = ranges.initial_table("s", {a: 1.0, b: 1.0}, "c1")
+        self.reconciler.apply(self.table)
+
+    def new_reconciler(self, former_until=0.0):
+        """Returns a leader's reconciler without a table."""
+        return grant_reconciliation.GrantReconciler(
             fakes.configured(trouble_after=1e9),
             orders.OrderClient(self.pool),
             self.cluster,
             self.clock,
             self.log,
             self.lease,
-            former_leaders.FormerLeaders(0.0),
+            former_leaders.FormerLeaders(former_until),
             {},
             lambda: None,
         )
-        a, b = (ranges.Holder(n, 1, f"{n}:80") for n in "ab")
-        self.holders = {"a": a, "b": b}
-        self.table = ranges.initial_table("s", {a: 1.0, b: 1.0}, "c1")
-        self.reconciler.apply(self.table)
 
     def _start(self, name, born, zone):
         target = _Target(self.world, name, born, f"{name}:80", zone)
@@ -269,3 +273,25 @@
             assert not rig.holds("a", 0), "\n".join(rig.world.trace)
 
         _run(scenario)
+
+    def test_renewal_of_a_former_leader_after_a_release(self):
+        """A restarted target is granted keys that another one owns by now.
+
+        A former leader, whose lease has not expired, renews a grant that the
+        target has released before its restart.
+        """
+
+        async def scenario(rig):
+            await asyncio.sleep(0.1)
+            successor = rig.new_reconciler(former_until=10.0)
+            moves = [ranges.Move(0, 4095, rig.holders["b"])]
+            table = ranges.move(rig.table, moves, "c2")
+            successor.apply(table)
+            await rig.until(lambda: rig.holds("b", 0))
+            rig.world.end(rig.targets["a"])
+            rig.restart("a")
+            await asyncio.sleep(1.0)
+            successor.stop()
+            assert not rig.holds("a", 0), "\n".join(rig.world.trace)
+
+        _run(scenario)
