Add a failing test of renewals to a registered later incarnation

A restarted target takes keys under its predecessor's fence, although its registration is known: renewals go on until the table with new fences is stored, which a slow store delays.

--- a/tests/gateway/test_grant_reconciliation.py
+++ b/tests/gateway/test_grant_reconciliation.py
@@ -334,6 +334,25 @@
 
         _run(main())
 
+    def test_registered_incarnation_is_not_granted_the_old_fence(self):
+        """A later incarnation takes keys under its predecessor's fence.
+
+        It has registered, but the table with new fences is not stored yet.
+        """
+
+        async def main():
+            rig = Rig()
+            await rig.wait_granted(0)
+            rig.orders.restart("a")
+            rig.cluster.apply_target(fakes.target("a", born=2))
+            await asyncio.sleep(0.1)
+            rig.orders.log.clear()
+            await asyncio.sleep(2.0)
+            assert not [x for x in rig.orders.log if x[1] == "a"]
+            rig.reconciler.stop()
+
+        _run(main())
+
     @pytest.mark.parametrize(
         ("address", "reachable"), [("a:80", True), ("a:81", False)]
     )
