Add a failing test of when a silent target needs a new fence

A target that restarts 1.6 s after its last response is granted its old fence where renewals are a second apart. The second after which it may have restarted counts from the first order that failed, not from the last response.

--- a/tests/gateway/test_grant_reconciliation.py
+++ b/tests/gateway/test_grant_reconciliation.py
@@ -353,6 +353,31 @@
 
         _run(main())
 
+    def test_second_without_response_counts_from_the_last_one(self):
+        """A target that was away for 1.6 s is granted its old fence.
+
+        Renewals are a second apart, so the first one fails late.
+        """
+
+        async def main():
+            rig = Rig()
+            rig.table = msgspec.structs.replace(rig.table, hold=4.0)
+            rig.reconciler.apply(rig.table)
+            await asyncio.sleep(3.0)
+            rig.orders.log.clear()
+            while not [x for x in rig.orders.log if x[1] == "a"]:
+                await asyncio.sleep(0.01)
+            rig.orders.dead.add("a")
+            await asyncio.sleep(1.6)
+            rig.orders.restart("a")
+            rig.orders.dead.clear()
+            rig.orders.log.clear()
+            await asyncio.sleep(1.0)
+            assert not [x for x in rig.orders.log if x[1] == "a"]
+            rig.reconciler.stop()
+
+        _run(main())
+
     @pytest.mark.parametrize(
         ("address", "reachable"), [("a:80", True), ("a:81", False)]
     )
