Add failing histories of a cut-off leader and a restart

Two targets hold the same keys in two random histories that need only a leader cut off from the store and targets that restart under their identifier: the cut leader renews, within its lease, what its successor has had released.

--- a/tests/platform/test_order_histories.py
+++ b/tests/platform/test_order_histories.py
@@ -30,3 +30,14 @@
             seed, {Trouble.FEW_PERMITS, Trouble.LATE_ANSWERS}
         )
         assert not violations, "\n".join(trace)
+
+    @pytest.mark.parametrize("seed", [20, 58769])
+    def test_former_leader_and_restart(self, seed):
+        """Guards against a former leader that renews what a target released.
+
+        The target has restarted meanwhile and knows no fences.
+        """
+        violations, trace = order_history.play(
+            seed, {Trouble.CUT_LEADERS, Trouble.RESTARTS}
+        )
+        assert not violations, "\n".join(trace)
