Grant no old fence to a target that has restarted or may have

Renewals under the former fence went on to a target whose later incarnation was registered, until the new table was stored; and the second without a response after which a target needs new fences counted from the first failed order, so one that was away for 1.6 s between slow renewals got its old fence. It counts from the last response.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -109,6 +109,7 @@
             None after a success.
         failures: Consecutive failed orders.
         refused: Whether the target has refused a current fence.
+        responded_at: Time of its last response to an order, None for none.
         sending: The piece whose grant is being sent, None for none.
         unreachable: Whether the last order found no connection.
         wake: Interrupts the wait for the next due grant.
@@ -119,6 +120,7 @@
         "failing_since",
         "failures",
         "refused",
+        "responded_at",
         "sending",
         "task",
         "unreachable",
@@ -129,6 +131,7 @@
         self.failing_since: float | None = None
         self.failures = 0
         self.refused = False
+        self.responded_at: float | None = None
         self.sending: _PieceState | None = None
         self.unreachable = False
         self.wake = asyncio.Event()
@@ -280,12 +283,14 @@
         owner = self._owners.get(holder)
         if owner is None:
             return False
-        if owner.refused:
+        if owner.refused or self._cluster.directory.has_restarted(
+            holder.id, holder.born
+        ):
             return True
-        since = owner.failing_since
-        if since is None or self._is_alive(holder):
+        if owner.failing_since is None or self._is_alive(holder):
             # A target that serves its keys has not restarted.
             return False
+        since = owner.responded_at or owner.failing_since
         return self._clock.boottime() - since > _REFENCE_AFTER_SECONDS
 
     def _is_alive(self, holder: ranges.Holder) -> bool:
@@ -424,6 +429,7 @@
                 owner.failing_since = None
                 owner.failures = 0
                 owner.refused = False
+                owner.responded_at = None
                 owner.wake.set()
 
     def _wake(self, holder: ranges.Holder) -> None:
@@ -623,6 +629,7 @@
         """
         owner.failures = 0
         owner.failing_since = None
+        owner.responded_at = self._clock.boottime()
         if not current:
             return
         state.due = sent_at + self._renewal_interval
