Pass on that an earlier incarnation has registered again

A leader that is cut off from the store gets registrations from VMs that watch it in its place. Their updates named the later incarnation alone, so the leader went on taking an earlier one that had registered again for ended.

An update of a target now carries the start of the earliest incarnation that has registered again; older VMs ignore the field and send none.

test_reaches_a_leader_that_does_not_follow_the_store failed before.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/directory.py
@@ -343,6 +343,18 @@
             return False
         return entry.unended_born is None or born < entry.unended_born
 
+    def record_unended(self, target: str, born: int, unended_born: int) -> None:
+        """Records that an incarnation has registered again after a later one.
+
+        Args:
+            target: Identifier of the target.
+            born: Start of the latest incarnation.
+            unended_born: Start of the incarnation that registered again.
+        """
+        entry = self._entries.get(target)
+        if entry is not None and entry.target.born == born:
+            entry.record_unended(unended_born)
+
     def record_incarnation(
         self, target: str, born: int, address: str, now: float
     ) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
@@ -794,6 +794,7 @@
                         entry.status is directory.TargetStatus.MISSING,
                         max(entry.target.warm_at - now, 0.0),
                         now - entry.since,
+                        entry.unended_born,
                     )
                     for entry in changed
                     if entry.status is not directory.TargetStatus.ENDED
@@ -842,6 +843,11 @@
             ),
             {item.target.id: made_at - item.age for item in update.targets},
         )
+        for item in update.targets:
+            if item.unended_born is not None:
+                self.directory.record_unended(
+                    item.target.id, item.target.born, item.unended_born
+                )
         if update.after <= self.seen:
             # Otherwise earlier changes were lost in transit. The sender repeats
             # them until this VM reports a revision that covers them.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -97,6 +97,8 @@
         gone: Whether the registration was removed.
         warm_left: Remaining seconds of the target's warm-up.
         age: Upper bound of the seconds since the change.
+        unended_born: Start of the earliest incarnation that has registered
+            again after a later one, None if none has.
     """
 
     target: directory.Target
@@ -104,6 +106,7 @@
     gone: bool
     warm_left: float
     age: float = 0.0
+    unended_born: int | None = None
 
 
 class StateUpdate(msgspec.Struct, frozen=True):
--- a/tests/gateway/test_cluster_state.py
+++ b/tests/gateway/test_cluster_state.py
@@ -203,6 +203,27 @@
 
         _run(check)
 
+    def test_reaches_a_leader_that_does_not_follow_the_store(self):
+        """Guards against a leader that takes a live incarnation for ended.
+
+        Another VM watches the store for it, and has read a registration of an
+        earlier incarnation after that of a later one.
+        """
+
+        def check(leader):
+            watcher = _state()
+            watcher.apply_target(fakes.target("a", born=7, revision=5))
+            watcher.seen = 5
+            leader.apply_update(watcher.updates_since(0, 1))
+            assert leader.directory.has_restarted("a", 1)
+            watcher.apply_target(fakes.target("a", revision=6))
+            watcher.seen = 6
+            leader.apply_update(watcher.updates_since(5, 1))
+            assert leader.directory.get("a").target.born == 7
+            assert not leader.directory.has_restarted("a", 1)
+
+        _run(check)
+
 
 class TestConfigurationSeen:
     """The store revision up to which the configuration is the newest."""
