--- a/tests/gateway/test_leader_role.py
+++ b/tests/gateway/test_leader_role.py
@@ -92,7 +92,9 @@
 
         virtual.run(main())
 
-    @pytest.mark.parametrize("raw", [b"", b"{", b'{"vm": 7}', b'{"vm": "\xff"}'])
+    @pytest.mark.parametrize(
+        "raw", [b"", b"{", b'{"vm": 7}', b'{"vm": "\xff"}']
+    )
     def test_unreadable_entry_of_a_former_leader(self, raw):
         """Guards against grants of a former leader that nobody waits for.
 
@@ -115,6 +117,25 @@
 
         virtual.run(main())
 
+    @pytest.mark.parametrize(
+        ("address", "ended"), [("", True), ("a:80", True), ("a:79", False)]
+    )
+    def test_reported_end_of_a_target(self, address, ended):
+        """Guards against keys taken from a target that has moved.
+
+        Another VM found another target at the address that it has left.
+        """
+
+        async def main():
+            _, _, (one, two) = _setup("vm-1", "vm-2")
+            await one.leader_role.take_over("test")
+            proof = messages.EndedTarget("a", 1, address)
+            one.leader_role.handle_report(two.report(ended=(proof,)))
+            assert one.cluster.directory.has_left_address("a", 1) is ended
+            one.leader_role.step_down("end")
+
+        virtual.run(main())
+
     def test_overtaken_while_reading(self):
         """Guards against a term that starts after a report as a follower.
 
