Give the test of a new drain time a configuration

test_bounds put a leaving target into a daemon that had no configuration, which counts registrations only once a configuration names their service. It failed since that rule. What it checks, the grace period after a reload, is unchanged; it now applies a configuration with the target's service first.

--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mimosastile_core.gateway import directory
+from mimosastile_core.gateway import routes
 from mimosastile_gateway import daemon
 from mimosastile_gateway import settings
 from mimosastile_platform import boot
@@ -37,6 +38,9 @@
             new = fakes.configured()
             new.bounds = settings.BoundSettings(drain=1.0, retry_fixed=9.0)
             gateway.apply_settings(new)
+            state.apply_configuration(
+                routes.Configuration(1, services={"s": routes.Service("s")})
+            )
             leaving = fakes.target("a", leaving=True)
             state.apply_target(leaving)
             entry = state.directory.get("a")
