Add copied answers and foreign registrations to the soak

`--hostile=answers` copies earlier answers of targets, to orders and rejections too, before the next answer on a connection, with slow work meanwhile. `--hostile=entries` writes registrations with later start times, with fields missing, of other types, of unknown services or with impossible ports. Each draws from a generator of its own, so that the other faults of a seed stay the same. Without the option the draws are as before.

The oracle also reports a grant of keys on which another target still works under an unexpired grant, and a release is answered once such work has ended.

--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -201,6 +201,7 @@
         targets: int = 8,
         callers: int = 24,
         out: str = "out/soak",
+        hostile: str = "",
     ) -> None:
         """Runs real daemons under injected faults and checks safety promises.
 
@@ -212,7 +213,15 @@
             targets: Number of targets of each of the two services.
             callers: Number of callers.
             out: Folder for settings, logs and verdicts.
+            hostile: Additional faults: `answers` for copies of targets'
+                answers, `entries` for others' registrations under their
+                identifiers, or `all`.
         """
+        kinds = frozenset(
+            kind
+            for kind in soak_module.Hostile
+            if hostile in (kind.value, "all")
+        )
         wrong = 0
         for number in range(seed, seed + rounds):
             plan = soak_module.Plan(
@@ -222,6 +231,7 @@
                 targets,
                 callers,
                 pathlib.Path(out).resolve() / str(number),
+                kinds,
             )
             verdict = asyncio.run(soak_module.run(plan))
             wrong += len(verdict.wrong)
--- a/packages/mimosastile-standins/src/mimosastile_standins/fault_proxy.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/fault_proxy.py
@@ -1,6 +1,7 @@
 """Loopback TCP proxy that injects faults into the connections it forwards."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import enum
 import socket
@@ -9,6 +10,7 @@
 _CHUNK_BYTES = 1 << 16
 _STOP_POLL_SECONDS = 0.01
 """Seconds between checks whether all connections have ended."""
+_METHODS = (b"GET ", b"POST ")
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -36,9 +38,18 @@
 
     Attributes:
         fault: Current fault; change it with `set_fault`.
+        copies_answer: Decides for each request on a connection whether a copy
+            of the answer to the former one comes before its own.
     """
 
-    __slots__ = ("_connections", "_delay", "_server", "_target", "fault")
+    __slots__ = (
+        "_connections",
+        "_delay",
+        "_server",
+        "_target",
+        "copies_answer",
+        "fault",
+    )
 
     def __init__(self, target: str) -> None:
         """Initializes a proxy that does not listen yet.
@@ -51,6 +62,7 @@
         self._connections: set[_ConnectionPair] = set()
         self._server: asyncio.Server | None = None
         self.fault = LinkFault.NONE
+        self.copies_answer: Callable[[], bool] = _copies_none
 
     @property
     def delay(self) -> float:
@@ -102,7 +114,14 @@
 class _ConnectionPair:
     """An accepted connection and the one that it is forwarded to."""
 
-    __slots__ = ("_muted", "_proxy", "_reader", "_writer", "_writers")
+    __slots__ = (
+        "_answer",
+        "_muted",
+        "_proxy",
+        "_reader",
+        "_writer",
+        "_writers",
+    )
 
     def __init__(
         self,
@@ -115,6 +134,7 @@
         self._writer = writer
         self._writers = [writer]
         self._muted: set[bool] = set()
+        self._answer = b""
         self.apply_fault(proxy.fault)
 
     def apply_fault(self, fault: LinkFault) -> None:
@@ -165,7 +185,22 @@
                 await asyncio.sleep(self._proxy.delay)
             if back in self._muted:
                 continue
+            if back:
+                self._answer = chunk
+            elif chunk.startswith(_METHODS):
+                self._copy_answer()
             writer.write(chunk)
             await writer.drain()
         if back not in self._muted and writer.can_write_eof():
             writer.write_eof()
+
+    def _copy_answer(self) -> None:
+        """Sends the former answer again where the next one is expected."""
+        # An answer in several chunks cannot be copied as a whole.
+        if self._answer.startswith(b"HTTP/") and self._proxy.copies_answer():
+            self._writer.write(self._answer)
+
+
+def _copies_none() -> bool:
+    """Copies no answers."""
+    return False
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -1,6 +1,7 @@
 """Stand-in for a target on the platform, with a queue, keys and faults."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 import itertools
 import json
@@ -59,6 +60,10 @@
         self.at = at
 
 
+_WORK_POLL_SECONDS = 0.005
+"""Interval of checks whether the work on released keys has ended."""
+
+
 class Arrival:
     """Arrival of a request at a target, recorded for an oracle.
 
@@ -105,10 +110,13 @@
         arrivals: Requests that reached the target.
         header_names: Names of all headers of requests that reached it.
         padding_bytes: Size of the padding after the text of a response.
+        on_grant: Called with the target, the first and the last key of each
+            grant before it is taken.
     """
 
     __slots__ = (
         "_accepted",
+        "_active",
         "_address",
         "_fences",
         "_granted",
@@ -128,6 +136,7 @@
         "leaving",
         "limit",
         "misdirected",
+        "on_grant",
         "orders",
         "padding_bytes",
         "rest",
@@ -184,6 +193,8 @@
         self._slots = slots
         self._running = asyncio.Semaphore(slots)
         self._accepted = 0
+        self._active: dict[str, tuple[int, float]] = {}
+        self.on_grant: Callable[[PlatformTarget, int, int], None] = _ignore
         self._granted: list[_GrantedRange] = []
         self._fences: list[_GrantedRange] = []
         self._handovers = itertools.count(1)
@@ -238,6 +249,14 @@
             h.first <= key <= h.last and now < h.expiry for h in self._granted
         )
 
+    def works_on(self, first: int, last: int) -> bool:
+        """Whether it works on a key in a range under an unexpired grant."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            first <= key <= last and now < expiry
+            for key, expiry in self._active.values()
+        )
+
     def owned_ranges(self) -> list[tuple[int, int]]:
         """Returns the first and last key of each range that it owns now."""
         now = asyncio.get_running_loop().time()
@@ -349,6 +368,25 @@
         attempt = (incoming.header(b"x-attempt-id") or b"").decode()
         now = asyncio.get_running_loop().time()
         self.runs.append(Execution(attempt, key, self.id, now))
+        if key is not None:
+            self._active[attempt] = key, self._expiry(key)
+        try:
+            return await self._finish(attempt, attempt_header)
+        finally:
+            self._active.pop(attempt, None)
+
+    def _expiry(self, key: int) -> float:
+        """Returns when the grant of a key expires, 0 without one."""
+        return max(
+            (h.expiry for h in self._granted if h.first <= key <= h.last),
+            default=0.0,
+        )
+
+    async def _finish(
+        self,
+        attempt: str,
+        attempt_header: tuple[tuple[bytes, bytes], ...],
+    ) -> http_server.Response:
         if self.fault is Fault.RESET:
             self._server.abort()
             await asyncio.sleep(0)
@@ -373,6 +411,7 @@
             return http_server.Response(409)
         if body["HoldMs"] > 10_000:
             return http_server.Response(400)
+        self.on_grant(self, first, last)
         now = asyncio.get_running_loop().time()
         expiry = now + body["HoldMs"] / 1000
         self._remove_range(first, last)
@@ -386,6 +425,8 @@
         self._fences.append(_GrantedRange(first, last, fence, 0.0))
         # This also waits for work on other keys, which does no harm here.
         await asyncio.sleep(self._work)
+        while self.works_on(first, last):
+            await asyncio.sleep(_WORK_POLL_SECONDS)
         token = f"{self.id}-{next(self._handovers)}".encode()
         return http_server.Response(200, ((b"x-handover", token),))
 
@@ -406,6 +447,10 @@
         self._granted = remaining
 
 
+def _ignore(target: PlatformTarget, first: int, last: int) -> None:
+    """Ignores a grant."""
+
+
 def _overlaps(granted: _GrantedRange, first: int, last: int) -> bool:
     return granted.first <= last and first <= granted.last
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -15,6 +15,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import enum
 import itertools
 import pathlib
 import random
@@ -54,6 +55,26 @@
 _ZONE_SHARE = 0.3
 """Share of the partitions that hit all VMs of a zone."""
 _OK = 200
+_SLOW_PERCENT = 1500
+"""Duration of work while answers are copied, in percent of the usual one."""
+_FOREIGN_CHANGES: dict[str, dict[str, Any]] = {
+    "fields missing": {},
+    "other types": {"SeqNo": "x", "ConfigVersion": 7, "WarmupLeftMs": "0"},
+    "unknown service": {"ServiceName": "nowhere"},
+    "impossible port": {"Address": "127.0.0.1:99999"},
+}
+"""Changes of fields in registrations by another writer, by kind."""
+_FOREIGN_OMITTED = {
+    "fields missing": ("ConfigVersion", "WarmupLeftMs", "SeqNo")
+}
+"""Fields that registrations by another writer lack, by kind."""
+
+
+class Hostile(enum.Enum):
+    """Kinds of additional faults."""
+
+    ANSWERS = "answers"
+    ENTRIES = "entries"
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -66,6 +87,8 @@
         targets: Number of targets of each of the two services.
         callers: Number of callers, each with its own connection.
         out: Folder for settings, logs and the verdict.
+        hostile: Additional faults: ANSWERS copies targets' earlier answers,
+            ENTRIES writes registrations under their identifiers.
     """
 
     seed: int
@@ -74,6 +97,7 @@
     targets: int
     callers: int
     out: pathlib.Path
+    hostile: frozenset[Hostile] = frozenset()
 
 
 class Verdict(msgspec.Struct):
@@ -124,6 +148,7 @@
         "_daemons",
         "_faults",
         "_feedback",
+        "_hostile_rngs",
         "_in_rotation",
         "_last_fault_at",
         "_lateness",
@@ -148,6 +173,10 @@
         """Initializes a soak without starting it."""
         self._plan = plan
         self._rng = random.Random(plan.seed)
+        # One for each kind, so that the other faults of a seed stay the same.
+        self._hostile_rngs = {
+            kind: random.Random(f"{plan.seed}/{kind.value}") for kind in Hostile
+        }
         self._oracle = soak_oracle.SoakOracle()
         self._feedback = soak_notices.FeedbackChecker()
         self._lateness = soak_lateness.LatenessChecker(self._feedback)
@@ -181,7 +210,10 @@
                     *(self._run_caller(i) for i in range(self._plan.callers)),
                 )
             ]
-            await self._inject_faults()
+            await asyncio.gather(
+                self._inject_faults(),
+                *map(self._inject_hostile_faults, self._plan.hostile),
+            )
             healed_at = time.monotonic()
             await asyncio.sleep(_RECOVERY_SECONDS + _RECOVERED_SECONDS)
             self._stopping = True
@@ -235,6 +267,7 @@
             work=0.01,
         )
         target.arrivals = self._feedback.arrivals
+        target.on_grant = self._check_grant
         proxy = fault_proxy.FaultProxy(await target.start())
         zone = f"zone-{'ab'[number % 2]}"
         proxied = _ProxiedTarget(target, proxy, zone)
@@ -289,6 +322,17 @@
             )
             await asyncio.sleep(0.02)
 
+    def _check_grant(
+        self, target: platform_target.PlatformTarget, first: int, last: int
+    ) -> None:
+        others = [
+            proxied.target
+            for proxied in self._targets.values()
+            if proxied.target is not target
+            and proxied.target.service == target.service
+        ]
+        self._oracle.check_grant(target, others, first, last)
+
     # Callers.
 
     async def _run_caller(self, number: int) -> None:
@@ -420,6 +464,57 @@
         await asyncio.gather(*under_way)
         self._record_fault("healed")
 
+    async def _inject_hostile_faults(self, kind: Hostile) -> None:
+        """Injects faults of one additional kind, one at a time."""
+        inject = {
+            Hostile.ANSWERS: self._copy_answers,
+            Hostile.ENTRIES: self._write_for_target,
+        }[kind]
+        ends = time.monotonic() + self._plan.seconds
+        while time.monotonic() < ends:
+            await inject()
+            await asyncio.sleep(self._hostile_rngs[kind].uniform(0.1, 1.0))
+
+    async def _copy_answers(self) -> None:
+        """Makes targets send earlier answers again, as well to orders."""
+        rng = self._hostile_rngs[Hostile.ANSWERS]
+        names = rng.sample(sorted(self._targets), 3)
+        share = rng.choice((0.03, 0.3))
+        seconds = rng.uniform(1.0, 4.0)
+        self._record_fault(
+            f"targets {names} copy {share} of their answers, {seconds:.1f} s"
+        )
+        chosen = [self._targets[name] for name in names]
+        copies = random.Random(rng.random())
+        for proxied in chosen:
+            proxied.target.slowness = _SLOW_PERCENT
+            proxied.proxy.copies_answer = lambda: copies.random() < share
+        await self._wait_during_fault(seconds)
+        for proxied in chosen:
+            proxied.target.slowness = 100
+            proxied.proxy.copies_answer = _copies_none
+
+    async def _write_for_target(self) -> None:
+        """Writes a registration under a target's identifier."""
+        rng = self._hostile_rngs[Hostile.ENTRIES]
+        name = rng.choice(sorted(self._targets))
+        value = self._store.value(f"servers/{name}")
+        if value is None:
+            return
+        own = msgspec.json.decode(value)
+        foreign = dict(own)
+        foreign["born"] = own["born"] + rng.randrange(1, 5000)
+        kind = rng.choice(sorted(_FOREIGN_CHANGES))
+        foreign |= _FOREIGN_CHANGES[kind]
+        for field in _FOREIGN_OMITTED.get(kind, ()):
+            del foreign[field]
+        seconds = rng.uniform(0.2, 1.5)
+        self._record_fault(f"foreign entry of {name}, {kind}, {seconds:.1f} s")
+        self._store.put(f"servers/{name}", foreign)
+        await self._wait_during_fault(seconds)
+        if self._store.value(f"servers/{name}") is not None:
+            self._store.put(f"servers/{name}", own)
+
     def _record_fault(self, what: str) -> None:
         seconds = time.monotonic() - self._started_at
         self._faults.append(f"{seconds:7.2f} {what}")
@@ -727,6 +822,11 @@
         )
 
 
+def _copies_none() -> bool:
+    """Copies no answers."""
+    return False
+
+
 async def run(plan: Plan) -> Verdict:
     """Executes a soak and writes its verdict next to its logs.
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_oracle.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_oracle.py
@@ -1,6 +1,7 @@
 """Checks guarantees in a soak against the records of callers and targets."""
 
 import collections
+from collections.abc import Iterable
 import itertools
 
 import msgspec
@@ -77,6 +78,27 @@
                     f"{one[2]} and {other[2]} both own key {other[0]}"
                 )
 
+    def check_grant(
+        self,
+        target: platform_target.PlatformTarget,
+        others: Iterable[platform_target.PlatformTarget],
+        first: int,
+        last: int,
+    ) -> None:
+        """Records a violation if others still work on keys that it is given.
+
+        Args:
+            target: The target that takes a grant.
+            others: All other targets of its service.
+            first: First key of the grant.
+            last: Last key of the grant.
+        """
+        self.violations.extend(
+            f"{target.id} is given {first}-{last} while {other.id} works on it"
+            for other in others
+            if other.works_on(first, last)
+        )
+
     def finish(self) -> None:
         """Runs the checks that need all executions to have ended."""
         runs = collections.Counter(run.attempt for run in self.runs)
