--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -28,9 +28,14 @@
 class _Owner:
     """A target that owns ranges of keys."""
 
-    def __init__(self, name, *ranges):
+    def __init__(self, name, *ranges, working=()):
         self.id = name
         self._ranges = list(ranges)
+        self._working = working
+
+    def works_on(self, first, last):
+        """Whether it works on a key in a range."""
+        return any(first <= key <= last for key in self._working)
 
     def owned_ranges(self):
         """Returns the owned ranges."""
@@ -77,6 +82,16 @@
         oracle.check_owners([_Owner("x", (0, 9)), _Owner("y", other)])
         assert len(oracle.violations) == wrong
 
+    @pytest.mark.parametrize(
+        ("working", "wrong"), [((), 0), ((9,), 0), ((10,), 1), ((19, 30), 1)]
+    )
+    def test_grant_beside_work(self, working, wrong):
+        """A target is given keys on which another one works."""
+        oracle = soak_oracle.SoakOracle()
+        others = [_Owner("x", working=working), _Owner("y")]
+        oracle.check_grant(_Owner("z"), others, 10, 19)
+        assert len(oracle.violations) == wrong
+
     def test_served_share(self):
         """Only attempts sent in the given period count."""
         oracle = soak_oracle.SoakOracle()
@@ -132,6 +147,37 @@
 
         asyncio.run(main())
 
+    @pytest.mark.parametrize("copies", [False, True])
+    def test_copied_answer(self, copies):
+        """An earlier answer comes again before that to the next request."""
+
+        async def main():
+            async def answer(reader, writer):
+                for number in (b"1", b"2"):
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(b"HTTP/1.1 200 " + number + b"\r\n\r\n")
+
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            proxy = fault_proxy.FaultProxy(f"{host}:{port}")
+            host, _, port = (await proxy.start()).rpartition(":")
+            proxy.copies_answer = lambda: copies
+            reader, writer = await asyncio.open_connection(host, int(port))
+            received = []
+            async with asyncio.timeout(5.0):
+                for count in (1, 1 + copies):
+                    writer.write(b"GET / HTTP/1.1\r\n\r\n")
+                    for _ in range(count):
+                        head = await reader.readuntil(b"\r\n\r\n")
+                        received.append(head[13:14])
+            expected = [b"1", b"1", b"2"] if copies else [b"1", b"2"]
+            assert received == expected
+            writer.close()
+            await proxy.stop()
+            server.close()
+
+        asyncio.run(main())
+
     async def _exchange(self, reader, writer):
         """Returns the response, empty at the end, None on a timeout."""
         try:
