Leave the daemon its own memory at every limit

Half of the memory held bodies, whatever the limit. At 128 MB that is what remains; at 552 MB callers were refused while 250 MB were unused.

--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -109,3 +109,15 @@
             "[Bounds]",
         )
         assert _read(tmp_path, text).ok_value.vm.strength == strength
+
+    @pytest.mark.parametrize("memory_mb", [64, 128, 300, 552])
+    def test_held_memory(self, tmp_path, memory_mb):
+        """Guards against bodies that leave no memory for the daemon itself.
+
+        Small requests may exceed the bound by an eighth.
+        """
+        text = FILE.replace("MemoryMb = 300", f"MemoryMb = {memory_mb}")
+        held = _read(tmp_path, text).ok_value.requests.memory_bytes
+        assert held >= memory_mb << 18
+        left = (memory_mb << 20) - held * 9 // 8
+        assert left >= min(48, memory_mb // 2) << 20
