--- a/packages/mimosastile-core/src/mimosastile_core/gateway/held_bytes.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/held_bytes.py
@@ -3,20 +3,37 @@
 import collections
 
 LARGE_BYTES = 64 << 10
-"""Size of a body from which it can be refused for want of memory. Smaller ones
-are bounded by the number of connections."""
+"""Size of a body from which it is refused first for want of memory."""
+_RESERVE_SHARE = 0.125
+"""Memory above the limit, as a share of it, that is left for small bodies and
+for requests without a body."""
+_SHORT_SHARE = 0.5
+"""Share of the limit above which responses are received more slowly."""
 _LISTED_OWNERS = 5
 """Owners listed in the state dump."""
 
 
 class HeldBytes:
-    """Bodies of requests that are received or served, and unsent responses.
+    """All copies of bodies that a VM holds for callers, targets and peers.
+
+    A request's body is counted from the moment it is accepted, with its
+    announced length. Everything else is counted when it is buffered.
 
     Attributes:
         limit: Bytes up to which large bodies are accepted, 0 for no bound.
+        refused: Number of requests refused for want of memory.
     """
 
-    __slots__ = ("_by_owner", "_peaks", "_requests", "_unsent", "limit")
+    __slots__ = (
+        "_by_owner",
+        "_peaks",
+        "_received",
+        "_requests",
+        "_sending",
+        "_unsent",
+        "limit",
+        "refused",
+    )
 
     def __init__(self, limit: int = 0) -> None:
         """Creates an account that holds nothing.
@@ -25,18 +42,26 @@
             limit: Bytes up to which large bodies are accepted, 0 for no bound.
         """
         self.limit = limit
+        self.refused = 0
         self._requests = 0
+        self._sending = 0
+        self._received = 0
         self._unsent = 0
         self._by_owner: collections.Counter[str] = collections.Counter()
         self._peaks: collections.Counter[str] = collections.Counter()
 
     @property
     def total(self) -> int:
-        """Bytes held now, with the responses last sampled."""
-        return self._requests + self._unsent
+        """Bytes held now."""
+        return self._requests + self._sending + self._received + self._unsent
+
+    @property
+    def short(self) -> bool:
+        """Whether responses should be received no faster than they are sent."""
+        return bool(self.limit) and self.total > self.limit * _SHORT_SHARE
 
     def hold(self, owner: str, size: int) -> None:
-        """Counts received bytes of a request's body.
+        """Counts bytes of a request's body.
 
         Args:
             owner: Address of the caller.
@@ -53,29 +78,56 @@
         if self._by_owner[owner] <= 0:
             del self._by_owner[owner]
 
-    def sample_unsent(self, size: int) -> None:
-        """Records the bytes of responses that callers have not read yet."""
-        self._unsent = size
-        self._record_peak("responses", size)
+    def add_sending(self, change: int) -> None:
+        """Counts bytes buffered for targets, peers and the store."""
+        self._sending += change
+        self._record_peak("sending", self._sending)
+
+    def add_received(self, change: int) -> None:
+        """Counts bytes of responses that are not passed on yet."""
+        self._received += change
+        self._record_peak("received", self._received)
+
+    def add_unsent(self, change: int) -> None:
+        """Counts bytes of responses that callers have not read yet."""
+        self._unsent += change
+        self._record_peak("responses", self._unsent)
 
     def admits(self, size: int) -> bool:
-        """Whether a body of a size may be received."""
-        if not self.limit or size < LARGE_BYTES:
-            return True
-        return self.total + size <= self.limit
+        """Whether a request with a body of a size may be received."""
+        return self._fits(size, self.total + size)
+
+    def admits_growth(self, size: int) -> bool:
+        """Whether a body may go on to be received.
+
+        Args:
+            size: Bytes of it that are counted already.
+        """
+        return self._fits(size, self.total)
 
     def dump(self) -> dict[str, object]:
         """Returns bytes held, peaks by purpose and the largest owners."""
         return {
             "limit": self.limit,
+            "refused": self.refused,
             "requests": self._requests,
+            "sending": self._sending,
+            "received": self._received,
             "responses": self._unsent,
             "peaks": dict(self._peaks),
             "owners": dict(self._by_owner.most_common(_LISTED_OWNERS)),
         }
 
+    def _fits(self, size: int, total: int) -> bool:
+        if not self.limit:
+            return True
+        if size < LARGE_BYTES:
+            return total <= self.limit * (1 + _RESERVE_SHARE)
+        return total <= self.limit
+
     def _record_peak(self, purpose: str, size: int) -> None:
-        self._peaks[purpose] = max(self._peaks[purpose], size)
+        if size > self._peaks[purpose]:
+            self._peaks[purpose] = size
 
 
 class TargetBodies:
--- a/packages/mimosastile-core/src/mimosastile_core/quarantine.py
+++ b/packages/mimosastile-core/src/mimosastile_core/quarantine.py
@@ -48,7 +48,7 @@
 
 
 def fingerprint(
-    member: str, method: str, path: str, query: str, body: bytes
+    member: str, method: str, path: str, query: str, *body: bytes | bytearray
 ) -> str:
     """Returns a hash that is equal for repetitions of a request.
 
@@ -57,14 +57,15 @@
         method: HTTP method.
         path: Path, which contains the service and may contain the key.
         query: Query string.
-        body: The body, or the buffered part of a large one.
+        *body: Pieces of the body, or of the buffered part of a large one.
     """
     digest = xxhash.xxh3_128()
     for part in (member, method, path, query):
         data = part.encode()
         digest.update(len(data).to_bytes(4, "big"))
         digest.update(data)
-    digest.update(body)
+    for piece in body:
+        digest.update(piece)
     return digest.hexdigest()
 
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -101,6 +101,7 @@
         "_clock",
         "_events",
         "_forwarder",
+        "_held",
         "_peer_server",
         "_loop_lag",
         "_leader_role",
@@ -258,12 +259,18 @@
             self._clock,
             self._events,
         )
+        self._held = held_bytes.HeldBytes(configured.requests.memory_bytes)
+        self._pool.held = self._order_pool.held = self._held
         self._caller_server = http_server.Server(
-            self._forwarder.handle,
-            held=held_bytes.HeldBytes(configured.requests.memory_bytes),
+            self._forwarder.handle, held=self._held
         )
         self._readiness_server = http_server.Server(self._handle_readiness)
-        self._peer_server = http_server.Server(self._handle_peer_call)
+        # Messages between VMs are never refused for want of memory.
+        self._peer_server = http_server.Server(
+            self._handle_peer_call,
+            held=self._held,
+            bounded=lambda incoming: bool(peer_forwarding.origin(incoming)),
+        )
         self._metrics_server = http_server.Server(self._handle_metrics)
         self.callers_address = ""
         self._stopping = False
@@ -435,7 +442,7 @@
             "forwarding": self._forwarder.dump(),
             "gates": self._admission.dump(),
             "probes": self._prober.dump(),
-            "held_bytes": self._caller_server.held.dump(),
+            "held_bytes": self._held.dump(),
             "connections_opened": self._pool.opened,
             "log_lines_dropped": self._events.dropped,
         }
@@ -454,6 +461,7 @@
             )
 
     async def _maintain(self) -> None:
+        refused = 0
         for cycle in itertools.count(1):
             slept_at = self._clock.now()
             await asyncio.sleep(_MAINTENANCE_SECONDS)
@@ -464,6 +472,12 @@
             # cycles.
             self._loop_lag = self._clock.now() - slept_at - _MAINTENANCE_SECONDS
             self._caller_server.sample_unsent()
+            self._peer_server.sample_unsent()
+            if self._held.refused > refused:
+                refused = self._held.refused
+                self._events.write(
+                    "daemon", "memory_short", held=self._held.dump()
+                )
             self._pool.trim(_MAX_IDLE_SECONDS)
             self._order_pool.trim(_MAX_IDLE_SECONDS)
             targets = [entry.target.id for entry in self._cluster.directory]
@@ -531,7 +545,8 @@
                 for outcome, count in self._prober.dump().items()
             },
             "vms_known": self._membership.count,
-            "held_bytes": self._caller_server.held.total,
+            "held_bytes": self._held.total,
+            "memory_refusals": self._held.refused,
             "utilisation_highest": max(utilisations, default=0.0),
             "utilisation_mean": sum(utilisations) / max(len(utilisations), 1),
             "loop_lag_seconds": round(self._loop_lag, 4),
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 import math
 
 import result
@@ -47,6 +49,8 @@
 """How old the view of the configuration may be for a request to be refused for
 want of a route, as a share of the time within which a version has to be in
 force."""
+_STREAM_MARGIN_SECONDS = 0.25
+"""Time after a caller's deadline in which it ends its response by itself."""
 _LEADER_QUERY_TIMEOUT_SECONDS = 0.25
 """Longest wait for the leader to confirm that there is no newer version: ten
 times the round trip to another region."""
@@ -224,9 +228,14 @@
         names = self._header_names
         attempt = incoming.header(names.attempt) or b""
         seconds = route.timeout
+        stream_seconds = self._settings.requests.stream
         deadline_header = incoming.header(names.deadline)
         if deadline_header is not None and deadline_header.isdigit():
-            seconds = min(seconds, int(deadline_header) / 1000)
+            deadline_seconds = int(deadline_header) / 1000
+            seconds = min(seconds, deadline_seconds)
+            stream_seconds = min(
+                stream_seconds, deadline_seconds + _STREAM_MARGIN_SECONDS
+            )
         call = pending.Call(
             incoming,
             route,
@@ -234,6 +243,7 @@
             attempt,
             min(incoming.received_at + seconds, self._latest_deadline),
         )
+        call.stream_deadline = incoming.received_at + stream_seconds
         if deadline_header is not None and deadline_header.isdigit():
             retry_age = self._retry_ages.setdefault(
                 route.name, caller_retries.RetryAge()
@@ -381,7 +391,7 @@
         )
         earlier_sends = call.send_count
         call.answered = False
-        size = len(call.incoming.body)
+        size = call.incoming.body_bytes
         self._target_bodies.begin(target.id, size)
         sent: SendResult
         try:
@@ -473,6 +483,8 @@
                 (self._header_names.attempt, call.attempt),
                 no_body=call.incoming.method == "HEAD",
             )
+            if call.separate_body:
+                connection.send_body(call.separate_body)
             sent_at = self._clock.now()
             call.send_count += 1
             call.retry_due = True
@@ -493,6 +505,7 @@
             if not usable:
                 connection.abort()
             elif reply.complete:
+                reply.discard()
                 self._pool.release(connection, target.address)
 
     def _encode_request(
@@ -549,7 +562,6 @@
             for name, value in reply.headers
             if name not in http_client.HOP_BY_HOP_HEADERS
         )
-        body = reply.take()
         if call.origin:
             headers += tuple(
                 peer_forwarding.outcome_headers(
@@ -557,12 +569,48 @@
                 )
             )
         if reply.complete:
-            return result.Ok(http_server.Response(status, headers, body))
-        remaining_body = self._pool.stream(connection, reply, target.address)
+            return result.Ok(
+                http_server.Response(status, headers, reply.take())
+            )
         return result.Ok(
-            http_server.Response(status, headers, body, remaining_body)
+            http_server.Response(
+                status,
+                headers,
+                body_stream=self._stream(
+                    call.attempt, call.route.name, target, connection, reply
+                ),
+                stream_deadline=call.stream_deadline,
+            )
         )
 
+    async def _stream(
+        self,
+        attempt: bytes,
+        route: str,
+        target: directory.Target,
+        connection: http_client.Connection,
+        reply: http_client.IncomingResponse,
+    ) -> AsyncIterator[bytes]:
+        """Yields a response's body; logs a response that is cut off."""
+        complete = False
+        stream = self._pool.stream(connection, reply, target.address)
+        try:
+            async with contextlib.aclosing(stream):
+                async for block in stream:
+                    yield block
+            complete = True
+        finally:
+            if not complete:
+                self._outcome_counts["cut_off"] += 1
+                self._events.write(
+                    "requests",
+                    "response_cut_off",
+                    attempt=attempt.decode("latin-1"),
+                    route=route,
+                    target=target.id,
+                    received=reply.received_bytes,
+                )
+
     def _apply_feedback(
         self,
         target: directory.Target,
@@ -622,7 +670,7 @@
                     call.route.name,
                     target.id,
                     now - started_at,
-                    len(response.body) + len(call.incoming.body),
+                    len(response.body) + call.incoming.body_bytes,
                     now,
                     occupancy=_occupancy(call, target),
                 )
@@ -788,7 +836,7 @@
         incoming.method,
         path,
         query,
-        incoming.body,
+        *incoming.body_blocks,
     )
 
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -7,16 +7,19 @@
 
 import asyncio
 import collections
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import contextlib
 import socket
 import struct
 
 import httptools
 
+from mimosastile_core.gateway import body_buffer
+from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import reachability
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -40,9 +43,27 @@
 _STREAM_BUFFER_BYTES = 2 << 20
 """Bytes of a response buffered before reading pauses: twice the size up to
 which responses are buffered whole."""
+_SHORT_BUFFER_BYTES = 64 << 10
+"""The same while memory is short."""
+_WRITE_BUFFER_BYTES = 64 << 10
+"""Bytes of a request buffered for a target that reads slowly."""
+_MAX_HEAD_BYTES = 64 << 10
+"""Largest head of a response, its trailers included."""
+_HEADER_OVERHEAD_BYTES = 4
+"""Bytes of a header line besides its name and value."""
+_MAX_OVERHEAD_BYTES = 1 << 20
+"""Bytes of a response beyond twice its body: an unfinished head, interim or
+late responses, the framing of very small chunks."""
+_PIECE_OVERHEAD_BYTES = 64
+"""Counted for each piece of a body, as the work of parsing it."""
+_CALL_BODY_BYTES = 4 << 20
+"""Largest body of a response to one of the gateway's own calls."""
 _KEEP_ALIVE_SHARE = 0.6
 """Part of the timeout announced by Keep-Alive within which a connection may be
 reused."""
+_READ_BUFFER = bytearray(64 << 10)
+"""Shared by all connections: what was read is copied before the next read. It
+bounds what one connection receives at a time."""
 _LINGER_RESET = struct.pack("ii", 1, 0)
 _NO_BODY = frozenset({204, 304})
 
@@ -69,8 +90,7 @@
     Attributes:
         status: HTTP status.
         headers: Names in lower case with values, as received.
-        body: Pieces of the body that were received and not taken yet.
-        buffered_bytes: Size of these pieces.
+        body: The part of the body that was received and not taken yet.
         received_bytes: Size of the body received so far.
         complete: Whether the whole response was received.
         reused: Whether its connection had served another request before.
@@ -80,17 +100,25 @@
         "body",
         "complete",
         "headers",
-        "buffered_bytes",
+        "_held",
         "reused",
         "received_bytes",
         "status",
     )
 
-    def __init__(self, *, reused: bool) -> None:
+    def __init__(
+        self, *, reused: bool, held: held_bytes.HeldBytes | None = None
+    ) -> None:
+        """Creates a response of which nothing was received.
+
+        Args:
+            reused: Whether its connection had served another request before.
+            held: Counts the buffered bytes; None if nobody counts them.
+        """
+        self._held = held or held_bytes.HeldBytes()
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: collections.deque[bytes] = collections.deque()
-        self.buffered_bytes = 0
+        self.body = body_buffer.BodyBuffer()
         self.received_bytes = 0
         self.complete = False
         self.reused = reused
@@ -99,18 +127,34 @@
         """Returns the first value of a header, None if there is none."""
         return next((v for n, v in self.headers if n == name), None)
 
+    def append(self, piece: bytes) -> None:
+        """Appends received bytes of the body."""
+        self.body.append(piece)
+        self.received_bytes += len(piece)
+        self._held.add_received(len(piece))
+
     def take(self) -> bytes:
         """Removes the buffered bytes of the body and returns them."""
-        taken = b"".join(self.body)
+        self._held.add_received(-self.body.size)
+        return self.body.take()
+
+    def take_block(self) -> bytes:
+        """Removes the first buffered bytes of the body and returns them."""
+        block = self.body.take_block()
+        self._held.add_received(-len(block))
+        return block
+
+    def discard(self) -> None:
+        """Drops the buffered bytes of the body."""
+        self._held.add_received(-self.body.size)
         self.body.clear()
-        self.buffered_bytes = 0
-        return taken
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection, with at most one pending request.
 
     Attributes:
+        held: Counts the bytes buffered for and from the remote end.
         on_response: Called with the address for the head of each response.
     """
 
@@ -119,19 +163,26 @@
         "_closing",
         "_expected_echo",
         "_error",
+        "_head_bytes",
         "_headers",
         "_idle_since",
         "_discarding",
+        "_latest",
         "_loop",
         "_no_body",
+        "_overhead_bytes",
         "_until_close",
         "_parser",
         "_paused",
         "_response",
         "_reuse_seconds",
+        "_sending_bytes",
         "_served",
         "_transport",
+        "_unsent",
         "_waiter",
+        "_writable",
+        "held",
         "on_response",
     )
 
@@ -146,9 +197,15 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response: IncomingResponse | None = None
+        self._latest: IncomingResponse | None = None
         self._headers: list[tuple[bytes, bytes]] = []
+        self._head_bytes = 0
+        self._overhead_bytes = 0
+        self._unsent: collections.deque[memoryview] = collections.deque()
+        self._sending_bytes = 0
+        self._writable = True
         self._waiter: asyncio.Future[None] | None = None
-        self._error: Exception | None = None
+        self._error: str | None = None
         self._expected_echo: tuple[bytes, bytes] | None = None
         self._discarding = False
         self._no_body = False
@@ -158,6 +215,7 @@
         self._served = 0
         self._idle_since = 0.0
         self._reuse_seconds = float("inf")
+        self.held = held_bytes.HeldBytes()
         self.on_response: Callable[[str], None] = _ignore_response
 
     @property
@@ -202,22 +260,59 @@
         transport = self._transport
         if transport is None or self._closing or transport.is_closing():
             raise NotSentError(f"{self._address}: closed while idle")
-        self._response = response = IncomingResponse(reused=self._served > 0)
+        self._response = response = IncomingResponse(
+            reused=self._served > 0, held=self.held
+        )
+        self._latest = response
+        self._overhead_bytes = 0
         self._served += 1
         self._expected_echo = echo
         self._no_body = no_body
         self._write(transport, data)
         return response
 
+    def send_body(self, blocks: Sequence[bytes | bytearray]) -> None:
+        """Sends the body of the started request as fast as it is read.
+
+        Args:
+            blocks: The body, of which no copy is made.
+        """
+        self._unsent.extend(map(memoryview, blocks))
+        self._write_body()
+
     async def wait_complete(
         self, response: IncomingResponse, most: int
     ) -> None:
         """Waits until a response is complete or its body exceeds `most` bytes.
 
+        Returns earlier if its body is received no further while memory is
+        short.
+
         Raises:
             ResponseLostError: The connection ended or failed before.
         """
-        while not response.complete and response.received_bytes <= most:
+        while (
+            not response.complete
+            and response.received_bytes <= most
+            and not self._paused
+        ):
+            await self._wait()
+
+    async def receive_whole(
+        self, response: IncomingResponse, most: int
+    ) -> None:
+        """Waits until a response is complete.
+
+        Raises:
+            ResponseLostError: The connection ended or failed before, or the
+                body exceeds `most` bytes.
+        """
+        while not response.complete:
+            if response.received_bytes > most:
+                raise ResponseLostError(
+                    f"{self._address}: the body exceeds {most} bytes"
+                )
+            self._resume()
             await self._wait()
 
     async def read_chunk(self, response: IncomingResponse) -> bytes:
@@ -229,7 +324,7 @@
         while not response.body and not response.complete:
             self._resume()
             await self._wait()
-        return response.take()
+        return response.take_block()
 
     def detect_dead_peer(self, silent_timeout_ms: int) -> None:
         """Makes the kernel detect that the remote end is unreachable.
@@ -244,12 +339,25 @@
             )
 
     def abort(self) -> None:
-        """Resets the connection.
+        """Resets the connection and drops what is left of its response.
 
         A reset drops bytes that are not delivered yet, so an order whose
         caller has given up is not delivered later.
         """
+        if self._latest is not None:
+            self._latest.discard()
+        self._reset()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._closing = True
+        self._unsent.clear()
+        if self._transport is not None:
+            self._transport.close()
+
+    def _reset(self) -> None:
         self._closing = True
+        self._unsent.clear()
         if self._transport is None:
             return
         sock = self._transport.get_extra_info("socket")
@@ -260,23 +368,36 @@
                 )
         self._transport.abort()
 
-    def close(self) -> None:
-        """Closes the connection."""
-        self._closing = True
-        if self._transport is not None:
-            self._transport.close()
-
     async def _wait(self) -> None:
         if self._error is not None:
-            raise self._error
+            raise ResponseLostError(self._error)
         self._waiter = self._loop.create_future()
         try:
             await self._waiter
         finally:
             self._waiter = None
 
-    def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+    def _write(
+        self, transport: asyncio.Transport, data: bytes | memoryview
+    ) -> None:
         transport.write(data)
+        self._count_sending()
+
+    def _write_body(self) -> None:
+        """Writes the body of a request until the transport's buffer is full."""
+        transport = self._transport
+        while self._unsent and self._writable and transport is not None:
+            block = self._unsent.popleft()
+            if len(block) > _WRITE_BUFFER_BYTES:
+                self._unsent.appendleft(block[_WRITE_BUFFER_BYTES:])
+            self._write(transport, block[:_WRITE_BUFFER_BYTES])
+
+    def _count_sending(self) -> None:
+        transport = self._transport
+        size = transport.get_write_buffer_size() if transport else 0
+        if size != self._sending_bytes:
+            self.held.add_sending(size - self._sending_bytes)
+            self._sending_bytes = size
 
     def _wake(self) -> None:
         waiter = self._waiter
@@ -285,7 +406,7 @@
 
     def _fail(self, reason: str) -> None:
         if self._error is None and self._response is not None:
-            self._error = ResponseLostError(f"{self._address}: {reason}")
+            self._error = f"{self._address}: {reason}"
         self._closing = True
         self._wake()
 
@@ -300,6 +421,25 @@
         """Stores the transport of the open connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+
+    def pause_writing(self) -> None:
+        """Pauses the body of a request."""
+        self._writable = False
+
+    def resume_writing(self) -> None:
+        """Resumes the body of a request."""
+        self._writable = True
+        self._count_sending()
+        self._write_body()
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the buffer to read into."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses the bytes that were read into the buffer."""
+        self.data_received(bytes(memoryview(_READ_BUFFER)[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -307,13 +447,20 @@
             # No request is pending: a second or late response.
             self.close()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             # A response that was already complete stays valid, but the
             # connection must not be reused.
             self._fail(f"no answer in the protocol: {error}")
-            self.abort()
+            self._reset()
+        if self._response is not None and (
+            self._overhead_bytes > _MAX_OVERHEAD_BYTES
+            or self._head_bytes > _MAX_HEAD_BYTES
+        ):
+            self._fail("too many bytes besides the body of the answer")
+            self._reset()
 
     def eof_received(self) -> bool:
         """Completes a response delimited by the end of its connection."""
@@ -326,19 +473,28 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the pending response, if any."""
         self._closing = True
+        self._unsent.clear()
+        self.held.add_sending(-self._sending_bytes)
+        self._sending_bytes = 0
         if self._response is not None:
             self._fail("reset" if exc else "closed")
+        # The parser refers to this object. Without the cycle, what it has
+        # buffered is freed at once.
+        del self._parser
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         """Starts a response."""
         self._headers = []
+        self._head_bytes = 0
         self._discarding = self._response is None
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header."""
-        self._headers.append((name.lower(), value))
+        self._head_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+        if self._head_bytes <= _MAX_HEAD_BYTES:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Decides whether this response belongs to the pending request."""
@@ -371,12 +527,14 @@
     def on_body(self, body: bytes) -> None:
         """Buffers a piece of a body."""
         response = self._response
-        if response is None or self._discarding:
+        if response is None or self._discarding or self._error is not None:
             return
-        response.body.append(body)
-        response.received_bytes += len(body)
-        response.buffered_bytes += len(body)
-        if response.buffered_bytes > _STREAM_BUFFER_BYTES:
+        response.append(body)
+        self._overhead_bytes = max(
+            self._overhead_bytes + _PIECE_OVERHEAD_BYTES - 2 * len(body), 0
+        )
+        most = _SHORT_BUFFER_BYTES if self.held.short else _STREAM_BUFFER_BYTES
+        if response.body.size > most:
             self._pause()
         self._wake()
 
@@ -399,9 +557,10 @@
         response.complete = True
         self._response = None
         self._until_close = False
+        self._resume()
         self._idle_since = self._loop.time()
-        transport = self._transport
-        if transport is not None and transport.get_write_buffer_size():
+        self._count_sending()
+        if self._sending_bytes or self._unsent:
             # The response arrived before the whole request was written. The
             # rest of the request still goes out, so the connection must not be
             # reused.
@@ -432,6 +591,7 @@
     """Pool of idle connections, by address.
 
     Attributes:
+        held: Counts the bytes buffered for and from the remote ends.
         on_attempt: Called with the address, the outcome and the duration in
             seconds of each attempt to open a connection.
         on_response: Called with the address for the head of each response.
@@ -442,6 +602,7 @@
         "_opened",
         "_silent_timeout_ms",
         "_traffic",
+        "held",
         "on_attempt",
         "on_response",
     )
@@ -457,6 +618,7 @@
         self._idle: dict[str, list[Connection]] = {}
         self._opened = 0
         self._silent_timeout_ms = int(silent_timeout * 1000)
+        self.held = held_bytes.HeldBytes()
         self.on_attempt: Callable[[str, reachability.Outcome, float], None] = (
             _ignore_attempt
         )
@@ -527,7 +689,7 @@
 
     async def stream(
         self, connection: Connection, response: IncomingResponse, address: str
-    ) -> AsyncIterator[bytes]:
+    ) -> AsyncGenerator[bytes, None]:
         """Yields the rest of a response's body, then releases its connection.
 
         Args:
@@ -544,6 +706,7 @@
                 yield chunk
             complete = True
         finally:
+            response.discard()
             if complete:
                 self.release(connection, address)
             else:
@@ -611,6 +774,7 @@
             ) from error
         self._opened += 1
         connection.on_response = self.on_response
+        connection.held = self.held
         seconds = loop.time() - began
         self.on_attempt(address, reachability.Outcome.CONNECTED, seconds)
         connection.detect_dead_peer(self._silent_timeout_ms)
@@ -677,6 +841,7 @@
     timeout: float,
     connect: float,
     idle: float,
+    most: int = _CALL_BODY_BYTES,
 ) -> Response:
     """Sends one of the gateway's own requests and receives the whole response.
 
@@ -690,11 +855,12 @@
         timeout: Seconds to wait for the response.
         connect: Connect timeout in seconds.
         idle: Maximum idle time in seconds of a connection that is reused.
+        most: Largest body of the response in bytes.
 
     Raises:
         NotSentError: No byte was sent.
-        ResponseLostError: No complete response arrived in time; the
-            connection was reset.
+        ResponseLostError: No complete response arrived in time, or its body is
+            too large; the connection was reset.
     """
     connection = await pool.connect(address, idle, connect)
     sent = request(address, method, path, body, headers)
@@ -702,7 +868,7 @@
     try:
         response = connection.start(sent)
         async with asyncio.timeout(timeout):
-            await connection.wait_complete(response, 1 << 30)
+            await connection.receive_whole(response, most)
     except TimeoutError:
         connection.abort()
         raise ResponseLostError(f"{address}: response timed out") from None
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -4,13 +4,16 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import http
+import math
 import socket
 from typing import Any
 
 import httptools
 
+from mimosastile_core.gateway import body_buffer
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import routes
 
@@ -20,8 +23,11 @@
 _MAX_PIPELINED = 8
 """Requests that may wait on one connection. One more closes the connection
 after the response in progress."""
-_WRITE_BUFFER_BYTES = 256 << 10
-"""Bytes buffered for a slow caller before a streamed response pauses."""
+_WRITE_BUFFER_BYTES = 64 << 10
+"""Bytes buffered for a slow caller before its responses pause."""
+_LINGER_SECONDS = 2.0
+"""Time for which the rest of a refused body is read and dropped. Closing a
+connection with unread bytes resets it, and the refusal would be lost."""
 _MEMORY_RETRY_AFTER = ((b"retry-after", b"1"),)
 """Headers of a refusal for want of memory: slow callers hold theirs for
 seconds."""
@@ -35,7 +41,8 @@
         method: HTTP method.
         target: Path with query, as received.
         headers: Names in lower case with values, as received.
-        body: The whole body.
+        body_blocks: The body in its order.
+        held_bytes: Bytes of the body that are counted as held.
         received_at: Time of the event loop at which its first byte arrived.
         cancellable: Whether its handler is cancelled when the caller
             disconnects.
@@ -46,9 +53,10 @@
 
     __slots__ = (
         "received_at",
-        "body",
+        "body_blocks",
         "cancellable",
         "headers",
+        "held_bytes",
         "disconnected",
         "forwarded",
         "method",
@@ -59,12 +67,24 @@
         self.method = method
         self.target = target
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body = b""
+        self.body_blocks: Sequence[bytes | bytearray] = ()
+        self.held_bytes = 0
         self.received_at = received_at
         self.cancellable = True
         self.disconnected = False
         self.forwarded = False
 
+    @property
+    def body(self) -> bytes:
+        """The whole body; a copy if it has several blocks."""
+        blocks = self.body_blocks
+        return bytes(blocks[0]) if len(blocks) == 1 else b"".join(blocks)
+
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body."""
+        return sum(map(len, self.body_blocks))
+
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, None if there is none."""
         return next((v for n, v in self.headers if n == name), None)
@@ -80,9 +100,18 @@
         body_stream: Bytes that follow `body`; None if `body` is complete. An
             exception from it ends the connection without the last chunk.
         close: Whether the connection is closed after this response.
+        stream_deadline: Time of the event loop at which a response that is
+            still streamed is cut off; None for never.
     """
 
-    __slots__ = ("body", "close", "headers", "body_stream", "status")
+    __slots__ = (
+        "body",
+        "close",
+        "headers",
+        "body_stream",
+        "status",
+        "stream_deadline",
+    )
 
     def __init__(
         self,
@@ -92,12 +121,14 @@
         body_stream: AsyncIterator[bytes] | None = None,
         *,
         close: bool = False,
+        stream_deadline: float | None = None,
     ) -> None:
         self.status = status
         self.headers = headers
         self.body = body
         self.body_stream = body_stream
         self.close = close
+        self.stream_deadline = stream_deadline
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -108,7 +139,6 @@
 
     __slots__ = (
         "_body",
-        "_body_bytes",
         "_can_write",
         "_closed",
         "_current",
@@ -124,6 +154,8 @@
         "_task",
         "_timer",
         "_transport",
+        "_unread_bytes",
+        "_unsent_bytes",
         "_url",
     )
 
@@ -135,10 +167,11 @@
         self._parser = httptools.HttpRequestParser(self)
         self._incoming: Request | None = None
         self._url = b""
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = body_buffer.BodyBuffer()
         self._head_bytes = 0
         self._held_bytes = 0
+        self._unsent_bytes = 0
+        self._unread_bytes: float = math.inf
         self._owner = ""
         self._queue: list[tuple[Request, bool]] = []
         self._current: Request | None = None
@@ -176,11 +209,17 @@
         if self._transport is not None:
             self._transport.abort()
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes of responses that the caller has not read yet."""
+    def count_unsent(self) -> None:
+        """Counts the bytes of responses that the caller has not read yet."""
         transport = self._transport
-        return transport.get_write_buffer_size() if transport else 0
+        size = (
+            transport.get_write_buffer_size()
+            if transport is not None and not self._closed
+            else 0
+        )
+        if size != self._unsent_bytes:
+            self._server.held.add_unsent(size - self._unsent_bytes)
+            self._unsent_bytes = size
 
     # Callbacks of the event loop.
 
@@ -218,16 +257,20 @@
         """Cancels the request being served, if it is cancellable."""
         self._closed = True
         self._can_write.set()
+        self.count_unsent()
         self._stop_timer()
         self._server.closed(self)
         self._queue.clear()
         if self._task is None:
-            self._release(self._held_bytes)
+            self._release_all()
         current = self._current
         if current is not None:
             current.disconnected = True
         if self._task is not None and (current is None or current.cancellable):
             self._task.cancel()
+        # The parser refers to this object. Without the cycle, what it has
+        # buffered is freed at once.
+        del self._parser
 
     def pause_writing(self) -> None:
         """Pauses a streamed response."""
@@ -235,6 +278,7 @@
 
     def resume_writing(self) -> None:
         """Resumes a streamed response."""
+        self.count_unsent()
         self._can_write.set()
 
     # Callbacks of the parser.
@@ -246,8 +290,7 @@
             return
         self._incoming = Request("", b"", self._loop.time())
         self._url = b""
-        self._body = []
-        self._body_bytes = 0
+        self._body = body_buffer.BodyBuffer()
         self._head_bytes = 0
         if self._task is None:
             self._start_timer(self._server.limits.header_seconds)
@@ -271,33 +314,44 @@
         incoming.method = self._parser.get_method().decode("ascii")
         incoming.target = self._url
         length = incoming.header(b"content-length")
-        most = self._server.limits.body_bytes
-        if length is not None and length.isdigit() and int(length) > most:
-            self._reject(413)
-        elif length is not None and not self._server.admits(length):
-            self._reject(503, _MEMORY_RETRY_AFTER)
-        elif (incoming.header(b"expect") or b"").lower() == b"100-continue":
+        size = int(length) if length is not None and length.isdigit() else 0
+        if size > self._server.limits.body_bytes:
+            self._reject(413, unread=True)
+        elif not self._server.admits_request(incoming, size):
+            self._server.held.refused += 1
+            self._reject(503, _MEMORY_RETRY_AFTER, unread=True)
+        else:
+            self._hold(incoming, size)
+            self._answer_expect(incoming)
+
+    def _answer_expect(self, incoming: Request) -> None:
+        if (incoming.header(b"expect") or b"").lower() == b"100-continue":
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Buffers a piece of a body."""
-        if self._incoming is None:
+        incoming = self._incoming
+        if incoming is None:
             return
         self._body.append(body)
-        self._body_bytes += len(body)
-        self._held_bytes += len(body)
-        self._server.held.hold(self._owner, len(body))
-        if self._body_bytes > self._server.limits.body_bytes:
-            self._reject(413)
+        size = self._body.size
+        if size > self._server.limits.body_bytes:
+            self._reject(413, unread=True)
+        elif size > incoming.held_bytes:
+            # A body in chunks has no announced length.
+            self._hold(incoming, size - incoming.held_bytes)
+            if not self._server.admits_growth(incoming):
+                self._server.held.refused += 1
+                self._reject(503, _MEMORY_RETRY_AFTER, unread=True)
 
     def on_message_complete(self) -> None:
         """Queues a complete request; requests are served in their order."""
         incoming = self._incoming
         if incoming is None or self._closed:
             return
-        incoming.body = b"".join(self._body)
+        incoming.body_blocks = self._body.blocks
         self._incoming = None
-        self._body = []
+        self._body = body_buffer.BodyBuffer()
         self._stop_timer()
         self._queue.append((incoming, self._parser.should_keep_alive()))
         if len(self._queue) > _MAX_PIPELINED:
@@ -309,24 +363,45 @@
     async def _serve(self) -> None:
         try:
             while self._queue and not self._closed:
+                await self._await_reading()
                 incoming, keep_alive = self._queue.pop(0)
                 self._current = incoming
                 response = await self._server.handle(incoming)
                 self._current = None
-                await self._send_response(incoming, response, keep_alive)
-                self._release(len(incoming.body))
+                head_only = incoming.method == "HEAD"
+                self._release(incoming)
+                # The body is not held while the response is sent.
+                del incoming
+                await self._send_response(
+                    response, keep_alive, head_only=head_only
+                )
                 if self._final:
                     break
         finally:
             self._task = None
             self._current = None
             if self._closed:
-                self._release(self._held_bytes)
+                self._release_all()
         if not self._closed:
             self._start_timer(self._server.limits.idle_seconds)
 
+    async def _await_reading(self) -> None:
+        """Waits until the caller has read its earlier responses.
+
+        The connection of a caller that reads nothing is ended.
+        """
+        while not self._can_write.is_set():
+            before = self._unsent_bytes
+            try:
+                async with asyncio.timeout(self._server.limits.idle_seconds):
+                    await self._can_write.wait()
+            except TimeoutError:
+                self.count_unsent()
+                if self._unsent_bytes >= before:
+                    self.abort()
+
     async def _send_response(
-        self, incoming: Request, response: Response, keep_alive: bool
+        self, response: Response, keep_alive: bool, *, head_only: bool
     ) -> None:
         if self._closed:
             if response.body_stream is not None:
@@ -339,31 +414,32 @@
             or self._server.stopping
         )
         self._final = final
-        head = _format_head(
-            response, final=final, head_only=incoming.method == "HEAD"
-        )
+        head = _format_head(response, final=final, head_only=head_only)
         if response.body_stream is None:
-            head_only = incoming.method == "HEAD"
             self._write(head if head_only else head + response.body)
         else:
             self._write(head + _format_chunk(response.body))
-            await self._stream(response.body_stream)
+            await self._stream(response.body_stream, response.stream_deadline)
         if final:
             self._close()
 
-    async def _stream(self, body_stream: AsyncIterator[bytes]) -> None:
+    async def _stream(
+        self, body_stream: AsyncIterator[bytes], deadline: float | None
+    ) -> None:
         try:
-            async for piece in body_stream:
-                await self._can_write.wait()
-                if self._closed:
-                    await _close_stream(body_stream)
-                    return
-                self._write(_format_chunk(piece))
+            async with asyncio.timeout_at(deadline):
+                async for piece in body_stream:
+                    await self._can_write.wait()
+                    if self._closed:
+                        return
+                    self._write(_format_chunk(piece))
         except Exception:
             # Without the last chunk, the caller detects that the response is
             # incomplete.
             self.abort()
             return
+        finally:
+            await _close_stream(body_stream)
         self._write(b"0\r\n\r\n")
 
     def _count_head_bytes(self, size: int) -> None:
@@ -371,32 +447,74 @@
         if self._head_bytes > self._server.limits.header_bytes:
             self._reject(431)
 
-    def _release(self, size: int) -> None:
-        """Counts bytes of bodies as no longer held."""
-        self._held_bytes -= size
-        self._server.held.release(self._owner, size)
+    def _hold(self, incoming: Request, size: int) -> None:
+        """Counts bytes of a request's body as held."""
+        if size:
+            incoming.held_bytes += size
+            self._held_bytes += size
+            self._server.held.hold(self._owner, size)
+
+    def _release(self, incoming: Request) -> None:
+        """Counts the body of a request as no longer held."""
+        if incoming.held_bytes:
+            self._held_bytes -= incoming.held_bytes
+            self._server.held.release(self._owner, incoming.held_bytes)
+            incoming.held_bytes = 0
+
+    def _release_all(self) -> None:
+        """Counts the bodies of all requests as no longer held."""
+        if self._held_bytes:
+            self._server.held.release(self._owner, self._held_bytes)
+            self._held_bytes = 0
 
     def _reject(
-        self, status: int, headers: tuple[tuple[bytes, bytes], ...] = ()
+        self,
+        status: int,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        *,
+        unread: bool = False,
     ) -> None:
-        """Sends a refusal and closes the connection."""
+        """Sends a refusal and closes the connection.
+
+        Args:
+            status: HTTP status.
+            headers: Headers of the refusal.
+            unread: Whether the caller may still be sending the request's body.
+        """
         if self._closed or self._final:
             return
         self._final = True
-        self._incoming = None
+        if self._incoming is not None:
+            self._release(self._incoming)
+            self._incoming = None
+        self._body = body_buffer.BodyBuffer()
         self._stop_timer()
         if self._task is None:
             response = Response(status, headers)
             self._write(_format_head(response, final=True, head_only=False))
-            self._close()
+            if unread and self._transport is not None:
+                self._transport.write_eof()
+                self._timer = self._loop.call_later(
+                    _LINGER_SECONDS, self._close
+                )
+            else:
+                self._close()
 
     def _start_timer(self, seconds: float) -> None:
         self._stop_timer()
         self._timer = self._loop.call_later(seconds, self._on_timeout)
 
     def _on_timeout(self) -> None:
+        transport = self._transport
+        unread = transport.get_write_buffer_size() if transport else 0
         if self._incoming is not None:
             self._reject(408)
+        elif unread and unread >= self._unread_bytes:
+            # The caller has read nothing since the last look.
+            self.abort()
+        elif unread:
+            self._unread_bytes = unread
+            self._start_timer(self._server.limits.idle_seconds)
         elif not self.busy:
             self._close()
 
@@ -408,17 +526,23 @@
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._closed:
             self._transport.write(data)
+            self._unread_bytes = math.inf
+            self.count_unsent()
 
     def _close(self) -> None:
         self._stop_timer()
-        if self._transport is not None:
-            self._transport.close()
+        transport = self._transport
+        if transport is not None:
+            transport.close()
+            if transport.get_write_buffer_size():
+                self._start_timer(self._server.limits.idle_seconds)
 
 
 class Server:
     """HTTP server on one address."""
 
     __slots__ = (
+        "_bounded",
         "_connections",
         "_handler",
         "_listener",
@@ -433,6 +557,7 @@
         handler: Handler,
         limits: routes.CallerLimits | None = None,
         held: held_bytes.HeldBytes | None = None,
+        bounded: Callable[[Request], bool] | None = None,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -441,7 +566,10 @@
             limits: Limits on requests and connections; may be replaced while
                 the server runs.
             held: Counts the bytes held for callers; None for no bound.
+            bounded: Whether a request may be refused for want of memory; None
+                if all may.
         """
+        self._bounded = bounded
         self._handler = handler
         self._listener: asyncio.Server | None = None
         self._connections: set[Connection] = set()
@@ -478,17 +606,32 @@
         return f"{bound[0]}:{bound[1]}"
 
     def sample_unsent(self) -> None:
-        """Counts the bytes of responses that callers have not read yet."""
-        self.held.sample_unsent(
-            sum(connection.unsent_bytes for connection in self._connections)
-        )
+        """Counts the bytes of responses that callers have not read yet.
+
+        They are counted with each write; what callers have read since then is
+        only seen here.
+        """
+        for connection in self._connections:
+            connection.count_unsent()
 
     def admits(self, length: bytes) -> bool:
         """Whether there is memory for a body of an announced length."""
-        if not length.isdigit() or int(length) < held_bytes.LARGE_BYTES:
+        return not length.isdigit() or self.held.admits(int(length))
+
+    def admits_request(self, incoming: Request, size: int) -> bool:
+        """Whether there is memory for a request with a body of a size."""
+        if self.held.admits(size):
             return True
         self.sample_unsent()
-        return self.held.admits(int(length))
+        return self.held.admits(size) or not self._is_bounded(incoming)
+
+    def admits_growth(self, incoming: Request) -> bool:
+        """Whether there is memory to go on receiving a request's body."""
+        size = incoming.held_bytes
+        if self.held.admits_growth(size):
+            return True
+        self.sample_unsent()
+        return self.held.admits_growth(size) or not self._is_bounded(incoming)
 
     def stop_listening(self) -> None:
         """Stops accepting connections."""
@@ -518,6 +661,9 @@
         """Unregisters a connection."""
         self._connections.discard(connection)
 
+    def _is_bounded(self, incoming: Request) -> bool:
+        return self._bounded is None or self._bounded(incoming)
+
 
 async def _close_stream(body_stream: AsyncIterator[bytes]) -> None:
     closer: Any = getattr(body_stream, "aclose", None)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peer_forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peer_forwarding.py
@@ -215,6 +215,8 @@
                 (self._header_names.attempt, call.attempt),
                 no_body=call.incoming.method == "HEAD",
             )
+            if call.separate_body:
+                connection.send_body(call.separate_body)
             # Until the peer responds, all sends that it may make count.
             call.send_count = max(call.max_sends, earlier_sends + 1)
             due_before = call.retry_due
@@ -241,6 +243,7 @@
             if not usable:
                 connection.abort()
             elif reply.complete:
+                reply.discard()
                 self._pool.release(connection, peer.address)
 
     def _encode_request(self, call: pending.Call) -> bytes:
@@ -297,14 +300,17 @@
             status=reply.status,
             took_ms=round(1000 * (self._clock.now() - call.received_at)),
         )
-        body = reply.take()
-        rest = (
-            None
-            if reply.complete
-            else self._pool.stream(connection, reply, peer.address)
-        )
+        if reply.complete:
+            return result.Ok(
+                http_server.Response(reply.status, headers, reply.take())
+            )
         return result.Ok(
-            http_server.Response(reply.status, headers, body, rest)
+            http_server.Response(
+                reply.status,
+                headers,
+                body_stream=self._pool.stream(connection, reply, peer.address),
+                stream_deadline=call.stream_deadline,
+            )
         )
 
     def _scope(self, call: pending.Call) -> str:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import msgspec
 
+from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import routes
 from mimosastile_gateway import admission_service
 from mimosastile_gateway import http_server
@@ -60,6 +62,7 @@
         expected_runs: Expected time at the last target in run times, with the
             requests waiting there; 0 if the target did not report it.
         send_count: How often the request was sent.
+        stream_deadline: When a response that is still streamed is cut off.
         service: The service that it goes to.
         ticket: Its ticket in this VM's wait queues.
         timer: Times out the exchange with a target, None outside of one.
@@ -94,6 +97,7 @@
         "route",
         "expected_runs",
         "send_count",
+        "stream_deadline",
         "service",
         "ticket",
         "timer",
@@ -120,6 +124,7 @@
         self.attempt = attempt
         self.received_at = incoming.received_at
         self.deadline = deadline
+        self.stream_deadline = deadline
         self.work_estimate = route.target_latency * _WORK_ESTIMATE_SHARE
         self.key: int | None = None
         self.fingerprint = ""
@@ -150,8 +155,16 @@
         """Whether the request may run more than once."""
         return self.route.kind.repeatable
 
+    @property
+    def separate_body(self) -> Sequence[bytes | bytearray]:
+        """A large body, which is sent behind the encoded head."""
+        incoming = self.incoming
+        if incoming.body_bytes < held_bytes.LARGE_BYTES:
+            return ()
+        return incoming.body_blocks
+
     def encode(self, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
-        """Encodes the request to send it on.
+        """Encodes the request to send it on, without a large body.
 
         Args:
             headers: Headers in addition to the caller's.
@@ -162,6 +175,8 @@
             *self.header_lines,
             *(b"%b: %b" % header for header in headers),
         ]
-        if incoming.body or incoming.method in ("POST", "PUT", "PATCH"):
-            lines.append(b"Content-Length: %d" % len(incoming.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + incoming.body
+        size = incoming.body_bytes
+        if size or incoming.method in ("POST", "PUT", "PATCH"):
+            lines.append(b"Content-Length: %d" % size)
+        body = incoming.body if size < held_bytes.LARGE_BYTES else b""
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -221,8 +221,10 @@
             connections, as callers are not spread evenly over VMs.
         silent: Time of unacknowledged data after which the kernel ends a
             connection.
-        memory_bytes: Bytes held for callers up to which large bodies are
-            accepted, 0 for no bound.
+        memory_bytes: Bytes held for callers and targets up to which large
+            bodies are accepted, 0 for no bound.
+        stream: Longest time for which a response is streamed to a caller that
+            names no earlier deadline.
     """
 
     connect: Positive = 0.3
@@ -234,6 +236,7 @@
     own_connections: Positive = 2.0
     silent: Positive = 2.0
     memory_bytes: int = 0
+    stream: Positive = 300.0
 
 
 class StopSettings(_Strict, frozen=True):
--- a/packages/mimosastile-standins/src/mimosastile_standins/partitions.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/partitions.py
@@ -96,7 +96,9 @@
         if not self._frozen:
             super().data_received(data)
 
-    def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+    def _write(
+        self, transport: asyncio.Transport, data: bytes | memoryview
+    ) -> None:
         if not self._frozen:
             super()._write(transport, data)
 
--- a/tests/gateway/test_held_bytes.py
+++ b/tests/gateway/test_held_bytes.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from mimosastile_core.gateway import held_bytes
+from mimosastile_core.gateway import routes
 from mimosastile_gateway import http_server
 
 _LARGE = held_bytes.LARGE_BYTES
@@ -13,7 +16,12 @@
     return head + b"x" * size
 
 
-def _run(scenario, limit):
+def _chunked(size):
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + b"%x\r\n" % size + b"x" * size + b"\r\n0\r\n\r\n"
+
+
+def _run(scenario, limit, limits=None, **options):
     async def main():
         release = asyncio.Event()
 
@@ -22,7 +30,7 @@
             return http_server.Response(200, (), incoming.body)
 
         held = held_bytes.HeldBytes(limit)
-        server = http_server.Server(handler, held=held)
+        server = http_server.Server(handler, limits, held, **options)
         address = await server.listen("127.0.0.1:0")
         host, port = address.split(":")
         try:
@@ -75,6 +83,113 @@
 
         _run(scenario, 3 * _LARGE)
 
+    def test_announced_bodies_count(self):
+        """Guards against bodies that are accepted at once and all arrive."""
+
+        async def scenario(server, release, connect):
+            _, first = await connect()
+            first.write(_post(2 * _LARGE)[:1000])
+            await _until(lambda: server.connections == 1)
+            await asyncio.sleep(0.05)
+            reader, second = await connect()
+            second.write(_post(2 * _LARGE)[:1000])
+            line = await asyncio.wait_for(reader.readline(), 1)
+            assert line.startswith(b"HTTP/1.1 503")
+            for writer in (first, second):
+                writer.close()
+
+        _run(scenario, 3 * _LARGE)
+
+    def test_chunked_body_beyond_the_bound(self):
+        """Guards against bodies without a length that nobody bounds."""
+
+        async def scenario(server, release, connect):
+            release.set()
+            reader, writer = await connect()
+            writer.write(_chunked(3 * _LARGE))
+            refusal = await reader.read()
+            assert refusal.startswith(b"HTTP/1.1 503")
+            assert b"retry-after: 1" in refusal
+            assert server.held.total == 0
+            small_reader, small = await connect()
+            small.write(_chunked(_LARGE // 2))
+            line = await small_reader.readline()
+            assert line.startswith(b"HTTP/1.1 200")
+            for each in (writer, small):
+                each.close()
+
+        _run(scenario, 2 * _LARGE)
+
+    @pytest.mark.parametrize("encode", [_post, _chunked])
+    def test_refusal_reaches_a_caller_that_sends_on(self, encode):
+        """Guards against a refusal that a reset takes from its caller."""
+
+        async def scenario(server, release, connect):
+            reader, writer = await connect()
+            message = encode(200 * _LARGE)
+            for start in range(0, len(message), _LARGE):
+                writer.write(message[start : start + _LARGE])
+                await writer.drain()
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.05)
+            line = await reader.readline()
+            assert line.startswith(b"HTTP/1.1 503")
+            writer.close()
+
+        _run(scenario, _LARGE)
+
+    def test_small_requests_use_the_reserve(self):
+        """Guards against small requests refused for large bodies.
+
+        They are refused only once the reserve is used as well.
+        """
+        held = held_bytes.HeldBytes(8 * _LARGE)
+        held.hold("a", 8 * _LARGE)
+        assert not held.admits(_LARGE)
+        assert held.admits(0)
+        assert held.admits(_LARGE - 1)
+        held.add_unsent(_LARGE)
+        assert held.admits(0)
+        assert not held.admits(1)
+        held.add_sending(1)
+        assert not held.admits(0)
+
+    def test_unbounded_requests(self):
+        """Guards against messages between VMs refused for want of memory."""
+
+        async def scenario(server, release, connect):
+            release.set()
+            for encode in (_post, _chunked):
+                reader, writer = await connect()
+                writer.write(encode(3 * _LARGE))
+                line = await reader.readline()
+                assert line.startswith(b"HTTP/1.1 200")
+                writer.close()
+
+        _run(scenario, _LARGE, bounded=lambda incoming: False)
+
+    def test_caller_that_reads_nothing(self):
+        """Guards against responses that pile up for one connection.
+
+        Its further requests wait, and it is disconnected in the end.
+        """
+
+        async def scenario(server, release, connect):
+            release.set()
+            _, writer = await connect()
+            writer.transport.pause_reading()
+            for _ in range(6):
+                writer.write(_post(150 * _LARGE))
+            await _until(lambda: "responses" in server.held.dump()["peaks"])
+            await _until(lambda: server.connections == 0)
+            peaks = server.held.dump()["peaks"]
+            assert peaks["responses"] <= 151 * _LARGE
+            assert server.held.total == 0
+            writer.close()
+
+        limits = routes.CallerLimits(header_seconds=5.0, idle_seconds=0.2)
+        _run(scenario, 0, limits)
+
     def test_nothing_is_held_for_callers_that_left(self):
         """Guards against growth from callers that leave midway."""
 
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import reachability
 from mimosastile_gateway import http_client
 from mimosastile_standins import virtual
@@ -158,6 +159,222 @@
         assert status >= 200
 
 
+class _Endless:
+    """Sends the same bytes without end, until the connection is closed.
+
+    Attributes:
+        sent_bytes: Number of bytes sent.
+    """
+
+    def __init__(self, beginning, repeated):
+        self.writers = []
+        self.sent_bytes = 0
+        self._beginning = beginning
+        self._repeated = repeated * (4096 // len(repeated) + 1)
+
+    async def serve(self, reader, writer):
+        """Responds to the first request of a connection."""
+        self.writers.append(writer)
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._beginning)
+            while True:
+                writer.write(self._repeated)
+                self.sent_bytes += len(self._repeated)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class TestEndlessResponses:
+    """Bytes that come until the connection is closed."""
+
+    @pytest.mark.parametrize(
+        ("beginning", "repeated"),
+        [
+            (HEAD, b"a: b\r\n"),
+            (HEAD + b"a: ", b"b"),
+            (b"HTTP/1.1 200 ", b"O"),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            (b"", OTHER),
+            (
+                OTHER.replace(b"Length: 5", b"Length: 99999999"),
+                b"x",
+            ),
+            (HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"a: b\r\n"),
+            (HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\na: ", b"b"),
+            (HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+        ],
+        ids=[
+            "headers",
+            "header value",
+            "reason",
+            "interim responses",
+            "late responses",
+            "late body",
+            "trailers",
+            "trailer value",
+            "smallest chunks",
+        ],
+    )
+    def test_little_or_no_body(self, beginning, repeated):
+        """Guards against memory that grows until the caller gives up."""
+        target = _Endless(beginning, repeated)
+
+        async def scenario(pool, address):
+            connection = await pool.connect(address, 5.0, 1.0)
+            response = connection.start(
+                http_client.request("h", "GET", "/x"), ECHO
+            )
+            with pytest.raises(http_client.ResponseLostError):
+                await connection.wait_complete(response, 1 << 20)
+            connection.abort()
+
+        _run(target, scenario)
+        # Beyond the bound are only bytes in the buffers of the sockets.
+        assert target.sent_bytes < 16 << 20
+
+    @pytest.mark.parametrize(
+        ("beginning", "repeated", "reason"),
+        [
+            (b"HTTP/1.1 200 OK\r\n\r\n", b"x", "exceeds"),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"1\r\nx\r\n",
+                "too many bytes",
+            ),
+        ],
+        ids=["until close", "chunked"],
+    )
+    def test_body_of_an_own_call(self, beginning, repeated, reason):
+        """Guards against a call that holds all that its target sends."""
+        target = _Endless(beginning, repeated)
+
+        async def scenario(pool, address):
+            pool.held = held_bytes.HeldBytes()
+            with pytest.raises(http_client.ResponseLostError, match=reason):
+                await http_client.call(
+                    pool,
+                    address,
+                    "GET",
+                    "/health",
+                    timeout=5.0,
+                    connect=1.0,
+                    idle=1.0,
+                    most=64 << 10,
+                )
+            assert pool.held.dump()["peaks"]["received"] <= 192 << 10
+            assert pool.held.total == 0
+
+        _run(target, scenario)
+
+    def test_stream_to_a_slow_caller_while_memory_is_short(self):
+        """Guards against streams that fill the memory that is left."""
+        target = _Endless(HEAD + b"\r\n", b"x")
+
+        async def scenario(pool, address):
+            pool.held = held = held_bytes.HeldBytes(1 << 20)
+            held.hold("caller", 1 << 20)
+            connection = await pool.connect(address, 5.0, 1.0)
+            response = connection.start(
+                http_client.request("h", "GET", "/x"), ECHO
+            )
+            await connection.wait_complete(response, 1 << 20)
+            assert not response.complete
+            stream = pool.stream(connection, response, address)
+            for _ in range(20):
+                assert len(await anext(stream)) <= 64 << 10
+                await asyncio.sleep(0.005)
+            assert held.dump()["peaks"]["received"] <= 192 << 10
+            await stream.aclose()
+            assert held.dump()["received"] == 0
+
+        _run(target, scenario)
+
+
+class TestLargeMessages:
+    """Bodies that are larger than the buffers."""
+
+    def test_large_response_to_an_own_call(self):
+        """Guards against a call that waits for a body that it reads no further.
+
+        The connection is as good as before for the next call.
+        """
+        body = b"x" * (3 << 20)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        target = _Target(head + body, head + body)
+
+        async def scenario(pool, address):
+            for _ in range(2):
+                response = await http_client.call(
+                    pool,
+                    address,
+                    "GET",
+                    "/x",
+                    timeout=2.0,
+                    connect=1.0,
+                    idle=5.0,
+                )
+                assert response.body == body
+            assert pool.held.total == 0
+
+        _run(target, scenario)
+        assert target.connections == 1
+
+    def test_body_for_a_slow_target(self):
+        """Guards against a second copy of a body that its target reads slowly.
+
+        The target gets the whole body all the same.
+        """
+        blocks = [bytes([number]) * (200 << 10) for number in range(100)]
+        received = []
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.1)
+            received.append(await reader.readexactly(sum(map(len, blocks))))
+            writer.write(WHOLE)
+            writer.close()
+
+        async def main():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            pool = http_client.Pool(2.0)
+            connection = await pool.connect(f"{host}:{port}", 5.0, 1.0)
+            response = connection.start(
+                http_client.request("h", "POST", "/x"), ECHO
+            )
+            connection.send_body(blocks)
+            async with asyncio.timeout(10):
+                await connection.wait_complete(response, 1 << 20)
+            assert response.take() == b"ok"
+            assert pool.held.dump()["peaks"]["sending"] <= 128 << 10
+            connection.abort()
+            await asyncio.sleep(0.01)
+            assert pool.held.total == 0
+            server.close()
+
+        asyncio.run(main())
+        assert received == [b"".join(blocks)]
+
+    def test_response_before_the_body_was_sent(self):
+        """Guards against the rest of a body on a connection that is reused."""
+        target = _Target(WHOLE, WHOLE)
+
+        async def scenario(pool, address):
+            connection = await pool.connect(address, 5.0, 1.0)
+            response = connection.start(
+                http_client.request("h", "POST", "/x"), ECHO
+            )
+            connection.send_body([bytes(20 << 20)])
+            await connection.wait_complete(response, 1 << 20)
+            assert not connection.reusable
+            pool.release(connection, address)
+            assert (await _request(pool, address))[:2] == (200, b"ok")
+
+        _run(target, scenario)
+
+
 class TestReuse:
     """Reuse of connections."""
 
