--- a/packages/mimosastile-core/src/mimosastile_core/errors.py
+++ b/packages/mimosastile-core/src/mimosastile_core/errors.py
@@ -135,7 +135,7 @@
         503, 0.3, "No configuration is known yet."
     ),
     ErrorKind.CONFIGURATION_OLD: _retryable(
-        503, 0.5, "There may be a newer configuration."
+        503, 0.5, "No route is known, and there may be a newer configuration."
     ),
     ErrorKind.NO_ROUTE: _not_retryable(404, "No route leads there."),
     ErrorKind.HELD_BACK: _not_retryable(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
@@ -38,9 +38,6 @@
 """Part of the grace period that is left when a removal is detected by comparing
 lists: that happens after a watch was silent for up to 1.5 s."""
 
-_MAX_CONFIGURATION_AGE_SHARE = 0.9
-"""Age up to which the view of the configuration counts as current, as a share
-of the time within which a version has to be in force."""
 _EVACUATION_SHARE = 0.3
 """Part of the time limit of an evacuation for which owners in the zone go on
 serving their keys; the rest covers the dissemination of the update."""
@@ -112,8 +109,6 @@
         "_events",
         "_settings",
         "_store_failed_at",
-        "_store_reached_at",
-        "_store_regained",
         "_subscribers",
         "_unowned_ranges",
         "assignments",
@@ -179,8 +174,6 @@
         self.vms: dict[str, messages.VmEntry] = {}
         self.store_ok = False
         self._store_failed_at = -math.inf
-        self._store_reached_at = -math.inf
-        self._store_regained = asyncio.Event()
         self.store_since: float | None = None
 
     def set_drain(self, seconds: float) -> None:
@@ -905,36 +898,6 @@
         """
         return self.configuration_freshness.age(self._clock.now())
 
-    def configuration_is_current(self, at: float) -> bool:
-        """Whether this VM has every version that has to be in force at a time.
-
-        Args:
-            at: The time, on the loop's clock.
-        """
-        bound = (
-            self._settings.bounds.configuration * _MAX_CONFIGURATION_AGE_SHARE
-        )
-        known_at = self.configuration_freshness.at
-        return known_at is not None and at - known_at < bound
-
-    @property
-    def is_cut_off(self) -> bool:
-        """Whether nothing has reached this VM from the store for long.
-
-        Neither its own calls nor the views of other VMs count as contact once
-        they are older than the platform's limit.
-        """
-        known_at = self.configuration_freshness.at
-        contact_at = max(
-            self._store_reached_at, -math.inf if known_at is None else known_at
-        )
-        return self._clock.now() - contact_at >= self._settings.bounds.contact
-
-    @property
-    def store_regained(self) -> asyncio.Event:
-        """Event set once, when the store responds again after a failure."""
-        return self._store_regained
-
     def removed_since(self, since: float | None) -> float | None:
         """Returns the earliest time of removals found now, None for now.
 
@@ -985,9 +948,7 @@
     def record_store_status(self, *, ok: bool, why: str = "") -> None:
         """Records whether a call to the store succeeded."""
         now = self._clock.now()
-        if ok:
-            self._store_reached_at = now
-        else:
+        if not ok:
             self._store_failed_at = now
         since = self.store_since
         if ok != self.store_ok:
@@ -999,9 +960,6 @@
             )
             self.store_ok = ok
             self.store_since = now
-            if ok:
-                self._store_regained.set()
-                self._store_regained = asyncio.Event()
 
     def owner(self, service: str, key: int) -> str | None:
         """Returns the target that owns a key, None if it has no owner."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -47,12 +47,13 @@
 """Longest part of an unreadable header value that is logged."""
 _STREAM_MARGIN_SECONDS = 0.25
 """Time after a caller's deadline in which it ends its response by itself."""
+_MAX_CONFIGURATION_AGE_SHARE = 0.9
+"""How old the view of the configuration may be for a request to be refused for
+want of a route, as a share of the time within which a version has to be in
+force."""
 _LEADER_QUERY_TIMEOUT_SECONDS = 0.25
 """Longest wait for the leader to confirm that there is no newer version: ten
 times the round trip to another region."""
-_REFRESH_TIMEOUT_SECONDS = 0.4
-"""Longest wait for the store to confirm the configuration, or to return a newer
-one: a slow response, or one over a full link."""
 
 SendResult = result.Result[http_server.Response, errors.Failure]
 
@@ -137,7 +138,17 @@
         self, incoming: http_server.Request
     ) -> http_server.Response:
         """Returns the response to a caller's request."""
-        classified = await self._classify_by_current(incoming)
+        classified = self._classify(incoming)
+        if _is_unrouted(classified) and not self._configuration_is_current():
+            await self._membership.report_and_wait(
+                _LEADER_QUERY_TIMEOUT_SECONDS
+            )
+            classified = self._classify(incoming)
+            if (
+                _is_unrouted(classified)
+                and not self._configuration_is_current()
+            ):
+                classified = errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
         if isinstance(classified, result.Err):
             return self._refuse(None, incoming, classified.err_value)
         call = classified.ok_value
@@ -175,34 +186,6 @@
 
     # Classifying a request.
 
-    async def _classify_by_current(
-        self, incoming: http_server.Request
-    ) -> result.Result[pending.Call, errors.Failure]:
-        """Classifies a request by a configuration that is new enough.
-
-        Waits briefly if that has to be confirmed.
-        """
-        refreshes = self._must_refresh(incoming)
-        if refreshes:
-            await self._membership.refresh_configuration(
-                _REFRESH_TIMEOUT_SECONDS
-            )
-        classified = self._classify(incoming)
-        if _is_unrouted(classified) and not self._configuration_is_current():
-            if not refreshes:
-                await self._membership.report_and_wait(
-                    _LEADER_QUERY_TIMEOUT_SECONDS
-                )
-                classified = self._classify(incoming)
-            if (
-                _is_unrouted(classified)
-                and not self._configuration_is_current()
-            ):
-                return errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
-        elif self._must_refresh(incoming):
-            return errors.failed(errors.ErrorKind.CONFIGURATION_OLD)
-        return classified
-
     def _classify(
         self, incoming: http_server.Request
     ) -> result.Result[pending.Call, errors.Failure]:
@@ -230,22 +213,11 @@
 
     def _configuration_is_current(self) -> bool:
         """Whether this VM has every version that has to be in force by now."""
-        return self._cluster.configuration_is_current(self._clock.now())
-
-    def _must_refresh(self, incoming: http_server.Request) -> bool:
-        """Whether a newer configuration may have to apply to a request.
-
-        That is not known to a VM to which no leader responds, but which was
-        lately in contact with the store. One that is cut off serves by what it
-        has.
-        """
-        cluster = self._cluster
-        return (
-            cluster.configuration_age is not None
-            and not cluster.configuration_is_current(incoming.received_at)
-            and not self._membership.leader_responds
-            and not cluster.is_cut_off
+        bound = (
+            self._settings.bounds.configuration * _MAX_CONFIGURATION_AGE_SHARE
         )
+        age = self._cluster.configuration_age
+        return age is not None and age < bound
 
     def _make_call(
         self,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -94,9 +94,6 @@
 _PATH_KNOWN_SECONDS = 3.0
 """Age up to which such a list shows that other VMs can lead better: longer than
 leaders are usually missed before they are replaced."""
-_MISSED_REPORTS = 2.0
-"""Number of report intervals without a response after which a leader counts as
-silent, if that is longer than a VM waits before it replaces a leader."""
 _QUERIED_PEERS = 3
 """Number of peers that are queried whether they receive messages from the
 leader, before it is replaced."""
@@ -128,7 +125,6 @@
         "_keys",
         "_leader",
         "_leader_evacuations",
-        "_leader_replied_at",
         "_leader_responded",
         "_leader_revision",
         "_leader_seen_at",
@@ -200,7 +196,6 @@
         self._reported_at = float("-inf")
         self._store_seconds = 0.0
         self._leader_seen_at = float("-inf")
-        self._leader_replied_at = float("-inf")
         self._keys: dict[str, list[int]] = collections.defaultdict(list)
         self._alive: set[str] = set()
         self._deaths: list[quarantine.Crash] = []
@@ -318,26 +313,6 @@
         self.report_soon()
         await clock.wait(self._leader_responded, seconds)
 
-    async def refresh_configuration(self, seconds: float) -> None:
-        """Reads the configuration from the store without delay.
-
-        Args:
-            seconds: Longest wait.
-        """
-        await self._watcher.refresh(seconds)
-
-    @property
-    def leader_responds(self) -> bool:
-        """Whether a leader has lately responded to this VM's reports.
-
-        Then what the leader knows is pushed to this VM.
-        """
-        silent = self._clock.now() - self._leader_replied_at
-        return silent < max(
-            self._settings.leader.suspect,
-            _MISSED_REPORTS * self._report_interval,
-        )
-
     @property
     def _report_interval(self) -> float:
         """Mean seconds between two reports."""
@@ -601,10 +576,7 @@
         if silent > self._grace():
             # Now the VM depends on its own watch, which may be broken.
             self._follow_store(
-                True,
-                read_delay=self._read_delay(),
-                closely=self._few,
-                alone=True,
+                True, read_delay=self._read_delay(), closely=self._few
             )
         if leader is None or leader.vm == self._settings.vm.id:
             # There is no leader, or an earlier incarnation of this daemon led.
@@ -783,12 +755,7 @@
         return min(_JITTER_SECONDS_PER_VM * self.count, _MAX_JITTER_SECONDS)
 
     def _follow_store(
-        self,
-        follows: bool,
-        *,
-        read_delay: float = 0.0,
-        closely: bool = False,
-        alone: bool = False,
+        self, follows: bool, *, read_delay: float = 0.0, closely: bool = False
     ) -> None:
         """Switches between following the store and relying on the leader."""
         self._follows_store = follows
@@ -796,7 +763,6 @@
             not follows,
             read_delay=read_delay,
             closely=closely or self._leader.is_leader,
-            alone=alone,
         )
 
     def _works(self) -> dict[str, float]:
@@ -843,7 +809,7 @@
             self._take_leader(reply.leader)
         if not reply.leading:
             return
-        self._leader_seen_at = self._leader_replied_at = now
+        self._leader_seen_at = now
         self._leader.handle_reply(reply)
         self._vms = reply.vms
         if reply.peers is not None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -64,8 +64,6 @@
             version until it applies to all requests.
         evacuation: Maximum time from the acknowledgement of a zone's
             evacuation to the last request sent to a target of the zone.
-        contact: Time without contact after which a VM counts as cut off, and
-            the time limits do not apply to it.
     """
 
     drain: Positive = 2.0
@@ -76,7 +74,6 @@
     retry_fixed: float = 60.0
     configuration: Positive = 2.0
     evacuation: Positive = 5.0
-    contact: Positive = 3.0
 
 
 class LeaderSettings(_Strict, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
@@ -28,13 +28,9 @@
 """Time beyond its wait after which a watch has failed, doubled after a failure.
 A large configuration takes part of a second over a narrow link; repeated
 time-outs during its transfer would never let it arrive."""
-_MIN_TIMEOUT_SECONDS = 2.0
-"""Least timeout of a watch, however short its wait: the round trip over a full
-link may take more than a second."""
-_CONFIRM_WAIT_SECONDS = 0.1
-"""Wait in seconds of a watch after a failed one, or when the view is older than
-a watch's wait; a short one soon proves the view to be complete, without
-transferring it again."""
+_RETRY_WAIT_SECONDS = 0.5
+"""Wait in seconds of a watch after a failed one; a short one detects early that
+the store is available again."""
 
 
 class StoreWatcher:
@@ -48,13 +44,10 @@
     """
 
     __slots__ = (
-        "_alone",
         "_clock",
         "_closely",
         "_cluster",
-        "_confirmed",
         "_events",
-        "_hurried",
         "_large_reads_at",
         "_needed",
         "_paused",
@@ -63,7 +56,6 @@
         "_settings",
         "_store",
         "_tasks",
-        "_undelayed",
     )
 
     def __init__(
@@ -82,11 +74,7 @@
         self._clock = timer
         self._events = log
         self._large_reads_at = float("-inf")
-        self._alone = False
         self._closely = False
-        self._confirmed = asyncio.Event()
-        self._hurried = asyncio.Event()
-        self._undelayed = False
         self._restart = asyncio.Event()
         self._needed = asyncio.Event()
         self._paused = asyncio.Event()
@@ -94,12 +82,7 @@
         self._tasks: list[asyncio.Task[None]] = []
 
     def set_leader_reliable(
-        self,
-        relies: bool,
-        *,
-        read_delay: float = 0.0,
-        closely: bool = False,
-        alone: bool = False,
+        self, relies: bool, *, read_delay: float = 0.0, closely: bool = False
     ) -> None:
         """Pauses watching while the leader sends updates, or resumes it.
 
@@ -116,20 +99,15 @@
                 sooner than they could read the configuration.
             closely: Whether other VMs rely on this one, so that watches that
                 hang must be detected sooner.
-            alone: Whether no leader responds to this VM, so that only its own
-                reads show that its configuration is current.
         """
         resumes = not relies and not self._needed.is_set()
         if resumes or not read_delay:
             jitter = 0.5 + self._clock.random()
             self._large_reads_at = self._clock.now() + read_delay * jitter
-            self._undelayed = False
-        closer = (closely and not self._closely) or (alone and not self._alone)
-        if resumes or closer:
+        if resumes or (closely and not self._closely):
             # A watch that has waited for long may hang.
             self._restart.set()
         self._closely = closely
-        self._alone = alone
         if relies:
             self._needed.clear()
             self._paused.set()
@@ -137,17 +115,6 @@
             self._paused.clear()
             self._needed.set()
 
-    async def refresh(self, seconds: float) -> None:
-        """Waits for a read of the configuration, which is not delayed.
-
-        Args:
-            seconds: Longest wait.
-        """
-        self._undelayed = True
-        self._hurried.set()
-        self._hurried = asyncio.Event()
-        await clock.wait(self._confirmed, seconds)
-
     def start(self) -> None:
         """Starts the tasks that follow the two prefixes."""
         self._tasks = [
@@ -208,7 +175,6 @@
                 listing, requested_at = found
                 listed(listing)
                 view.record(requested_at)
-                self._notify_confirmed(view)
             await self._follow_from(prefix, seen, view, changed)
             lost = True
 
@@ -267,7 +233,7 @@
         while True:
             await self._until_needed(prefix)
             revision = seen()
-            wait = self._wait(prefix, view, failures)
+            wait = self._wait(failures)
             started_at = self._clock.now()
             watched = await self._watch(prefix, revision, wait, failures)
             if watched is None:
@@ -286,7 +252,6 @@
                 view.record(
                     started_at + (wait if waited and not moved else 0.0)
                 )
-                self._notify_confirmed(view)
                 if moved:
                     await asyncio.sleep(self._settings.watch_pause)
                 continue
@@ -311,31 +276,16 @@
                 # A single failure may be a cut connection during the wait; a
                 # second one means that the store is unavailable.
                 self._cluster.record_store_status(ok=False, why=why)
-            # Other calls may find earlier that the store responds again.
-            await clock.wait(
-                self._cluster.store_regained, self._backoff(failures)
-            )
+            await asyncio.sleep(self._backoff(failures))
 
-    def _notify_confirmed(self, view: freshness.Freshness) -> None:
-        """Wakes those that wait for a read of the configuration."""
-        if view is self._cluster.configuration_freshness:
-            self._confirmed.set()
-            self._confirmed = asyncio.Event()
-
-    def _wait(
-        self, prefix: str, view: freshness.Freshness, failures: int
-    ) -> float:
+    def _wait(self, failures: int) -> float:
         """Returns the wait of the next watch, in seconds."""
+        if failures:
+            return _RETRY_WAIT_SECONDS
         configured = self._settings
-        alone = self._alone and prefix == self._records.operator_prefix
-        closely = self._closely or alone
-        wait = (
-            configured.watch_wait_leading if closely else configured.watch_wait
-        )
-        age = view.age(self._clock.now())
-        if failures or (alone and (age is None or age > wait)):
-            return _CONFIRM_WAIT_SECONDS
-        return wait
+        if self._closely:
+            return configured.watch_wait_leading
+        return configured.watch_wait
 
     async def _watch(
         self, prefix: str, revision: int, wait: float, failures: int
@@ -350,7 +300,7 @@
         self._restart.clear()
         slack = _TIMEOUT_SLACK_SECONDS * (2.0 if failures else 1.0)
         try:
-            async with asyncio.timeout(max(wait + slack, _MIN_TIMEOUT_SECONDS)):
+            async with asyncio.timeout(wait + slack):
                 return await self._unless(
                     self._restart, self._store.watch(prefix, revision, wait)
                 )
@@ -366,12 +316,11 @@
         """
         while True:
             await self._needed.wait()
-            operators = prefix == self._records.operator_prefix
-            large = whole or operators
+            large = whole or prefix == self._records.operator_prefix
             wait = self._large_reads_at - self._clock.now()
-            if not large or wait <= 0 or (operators and self._undelayed):
+            if not large or wait <= 0:
                 return
-            await clock.wait(self._hurried, wait)
+            await asyncio.sleep(wait)
 
     def _backoff(self, failures: int) -> float:
         """Returns the exponential backoff with jitter, in seconds.
--- a/tests/gateway/test_cluster_state.py
+++ b/tests/gateway/test_cluster_state.py
@@ -239,57 +239,6 @@
         _run(check)
 
 
-class TestConfigurationAge:
-    """The age of the configuration, and contact with the store."""
-
-    @pytest.mark.parametrize(
-        ("known_at", "at", "current"),
-        [
-            (None, 0.0, False),
-            (4.0, 4.0, True),
-            (4.0, 5.7, True),
-            (4.0, 5.9, False),
-            (4.0, 3.0, True),
-        ],
-    )
-    def test_current(self, known_at, at, current):
-        """Guards against a version in use after the next one is due."""
-
-        def check(state):
-            if known_at is not None:
-                state.configuration_freshness.record(known_at)
-            assert state.configuration_is_current(at) is current
-
-        _run(check)
-
-    @pytest.mark.parametrize(
-        ("known_at", "reached_at", "now", "cut_off"),
-        [
-            (None, None, 0.0, True),
-            (0.0, None, 2.9, False),
-            (0.0, None, 3.1, True),
-            (0.0, 2.0, 4.9, False),
-            (0.0, 2.0, 5.1, True),
-            (2.0, 0.0, 4.9, False),
-        ],
-    )
-    def test_cut_off(self, known_at, reached_at, now, cut_off):
-        """Guards against a VM in contact that takes itself for cut off."""
-
-        async def main():
-            state = _state()
-            if known_at is not None:
-                state.configuration_freshness.record(known_at)
-            if reached_at is not None:
-                await asyncio.sleep(reached_at)
-                state.record_store_status(ok=True)
-            state.record_store_status(ok=False)
-            await asyncio.sleep(now - virtual.now())
-            assert state.is_cut_off is cut_off
-
-        virtual.run(main())
-
-
 class TestEvacuations:
     """Zones whose targets get no new requests."""
 
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -32,7 +32,6 @@
 RetryBudgetRatio = 0.2
 RetryWindowS = 10
 RetrySlack = 60
-ContactMs = 4000
 [Platform]
 Address = "10.200.1.7:8541"
 TtlMinMs = 1000
@@ -55,7 +54,6 @@
         assert found.vm.peers == "10.1.0.34:7540"
         assert found.vm.regions["split-a"] == "primorje"
         assert found.bounds.drain == 2.0
-        assert found.bounds.contact == 4.0
         assert found.bounds.retry_fixed == 60.0
         assert found.store.address == "10.200.1.7:8541"
 
