--- a/packages/mimosastile-core/src/mimosastile_core/gateway/body_buffer.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/body_buffer.py
@@ -59,10 +59,14 @@
 
     def joined(self) -> bytes:
         """Returns all bytes in one piece."""
-        blocks = self._blocks
-        return bytes(blocks[0]) if len(blocks) == 1 else b"".join(blocks)
+        return join(self._blocks)
 
     def clear(self) -> None:
         """Removes all bytes."""
         self._blocks.clear()
         self.size = 0
+
+
+def join(blocks: Sequence[bytes | bytearray]) -> bytes:
+    """Returns blocks in one piece, without a copy of a single `bytes`."""
+    return bytes(blocks[0]) if len(blocks) == 1 else b"".join(blocks)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -533,14 +533,8 @@
             self._lease.record_extended_grant(
                 leadership.grant_expiry(latest_arrival, grant_seconds)
             )
-        self._exposures[holder.id] = [
-            *(
-                e
-                for e in self._exposures.get(holder.id, ())
-                if e.until > sent_at
-            ),
-            exposure,
-        ]
+        recorded = self._exposures.get(holder.id, ())
+        self._exposures[holder.id] = [*_unexpired(recorded, sent_at), exposure]
         order = ports.GrantOrder(
             item.first, item.last, item.fence, grant_seconds, state.handover
         )
@@ -769,5 +763,10 @@
         self._exposures = {
             target: unexpired
             for target, all_ in self._exposures.items()
-            if (unexpired := [e for e in all_ if e.until > now])
+            if (unexpired := _unexpired(all_, now))
         }
+
+
+def _unexpired(exposures: Iterable[_Exposure], now: float) -> list[_Exposure]:
+    """Returns the exposures that have not expired."""
+    return [exposure for exposure in exposures if exposure.until > now]
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -77,8 +77,7 @@
     @property
     def body(self) -> bytes:
         """The whole body; a copy if it has several blocks."""
-        blocks = self.body_blocks
-        return bytes(blocks[0]) if len(blocks) == 1 else b"".join(blocks)
+        return body_buffer.join(self.body_blocks)
 
     @property
     def body_bytes(self) -> int:
