Promise nothing with the status of an unconfirmed write

An operator whose write the store did not confirm got 503, a status that promises that nothing was done, with "ran": "perhaps" in the body.

Cause: the status of each error kind was chosen without a rule that ties it to what the kind promises.

--- a/packages/mimosastile-core/src/mimosastile_core/errors.py
+++ b/packages/mimosastile-core/src/mimosastile_core/errors.py
@@ -149,7 +149,7 @@
     ErrorKind.STORE_UNAVAILABLE: _retryable(
         503, 2, "The store is unavailable."
     ),
-    ErrorKind.STORE_UNKNOWN: _uncertain(503, "The store did not confirm."),
+    ErrorKind.STORE_UNKNOWN: _uncertain(502, "The store did not confirm."),
     ErrorKind.INTERNAL: _uncertain(500, "Internal error."),
 }
 
