Pass on no promise that a target has not proved

Cause: the forwarder took as a rejection only a response that has the mark "not executed", and passed on every other response with its status.

A status that promises now needs the mark. Without it the failure is target_failed: 502, no seal, no Retry-After, and only a request that may run more than once is sent again. With it any error status is a rejection, 408 too, which was passed on before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -11,6 +11,7 @@
 import result
 
 from mimosastile_core import errors
+from mimosastile_core import promises
 from mimosastile_core import quarantine
 from mimosastile_core.gateway import caller_retries
 from mimosastile_core.gateway import crash_detection
@@ -35,8 +36,9 @@
 from mimosastile_gateway import retry_budgets
 from mimosastile_gateway import settings
 
-_REJECT_STATUSES = frozenset({400, 421, 429, 503})
-"""Statuses with which a target may report that it did not run a request."""
+_CLIENT_ERROR_STATUS = 400
+"""Lowest status of a response with which a target may state that it did not run
+a request."""
 _BACKOFF_STATUS = 503
 """Status whose response may ask for a backoff (Retry-After)."""
 _OVERLOAD_KINDS = frozenset(
@@ -532,7 +534,7 @@
         """Maps a target's response to a caller's response or a failure."""
         names = self._header_names
         status = reply.status
-        if status in _REJECT_STATUSES and reply.header(names.not_run):
+        if status >= _CLIENT_ERROR_STATUS and reply.header(names.not_run):
             responder_id = reply.header(names.target)
             if status == 421 and responder_id not in (None, target.id.encode()):
                 return errors.failed(
@@ -553,6 +555,12 @@
                 errors.ErrorKind.ANSWER_BROKEN,
                 f"Response of {target.id} is unsigned.",
             )
+        if promises.needs_proof(status):
+            return errors.failed(
+                errors.ErrorKind.TARGET_FAILED,
+                f"{target.id} responded with {status}, but did not state that"
+                " it did not run the request.",
+            )
         if status >= 500 and reply.complete and self._has_retry_left(call):
             return errors.failed(
                 errors.ErrorKind.TARGET_FAILED,
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -22,6 +22,7 @@
     SHED = "shed"
     SHED_LATE = "shed late"
     FAIL = "fail"
+    UNMARKED = "unmarked"
     ORDERS_SILENT = "orders silent"
 
 
@@ -110,6 +111,8 @@
         arrivals: Requests that reached the target.
         header_names: Names of all headers of requests that reached it.
         padding_bytes: Size of the padding after the text of a response.
+        unmarked_status: Status with which the target, while its fault is
+            UNMARKED, responds to requests that it has run.
         on_grant: Called with the target, the first and the last key of each
             grant before it is taken.
     """
@@ -144,6 +147,7 @@
         "service",
         "shed",
         "slowness",
+        "unmarked_status",
         "zone",
     )
 
@@ -187,6 +191,7 @@
         self.arrivals: list[Arrival] = []
         self.header_names: set[bytes] = set()
         self.padding_bytes = 0
+        self.unmarked_status = 503
         self.born = int(time.time() * 1000)
         self._keyed = keyed
         self._work = work
@@ -399,7 +404,10 @@
         if self.fault is Fault.FAIL:
             return http_server.Response(500, sealed, b"failed")
         text = f"{self.id} ran {attempt}".encode() + bytes(self.padding_bytes)
-        return http_server.Response(200, sealed, text)
+        status = 200
+        if self.fault is Fault.UNMARKED:
+            status = self.unmarked_status
+        return http_server.Response(status, sealed, text)
 
     # Orders.
 
