Take no unproven promise from another VM

A VM that forwards requests through a peer took what the peer answered as it came: 503 of a target that had not stated anything, passed on by a peer of an earlier version; a refusal whose kind promises nothing but whose status does; and a response without an outcome, even 200 or 500, as proof that the request was not handed on, so that a request that may run once was sent again.

Cause: the outcome of a peer was believed without its status, and its absence proved "not run" whatever the status was. A promise now needs the target's mark or a kind that promises, and only the statuses with which a peer's server refuses unread requests prove anything without an outcome.

test_promise_of_a_peer failed before in six of its eight cases.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peer_forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peer_forwarding.py
@@ -12,6 +12,7 @@
 import result
 
 from mimosastile_core import errors
+from mimosastile_core import promises
 from mimosastile_core.gateway import forwarding_peers
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
@@ -48,6 +49,11 @@
     )
 )
 """Refusals that concern the peer, so that another one may serve the request."""
+_PROMISING_OUTCOMES = frozenset(kind.value.encode() for kind in promises.PROOFS)
+"""Refusals that promise that no target has run the request."""
+_UNREAD_STATUSES = frozenset({400, 404, 408, 413, 431, 503})
+"""Statuses with which a peer's server refuses a request that it has not handed
+on, so without an outcome."""
 _MAX_PEERS = 3
 """Peers that are tried for one request."""
 _MAX_UNREACHABLE_TARGETS = 2
@@ -267,9 +273,13 @@
     ) -> result.Result[http_server.Response, errors.Failure]:
         """Maps a peer's response to a caller's response or a failure."""
         outcome = reply.header(OUTCOME_HEADER)
+        if outcome is None and reply.status not in _UNREAD_STATUSES:
+            return errors.failed(
+                errors.ErrorKind.ANSWER_LOST,
+                f"Peer {peer.address} responded with {reply.status} without an"
+                " outcome.",
+            )
         if outcome is None or outcome in _REROUTED_OUTCOMES:
-            # Without the header, the peer's server has not accepted the
-            # request, or its version does not forward any.
             now = self._clock.now()
             self._peers.record_unreachable(peer.address, self._scope(call), now)
             cause = (outcome or b"%d" % reply.status).decode("latin-1")
@@ -277,6 +287,12 @@
                 errors.ErrorKind.UNREACHABLE,
                 f"Peer {peer.address} responded with {cause}.",
             )
+        if not self._is_proven(reply, outcome):
+            return errors.failed(
+                errors.ErrorKind.TARGET_FAILED,
+                f"{reply.status} through {peer.address} comes without a proof"
+                " that no target has run the request.",
+            )
         sealed = reply.header(self._header_names.seal) is not None
         if 200 <= reply.status < 300 and not sealed:
             return errors.failed(
@@ -313,6 +329,16 @@
             )
         )
 
+    def _is_proven(
+        self, reply: http_client.IncomingResponse, outcome: bytes
+    ) -> bool:
+        """Whether a response keeps the promise that its status makes."""
+        if not promises.needs_proof(reply.status):
+            return True
+        if outcome == PASSED:
+            return reply.header(self._header_names.not_run) is not None
+        return outcome in _PROMISING_OUTCOMES
+
     def _scope(self, call: pending.Call) -> str:
         """Returns the service or the single target that is not reached."""
         service = call.service.name
--- a/tests/gateway/test_promised_statuses.py
+++ b/tests/gateway/test_promised_statuses.py
@@ -9,6 +9,8 @@
 import pytest
 
 from mimosastile_core import promises
+from mimosastile_gateway import http_server
+from mimosastile_gateway import peer_forwarding
 from mimosastile_standins import partitions
 from mimosastile_standins import platform_target
 from tests.gateway import worlds
@@ -66,3 +68,66 @@
                     assert answer.status == 503
 
         worlds.run_scenario(scenario)
+
+
+class _Peer:
+    """A peer that responds to each forwarded request in the same way."""
+
+    def __init__(self, status, outcome, *, not_run=False):
+        self.sends = 0
+        self._status = status
+        self._headers = (
+            tuple(peer_forwarding.outcome_headers(outcome, 1))
+            if outcome
+            else ()
+        )
+        if not_run:
+            self._headers += ((b"x-not-executed", b"1"),)
+
+    async def handle(self, incoming):
+        """Returns the response to a forwarded request."""
+        self.sends += 1
+        attempt = (b"x-attempt-id", incoming.header(b"x-attempt-id"))
+        return http_server.Response(self._status, (attempt, *self._headers))
+
+
+class TestPeers:
+    """Responses of other VMs, which may run an earlier version."""
+
+    @pytest.mark.parametrize(
+        ("peer", "status"),
+        [
+            (_Peer(503, b"passed"), 502),
+            (_Peer(429, b"passed"), 502),
+            (_Peer(503, b"passed", not_run=True), 503),
+            (_Peer(503, b"overloaded"), 503),
+            (_Peer(503, b"answer_lost"), 502),
+            (_Peer(503, b"kind of a later version"), 502),
+            (_Peer(500, b""), 502),
+            (_Peer(200, b""), 502),
+        ],
+        ids=[
+            "503 of a target",
+            "429 of a target",
+            "503 that the target states",
+            "refusal",
+            "refusal that promises nothing",
+            "unknown refusal",
+            "error without an outcome",
+            "success without an outcome",
+        ],
+    )
+    def test_promise_of_a_peer(self, peer, status):
+        """Guards against promises of a peer that prove nothing."""
+
+        async def scenario(world):
+            await _isolate(world, "vm-0")
+            world.daemons["vm-1"]._forwarder = peer
+            peer.sends = 0
+            answer = await world.send_request(
+                "/issue/1", None, "vm-0", 900, "POST"
+            )
+            assert answer.status == status
+            assert peer.sends == 1
+
+        worlds.run_scenario(scenario)
