Match no response that has two identifiers

A target's response with the identifiers of two requests was taken for the response to the later one, whatever its body was.

Cause: the identifier was looked up in a mapping of the headers, where the last of several values remains. All values are compared now; a response with another one is skipped like that to another request. The new cases of test_complete and test_response_to_another_request_only with two identifiers failed before; those with none and with one of 64 KiB passed and stay as guards.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -537,7 +537,7 @@
             self._discarding = self._closing = True
             return
         headers = dict(self._headers)
-        if status < 200 or not self._matches_echo(headers):
+        if status < 200 or not self._matches_echo():
             # An interim response, or a late one to an earlier request. The
             # response to the pending request follows.
             self._discarding = True
@@ -604,11 +604,12 @@
             self._closing = True
         self._wake()
 
-    def _matches_echo(self, headers: dict[bytes, bytes]) -> bool:
+    def _matches_echo(self) -> bool:
         if self._expected_echo is None:
             return True
         name, value = self._expected_echo
-        return headers.get(name) == value
+        expected = set() if value is None else {value}
+        return {v for n, v in self._headers if n == name} == expected
 
     def _apply_keep_alive(self, headers: dict[bytes, bytes]) -> None:
         for part in headers.get(b"keep-alive", b"").split(b","):
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -18,6 +18,9 @@
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\n"
 WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
 OTHER = b"HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 5\r\n\r\nother"
+BOTH = OTHER.replace(b"X-Id: 6", b"X-Id: 6\r\nX-Id: 7")
+NEITHER = OTHER.replace(b"X-Id: 6", b"X-Other: 7")
+LONG = OTHER.replace(b"X-Id: 6", b"X-Id: " + b"7" * (64 << 10))
 
 
 class _Target:
@@ -106,6 +109,8 @@
             (HEAD + b"Content-Length: 0\r\n\r\n", b""),
             # A late response to an earlier request comes first.
             (OTHER + WHOLE, b"ok"),
+            (BOTH + WHOLE, b"ok"),
+            (NEITHER + WHOLE, b"ok"),
         ],
     )
     def test_complete(self, raw, body):
@@ -142,10 +147,11 @@
         with pytest.raises(http_client.ResponseLostError):
             _run(_Target(raw, reset=reset, close=close), _request)
 
-    def test_response_to_another_request_only(self):
+    @pytest.mark.parametrize("raw", [OTHER, BOTH, NEITHER, LONG])
+    def test_response_to_another_request_only(self, raw):
         """A response to another request is not returned."""
         with pytest.raises((TimeoutError, http_client.ResponseLostError)):
-            _run(_Target(OTHER), _request)
+            _run(_Target(raw), _request)
 
     @hypothesis.given(junk=st.binary(max_size=120))
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=40)
