Match each response to the send that asked for it

A copied reply would have confirmed another grant.

Cause: a response was matched by its place on the connection alone. Bytes that wait on an idle connection were seen, but not a copy that arrives once the next request is sent.

Each send to a target or peer now has an identifier of its own, also a grant, and its response repeats it; the request's identifier would not do, as a request that was refused is sent again with it. A response with another identifier is skipped, and the own one, which still follows, is delivered. One without any is taken only on a connection that carries a single request, which is then closed, so that targets that repeat nothing are served as before. On a connection whose earlier responses were identified it counts as lost. Bytes that arrive before any request end the connection, and nothing has been sent.

The fixture of raw targets repeats the identifier now, as the contract says; no assertion has changed.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_client.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_client.py
@@ -1,6 +1,8 @@
 """HTTP client of the daemon: connection pools and error classification."""
 
 import asyncio
+import itertools
+import secrets
 import ssl
 from typing import Any
 
@@ -8,6 +10,7 @@
 
 from mimosastile_core import errors
 from mimosastile_core import fleet
+from mimosastile_core import response_matching
 from mimosastile_entry import _connections
 from mimosastile_entry import kernel
 from mimosastile_entry import settings
@@ -86,12 +89,13 @@
         limit: int,
         configured: settings.ConnectionSettings,
         tls: Any = True,
+        counts: response_matching.ResponseCounts | None = None,
     ) -> None:
         self.limit = limit
         self.in_use = 0
         self.used_at = 0.0
         self.retired = False
-        self.connector = _connections.Connector(limit, configured, tls)
+        self.connector = _connections.Connector(limit, configured, tls, counts)
         self.session = aiohttp.ClientSession(
             connector=self.connector,
             auto_decompress=False,
@@ -113,13 +117,20 @@
 
 
 class HttpClient:
-    """Owns the connection pools; shared by all adapters."""
+    """Owns the connection pools; shared by all adapters.
+
+    Attributes:
+        counts: Counts of responses that were not plainly matched.
+    """
 
     __slots__ = (
         "_configured",
+        "_incarnation",
         "_platform_pool",
         "_pools",
         "_retired",
+        "_sends",
+        "counts",
         "name",
         "needs",
     )
@@ -127,13 +138,25 @@
     def __init__(
         self,
         configured: settings.ConnectionSettings | None = None,
+        counts: response_matching.ResponseCounts | None = None,
     ) -> None:
+        """Initializes a client without connections.
+
+        Args:
+            configured: Timeouts and maximum ages of connections.
+            counts: Counts of responses, shared with the metrics.
+        """
         self.name = "client"
         self.needs: tuple[str, ...] = ()
         self._configured = configured or settings.ConnectionSettings()
         self._pools: dict[tuple[str, int], Pool] = {}
         self._retired: list[Pool] = []
         self._platform_pool: Pool | None = None
+        # Differs from that of all processes whose responses a proxy on the
+        # path could confuse.
+        self._incarnation = secrets.token_hex(8)
+        self._sends = itertools.count()
+        self.counts = counts or response_matching.ResponseCounts()
 
     @property
     def configured(self) -> settings.ConnectionSettings:
@@ -147,6 +170,10 @@
             raise kernel.MissingServiceError("the client has not started")
         return self._platform_pool.session
 
+    def new_send_id(self) -> str:
+        """Returns an identifier for one send of a request."""
+        return f"{self._incarnation}-{next(self._sends):x}"
+
     def pool(
         self, vm: fleet.Vm, limit: int, tls: ssl.SSLContext | None = None
     ) -> Pool:
@@ -163,7 +190,7 @@
         if found is None or found.limit != limit:
             if found is not None:
                 self._retire(found)
-            found = Pool(limit, self._configured, tls or True)
+            found = Pool(limit, self._configured, tls or True, self.counts)
             self._pools[address] = found
             self._retire_unused()
         found.used_at = asyncio.get_running_loop().time()
--- a/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
@@ -1,24 +1,90 @@
-"""Connector of the HTTP client: reuse and keepalive of connections."""
+"""Connector of the HTTP client: reuse, keepalive, and matched responses."""
 
+import asyncio
+import functools
 import select
 import socket
 from typing import Any
+from typing import cast
 
+from absl import logging
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import hdrs
+from aiohttp import http_parser
+from aiohttp import streams
 
+from mimosastile_core import response_matching
+from mimosastile_entry import _wire
 from mimosastile_entry import settings
 
+_PREFIX = "client:"
 _KEEPALIVE_PROBES = 3
 _OPENED = "mimosastile_opened"
 """Attribute of a connection's protocol with the loop time of its opening."""
+_FIRST_FINAL_STATUS = 200
+"""Responses with a lower status are interim: another one follows."""
+
+
+class ForeignResponseError(aiohttp.ClientConnectionError):
+    """A response arrived that perhaps belongs to another request."""
+
+
+class _ResponseHandler(client_proto.ResponseHandler):
+    """A connection that skips responses to other requests.
+
+    Attributes:
+        history: The requests sent on it.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, connector: "Connector"
+    ) -> None:
+        """Initializes a connection that is not open yet.
+
+        Args:
+            loop: The event loop.
+            connector: Counts responses that are not plainly matched.
+        """
+        super().__init__(loop)
+        self.history = response_matching.ConnectionHistory()
+        self._connector = connector
+
+    async def read(
+        self,
+    ) -> tuple[http_parser.RawResponseMessage, streams.StreamReader]:
+        """Returns the next response that belongs to the pending request.
+
+        Raises:
+            ForeignResponseError: None can be told to belong to it.
+        """
+        while True:
+            message, payload = await super().read()
+            if message.code < _FIRST_FINAL_STATUS:
+                return message, payload
+            match = self.history.match(
+                message.headers.getall(_wire.SEND_ID, ())
+            )
+            if not self.history.reusable:
+                self._connector.count_unidentified()
+                self.force_close()
+            if match is response_matching.Match.OWN:
+                return message, payload
+            self._connector.counts.unmatched += 1
+            if match is response_matching.Match.UNKNOWN:
+                raise ForeignResponseError("a response without an identifier")
+            await _discard(message, payload)
 
 
 class Connector(aiohttp.TCPConnector):
     """Connections to one address, limited in number.
 
     A connection is reused only if it is below the maximum age, was opened
-    after the last invalidation, and has no unread bytes.
+    after the last invalidation, has no unread bytes, and its responses have
+    repeated the identifiers of their requests.
+
+    Attributes:
+        counts: Counts of responses that were not plainly matched.
     """
 
     def __init__(
@@ -26,6 +92,7 @@
         limit: int,
         configured: settings.ConnectionSettings,
         ssl: Any = True,
+        counts: response_matching.ResponseCounts | None = None,
     ) -> None:
         """Initializes a connector without connections.
 
@@ -33,6 +100,7 @@
             limit: Maximum number of open connections, 0 for no limit.
             configured: Maximum ages and timeouts.
             ssl: TLS context of the client, or True for the default.
+            counts: Counts shared with other connectors.
         """
         super().__init__(
             limit=limit,
@@ -43,8 +111,27 @@
             happy_eyeballs_delay=None,
             socket_factory=_socket_factory(configured),
         )
+        self._factory = cast(
+            "functools.partial[client_proto.ResponseHandler]",
+            functools.partial(
+                _ResponseHandler, loop=self._loop, connector=self
+            ),
+        )
         self._max_age = configured.max_age
         self._invalid_before = 0.0
+        self._has_warned = False
+        self.counts = counts or response_matching.ResponseCounts()
+
+    def count_unidentified(self) -> None:
+        """Counts a response without an identifier; logs the first one."""
+        self.counts.unidentified += 1
+        if not self._has_warned:
+            self._has_warned = True
+            logging.warning(
+                "%s responses without %s: connections are not reused.",
+                _PREFIX,
+                _wire.SEND_ID,
+            )
 
     def invalidate_connections(self) -> None:
         """Prevents the reuse of all connections that are open now.
@@ -59,17 +146,28 @@
     async def connect(
         self, req: Any, traces: list[Any], timeout: aiohttp.ClientTimeout
     ) -> Any:
-        """Returns a reusable connection, or opens a new one."""
+        """Returns a reusable connection, or opens a new one.
+
+        Raises:
+            aiohttp.ClientConnectorError: No connection could be opened, or a
+                new one received bytes before any request.
+        """
         while True:
             connection = await super().connect(req, traces, timeout)
             protocol = connection.protocol
-            assert protocol is not None
+            assert isinstance(protocol, _ResponseHandler)
             now = self._loop.time()
             # Stored on the protocol itself, which saves a second table.
             opened = vars(protocol).setdefault(_OPENED, now)
+            if opened == now and protocol.should_close:
+                connection.close()
+                raise aiohttp.ClientConnectorError(
+                    req.connection_key, OSError("bytes before any request")
+                )
             if opened == now or self._is_reusable(
                 protocol, now - opened, opened
             ):
+                protocol.history.begin(req.headers.get(_wire.SEND_ID, ""))
                 return connection
             connection.close()
 
@@ -87,6 +185,21 @@
         )
 
 
+async def _discard(
+    message: http_parser.RawResponseMessage, payload: streams.StreamReader
+) -> None:
+    """Reads the body of a response to another request and drops it.
+
+    Raises:
+        ForeignResponseError: Only the end of the connection would end it.
+    """
+    framed = message.chunked or hdrs.CONTENT_LENGTH in message.headers
+    if not framed and not payload.is_eof():
+        raise ForeignResponseError("an unterminated response")
+    while not payload.at_eof():
+        await payload.readany()
+
+
 def _is_readable(protocol: client_proto.ResponseHandler) -> bool:
     # Nothing is due on an idle connection. Bytes on it are a second or late
     # response to an earlier request, which the next caller would get as its
--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -11,6 +11,7 @@
 from mimosastile_entry import _auth
 from mimosastile_entry import _credentials
 from mimosastile_entry import _guard
+from mimosastile_entry import _identified
 from mimosastile_entry import _operations
 from mimosastile_entry import _tls
 from mimosastile_entry import kernel
@@ -75,8 +76,8 @@
         credentials = _credentials.Credentials(kernel.find("state"))
         callers = _asgi.CallersApp(router, clock, limits, credentials)
         forward = _asgi.ForwardApp(router, clock, limits)
-        internal = _guard.Guard(
-            _operations.application(kernel, forward), self._signer
+        internal = _identified.Identified(
+            _guard.Guard(_operations.application(kernel, forward), self._signer)
         )
         if not self._signer.enabled:
             logging.warning("%s peers are not authenticated.", _PREFIX)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_metrics.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client import registry
 
 from mimosastile_core import config
+from mimosastile_core import response_matching
 from mimosastile_core import tables
 from mimosastile_entry import _fleet
 from mimosastile_entry import _state
@@ -54,6 +55,7 @@
         "_moved",
         "_recent",
         "_requests",
+        "_responses",
         "_state",
         "_task",
         "_unavailable_seconds",
@@ -61,9 +63,17 @@
         "needs",
     )
 
-    def __init__(self) -> None:
+    def __init__(
+        self, responses: response_matching.ResponseCounts | None = None
+    ) -> None:
+        """Initializes the service with all counts at zero.
+
+        Args:
+            responses: Counts of the HTTP client; None without one.
+        """
         self.name = "metrics"
         self.needs: tuple[str, ...] = ("state", "fleet")
+        self._responses = responses or response_matching.ResponseCounts()
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
         self._recent: collections.defaultdict[
@@ -157,6 +167,20 @@
                 for name, spent in self._unavailable_seconds.items()
             },
         )
+        yield _counter(
+            "mimosastile_responses_unmatched",
+            "Responses of targets and peers that belonged to no pending"
+            " request.",
+            (),
+            {(): self._responses.unmatched},
+        )
+        yield _counter(
+            "mimosastile_responses_unidentified",
+            "Responses of targets and peers without the identifier of their"
+            " request; their connections are not reused.",
+            (),
+            {(): self._responses.unidentified},
+        )
         yield self._imbalance()
         yield core.GaugeMetricFamily(
             "mimosastile_configuration_number",
--- a/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
@@ -55,11 +55,14 @@
         url = f"{self._base}://{vm.host}:{vm.port}{_wire.MESSAGE_PATH}"
         pool = self._client.pool(vm, _MAX_CONNECTIONS_PER_PEER, self._tls)
         body = messages.encode(message)
-        signed = self._signer.sign(vm.id, "POST", _wire.MESSAGE_PATH, (), body)
+        headers = [(_wire.SEND_ID, self._client.new_send_id())]
+        headers += self._signer.sign(
+            vm.id, "POST", _wire.MESSAGE_PATH, headers, body
+        )
         try:
             async with asyncio.timeout(timeout):
                 async with pool.session.post(
-                    url, data=body, headers=signed
+                    url, data=body, headers=headers
                 ) as response:
                     return result.Ok(messages.decode(await response.read()))
         except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
@@ -78,6 +81,7 @@
             *request.headers,
             (_wire.MEMBER, request.member),
             (_wire.REQUEST_ID, request.request_id),
+            (_wire.SEND_ID, self._client.new_send_id()),
             (_wire.DEADLINE_MS, str(max(0, int(remaining * 1000)))),
             (_wire.TARGET, request.target),
             (_wire.ORIGIN, request.origin),
--- a/packages/mimosastile-entry/src/mimosastile_entry/_targets_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_targets_http.py
@@ -58,7 +58,9 @@
         try:
             async with asyncio.timeout(timeout):
                 async with pool.session.post(
-                    url, data=msgspec.json.encode(grant)
+                    url,
+                    data=msgspec.json.encode(grant),
+                    headers={_wire.SEND_ID: self._client.new_send_id()},
                 ) as response:
                     return result.Ok(_REPLY.decode(await response.read()))
         except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
@@ -80,6 +82,7 @@
             *request.headers,
             (_wire.MEMBER, request.member),
             (_wire.REQUEST_ID, request.request_id),
+            (_wire.SEND_ID, self._client.new_send_id()),
             (_wire.DEADLINE_MS, str(max(0, int(remaining * 1000)))),
             *(_wire.fence_headers(fence).items() if fence else ()),
         ]
--- a/packages/mimosastile-entry/src/mimosastile_entry/_wire.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_wire.py
@@ -14,6 +14,8 @@
 
 MEMBER = PREFIX + "member"
 REQUEST_ID = PREFIX + "request-id"
+SEND_ID = PREFIX + "send-id"
+"""Identifier of one send of a request, which its response repeats."""
 DEADLINE_MS = PREFIX + "deadline-ms"
 TARGET = PREFIX + "target"
 ORIGIN = PREFIX + "origin"
--- a/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/daemon.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from mimosastile_core import balancing
+from mimosastile_core import response_matching
 from mimosastile_entry import _access
 from mimosastile_entry import _archive
 from mimosastile_entry import _audit
@@ -48,11 +49,15 @@
 """Thresholds of the three generations of the garbage collector."""
 
 
-def decision_services(vm: settings.VmSettings) -> list[kernel.Service]:
+def decision_services(
+    vm: settings.VmSettings,
+    responses: response_matching.ResponseCounts | None = None,
+) -> list[kernel.Service]:
     """Returns the services with the decision logic, independent of HTTP.
 
     Args:
         vm: Identifier, region and zone of the VM.
+        responses: Counts of the HTTP client; None without one.
     """
     return [
         _inbox.InboxService(vm.id),
@@ -68,15 +73,23 @@
         _archive.ArchiveService(),
         _configuration.ConfigurationService(vm.id),
         _limits.LimitsService(vm.id),
-        _metrics.MetricsService(),
+        _metrics.MetricsService(responses),
         _quarantine.QuarantineService(vm.id),
         _links.LinksService(vm.id, vm.region),
         _router.RouterService(vm.id, balancing.Locality(vm.region, vm.zone)),
     ]
 
 
-def adapters(daemon_settings: settings.Settings) -> list[kernel.Service]:
-    """Returns the services that adapt external systems over HTTP."""
+def adapters(
+    daemon_settings: settings.Settings,
+    responses: response_matching.ResponseCounts | None = None,
+) -> list[kernel.Service]:
+    """Returns the services that adapt external systems over HTTP.
+
+    Args:
+        daemon_settings: The daemon's settings.
+        responses: Counts of the HTTP client, shared with the metrics.
+    """
     platform = daemon_settings.platform
     peer_settings = daemon_settings.peers
     signer = _auth.Signer(
@@ -88,7 +101,7 @@
     return [
         _clock.LoopClock(),
         _tls.TlsService(daemon_settings.tls),
-        _client.HttpClient(daemon_settings.connections),
+        _client.HttpClient(daemon_settings.connections, responses),
         _platform_http.HttpStore(platform.store, platform.timeout),
         _platform_http.HttpFleet(platform.fleet, platform.timeout),
         _targets_http.HttpTargets(),
@@ -109,9 +122,10 @@
         replaced: Services that replace the default ones of the same name.
     """
     daemon_kernel = kernel.Kernel()
+    responses = response_matching.ResponseCounts()
     for service in (
-        *adapters(daemon_settings),
-        *decision_services(daemon_settings.vm),
+        *adapters(daemon_settings, responses),
+        *decision_services(daemon_settings.vm, responses),
         *replaced,
     ):
         daemon_kernel.register(service)
--- a/packages/mimosastile-standins/src/mimosastile_standins/serving.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/serving.py
@@ -5,9 +5,12 @@
 
 import msgspec
 from starlette import applications
+from starlette import datastructures
+from starlette import middleware
 from starlette import requests
 from starlette import responses
 from starlette import routing
+from starlette import types
 
 from mimosastile_core import fleet
 from mimosastile_core import grants
@@ -20,6 +23,7 @@
 from mimosastile_standins import vms
 
 _HEADER_PREFIX = "x-mimosastile-"
+_SEND_ID = _HEADER_PREFIX + "send-id"
 
 App = applications.Starlette
 
@@ -128,10 +132,31 @@
         routes=[
             routing.Route("/-/grant", grant, methods=["POST"]),
             routing.Route("/{path:path}", handle_request, methods=methods),
-        ]
+        ],
+        middleware=[middleware.Middleware(_Identified)],
     )
 
 
+class _Identified:
+    """Repeats the identifier of each send in its response."""
+
+    def __init__(self, app: types.ASGIApp) -> None:
+        self._app = app
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        identifier = requests.Request(scope).headers.get(_SEND_ID)
+
+        async def send_identified(message: types.Message) -> None:
+            if message["type"] == "http.response.start" and identifier:
+                headers = datastructures.MutableHeaders(scope=message)
+                headers[_SEND_ID] = identifier
+            await send(message)
+
+        await self._app(scope, receive, send_identified)
+
+
 def _fence(request: requests.Request) -> holder.RequestFence | None:
     block = request.headers.get(_HEADER_PREFIX + "block")
     if block is None:
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -3,7 +3,9 @@
 import asyncio
 import socket
 
+import aiohttp
 import pytest
+import result
 import rig
 
 from mimosastile_core import errors
@@ -11,6 +13,14 @@
 from mimosastile_entry import _auth
 from mimosastile_entry import _peers_http
 
+_LONG = b"z" * (64 << 10)
+_OTHER = b"x-mimosastile-send-id: other\r\n"
+_UNKNOWN_KINDS = (
+    errors.ErrorKind.DEADLINE,
+    errors.ErrorKind.ANSWER_BROKEN,
+    errors.ErrorKind.ANSWER_LOST,
+)
+"""Failures of requests that may have run."""
 PART = b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nhalf"
 
 
@@ -130,6 +140,158 @@
         assert asyncio.run(scenario()) == (b"ok", 2)
 
 
+def _response(peer, number, *, status=200, headers=b""):
+    """Returns the response to a request, with its number as the body."""
+    line = b"x-mimosastile-send-id:"
+    sent = peer.requests[number].split(b"\r\n")
+    identifier = b"".join(x + b"\r\n" for x in sent if x.startswith(line))
+    return b"HTTP/1.1 %d X\r\n%s%scontent-length: 1\r\n\r\n%d" % (
+        status,
+        identifier,
+        headers,
+        number,
+    )
+
+
+def _send_all(reply, count, method="GET"):
+    """Sends requests one after the other to a server with scripted replies.
+
+    Args:
+        reply: Maps the server and the index of a request to the bytes sent.
+        count: Number of requests.
+        method: HTTP method.
+
+    Returns:
+        The body or the error kind of each request, and the server.
+    """
+
+    async def scenario():
+        def replies(number):
+            return rig.Reply(reply(peer, number), identified=False)
+
+        async with (
+            rig.raw_server(replies) as peer,
+            rig.sender(peer.port) as (made, vm),
+        ):
+            found = []
+            for _ in range(count):
+                sent = await rig.send(made, vm, method, seconds=0.3)
+                if isinstance(sent, result.Err):
+                    found.append(sent.err_value.kind)
+                else:
+                    found.append(await rig.read_body(sent.ok_value))
+            return found, peer, made.find("client").counts
+
+    return asyncio.run(scenario())
+
+
+_REFUSED = b"x-mimosastile-error: overloaded\r\n"
+_LOST = errors.ErrorKind.ANSWER_LOST
+
+
+class TestMatchedResponses:
+    """Responses that arrive where that to another request is expected."""
+
+    @pytest.mark.parametrize("method", ["GET", "PUT"])
+    @pytest.mark.parametrize("copies", [1, 3])
+    def test_copy_of_an_earlier_response(self, copies, method):
+        """Guards against a body that belongs to another caller's request."""
+
+        def reply(peer, number):
+            earlier = [_response(peer, n) for n in range(number)]
+            own = _response(peer, number)
+            return b"".join((*earlier[-copies:], own))
+
+        found, peer, counts = _send_all(reply, 5, method)
+        assert found == [b"0", b"1", b"2", b"3", b"4"]
+        assert peer.connections == 1
+        assert counts.unmatched
+
+    def test_copy_of_a_refusal(self):
+        """Guards against "not run" for a request that has run."""
+
+        def reply(peer, number):
+            if not number:
+                return _response(peer, 0, status=503, headers=_REFUSED)
+            copy = _response(peer, 0, status=503, headers=_REFUSED)
+            return copy + _response(peer, number)
+
+        found, _, _ = _send_all(reply, 3, "PUT")
+        assert found == [errors.ErrorKind.OVERLOADED, b"1", b"2"]
+
+    @pytest.mark.parametrize(
+        ("change", "kind"),
+        [
+            (lambda own: own.replace(b"send-id: ", b"send-id: z"), None),
+            (lambda own: own.replace(b"send-id: ", b"send-id: " + _LONG), None),
+            (lambda own: own.replace(b"X\r\n", b"X\r\n" + _OTHER), None),
+            (lambda own: own.replace(b"send-id: ", b"other: "), _LOST),
+            (
+                lambda own: own.replace(b"send-id: ", b"send-id: z").replace(
+                    b"content-length: 1", b"x: y"
+                ),
+                _LOST,
+            ),
+        ],
+        ids=["another", "long", "two", "none", "another, without length"],
+    )
+    def test_response_to_another_request_only(self, change, kind):
+        """Guards against a body that may belong to another request."""
+
+        def reply(peer, number):
+            own = _response(peer, number)
+            return change(own) if number else own
+
+        found, _, counts = _send_all(reply, 2)
+        assert found[0] == b"0"
+        assert found[1] in ((kind,) if kind else _UNKNOWN_KINDS)
+        assert counts.unmatched or found[1] is errors.ErrorKind.ANSWER_BROKEN
+
+    def test_target_that_repeats_no_identifiers(self):
+        """Guards against reuse of connections that nothing could match."""
+
+        def reply(peer, number):
+            return b"HTTP/1.1 200 X\r\ncontent-length: 1\r\n\r\n%d" % number
+
+        found, peer, counts = _send_all(reply, 4)
+        assert found == [b"0", b"1", b"2", b"3"]
+        assert peer.connections == counts.unidentified == 4
+
+    def test_bytes_after_a_response(self):
+        """Guards against a second response that arrives on its own."""
+
+        def reply(peer, number):
+            return _response(peer, number) * 2
+
+        found, _, _ = _send_all(reply, 4)
+        assert found == [b"0", b"1", b"2", b"3"]
+
+    def test_response_before_any_request(self):
+        """Guards against bytes that a server sends when it is connected to."""
+
+        async def greet(reader, writer):
+            writer.write(rig.OK)
+            await reader.read()
+
+        async def wait(session, context, parameters):
+            del session, context, parameters
+            await asyncio.sleep(0.05)
+
+        async def scenario():
+            server = await asyncio.start_server(greet, rig.HOST, 0)
+            port = server.sockets[0].getsockname()[1]
+            tracing = aiohttp.TraceConfig()
+            tracing.on_connection_create_end.append(wait)
+            tracing.freeze()
+            async with server, rig.sender(port) as (made, vm):
+                pool = made.find("client").pool(vm, 120)
+                pool.session._trace_configs.append(tracing)
+                return await rig.send(made, vm, "PUT", seconds=0.5)
+
+        sent = asyncio.run(scenario())
+        assert sent.err().kind is errors.ErrorKind.UNREACHABLE
+
+
 class TestLostConnection:
     """A network device on the path has dropped the state of a connection.
 
--- a/tests/entry/test_metrics.py
+++ b/tests/entry/test_metrics.py
@@ -44,6 +44,20 @@
         assert _value(page, "mimosastile_imbalance_ratio", service="desk") == 1
         assert _value(page, "mimosastile_configuration_number") == 1
 
+    def test_unmatched_responses(self):
+        """Guards against counts of the client that no page shows."""
+
+        async def scenario():
+            api = await administered.start()
+            metrics = api.world.daemons["e0"].find("metrics")
+            metrics._responses.unmatched = 2
+            metrics._responses.unidentified = 3
+            return metrics.exposition()
+
+        page = virtual.run(scenario())
+        assert _value(page, "mimosastile_responses_unmatched_total") == 2
+        assert _value(page, "mimosastile_responses_unidentified_total") == 3
+
     def test_labels_are_bounded(self):
         """The number of members does not enlarge the page beyond a bound."""
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -23,6 +23,7 @@
 HOST = "127.0.0.1"
 TOKEN = "t0ken"
 AUTH = f"authorization: Bearer {TOKEN}\r\n"
+_SEND_ID = b"x-mimosastile-send-id:"
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
@@ -34,11 +35,22 @@
         data: Bytes to send.
         close: Whether the server closes the connection after the reply.
         after: Second part of the reply, sent once `release` is set.
+        identified: Whether the first response in the reply repeats the
+            identifier of the request.
     """
 
     data: bytes = OK
     close: bool = False
     after: bytes = b""
+    identified: bool = True
+
+    def encode(self, head):
+        """Returns the bytes to send to a request with a head."""
+        line, end, rest = self.data.partition(b"\r\n")
+        sent = [x for x in head.split(b"\r\n") if x.startswith(_SEND_ID)]
+        if not self.identified or not end or not sent:
+            return self.data
+        return line + end + sent[0] + end + rest
 
 
 class RawServer:
@@ -73,7 +85,7 @@
                 body = await _read_body(reader, head)
                 self.requests.append(head + body)
                 reply = self._replies(len(self.requests) - 1)
-                writer.write(reply.data)
+                writer.write(reply.encode(head))
                 if reply.after and not await self._wait_for_release(reader):
                     break
                 writer.write(reply.after)
