--- a/packages/mimosastile-entry/src/mimosastile_entry/_identified.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_identified.py
@@ -36,7 +36,7 @@
 
         async def send_identified(message: MutableMapping[str, Any]) -> None:
             if message["type"] == "http.response.start":
-                headers = [*message["headers"], *identifiers]
+                headers = [*message.get("headers", ()), *identifiers]
                 message = {**message, "headers": headers}
             await send(message)
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -24,6 +24,7 @@
 from mimosastile_standins import platform_demo
 from mimosastile_standins import processes
 from mimosastile_standins import soak as soak_module
+from mimosastile_standins import soak_copies
 
 _DEMO_SECONDS = 6.0
 
@@ -215,7 +216,8 @@
             out: Folder for settings, logs and verdicts.
             hostile: Additional faults: `answers` for copies of targets'
                 answers, `entries` for others' registrations under their
-                identifiers, or `all`.
+                identifiers, `refusals` for refusals of requests that have
+                run, or `all`.
         """
         kinds = frozenset(
             kind
@@ -252,6 +254,30 @@
                 _printing.say(f"  {line}")
         sys.exit(min(wrong, 1))
 
+    def copies(
+        self, seed: int = 0, rounds: int = 1, requests: int = 900
+    ) -> None:
+        """Runs the daemons while responses are copied, crossed and refused.
+
+        Args:
+            seed: Seed of the first round; each further round adds one.
+            rounds: Number of rounds.
+            requests: Number of requests in each round.
+        """
+        logging.set_verbosity(logging.ERROR)
+        wrong = 0
+        for number in range(seed, seed + rounds):
+            trouble = soak_copies.draw_trouble(number)
+            report = asyncio.run(soak_copies.run(number, requests, trouble))
+            wrong += not report.clean
+            _printing.say(
+                f"seed {number}: {trouble}, {dict(report.statuses)},"
+                f" {report.copies} copies, {report.unmatched} skipped,"
+                f" foreign {report.foreign}, refused and run"
+                f" {report.refused}, repeated {report.repeated}"
+            )
+        sys.exit(min(wrong, 1))
+
     def losses(self, seed: int = 0) -> None:
         """Measures unavailability after faults and planned stops.
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/demo.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/demo.py
@@ -22,6 +22,7 @@
 from mimosastile_entry import settings
 from mimosastile_standins import _printing
 from mimosastile_standins import callers
+from mimosastile_standins import fault_proxy
 from mimosastile_standins import serving
 from mimosastile_standins import store
 from mimosastile_standins import target
@@ -73,12 +74,32 @@
         fleet: The VM list.
         targets: The targets by VM.
         daemons: The daemons by VM.
+        proxies: The proxies before the targets, by VM, if there are any.
     """
 
-    __slots__ = ("_stack", "daemons", "fleet", "started", "store", "targets")
+    __slots__ = (
+        "_proxied",
+        "_stack",
+        "daemons",
+        "fleet",
+        "proxies",
+        "started",
+        "store",
+        "targets",
+    )
+
+    def __init__(
+        self, stack: contextlib.AsyncExitStack, *, proxied: bool = False
+    ) -> None:
+        """Initializes the demo without running parts.
 
-    def __init__(self, stack: contextlib.AsyncExitStack) -> None:
+        Args:
+            stack: Stops the parts.
+            proxied: Whether daemons reach the targets through proxies.
+        """
         self._stack = stack
+        self._proxied = proxied
+        self.proxies: dict[str, fault_proxy.FaultProxy] = {}
         self.started = asyncio.get_running_loop().time()
         self.store = store.MemoryStore()
         self.fleet = vms.MemoryFleet()
@@ -121,6 +142,11 @@
             serving.serving(serving.target_app(target_))
         )
         self.targets[name] = target_
+        if self._proxied:
+            proxy = fault_proxy.FaultProxy(f"{HOST}:{port}")
+            port = int((await proxy.start()).rpartition(":")[2])
+            self._stack.push_async_callback(proxy.stop)
+            self.proxies[name] = proxy
         region, zone = _ZONES[zone_index % len(_ZONES)]
         self.fleet.put(
             fleet.Vm(name, fleet.Role.TARGET, region, zone, HOST, port, service)
@@ -176,10 +202,14 @@
 
 
 @contextlib.asynccontextmanager
-async def running() -> AsyncIterator[Demo]:
-    """Runs the demo's parts for the duration of a `with` block."""
+async def running(*, proxied: bool = False) -> AsyncIterator[Demo]:
+    """Runs the demo's parts for the duration of a `with` block.
+
+    Args:
+        proxied: Whether daemons reach the targets through proxies.
+    """
     async with contextlib.AsyncExitStack() as stack:
-        demo = Demo(stack)
+        demo = Demo(stack, proxied=proxied)
         await demo.start()
         yield demo
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/fault_proxy.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/fault_proxy.py
@@ -10,7 +10,7 @@
 _CHUNK_BYTES = 1 << 16
 _STOP_POLL_SECONDS = 0.01
 """Seconds between checks whether all connections have ended."""
-_METHODS = (b"GET ", b"POST ")
+_METHODS = (b"GET ", b"POST ", b"PUT ")
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -40,6 +40,10 @@
         fault: Current fault; change it with `set_fault`.
         copies_answer: Decides for each request on a connection whether a copy
             of the answer to the former one comes before its own.
+        crosses_answer: Decides whether that copy is of the latest answer on
+            any connection.
+        copies: Number of copies sent.
+        latest_answer: The latest answer on any connection.
     """
 
     __slots__ = (
@@ -47,8 +51,11 @@
         "_delay",
         "_server",
         "_target",
+        "copies",
         "copies_answer",
+        "crosses_answer",
         "fault",
+        "latest_answer",
     )
 
     def __init__(self, target: str) -> None:
@@ -63,6 +70,9 @@
         self._server: asyncio.Server | None = None
         self.fault = LinkFault.NONE
         self.copies_answer: Callable[[], bool] = _copies_none
+        self.crosses_answer: Callable[[], bool] = _copies_none
+        self.copies = 0
+        self.latest_answer = b""
 
     @property
     def delay(self) -> float:
@@ -186,7 +196,7 @@
             if back in self._muted:
                 continue
             if back:
-                self._answer = chunk
+                self._answer = self._proxy.latest_answer = chunk
             elif chunk.startswith(_METHODS):
                 self._copy_answer()
             writer.write(chunk)
@@ -196,9 +206,14 @@
 
     def _copy_answer(self) -> None:
         """Sends the former answer again where the next one is expected."""
+        proxy = self._proxy
+        answer = self._answer
+        if answer and proxy.crosses_answer():
+            answer = proxy.latest_answer
         # An answer in several chunks cannot be copied as a whole.
-        if self._answer.startswith(b"HTTP/") and self._proxy.copies_answer():
-            self._writer.write(self._answer)
+        if answer.startswith(b"HTTP/") and proxy.copies_answer():
+            proxy.copies += 1
+            self._writer.write(answer)
 
 
 def _copies_none() -> bool:
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -25,6 +25,7 @@
 
 import msgspec
 
+from mimosastile_core import promises
 from mimosastile_gateway import http_client
 from mimosastile_standins import fault_proxy
 from mimosastile_standins import partitions
@@ -75,6 +76,7 @@
 
     ANSWERS = "answers"
     ENTRIES = "entries"
+    REFUSALS = "refusals"
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -88,7 +90,8 @@
         callers: Number of callers, each with its own connection.
         out: Folder for settings, logs and the verdict.
         hostile: Additional faults: ANSWERS copies targets' earlier answers,
-            ENTRIES writes registrations under their identifiers.
+            ENTRIES writes registrations under their identifiers, REFUSALS
+            refuses requests that have run.
     """
 
     seed: int
@@ -469,6 +472,7 @@
         inject = {
             Hostile.ANSWERS: self._copy_answers,
             Hostile.ENTRIES: self._write_for_target,
+            Hostile.REFUSALS: self._refuse_unmarked,
         }[kind]
         ends = time.monotonic() + self._plan.seconds
         while time.monotonic() < ends:
@@ -489,11 +493,30 @@
         for proxied in chosen:
             proxied.target.slowness = _SLOW_PERCENT
             proxied.proxy.copies_answer = lambda: copies.random() < share
+            proxied.proxy.crosses_answer = lambda: copies.random() < share
         await self._wait_during_fault(seconds)
         for proxied in chosen:
             proxied.target.slowness = 100
+            proxied.proxy.crosses_answer = _copies_none
             proxied.proxy.copies_answer = _copies_none
 
+    async def _refuse_unmarked(self) -> None:
+        """Makes targets refuse what they have run, as if they had not."""
+        rng = self._hostile_rngs[Hostile.REFUSALS]
+        names = rng.sample(sorted(self._targets), 2)
+        status = rng.choice(sorted(promises.NOT_RUN_STATUSES))
+        seconds = rng.uniform(0.5, 3.0)
+        self._record_fault(
+            f"targets {names} run and refuse with {status}, {seconds:.1f} s"
+        )
+        chosen = [self._targets[name].target for name in names]
+        for target in chosen:
+            target.fault = platform_target.Fault.UNMARKED
+            target.unmarked_status = status
+        await self._wait_during_fault(seconds)
+        for target in chosen:
+            target.fault = platform_target.Fault.NONE
+
     async def _write_for_target(self) -> None:
         """Writes a registration under a target's identifier."""
         rng = self._hostile_rngs[Hostile.ENTRIES]
--- a/packages/mimosastile-standins/src/mimosastile_standins/target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/target.py
@@ -71,6 +71,7 @@
         deadly_crashes: Number of crashes caused by deadly requests.
         executions: All executions in the order of their start.
         observer: Called with each execution as it begins, or None.
+        sheds: Decides for each request whether it is refused as too much.
     """
 
     __slots__ = (
@@ -88,6 +89,7 @@
         "id",
         "observer",
         "service_time",
+        "sheds",
     )
 
     def __init__(
@@ -113,6 +115,7 @@
         self.checks_expiry = checks_orders
         self.deadly_crashes = 0
         self.observer: Callable[[Execution], None] | None = None
+        self.sheds: Callable[[], bool] = _sheds_none
         self.executions: list[Execution] = []
         self._clock_offset = clock_offset
         self._incarnations = 0
@@ -180,6 +183,8 @@
         await self._wait_while_frozen(self._incarnations)
         if self.draining:
             return Outcome(errors.ErrorKind.DRAINING)
+        if self.sheds():
+            return Outcome(errors.ErrorKind.OVERLOADED)
         began, grants_held = self._incarnations, self._holder
         deadly = path.endswith(DEADLY)
         checked_fence = fence if self.checks_orders else None
@@ -252,3 +257,8 @@
         await self._thawed.wait()
         if self._crashed or self._incarnations != incarnation:
             raise CrashedError(self.id)
+
+
+def _sheds_none() -> bool:
+    """Refuses no request as too much."""
+    return False
--- a/tests/standins/test_soak_run.py
+++ b/tests/standins/test_soak_run.py
@@ -13,3 +13,13 @@
     verdict = asyncio.run(soak.run(plan))
     assert verdict.wrong == []
     assert verdict.runs > 500
+
+
+def test_short_hostile_soak(tmp_path):
+    """Guards against promises broken by copied answers and false refusals."""
+    plan = soak.Plan(
+        SEED, 20.0, 4, 4, 10, tmp_path, hostile=frozenset(soak.Hostile)
+    )
+    verdict = asyncio.run(soak.run(plan))
+    assert verdict.wrong == []
+    assert verdict.runs > 500
