Confirm no write by the response to an earlier call

A late copy of the store's response to one write would have confirmed the next one, under another key, and a copied list of VMs would have been taken for the current one. Not seen by users; found by reading for the cause of the copies between callers.

Cause: calls to the platform's services were matched by their place on a reused connection, and these services repeat no identifier. A connection now carries a single call. test_write_is_not_confirmed_by_another failed before.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_client.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_client.py
@@ -90,12 +90,25 @@
         configured: settings.ConnectionSettings,
         tls: Any = True,
         counts: response_matching.ResponseCounts | None = None,
+        *,
+        reuses: bool = True,
     ) -> None:
+        """Initializes a pool without connections.
+
+        Args:
+            limit: Maximum number of open connections, 0 for no limit.
+            configured: Maximum ages and timeouts.
+            tls: TLS context of the client, or True for the default.
+            counts: Counts of responses, shared with other pools.
+            reuses: Whether a connection may carry more than one request.
+        """
         self.limit = limit
         self.in_use = 0
         self.used_at = 0.0
         self.retired = False
-        self.connector = _connections.Connector(limit, configured, tls, counts)
+        self.connector = _connections.Connector(
+            limit, configured, tls, counts, reuses=reuses
+        )
         self.session = aiohttp.ClientSession(
             connector=self.connector,
             auto_decompress=False,
@@ -199,7 +212,9 @@
     async def start(self, kernel: kernel.Kernel) -> None:
         """Opens the session for calls to the platform's services."""
         del kernel
-        self._platform_pool = Pool(0, self._configured)
+        # The platform's services repeat no identifiers, so that a response can
+        # only be matched on a connection that carries a single request.
+        self._platform_pool = Pool(0, self._configured, reuses=False)
 
     async def stop(self) -> None:
         """Closes all connections."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
@@ -93,6 +93,8 @@
         configured: settings.ConnectionSettings,
         ssl: Any = True,
         counts: response_matching.ResponseCounts | None = None,
+        *,
+        reuses: bool = True,
     ) -> None:
         """Initializes a connector without connections.
 
@@ -101,11 +103,13 @@
             configured: Maximum ages and timeouts.
             ssl: TLS context of the client, or True for the default.
             counts: Counts shared with other connectors.
+            reuses: Whether a connection may carry more than one request.
         """
         super().__init__(
             limit=limit,
             ssl=ssl,
-            keepalive_timeout=configured.idle,
+            keepalive_timeout=configured.idle if reuses else None,
+            force_close=not reuses,
             # Hosts are IP addresses: no DNS and no race of address families.
             use_dns_cache=False,
             happy_eyeballs_delay=None,
