Draw slow readers and endless answers in the gateway's soak

Neither the soak nor the fuzz drew callers that read slowly, targets that do, large bodies in chunks, or heads, interim responses and bodies without end, so what bounds them was checked by scripts outside the suite alone.

One kind at a time is injected beside all other faults; the oracle also checks the size of large bodies and each daemon's peak memory against 300 MB. Not shown: that it finds the memory fault on the code before its bounds; bodies of 1 MiB are too small for that.

--- a/packages/mimosastile-standins/src/mimosastile_standins/fault_proxy.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/fault_proxy.py
@@ -42,6 +42,8 @@
             of the answer to the former one comes before its own.
         crosses_answer: Decides whether that copy is of the latest answer on
             any connection.
+        endless: What is sent in answer to each request, and what follows it
+            until the connection is closed; None to forward requests.
         copies: Number of copies sent.
         latest_answer: The latest answer on any connection.
     """
@@ -54,6 +56,7 @@
         "copies",
         "copies_answer",
         "crosses_answer",
+        "endless",
         "fault",
         "latest_answer",
     )
@@ -71,6 +74,7 @@
         self.fault = LinkFault.NONE
         self.copies_answer: Callable[[], bool] = _copies_none
         self.crosses_answer: Callable[[], bool] = _copies_none
+        self.endless: tuple[bytes, bytes] | None = None
         self.copies = 0
         self.latest_answer = b""
 
@@ -198,12 +202,26 @@
             if back:
                 self._answer = self._proxy.latest_answer = chunk
             elif chunk.startswith(_METHODS):
+                if self._proxy.endless is not None:
+                    await self._send_endlessly(*self._proxy.endless)
                 self._copy_answer()
             writer.write(chunk)
             await writer.drain()
         if back not in self._muted and writer.can_write_eof():
             writer.write_eof()
 
+    async def _send_endlessly(self, beginning: bytes, repeated: bytes) -> None:
+        """Writes to the client until it closes the connection.
+
+        Raises:
+            OSError: It has closed the connection.
+        """
+        self._writer.write(beginning)
+        while True:
+            self._writer.write(repeated)
+            await self._writer.drain()
+            await asyncio.sleep(0)
+
     def _copy_answer(self) -> None:
         """Sends the former answer again where the next one is expected."""
         proxy = self._proxy
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -32,6 +32,7 @@
 from mimosastile_standins import platform_store
 from mimosastile_standins import platform_target
 from mimosastile_standins import platform_world
+from mimosastile_standins import soak_bodies
 from mimosastile_standins import soak_daemons
 from mimosastile_standins import soak_lateness
 from mimosastile_standins import soak_notices
@@ -58,6 +59,12 @@
 _OK = 200
 _SLOW_PERCENT = 1500
 """Duration of work while answers are copied, in percent of the usual one."""
+_SLOW_READ_SECONDS = 0.3
+"""Delay of each piece of a body that a target reads slowly."""
+_SLOW_CONNECTIONS = 12
+"""Connections that read or send bodies slowly at the same time."""
+_MAX_MEMORY_MB = 300
+"""Memory limit of a daemon: the platform's default."""
 _FOREIGN_CHANGES: dict[str, dict[str, Any]] = {
     "fields missing": {},
     "other types": {"SeqNo": "x", "ConfigVersion": 7, "WarmupLeftMs": "0"},
@@ -77,6 +84,7 @@
     ANSWERS = "answers"
     ENTRIES = "entries"
     REFUSALS = "refusals"
+    BODIES = "bodies"
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -91,7 +99,8 @@
         out: Folder for settings, logs and the verdict.
         hostile: Additional faults: ANSWERS copies targets' earlier answers,
             ENTRIES writes registrations under their identifiers, REFUSALS
-            refuses requests that have run.
+            refuses requests that have run, BODIES reads and sends bodies
+            slowly or without end.
     """
 
     seed: int
@@ -115,6 +124,7 @@
         runs: Number of requests that targets executed.
         lateness: Delay of changes at VMs that were not disturbed.
         reach: Service at VMs that were partitioned from all targets.
+        peak_memory_mb: Largest resident memory of a daemon.
     """
 
     seed: int
@@ -125,6 +135,7 @@
     runs: int
     lateness: soak_lateness.Lateness
     reach: soak_reach.Reach
+    peak_memory_mb: int
 
 
 class _ProxiedTarget:
@@ -156,6 +167,7 @@
         "_last_fault_at",
         "_lateness",
         "_oracle",
+        "_peak_memory_mb",
         "_plan",
         "_pool",
         "_probes",
@@ -200,6 +212,7 @@
         self._last_fault_at = float("-inf")
         self._started_at = 0.0
         self._stopping = False
+        self._peak_memory_mb = 0.0
 
     async def run(self) -> Verdict:
         """Executes the plan and returns the verdict."""
@@ -312,6 +325,10 @@
                 misses[daemon.name] = 0 if ready else misses[daemon.name] + 1
             healthy = [d for d in self._daemons if misses[d.name] < 2]
             self._in_rotation = healthy or list(self._daemons)
+            self._peak_memory_mb = max(
+                self._peak_memory_mb,
+                *(daemon.peak_memory_mb() for daemon in self._daemons),
+            )
             await asyncio.sleep(1.0)
 
     async def _check_owners(self) -> None:
@@ -400,15 +417,17 @@
             return None
         except (http_client.ResponseLostError, TimeoutError):
             pass
+        text = body_received.rstrip(b"\0")
         return soak_oracle.Outcome(
             attempt,
             repeatable,
             began,
             daemon.name,
             status,
-            body_received,
+            text,
             echoed,
             self._must_respond(daemon, began),
+            len(body_received) - len(text),
         )
 
     def _record_feedback(
@@ -473,6 +492,7 @@
             Hostile.ANSWERS: self._copy_answers,
             Hostile.ENTRIES: self._write_for_target,
             Hostile.REFUSALS: self._refuse_unmarked,
+            Hostile.BODIES: self._hold_bodies,
         }[kind]
         ends = time.monotonic() + self._plan.seconds
         while time.monotonic() < ends:
@@ -500,6 +520,42 @@
             proxied.proxy.crosses_answer = _copies_none
             proxied.proxy.copies_answer = _copies_none
 
+    async def _hold_bodies(self) -> None:
+        """Makes callers and targets slow or endless; one kind at a time."""
+        rng = self._hostile_rngs[Hostile.BODIES]
+        seconds = rng.uniform(1.0, 3.0)
+        kind = rng.choice(("callers", "targets", *soak_bodies.ENDLESS_KINDS))
+        self._record_fault(f"{kind} slow or endless, {seconds:.1f} s")
+        chosen = [
+            self._targets[name] for name in rng.sample(sorted(self._targets), 2)
+        ]
+        for proxied in chosen:
+            proxied.target.padding_bytes = soak_bodies.BODY_BYTES
+            if kind == "targets":
+                proxied.proxy.set_fault(
+                    fault_proxy.LinkFault.DELAY, _SLOW_READ_SECONDS
+                )
+            elif kind != "callers":
+                proxied.proxy.endless = soak_bodies.endless(kind)
+        work = (
+            soak_bodies.send_slowly
+            if kind == "targets"
+            else soak_bodies.read_slowly
+        )
+        addresses = [d.callers_address for d in self._daemons]
+        await asyncio.gather(
+            self._wait_during_fault(seconds),
+            *(
+                work(rng.choice(addresses), seconds, rng)
+                for _ in range(_SLOW_CONNECTIONS)
+            ),
+        )
+        for proxied in chosen:
+            proxied.target.padding_bytes = 0
+            proxied.proxy.endless = None
+            if kind == "targets":
+                proxied.proxy.set_fault(fault_proxy.LinkFault.NONE)
+
     async def _refuse_unmarked(self) -> None:
         """Makes targets refuse what they have run, as if they had not."""
         rng = self._hostile_rngs[Hostile.REFUSALS]
@@ -832,6 +888,10 @@
             for daemon in self._daemons
             if daemon.unexpected_exits
         )
+        if self._peak_memory_mb > _MAX_MEMORY_MB:
+            oracle.violations.append(
+                f"a daemon held {self._peak_memory_mb:.0f} MB"
+            )
         counts = collections.Counter(str(o.status) for o in oracle.outcomes)
         return Verdict(
             self._plan.seed,
@@ -842,6 +902,7 @@
             len(oracle.runs),
             self._lateness.report(),
             self._reach.report(oracle.outcomes),
+            round(self._peak_memory_mb),
         )
 
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_daemons.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_daemons.py
@@ -184,6 +184,17 @@
             self.signalled_at = time.monotonic()
             process.kill()
 
+    def peak_memory_mb(self) -> float:
+        """Returns the largest resident memory of the process; 0 if it ended."""
+        if self._process is None or self._process.returncode is not None:
+            return 0.0
+        status = pathlib.Path(f"/proc/{self._process.pid}/status")
+        with contextlib.suppress(OSError):
+            for line in status.read_text(encoding="ascii").splitlines():
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
     async def stop(self) -> None:
         """Kills the process and does not restart it."""
         self._keep_running = False
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_oracle.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_oracle.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from mimosastile_standins import platform_target
+from mimosastile_standins import soak_bodies
 
 _REFUSALS = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that the request was and will not be executed."""
@@ -21,7 +22,8 @@
         at: Time at which the request was sent.
         vm: VM that received the request.
         status: Status of the response, 0 without a response.
-        body: Body of the response.
+        body: Body of the response without the zeros at its end.
+        padding_bytes: Number of these zeros.
         echoed: Attempt identifier in the response header.
         planned: Whether the VM must respond, as it was stopping as planned
             without any other fault.
@@ -35,6 +37,7 @@
     body: bytes = b""
     echoed: str = ""
     planned: bool = False
+    padding_bytes: int = 0
 
 
 class SoakOracle:
@@ -120,8 +123,12 @@
 
     def _check_response(self, outcome: Outcome) -> None:
         own = outcome.body.endswith(f" ran {outcome.attempt}".encode())
-        if not own or outcome.echoed not in ("", outcome.attempt):
-            self._add_violation(outcome, f"got {outcome.body[:80]!r}")
+        whole = outcome.padding_bytes in (0, soak_bodies.BODY_BYTES)
+        if not (own and whole) or outcome.echoed not in ("", outcome.attempt):
+            self._add_violation(
+                outcome,
+                f"got {outcome.body[:80]!r} and {outcome.padding_bytes} zeros",
+            )
 
     def _add_violation(self, outcome: Outcome, problem: str) -> None:
         self.violations.append(f"{outcome.attempt} at {outcome.vm} {problem}")
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -6,6 +6,7 @@
 
 from mimosastile_standins import fault_proxy
 from mimosastile_standins import platform_target
+from mimosastile_standins import soak_bodies
 from mimosastile_standins import soak_oracle
 
 FAULTS = fault_proxy.LinkFault
@@ -178,6 +179,33 @@
 
         asyncio.run(main())
 
+    @pytest.mark.parametrize("kind", soak_bodies.ENDLESS_KINDS)
+    def test_endless_answer(self, kind):
+        """Bytes follow each other until the client closes the connection."""
+
+        async def main():
+            forwarded = []
+
+            async def answer(reader, writer):
+                forwarded.append(await reader.read())
+                writer.close()
+
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            proxy = fault_proxy.FaultProxy(f"{host}:{port}")
+            proxy.endless = soak_bodies.endless(kind)
+            host, _, port = (await proxy.start()).rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            async with asyncio.timeout(5.0):
+                await reader.readexactly(1 << 20)
+            writer.close()
+            await proxy.stop()
+            server.close()
+            assert not any(forwarded)
+
+        asyncio.run(main())
+
     async def _exchange(self, reader, writer):
         """Returns the response, empty at the end, None on a timeout."""
         try:
