--- a/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
@@ -66,7 +66,10 @@
                 message.headers.getall(_wire.SEND_ID, ())
             )
             if not self.history.reusable:
-                self._connector.count_unidentified()
+                transport = self.transport
+                self._connector.count_unidentified(
+                    transport and transport.get_extra_info("peername")
+                )
                 self.force_close()
             if match is response_matching.Match.OWN:
                 return message, payload
@@ -126,14 +129,19 @@
         self._has_warned = False
         self.counts = counts or response_matching.ResponseCounts()
 
-    def count_unidentified(self) -> None:
-        """Counts a response without an identifier; logs the first one."""
+    def count_unidentified(self, peer: object) -> None:
+        """Counts a response without an identifier; logs the first one.
+
+        Args:
+            peer: Address of the server that sent it.
+        """
         self.counts.unidentified += 1
         if not self._has_warned:
             self._has_warned = True
             logging.warning(
-                "%s responses without %s: connections are not reused.",
+                "%s %s responds without %s; its connections are not reused.",
                 _PREFIX,
+                peer,
                 _wire.SEND_ID,
             )
 
--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -247,7 +247,7 @@
         assert found[1] in ((kind,) if kind else _UNKNOWN_KINDS)
         assert counts.unmatched or found[1] is errors.ErrorKind.ANSWER_BROKEN
 
-    def test_target_that_repeats_no_identifiers(self):
+    def test_target_that_repeats_no_identifiers(self, caplog):
         """Guards against reuse of connections that nothing could match."""
 
         def reply(peer, number):
@@ -256,6 +256,9 @@
         found, peer, counts = _send_all(reply, 4)
         assert found == [b"0", b"1", b"2", b"3"]
         assert peer.connections == counts.unidentified == 4
+        lines = [r.getMessage() for r in caplog.records]
+        assert sum("responds without" in line for line in lines) == 1
+        assert f"{peer.port}" in "".join(lines)
 
     def test_bytes_after_a_response(self):
         """Guards against a second response that arrives on its own."""
