--- a/packages/mimosastile-core/src/mimosastile_core/response_matching.py
+++ b/packages/mimosastile-core/src/mimosastile_core/response_matching.py
@@ -61,7 +61,7 @@
         if not self._expected:
             return Match.OWN
         if identifiers:
-            own = all(found == self._expected for found in identifiers)
+            own = set(identifiers) == {self._expected}
             return Match.OWN if own else Match.FOREIGN
         self._identified = False
         return Match.OWN if self._sends == 1 else Match.UNKNOWN
--- a/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
@@ -13,7 +13,6 @@
 from aiohttp import hdrs
 from aiohttp import http_parser
 from aiohttp import streams
-import multidict
 
 from mimosastile_core import response_matching
 from mimosastile_entry import _wire
@@ -23,7 +22,6 @@
 _KEEPALIVE_PROBES = 3
 _OPENED = "mimosastile_opened"
 """Attribute of a connection's protocol with the loop time of its opening."""
-_SEND_ID = multidict.istr(_wire.SEND_ID)
 _FIRST_FINAL_STATUS = 200
 """Responses with a lower status are interim: another one follows."""
 
@@ -64,7 +62,9 @@
             message, payload = await super().read()
             if message.code < _FIRST_FINAL_STATUS:
                 return message, payload
-            match = self.history.match(message.headers.getall(_SEND_ID, ()))
+            match = self.history.match(
+                message.headers.getall(_wire.SEND_ID, ())
+            )
             if not self.history.reusable:
                 transport = self.transport
                 self._connector.count_unidentified(
@@ -179,7 +179,7 @@
             if opened == now or self._is_reusable(
                 protocol, now - opened, opened
             ):
-                protocol.history.begin(req.headers.get(_SEND_ID, ""))
+                protocol.history.begin(req.headers.get(_wire.SEND_ID, ""))
                 return connection
             connection.close()
 
