Stop copies of answers in one place

The proxy and the soak each had a function that copies none, and the soak set both of the proxy's decisions by hand. The soak of copies reset them once more before its report, with nothing awaited in between.

--- a/packages/mimosastile-standins/src/mimosastile_standins/fault_proxy.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/fault_proxy.py
@@ -100,6 +100,10 @@
                 pair.reset()
             await asyncio.sleep(_STOP_POLL_SECONDS)
 
+    def stop_copies(self) -> None:
+        """Sends no more copies of answers."""
+        self.copies_answer = self.crosses_answer = _copies_none
+
     def set_fault(self, fault: LinkFault, delay: float = 0.0) -> None:
         """Sets the fault of the link.
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -516,8 +516,7 @@
         await self._wait_during_fault(seconds)
         for proxied in chosen:
             proxied.target.slowness = 100
-            proxied.proxy.crosses_answer = _copies_none
-            proxied.proxy.copies_answer = _copies_none
+            proxied.proxy.stop_copies()
 
     async def _hold_bodies(self) -> None:
         """Makes callers and targets slow or endless; one kind at a time."""
@@ -905,11 +904,6 @@
         )
 
 
-def _copies_none() -> bool:
-    """Copies no answers."""
-    return False
-
-
 async def run(plan: Plan) -> Verdict:
     """Executes a soak and writes its verdict next to its logs.
 
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_copies.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_copies.py
@@ -111,8 +111,6 @@
         began = loop.time()
         answers = await _send_all(parts, requests, generator)
         seconds = loop.time() - began
-        for proxy in parts.proxies.values():
-            proxy.copies_answer = lambda: False
         runs = collections.Counter(
             execution.path
             for target in parts.targets.values()
