--- a/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
@@ -81,6 +81,8 @@
         leader: The leader, None if none is recorded.
         leader_since: Time at which the leader was recorded, on the clock that
             keeps running while the machine is suspended.
+        vm_zones: Zones of entry VMs by address, also of those that are not in
+            `vms`.
         vms: Entry VMs as last read from the store.
         eligibility: Decides by region and zone which targets may run a
             request.
@@ -129,6 +131,7 @@
         "shares",
         "store_ok",
         "store_since",
+        "vm_zones",
         "vms",
     )
 
@@ -171,6 +174,7 @@
         self.configuration_freshness = freshness.Freshness()
         self.leader: leadership.LeaderEntry | None = None
         self.leader_since = 0.0
+        self.vm_zones: dict[str, str] = {}
         self.vms: dict[str, messages.VmEntry] = {}
         self.store_ok = False
         self._store_failed_at = -math.inf
@@ -360,7 +364,7 @@
 
     def read_vms(self, items: Iterable[ports.Item]) -> list[messages.VmEntry]:
         """Decodes VM entries; logs and skips those that are malformed."""
-        vms = []
+        vms: list[messages.VmEntry] = []
         for item in items:
             try:
                 vms.append(
@@ -370,6 +374,7 @@
                 self._events.write(
                     "peers", "entry_unreadable", key=item.key, why=str(error)
                 )
+        self.vm_zones.update((vm.address, vm.zone) for vm in vms)
         return vms
 
     def apply_target(self, target: directory.Target) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -37,6 +37,7 @@
 from mimosastile_gateway import retry_budgets
 from mimosastile_gateway import settings
 from mimosastile_gateway import store_watching
+from mimosastile_gateway import traffic
 from mimosastile_gateway import wait_queues
 
 _MAINTENANCE_SECONDS = 1.0
@@ -117,6 +118,7 @@
         "_balancer",
         "_settings",
         "_stopping",
+        "_traffic",
         "_maintenance",
         "_watcher",
         "callers_address",
@@ -150,7 +152,9 @@
         # ones, and if requests had taken those of orders, the renewals of its
         # grants would fail.
         self._order_pool = make_pool(configured.requests.silent)
-        self._metrics = metrics.Metrics(self._events.counts, self._pool.traffic)
+        self._traffic = traffic.Traffic()
+        self._traffic.region_of = self._region_of
+        self._metrics = metrics.Metrics(self._events.counts, self._traffic)
         self._cluster = cluster_state.ClusterState(
             configured, self._clock, self._events
         )
@@ -173,6 +177,7 @@
         for pool in (self._pool, self._order_pool):
             pool.on_attempt = self._reach_monitor.record_attempt
             pool.on_response = self._reach_monitor.record_response
+            pool.traffic = self._traffic
         self._leader_role = leader_role.LeaderRole(
             configured,
             boot,
@@ -490,17 +495,20 @@
             self._balancer.retain(targets)
 
     def _log_traffic(self) -> None:
-        """Logs the bytes of the gateway's own calls since the start."""
-        counted = self._pool.traffic
-        self._events.write(
-            "daemon",
-            "traffic",
-            paths={
-                path: (sent, counted[path, "received"])
-                for (path, direction), sent in counted.items()
-                if direction == "sent"
-            },
-        )
+        """Logs the bytes sent and received since the start."""
+        counts = self._traffic.counts
+        regions: dict[str, dict[str, dict[str, int]]] = {}
+        for series, size in counts.items():
+            purposes = regions.setdefault(series.region, {})
+            purposes.setdefault(series.purpose, {})[series.direction] = size
+        self._events.write("daemon", "traffic", regions=regions)
+
+    def _region_of(self, address: str) -> str:
+        """Returns the region of a target or VM, for the count of bytes."""
+        zone = self._reach_monitor.zone_of(address)
+        if zone is None:
+            zone = self._cluster.vm_zones.get(address, "")
+        return self._settings.vm.regions.get(zone, traffic.UNKNOWN_REGION)
 
     # Handlers of the HTTP servers.
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
@@ -315,6 +315,7 @@
     def take(self, report: messages.Report) -> None:
         """Stores a VM's report."""
         now = self._clock.now()
+        self._cluster.vm_zones[report.vm.address] = report.vm.zone
         vm = self._vms.get(report.vm.id)
         if vm is None:
             vm = self._vms[report.vm.id] = _Vm(report, now)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -210,7 +210,8 @@
                 errors.ErrorKind.NO_TARGET, f"Service {name} is not configured."
             )
         call = self._make_call(incoming, route, service)
-        call.version = configuration.version
+        call.version = call.read_version = configuration.version
+        call.read_version_age = _round_age(self._cluster.configuration_age)
         return result.Ok(call)
 
     def _configuration_is_current(self) -> bool:
@@ -421,6 +422,7 @@
             entry.status.value if entry else "",
             round(now - entry.since, 3) if entry else 0.0,
             _round_age(self._cluster.registrations_age),
+            self._cluster.version,
             _round_age(self._cluster.configuration_age),
         )
 
@@ -756,6 +758,8 @@
             sends=call.send_count,
             took_ms=_to_milliseconds(elapsed),
             configuration=call.version,
+            read_configuration=call.read_version,
+            read_configuration_age=call.read_version_age,
             basis=call.basis,
         )
 
@@ -794,6 +798,8 @@
             retry_after=failure.wait,
             configuration=configuration.version if configuration else None,
             configuration_age=_round_age(self._cluster.configuration_age),
+            read_configuration=call.read_version if call else None,
+            read_configuration_age=call.read_version_age if call else None,
         )
         headers: list[tuple[bytes, bytes]] = [
             (b"content-type", b"text/plain; charset=utf-8")
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -15,7 +15,6 @@
 from collections.abc import AsyncGenerator
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import socket
@@ -26,6 +25,7 @@
 from mimosastile_core.gateway import body_buffer
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import reachability
+from mimosastile_gateway import traffic
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -176,6 +176,7 @@
         on_response: Called with the address for the head of each response.
         on_unmatched: Called for each response that belongs to no pending
             request.
+        traffic: Counts the bytes of the connection.
     """
 
     __slots__ = (
@@ -198,6 +199,8 @@
         "_response",
         "_reuse_seconds",
         "_sending_bytes",
+        "_received",
+        "_sent",
         "_served",
         "_transport",
         "_unsent",
@@ -206,6 +209,7 @@
         "held",
         "on_response",
         "on_unmatched",
+        "traffic",
     )
 
     def __init__(self, address: str) -> None:
@@ -241,6 +245,8 @@
         self._idle_since = 0.0
         self._reuse_seconds = float("inf")
         self.held = held_bytes.HeldBytes()
+        self.traffic = traffic.Traffic()
+        self.set_purpose(traffic.REQUESTS)
         self.on_response: Callable[[str], None] = _ignore_response
         self.on_unmatched: Callable[[], None] = _ignore_unmatched
 
@@ -249,6 +255,18 @@
         """Whether another request may be sent."""
         return not self._closing and self._response is None
 
+    def set_purpose(
+        self, purpose: str, region: str = traffic.UNKNOWN_REGION
+    ) -> None:
+        """Sets what the bytes from now on are counted as.
+
+        Args:
+            purpose: `traffic.REQUESTS`, or the purpose of an own call.
+            region: Region of the remote end.
+        """
+        self._sent = traffic.Series(purpose, traffic.SENT, region)
+        self._received = traffic.Series(purpose, traffic.RECEIVED, region)
+
     def idle_seconds(self, now: float) -> float:
         """Returns for how many seconds the connection has been idle."""
         return now - self._idle_since
@@ -412,6 +430,7 @@
         self, transport: asyncio.Transport, data: bytes | memoryview
     ) -> None:
         transport.write(data)
+        self.traffic.add(self._sent, len(data))
         self._count_sending()
 
     def _write_body(self) -> None:
@@ -474,6 +493,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
+        self.traffic.add(self._received, len(data))
         if self._response is None:
             # No request is pending: a second or late response.
             self.on_unmatched()
@@ -633,17 +653,18 @@
         on_attempt: Called with the address, the outcome and the duration in
             seconds of each attempt to open a connection.
         on_response: Called with the address for the head of each response.
+        traffic: Counts the bytes of all connections.
     """
 
     __slots__ = (
         "_idle",
         "_opened",
         "_silent_timeout_ms",
-        "_traffic",
         "_unmatched",
         "held",
         "on_attempt",
         "on_response",
+        "traffic",
     )
 
     def __init__(self, silent_timeout: float) -> None:
@@ -663,29 +684,7 @@
             _ignore_attempt
         )
         self.on_response: Callable[[str], None] = _ignore_response
-        self._traffic: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
-
-    @property
-    def traffic(self) -> Mapping[tuple[str, str], int]:
-        """Bytes of the gateway's own calls by path and `sent` or `received`."""
-        return self._traffic
-
-    def count_bytes(self, path: str, sent: int, received: int) -> None:
-        """Counts the bytes of a call.
-
-        Args:
-            path: Path of the call, with or without a query.
-            sent: Bytes of the request.
-            received: Bytes of the response's body.
-        """
-        label = path.partition("?")[0]
-        if label.count("/") > 1:
-            # The second segment is an identifier.
-            label = label[: label.index("/", 1)]
-        self._traffic[label, "sent"] += sent
-        self._traffic[label, "received"] += received
+        self.traffic = traffic.Traffic()
 
     @property
     def opened(self) -> int:
@@ -722,7 +721,12 @@
         """
         now = asyncio.get_running_loop().time()
         connection = self._take_idle(address, idle, now, echo)
-        return connection or await self._open(address, timeout)
+        if connection is None:
+            connection = await self._open(address, timeout)
+        connection.set_purpose(
+            traffic.REQUESTS, self.traffic.region_of(address)
+        )
+        return connection
 
     def _take_idle(
         self, address: str, idle: float, now: float, echo: Echo | None
@@ -839,13 +843,15 @@
                 else reachability.Outcome.REFUSED
             )
             self.on_attempt(address, outcome, loop.time() - began)
+            why = f"no connection in {timeout:g} s" if timed_out else str(error)
             raise NotSentError(
-                f"{address}: {error or 'timeout'}", hung=timed_out
+                f"{address}: {why or type(error).__name__}", hung=timed_out
             ) from error
         self._opened += 1
         connection.on_response = self.on_response
         connection.on_unmatched = self.count_unmatched
         connection.held = self.held
+        connection.traffic = self.traffic
         seconds = loop.time() - began
         self.on_attempt(address, reachability.Outcome.CONNECTED, seconds)
         connection.detect_dead_peer(self._silent_timeout_ms)
@@ -952,10 +958,13 @@
         if new_connection
         else await pool.connect(address, idle, connect)
     )
-    sent = request(address, method, path, body, headers)
-    pool.count_bytes(path, len(sent), 0)
+    connection.set_purpose(
+        traffic.purpose(path), pool.traffic.region_of(address)
+    )
     try:
-        response = connection.start(sent, echo)
+        response = connection.start(
+            request(address, method, path, body, headers), echo
+        )
         async with asyncio.timeout(timeout):
             await connection.receive_whole(response, most)
     except TimeoutError:
@@ -974,7 +983,6 @@
             " request"
         )
     pool.release(connection, address)
-    pool.count_bytes(path, 0, len(complete.body))
     return complete
 
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/metrics.py
@@ -5,8 +5,10 @@
 from collections.abc import Mapping
 
 from hdrh import histogram
+import msgspec
 
 from mimosastile_core.gateway import retry_budget
+from mimosastile_gateway import traffic
 
 _MAX_MS = 600_000
 _SIGNIFICANT_DIGITS = 2
@@ -30,15 +32,15 @@
     def __init__(
         self,
         event_counts: Mapping[tuple[str, str], int] | None = None,
-        traffic: Mapping[tuple[str, str], int] | None = None,
+        counted: traffic.Traffic | None = None,
     ) -> None:
         """Creates empty metrics.
 
         Args:
             event_counts: The event log's counts by part and event.
-            traffic: Bytes of the gateway's own calls by path and direction.
+            counted: Bytes of connections.
         """
-        self._traffic = traffic if traffic is not None else {}
+        self._traffic = counted or traffic.Traffic()
         self._event_counts = event_counts if event_counts is not None else {}
         self._counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -110,10 +112,15 @@
         yield f"# TYPE {name} counter"
         for (part, event), count in sorted(self._event_counts.items()):
             yield f'{name}{{part="{part}",event="{event}"}} {count}'
-        name = "mimosastile_call_bytes_total"
+        name = "mimosastile_bytes_total"
         yield f"# TYPE {name} counter"
-        for (path, direction), count in sorted(self._traffic.items()):
-            yield f'{name}{{path="{path}",direction="{direction}"}} {count}'
+        counts = self._traffic.counts
+        for series in sorted(counts, key=msgspec.structs.astuple):
+            labels = ",".join(
+                f'{label}="{value}"'
+                for label, value in msgspec.structs.asdict(series).items()
+            )
+            yield f"{name}{{{labels}}} {counts[series]}"
         name = "mimosastile_rejected_registrations_total"
         yield f"# TYPE {name} counter"
         for reason, count in sorted(self._rejected.items()):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -24,12 +24,15 @@
         status_age: Longest time in seconds that the target may have had it.
         registrations_age: Seconds since the view of the registrations was
             certainly complete, None if it never was.
-        configuration_age: The same for the configuration.
+        configuration: Version of the configuration that the VM had.
+        configuration_age: Seconds since it was certainly the newest, None if
+            that is unknown.
     """
 
     status: str = msgspec.field(name="standing")
     status_age: float = msgspec.field(name="standing_age")
     registrations_age: float | None
+    configuration: int
     configuration_age: float | None
 
 
@@ -71,6 +74,9 @@
         prior_retry_seconds: How long the caller had been retrying before.
         unreachable_count: How often the target was unreachable.
         version: Version of the configuration that was applied.
+        read_version: Version that the VM had when it read the request.
+        read_version_age: Seconds for which that may not have been the newest
+            by then, None if unknown.
         found: Requests of all VMs at the last target when it was sent, itself
             included, as counted by this VM or its gate; 0 if unknown.
         gated: Whether the last target's gate admitted it.
@@ -104,6 +110,8 @@
         "tried_peers",
         "tried_targets",
         "prior_retry_seconds",
+        "read_version",
+        "read_version_age",
         "unreachable_count",
         "version",
         "found",
@@ -137,6 +145,8 @@
         self.reject_count = 0
         self.unreachable_count = 0
         self.version = -1
+        self.read_version = -1
+        self.read_version_age: float | None = None
         self.maybe_ran = False
         self.retry_due = False
         self.found = 0
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -325,6 +325,11 @@
                 self._pool.close_idle(target.address)
         await self._attempt(self._shuffled_targets(service)[:1])
 
+    def zone_of(self, address: str) -> str | None:
+        """Returns the zone of the target at an address, None for no target."""
+        target = self._target_at(address)
+        return target.zone if target else None
+
     def _target_at(self, address: str) -> directory.Target | None:
         """Returns the target at an address, None for the store and peers."""
         if self._outdated:
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -613,3 +613,17 @@
             assert seen == attempts
 
         virtual.run(main())
+
+    def test_reason_of_a_timeout(self, monkeypatch):
+        """Guards against failed calls that are logged without a reason."""
+
+        async def never(*_):
+            await asyncio.Event().wait()
+
+        async def main():
+            loop = asyncio.get_running_loop()
+            monkeypatch.setattr(loop, "create_connection", never)
+            with pytest.raises(http_client.NotSentError, match=r"in 0\.3 s"):
+                await http_client.Pool(2.0).connect("127.0.0.1:1", 0.0, 0.3)
+
+        virtual.run(main())
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -5,9 +5,11 @@
 import pathlib
 import re
 
+import pytest
+
 from mimosastile_gateway import events
-from mimosastile_gateway import http_client
 from mimosastile_gateway import metrics
+from mimosastile_gateway import traffic
 from mimosastile_standins import platform_world
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
@@ -33,17 +35,25 @@
         assert 'route="reads",outcome="passed"} 1' in text
         assert 'outcome="passed",quantile="0.5"} 20' in text
 
-    def test_bytes_of_calls(self):
-        """Bytes of calls are counted by path without query and identifier."""
-        pool = http_client.Pool(1.0)
-        exposed = metrics.Metrics({}, pool.traffic)
-        pool.count_bytes("/watch?after=7", 100, 0)
-        pool.count_bytes("/watch?after=8", 100, 50)
-        pool.count_bytes("/keep/71", 10, 0)
-        text = exposed.text()
-        assert 'path="/watch",direction="sent"} 200' in text
-        assert 'path="/watch",direction="received"} 50' in text
-        assert 'path="/keep",direction="sent"} 10' in text
+    @pytest.mark.parametrize(
+        ("path", "purpose"),
+        [
+            ("/watch?after=7", "/watch"),
+            ("/keep/71", "/keep"),
+            ("/report", "/report"),
+        ],
+    )
+    def test_bytes(self, path, purpose):
+        """Bytes are counted by path without query and identifier."""
+        counted = traffic.Traffic()
+        exposed = metrics.Metrics({}, counted)
+        for size in (100, 50):
+            counted.add(
+                traffic.Series(traffic.purpose(path), traffic.SENT, "far"),
+                size,
+            )
+        labels = f'purpose="{purpose}",direction="sent",region="far"'
+        assert f"mimosastile_bytes_total{{{labels}}} 150" in exposed.text()
 
     def test_rejected_registrations(self):
         """Registrations that name no target are counted by reason."""
