--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -548,15 +548,18 @@
                 return target
         return None
 
-    def write_configuration(self, version, extra=0):
+    def write_configuration(self, version, extra=0, added=(), connections=120):
         """Writes a configuration as an operator would; returns when.
 
         Args:
             version: Version of the configuration.
             extra: Number of routes in addition to those to the two services;
                 all of them are new in each version.
+            added: Name, service, prefix and options of each further route.
+            connections: Connections that a target without keys takes.
         """
         rules = [(name, name, f"/{name}/") for name in (KEYED, PLAIN)]
+        rules += [tuple(arguments) for arguments in added]
         rules += [
             (f"e{version}-{number}", PLAIN, f"/e{version}-{number}/")
             for number in range(extra)
@@ -571,7 +574,7 @@
             ],
             "ClusterList": [
                 {"Name": KEYED, "Sharded": True},
-                {"Name": PLAIN},
+                {"Name": PLAIN, "MaxConnections": connections},
             ],
         }
         return self.store.put("op/config", msgspec.json.encode(written))
@@ -675,15 +678,16 @@
         return answer
 
 
-def _rule(name, service, prefix):
+def _rule(name, service, prefix, timeout_ms=2000, homes=()):
     return {
         "Name": name,
         "RouteKind": "idempotent",
         "MatchCriteria": {"Prefix": prefix},
         "RouteAction": {
             "ServiceName": service,
-            "TimeoutMs": 2000,
+            "TimeoutMs": timeout_ms,
             "MaxAttempts": 2,
+            "AllowedRegions": list(homes),
         },
         "TargetLatencyMs": 400,
     }
--- /dev/null
+++ b/tests/gateway/test_slow_connections.py
@@ -0,0 +1,135 @@
+"""Connections that open more slowly than a call waits for them."""
+
+import asyncio
+import itertools
+
+import pytest
+import result
+
+from mimosastile_gateway import http_client
+from mimosastile_gateway import peer_calls
+from mimosastile_gateway import settings
+from mimosastile_platform import store
+from mimosastile_standins import virtual
+from tests.gateway import fakes
+
+ADDRESS = "127.0.0.1:1"
+_PAUSE_SECONDS = 0.3
+"""Pause between two calls."""
+
+
+class _Transport(asyncio.Transport):
+    """A transport that responds to each request at once."""
+
+    def __init__(self, protocol):
+        super().__init__()
+        self._protocol = protocol
+        self.closed = False
+
+    def write(self, data):
+        """Responds to a request."""
+        body = b'{"Key": "k", "Revision": 1}'
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        asyncio.get_running_loop().call_soon(
+            self._protocol.data_received, response + body
+        )
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        """Ignores the limits."""
+
+    def get_write_buffer_size(self):
+        """Returns that nothing is buffered."""
+        return 0
+
+    def is_closing(self):
+        """Whether the transport was closed."""
+        return self.closed
+
+    def close(self):
+        """Closes the transport."""
+        self.closed = True
+
+    def abort(self):
+        """Closes the transport."""
+        self.closed = True
+
+
+class _Network:
+    """Opens connections after given times.
+
+    Attributes:
+        opening: Attempts that have not ended.
+        transports: Transports of the connections that were opened.
+    """
+
+    def __init__(self, monkeypatch, seconds):
+        self._seconds = iter(seconds)
+        self.opening = 0
+        self.transports = []
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "create_connection", self._connect)
+
+    async def _connect(self, make_protocol, host, port):
+        protocol = make_protocol()
+        self.opening += 1
+        try:
+            seconds = next(self._seconds)
+            if seconds is None:
+                raise ConnectionRefusedError
+            await asyncio.sleep(seconds)
+        finally:
+            self.opening -= 1
+        transport = _Transport(protocol)
+        protocol.connection_made(transport)
+        self.transports.append(transport)
+        return transport, protocol
+
+
+async def _call_store(pool):
+    """Reads a key of the store; returns whether it responded."""
+    configured = settings.StoreSettings(address=ADDRESS)
+    read = await store.StoreClient(pool, configured).read("k")
+    return isinstance(read, result.Ok)
+
+
+async def _call_peer(pool):
+    """Calls a peer; returns whether it responded."""
+    calls = peer_calls.PeerCalls(pool, fakes.MemoryEvents())
+    return await calls.call(ADDRESS, "/report", b"{}", 0.4) is not None
+
+
+async def _reached(pool, call, tries):
+    """Makes calls until one gets a response; returns how many failed."""
+    for failed in range(tries):
+        if await call(pool):
+            return failed
+        await asyncio.sleep(_PAUSE_SECONDS)
+    raise AssertionError(f"no response to {tries} calls")
+
+
+_CALLS = pytest.mark.parametrize("call", [_call_store, _call_peer])
+
+
+class TestSlowLink:
+    """A link on which a round trip takes longer than a call waits."""
+
+    @_CALLS
+    @pytest.mark.parametrize("seconds", [0.7, 1.0, 1.7, 2.5])
+    def test_reached(self, monkeypatch, call, seconds):
+        """Guards against VMs that never reach a remote end over a full link."""
+
+        async def main():
+            network = _Network(monkeypatch, itertools.repeat(seconds))
+            pool = http_client.Pool(2.0)
+            await _reached(pool, call, 6)
+            assert virtual.now() < seconds + 1.0
+            # Further calls use that connection.
+            opened = len(network.transports)
+            assert await _reached(pool, call, 1) == 0
+            pool.close()
+            await asyncio.sleep(4.0)
+            assert network.opening == 0
+            assert len(network.transports) - opened <= 3
+            assert all(transport.closed for transport in network.transports)
+
+        virtual.run(main())
