Let attempts to connect outlast the call that began them

Cause: a call to the store gave up its attempt to connect after 0.6 s, one to a VM after 0.3 s, and the next call began again. Over a link whose round trip takes longer, no connection ever opened, and a gap in the load was used only by calls that happened to begin in it.

Now an attempt goes on for up to 3.5 s and its connection serves the next call. How long a call waits, and so how soon a VM turns elsewhere, is unchanged. At most 64 attempts go on at a time.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -25,6 +25,7 @@
 from mimosastile_core.gateway import body_buffer
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import reachability
+from mimosastile_gateway import connection_attempts
 from mimosastile_gateway import traffic
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -471,6 +472,7 @@
         """Stores the transport of the open connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._idle_since = self._loop.time()
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
 
     def pause_writing(self) -> None:
@@ -657,6 +659,7 @@
     """
 
     __slots__ = (
+        "_attempts",
         "_idle",
         "_opened",
         "_silent_timeout_ms",
@@ -675,6 +678,9 @@
                 kernel ends a connection. Without it, a dead connection would
                 look like a slow target for minutes.
         """
+        self._attempts = connection_attempts.ConnectionAttempts(
+            self._open, self.release
+        )
         self._idle: dict[str, list[Connection]] = {}
         self._opened = 0
         self._unmatched = 0
@@ -706,6 +712,8 @@
         idle: float,
         timeout: float,
         echo: Echo | None = None,
+        *,
+        keep_connecting: bool = False,
     ) -> Connection:
         """Returns an idle connection or a new one.
 
@@ -715,13 +723,17 @@
             timeout: Connect timeout in seconds for a new one.
             echo: Echo of the request that the connection is for. One on which
                 the same request has failed is not used.
+            keep_connecting: Whether an attempt goes on after the timeout, for
+                the next request to the address.
 
         Raises:
             NotSentError: No connection could be opened.
         """
         now = asyncio.get_running_loop().time()
         connection = self._take_idle(address, idle, now, echo)
-        if connection is None:
+        if connection is None and keep_connecting:
+            connection = await self._open_for_next(address, timeout)
+        elif connection is None:
             connection = await self._open(address, timeout)
         connection.set_purpose(
             traffic.REQUESTS, self.traffic.region_of(address)
@@ -814,13 +826,23 @@
                 del self._idle[address]
 
     def close(self) -> None:
-        """Closes all idle connections."""
+        """Closes all idle connections and ends attempts to open others."""
+        self._attempts.close()
         for address in list(self._idle):
             self.close_idle(address)
 
     def _new_connection(self, address: str) -> Connection:
         return Connection(address)
 
+    async def _open_for_next(self, address: str, timeout: float) -> Connection:
+        """Opens a connection; without one in time, the next request gets it."""
+        try:
+            return await self._attempts.first(address, timeout)
+        except TimeoutError as error:
+            raise NotSentError(
+                _timeout_reason(address, timeout), hung=True
+            ) from error
+
     async def _open(self, address: str, timeout: float) -> Connection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -843,10 +865,12 @@
                 else reachability.Outcome.REFUSED
             )
             self.on_attempt(address, outcome, loop.time() - began)
-            why = f"no connection in {timeout:g} s" if timed_out else str(error)
-            raise NotSentError(
-                f"{address}: {why or type(error).__name__}", hung=timed_out
-            ) from error
+            why = (
+                _timeout_reason(address, timeout)
+                if timed_out
+                else f"{address}: {str(error) or type(error).__name__}"
+            )
+            raise NotSentError(why, hung=timed_out) from error
         self._opened += 1
         connection.on_response = self.on_response
         connection.on_unmatched = self.count_unmatched
@@ -858,6 +882,10 @@
         return connection
 
 
+def _timeout_reason(address: str, timeout: float) -> str:
+    return f"{address}: no connection in {timeout:g} s"
+
+
 def _ignore_attempt(
     address: str, outcome: reachability.Outcome, seconds: float
 ) -> None:
@@ -925,6 +953,7 @@
     echo: Echo | None = None,
     belongs: Callable[[Response], bool] | None = None,
     new_connection: bool = False,
+    keep_connecting: bool = False,
     most: int = _CALL_BODY_BYTES,
 ) -> Response:
     """Sends one of the gateway's own requests and receives the whole response.
@@ -944,6 +973,8 @@
         belongs: Whether a response certainly belongs to this request; None if
             every response does. Responses on new connections always do.
         new_connection: Whether to use no connection that is open already.
+        keep_connecting: Whether an attempt to connect goes on after its
+            timeout, for the next call.
         most: Largest body of the response in bytes.
 
     Raises:
@@ -956,7 +987,9 @@
     connection = (
         await pool.connect_new(address, connect)
         if new_connection
-        else await pool.connect(address, idle, connect)
+        else await pool.connect(
+            address, idle, connect, keep_connecting=keep_connecting
+        )
     )
     connection.set_purpose(
         traffic.purpose(path), pool.traffic.region_of(address)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/peer_calls.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/peer_calls.py
@@ -51,6 +51,7 @@
                 timeout=timeout,
                 connect=_CONNECT_TIMEOUT_SECONDS,
                 idle=_MAX_IDLE_SECONDS,
+                keep_connecting=True,
             )
         except (
             http_client.NotSentError,
@@ -59,7 +60,8 @@
             self._events.write(
                 "peers", "peer_silent", peer=address, path=path, why=str(error)
             )
-            # Connections to one peer usually break together.
-            self._pool.close_idle(address)
+            if not (isinstance(error, http_client.NotSentError) and error.hung):
+                # Connections to one peer usually break together.
+                self._pool.close_idle(address)
             return None
         return response.body if response.status == 200 else None
--- a/tests/gateway/test_slow_connections.py
+++ b/tests/gateway/test_connection_attempts.py
@@ -133,3 +133,55 @@
             assert all(transport.closed for transport in network.transports)
 
         virtual.run(main())
+
+    def test_abandoned_attempts_are_bounded(self, monkeypatch):
+        """Guards against sockets for every VM that a cut-off leader calls."""
+
+        async def main():
+            network = _Network(monkeypatch, itertools.repeat(10.0))
+            pool = http_client.Pool(2.0)
+            calls = peer_calls.PeerCalls(pool, fakes.MemoryEvents())
+            await asyncio.gather(
+                *(
+                    calls.call(f"127.0.0.1:{port}", "/report", b"{}", 0.4)
+                    for port in range(1, 301)
+                )
+            )
+            assert network.opening <= 64
+            await asyncio.sleep(4.0)
+            assert network.opening == 0
+
+        virtual.run(main())
+
+    def test_cancelled_call(self, monkeypatch):
+        """Guards against connections that are lost with a cancelled call."""
+
+        async def main():
+            network = _Network(monkeypatch, itertools.repeat(0.2))
+            pool = http_client.Pool(2.0)
+            for seconds in (0.1, 0.2, 0.21):
+                call = asyncio.create_task(_call_peer(pool))
+                await asyncio.sleep(seconds)
+                call.cancel()
+            await asyncio.sleep(1.0)
+            pool.close()
+            assert network.opening == 0
+            assert all(transport.closed for transport in network.transports)
+
+        virtual.run(main())
+
+
+class TestRefusal:
+    """A remote end that refuses connections."""
+
+    @_CALLS
+    def test_reported_at_once(self, monkeypatch, call):
+        """Guards against calls that wait although nothing listens."""
+
+        async def main():
+            _Network(monkeypatch, itertools.repeat(None))
+            pool = http_client.Pool(2.0)
+            assert not await call(pool)
+            assert virtual.now() == 0.0
+
+        virtual.run(main())
