Bind a waiting request to the configuration in force when it is sent

Cause: route, service and version were set when a request was read, and it waited for a target, a permit or a connection with them.

Now they are set again before each send if the configuration was replaced. What a target may have received keeps its version. A request keeps its service while its route has it, so that weights stay exact. One whose route was dropped gets the same 404 as one that arrives then.

TestWaitingRequests: test_service, test_dropped_route, test_homes and test_timeout failed before; test_unchanged_route guards against more refusals. The sanity check of its set-up moved before the change, where it belongs.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -12,16 +12,13 @@
 
 from mimosastile_core import errors
 from mimosastile_core import promises
-from mimosastile_core import quarantine
-from mimosastile_core.gateway import caller_retries
 from mimosastile_core.gateway import crash_detection
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import load_balancing
-from mimosastile_core.gateway import ranges
-from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import target_feedback
 from mimosastile_core.gateway import target_speeds
+from mimosastile_gateway import classification
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import dispatching
@@ -45,10 +42,12 @@
     {errors.ErrorKind.REJECTED, errors.ErrorKind.ANSWER_LOST}
 )
 """Failures that may show that a target is full."""
+_UNSENT_KINDS = frozenset(
+    {errors.ErrorKind.UNREACHABLE, errors.ErrorKind.CONFIGURATION_OLD}
+)
+"""Failures of sends that did not reach a target."""
 _MAX_LOGGED_HEADER_BYTES = 64
 """Longest part of an unreadable header value that is logged."""
-_STREAM_MARGIN_SECONDS = 0.25
-"""Time after a caller's deadline in which it ends its response by itself."""
 _MAX_CONFIGURATION_AGE_SHARE = 0.9
 """How old the view of the configuration may be for a request to be refused for
 want of a route, as a share of the time within which a version has to be in
@@ -67,14 +66,13 @@
         "_retry_budgets",
         "_cluster",
         "_active_calls",
+        "_classifier",
         "_crashes",
         "_clock",
         "_outcome_counts",
-        "_latest_deadline",
         "_events",
         "_metrics",
         "_header_names",
-        "_retry_ages",
         "_membership",
         "_dispatcher",
         "_peer_forwarder",
@@ -116,12 +114,18 @@
         self._events = event_log
         self._dispatcher = dispatcher
         self._peer_forwarder = peer_forwarder
+        self._classifier = classification.Classifier(
+            gateway_settings,
+            names,
+            cluster,
+            own_membership,
+            dispatcher,
+            budgets,
+        )
         self._crashes = crashes
-        self._retry_ages: dict[str, caller_retries.RetryAge] = {}
         self._retry_budgets = budgets
         self._outcome_counts: collections.Counter[str] = collections.Counter()
         self._active_calls: set[pending.Call] = set()
-        self._latest_deadline = math.inf
         self._target_bodies = held_bytes.TargetBodies()
 
     def dump(self) -> dict[str, object]:
@@ -140,12 +144,12 @@
         self, incoming: http_server.Request
     ) -> http_server.Response:
         """Returns the response to a caller's request."""
-        classified = self._classify(incoming)
+        classified = self._classifier.classify(incoming)
         if _is_unrouted(classified) and not self._configuration_is_current():
             await self._membership.report_and_wait(
                 _LEADER_QUERY_TIMEOUT_SECONDS
             )
-            classified = self._classify(incoming)
+            classified = self._classifier.classify(incoming)
             if (
                 _is_unrouted(classified)
                 and not self._configuration_is_current()
@@ -178,7 +182,7 @@
         Args:
             at: The latest deadline, on the loop's clock.
         """
-        self._latest_deadline = at
+        self._classifier.latest_deadline = at
         for call in self._active_calls:
             if call.deadline <= at:
                 continue
@@ -186,34 +190,6 @@
             if call.timer is not None:
                 call.timer.reschedule(at - self._settings.requests.margin)
 
-    # Classifying a request.
-
-    def _classify(
-        self, incoming: http_server.Request
-    ) -> result.Result[pending.Call, errors.Failure]:
-        configuration = self._cluster.configuration
-        if configuration is None:
-            return errors.failed(errors.ErrorKind.NOT_CONFIGURED)
-        host = incoming.header(b"host")
-        if host is None:
-            return errors.failed(
-                errors.ErrorKind.BAD_REQUEST, "No Host header."
-            )
-        path = incoming.target.partition(b"?")[0].decode("latin-1")
-        route = self._cluster.route_table.find(host.decode("latin-1"), path)
-        if route is None:
-            return errors.failed(errors.ErrorKind.NO_ROUTE)
-        name = self._cluster.shares.next(route)
-        service = configuration.services.get(name)
-        if service is None:
-            return errors.failed(
-                errors.ErrorKind.NO_TARGET, f"Service {name} is not configured."
-            )
-        call = self._make_call(incoming, route, service)
-        call.version = call.read_version = configuration.version
-        call.read_version_age = _round_age(self._cluster.configuration_age)
-        return result.Ok(call)
-
     def _configuration_is_current(self) -> bool:
         """Whether this VM has every version that has to be in force by now."""
         bound = (
@@ -222,67 +198,13 @@
         age = self._cluster.configuration_age
         return age is not None and age < bound
 
-    def _make_call(
-        self,
-        incoming: http_server.Request,
-        route: routes.Route,
-        service: routes.Service,
-    ) -> pending.Call:
-        names = self._header_names
-        attempt = incoming.header(names.attempt) or b""
-        seconds = route.timeout
-        stream_seconds = self._settings.requests.stream
-        deadline_header = incoming.header(names.deadline)
-        if deadline_header is not None and deadline_header.isdigit():
-            deadline_seconds = int(deadline_header) / 1000
-            seconds = min(seconds, deadline_seconds)
-            stream_seconds = min(
-                stream_seconds, deadline_seconds + _STREAM_MARGIN_SECONDS
-            )
-        call = pending.Call(
-            incoming,
-            route,
-            service,
-            attempt,
-            min(incoming.received_at + seconds, self._latest_deadline),
-        )
-        call.stream_deadline = incoming.received_at + stream_seconds
-        if deadline_header is not None and deadline_header.isdigit():
-            retry_age = self._retry_ages.setdefault(
-                route.name, caller_retries.RetryAge()
-            )
-            call.prior_retry_seconds = retry_age.estimate(
-                int(deadline_header) / 1000
-            )
-        key = incoming.header(names.key)
-        if service.keyed and _is_key(key):
-            call.key = int(key or b"0")
-        call.header_lines = [
-            name + b": " + value
-            for name, value in incoming.headers
-            if name not in http_client.HOP_BY_HOP_HEADERS
-            and name not in (names.deadline, names.expected_target)
-            and not (incoming.forwarded and name in peer_forwarding.HEADERS)
-        ]
-        call.fingerprint = _fingerprint(incoming, key)
-        call.ticket = self._dispatcher.ticket(route.priority)
-        if incoming.forwarded:
-            call.origin = peer_forwarding.origin(incoming)
-            sends_left = peer_forwarding.sends_left(incoming)
-            call.max_sends = min(call.max_sends, sends_left)
-            return call
-        # The VM that forwarded a request has counted it.
-        if call.key is not None:
-            self._membership.record_request(service.name, call.key)
-        self._retry_budgets.record_request(service.name)
-        return call
-
     # Attempts.
 
     async def _forward(self, call: pending.Call) -> http_server.Response:
         last: errors.Failure | None = None
         while True:
-            refusal = self._refusal_before_send(call)
+            refusal = self._rebind(call, last)
+            refusal = refusal or self._refusal_before_send(call)
             if refusal is not None:
                 failure = _final_failure(call, last, refusal)
                 return self._refuse(call, call.incoming, failure)
@@ -296,9 +218,7 @@
                 if not self._may_retry(call, last):
                     return self._refuse(call, call.incoming, last)
                 continue
-            acquired = await self._dispatcher.acquire_target(
-                call, self._can_forward
-            )
+            acquired = await self._acquire_target(call)
             if acquired is None:
                 continue
             if isinstance(acquired, result.Err):
@@ -312,6 +232,47 @@
                 return self._refuse(call, call.incoming, last)
             await self._await_retry(call, acquired.ok_value, last)
 
+    async def _acquire_target(
+        self, call: pending.Call
+    ) -> result.Result[directory.Target, errors.Failure] | None:
+        """Waits for a target; returns None to begin anew."""
+        acquired = await self._dispatcher.acquire_target(
+            call, self._is_to_begin_anew
+        )
+        if self._classifier.is_current(call):
+            return acquired
+        if isinstance(acquired, result.Ok):
+            self._dispatcher.finish(call, acquired.ok_value)
+        return None
+
+    def _is_to_begin_anew(self, call: pending.Call) -> bool:
+        """Whether a request should not wait for its targets any longer."""
+        return not self._classifier.is_current(call) or self._can_forward(call)
+
+    def _rebind(
+        self, call: pending.Call, last: errors.Failure | None
+    ) -> errors.Failure | None:
+        """Binds a request to the configuration in force before it is sent.
+
+        Args:
+            call: The request.
+            last: Failure of its last send, None before the first.
+
+        Returns:
+            Why the request must not be sent any more; None if it may.
+        """
+        if self._classifier.is_current(call):
+            return None
+        former = call.service.name, call.route.name
+        unbound = self._classifier.rebind(call)
+        if unbound is not None:
+            return unbound
+        if call.maybe_ran and not call.repeatable:
+            return last
+        if (call.service.name, call.route.name) != former:
+            return self._route_limit_failure(call)
+        return None
+
     def _route_limit_failure(self, call: pending.Call) -> errors.Failure | None:
         """Returns the refusal of a request above its route's share.
 
@@ -332,6 +293,10 @@
             wait,
         )
 
+    def _needs_other_way(self, call: pending.Call) -> bool:
+        """Whether a request should not wait for the targets it waits for."""
+        return not self._classifier.is_current(call) or self._can_forward(call)
+
     def _can_forward(self, call: pending.Call) -> bool:
         """Whether a request that waits for a target should use a peer."""
         return self._peer_forwarder.choose(call) is not None
@@ -481,6 +446,12 @@
         except http_client.NotSentError as error:
             self._record_unreachable(target, attempted_at)
             return errors.failed(errors.ErrorKind.UNREACHABLE, str(error))
+        if not self._classifier.is_current(call):
+            self._pool.release(connection, target.address)
+            return errors.failed(
+                errors.ErrorKind.CONFIGURATION_OLD,
+                f"Version {call.version} was replaced before the send.",
+            )
         usable = False
         try:
             reply = connection.start(
@@ -700,7 +671,7 @@
                 )
             else:
                 load.failed(now)
-        elif failure.kind is not errors.ErrorKind.UNREACHABLE:
+        elif failure.kind not in _UNSENT_KINDS:
             load.failed(now)
         if call.key is not None and failure.kind in _OVERLOAD_KINDS:
             self._membership.report_full_target(target.id)
@@ -759,7 +730,7 @@
             took_ms=_to_milliseconds(elapsed),
             configuration=call.version,
             read_configuration=call.read_version,
-            read_configuration_age=call.read_version_age,
+            read_configuration_age=_round_age(call.read_version_age),
             basis=call.basis,
         )
 
@@ -799,7 +770,9 @@
             configuration=configuration.version if configuration else None,
             configuration_age=_round_age(self._cluster.configuration_age),
             read_configuration=call.read_version if call else None,
-            read_configuration_age=call.read_version_age if call else None,
+            read_configuration_age=(
+                _round_age(call.read_version_age) if call else None
+            ),
         )
         headers: list[tuple[bytes, bytes]] = [
             (b"content-type", b"text/plain; charset=utf-8")
@@ -842,19 +815,6 @@
     return current
 
 
-def _fingerprint(incoming: http_server.Request, key: bytes | None) -> str:
-    """Returns a fingerprint that is the same whenever a request is repeated."""
-    caller = incoming.header(b"authorization") or b""
-    path, _, query = incoming.target.decode("latin-1").partition("?")
-    return quarantine.fingerprint(
-        (caller + b"/" + (key or b"")).decode("latin-1"),
-        incoming.method,
-        path,
-        query,
-        *incoming.body_blocks,
-    )
-
-
 def _is_unrouted(
     classified: result.Result[pending.Call, errors.Failure],
 ) -> bool:
@@ -862,10 +822,6 @@
     return failure is not None and failure.kind is errors.ErrorKind.NO_ROUTE
 
 
-def _is_key(value: bytes | None) -> bool:
-    return value is not None and value.isdigit() and int(value) < ranges.KEYS
-
-
 def _round_age(age: float | None) -> float | None:
     return None if age is None else round(age, 3)
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/pending.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 from collections.abc import Sequence
+import math
 
 import msgspec
 
@@ -124,27 +125,23 @@
         route: routes.Route,
         service: routes.Service,
         attempt: bytes,
-        deadline: float,
+        deadline: float = math.inf,
     ) -> None:
         self.incoming = incoming
-        self.route = route
-        self.service = service
         self.attempt = attempt
         self.received_at = incoming.received_at
         self.deadline = deadline
         self.stream_deadline = deadline
-        self.work_estimate = route.target_latency * _WORK_ESTIMATE_SHARE
+        self.bind(route, service)
         self.key: int | None = None
         self.fingerprint = ""
         self.header_lines: list[bytes] = []
         self.origin = ""
         self.send_count = 0
-        self.max_sends = route.attempts
         self.connect_failures = 0
         self.expected_runs = 0.0
         self.reject_count = 0
         self.unreachable_count = 0
-        self.version = -1
         self.read_version = -1
         self.read_version_age: float | None = None
         self.maybe_ran = False
@@ -160,6 +157,22 @@
         self.ticket: wait_queues.Ticket
         self.basis: Basis | None = None
 
+    def bind(
+        self, route: routes.Route, service: routes.Service, version: int = -1
+    ) -> None:
+        """Sets what the request is handled by.
+
+        Args:
+            route: Its route.
+            service: The service that it goes to.
+            version: Version of the configuration with both.
+        """
+        self.route = route
+        self.service = service
+        self.version = version
+        self.work_estimate = route.target_latency * _WORK_ESTIMATE_SHARE
+        self.max_sends = route.attempts
+
     @property
     def repeatable(self) -> bool:
         """Whether the request may run more than once."""
--- a/tests/gateway/test_replaced_configuration.py
+++ b/tests/gateway/test_replaced_configuration.py
@@ -50,6 +50,7 @@
             for _ in range(_REQUESTS)
         ]
         await asyncio.sleep(0.1)
+        assert sum(vm.balancer.own().values()) == _RUNNING
         rule = [("x", *after)] if after else []
         cluster.write_configuration(
             4,
@@ -59,7 +60,6 @@
         await asyncio.sleep(_SETTLE_SECONDS)
         assert vm.cluster.version == 4
         replaced_at = virtual.now()
-        assert sum(vm.balancer.own().values()) == _RUNNING
         await asyncio.gather(*asked)
         cluster.end()
         return cluster, ended, replaced_at
@@ -86,7 +86,8 @@
         """Guards against requests sent to the service of a replaced route."""
         cluster, ended, replaced_at = _replace(fleet.PLAIN, (fleet.KEYED,))
         assert _arrivals(cluster, fleet.PLAIN, replaced_at) == []
-        assert _arrivals(cluster, fleet.KEYED, replaced_at)
+        waited = _arrivals(cluster, fleet.KEYED, 0.0)
+        assert len(waited) == _REQUESTS - _RUNNING
         assert [status for _, status in ended] == [200] * _REQUESTS
 
     def test_dropped_route(self):
