--- a/packages/mimosastile-gateway/src/mimosastile_gateway/connection_attempts.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/connection_attempts.py
@@ -90,7 +90,8 @@
         try:
             connection = await self._open(address, MAX_SECONDS)
         except Exception as error:
-            # Logged by the call that gets it; without one, nobody needs it.
+            # The call that gets it logs it. Without one, the call that began
+            # the attempt has logged its time-out.
             waiter = self._next_waiter(address)
             if waiter is not None:
                 waiter.set_exception(error)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -293,10 +293,6 @@
             wait,
         )
 
-    def _needs_other_way(self, call: pending.Call) -> bool:
-        """Whether a request should not wait for the targets it waits for."""
-        return not self._classifier.is_current(call) or self._can_forward(call)
-
     def _can_forward(self, call: pending.Call) -> bool:
         """Whether a request that waits for a target should use a peer."""
         return self._peer_forwarder.choose(call) is not None
