Let an expired attempt to connect fail no later call

A call could fail before its time when the attempt of an earlier call, which had failed already, reached its own limit of 3.5 s: the error went to the call that waited then, whose own attempt might have succeeded. Found by reading; no trace shows it.

test_expired_attempts failed before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/connection_attempts.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/connection_attempts.py
@@ -90,8 +90,10 @@
         try:
             connection = await self._open(address, MAX_SECONDS)
         except Exception as error:
-            # The call that gets it logs it. Without one, the call that began
-            # the attempt has logged its time-out.
+            if asyncio.current_task() in self._abandoned:
+                # Its call has failed already, and the attempts of later calls
+                # may succeed.
+                return
             waiter = self._next_waiter(address)
             if waiter is not None:
                 waiter.set_exception(error)
--- a/tests/gateway/test_connection_attempts.py
+++ b/tests/gateway/test_connection_attempts.py
@@ -153,6 +153,25 @@
 
         virtual.run(main())
 
+    @_CALLS
+    def test_expired_attempts(self, monkeypatch, call):
+        """Guards against calls that fail early with an attempt before them."""
+
+        async def main():
+            _Network(monkeypatch, itertools.repeat(10.0))
+            pool = http_client.Pool(2.0)
+            took = []
+            for _ in range(12):
+                began = virtual.now()
+                assert not await call(pool)
+                took.append(virtual.now() - began)
+                # Attempts then end while a later call waits.
+                await asyncio.sleep(0.25)
+            assert min(took) == pytest.approx(took[0])
+            pool.close()
+
+        virtual.run(main())
+
     def test_cancelled_call(self, monkeypatch):
         """Guards against connections that are lost with a cancelled call."""
 
