--- a/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
@@ -111,7 +111,6 @@
         "_events",
         "_settings",
         "_store_failed_at",
-        "_store_regained",
         "_subscribers",
         "_unowned_ranges",
         "assignments",
@@ -179,7 +178,6 @@
         self.vms: dict[str, messages.VmEntry] = {}
         self.store_ok = False
         self._store_failed_at = -math.inf
-        self._store_regained = asyncio.Event()
         self.store_since: float | None = None
 
     def set_drain(self, seconds: float) -> None:
@@ -206,11 +204,6 @@
         """
         return self._changed
 
-    @property
-    def store_regained(self) -> asyncio.Event:
-        """Event set once, when the store responds again after a failure."""
-        return self._store_regained
-
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Registers a function that is called after each change."""
         self._subscribers.append(callback)
@@ -972,9 +965,6 @@
             )
             self.store_ok = ok
             self.store_since = now
-            if ok:
-                self._store_regained.set()
-                self._store_regained = asyncio.Event()
 
     def owner(self, service: str, key: int) -> str | None:
         """Returns the target that owns a key, None if it has no owner."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
@@ -276,10 +276,7 @@
                 # A single failure may be a cut connection during the wait; a
                 # second one means that the store is unavailable.
                 self._cluster.record_store_status(ok=False, why=why)
-            # Another call may find earlier that the store responds again.
-            await clock.wait(
-                self._cluster.store_regained, self._backoff(failures)
-            )
+            await asyncio.sleep(self._backoff(failures))
 
     def _wait(self, failures: int) -> float:
         """Returns the wait of the next watch, in seconds."""
