Forget calls that got no connection

Reading the change again: since expired attempts fail no later call, calls that timed out stayed in the queue of an address that never answers, one future each. Now a call removes itself when it ends. test_ended_calls_are_forgotten failed before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/connection_attempts.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/connection_attempts.py
@@ -77,6 +77,7 @@
             raise
         finally:
             waiter.cancel()
+            self._forget_waiter(address, waiter)
             if not attempt.done():
                 self._abandon(attempt)
 
@@ -113,6 +114,15 @@
             self._waiting[address] = live
         return waiter
 
+    def _forget_waiter(self, address: str, waiter: asyncio.Future[_T]) -> None:
+        """Removes a waiter that no connection was given to."""
+        waiting = self._waiting.get(address)
+        if waiting is None or waiter not in waiting:
+            return
+        waiting.remove(waiter)
+        if not waiting:
+            del self._waiting[address]
+
     def _abandon(self, attempt: asyncio.Task[None]) -> None:
         """Lets an attempt go on, and ends the oldest one if there are many."""
         self._abandoned[attempt] = None
--- a/tests/gateway/test_connection_attempts.py
+++ b/tests/gateway/test_connection_attempts.py
@@ -6,6 +6,7 @@
 import pytest
 import result
 
+from mimosastile_gateway import connection_attempts
 from mimosastile_gateway import http_client
 from mimosastile_gateway import peer_calls
 from mimosastile_gateway import settings
@@ -172,6 +173,22 @@
 
         virtual.run(main())
 
+    def test_ended_calls_are_forgotten(self):
+        """Guards against memory that grows with calls that got nothing."""
+
+        async def never(address, seconds):
+            await asyncio.Event().wait()
+
+        async def main():
+            attempts = connection_attempts.ConnectionAttempts(never, None)
+            for _ in range(3):
+                with pytest.raises(TimeoutError):
+                    await attempts.first(ADDRESS, 0.3)
+            assert not attempts._waiting
+            attempts.close()
+
+        virtual.run(main())
+
     def test_cancelled_call(self, monkeypatch):
         """Guards against connections that are lost with a cancelled call."""
 
