Log tasks that end by an exception, and views that nobody refreshes

Operators could not tell why a VM went on by an old view: a background task that ended was held by its service, so that the event loop never reported its exception, and a stated age of registrations grew in a healthy deployment.

Both daemons now log each task that fails, with the place; the gateway also logs exceptions of callbacks, and answers 502 if a request's handler fails, where the caller got no response before. A VM compares ages by the revision of the leader's latest change of a registration instead of the store's revision, which advances with writes to other keys.

A wait shorter than the clock's resolution no longer repeats for ever under virtual time.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_audit.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_audit.py
@@ -14,6 +14,7 @@
 
 from mimosastile_core import administration
 from mimosastile_core import errors
+from mimosastile_entry import _background
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
@@ -39,7 +40,7 @@
         "_dropped",
         "_pending",
         "_store",
-        "_task",
+        "_tasks",
         "_vm",
         "_zone",
         "name",
@@ -64,20 +65,17 @@
         self._dropped = 0
         self._store: ports.StorePort
         self._clock: ports.ClockPort
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = _background.Background()
 
     async def start(self, kernel: kernel.Kernel) -> None:
         """Starts the periodic flush."""
         self._store = kernel.find("store")
         self._clock = kernel.find("clock")
-        self._task = asyncio.create_task(
-            self._flush_periodically(), name="audit"
-        )
+        self._tasks.start(self._flush_periodically(), "audit")
 
     async def stop(self) -> None:
         """Stops the periodic flush and writes the buffered entries."""
-        if self._task is not None:
-            self._task.cancel()
+        self._tasks.cancel()
         await self.flush()
 
     def dump(self) -> dict[str, Any]:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_background.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_background.py
@@ -2,14 +2,22 @@
 
 import asyncio
 from collections.abc import Coroutine
+import functools
 from typing import Any
 
+from absl import logging
+
+from mimosastile_core import supervision
+
+_PREFIX = "background:"
+
 
 class Background:
-    """Holds strong references to tasks until they end.
+    """Holds strong references to tasks until they end, and logs failures.
 
     The event loop holds tasks weakly: a task without another reference may
-    be garbage collected while it runs, and its message is never sent.
+    be garbage collected while it runs, and its message is never sent. It
+    reports the failure of a task only when the task is garbage collected.
     """
 
     __slots__ = ("_tasks",)
@@ -18,19 +26,33 @@
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def start(
-        self, work: Coroutine[Any, Any, Any], name: str | None = None
-    ) -> None:
-        """Starts a task.
+        self, work: Coroutine[Any, Any, Any], name: str = "message"
+    ) -> asyncio.Task[Any]:
+        """Starts a task that ends by itself.
 
         Args:
             work: Coroutine to run.
-            name: Name of the task, for debugging.
+            name: Name of the task, for the log.
         """
         task = asyncio.create_task(work, name=name)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(functools.partial(self._on_end, name))
+        return task
 
     def cancel(self) -> None:
         """Cancels all unfinished tasks."""
         for task in self._tasks:
             task.cancel()
+
+    def _on_end(self, name: str, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            failure = supervision.describe(error)
+            logging.error(
+                "%s task %s failed at %s: %s.",
+                _PREFIX,
+                name,
+                failure.where,
+                failure.why,
+            )
--- a/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
@@ -23,6 +23,7 @@
 from mimosastile_core import moves
 from mimosastile_core import pauses
 from mimosastile_core import tables
+from mimosastile_entry import _background
 from mimosastile_entry import _catchup
 from mimosastile_entry import _fleet
 from mimosastile_entry import _gating
@@ -55,9 +56,9 @@
         "_superseding_fences",
         "_proving",
         "_retiring",
+        "_tasks",
         "_state",
         "_targets",
-        "_clock_task",
         "_vm",
         "_zone",
         "name",
@@ -95,7 +96,7 @@
         self._catch_up: _catchup.CatchUp
         self._guard: pauses.PauseGuard
         self._proving: _proving.Proving
-        self._clock_task: asyncio.Task[None] | None = None
+        self._tasks = _background.Background()
 
     @property
     def boot(self) -> str:
@@ -124,16 +125,13 @@
         self._proving = _proving.Proving(
             self._kept, self._state, self._fleet, self._clock, self._guard
         )
-        self._clock_task = asyncio.create_task(
-            self._check_clock(), name="keeper-clock"
-        )
+        self._tasks.start(self._check_clock(), "keeper-clock")
         self._state.replica.subscribe(self.reconcile)
         self.reconcile()
 
     async def stop(self) -> None:
         """Stops all renewals."""
-        if self._clock_task is not None:
-            self._clock_task.cancel()
+        self._tasks.cancel()
         for kept in self._kept.values():
             kept.cancel()
         self._kept.clear()
@@ -281,9 +279,7 @@
             )
         kept = _kept.Kept(state, keeper.former)
         self._kept[kept_id] = kept
-        kept.task = asyncio.create_task(
-            self._keep(kept, block), name=f"keep-{target}"
-        )
+        kept.task = self._tasks.start(self._keep(kept, block), f"keep-{target}")
         logging.info(
             "%s started keeping %s for %s.", _PREFIX, target, block.service
         )
--- a/packages/mimosastile-entry/src/mimosastile_entry/_limits.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_limits.py
@@ -10,6 +10,7 @@
 from mimosastile_core import errors
 from mimosastile_core import limits
 from mimosastile_core import messages
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _state
@@ -41,7 +42,7 @@
         "_peers",
         "_share_requests",
         "_state",
-        "_task",
+        "_tasks",
         "_vm",
         "_waiting",
         "name",
@@ -67,7 +68,7 @@
         self._ledgers: dict[str, tuple[limits.Ledger, limits.Ledger]] = {}
         self._waiting: collections.Counter[str] = collections.Counter()
         self._share_requests: dict[str, asyncio.Task[None]] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = _background.Background()
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
         self._peers: ports.PeerPort
@@ -81,12 +82,11 @@
         self._clock = kernel.find("clock")
         inbox: _inbox.InboxService = kernel.find("inbox")
         inbox.handle(messages.Needs, self._allocate)
-        self._task = asyncio.create_task(self._run(), name="limits-report")
+        self._tasks.start(self._run(), "limits-report")
 
     async def stop(self) -> None:
         """Stops the reports."""
-        if self._task is not None:
-            self._task.cancel()
+        self._tasks.cancel()
         for task in self._share_requests.values():
             task.cancel()
 
@@ -169,7 +169,7 @@
         self._waiting[name] += 1
         task = self._share_requests.get(name)
         if task is None:
-            task = asyncio.create_task(self._report((name,)))
+            task = self._tasks.start(self._report((name,)), "limits-request")
             self._share_requests[name] = task
             task.add_done_callback(lambda _: self._share_requests.pop(name))
         try:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_links.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_links.py
@@ -11,6 +11,7 @@
 from mimosastile_core import limits
 from mimosastile_core import links
 from mimosastile_core import messages
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _state
@@ -54,7 +55,7 @@
         "_region",
         "_send_locks",
         "_state",
-        "_task",
+        "_tasks",
         "_vm",
         "name",
         "needs",
@@ -84,7 +85,7 @@
         self._send_locks: dict[tuple[str, config.Priority], asyncio.Lock] = (
             collections.defaultdict(asyncio.Lock)
         )
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = _background.Background()
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
         self._peers: ports.PeerPort
@@ -98,12 +99,11 @@
         self._clock = kernel.find("clock")
         inbox: _inbox.InboxService = kernel.find("inbox")
         inbox.handle(messages.LinkNeeds, self._allocate)
-        self._task = asyncio.create_task(self._run(), name="links-report")
+        self._tasks.start(self._run(), "links-report")
 
     async def stop(self) -> None:
         """Stops the reports."""
-        if self._task is not None:
-            self._task.cancel()
+        self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns the bytes sent by region, member and service."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
@@ -68,7 +68,6 @@
         "_received",
         "_sent",
         "_started_at",
-        "_task",
         "_tasks",
         "_vm",
         "_wake",
@@ -96,7 +95,6 @@
         self._received = Traffic()
         self._started_at = 0.0
         self._wake = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
         self._fleet: _fleet.FleetService
         self._peers: ports.PeerPort
         self._clock: ports.ClockPort
@@ -146,12 +144,10 @@
         )
         self._fleet.subscribe(self._choose_followed)
         self._choose_followed()
-        self._task = asyncio.create_task(self._exchange(), name="membership")
+        self._tasks.start(self._exchange(), "membership")
 
     async def stop(self) -> None:
         """Stops the exchange."""
-        if self._task is not None:
-            self._task.cancel()
         self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
--- a/packages/mimosastile-entry/src/mimosastile_entry/_metrics.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_metrics.py
@@ -13,6 +13,7 @@
 from mimosastile_core import config
 from mimosastile_core import response_matching
 from mimosastile_core import tables
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _state
 from mimosastile_entry import kernel
@@ -57,7 +58,7 @@
         "_requests",
         "_responses",
         "_state",
-        "_task",
+        "_tasks",
         "_unavailable_seconds",
         "name",
         "needs",
@@ -89,7 +90,7 @@
             float
         )
         self._blocks: dict[tables.BlockId, tables.Block] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = _background.Background()
 
     async def start(self, kernel: kernel.Kernel) -> None:
         """Subscribes to the replica and starts the periodic update."""
@@ -97,14 +98,11 @@
         self._fleet = kernel.find("fleet")
         self._state.replica.subscribe(self._count_moves)
         self._count_moves()
-        self._task = asyncio.create_task(
-            self._update_periodically(), name="metrics"
-        )
+        self._tasks.start(self._update_periodically(), "metrics")
 
     async def stop(self) -> None:
         """Stops the periodic update."""
-        if self._task is not None:
-            self._task.cancel()
+        self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns moved slices and unavailable slice-seconds by service."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
@@ -10,6 +10,7 @@
 from mimosastile_core import placement
 from mimosastile_core import splits
 from mimosastile_core import tables
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _loads
 from mimosastile_entry import _membership
@@ -41,7 +42,7 @@
         "_moved_at",
         "_proposed",
         "_state",
-        "_task",
+        "_tasks",
         "_vm",
         "name",
         "needs",
@@ -72,7 +73,7 @@
         self._clock: ports.ClockPort
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = _background.Background()
 
     async def start(self, kernel: kernel.Kernel) -> None:
         """Starts the planning task."""
@@ -81,12 +82,11 @@
         self._membership = kernel.find("membership")
         self._loads = kernel.find("loads")
         self._clock = kernel.find("clock")
-        self._task = asyncio.create_task(self._plan(), name="planner")
+        self._tasks.start(self._plan(), "planner")
 
     async def stop(self) -> None:
         """Stops the planning task."""
-        if self._task is not None:
-            self._task.cancel()
+        self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns the number of changes that this VM has proposed."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_roles.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_roles.py
@@ -17,6 +17,7 @@
 from mimosastile_core import roles
 from mimosastile_core import tables
 from mimosastile_core import takeover
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _keeper
@@ -99,7 +100,7 @@
         self._takeover_backoff = takeover.TakeoverBackoff()
         self._stopping = False
         self._wake = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = _background.Background()
         self._membership: Membership = _NoSuspicions()
         self._clock: ports.ClockPort
         self._state: _state.StateService
@@ -122,15 +123,12 @@
         self._membership.subscribe(self._wake.set)
         self._fleet.subscribe(self._wake.set)
         self._state.replica.subscribe(self._wake.set)
-        self._tasks = [
-            asyncio.create_task(self._claim_roles(), name="roles-claim"),
-            asyncio.create_task(self._query_former_keepers(), name="roles-ask"),
-        ]
+        self._tasks.start(self._claim_roles(), "roles-claim")
+        self._tasks.start(self._query_former_keepers(), "roles-ask")
 
     async def stop(self) -> None:
         """Stops claiming roles."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns the number of claims and the former keepers to wait for."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_tls.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_tls.py
@@ -7,6 +7,7 @@
 
 from absl import logging
 
+from mimosastile_entry import _background
 from mimosastile_entry import kernel
 from mimosastile_entry import settings
 
@@ -81,7 +82,7 @@
 class TlsService:
     """Holds the TLS contexts and polls their files for changes."""
 
-    __slots__ = ("_configured", "_sides", "_task", "name", "needs")
+    __slots__ = ("_configured", "_sides", "_tasks", "name", "needs")
 
     def __init__(self, configured: settings.TlsSection) -> None:
         """Initializes the service.
@@ -93,7 +94,7 @@
         self.needs: tuple[str, ...] = ()
         self._configured = configured
         self._sides: dict[str, Side] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = _background.Background()
 
     async def start(self, kernel: kernel.Kernel) -> None:
         """Loads all files.
@@ -108,14 +109,11 @@
         )
         self._sides = {side: Side(files) for side, files in named if files}
         if self._sides:
-            self._task = asyncio.create_task(
-                self._reload_periodically(), name="tls"
-            )
+            self._tasks.start(self._reload_periodically(), "tls")
 
     async def stop(self) -> None:
         """Stops polling for changes."""
-        if self._task is not None:
-            self._task.cancel()
+        self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns which sides use TLS."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
@@ -91,6 +91,9 @@
         rejected: Registrations that name no target.
         backoffs: Backoffs that targets have requested from this VM.
         seen: Store revision up to which all registrations are included.
+        registrations_revision: Store revision of the latest known change of a
+            registration; every view that is complete up to it is complete up
+            to `seen`.
         configuration_seen: Store revision up to which the configuration in
             force and the evacuations are the newest.
         registrations_freshness: Latest time at which the directory is proven
@@ -124,6 +127,7 @@
         "leader_since",
         "limits",
         "registrations_freshness",
+        "registrations_revision",
         "rejected",
         "route_limits",
         "route_table",
@@ -169,6 +173,7 @@
         self.route_limits = route_limits.RouteLimits(timer.random)
         self.backoffs = backoffs.Backoffs()
         self.seen = 0
+        self.registrations_revision = 0
         self.configuration_seen = 0
         self.registrations_freshness = freshness.Freshness()
         self.configuration_freshness = freshness.Freshness()
@@ -432,11 +437,18 @@
         """
         now = self._clock.now()
         written = []
+        targets, vanished = list(targets), list(vanished)
+        self.registrations_revision = max(
+            (
+                self.registrations_revision,
+                *(target.revision for target in targets),
+                *(revision for _, revision in vanished),
+            )
+        )
         for target in self._named(targets, since):
             self._log_older_incarnation(target)
             if self.directory.put(target, now, since.get(target.id)):
                 written.append(target)
-        vanished = list(vanished)
         for name, revision in vanished:
             self._forget_deferred(name, revision)
         gone = [
@@ -708,6 +720,8 @@
             listed,
         )
         self.seen = max(self.seen, revision)
+        # Removals that a list shows have no revision of their own.
+        self.registrations_revision = max(self.registrations_revision, revision)
         self.directory.drop_vanished(now, _REMOVED_TARGET_RETENTION_SECONDS)
         self.limits.retain(
             {entry.target.id: entry.target.born for entry in self.directory}
@@ -860,7 +874,7 @@
 
     def record_view_ages(
         self,
-        seen: int,
+        revision: int,
         seen_at: float | None,
         configuration: int,
         evacuations: eligibility.Evacuations,
@@ -872,15 +886,16 @@
         that the other VM's do.
 
         Args:
-            seen: Revision up to which that VM has all registrations.
-            seen_at: Time at which `seen` was the newest revision of the
-                registrations, None if unknown.
+            revision: Revision of the latest change of a registration that
+                that VM has.
+            seen_at: Time at which that VM had all registrations, None if
+                unknown.
             configuration: Version of that VM's configuration.
             evacuations: Evacuations in that VM's view.
             configuration_at: Time at which the configuration and the
                 evacuations were the newest, None if unknown.
         """
-        if seen_at is not None and seen <= self.seen:
+        if seen_at is not None and revision <= self.seen:
             self.registrations_freshness.record(seen_at)
         current = self.evacuations
         same = evacuations.zones == current.zones
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -7,16 +7,19 @@
 import itertools
 import resource
 import signal
+from typing import Any
 
 import msgspec
 
 from mimosastile_core import errors
+from mimosastile_core import supervision
 from mimosastile_core.gateway import crash_detection
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import target_feedback
 from mimosastile_gateway import admission_service
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import datagrams
@@ -118,8 +121,8 @@
         "_balancer",
         "_settings",
         "_stopping",
+        "_tasks",
         "_traffic",
-        "_maintenance",
         "_watcher",
         "callers_address",
     )
@@ -279,7 +282,7 @@
         self._metrics_server = http_server.Server(self._handle_metrics)
         self.callers_address = ""
         self._stopping = False
-        self._maintenance: asyncio.Task[None] | None = None
+        self._tasks = background_tasks.BackgroundTasks(self._events)
         self._loop_lag = 0.0
 
     @property
@@ -312,7 +315,7 @@
         self._cluster.subscribe(self._on_change)
         self._watcher.start()
         self._membership.start()
-        self._maintenance = asyncio.create_task(self._maintain(), name="trim")
+        self._tasks.start("maintain", self._maintain())
         self._events.write(
             "daemon",
             "started",
@@ -343,8 +346,7 @@
         self._watcher.stop()
         self._reach_monitor.stop()
         await self._membership.stop()
-        if self._maintenance is not None:
-            self._maintenance.cancel()
+        self._tasks.cancel()
         self._retry_budgets.log()
         self._events.write(
             "daemon",
@@ -369,8 +371,7 @@
         self._watcher.stop()
         self._reach_monitor.stop()
         self._membership.abort()
-        if self._maintenance is not None:
-            self._maintenance.cancel()
+        self._tasks.cancel()
         for server in (
             self._caller_server,
             self._readiness_server,
@@ -414,6 +415,26 @@
         """Writes the state dump to the log."""
         self._events.write("daemon", "state", state=self.dump())
 
+    def log_failure(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Logs an exception that no task or call has handled.
+
+        Args:
+            loop: The event loop.
+            context: What the event loop knows of the exception.
+        """
+        del loop
+        error = context.get("exception")
+        failure = supervision.describe(error) if error else None
+        self._events.write(
+            "tasks",
+            "callback_failed",
+            message=context["message"],
+            why=failure.why if failure else "",
+            where=failure.where if failure else "",
+        )
+
     def dump(self) -> dict[str, object]:
         """Returns the state of all services, for operators."""
         state = self._cluster
@@ -424,6 +445,8 @@
             "configuration": configuration.version if configuration else None,
             "registrations_age": state.registrations_age,
             "configuration_age": state.configuration_age,
+            "views_outdated": sorted(self._membership.outdated_views),
+            "follows_store": self._membership.follows_store,
             "leader": msgspec.to_builtins(state.leader),
             "vms": sorted(state.vms),
             "targets": {
@@ -542,6 +565,8 @@
         }
         gauges = {
             **{name: age for name, age in ages.items() if age is not None},
+            "views_outdated": len(self._membership.outdated_views),
+            "follows_store": self._membership.follows_store,
             "configuration_version": max(state.version, 0),
             "ready": self.ready,
             "leading": self._leader_role.is_leader,
@@ -645,6 +670,7 @@
     loop.add_signal_handler(signal.SIGINT, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, daemon.log_dump)
+    loop.set_exception_handler(daemon.log_failure)
     await daemon.start()
     watching = asyncio.create_task(_watch_settings_file(reload, file_version))
     gc.collect()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
@@ -14,6 +14,7 @@
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import limits
 from mimosastile_core.gateway import path_proofs
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
@@ -203,7 +204,7 @@
             tuple[str, tuple[int, ...]], assignments.Assignment
         ] = {}
         self._update_due = asyncio.Event()
-        self._tasks: set[asyncio.Task[object]] = set()
+        self._tasks = background_tasks.BackgroundTasks(log)
         state.subscribe(self._update_due.set)
 
     def begin(self, entry: leadership.LeaderEntry) -> None:
@@ -211,7 +212,7 @@
         self._entry = entry
         self._vms = {}
         self._published = {}
-        self._start(self._send_updates())
+        self._tasks.start("send-updates", self._send_updates())
 
     def announce(self, vms: Iterable[messages.VmEntry]) -> None:
         """Sends VMs the new leader's entry at once.
@@ -309,8 +310,7 @@
     def stop(self) -> None:
         """Stops sending updates."""
         self._entry = None
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def take(self, report: messages.Report) -> None:
         """Stores a VM's report."""
@@ -614,11 +614,7 @@
         )
 
     def _start(self, work: Coroutine[Any, Any, object]) -> None:
-        self._keep(asyncio.create_task(work))
-
-    def _keep(self, task: asyncio.Task[object]) -> None:
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start("send", work)
 
 
 def _relay_order(vm: messages.VmEntry) -> tuple[tuple[float, int], str]:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -17,6 +17,7 @@
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import target_feedback
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
@@ -162,6 +163,7 @@
         "_states_by_owner",
         "_stopped",
         "_table",
+        "_tasks",
     )
 
     def __init__(
@@ -195,6 +197,7 @@
         self._cluster = cluster
         self._clock = timer
         self._events = log
+        self._tasks = background_tasks.BackgroundTasks(log)
         self._lease = lease
         self._former_leaders = former
         self._last_alive_at = alive_at
@@ -405,8 +408,8 @@
                 # The grant must not arrive after the keys have been released.
                 self._cancel_grants(owner)
             if owner.task is None and not self._stopped:
-                owner.task = asyncio.create_task(
-                    self._grant_loop(holder, owner), name=f"grant-{holder.id}"
+                owner.task = self._tasks.start(
+                    "grant", self._grant_loop(holder, owner), holder.id
                 )
             owner.wake.set()
 
@@ -652,9 +655,8 @@
             return
         for former in state.item.formers:
             if former.fence not in state.released | state.releasing.keys():
-                state.releasing[former.fence] = asyncio.create_task(
-                    self._release(state, former),
-                    name=f"free-{former.holder.id}",
+                state.releasing[former.fence] = self._tasks.start(
+                    "release", self._release(state, former), former.holder.id
                 )
 
     async def _release(self, state: _PieceState, former: ranges.Former) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -365,7 +365,7 @@
                 await self._await_reading()
                 incoming, keep_alive = self._queue.pop(0)
                 self._current = incoming
-                response = await self._server.handle(incoming)
+                response = await self._respond(incoming)
                 self._current = None
                 head_only = incoming.method == "HEAD"
                 self._release(incoming)
@@ -384,6 +384,20 @@
         if not self._closed:
             self._start_timer(self._server.limits.idle_seconds)
 
+    async def _respond(self, incoming: Request) -> Response:
+        """Returns the handler's response, 502 if the handler fails.
+
+        A request may have been passed on by then, so the status promises
+        nothing.
+        """
+        try:
+            return await self._server.handle(incoming)
+        except Exception as error:
+            self._loop.call_exception_handler(
+                {"message": "A request's handler failed.", "exception": error}
+            )
+            return Response(502, close=True)
+
     async def _await_reading(self) -> None:
         """Waits until the caller has read its earlier responses.
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -4,7 +4,6 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
-from typing import Any
 from typing import TypeVar
 
 import msgspec
@@ -23,6 +22,7 @@
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import successors
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import dissemination
@@ -201,7 +201,7 @@
         self._path_succession = path_succession.PathSuccession(
             configured.vm.id, cluster, monitor, self._disseminator, timer, log
         )
-        self._tasks: list[asyncio.Task[Any]] = []
+        self._tasks = background_tasks.BackgroundTasks(log)
         self._taking_over = False
 
     def handle_reply(self, reply: messages.ReportReply) -> None:
@@ -474,11 +474,9 @@
         # The tables are gone after this term, and reports go on.
         self._former_leaders.record_usual_hold(self._usual_hold)
         self._cluster.record_leader(entry)
-        self._tasks = [
-            asyncio.create_task(self._plan_loop(), name="plan"),
-            asyncio.create_task(self._confirm_loop(), name="confirm"),
-            asyncio.create_task(self._announce(), name="announce"),
-        ]
+        self._tasks.start("plan", self._plan_loop())
+        self._tasks.start("confirm", self._confirm_loop())
+        self._tasks.start("announce", self._announce())
         self._disseminator.begin(entry)
         self._noted_wait = None
         self._note_former_wait()
@@ -601,8 +599,7 @@
         entry, self._entry = self._entry, None
         if entry is None:
             return
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self._path_succession.clear()
         self._disseminator.stop()
         if self._witnesses is not None:
@@ -636,7 +633,7 @@
             report.evacuations.zones,
         )
         self._cluster.record_view_ages(
-            report.seen,
+            report.newest_revision,
             report.seen_at,
             report.configuration,
             report.evacuations,
@@ -683,6 +680,7 @@
             differences=missing.differences,
             state_update=missing.state_update,
             seen=self._cluster.seen,
+            registrations_revision=self._cluster.registrations_revision,
             configuration=self._cluster.version,
             configuration_seen=self._cluster.configuration_seen,
             store=self._receives_store_changes(fresh_reports),
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/load_probing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/load_probing.py
@@ -17,6 +17,7 @@
 from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import target_feedback
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
@@ -47,6 +48,7 @@
         "_events",
         "_health",
         "_balancer",
+        "_tasks",
     )
 
     def __init__(
@@ -72,6 +74,7 @@
         self._cluster = cluster
         self._balancer = balancer
         self._clock = timer
+        self._tasks = background_tasks.BackgroundTasks(event_log)
         self._events = event_log
 
     async def probe(
@@ -127,7 +130,7 @@
             self._counts["shared"] += 1
             return task
         self._counts["started"] += 1
-        task = asyncio.create_task(self._probe(target, path), name="probe")
+        task = self._tasks.start("probe", self._probe(target, path), target.id)
         self._running[target.id] = task
         task.add_done_callback(lambda _: self._running.pop(target.id))
         return task
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -21,6 +21,7 @@
 from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import admission_service
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
@@ -32,6 +33,7 @@
 from mimosastile_gateway import reach_monitoring
 from mimosastile_gateway import settings
 from mimosastile_gateway import store_watching
+from mimosastile_gateway import view_monitoring
 from mimosastile_gateway import wait_queues
 
 _SESSION_SHARE = 0.3
@@ -148,6 +150,7 @@
         "_store_seconds",
         "_synced_leader",
         "_tasks",
+        "_views",
         "_vms",
         "_vms_read_at",
         "_watcher",
@@ -182,6 +185,9 @@
         self._watcher = watcher
         self._crashes = crashes
         self._monitor = monitor
+        self._views = view_monitoring.ViewMonitor(
+            configured.store, state, timer, log
+        )
         self._prover = path_succession.PathProver(state, monitor, log)
         monitor.on_change = self.report_soon
         self._clock = timer
@@ -220,7 +226,7 @@
         self._leader_evacuations = eligibility.Evacuations()
         self._follow_requested = False
         self._follows_store = True
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = background_tasks.BackgroundTasks(log)
 
     @property
     def entry(self) -> messages.VmEntry:
@@ -235,6 +241,16 @@
             self._store_seconds,
         )
 
+    @property
+    def outdated_views(self) -> frozenset[str]:
+        """Names of this VM's views of the store that nobody refreshes."""
+        return self._views.outdated
+
+    @property
+    def follows_store(self) -> bool:
+        """Whether this VM reads the store itself, with or without a leader."""
+        return self._follows_store
+
     @property
     def count(self) -> int:
         """Number of VMs that share the load, as far as known; at least 1."""
@@ -250,15 +266,12 @@
         """Starts the tasks that register this VM and send its reports."""
         self._leader_seen_at = self._started_at = self._clock.now()
         self._start_spread = 0.5 + self._clock.random()
-        self._tasks = [
-            asyncio.create_task(self._register(), name="register"),
-            asyncio.create_task(self._report_on(), name="report"),
-        ]
+        self._tasks.start("register", self._register())
+        self._tasks.start("report", self._report_on())
 
     def abort(self) -> None:
         """Cancels all tasks at once, without deregistration."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     async def stop(self) -> None:
         """Cancels all tasks and deregisters this VM."""
@@ -555,6 +568,9 @@
     async def _report_once(self) -> None:
         """Reports to the leader; looks for one if there is no response."""
         self._reported_at = self._clock.now()
+        self._views.update(
+            self._report_interval, follows_store=self._follows_store
+        )
         report = self._make_report()
         if self._leader.is_leader:
             reply = self._leader.handle_report(report)
@@ -649,6 +665,7 @@
                 self._clock.now(),
             ),
             speeds=self._measured_speeds(),
+            registrations_revision=self._cluster.registrations_revision,
         )
 
     def _measured_speeds(self) -> dict[str, target_speeds.SpeedSample]:
@@ -725,7 +742,7 @@
         chosen = here in reply.watchers or self._leader.is_leader
         reported_at = self._reported_at
         self._cluster.record_view_ages(
-            reply.seen,
+            reply.newest_revision,
             None if reply.seen_age is None else reported_at - reply.seen_age,
             reply.configuration,
             reply.evacuations,
@@ -855,13 +872,12 @@
             return
         if path_proof is None and self._leader.lacks_path:
             return
-        task = asyncio.create_task(
+        self._tasks.start(
+            "take-over",
             self._take_over_on_request()
             if path_proof is None
-            else self._prover.take_over(path_proof, self._take_over_on_request)
+            else self._prover.take_over(path_proof, self._take_over_on_request),
         )
-        self._tasks.append(task)
-        task.add_done_callback(self._tasks.remove)
 
     async def _take_over_on_request(self) -> None:
         # A stop may have begun while this VM proved its path.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -220,6 +220,8 @@
         wants_peers: Whether the VM has requests to forward to peers.
         demand: Requests since the last report, by service and route.
         speeds: Measured speeds of targets that changed since the last report.
+        registrations_revision: Store revision of the latest change of a
+            registration that the VM has, None if it does not tell.
         led_epoch: Epoch of the last term that the VM has led since it started,
             -1 for none. `extended_grants` covers this term, and all grants of
             earlier terms.
@@ -263,9 +265,18 @@
     wants_peers: bool = False
     demand: dict[str, dict[str, _RouteDemand]] = {}
     speeds: dict[str, _SpeedSample] = {}
+
     led_epoch: int = -1
     running: float = 0.0
     own_extended: float | None = None
+    registrations_revision: int | None = None
+
+    @property
+    def newest_revision(self) -> int:
+        """Revision up to which a view has to be complete to be as recent."""
+        if self.registrations_revision is None:
+            return self.seen
+        return self.registrations_revision
 
 
 class ReportReply(msgspec.Struct, frozen=True):
@@ -308,6 +319,8 @@
         shares: What routes may use of the services that lack capacity, by
             service and route.
         speeds: Speeds of targets that the reporting VM has not measured.
+        registrations_revision: Store revision of the latest change of a
+            registration that the leader has, None if it does not tell.
         path_proof: What a VM that is requested to lead has to reach before it
             does; None if the leader lacks no path.
     """
@@ -340,7 +353,16 @@
     peers: tuple[_Peer, ...] | None = None
     shares: dict[str, dict[str, _RouteShare]] = {}
     speeds: dict[str, _SpeedSample] = {}
+
     path_proof: _PathProof | None = None
+    registrations_revision: int | None = None
+
+    @property
+    def newest_revision(self) -> int:
+        """Revision up to which a view has to be complete to be as recent."""
+        if self.registrations_revision is None:
+            return self.seen
+        return self.registrations_revision
 
 
 class UpdateAck(msgspec.Struct, frozen=True):
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/path_succession.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/path_succession.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from mimosastile_core.gateway import path_proofs
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import dissemination
@@ -49,6 +50,7 @@
         "_monitor",
         "_needed_at",
         "_selection",
+        "_tasks",
         "_unreached",
         "_verified_at",
         "_verifying",
@@ -81,6 +83,7 @@
         self._disseminator = disseminator
         self._clock = timer
         self._events = log
+        self._tasks = background_tasks.BackgroundTasks(log)
         self._needed_at = float("-inf")
         self._selection = path_proofs.PathSuccessors()
         self._unreached: list[str] = []
@@ -153,8 +156,8 @@
         now = self._clock.boottime()
         if len(owners) > 1 and now - self._verified_at > _VERIFY_SECONDS:
             self._verified_at = now
-            self._verifying = asyncio.create_task(
-                self._verify(owners), name="verify-owners"
+            self._verifying = self._tasks.start(
+                "verify-owners", self._verify(owners)
             )
         return [owner for owner in owners if owner in self._unreached]
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/reach_monitoring.py
@@ -9,6 +9,7 @@
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import reachability
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
@@ -51,6 +52,7 @@
         "_target_counts",
         "_stopped",
         "_suspected_at",
+        "_tasks",
         "_targets_by_address",
         "_verifying",
         "on_change",
@@ -81,6 +83,7 @@
         self._balancer = balancer
         self._clock = timer
         self._events = event_log
+        self._tasks = background_tasks.BackgroundTasks(event_log)
         self._reachability = reachability.Reachability()
         self._targets_by_address: dict[str, directory.Target] = {}
         self._target_counts: collections.Counter[str] = collections.Counter()
@@ -175,8 +178,8 @@
         else:
             return
         if suspected and not self._stopped and service not in self._verifying:
-            self._verifying[service] = asyncio.create_task(
-                self._verify(service), name="verify"
+            self._verifying[service] = self._tasks.start(
+                "verify", self._verify(service), service
             )
 
     def record_response(self, address: str) -> None:
@@ -277,7 +280,7 @@
             hangs=self._reachability.hangs(service),
         )
         if self._probing is None or self._probing.done():
-            self._probing = asyncio.create_task(self._probe(), name="reach")
+            self._probing = self._tasks.start("reach", self._probe())
         self.on_change()
 
     def _on_evidence(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
@@ -14,6 +14,7 @@
 from mimosastile_core.gateway import directory
 from mimosastile_core.gateway import eligibility
 from mimosastile_core.gateway import freshness
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
@@ -32,6 +33,10 @@
 """Wait in seconds of a watch after a failed one; a short one detects early that
 the store is available again."""
 
+_LEAST_WAIT_SECONDS = 0.001
+"""Shortest wait in seconds; a shorter one may end before the clock advances.
+"""
+
 
 class StoreWatcher:
     """Lists two prefixes of the store, then watches their changes.
@@ -79,7 +84,7 @@
         self._needed = asyncio.Event()
         self._paused = asyncio.Event()
         self._paused.set()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = background_tasks.BackgroundTasks(log)
 
     def set_leader_reliable(
         self, relies: bool, *, read_delay: float = 0.0, closely: bool = False
@@ -117,33 +122,30 @@
 
     def start(self) -> None:
         """Starts the tasks that follow the two prefixes."""
-        self._tasks = [
-            asyncio.create_task(
-                self._follow(
-                    self._records.operator_prefix,
-                    lambda: self._cluster.configuration_seen,
-                    self._cluster.configuration_freshness,
-                    self._configuration_listed,
-                    self._configuration_changed,
-                ),
-                name="watch-configuration",
+        self._tasks.start(
+            "watch-configuration",
+            self._follow(
+                self._records.operator_prefix,
+                lambda: self._cluster.configuration_seen,
+                self._cluster.configuration_freshness,
+                self._configuration_listed,
+                self._configuration_changed,
             ),
-            asyncio.create_task(
-                self._follow(
-                    self._records.targets_prefix,
-                    lambda: self._cluster.seen,
-                    self._cluster.registrations_freshness,
-                    self._targets_listed,
-                    self._targets_changed,
-                ),
-                name="watch-targets",
+        )
+        self._tasks.start(
+            "watch-targets",
+            self._follow(
+                self._records.targets_prefix,
+                lambda: self._cluster.seen,
+                self._cluster.registrations_freshness,
+                self._targets_listed,
+                self._targets_changed,
             ),
-        ]
+        )
 
     def stop(self) -> None:
         """Cancels the tasks."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     async def _follow(
         self,
@@ -320,7 +322,7 @@
             wait = self._large_reads_at - self._clock.now()
             if not large or wait <= 0:
                 return
-            await asyncio.sleep(wait)
+            await asyncio.sleep(max(wait, _LEAST_WAIT_SECONDS))
 
     def _backoff(self, failures: int) -> float:
         """Returns the exponential backoff with jitter, in seconds.
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/witnessing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/witnessing.py
@@ -8,6 +8,7 @@
 from mimosastile_core import errors
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import lease_extension
+from mimosastile_gateway import background_tasks
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import dissemination
@@ -146,6 +147,7 @@
         "_revision",
         "_settings",
         "_store",
+        "_tasks",
     )
 
     def __init__(
@@ -182,6 +184,7 @@
         self._disseminator = disseminator
         self._clock = timer
         self._events = log
+        self._tasks = background_tasks.BackgroundTasks(log)
         self._record: lease_extension.Record | None = None
         self._named: tuple[messages.VmEntry, ...] = ()
         self._naming_tried_at = float("-inf")
@@ -302,8 +305,8 @@
         )
         if self._record is None or pending or self._lease.extended:
             return
-        self._extension_task = asyncio.create_task(
-            self._extend_lease(), name="ask-witnesses"
+        self._extension_task = self._tasks.start(
+            "ask-witnesses", self._extend_lease()
         )
 
     async def _extend_lease(self) -> None:
