--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -190,8 +190,8 @@
         retry_most: Longest backoff.
         session: Duration of the lease of a VM's own entry.
         view_age_most: Age from which a view of the store is outdated. A leader
-            replaces a silent watch within five seconds, and its watchers make
-            up for it meanwhile.
+            replaces a silent watch, and learns of changes by the next one,
+            within that time.
     """
 
     address: str
@@ -202,7 +202,7 @@
     retry_least: Positive = 0.1
     retry_most: Positive = 0.8
     session: Positive = 10.0
-    view_age_most: Positive = 6.0
+    view_age_most: Positive = 4.0
 
 
 class RequestSettings(_Strict, frozen=True):
