Decode outside data without raising

Requests reached targets that had left, no configuration was taken any more, or no VM led, after one record in an odd form: nesting deeper than the stack raises RecursionError, numbers of thousands of digits ValueError, and neither is a decoding error. The exception ended the task that read the record on every VM.

Every decoding of outside data in both daemons (store, tables, VM entries, messages and datagrams, responses of the platform and of targets to grants, settings, history, administration) goes through one function that returns a result.

--- a/packages/mimosastile-core/src/mimosastile_core/config.py
+++ b/packages/mimosastile-core/src/mimosastile_core/config.py
@@ -13,6 +13,7 @@
 import msgspec
 import result
 
+from mimosastile_core import decoding
 from mimosastile_core import grants
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
@@ -464,18 +465,15 @@
 
 def decode_document(value: bytes) -> result.Result[Document, str]:
     """Decodes and validates a document; an error names path and fix."""
-    try:
-        return convert_document(msgspec.json.decode(value))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Err(str(error))
+    read = decoding.decode(msgspec.json.decode, value)
+    if isinstance(read, result.Err):
+        return read
+    return convert_document(read.ok_value)
 
 
 def decode_version(value: bytes) -> result.Result[Version, str]:
     """Decodes a numbered configuration from its store value."""
-    try:
-        return result.Ok(_VERSION.decode(value))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Err(str(error))
+    return decoding.decode(_VERSION.decode, value)
 
 
 def route_for(service: Service, path: str, method: str) -> Route:
--- a/packages/mimosastile-core/src/mimosastile_core/messages.py
+++ b/packages/mimosastile-core/src/mimosastile_core/messages.py
@@ -1,8 +1,10 @@
 """Messages between entry VMs, as a closed union of tagged structures."""
 
 import msgspec
+import result
 
 from mimosastile_core import config
+from mimosastile_core import decoding
 from mimosastile_core import differences
 from mimosastile_core import fleet
 from mimosastile_core import limits
@@ -324,10 +326,6 @@
     return msgspec.json.encode(message)
 
 
-def decode(data: bytes) -> PeerMessage:
-    """Decodes a message.
-
-    Raises:
-        msgspec.DecodeError: The bytes don't encode a `PeerMessage`.
-    """
-    return _DECODER.decode(data)
+def decode(data: bytes) -> result.Result[PeerMessage, str]:
+    """Decodes a message; an error says why the bytes encode none."""
+    return decoding.decode(_DECODER.decode, data)
--- a/packages/mimosastile-core/src/mimosastile_core/patches.py
+++ b/packages/mimosastile-core/src/mimosastile_core/patches.py
@@ -17,6 +17,7 @@
 import result
 
 from mimosastile_core import config
+from mimosastile_core import decoding
 from mimosastile_core import errors
 
 MAX_DOCUMENT_BYTES = 512 << 10
@@ -124,10 +125,10 @@
             errors.ErrorKind.BODY_TOO_LARGE,
             f"A patch has at most {MAX_PATCH_BYTES} bytes; submit several.",
         )
-    try:
-        return result.Ok(_DECODER.decode(data))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        return errors.failed(errors.ErrorKind.BAD_REQUEST, str(error))
+    read = decoding.decode(_DECODER.decode, data)
+    if isinstance(read, result.Err):
+        return errors.failed(errors.ErrorKind.BAD_REQUEST, read.err_value)
+    return read
 
 
 def to_raw(document: config.Document) -> dict[str, Any]:
--- a/packages/mimosastile-core/src/mimosastile_core/tables.py
+++ b/packages/mimosastile-core/src/mimosastile_core/tables.py
@@ -13,6 +13,7 @@
 import msgspec
 import result
 
+from mimosastile_core import decoding
 from mimosastile_core import keys
 
 
@@ -278,7 +279,4 @@
 
 def decode(value: bytes) -> result.Result[Block, str]:
     """Decodes a block from its store value; Err holds the parse error."""
-    try:
-        return result.Ok(_DECODER.decode(value))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return result.Err(str(error))
+    return decoding.decode(_DECODER.decode, value)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_audit.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_audit.py
@@ -13,6 +13,7 @@
 import result
 
 from mimosastile_core import administration
+from mimosastile_core import decoding
 from mimosastile_core import errors
 from mimosastile_entry import _background
 from mimosastile_entry import kernel
@@ -147,7 +148,8 @@
 
 
 def _decode(value: bytes) -> Entries:
-    try:
-        return _ENTRIES.decode(value)
-    except msgspec.DecodeError:
-        return ()
+    read = decoding.decode(_ENTRIES.decode, value)
+    if isinstance(read, result.Ok):
+        return read.ok_value
+    logging.error("%s a stored log is damaged: %s.", _PREFIX, read.err_value)
+    return ()
--- a/packages/mimosastile-entry/src/mimosastile_entry/_operations.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_operations.py
@@ -1,6 +1,6 @@
 """Internal application of a daemon: peer messages and administration API."""
 
-import msgspec
+import result
 from starlette import applications
 from starlette import requests
 from starlette import responses
@@ -25,11 +25,10 @@
     inbox: _inbox.InboxService = kernel.find("inbox")
 
     async def message(request: requests.Request) -> responses.Response:
-        try:
-            received = messages.decode(await request.body())
-        except msgspec.DecodeError as error:
-            return responses.PlainTextResponse(str(error), 400)
-        return _json(messages.encode(inbox.receive(received)))
+        received = messages.decode(await request.body())
+        if isinstance(received, result.Err):
+            return responses.PlainTextResponse(received.err_value, 400)
+        return _json(messages.encode(inbox.receive(received.ok_value)))
 
     operators = applications.Starlette(
         routes=[
--- a/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_peers_http.py
@@ -3,7 +3,6 @@
 import asyncio
 import ssl
 
-import msgspec
 import result
 
 from mimosastile_core import errors
@@ -64,13 +63,17 @@
                 async with pool.session.post(
                     url, data=body, headers=headers
                 ) as response:
-                    return result.Ok(messages.decode(await response.read()))
-        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+                    received = await response.read()
+        except _client.CALL_ERRORS as error:
             if isinstance(error, TimeoutError):
                 pool.connector.invalidate_connections()
             return result.Err(
                 errors.Failure(_client.error_kind(error), str(error))
             )
+        reply = messages.decode(received)
+        if isinstance(reply, result.Err):
+            return errors.failed(errors.ErrorKind.ANSWER_LOST, reply.err_value)
+        return reply
 
     async def forward(
         self, vm: fleet.Vm, request: ports.Request
--- a/packages/mimosastile-entry/src/mimosastile_entry/_platform_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_platform_http.py
@@ -1,18 +1,22 @@
 """HTTP adapters to the platform's key-value service and VM list."""
 
+from collections.abc import Callable
 from typing import Any
+from typing import TypeVar
 from urllib import parse
 
 import aiohttp
 import msgspec
 import result
 
+from mimosastile_core import decoding
 from mimosastile_core import errors
 from mimosastile_core import fleet
 from mimosastile_entry import _client
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
+_T = TypeVar("_T")
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
@@ -59,6 +63,21 @@
             return response.status, await response.read()
 
 
+def _unknown(detail: str) -> result.Err[errors.Failure]:
+    """Returns the failure of a write that may have taken effect."""
+    return errors.failed(errors.ErrorKind.STORE_UNKNOWN, detail)
+
+
+def _decoded(
+    decoder: Callable[[bytes], _T], body: bytes
+) -> result.Result[_T, errors.Failure]:
+    """Decodes the body of a response to a read."""
+    read = decoding.decode(decoder, body)
+    if isinstance(read, result.Err):
+        return _unavailable(read.err_value)
+    return read
+
+
 class HttpStore(_HttpAdapter):
     """The key-value service over HTTP with JSON."""
 
@@ -77,8 +96,8 @@
                 return result.Ok(None)
             if status != _HTTP_OK:
                 return _unavailable(f"status {status}")
-            return result.Ok(_ENTRY.decode(body))
-        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+            return _decoded(_ENTRY.decode, body)
+        except _client.CALL_ERRORS as error:
             return _unavailable(str(error))
 
     async def list(
@@ -99,18 +118,21 @@
         path = f"/kv/{parse.quote(key)}?revision={revision}"
         try:
             status, body = await self._call("PUT", path, value)
-            if status == _HTTP_OK:
-                return result.Ok(_ENTRY.decode(body).revision)
-            if status == _HTTP_CONFLICT:
-                return result.Err(_CONFLICT.decode(body))
-            return _unavailable(f"status {status}")
         except _client.CONNECT_ERRORS as error:
             return _unavailable(str(error))
-        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
-            # The write may have taken effect although the response was lost.
-            return result.Err(
-                errors.Failure(errors.ErrorKind.STORE_UNKNOWN, str(error))
-            )
+        except _client.CALL_ERRORS as error:
+            return _unknown(str(error))
+        if status == _HTTP_CONFLICT:
+            conflict = decoding.decode(_CONFLICT.decode, body)
+            if isinstance(conflict, result.Ok):
+                return result.Err(conflict.ok_value)
+            return _unknown(conflict.err_value)
+        if status != _HTTP_OK:
+            return _unavailable(f"status {status}")
+        entry = decoding.decode(_ENTRY.decode, body)
+        if isinstance(entry, result.Ok):
+            return result.Ok(entry.ok_value.revision)
+        return _unknown(entry.err_value)
 
     async def watch(
         self, prefix: str, revision: int, wait: float
@@ -134,8 +156,8 @@
             status, body = await self._call("GET", path, wait=wait)
             if status != _HTTP_OK:
                 return _unavailable(f"status {status}")
-            return result.Ok(_BATCH.decode(body))
-        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+            return _decoded(_BATCH.decode, body)
+        except _client.CALL_ERRORS as error:
             return _unavailable(str(error))
 
 
@@ -155,6 +177,6 @@
             status, body = await self._call("GET", "/vms")
             if status != _HTTP_OK:
                 return _unavailable(f"status {status}")
-            return result.Ok(_VMS.decode(body))
-        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+            return _decoded(_VMS.decode, body)
+        except _client.CALL_ERRORS as error:
             return _unavailable(str(error))
--- a/packages/mimosastile-entry/src/mimosastile_entry/_targets_http.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_targets_http.py
@@ -5,6 +5,7 @@
 import msgspec
 import result
 
+from mimosastile_core import decoding
 from mimosastile_core import errors
 from mimosastile_core import fleet
 from mimosastile_core import grants
@@ -62,13 +63,17 @@
                     data=msgspec.json.encode(grant),
                     headers={_wire.SEND_ID: self._client.new_send_id()},
                 ) as response:
-                    return result.Ok(_REPLY.decode(await response.read()))
-        except (*_client.CALL_ERRORS, msgspec.DecodeError) as error:
+                    body = await response.read()
+        except _client.CALL_ERRORS as error:
             if isinstance(error, TimeoutError):
                 pool.connector.invalidate_connections()
             return result.Err(
                 errors.Failure(_client.error_kind(error), str(error))
             )
+        reply = decoding.decode(_REPLY.decode, body)
+        if isinstance(reply, result.Err):
+            return errors.failed(errors.ErrorKind.ANSWER_LOST, reply.err_value)
+        return reply
 
     async def send(
         self,
--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -210,7 +210,7 @@
         return result.Err(f"{path}: cannot be read: {error}")
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
         return result.Err(f"{path}: not TOML: {error}")
     try:
         settings = msgspec.convert(raw, Settings)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/cluster_state.py
@@ -8,6 +8,7 @@
 import math
 
 import msgspec
+import result
 
 from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import backoffs
@@ -371,14 +372,13 @@
         """Decodes VM entries; logs and skips those that are malformed."""
         vms: list[messages.VmEntry] = []
         for item in items:
-            try:
-                vms.append(
-                    msgspec.json.decode(item.value, type=messages.VmEntry)
-                )
-            except msgspec.DecodeError as error:
-                self._events.write(
-                    "peers", "entry_unreadable", key=item.key, why=str(error)
-                )
+            read = messages.decode(item.value, messages.VmEntry)
+            if isinstance(read, result.Ok):
+                vms.append(read.ok_value)
+                continue
+            self._events.write(
+                "peers", "entry_unreadable", key=item.key, why=read.err_value
+            )
         self.vm_zones.update((vm.address, vm.zone) for vm in vms)
         return vms
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -1,6 +1,7 @@
 """Wires the services of a gateway daemon and runs them until a stop signal."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 import gc
@@ -10,6 +11,7 @@
 from typing import Any
 
 import msgspec
+import result
 
 from mimosastile_core import errors
 from mimosastile_core import supervision
@@ -60,6 +62,7 @@
 """Interval at which the settings file is checked for changes: half of the time
 within which a configuration change has to be in force."""
 _JSON = ((b"content-type", b"application/json"),)
+_PeerHandler = Callable[[Any], Awaitable[msgspec.Struct]]
 _TEXT = ((b"content-type", b"text/plain; version=0.0.4"),)
 
 
@@ -106,6 +109,7 @@
         "_events",
         "_forwarder",
         "_held",
+        "_peer_handlers",
         "_peer_server",
         "_loop_lag",
         "_leader_role",
@@ -279,6 +283,15 @@
             held=self._held,
             bounded=lambda incoming: bool(peer_forwarding.origin(incoming)),
         )
+        self._peer_handlers: dict[str, tuple[type[Any], _PeerHandler]] = {
+            messages.REPORT_PATH: (messages.Report, self._handle_report),
+            messages.ASSIGN_PATH: (messages.ReportReply, self._handle_update),
+            messages.RELAY_PATH: (messages.Relay, self._membership.relay),
+            messages.EXTEND_PATH: (
+                messages.ExtensionRequest,
+                self._leader_role.witness.handle_request,
+            ),
+        }
         self._metrics_server = http_server.Server(self._handle_metrics)
         self.callers_address = ""
         self._stopping = False
@@ -604,15 +617,20 @@
         if peer_forwarding.origin(incoming):
             return await self._handle_forwarded(incoming)
         path = incoming.target.decode("latin-1")
-        try:
-            response = await self._dispatch_peer_call(path, incoming.body)
-        except msgspec.DecodeError as error:
+        if path == messages.LEADER_CONTACT_PATH:
+            contact = self._membership.leader_contact()
+            return http_server.Response(200, _JSON, messages.encode(contact))
+        handler = self._peer_handlers.get(path)
+        if handler is None:
+            return http_server.Response(404)
+        kind, handle = handler
+        read = messages.decode(incoming.body, kind)
+        if isinstance(read, result.Err):
             self._events.write(
-                "peers", "message_unreadable", path=path, why=str(error)
+                "peers", "message_unreadable", path=path, why=read.err_value
             )
             return http_server.Response(400)
-        if response is None:
-            return http_server.Response(404)
+        response = await handle(read.ok_value)
         return http_server.Response(200, _JSON, messages.encode(response))
 
     async def _handle_forwarded(
@@ -626,27 +644,16 @@
             )
         return await self._forwarder.handle(incoming)
 
-    async def _dispatch_peer_call(
-        self, path: str, body: bytes
-    ) -> msgspec.Struct | None:
-        if path == messages.REPORT_PATH:
-            report = messages.decode(body, messages.Report)
-            return self._leader_role.handle_report(report)
-        if path == messages.ASSIGN_PATH:
-            pushed = messages.decode(body, messages.ReportReply)
-            self._membership.apply_push(pushed)
-            return messages.UpdateAck()
-        if path == messages.RELAY_PATH:
-            return await self._membership.relay(
-                messages.decode(body, messages.Relay)
-            )
-        if path == messages.LEADER_CONTACT_PATH:
-            return self._membership.leader_contact()
-        if path == messages.EXTEND_PATH:
-            return await self._leader_role.witness.handle_request(
-                messages.decode(body, messages.ExtensionRequest)
-            )
-        return None
+    async def _handle_report(
+        self, report: messages.Report
+    ) -> messages.ReportReply:
+        return self._leader_role.handle_report(report)
+
+    async def _handle_update(
+        self, update: messages.ReportReply
+    ) -> messages.UpdateAck:
+        self._membership.apply_push(update)
+        return messages.UpdateAck()
 
 
 async def run(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/datagrams.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/datagrams.py
@@ -11,7 +11,9 @@
 from typing import Any
 
 import msgspec
+import result
 
+from mimosastile_core import decoding
 from mimosastile_core.gateway import admission
 from mimosastile_gateway import events
 
@@ -122,15 +124,14 @@
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Decodes a datagram and passes it to the receiver."""
         sender = f"{addr[0]}:{addr[1]}"
-        try:
-            message = _DECODER.decode(data)
-        except msgspec.DecodeError as error:
+        read = decoding.decode(_DECODER.decode, data)
+        if isinstance(read, result.Err):
             self._events.write(
-                "peers", "message_unreadable", peer=sender, why=str(error)
+                "peers", "message_unreadable", peer=sender, why=read.err_value
             )
             return
         if self._receive is not None:
-            self._receive(sender, message)
+            self._receive(sender, read.ok_value)
 
     def error_received(self, exc: Exception) -> None:
         """Logs that an earlier datagram was not delivered."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import msgspec
+import result
 
 from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import eligibility
@@ -552,11 +553,11 @@
         """Decodes a relaying VM's response; returns None if it is unusable."""
         if response is None:
             return None
-        try:
-            return messages.decode(response, messages.Relayed)
-        except msgspec.DecodeError as error:
-            self._events.write("leader", "relay_unreadable", why=str(error))
+        read = messages.decode(response, messages.Relayed)
+        if isinstance(read, result.Err):
+            self._events.write("leader", "relay_unreadable", why=read.err_value)
             return None
+        return read.ok_value
 
     def _begin_sending(self, vms: Iterable[_Vm]) -> _View:
         """Marks an update to VMs as in flight; returns their view after it."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -403,13 +403,13 @@
         """Decodes a stored value; None if it is missing or unreadable."""
         if item is None:
             return None
-        try:
-            return msgspec.json.decode(item.value, type=kind)
-        except msgspec.DecodeError as error:
+        read = messages.decode(item.value, kind)
+        if isinstance(read, result.Err):
             self._events.write(
-                "leader", "entry_unreadable", key=item.key, why=str(error)
+                "leader", "entry_unreadable", key=item.key, why=read.err_value
             )
             return None
+        return read.ok_value
 
     def _start_term(
         self,
@@ -541,13 +541,13 @@
 
     def _decode_table(self, item: ports.Item) -> ranges.RangeTable | None:
         """Decodes a stored table; None if it is unreadable."""
-        try:
-            return messages.decode(item.value, ranges.RangeTable)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        read = messages.decode_table(item)
+        if isinstance(read, result.Err):
             self._events.write(
-                "leader", "table_unreadable", key=item.key, why=str(error)
+                "leader", "table_unreadable", key=item.key, why=read.err_value
             )
             return None
+        return read.ok_value
 
     def _load_table(self, item: ports.Item) -> None:
         """Applies a table that a former leader has stored."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -18,7 +18,6 @@
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import load_balancing
 from mimosastile_core.gateway import path_proofs
-from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import target_speeds
 from mimosastile_gateway import admission_service
 from mimosastile_gateway import background_tasks
@@ -526,20 +525,26 @@
 
     def _take_item(self, item: ports.Item) -> None:
         """Applies a leader entry or a table from the store."""
-        try:
-            if item.key == messages.LEADER_KEY:
-                self._take_leader(
-                    msgspec.json.decode(item.value, type=leadership.LeaderEntry)
-                )
-            elif item.key.startswith(messages.TABLE_PREFIX):
-                table = messages.decode(item.value, ranges.RangeTable)
+        why = ""
+        if item.key == messages.LEADER_KEY:
+            entry = messages.decode(item.value, leadership.LeaderEntry)
+            if isinstance(entry, result.Ok):
+                self._take_leader(entry.ok_value)
+            else:
+                why = entry.err_value
+        elif item.key.startswith(messages.TABLE_PREFIX):
+            read = messages.decode_table(item)
+            if isinstance(read, result.Ok):
+                table = read.ok_value
                 pieces = {part.piece for part in table.ranges}
                 self._cluster.apply_assignment(
                     assignments.from_table(table, (0, table.version), pieces)
                 )
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            else:
+                why = read.err_value
+        if why:
             self._events.write(
-                "peers", "entry_unreadable", key=item.key, why=str(error)
+                "peers", "entry_unreadable", key=item.key, why=why
             )
 
     def _take_leader(self, entry: leadership.LeaderEntry) -> None:
@@ -811,13 +816,13 @@
         )
         if response is None:
             return None
-        try:
-            return messages.decode(response, messages.ReportReply)
-        except msgspec.DecodeError as error:
+        read = messages.decode(response, messages.ReportReply)
+        if isinstance(read, result.Err):
             self._events.write(
-                "peers", "reply_unreadable", peer=address, why=str(error)
+                "peers", "reply_unreadable", peer=address, why=read.err_value
             )
             return None
+        return read.ok_value
 
     def _take_reply(self, reply: messages.ReportReply) -> None:
         """Applies the response to a report."""
@@ -915,7 +920,13 @@
         )
         # Lets the calls start before this VM applies the update itself.
         await asyncio.sleep(0)
-        self.apply_push(messages.decode(relay.update, messages.ReportReply))
+        update = messages.decode(relay.update, messages.ReportReply)
+        if isinstance(update, result.Ok):
+            self.apply_push(update.ok_value)
+        else:
+            self._events.write(
+                "peers", "message_unreadable", why=update.err_value
+            )
         responses = await relaying
         return messages.Relayed(
             tuple(
@@ -1104,11 +1115,11 @@
             Whether the peer has recently received messages from that leader,
             or follows a later one.
         """
-        try:
-            view = messages.decode(body, messages.LeaderContact)
-        except msgspec.DecodeError as error:
-            self._events.write("peers", "reply_unreadable", why=str(error))
+        read = messages.decode(body, messages.LeaderContact)
+        if isinstance(read, result.Err):
+            self._events.write("peers", "reply_unreadable", why=read.err_value)
             return False
+        view = read.ok_value
         if view.leader is None or view.leader.epoch < leader.epoch:
             return False
         if view.leader.epoch > leader.epoch:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -4,7 +4,9 @@
 import zlib
 
 import msgspec
+import result
 
+from mimosastile_core import decoding
 from mimosastile_core import quarantine
 from mimosastile_core.gateway import assignments
 from mimosastile_core.gateway import configurations
@@ -14,9 +16,11 @@
 from mimosastile_core.gateway import leadership
 from mimosastile_core.gateway import limits
 from mimosastile_core.gateway import path_proofs
+from mimosastile_core.gateway import ranges
 from mimosastile_core.gateway import routes
 from mimosastile_core.gateway import service_room
 from mimosastile_core.gateway import target_speeds
+from mimosastile_gateway import ports
 
 STORE_PREFIX = "mimosastile/"
 LEADER_KEY = STORE_PREFIX + "leader"
@@ -41,8 +45,6 @@
 packet anyway."""
 _COMPRESS_LEVEL = 1
 """Names repeat, so the fastest level already reduces a message to a quarter."""
-_ZLIB_FIRST_BYTE = b"\x78"
-"""First byte of a zlib stream; JSON never begins with it."""
 _MAX_MESSAGE_BYTES = 8 << 20
 """Largest size in bytes of a message after decompression."""
 
@@ -462,20 +464,31 @@
     return zlib.compress(body, _COMPRESS_LEVEL)
 
 
-def decode(body: bytes, kind: type[_T]) -> _T:
-    """Decodes a message.
+def decode(body: bytes, kind: type[_T]) -> result.Result[_T, str]:
+    """Decodes a message, or a record that VMs keep in the store.
 
     Args:
         body: Bytes as returned by `encode`.
         kind: Type of the message.
 
-    Raises:
-        msgspec.DecodeError: The body is no message of that type.
+    Returns:
+        The message, or why the body is none of that type.
     """
-    if body[:1] == _ZLIB_FIRST_BYTE:
-        decompressor = zlib.decompressobj()
-        try:
-            body = decompressor.decompress(body, _MAX_MESSAGE_BYTES)
-        except zlib.error as error:
-            raise msgspec.DecodeError(str(error)) from error
-    return msgspec.json.decode(body, type=kind)
+    return decoding.decode(
+        lambda data: msgspec.json.decode(
+            decoding.decompress(data, _MAX_MESSAGE_BYTES), type=kind
+        ),
+        body,
+    )
+
+
+def decode_table(item: ports.Item) -> result.Result[ranges.RangeTable, str]:
+    """Decodes a service's range table; an error says what is wrong with it."""
+    read = decode(item.value, ranges.RangeTable)
+    if isinstance(read, result.Err):
+        return read
+    table = read.ok_value
+    if table_key(table.service) != item.key:
+        return result.Err(f"the table of {table.service!r}")
+    problem = ranges.find_problem(table)
+    return result.Err(problem) if problem else read
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/witnessing.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/witnessing.py
@@ -343,13 +343,13 @@
         )
         if response is None:
             return False
-        try:
-            return messages.decode(response, messages.ExtensionReply).promised
-        except msgspec.DecodeError as error:
+        read = messages.decode(response, messages.ExtensionReply)
+        if isinstance(read, result.Err):
             self._events.write(
-                "leader", "extension_unreadable", vm=vm.id, why=str(error)
+                "leader", "extension_unreadable", vm=vm.id, why=read.err_value
             )
             return False
+        return read.ok_value.promised
 
 
 def _identity(vm: messages.VmEntry) -> lease_extension.Witness:
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_demo.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_demo.py
@@ -85,5 +85,5 @@
 
 def _owners(world: platform_world.World) -> set[str]:
     raw = world.store.value(messages.table_key(platform_world.KEYED)) or b""
-    table = messages.decode(raw, ranges.RangeTable)
+    table = messages.decode(raw, ranges.RangeTable).unwrap()
     return {owner.id for owner in table.owners()}
