Run background work again after an unexpected failure

VMs went on by what they had once read, reported to no leader or led without plans: a background task that failed for a reason that its code does not expect was never begun again, and nobody noticed its end.

Ways weighed: an end of the process (other operators report processes that end again and again on one record), withdrawing readiness (all VMs read the same record, so the whole zone would be withdrawn), and running the work again. Both daemons now do the last: supervision.keep_running, with pauses of 0.1 to 2 s, a log line for each failure, and a cancellation that the task did not get counted as a failure. A leader asks another VM to lead after four failures in succession of planning, confirming or sending updates, and goes on until one does. An update that fails no longer keeps its VMs from later ones. In the own daemon the loops of the keeper, roles, limits, links, planner, membership, metrics, audit and certificates ended in the same way.

--- a/packages/mimosastile-core/src/mimosastile_core/supervision.py
+++ b/packages/mimosastile-core/src/mimosastile_core/supervision.py
@@ -1,5 +1,7 @@
-"""Describes exceptions that end tasks, for both daemons' logs."""
+"""Keeps work running that must not end, whatever it raises."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import traceback
 
 import msgspec
@@ -9,6 +11,14 @@
 data."""
 
 
+_FIRST_PAUSE_SECONDS = 0.1
+"""Pause before work that has failed once runs again; doubles."""
+_LONGEST_PAUSE_SECONDS = 2.0
+"""Bound on that pause: the time within which a change has to be in force."""
+_STEADY_SECONDS = 10.0
+"""Time of running after which earlier failures no longer count."""
+
+
 class Failure(msgspec.Struct, frozen=True):
     """An exception that has ended a task.
 
@@ -22,6 +32,57 @@
     where: str
 
 
+class Restarts:
+    """The failures in succession of one piece of work.
+
+    Attributes:
+        count: Number of failures since the work last ran steadily.
+    """
+
+    __slots__ = ("count",)
+
+    def __init__(self) -> None:
+        """Creates it without any failure."""
+        self.count = 0
+
+    def record(self, ran_seconds: float) -> float:
+        """Records a failure; returns the seconds until the work runs again.
+
+        Args:
+            ran_seconds: Time for which the work ran before it failed.
+        """
+        if ran_seconds >= _STEADY_SECONDS:
+            self.count = 0
+        self.count += 1
+        pause = _FIRST_PAUSE_SECONDS * 2.0 ** min(self.count - 1, 10)
+        return min(pause, _LONGEST_PAUSE_SECONDS)
+
+
+async def keep_running(
+    work: Callable[[], Awaitable[None]],
+    now: Callable[[], float],
+    pause: Callable[[float], Awaitable[None]],
+    record: Callable[[Failure, int], None],
+) -> None:
+    """Runs work again after each failure, until it ends without one.
+
+    Args:
+        work: Starts the work.
+        now: Returns the time in seconds.
+        pause: Waits for a number of seconds.
+        record: Records each failure, and how many there were in succession.
+    """
+    restarts = Restarts()
+    while True:
+        started_at = now()
+        try:
+            return await work()
+        except Exception as error:
+            seconds = restarts.record(now() - started_at)
+            record(describe(error), restarts.count)
+            await pause(seconds)
+
+
 def describe(error: BaseException) -> Failure:
     """Returns the description of an exception.
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_audit.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_audit.py
@@ -72,7 +72,7 @@
         """Starts the periodic flush."""
         self._store = kernel.find("store")
         self._clock = kernel.find("clock")
-        self._tasks.start(self._flush_periodically(), "audit")
+        self._tasks.keep(self._flush_periodically, "audit")
 
     async def stop(self) -> None:
         """Stops the periodic flush and writes the buffered entries."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_background.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_background.py
@@ -1,6 +1,8 @@
 """Background tasks that a service starts without awaiting them."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Coroutine
 import functools
 from typing import Any
@@ -39,6 +41,23 @@
         task.add_done_callback(functools.partial(self._on_end, name))
         return task
 
+    def keep(
+        self, work: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> asyncio.Task[Any]:
+        """Starts a task that runs work again after each failure.
+
+        Args:
+            work: Starts the work.
+            name: Name of the task, for the log.
+        """
+        running = supervision.keep_running(
+            functools.partial(_uncancelled, work),
+            asyncio.get_running_loop().time,
+            asyncio.sleep,
+            functools.partial(_log, name),
+        )
+        return self.start(running, name)
+
     def cancel(self) -> None:
         """Cancels all unfinished tasks."""
         for task in self._tasks:
@@ -48,11 +67,40 @@
         self._tasks.discard(task)
         error = None if task.cancelled() else task.exception()
         if error is not None:
-            failure = supervision.describe(error)
-            logging.error(
-                "%s task %s failed at %s: %s.",
-                _PREFIX,
-                name,
-                failure.where,
-                failure.why,
-            )
+            _log(name, supervision.describe(error), 1)
+
+
+async def forever(step: Callable[[], Awaitable[None]]) -> None:
+    """Runs a step in an endless loop."""
+    while True:
+        await step()
+
+
+async def _uncancelled(
+    work: Callable[[], Coroutine[Any, Any, None]],
+) -> None:
+    """Awaits work; a cancellation that this task did not get is a failure.
+
+    Work that awaits a task which somebody cancels would end as if it had been
+    cancelled itself.
+    """
+    task = asyncio.current_task()
+    try:
+        await work()
+    except asyncio.CancelledError as error:
+        if task is None or task.cancelling():
+            raise
+        raise RuntimeError(
+            "a task that the work awaits was cancelled"
+        ) from error
+
+
+def _log(name: str, failure: supervision.Failure, count: int) -> None:
+    logging.error(
+        "%s task %s failed at %s, %d in succession: %s.",
+        _PREFIX,
+        name,
+        failure.where,
+        count,
+        failure.why,
+    )
--- a/packages/mimosastile-entry/src/mimosastile_entry/_digests.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_digests.py
@@ -5,10 +5,12 @@
 
 import asyncio
 from collections.abc import Iterable
+import functools
 from typing import Any
 
 from mimosastile_core import gossip
 from mimosastile_core import messages
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _membership
@@ -51,7 +53,7 @@
         self._vm = vm
         self._zone = zone
         self._newer_found = 0
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = _background.Background()
         self._clock: ports.ClockPort
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
@@ -67,17 +69,14 @@
         self._propagation = kernel.find("propagation")
         inbox: _inbox.InboxService = kernel.find("inbox")
         inbox.handle(messages.Digest, self._receive_digest)
-        self._tasks = [
-            asyncio.create_task(
-                _propagation.repeat(step, _PREFIX), name="digests"
+        for step in (self._compare_in_zone, self._compare_across_zones):
+            self._tasks.keep(
+                functools.partial(_background.forever, step), "digests"
             )
-            for step in (self._compare_in_zone, self._compare_across_zones)
-        ]
 
     async def stop(self) -> None:
         """Stops the exchange of digests."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns how often a peer had newer state."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_keeper.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+import functools
 from typing import Any
 
 from absl import logging
@@ -125,7 +126,7 @@
         self._proving = _proving.Proving(
             self._kept, self._state, self._fleet, self._clock, self._guard
         )
-        self._tasks.start(self._check_clock(), "keeper-clock")
+        self._tasks.keep(self._check_clock, "keeper-clock")
         self._state.replica.subscribe(self.reconcile)
         self.reconcile()
 
@@ -279,7 +280,9 @@
             )
         kept = _kept.Kept(state, keeper.former)
         self._kept[kept_id] = kept
-        kept.task = self._tasks.start(self._keep(kept, block), f"keep-{target}")
+        kept.task = self._tasks.keep(
+            functools.partial(self._keep, kept, block), f"keep-{target}"
+        )
         logging.info(
             "%s started keeping %s for %s.", _PREFIX, target, block.service
         )
--- a/packages/mimosastile-entry/src/mimosastile_entry/_limits.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_limits.py
@@ -82,7 +82,7 @@
         self._clock = kernel.find("clock")
         inbox: _inbox.InboxService = kernel.find("inbox")
         inbox.handle(messages.Needs, self._allocate)
-        self._tasks.start(self._run(), "limits-report")
+        self._tasks.keep(self._run, "limits-report")
 
     async def stop(self) -> None:
         """Stops the reports."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_links.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_links.py
@@ -99,7 +99,7 @@
         self._clock = kernel.find("clock")
         inbox: _inbox.InboxService = kernel.find("inbox")
         inbox.handle(messages.LinkNeeds, self._allocate)
-        self._tasks.start(self._run(), "links-report")
+        self._tasks.keep(self._run, "links-report")
 
     async def stop(self) -> None:
         """Stops the reports."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_loads.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_loads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+import functools
 from typing import Any
 
 import result
@@ -11,10 +12,10 @@
 from mimosastile_core import loads
 from mimosastile_core import messages
 from mimosastile_core import placement
+from mimosastile_entry import _background
 from mimosastile_entry import _fleet
 from mimosastile_entry import _inbox
 from mimosastile_entry import _membership
-from mimosastile_entry import _propagation
 from mimosastile_entry import _state
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
@@ -45,7 +46,7 @@
         "_responding_targets",
         "_sent",
         "_state",
-        "_task",
+        "_tasks",
         "_vm",
         "name",
         "needs",
@@ -72,7 +73,7 @@
         self._responding_targets: dict[str, tuple[str, ...]] = {}
         self._sent = 0
         self._bytes = 0
-        self._task: asyncio.Task[None] | None = None
+        self._tasks = _background.Background()
         self._state: _state.StateService
         self._fleet: _fleet.FleetService
         self._membership: _membership.MembershipService
@@ -88,14 +89,13 @@
         self._clock = kernel.find("clock")
         inbox: _inbox.InboxService = kernel.find("inbox")
         inbox.handle(messages.LoadReport, self._record)
-        self._task = asyncio.create_task(
-            _propagation.repeat(self._report, _PREFIX), name="loads"
+        self._tasks.keep(
+            functools.partial(_background.forever, self._report), "loads"
         )
 
     async def stop(self) -> None:
         """Stops the reports."""
-        if self._task is not None:
-            self._task.cancel()
+        self._tasks.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Returns the reports and bytes sent, and the reported slices."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_membership.py
@@ -144,7 +144,7 @@
         )
         self._fleet.subscribe(self._choose_followed)
         self._choose_followed()
-        self._tasks.start(self._exchange(), "membership")
+        self._tasks.keep(self._exchange, "membership")
 
     async def stop(self) -> None:
         """Stops the exchange."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_metrics.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_metrics.py
@@ -98,7 +98,7 @@
         self._fleet = kernel.find("fleet")
         self._state.replica.subscribe(self._count_moves)
         self._count_moves()
-        self._tasks.start(self._update_periodically(), "metrics")
+        self._tasks.keep(self._update_periodically, "metrics")
 
     async def stop(self) -> None:
         """Stops the periodic update."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_planner.py
@@ -82,7 +82,7 @@
         self._membership = kernel.find("membership")
         self._loads = kernel.find("loads")
         self._clock = kernel.find("clock")
-        self._tasks.start(self._plan(), "planner")
+        self._tasks.keep(self._plan, "planner")
 
     async def stop(self) -> None:
         """Stops the planning task."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_propagation.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_propagation.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 from typing import Any
 
 from absl import logging
@@ -101,7 +102,7 @@
         self._vm = vm
         self._zone = zone
         self._timing = Timing()
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = _background.Background()
         self._sends = _background.Background()
         self._restart = asyncio.Event()
         self._counts: dict[str, int] = {}
@@ -130,15 +131,15 @@
             "check": self._check,
             "list": self._list,
         }
-        self._tasks = [
-            asyncio.create_task(repeat(step, _PREFIX), name=f"propagate-{name}")
-            for name, step in loops.items()
-        ]
+        for name, step in loops.items():
+            self._tasks.keep(
+                functools.partial(_background.forever, step),
+                f"propagate-{name}",
+            )
 
     async def stop(self) -> None:
         """Cancels all tasks."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self._sends.cancel()
 
     def dump(self) -> dict[str, Any]:
@@ -316,24 +317,6 @@
         return reply.ok()
 
 
-async def repeat(step: Callable[[], Awaitable[None]], prefix: str) -> None:
-    """Runs a step in an endless loop.
-
-    A step that fails is logged and retried. If one bad response ended the
-    loop, this VM would fall behind without any indication.
-
-    Args:
-        step: Coroutine function to run in each iteration.
-        prefix: Prefix of the log line.
-    """
-    while True:
-        try:
-            await step()
-        except Exception:
-            logging.exception("%s iteration failed; retrying.", prefix)
-            await asyncio.sleep(_IDLE_INTERVAL_SECONDS)
-
-
 def _versions(delta: messages.Delta) -> dict[str, int]:
     """Returns the version of each block and configuration in a delta.
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_roles.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_roles.py
@@ -123,8 +123,8 @@
         self._membership.subscribe(self._wake.set)
         self._fleet.subscribe(self._wake.set)
         self._state.replica.subscribe(self._wake.set)
-        self._tasks.start(self._claim_roles(), "roles-claim")
-        self._tasks.start(self._query_former_keepers(), "roles-ask")
+        self._tasks.keep(self._claim_roles, "roles-claim")
+        self._tasks.keep(self._query_former_keepers, "roles-ask")
 
     async def stop(self) -> None:
         """Stops claiming roles."""
--- a/packages/mimosastile-entry/src/mimosastile_entry/_tls.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_tls.py
@@ -109,7 +109,7 @@
         )
         self._sides = {side: Side(files) for side, files in named if files}
         if self._sides:
-            self._tasks.start(self._reload_periodically(), "tls")
+            self._tasks.keep(self._reload_periodically, "tls")
 
     async def stop(self) -> None:
         """Stops polling for changes."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/background_tasks.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/background_tasks.py
@@ -1,7 +1,9 @@
 """Tasks that run in the background, whose end nobody awaits."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
+import functools
 from typing import Any
 from typing import TypeVar
 
@@ -11,6 +13,11 @@
 _T = TypeVar("_T")
 
 
+def ignore_failure(count: int) -> None:
+    """Does nothing more about a failure."""
+    del count
+
+
 class BackgroundTasks:
     """Starts the tasks of one service, and logs each that fails.
 
@@ -44,6 +51,35 @@
         task.add_done_callback(lambda _: self._on_end(task, name, detail))
         return task
 
+    def keep(
+        self,
+        name: str,
+        work: Callable[[], Coroutine[Any, Any, None]],
+        detail: str = "",
+        on_failure: Callable[[int], None] = ignore_failure,
+    ) -> asyncio.Task[None]:
+        """Starts a task that runs work again after each failure.
+
+        Args:
+            name: Name of the task, fixed for each kind of work.
+            work: Starts the work.
+            detail: What it is for, such as a target.
+            on_failure: Called after each failure with the number of failures
+                in succession.
+        """
+
+        def record(failure: supervision.Failure, count: int) -> None:
+            self._log(name, detail, failure, count)
+            on_failure(count)
+
+        running = supervision.keep_running(
+            functools.partial(_uncancelled, work),
+            asyncio.get_running_loop().time,
+            asyncio.sleep,
+            record,
+        )
+        return self.start(name, running, detail)
+
     def cancel(self) -> None:
         """Cancels all tasks."""
         for task in self._tasks:
@@ -53,12 +89,36 @@
         self._tasks.discard(task)
         error = None if task.cancelled() else task.exception()
         if error is not None:
-            failure = supervision.describe(error)
-            self._events.write(
-                "tasks",
-                "task_failed",
-                task=name,
-                detail=detail,
-                why=failure.why,
-                where=failure.where,
-            )
+            self._log(name, detail, supervision.describe(error), 1)
+
+    def _log(
+        self, name: str, detail: str, failure: supervision.Failure, count: int
+    ) -> None:
+        self._events.write(
+            "tasks",
+            "task_failed",
+            task=name,
+            detail=detail,
+            why=failure.why,
+            where=failure.where,
+            failures=count,
+        )
+
+
+async def _uncancelled(
+    work: Callable[[], Coroutine[Any, Any, None]],
+) -> None:
+    """Awaits work; a cancellation that this task did not get is a failure.
+
+    Work that awaits a task which somebody cancels would end as if it had been
+    cancelled itself.
+    """
+    task = asyncio.current_task()
+    try:
+        await work()
+    except asyncio.CancelledError as error:
+        if task is None or task.cancelling():
+            raise
+        raise RuntimeError(
+            "a task that the work awaits was cancelled"
+        ) from error
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -328,7 +328,7 @@
         self._cluster.subscribe(self._on_change)
         self._watcher.start()
         self._membership.start()
-        self._tasks.start("maintain", self._maintain())
+        self._tasks.keep("maintain", self._maintain)
         self._events.write(
             "daemon",
             "started",
@@ -397,6 +397,20 @@
         self._pool.close()
         self._order_pool.close()
 
+    def watch_settings(
+        self, reload: Callable[[], None], file_version: Callable[[], int]
+    ) -> None:
+        """Starts to read the settings file again whenever it changes.
+
+        Args:
+            reload: Reads the file.
+            file_version: Returns a number that changes with the file.
+        """
+        self._tasks.keep(
+            "watch-settings",
+            lambda: _watch_settings_file(reload, file_version),
+        )
+
     def apply_settings(self, new: settings.GatewaySettings) -> None:
         """Applies settings that were read again.
 
@@ -679,12 +693,11 @@
     loop.add_signal_handler(signal.SIGUSR1, daemon.log_dump)
     loop.set_exception_handler(daemon.log_failure)
     await daemon.start()
-    watching = asyncio.create_task(_watch_settings_file(reload, file_version))
+    daemon.watch_settings(reload, file_version)
     gc.collect()
     gc.freeze()
     gc.set_threshold(_GC_THRESHOLD_0, _GC_THRESHOLD_1, _GC_THRESHOLD_2)
     await stop_requested.wait()
-    watching.cancel()
     await daemon.stop()
 
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
@@ -1,6 +1,7 @@
 """Dissemination of cluster state from the leader to all VMs, as deltas."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Coroutine
 from collections.abc import Iterable
@@ -208,12 +209,24 @@
         self._tasks = background_tasks.BackgroundTasks(log)
         state.subscribe(self._update_due.set)
 
-    def begin(self, entry: leadership.LeaderEntry) -> None:
-        """Starts sending updates as the leader with the given entry."""
+    def begin(
+        self,
+        entry: leadership.LeaderEntry,
+        on_failure: Callable[[int], None] = background_tasks.ignore_failure,
+    ) -> None:
+        """Starts sending updates as a leader.
+
+        Args:
+            entry: The leader's entry.
+            on_failure: Called when updates fail to be sent for a reason that
+                is not the receiver, with the failures in succession.
+        """
         self._entry = entry
         self._vms = {}
         self._published = {}
-        self._tasks.start("send-updates", self._send_updates())
+        self._tasks.keep(
+            "send-updates", self._send_updates, on_failure=on_failure
+        )
 
     def announce(self, vms: Iterable[messages.VmEntry]) -> None:
         """Sends VMs the new leader's entry at once.
@@ -405,9 +418,27 @@
             for zone, batch in self._batches():
                 if zone == self._zone or len(batch.vms) < _MIN_RELAY_VMS:
                     for vm in batch.vms:
-                        self._start(self._send(batch.body, vm))
+                        sending = self._send(batch.body, vm)
+                        self._start(self._released(sending, [vm]))
                 else:
-                    self._start(self._relay(batch))
+                    self._start(self._released(self._relay(batch), batch.vms))
+
+    async def _released(
+        self, sending: Coroutine[Any, Any, None], vms: Iterable[_Vm]
+    ) -> None:
+        """Sends an update; if that raises, the VMs still get the next one.
+
+        Args:
+            sending: Sends the update.
+            vms: The VMs that it is for.
+        """
+        try:
+            await sending
+        except Exception:
+            for vm in vms:
+                vm.sending = False
+                vm.missed = True
+            raise
 
     def _batches(self) -> list[tuple[str, _Batch]]:
         """Returns the updates due, each with its zone and receivers."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/grant_reconciliation.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 import math
 
 import result
@@ -408,8 +409,10 @@
                 # The grant must not arrive after the keys have been released.
                 self._cancel_grants(owner)
             if owner.task is None and not self._stopped:
-                owner.task = self._tasks.start(
-                    "grant", self._grant_loop(holder, owner), holder.id
+                owner.task = self._tasks.keep(
+                    "grant",
+                    functools.partial(self._grant_loop, holder, owner),
+                    holder.id,
                 )
             owner.wake.set()
 
@@ -483,8 +486,10 @@
                     # or this one may have forgotten its fences.
                     continue
                 owner.sending = state
-                await self._grant(holder, owner, state)
-                owner.sending = None
+                try:
+                    await self._grant(holder, owner, state)
+                finally:
+                    owner.sending = None
 
     def _next_due(self, holder: ranges.Holder) -> _PieceState | None:
         """Returns the piece due first; new pieces come before renewals."""
@@ -655,8 +660,10 @@
             return
         for former in state.item.formers:
             if former.fence not in state.released | state.releasing.keys():
-                state.releasing[former.fence] = self._tasks.start(
-                    "release", self._release(state, former), former.holder.id
+                state.releasing[former.fence] = self._tasks.keep(
+                    "release",
+                    functools.partial(self._release, state, former),
+                    former.holder.id,
                 )
 
     async def _release(self, state: _PieceState, former: ranges.Former) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -69,6 +69,10 @@
 _READ_ATTEMPTS = 5
 """Attempts of a new leader to read the tables before it gives up."""
 
+_MAX_FAILURES = 4
+"""Failures in succession of one of its tasks after which a leader asks another
+VM to lead: one to two seconds, with their pauses."""
+
 
 class LeaderRole:
     """Takes part in leader election and, while leading, assigns key ranges.
@@ -474,10 +478,14 @@
         # The tables are gone after this term, and reports go on.
         self._former_leaders.record_usual_hold(self._usual_hold)
         self._cluster.record_leader(entry)
-        self._tasks.start("plan", self._plan_loop())
-        self._tasks.start("confirm", self._confirm_loop())
+        self._tasks.keep(
+            "plan", self._plan_loop, on_failure=self._give_up_if_failing
+        )
+        self._tasks.keep(
+            "confirm", self._confirm_loop, on_failure=self._give_up_if_failing
+        )
         self._tasks.start("announce", self._announce())
-        self._disseminator.begin(entry)
+        self._disseminator.begin(entry, self._give_up_if_failing)
         self._noted_wait = None
         self._note_former_wait()
         self._schedule_publish()
@@ -594,6 +602,26 @@
         if own is not None and entry.epoch > own.epoch:
             self.step_down(f"{entry.vm} leads in epoch {entry.epoch}")
 
+    def _give_up_if_failing(self, failures: int) -> None:
+        """Asks another VM to lead if a task of this term fails repeatedly.
+
+        This VM leads until one does: if all fail alike, the renewals of grants
+        go on.
+
+        Args:
+            failures: Number of failures in succession.
+        """
+        if failures < _MAX_FAILURES or self._entry is None:
+            return
+        successors = self._request_successors()
+        if successors:
+            self._events.write(
+                "leader",
+                "asks_successor",
+                successors=successors,
+                failures=failures,
+            )
+
     def step_down(self, why: str) -> None:
         """Ends this VM's leadership and stops all orders to targets."""
         entry, self._entry = self._entry, None
@@ -1062,21 +1090,30 @@
         """Plans the tables of all sharded services at regular intervals."""
         while True:
             await asyncio.sleep(self._settings.leader.plan)
-            try:
-                self._replace_if_cut_off()
-                await self._plan()
-            except Exception as error:
-                # A fault in one service must not end the renewals of all.
-                self._events.write("leader", "plan_failed", why=repr(error))
+            self._replace_if_cut_off()
+            await self._plan()
 
     async def _plan(self) -> None:
         """Plans the tables of all sharded services."""
         configuration = self._cluster.configuration
         if configuration is None:
             return
+        failed: Exception | None = None
         for service in configuration.services.values():
-            if service.keyed:
-                await self._plan_service(service)
+            try:
+                if service.keyed:
+                    await self._plan_service(service)
+            except Exception as error:
+                # A fault in one service must not keep the others from plans.
+                self._events.write(
+                    "leader",
+                    "plan_failed",
+                    service=service.name,
+                    why=repr(error),
+                )
+                failed = error
+        if failed is not None:
+            raise failed
 
     async def _plan_service(self, service: routes.Service) -> None:
         """Creates or changes the table of a service if required."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -265,8 +265,8 @@
         """Starts the tasks that register this VM and send its reports."""
         self._leader_seen_at = self._started_at = self._clock.now()
         self._start_spread = 0.5 + self._clock.random()
-        self._tasks.start("register", self._register())
-        self._tasks.start("report", self._report_on())
+        self._tasks.keep("register", self._register)
+        self._tasks.keep("report", self._report_on)
 
     def abort(self) -> None:
         """Cancels all tasks at once, without deregistration."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/store_watching.py
@@ -122,9 +122,9 @@
 
     def start(self) -> None:
         """Starts the tasks that follow the two prefixes."""
-        self._tasks.start(
+        self._tasks.keep(
             "watch-configuration",
-            self._follow(
+            lambda: self._follow(
                 self._records.operator_prefix,
                 lambda: self._cluster.configuration_seen,
                 self._cluster.configuration_freshness,
@@ -132,9 +132,9 @@
                 self._configuration_changed,
             ),
         )
-        self._tasks.start(
+        self._tasks.keep(
             "watch-targets",
-            self._follow(
+            lambda: self._follow(
                 self._records.targets_prefix,
                 lambda: self._cluster.seen,
                 self._cluster.registrations_freshness,
--- a/tests/gateway/test_background_tasks.py
+++ b/tests/gateway/test_background_tasks.py
@@ -51,3 +51,29 @@
 
         assert virtual.run(main()).cancelled()
         assert log.lines == []
+
+
+class TestKeep:
+    """Tasks that run again after a failure."""
+
+    def test_awaited_task_is_cancelled(self):
+        """Guards against work that ends with a task that it awaits."""
+        log = fakes.MemoryEvents()
+        runs = []
+
+        async def work():
+            runs.append(virtual.now())
+            inner = asyncio.ensure_future(asyncio.sleep(60.0))
+            if len(runs) < 3:
+                inner.cancel()
+            await inner
+
+        async def main():
+            tasks = background_tasks.BackgroundTasks(log)
+            tasks.keep("work", work)
+            await asyncio.sleep(5.0)
+            tasks.cancel()
+
+        virtual.run(main())
+        assert len(runs) == 3
+        assert [line["failures"] for line in log.named("task_failed")] == [1, 2]
