Read the store when the leader's view stands still

Requests reached targets that had left although the VM's own tasks ran: it relied on a leader that led, responded and sent updates, but whose view of the registrations and its watchers' views stood still. Nothing compared the stated age with a bound.

A VM whose view is older than four seconds and two reports now reads the store itself; large reads are spread as after the loss of a leader. Readiness and leading do not depend on the age, since in an outage of the store all views grow old and the VMs serve what they can.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -763,8 +763,13 @@
             reply.configuration_seen,
             reply.evacuations.zones,
         )
-        self._follow_requested = chosen or not reply.store
-        self._follow_store(self._follow_requested)
+        # A leader may go on without noticing that its view stands still.
+        outdated = bool(self._views.outdated)
+        self._follow_requested = chosen or not reply.store or outdated
+        self._follow_store(
+            self._follow_requested,
+            read_delay=self._read_delay() if outdated else 0.0,
+        )
 
     def _read_delay(self) -> float:
         """Returns the mean delay of large reads after the loss of a leader.
