Replace range tables that can't be read

Keys had no owner, and callers got 503 for as long as the store kept the record, after another writer had overwritten a service's table and another VM led: the new leader knew of no table and wrote the first one on the condition that there was none. A leader whose own table was overwritten could not change it any more.

The leader of that term writes its next change over the record, whose revision shows that no earlier write can still take effect. A later leader doesn't know the owners: it waits for the longest grants that targets accept, also in what it records of former leaders, and gives out fences above all that so many revisions can have given out.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/ranges.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/ranges.py
@@ -148,8 +148,23 @@
     return "" if expected == KEYS else f"ranges end at key {expected - 1}"
 
 
+def fence_after(revision: int) -> int:
+    """Returns a fence above all that were given out up to a revision.
+
+    A change of a table gives out at most two fences for each key, and each
+    takes a revision of its own.
+
+    Args:
+        revision: Revision of the store.
+    """
+    return revision * 2 * KEYS
+
+
 def initial_table(
-    service: str, weights: Mapping[Holder, float], commit: str
+    service: str,
+    weights: Mapping[Holder, float],
+    commit: str,
+    first_fence: int = 1,
 ) -> RangeTable:
     """Returns the first table of a service, with widths by weight.
 
@@ -157,17 +172,19 @@
         service: Name of the service.
         weights: Owners, at least one, and the relative capacity of each.
         commit: Identifier of the change.
+        first_fence: Lowest fence to give out.
     """
     total = sum(weights.values())
     ranges = []
     first, cumulative = 0, 0.0
-    for fence, (holder, weight) in enumerate(weights.items(), 1):
+    for fence, (holder, weight) in enumerate(weights.items(), first_fence):
         cumulative += weight
         last = round(KEYS * cumulative / total) - 1
         if last >= first:
             ranges.append(Range(first, last, holder, fence))
             first = last + 1
-    return RangeTable(service, commit, 1, len(weights) + 1, tuple(ranges))
+    next_fence = first_fence + len(weights)
+    return RangeTable(service, commit, 1, next_fence, tuple(ranges))
 
 
 def move(table: RangeTable, moves: Iterable[Move], commit: str) -> RangeTable:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -104,6 +104,7 @@
         "_led_epoch",
         "_last_alive_at",
         "_lease",
+        "_lost_tables",
         "_monitor",
         "_noted_wait",
         "_orders",
@@ -177,6 +178,7 @@
             configured, boot, store, cluster, timer, log
         )
         self._witnesses: witnessing.Witnesses | None = None
+        self._lost_tables: dict[str, int] = {}
         self._lease = self._new_lease(0.0)
         self._entry: leadership.LeaderEntry | None = None
         self._own_extended_until = float("-inf")
@@ -472,6 +474,7 @@
             self._clock,
             self._events,
         )
+        self._lost_tables = {}
         for key, item in items.items():
             if key.startswith(messages.TABLE_PREFIX):
                 self._load_table(item)
@@ -561,6 +564,7 @@
         """Applies a table that a former leader has stored."""
         table = self._decode_table(item)
         if table is None:
+            self._record_lost_table(item)
             return
         keyed = self._new_service(table, item.revision)
         self._services[table.service] = keyed
@@ -570,6 +574,19 @@
             )
         keyed.reconciler.apply(table)
 
+    def _record_lost_table(self, item: ports.Item) -> None:
+        """Records a table that can't be read, so that nobody knows its owners.
+
+        Their grants may be as long as targets accept.
+        """
+        service = item.key.removeprefix(messages.TABLE_PREFIX)
+        self._lost_tables[service] = item.revision
+        configuration = self._cluster.configuration
+        if configuration is None or service in configuration.services:
+            self._former_leaders.record_usual_hold(
+                self._settings.bounds.hold_most
+            )
+
     def _new_service(
         self, table: ranges.RangeTable, revision: int
     ) -> planning.KeyedService:
@@ -1145,9 +1162,18 @@
             and waited < configured.settle_most
         ):
             return
+        lost_revision = self._lost_tables.get(service, 0)
+        if lost_revision and self.former_grants_seconds > 0.0:
+            # Any target may own any key, and none can be asked to release it.
+            return
         weights = {planning.holder(t): float(t.slots) for t in targets}
-        table = ranges.initial_table(service, weights, self._clock.new_id())
-        keyed = self._new_service(table, 0)
+        table = ranges.initial_table(
+            service,
+            weights,
+            self._clock.new_id(),
+            ranges.fence_after(lost_revision) + 1,
+        )
+        keyed = self._new_service(table, lost_revision)
         await self._commit(keyed, table)
 
     # Committing.
@@ -1217,6 +1243,9 @@
             return False
         stored = self._decode_table(item)
         if stored is None:
+            # Another writer has overwritten the table. No write with the former
+            # condition can succeed any more, so the next one replaces it.
+            keyed.revision = item.revision
             return False
         if item.revision != keyed.revision:
             self._apply_committed(keyed, stored, item.revision)
--- a/tests/gateway/test_leader_role.py
+++ b/tests/gateway/test_leader_role.py
@@ -73,6 +73,11 @@
             await asyncio.sleep(0.01)
 
 
+def _stored_owner(vm, key):
+    """Returns the owner of a key in the leader's own table."""
+    return vm.leader_role._services["s"].table.find(key).owner.id
+
+
 def _owned(orders, key):
     return len(orders.holders(key)) == 1
 
@@ -117,6 +122,54 @@
 
         virtual.run(main())
 
+    @pytest.mark.parametrize("raw", [b"", b"[" * 3000, b"{}", b"\xff"])
+    def test_unreadable_table(self, raw):
+        """Guards against keys with two owners after a table is overwritten.
+
+        Nobody knows who owns keys and under which fences. The next leader
+        waits until no grant can be valid, and then makes a new table.
+        """
+
+        async def main():
+            store, orders, (one, two) = _setup("vm-1", "vm-2")
+            await one.leader_role.take_over("test")
+            await _until(lambda: _owned(orders, 0) and _owned(orders, 65535))
+            former = _stored(store)
+            write = ports.Write(messages.table_key("s"), raw)
+            await store.commit({}, (write,))
+            one.leader_role.step_down("killed")
+            two.cluster.record_leader(one.cluster.leader)
+            assert await two.leader_role.take_over("test")
+            wait = two.leader_role.former_grants_seconds
+            assert wait >= 10.0
+            sent = len(orders.log)
+            await asyncio.sleep(wait - 0.1)
+            assert len(orders.log) == sent
+            await _until(lambda: _owned(orders, 0) and _owned(orders, 65535))
+            assert orders.clashes == []
+            fences = {item.fence for item in _stored(store).ranges}
+            assert min(fences) > former.next_fence
+            two.leader_role.step_down("end")
+
+        virtual.run(main())
+
+    def test_table_of_this_term_is_overwritten(self):
+        """Guards against a leader that can change no keys any more."""
+
+        async def main():
+            store, orders, (one,) = _setup("vm-1")
+            await one.leader_role.take_over("test")
+            await _until(lambda: _owned(orders, 0) and _owned(orders, 65535))
+            write = ports.Write(messages.table_key("s"), b"[")
+            await store.commit({}, (write,))
+            owner = _stored_owner(one, 0)
+            one.cluster.remove_target(owner)
+            await _until(lambda: _stored_owner(one, 0) != owner)
+            assert ranges.find_problem(_stored(store)) == ""
+            one.leader_role.step_down("end")
+
+        virtual.run(main())
+
     @pytest.mark.parametrize(
         ("address", "ended"), [("", True), ("a:80", True), ("a:79", False)]
     )
--- a/tests/gateway/test_ranges.py
+++ b/tests/gateway/test_ranges.py
@@ -33,6 +33,20 @@
         table = _table(2, 1, 1)
         assert [r.width for r in table.ranges] == [32768, 16384, 16384]
 
+    @pytest.mark.parametrize("revision", [1, 1000])
+    def test_fences_after_a_lost_table(self, revision):
+        """Guards against a fence that an unreadable table gave out before.
+
+        As many changes as there are revisions move every key.
+        """
+        highest = ranges.initial_table("s", {A: 1.0, B: 1.0}, "c").next_fence
+        highest += (revision - 1) * 2 * ranges.KEYS
+        table = ranges.initial_table(
+            "s", {A: 1.0, B: 1.0}, "c", ranges.fence_after(revision) + 1
+        )
+        assert all(item.fence > highest - 3 for item in table.ranges)
+        assert ranges.find_problem(table) == ""
+
 
 class TestMove:
     """Moves of keys between owners."""
