Draw records in odd forms in the soak

The soak wrote only registrations under known identifiers, none odd in its form, and so did not show the incident. It now writes odd forms of all kinds of records under all keys that daemons read; the tests draw the same forms.

--- a/tests/odd_records.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/odd_records.py
@@ -5,18 +5,20 @@
 
 import base64
 import json
+import random
 import zlib
 
 DEPTH = 3000
+"""Levels of nesting; a recursive decoder fails at about a thousand."""
 
 
-def _with(body, field, value):
+def _with(body: bytes, field: str, value: bytes) -> bytes:
     """Returns a JSON object with another field, whose value is given raw."""
     separator = b"," if len(body) > 2 else b""
     return body[:-1] + separator + b'"%b":%b}' % (field.encode(), value)
 
 
-def forms(body):
+def forms(body: bytes) -> dict[str, bytes]:
     """Returns odd forms of a record, by kind.
 
     Args:
@@ -46,7 +48,7 @@
     }
 
 
-def draw(rng, body):
+def draw(rng: random.Random, body: bytes) -> list[tuple[str, bytes]]:
     """Returns a random sequence of odd forms of a record, each kind once.
 
     Args:
@@ -58,7 +60,7 @@
     return kinds
 
 
-def compressed(size):
+def compressed(size: int) -> bytes:
     """Returns a JSON string that a compressed value expands to.
 
     Args:
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -35,6 +35,7 @@
 from mimosastile_standins import soak_daemons
 from mimosastile_standins import soak_lateness
 from mimosastile_standins import soak_notices
+from mimosastile_standins import soak_odd_records
 from mimosastile_standins import soak_oracle
 from mimosastile_standins import soak_reach
 
@@ -84,6 +85,7 @@
     ENTRIES = "entries"
     REFUSALS = "refusals"
     BODIES = "bodies"
+    ODD = "odd"
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -99,7 +101,8 @@
         hostile: Additional faults: ANSWERS copies targets' earlier answers,
             ENTRIES writes registrations under their identifiers, REFUSALS
             refuses requests that have run, BODIES reads and sends bodies
-            slowly or without end.
+            slowly or without end, ODD writes records in odd forms under all
+            keys that daemons read.
     """
 
     seed: int
@@ -492,6 +495,7 @@
             Hostile.ENTRIES: self._write_for_target,
             Hostile.REFUSALS: self._refuse_unmarked,
             Hostile.BODIES: self._hold_bodies,
+            Hostile.ODD: self._write_odd_record,
         }[kind]
         ends = time.monotonic() + self._plan.seconds
         while time.monotonic() < ends:
@@ -592,6 +596,15 @@
         if self._store.value(f"servers/{name}") is not None:
             self._store.put(f"servers/{name}", own)
 
+    async def _write_odd_record(self) -> None:
+        """Has another writer put a record in an odd form into the store."""
+        rng = self._hostile_rngs[Hostile.ODD]
+        records = soak_odd_records.OddRecords(self._store, rng)
+        seconds = rng.uniform(0.2, 2.0)
+        self._record_fault(f"odd record {records.write()}, {seconds:.1f} s")
+        await self._wait_during_fault(seconds)
+        records.take_back()
+
     def _record_fault(self, what: str) -> None:
         seconds = time.monotonic() - self._started_at
         self._faults.append(f"{seconds:7.2f} {what}")
--- a/tests/core/test_odd_documents.py
+++ b/tests/core/test_odd_documents.py
@@ -7,7 +7,7 @@
 from mimosastile_core import messages
 from mimosastile_core import patches
 from mimosastile_core import tables
-from tests import odd_records
+from mimosastile_standins import odd_records
 
 _BODY = b'{"number":1}'
 _DECODERS = {
--- a/tests/gateway/test_odd_records.py
+++ b/tests/gateway/test_odd_records.py
@@ -6,8 +6,8 @@
 import pytest
 
 from mimosastile_gateway import messages
+from mimosastile_standins import odd_records
 from mimosastile_standins import virtual
-from tests import odd_records
 from tests.gateway import fleet
 
 APPLY_SECONDS = 2.0
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -12,7 +12,7 @@
 from mimosastile_platform import boot
 from mimosastile_platform import records
 from mimosastile_platform import store
-from tests import odd_records
+from mimosastile_standins import odd_records
 
 _BODY = b'{"ServiceName":"p"}'
 _TOML = {
