--- a/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/__main__.py
@@ -217,7 +217,8 @@
             hostile: Additional faults: `answers` for copies of targets'
                 answers, `entries` for others' registrations under their
                 identifiers, `refusals` for refusals of requests that have
-                run, `bodies` for slow and endless ones, or `all`.
+                run, `bodies` for slow and endless ones, `odd` for records in
+                odd forms, or `all`.
         """
         kinds = frozenset(
             kind
