Close the connections of raw test servers

On Python 3.11.6 the tests of the own daemon fail at random places, also on: the finalizer of a stream writer that outlives its event loop raises, which later versions of Python don't. The raw servers left writers open when they were cancelled. They are closed now before the event loop is; what the tests assert is unchanged.

--- a/tests/entry/test_connections.py
+++ b/tests/entry/test_connections.py
@@ -273,8 +273,11 @@
         """Guards against bytes that a server sends when it is connected to."""
 
         async def greet(reader, writer):
-            writer.write(rig.OK)
-            await reader.read()
+            try:
+                writer.write(rig.OK)
+                await reader.read()
+            finally:
+                writer.close()
 
         async def wait(session, context, parameters):
             del session, context, parameters
--- a/tests/entry/test_listeners.py
+++ b/tests/entry/test_listeners.py
@@ -188,7 +188,7 @@
                 ),
             ):
                 port = listeners.ports["callers"]
-                idle, _ = await asyncio.open_connection(rig.HOST, port)
+                idle, opened = await asyncio.open_connection(rig.HOST, port)
                 reader, writer = await asyncio.open_connection(rig.HOST, port)
                 sent = rig.get(extra="")
                 writer.write(sent[:20])
@@ -197,7 +197,8 @@
                 ended = await idle.read()
                 writer.write(sent[20:])
                 received = await reader.read()
-                writer.close()
+                for each in (opened, writer):
+                    each.close()
                 await stopping
                 return ended, rig.parse(received)
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -109,9 +109,11 @@
         return self.release.is_set()
 
     def stop(self):
-        """Closes all connections."""
+        """Closes all connections, before the event loop is closed."""
         for task in self._tasks:
             task.cancel()
+        for writer in self.writers:
+            writer.close()
 
 
 async def _read_body(reader, head):
