--- a/tests/rig.py
+++ b/tests/rig.py
@@ -106,6 +106,8 @@
         finally:
             for task in waits:
                 task.cancel()
+            # Only one task may wait for data of a reader.
+            await asyncio.wait(waits)
         return self.release.is_set()
 
     def stop(self):
