--- a/packages/mimosastile-core/src/mimosastile_core/supervision.py
+++ b/packages/mimosastile-core/src/mimosastile_core/supervision.py
@@ -63,6 +63,7 @@
     now: Callable[[], float],
     pause: Callable[[float], Awaitable[None]],
     record: Callable[[Failure, int], None],
+    is_failure: Callable[[BaseException], bool],
 ) -> None:
     """Runs work again after each failure, until it ends without one.
 
@@ -71,13 +72,17 @@
         now: Returns the time in seconds.
         pause: Waits for a number of seconds.
         record: Records each failure, and how many there were in succession.
+        is_failure: Whether what the work raised is a failure, and not the end
+            of the task that runs it.
     """
     restarts = Restarts()
     while True:
         started_at = now()
         try:
             return await work()
-        except Exception as error:
+        except BaseException as error:
+            if not is_failure(error):
+                raise
             seconds = restarts.record(now() - started_at)
             record(describe(error), restarts.count)
             await pause(seconds)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_background.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_background.py
@@ -51,10 +51,11 @@
             name: Name of the task, for the log.
         """
         running = supervision.keep_running(
-            functools.partial(_uncancelled, work),
+            work,
             asyncio.get_running_loop().time,
             asyncio.sleep,
             functools.partial(_log, name),
+            _is_failure,
         )
         return self.start(running, name)
 
@@ -76,23 +77,16 @@
         await step()
 
 
-async def _uncancelled(
-    work: Callable[[], Coroutine[Any, Any, None]],
-) -> None:
-    """Awaits work; a cancellation that this task did not get is a failure.
+def _is_failure(error: BaseException) -> bool:
+    """Whether work has failed, and its task was not cancelled.
 
-    Work that awaits a task which somebody cancels would end as if it had been
-    cancelled itself.
+    Work that awaits a task which somebody else cancels raises as if its own
+    task had been cancelled.
     """
-    task = asyncio.current_task()
-    try:
-        await work()
-    except asyncio.CancelledError as error:
-        if task is None or task.cancelling():
-            raise
-        raise RuntimeError(
-            "a task that the work awaits was cancelled"
-        ) from error
+    if isinstance(error, asyncio.CancelledError):
+        task = asyncio.current_task()
+        return task is not None and not task.cancelling()
+    return isinstance(error, Exception)
 
 
 def _log(name: str, failure: supervision.Failure, count: int) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/background_tasks.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/background_tasks.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-import functools
 from typing import Any
 from typing import TypeVar
 
@@ -73,10 +72,11 @@
             on_failure(count)
 
         running = supervision.keep_running(
-            functools.partial(_uncancelled, work),
+            work,
             asyncio.get_running_loop().time,
             asyncio.sleep,
             record,
+            _is_failure,
         )
         return self.start(name, running, detail)
 
@@ -105,20 +105,13 @@
         )
 
 
-async def _uncancelled(
-    work: Callable[[], Coroutine[Any, Any, None]],
-) -> None:
-    """Awaits work; a cancellation that this task did not get is a failure.
+def _is_failure(error: BaseException) -> bool:
+    """Whether work has failed, and its task was not cancelled.
 
-    Work that awaits a task which somebody cancels would end as if it had been
-    cancelled itself.
+    Work that awaits a task which somebody else cancels raises as if its own
+    task had been cancelled.
     """
-    task = asyncio.current_task()
-    try:
-        await work()
-    except asyncio.CancelledError as error:
-        if task is None or task.cancelling():
-            raise
-        raise RuntimeError(
-            "a task that the work awaits was cancelled"
-        ) from error
+    if isinstance(error, asyncio.CancelledError):
+        task = asyncio.current_task()
+        return task is not None and not task.cancelling()
+    return isinstance(error, Exception)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -482,13 +482,13 @@
         self._former_leaders.record_usual_hold(self._usual_hold)
         self._cluster.record_leader(entry)
         self._tasks.keep(
-            "plan", self._plan_loop, on_failure=self._give_up_if_failing
+            "plan", self._plan_loop, on_failure=self._hand_over_if_failing
         )
         self._tasks.keep(
-            "confirm", self._confirm_loop, on_failure=self._give_up_if_failing
+            "confirm", self._confirm_loop, on_failure=self._hand_over_if_failing
         )
         self._tasks.start("announce", self._announce())
-        self._disseminator.begin(entry, self._give_up_if_failing)
+        self._disseminator.begin(entry, self._hand_over_if_failing)
         self._noted_wait = None
         self._note_former_wait()
         self._schedule_publish()
@@ -619,7 +619,7 @@
         if own is not None and entry.epoch > own.epoch:
             self.step_down(f"{entry.vm} leads in epoch {entry.epoch}")
 
-    def _give_up_if_failing(self, failures: int) -> None:
+    def _hand_over_if_failing(self, failures: int) -> None:
         """Asks another VM to lead if a task of this term fails repeatedly.
 
         This VM leads until one does: if all fail alike, the renewals of grants
--- a/tests/core/test_restarts.py
+++ b/tests/core/test_restarts.py
@@ -20,7 +20,11 @@
             raise ZeroDivisionError("unexpected")
 
     await supervision.keep_running(
-        work, loop.time, asyncio.sleep, lambda _, count: counts.append(count)
+        work,
+        loop.time,
+        asyncio.sleep,
+        lambda _, count: counts.append(count),
+        lambda error: isinstance(error, Exception),
     )
     return times, counts
 
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -301,3 +301,29 @@
             assert b"Connection: close" in response
 
         _run(scenario)
+
+
+class TestFailingHandler:
+    """A handler that raises for a reason that nobody expects."""
+
+    def test_caller_gets_a_response(self):
+        """Guards against a caller that waits for a response until its deadline.
+
+        The status promises nothing, as the request may have been passed on.
+        """
+        reported = []
+
+        async def scenario(server, handler, reader, writer):
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(
+                lambda _, context: reported.append(context["exception"])
+            )
+            handler.delay = "no number"
+            writer.write(_get())
+            response = await _read_all(reader)
+            assert response.startswith(b"HTTP/1.1 502")
+            assert b"Connection: close" in response
+            assert not server.busy
+
+        _run(scenario)
+        assert [type(error) for error in reported] == [TypeError]
