Hold a target's feedback against that target alone in the soak

The target never left: the attempt a1054 was rejected by t-1 (421) and served by t-3, which was leaving, and the check counted t-3's feedback as that of every target at which the attempt arrived. It belongs to the last one. The check is as strict otherwise.

--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_notices.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_notices.py
@@ -147,13 +147,21 @@
         ]
 
     def _feedback_times(
-        self, arrivals: list[platform_target.Arrival], kind: str
+        self, incarnation: _Incarnation, kind: str
     ) -> dict[str, list[float]]:
-        """Returns by VM when it forwarded feedback of an incarnation."""
-        attempts = {arrival.attempt for arrival in arrivals}
+        """Returns by VM when it forwarded feedback of an incarnation.
+
+        A response comes from the last target at which the attempt arrived; the
+        others have rejected it.
+        """
+        responders = {
+            arrival.attempt: (arrival.target, arrival.born)
+            for arrival in sorted(self.arrivals, key=lambda each: each.at)
+        }
         feedback_times: dict[str, list[float]] = collections.defaultdict(list)
         for response in self._forwarded:
-            if getattr(response, kind) and response.attempt in attempts:
+            responder = responders.get(response.attempt)
+            if getattr(response, kind) and responder == incarnation:
                 feedback_times[response.vm].append(response.at)
         return feedback_times
 
@@ -190,7 +198,7 @@
         self, incarnation: _Incarnation, arrivals: list[platform_target.Arrival]
     ) -> Iterator[str]:
         """Yields the first excess over each limit that a target set."""
-        feedback_times = self._feedback_times(arrivals, "limited")
+        feedback_times = self._feedback_times(incarnation, "limited")
         for limit in self._limits.get(incarnation, ()):
             counted = [
                 a.at
@@ -238,7 +246,7 @@
         self, incarnation: _Incarnation, arrivals: list[platform_target.Arrival]
     ) -> Iterator[str]:
         """Yields requests that VMs sent to a leaving target too late."""
-        feedback_times = self._feedback_times(arrivals, "leaving")
+        feedback_times = self._feedback_times(incarnation, "leaving")
         for arrival in arrivals:
             if arrival.attempt not in self._sent:
                 continue
--- a/tests/standins/test_soak_notices.py
+++ b/tests/standins/test_soak_notices.py
@@ -34,6 +34,26 @@
     return [(vm, since + n / rate, 0.0) for n in range(count)]
 
 
+class TestResponder:
+    """A request that one target rejects and another one serves."""
+
+    @pytest.mark.parametrize(
+        ("at", "wrong"), [((10.0, 10.1), 0), ((10.1, 10.0), 1)]
+    )
+    def test_feedback_belongs_to_the_last_target(self, at, wrong):
+        """Guards against feedback that is held against a target before."""
+        checker = _make_checker([("vm-0", 10.0, 0.0), ("vm-0", 15.0, 0.0)])
+        first, later = checker.arrivals
+        first.at = at[0]
+        other = platform_target.Arrival("a0", "other", 1, at[1])
+        checker.arrivals.append(other)
+        checker.record_feedback(
+            soak_notices.ForwardedFeedback("a0", "vm-0", 10.2, False, True)
+        )
+        assert later.target == "t"
+        assert len(checker.violations()) == wrong
+
+
 class TestLimit:
     """Requests for a target that set a limit of 2 per second."""
 
