Plan other services on time while one fails, and describe errors cheaply

A failure of one service's plan paused the plans of all for up to two seconds since the loop runs again after a pause; now only the count of failures in succession is taken from it. The description of an exception reads no source lines, as one is made for each message that can't be read.

--- a/packages/mimosastile-core/src/mimosastile_core/decoding.py
+++ b/packages/mimosastile-core/src/mimosastile_core/decoding.py
@@ -35,7 +35,7 @@
     try:
         return result.Ok(decoder(data))
     except Exception as error:
-        return result.Err(supervision.describe(error).why)
+        return result.Err(supervision.reason(error))
 
 
 def convert(raw: Any, kind: type[_T]) -> result.Result[_T, str]:
@@ -51,7 +51,7 @@
     try:
         return result.Ok(msgspec.convert(raw, kind))
     except Exception as error:
-        return result.Err(supervision.describe(error).why)
+        return result.Err(supervision.reason(error))
 
 
 def decompress(data: bytes, most: int) -> bytes:
--- a/packages/mimosastile-core/src/mimosastile_core/supervision.py
+++ b/packages/mimosastile-core/src/mimosastile_core/supervision.py
@@ -9,8 +9,6 @@
 _MAX_TEXT_LENGTH = 300
 """Longest description of an exception, in characters; it may quote outside
 data."""
-
-
 _FIRST_PAUSE_SECONDS = 0.1
 """Pause before work that has failed once runs again; doubles."""
 _LONGEST_PAUSE_SECONDS = 2.0
@@ -24,8 +22,7 @@
 
     Attributes:
         why: Type and message of the exception.
-        where: Place of the innermost own code on its way: file, line and
-            function; empty if unknown.
+        where: Place that raised it: file, line and function; empty if unknown.
     """
 
     why: str
@@ -94,11 +91,14 @@
     Args:
         error: The exception, with its traceback.
     """
-    frames = traceback.extract_tb(error.__traceback__)
     where = ""
-    if frames:
-        last = frames[-1]
-        file = last.filename.rpartition("/")[2]
-        where = f"{file}:{last.lineno} {last.name}"
-    why = f"{type(error).__name__}: {error}"
-    return Failure(why[:_MAX_TEXT_LENGTH], where)
+    for frame, line in traceback.walk_tb(error.__traceback__):
+        code = frame.f_code
+        file = code.co_filename.rpartition("/")[2]
+        where = f"{file}:{line} {code.co_name}"
+    return Failure(reason(error), where)
+
+
+def reason(error: BaseException) -> str:
+    """Returns type and message of an exception, bound in length."""
+    return f"{type(error).__name__}: {error}"[:_MAX_TEXT_LENGTH]
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -110,6 +110,7 @@
         "_orders",
         "_path_succession",
         "_own_extended_until",
+        "_plan_failures",
         "_planner",
         "_publish_timer",
         "_published_at",
@@ -179,6 +180,7 @@
         )
         self._witnesses: witnessing.Witnesses | None = None
         self._lost_tables: dict[str, int] = {}
+        self._plan_failures = 0
         self._lease = self._new_lease(0.0)
         self._entry: leadership.LeaderEntry | None = None
         self._own_extended_until = float("-inf")
@@ -475,6 +477,7 @@
             self._events,
         )
         self._lost_tables = {}
+        self._plan_failures = 0
         for key, item in items.items():
             if key.startswith(messages.TABLE_PREFIX):
                 self._load_table(item)
@@ -1115,7 +1118,7 @@
         configuration = self._cluster.configuration
         if configuration is None:
             return
-        failed: Exception | None = None
+        failed = False
         for service in configuration.services.values():
             try:
                 if service.keyed:
@@ -1128,9 +1131,9 @@
                     service=service.name,
                     why=repr(error),
                 )
-                failed = error
-        if failed is not None:
-            raise failed
+                failed = True
+        self._plan_failures = self._plan_failures + 1 if failed else 0
+        self._hand_over_if_failing(self._plan_failures)
 
     async def _plan_service(self, service: routes.Service) -> None:
         """Creates or changes the table of a service if required."""
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -585,6 +585,21 @@
             f"servers/{target.id}", target.record(leaving=True)
         )
 
+    async def late_arrivals(self, target, seconds):
+        """Has a target leave while callers send requests.
+
+        Args:
+            target: The target, which owns no keys.
+            seconds: Bound on the time from the acknowledgement that it leaves
+                until its last new request.
+
+        Returns:
+            The requests that reached it later.
+        """
+        since = self.leave(target)
+        await self.call(5.0, 100.0, "/p")
+        return [a for a in target.arrivals if a.at > since + seconds]
+
     def reaches(self, here, address):
         """Returns the VM at an address, None if `here` does not reach it."""
         if (here, address) in self.cut or (address, here) in self.cut:
--- a/tests/gateway/test_failing_tasks.py
+++ b/tests/gateway/test_failing_tasks.py
@@ -33,9 +33,7 @@
 async def _leave(cluster):
     """Has a target leave; returns the requests that reached it too late."""
     target = cluster.targets["p0"]
-    since = cluster.leave(target)
-    await cluster.call(5.0, 100.0, "/p")
-    return [a for a in target.arrivals if a.at > since + DRAIN_SECONDS]
+    return await cluster.late_arrivals(target, DRAIN_SECONDS)
 
 
 def _fail(monkeypatch, kind, name, fails):
@@ -120,7 +118,7 @@
     """Work of the leader that fails again and again."""
 
     @pytest.mark.parametrize(
-        "name", ["_replace_if_cut_off", "_note_former_wait"]
+        "name", ["_replace_if_cut_off", "_note_former_wait", "_plan_service"]
     )
     def test_another_vm_leads(self, monkeypatch, name):
         """Guards against a leader that goes on without one of its tasks."""
--- a/tests/gateway/test_odd_records.py
+++ b/tests/gateway/test_odd_records.py
@@ -45,9 +45,7 @@
 async def _leave(cluster):
     """Has a target leave; returns the requests that reached it too late."""
     target = cluster.targets["p0"]
-    since = cluster.leave(target)
-    await cluster.call(5.0, 100.0, "/p")
-    return [a for a in target.arrivals if a.at > since + DRAIN_SECONDS]
+    return await cluster.late_arrivals(target, DRAIN_SECONDS)
 
 
 async def _serving(cluster):
