--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_odd_records.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_odd_records.py
@@ -7,7 +7,8 @@
 from mimosastile_standins import platform_store
 
 _REGISTRATION = b'{"ServiceName":"tagmint","Address":"127.0.0.1:9"}'
-_CONFIGURATION = b'{"ConfigVersion":1000000,"ListenerList":[]}'
+# Without a version, or VMs would take a form whose odd field they ignore.
+_CONFIGURATION = b'{"ListenerList":[]}'
 _VM = b'{"id":"vm-odd","boot":"b","address":"127.0.0.1:9","zone":"zone-a"}'
 _TABLE = b'{"service":"odd","version":1,"ranges":[]}'
 _BODIES = {
