--- a/packages/mimosastile-standins/src/mimosastile_standins/soak.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak.py
@@ -888,6 +888,7 @@
         oracle.finish()
         oracle.violations.extend(self._feedback.violations())
         oracle.violations.extend(self._lateness.violations())
+        oracle.violations.extend(self._lateness.never_taken(recovered))
         oracle.violations.extend(self._reach.violations(oracle.outcomes))
         share = oracle.served_share(recovered, recovered + _RECOVERED_SECONDS)
         if share < _MIN_SERVED_SHARE:
--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_lateness.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_lateness.py
@@ -5,6 +5,7 @@
 target.
 """
 
+import collections
 from collections.abc import Iterator
 import itertools
 
@@ -15,6 +16,10 @@
 APPLY_SECONDS = 2.0
 """Default time limit within which a daemon must apply a version."""
 _NOT_FOUND = 404
+_OK = 200
+_UNSERVED_PROBES = 10
+"""Probes without success after recovery from which a version counts as never
+taken."""
 
 
 class Probe(msgspec.Struct, frozen=True):
@@ -97,6 +102,26 @@
             if late > APPLY_SECONDS
         ]
 
+    def never_taken(self, recovered: float) -> list[str]:
+        """Returns a message for each version that a VM did not take at all.
+
+        A VM that knows that its view is old responds 503 to what it does not
+        know, and is not late by that.
+
+        Args:
+            recovered: Time from which all VMs must serve.
+        """
+        failed: collections.Counter[tuple[str, int]] = collections.Counter(
+            (probe.vm, probe.version)
+            for probe in self._probes
+            if probe.sent >= recovered and probe.status != _OK
+        )
+        return [
+            f"{vm} has not taken version {version} after recovery"
+            for (vm, version), count in failed.items()
+            if count >= _UNSERVED_PROBES
+        ]
+
     def report(self) -> Lateness:
         """Returns the longest observed uses of outdated state."""
         delays = (late for _, late in self._late_probes())
--- a/tests/standins/test_soak_lateness.py
+++ b/tests/standins/test_soak_lateness.py
@@ -53,6 +53,23 @@
         assert checker.violations() == []
 
 
+class TestNeverTaken:
+    """Probes after recovery, at 20 s, of a route added by version 5."""
+
+    @pytest.mark.parametrize(
+        ("since", "status", "wrong"),
+        [(20.0, 503, 1), (20.0, 404, 1), (20.0, 200, 0), (17.0, 503, 0)],
+    )
+    def test_version(self, since, status, wrong):
+        """Guards against a VM that never takes a version and responds 503."""
+        checker = soak_lateness.LatenessChecker(soak_notices.FeedbackChecker())
+        checker.record_version(5, 10.0)
+        for number in range(16):
+            sent = since + 0.2 * number
+            checker.record_probe(soak_lateness.Probe("v", 5, sent, status))
+        assert len(checker.never_taken(20.0)) == wrong
+
+
 class TestLeavings:
     """Requests for a target that registered as leaving at 10 s."""
 
