Follow the store only if the leader states an outdated view

A VM whose own view was old read the store itself, also if its leader's view was current and the update to it was only slow: a configuration of hundreds of kilobytes behind a full link, which reading the store fills further. What the leader states tells the case that the incident was about, and the VM follows the store for half a minute, as its own view makes the leader's look current. Updates are sent by a function, so that a cancelled task leaves no coroutine that is never awaited.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/dissemination.py
@@ -1,11 +1,13 @@
 """Dissemination of cluster state from the leader to all VMs, as deltas."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 from typing import Any
 
 import msgspec
@@ -418,22 +420,23 @@
             for zone, batch in self._batches():
                 if zone == self._zone or len(batch.vms) < _MIN_RELAY_VMS:
                     for vm in batch.vms:
-                        sending = self._send(batch.body, vm)
-                        self._start(self._released(sending, [vm]))
+                        send = functools.partial(self._send, batch.body, vm)
+                        self._start(self._released(send, [vm]))
                 else:
-                    self._start(self._released(self._relay(batch), batch.vms))
+                    relay = functools.partial(self._relay, batch)
+                    self._start(self._released(relay, batch.vms))
 
     async def _released(
-        self, sending: Coroutine[Any, Any, None], vms: Iterable[_Vm]
+        self, send: Callable[[], Awaitable[None]], vms: Iterable[_Vm]
     ) -> None:
         """Sends an update; if that raises, the VMs still get the next one.
 
         Args:
-            sending: Sends the update.
+            send: Sends the update.
             vms: The VMs that it is for.
         """
         try:
-            await sending
+            await send()
         except Exception:
             for vm in vms:
                 vm.sending = False
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/view_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/view_monitoring.py
@@ -1,5 +1,7 @@
 """Notices views of the store that nobody refreshes."""
 
+from collections.abc import Iterable
+
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
@@ -7,6 +9,10 @@
 
 _REPORTS = 2.0
 """Reports that may be lost before the age of a leader's view has arrived."""
+_DISTRUST_SECONDS = 30.0
+"""Time for which a VM reads the store itself after its leader has stated an
+outdated view. The views of the VMs that do so reach the leader, whose own may
+stand still all the same."""
 
 
 class ViewMonitor:
@@ -16,7 +22,14 @@
         outdated: Names of the views that are older than the bound.
     """
 
-    __slots__ = ("_clock", "_cluster", "_events", "_settings", "outdated")
+    __slots__ = (
+        "_clock",
+        "_cluster",
+        "_distrusted_until",
+        "_events",
+        "_settings",
+        "outdated",
+    )
 
     def __init__(
         self,
@@ -37,8 +50,31 @@
         self._cluster = cluster
         self._clock = timer
         self._events = log
+        self._distrusted_until = float("-inf")
         self.outdated: frozenset[str] = frozenset()
 
+    def distrusts_leader(
+        self, ages: Iterable[float | None], report_interval: float
+    ) -> bool:
+        """Whether this VM reads the store itself because of its leader's views.
+
+        A leader may go on without noticing that its views stand still.
+
+        Args:
+            ages: Ages in seconds of the views that the leader has just stated,
+                None for those that were never complete.
+            report_interval: Mean seconds between two reports to the leader.
+        """
+        now = self._clock.now()
+        bound = self._bound(report_interval)
+        if any(age is not None and age > bound for age in ages):
+            self._distrusted_until = now + _DISTRUST_SECONDS
+        return now < self._distrusted_until
+
+    def _bound(self, report_interval: float) -> float:
+        """Returns the age in seconds from which a view is outdated."""
+        return self._settings.view_age_most + _REPORTS * report_interval
+
     def update(self, report_interval: float, *, follows_store: bool) -> None:
         """Compares the ages now.
 
@@ -46,7 +82,7 @@
             report_interval: Mean seconds between two reports to the leader.
             follows_store: Whether this VM reads the store itself.
         """
-        bound = self._settings.view_age_most + _REPORTS * report_interval
+        bound = self._bound(report_interval)
         state = self._cluster
         ages = {
             "registrations": state.registrations_age,
--- a/tests/gateway/test_view_monitoring.py
+++ b/tests/gateway/test_view_monitoring.py
@@ -67,6 +67,37 @@
             ]
 
 
+class TestLeader:
+    """Views whose age the leader states."""
+
+    @pytest.mark.parametrize(
+        ("ages", "distrusts"),
+        [
+            ((0.5, 0.5), False),
+            ((None, None), False),
+            ((_BOUND + 0.1, 0.5), True),
+            ((0.5, _BOUND + 0.1), True),
+        ],
+    )
+    def test_distrust(self, ages, distrusts):
+        """Guards against VMs that rely on a leader whose view stands still.
+
+        An update on its way to this VM is no reason: reading the store would
+        fill the same link.
+        """
+
+        async def main():
+            monitor, _ = _monitor(fakes.MemoryEvents())
+            found = [monitor.distrusts_leader(ages, 0.0)]
+            # The views of VMs that read the store make the leader's current.
+            found.append(monitor.distrusts_leader((0.5, 0.5), 0.0))
+            await asyncio.sleep(60.0)
+            found.append(monitor.distrusts_leader((0.5, 0.5), 0.0))
+            return found
+
+        assert virtual.run(main()) == [distrusts, distrusts, False]
+
+
 class TestStatedAges:
     """The age that VMs state while nothing changes."""
 
