--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -764,7 +764,9 @@
             reply.evacuations.zones,
         )
         distrusted = self._views.distrusts_leader(
-            (reply.seen_age, reply.configuration_age), self._report_interval
+            (reply.seen_age, reply.configuration_age),
+            self._report_interval,
+            self.count,
         )
         self._follow_requested = chosen or not reply.store or distrusted
         self._follow_store(
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/view_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/view_monitoring.py
@@ -9,6 +9,9 @@
 
 _REPORTS = 2.0
 """Reports that may be lost before the age of a leader's view has arrived."""
+_READERS = 10
+"""Mean number of VMs that read the store because of a leader's outdated view.
+Hundreds would fill the link between regions."""
 _DISTRUST_SECONDS = 30.0
 """Time for which a VM reads the store itself after its leader has stated an
 outdated view. The views of the VMs that do so reach the leader, whose own may
@@ -23,6 +26,7 @@
     """
 
     __slots__ = (
+        "_chosen",
         "_clock",
         "_cluster",
         "_distrusted_until",
@@ -50,26 +54,32 @@
         self._cluster = cluster
         self._clock = timer
         self._events = log
+        self._chosen = False
         self._distrusted_until = float("-inf")
         self.outdated: frozenset[str] = frozenset()
 
     def distrusts_leader(
-        self, ages: Iterable[float | None], report_interval: float
+        self, ages: Iterable[float | None], report_interval: float, vms: int
     ) -> bool:
         """Whether this VM reads the store itself because of its leader's views.
 
-        A leader may go on without noticing that its views stand still.
+        A leader may go on without noticing that its views stand still. A few
+        VMs that read the store are enough, as their views reach the leader.
 
         Args:
             ages: Ages in seconds of the views that the leader has just stated,
                 None for those that were never complete.
             report_interval: Mean seconds between two reports to the leader.
+            vms: Number of VMs.
         """
         now = self._clock.now()
         bound = self._bound(report_interval)
-        if any(age is not None and age > bound for age in ages):
+        if now >= self._distrusted_until and any(
+            age is not None and age > bound for age in ages
+        ):
             self._distrusted_until = now + _DISTRUST_SECONDS
-        return now < self._distrusted_until
+            self._chosen = self._clock.random() * vms < _READERS
+        return self._chosen and now < self._distrusted_until
 
     def _bound(self, report_interval: float) -> float:
         """Returns the age in seconds from which a view is outdated."""
--- a/tests/gateway/test_view_monitoring.py
+++ b/tests/gateway/test_view_monitoring.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mimosastile_gateway import clock
 from mimosastile_gateway import settings
 from mimosastile_gateway import view_monitoring
 from mimosastile_standins import virtual
@@ -88,15 +89,30 @@
 
         async def main():
             monitor, _ = _monitor(fakes.MemoryEvents())
-            found = [monitor.distrusts_leader(ages, 0.0)]
+            found = [monitor.distrusts_leader(ages, 0.0, 5)]
             # The views of VMs that read the store make the leader's current.
-            found.append(monitor.distrusts_leader((0.5, 0.5), 0.0))
+            found.append(monitor.distrusts_leader((0.5, 0.5), 0.0, 5))
             await asyncio.sleep(60.0)
-            found.append(monitor.distrusts_leader((0.5, 0.5), 0.0))
+            found.append(monitor.distrusts_leader((0.5, 0.5), 0.0, 5))
             return found
 
         assert virtual.run(main()) == [distrusts, distrusts, False]
 
+    def test_few_read_the_store(self):
+        """Guards against hundreds of VMs that fill the link between regions."""
+
+        async def main():
+            log = fakes.MemoryEvents()
+            monitors = [_monitor(log)[0] for _ in range(300)]
+            for number, monitor in enumerate(monitors):
+                monitor._clock = clock.Clock(number)
+            return sum(
+                monitor.distrusts_leader((_BOUND + 0.1, 0.0), 0.0, 300)
+                for monitor in monitors
+            )
+
+        assert 1 <= virtual.run(main()) <= 30
+
 
 class TestStatedAges:
     """The age that VMs state while nothing changes."""
