Decode compressed JSON and ask successors in one place each

History and messages of VMs decompressed and decoded by the same lines, a conversion repeated the decoding's boundary, and a leader asked for a successor in two places. Two names of log prefixes were left without a use. Behaviour is unchanged.

--- a/packages/mimosastile-core/src/mimosastile_core/decoding.py
+++ b/packages/mimosastile-core/src/mimosastile_core/decoding.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from typing import Any
 from typing import TypeVar
 import zlib
 
@@ -15,13 +14,14 @@
 
 from mimosastile_core import supervision
 
+_Data = TypeVar("_Data")
 _T = TypeVar("_T")
 _ZLIB_FIRST_BYTE = b"\x78"
 """First byte of a zlib stream; JSON never begins with it."""
 
 
 def decode(
-    decoder: Callable[[bytes], _T], data: bytes
+    decoder: Callable[[_Data], _T], data: _Data
 ) -> result.Result[_T, str]:
     """Decodes data.
 
@@ -38,23 +38,26 @@
         return result.Err(supervision.reason(error))
 
 
-def convert(raw: Any, kind: type[_T]) -> result.Result[_T, str]:
-    """Converts decoded JSON to a type.
+def decode_json(
+    data: bytes, kind: type[_T], most: int
+) -> result.Result[_T, str]:
+    """Decodes JSON, which may be compressed.
 
     Args:
-        raw: The decoded JSON.
-        kind: The type.
+        data: Plain JSON, or a zlib stream of it.
+        kind: Type of the value.
+        most: Largest size after decompression, in bytes.
 
     Returns:
-        The value, or why it is none of that type.
+        The value, or why there is none of that type.
     """
-    try:
-        return result.Ok(msgspec.convert(raw, kind))
-    except Exception as error:
-        return result.Err(supervision.reason(error))
+    return decode(
+        lambda raw: msgspec.json.decode(_decompress(raw, most), type=kind),
+        data,
+    )
 
 
-def decompress(data: bytes, most: int) -> bytes:
+def _decompress(data: bytes, most: int) -> bytes:
     """Returns data without its compression, if it has any.
 
     Args:
--- a/packages/mimosastile-core/src/mimosastile_core/history.py
+++ b/packages/mimosastile-core/src/mimosastile_core/history.py
@@ -181,9 +181,7 @@
         were added to the schema since have their defaults.
     """
     for change in changes:
-        read = decoding.convert(
-            change.operations, tuple[patches.Operation, ...]
-        )
+        read = decoding.decode(_to_operations, change.operations)
         if isinstance(read, result.Err):
             return result.Err(f"number {change.number}: {read.err_value}")
         applied = patches.apply_raw(raw, read.ok_value)
@@ -203,10 +201,9 @@
     )
 
 
+def _to_operations(raw: Any) -> tuple[patches.Operation, ...]:
+    return msgspec.convert(raw, tuple[patches.Operation, ...])
+
+
 def _decode_value(value: bytes, kind: Any) -> result.Result[Any, str]:
-    return decoding.decode(
-        lambda data: msgspec.json.decode(
-            decoding.decompress(data, _MAX_VALUE_BYTES), type=kind
-        ),
-        value,
-    )
+    return decoding.decode_json(value, kind, _MAX_VALUE_BYTES)
--- a/packages/mimosastile-entry/src/mimosastile_entry/_digests.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_digests.py
@@ -19,7 +19,6 @@
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
-_PREFIX = "digests:"
 _MEAN_INTERVAL_SECONDS = 0.8
 """Mean interval between two exchanges in the zone."""
 
--- a/packages/mimosastile-entry/src/mimosastile_entry/_loads.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_loads.py
@@ -20,7 +20,6 @@
 from mimosastile_entry import kernel
 from mimosastile_entry import ports
 
-_PREFIX = "loads:"
 _REPORT_SECONDS = 2.0
 _CALL_SECONDS = 0.5
 _SLICES_PER_TARGET = 8
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/leader_role.py
@@ -633,14 +633,7 @@
         """
         if failures < _MAX_FAILURES or self._entry is None:
             return
-        successors = self._request_successors()
-        if successors:
-            self._events.write(
-                "leader",
-                "asks_successor",
-                successors=successors,
-                failures=failures,
-            )
+        self._ask_successors(failures=failures)
 
     def step_down(self, why: str) -> None:
         """Ends this VM's leadership and stops all orders to targets."""
@@ -1052,20 +1045,27 @@
         self._lease.replaceable = bool(self._successor_candidates())
         if now - self._store_failing_since < _RESIGN_AFTER_SECONDS:
             return
-        successors = self._request_successors()
-        if successors:
-            self._events.write(
-                "leader",
-                "asks_successor",
-                successors=successors,
-                store_silent=round(now - self._store_failing_since, 2),
-            )
+        self._ask_successors(
+            store_silent=round(now - self._store_failing_since, 2)
+        )
 
     def _request_extension(self) -> None:
         """Requests an extension of the leader lease from the witnesses."""
         if self._witnesses is not None and self.is_leader:
             self._witnesses.request_extension()
 
+    def _ask_successors(self, **reason: float) -> None:
+        """Asks VMs that reach the store to lead, and logs why.
+
+        Args:
+            **reason: The reason, as a field of the log line.
+        """
+        successors = self._request_successors()
+        if successors:
+            self._events.write(
+                "leader", "asks_successor", successors=successors, **reason
+            )
+
     def _request_successors(self) -> tuple[str, ...]:
         """Asks VMs that reach the store to lead; returns those just asked."""
         candidates = self._successor_candidates()
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/messages.py
@@ -474,12 +474,7 @@
     Returns:
         The message, or why the body is none of that type.
     """
-    return decoding.decode(
-        lambda data: msgspec.json.decode(
-            decoding.decompress(data, _MAX_MESSAGE_BYTES), type=kind
-        ),
-        body,
-    )
+    return decoding.decode_json(body, kind, _MAX_MESSAGE_BYTES)
 
 
 def decode_table(item: ports.Item) -> result.Result[ranges.RangeTable, str]:
