--- a/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/membership.py
@@ -763,15 +763,12 @@
             reply.configuration_seen,
             reply.evacuations.zones,
         )
-        distrusted = self._views.distrusts_leader(
-            (reply.seen_age, reply.configuration_age),
-            self._report_interval,
-            self.count,
-        )
-        self._follow_requested = chosen or not reply.store or distrusted
+        # A leader may go on without noticing that its view stands still.
+        outdated = bool(self._views.outdated)
+        self._follow_requested = chosen or not reply.store or outdated
         self._follow_store(
             self._follow_requested,
-            read_delay=self._read_delay() if distrusted else 0.0,
+            read_delay=self._read_delay() if outdated else 0.0,
         )
 
     def _read_delay(self) -> float:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/view_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/view_monitoring.py
@@ -1,7 +1,5 @@
 """Notices views of the store that nobody refreshes."""
 
-from collections.abc import Iterable
-
 from mimosastile_gateway import clock
 from mimosastile_gateway import cluster_state
 from mimosastile_gateway import events
@@ -9,13 +7,6 @@
 
 _REPORTS = 2.0
 """Reports that may be lost before the age of a leader's view has arrived."""
-_READERS = 10
-"""Mean number of VMs that read the store because of a leader's outdated view.
-Hundreds would fill the link between regions."""
-_DISTRUST_SECONDS = 30.0
-"""Time for which a VM reads the store itself after its leader has stated an
-outdated view. The views of the VMs that do so reach the leader, whose own may
-stand still all the same."""
 
 
 class ViewMonitor:
@@ -25,15 +16,7 @@
         outdated: Names of the views that are older than the bound.
     """
 
-    __slots__ = (
-        "_chosen",
-        "_clock",
-        "_cluster",
-        "_distrusted_until",
-        "_events",
-        "_settings",
-        "outdated",
-    )
+    __slots__ = ("_clock", "_cluster", "_events", "_settings", "outdated")
 
     def __init__(
         self,
@@ -54,37 +37,8 @@
         self._cluster = cluster
         self._clock = timer
         self._events = log
-        self._chosen = False
-        self._distrusted_until = float("-inf")
         self.outdated: frozenset[str] = frozenset()
 
-    def distrusts_leader(
-        self, ages: Iterable[float | None], report_interval: float, vms: int
-    ) -> bool:
-        """Whether this VM reads the store itself because of its leader's views.
-
-        A leader may go on without noticing that its views stand still. A few
-        VMs that read the store are enough, as their views reach the leader.
-
-        Args:
-            ages: Ages in seconds of the views that the leader has just stated,
-                None for those that were never complete.
-            report_interval: Mean seconds between two reports to the leader.
-            vms: Number of VMs.
-        """
-        now = self._clock.now()
-        bound = self._bound(report_interval)
-        if now >= self._distrusted_until and any(
-            age is not None and age > bound for age in ages
-        ):
-            self._distrusted_until = now + _DISTRUST_SECONDS
-            self._chosen = self._clock.random() * vms < _READERS
-        return self._chosen and now < self._distrusted_until
-
-    def _bound(self, report_interval: float) -> float:
-        """Returns the age in seconds from which a view is outdated."""
-        return self._settings.view_age_most + _REPORTS * report_interval
-
     def update(self, report_interval: float, *, follows_store: bool) -> None:
         """Compares the ages now.
 
@@ -92,7 +46,7 @@
             report_interval: Mean seconds between two reports to the leader.
             follows_store: Whether this VM reads the store itself.
         """
-        bound = self._bound(report_interval)
+        bound = self._settings.view_age_most + _REPORTS * report_interval
         state = self._cluster
         ages = {
             "registrations": state.registrations_age,
--- a/tests/gateway/test_view_monitoring.py
+++ b/tests/gateway/test_view_monitoring.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from mimosastile_gateway import clock
 from mimosastile_gateway import settings
 from mimosastile_gateway import view_monitoring
 from mimosastile_standins import virtual
@@ -68,52 +67,6 @@
             ]
 
 
-class TestLeader:
-    """Views whose age the leader states."""
-
-    @pytest.mark.parametrize(
-        ("ages", "distrusts"),
-        [
-            ((0.5, 0.5), False),
-            ((None, None), False),
-            ((_BOUND + 0.1, 0.5), True),
-            ((0.5, _BOUND + 0.1), True),
-        ],
-    )
-    def test_distrust(self, ages, distrusts):
-        """Guards against VMs that rely on a leader whose view stands still.
-
-        An update on its way to this VM is no reason: reading the store would
-        fill the same link.
-        """
-
-        async def main():
-            monitor, _ = _monitor(fakes.MemoryEvents())
-            found = [monitor.distrusts_leader(ages, 0.0, 5)]
-            # The views of VMs that read the store make the leader's current.
-            found.append(monitor.distrusts_leader((0.5, 0.5), 0.0, 5))
-            await asyncio.sleep(60.0)
-            found.append(monitor.distrusts_leader((0.5, 0.5), 0.0, 5))
-            return found
-
-        assert virtual.run(main()) == [distrusts, distrusts, False]
-
-    def test_few_read_the_store(self):
-        """Guards against hundreds of VMs that fill the link between regions."""
-
-        async def main():
-            log = fakes.MemoryEvents()
-            monitors = [_monitor(log)[0] for _ in range(300)]
-            for number, monitor in enumerate(monitors):
-                monitor._clock = clock.Clock(number)
-            return sum(
-                monitor.distrusts_leader((_BOUND + 0.1, 0.0), 0.0, 300)
-                for monitor in monitors
-            )
-
-        assert 1 <= virtual.run(main()) <= 30
-
-
 class TestStatedAges:
     """The age that VMs state while nothing changes."""
 
