--- a/review/5/case.py
+++ b/review/5/case.py
@@ -143,18 +143,23 @@
         sending = asyncio.create_task(self._send(link, writer, pending, until))
         try:
             while not (sending.done() and not pending):
-                first, headers, body = await standin.read_message(reader)
+                first, headers, length = await _read_head(reader)
+                closes = headers.get("connection") == "close"
+                if closes:
+                    # Nothing more is sent, and what was sent behind it counts
+                    # as not read.
+                    sending.cancel()
+                await reader.readexactly(length)
                 attempt = pending.pop(0)
                 sent = self._log[attempt]
                 sent.ended_at = time.monotonic()
                 sent.whole = True
                 self._record(
                     "client", self._number, "gets", first.split(" ")[1],
-                    "to", attempt, len(body), "bytes",
-                    "connection:", headers.get("connection", ""),
+                    "to", attempt, length, "bytes",
+                    "and closes" if closes else "",
                 )  # fmt: skip
-                if headers.get("connection") == "close":
-                    # What was sent behind it counts as not read.
+                if closes:
                     return
         except (OSError, EOFError, asyncio.IncompleteReadError) as error:
             attempt = pending[0] if pending else ""
@@ -183,6 +188,17 @@
             await asyncio.sleep(random.expovariate(1 / GAP_S))
 
 
+async def _read_head(reader):
+    """Reads the head of an answer; returns it with the length of the body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head[:-4].decode("latin-1").split("\r\n")
+    headers = {
+        name.strip().lower(): value.strip()
+        for name, _, value in (line.partition(":") for line in lines)
+    }
+    return first, headers, int(headers["content-length"])
+
+
 async def offer(rig):
     """Offers daemons to new connections as the platform's ingress does."""
     misses = dict.fromkeys(rig.daemons, 0)
