Add tests of callers that keep to no limits

The daemons run as processes of their own on loopback addresses. A small crowd of callers sends input without end (names, values, trailers, targets, chunk framing, empty lines, behind a request too), holds many heads within the limit, or opens connections and sends nothing, on each listener.

No time limit of the daemons ends a connection in these tests.

--- /dev/null
+++ b/tests/processes/test_entry_crowds.py
@@ -0,0 +1,106 @@
+"""The daemon of the product's own interface beside callers without limits."""
+
+import asyncio
+
+import pytest
+
+from tests.processes import crowds
+from tests.processes import daemons
+
+_MEMORY_MB = 128
+_DESCRIPTORS = 128
+_SENDERS = 8
+_SENT_BYTES = 16 << 20
+"""All senders together send more than the memory of the process."""
+_HEAD_BYTES = 16_200
+"""Just below the limit on heads."""
+_UNFINISHED_HEADS = 400
+_IDLE_CALLERS = 150
+_LISTENERS = ("callers", "peers")
+_ENDLESS = [
+    *((name, "callers") for name in crowds.ENDLESS),
+    *(
+        (name, "peers")
+        for name in ("value", "trailers", "trailer-value", "pipelined-value")
+    ),
+]
+_TEST_SECONDS = 60
+"""Ends a test that hangs."""
+
+
+def _run(folder, scenario, descriptors=0):
+    async def main():
+        async with asyncio.timeout(_TEST_SECONDS):
+            async with daemons.entry(folder, descriptors) as running:
+                await scenario(running)
+
+    asyncio.run(main())
+
+
+async def _check(running):
+    assert await running.status() == 200
+    assert running.alive
+    assert running.peak_memory_mb <= _MEMORY_MB
+
+
+class TestEndlessInput:
+    """Callers that send what has no end, or more than the limit."""
+
+    @pytest.mark.parametrize(("name", "listener"), _ENDLESS)
+    def test_memory_is_bounded(self, tmp_path, name, listener):
+        """Guards against a process that buffers input without end."""
+
+        async def scenario(running):
+            async with crowds.crowd(
+                running.addresses[listener], _SENDERS
+            ) as callers:
+                await callers.send_endless(*crowds.ENDLESS[name], _SENT_BYTES)
+                await _check(running)
+
+        _run(tmp_path, scenario)
+
+    @pytest.mark.parametrize("listener", _LISTENERS)
+    def test_oversized_heads(self, tmp_path, listener):
+        """Guards against heads over the limit that are held whole."""
+
+        async def scenario(running):
+            async with crowds.crowd(
+                running.addresses[listener],
+                _UNFINISHED_HEADS // 4,
+                crowds.OVERSIZED,
+            ):
+                await _check(running)
+
+        _run(tmp_path, scenario)
+
+
+class TestHeldHeads:
+    """Callers whose heads are within the limit, and stay in memory."""
+
+    @pytest.mark.parametrize("listener", _LISTENERS)
+    def test_unfinished_heads(self, tmp_path, listener):
+        """Guards against many headers that cost far more than their bytes."""
+
+        async def scenario(running):
+            async with crowds.crowd(
+                running.addresses[listener],
+                _UNFINISHED_HEADS,
+                crowds.unfinished_head(_HEAD_BYTES),
+            ):
+                await _check(running)
+
+        _run(tmp_path, scenario)
+
+
+class TestConnections:
+    """Callers that open connections and send nothing."""
+
+    @pytest.mark.parametrize("listener", _LISTENERS)
+    def test_idle_connections(self, tmp_path, listener):
+        """Guards against connections that use up all descriptors."""
+
+        async def scenario(running):
+            async with crowds.crowd(running.addresses[listener], _IDLE_CALLERS):
+                await _check(running)
+
+        _run(tmp_path, scenario, _DESCRIPTORS)
