Bound input that a parser takes without delivering anything

Callers saw a gateway whose process ran out of memory: 30 clients that sent one header without end took it to 1,030 MB in 8 s, on every listener.

Cause: the parser joins the pieces of a name or value and calls back when it is whole, so the limit on heads, counted in the callbacks, never saw what has no end. That holds for heads, for heads behind a request and for trailers. Empty lines and chunk headers without end cost no memory, but kept the connection and the processor busy.

Now bytes that the parser has taken since its last whole part (head, chunk header, piece of a body, message) are counted as they are fed, 16 KiB at a time. More than the limit on heads, and 1 KiB for what that limit does not count, is refused with 431, or closed where no request has begun. A chunk or body of any size within its limit is not affected, and small reads keep one caller's small chunks from delaying the others by more than a read.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from mimosastile_core import input_limits
 from mimosastile_core.gateway import body_buffer
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import routes
@@ -31,6 +32,8 @@
 _MEMORY_RETRY_AFTER = ((b"retry-after", b"1"),)
 """Headers of a refusal for want of memory: slow callers hold theirs for
 seconds."""
+_READ_BUFFER = bytearray(input_limits.READ_BYTES)
+"""Shared by all connections: what was read is copied before the next read."""
 _REASONS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
 
 
@@ -133,7 +136,7 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One client's connection."""
 
     __slots__ = (
@@ -153,6 +156,7 @@
         "_task",
         "_timer",
         "_transport",
+        "_unparsed",
         "_unread_bytes",
         "_unsent_bytes",
         "_url",
@@ -169,6 +173,7 @@
         self._body = body_buffer.BodyBuffer()
         self._head_bytes = 0
         self._held_bytes = 0
+        self._unparsed = input_limits.UnparsedBytes()
         self._unsent_bytes = 0
         self._unread_bytes: float = math.inf
         self._owner = ""
@@ -236,17 +241,22 @@
         self._server.opened(self)
         self._start_timer(self._server.limits.header_seconds)
 
-    def data_received(self, data: bytes) -> None:
-        """Parses received bytes."""
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the buffer to read into."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses the bytes that were read into the buffer."""
         if self._closed or self._final:
             return
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(bytes(memoryview(_READ_BUFFER)[:nbytes]))
         except httptools.HttpParserUpgrade:
             self._reject(400)
         except httptools.HttpParserError:
             if not self._closed:
                 self._reject(400)
+        self._limit_unparsed(nbytes)
 
     def eof_received(self) -> bool:
         """Treats a half-closed connection as a disconnected caller."""
@@ -307,6 +317,7 @@
 
     def on_headers_complete(self) -> None:
         """Checks the head of a request; answers `Expect: 100-continue`."""
+        self._unparsed.record_part()
         incoming = self._incoming
         if incoming is None:
             return
@@ -327,8 +338,13 @@
         if (incoming.header(b"expect") or b"").lower() == b"100-continue":
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def on_chunk_header(self) -> None:
+        """Records that the size of a chunk is known."""
+        self._unparsed.record_part()
+
     def on_body(self, body: bytes) -> None:
         """Buffers a piece of a body."""
+        self._unparsed.record_part()
         incoming = self._incoming
         if incoming is None:
             return
@@ -345,6 +361,7 @@
 
     def on_message_complete(self) -> None:
         """Queues a complete request; requests are served in their order."""
+        self._unparsed.record_part()
         incoming = self._incoming
         if incoming is None or self._closed:
             return
@@ -458,7 +475,22 @@
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._server.limits.header_bytes:
-            self._reject(431)
+            self._reject(431, unread=True)
+
+    def _limit_unparsed(self, size: int) -> None:
+        """Ends a connection whose input the parser takes without an end."""
+        self._unparsed.record_input(size)
+        most = self._server.limits.header_bytes + input_limits.FRAMING_BYTES
+        if self._unparsed.count <= most:
+            return
+        if self._incoming is not None:
+            self._reject(431, unread=True)
+        elif self.busy:
+            self._final = True
+        else:
+            # Without a request, no response is due.
+            self._final = True
+            self._close()
 
     def _hold(self, incoming: Request, size: int) -> None:
         """Counts bytes of a request's body as held."""
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -1,6 +1,7 @@
 """HTTP server: valid and invalid requests, disconnects and graceful stop."""
 
 import asyncio
+import itertools
 
 import hypothesis
 from hypothesis import strategies as st
@@ -14,6 +15,9 @@
 )
 
 
+LIMITS_OF_HEADS = routes.CallerLimits(header_bytes=400, body_bytes=50)
+
+
 class _Handler:
     """Echoes requests, with a delay if set."""
 
@@ -203,6 +207,95 @@
         _run(scenario)
 
 
+class TestEndlessInput:
+    """Input that never becomes a whole head, chunk or request."""
+
+    @pytest.mark.parametrize(
+        ("first", "repeated", "status"),
+        [
+            (b"GET / HTTP/1.1\r\nX: ", b"y", b"431"),
+            (b"GET / HTTP/1.1\r\n", b"y", b"431"),
+            (
+                b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"0\r\nX: ",
+                b"y",
+                b"431",
+            ),
+            (
+                b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+                b"y",
+                b"431",
+            ),
+            (b"", b"\r\n", b""),
+        ],
+    )
+    def test_ends(self, first, repeated, status):
+        """Guards against a name, value or trailer that is buffered forever."""
+
+        async def scenario(server, handler, reader, writer):
+            server.limits = routes.CallerLimits(header_bytes=400)
+            writer.write(first)
+            for _ in range(100):
+                writer.write(1000 * repeated)
+                await asyncio.sleep(0)
+            response = await _read_all(reader)
+            assert response.startswith(b"HTTP/1.1 " + status if status else b"")
+            assert response.count(b"HTTP/1.1") == bool(status)
+            assert handler.requests == []
+
+        _run(scenario)
+
+    def test_empty_lines_behind_a_request(self):
+        """Guards against empty lines that keep a connection busy forever."""
+
+        async def scenario(server, handler, reader, writer):
+            server.limits = routes.CallerLimits(header_bytes=400)
+            writer.write(_get())
+            await reader.readuntil(b"GET ")
+            writer.write(b"\r\n" * 1000)
+            assert await _read_all(reader) == b""
+
+        _run(scenario)
+
+    @hypothesis.given(
+        sizes=st.lists(st.integers(1, 40), min_size=1, max_size=40),
+        name_bytes=st.integers(1, 350),
+    )
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=30)
+    def test_heads_within_the_limit(self, sizes, name_bytes):
+        """Guards against a limit that refuses heads within it.
+
+        A head at the limit arrives in any pieces, a body in chunks of one byte.
+        """
+        # The path, and 4 bytes for each of the three headers.
+        counted = len("/hosthtransfer-encodingchunked") + 3 * 4
+        name = b"n" * name_bytes
+        value = b"v" * (LIMITS_OF_HEADS.header_bytes - counted - name_bytes)
+        raw = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+            + name
+            + b": "
+            + value
+            + b"\r\n\r\n"
+            + b"1\r\nx\r\n" * 50
+            + b"0\r\n\r\n"
+        )
+
+        async def scenario(server, handler, reader, writer):
+            rest = raw
+            for size in itertools.cycle(sizes):
+                writer.write(rest[:size])
+                await asyncio.sleep(0)
+                rest = rest[size:]
+                if not rest:
+                    break
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            assert await reader.readexactly(55) == b"POST " + b"x" * 50
+
+        _run(scenario, LIMITS_OF_HEADS)
+
+
 class TestLeaving:
     """Callers that disconnect, and a server that stops."""
 
