Count the memory of request heads

Callers saw a gateway beyond its memory: 5,000 connections that hold a head of 2,700 headers, each within the limit, took 1,662 MB. Small requests beside them were answered in one of three tries.

Cause: the limit bounds the bytes of one head. Its parsed headers take some 25 times as much, and the account of held bytes knows only bodies. Requests that wait behind one in service hold their heads as well.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/held_bytes.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/held_bytes.py
@@ -7,6 +7,10 @@
 _RESERVE_SHARE = 0.125
 """Memory above the limit, as a share of it, that is left for small bodies and
 for requests without a body."""
+_SMALL_HEAD_BYTES = 8 << 10
+"""Memory of a head up to which it is refused last."""
+_LAST_RESERVE_SHARE = 0.1875
+"""Memory above the limit, as a share of it, that is left for small heads."""
 _SHORT_SHARE = 0.5
 """Share of the limit above which responses are received more slowly."""
 _LISTED_OWNERS = 5
@@ -17,7 +21,8 @@
     """All copies of bodies that a VM holds for callers, targets and peers.
 
     A request's body is counted from the moment it is accepted, with its
-    announced length. Everything else is counted when it is buffered.
+    announced length. Everything else is counted when it is buffered. Heads of
+    requests count against the same limit until their requests have ended.
 
     Attributes:
         limit: Bytes up to which large bodies are accepted, 0 for no bound.
@@ -26,6 +31,7 @@
 
     __slots__ = (
         "_by_owner",
+        "_heads",
         "_peaks",
         "_received",
         "_requests",
@@ -43,6 +49,7 @@
         """
         self.limit = limit
         self.refused = 0
+        self._heads = 0
         self._requests = 0
         self._sending = 0
         self._received = 0
@@ -52,13 +59,17 @@
 
     @property
     def total(self) -> int:
-        """Bytes held now."""
+        """Bytes of bodies held now."""
         return self._requests + self._sending + self._received + self._unsent
 
     @property
     def short(self) -> bool:
         """Whether responses should be received no faster than they are sent."""
-        return bool(self.limit) and self.total > self.limit * _SHORT_SHARE
+        return bool(self.limit) and self._used > self.limit * _SHORT_SHARE
+
+    @property
+    def _used(self) -> int:
+        return self.total + self._heads
 
     def hold(self, owner: str, size: int) -> None:
         """Counts bytes of a request's body.
@@ -95,7 +106,7 @@
 
     def admits(self, size: int) -> bool:
         """Whether a request with a body of a size may be received."""
-        return self._fits(size, self.total + size)
+        return self._fits(size, self._used + size)
 
     def admits_growth(self, size: int) -> bool:
         """Whether a body may go on to be received.
@@ -103,13 +114,31 @@
         Args:
             size: Bytes of it that are counted already.
         """
-        return self._fits(size, self.total)
+        return self._fits(size, self._used)
+
+    def admits_head(self, cost: int) -> bool:
+        """Whether a head may be kept until its request has ended.
+
+        Args:
+            cost: Its memory in bytes.
+        """
+        small = cost <= _SMALL_HEAD_BYTES
+        used = self._used + cost
+        return (
+            small and used <= self.limit * (1 + _LAST_RESERVE_SHARE)
+        ) or self._fits(cost, used)
+
+    def add_heads(self, change: int) -> None:
+        """Counts the memory of heads of requests that have not ended."""
+        self._heads += change
+        self._record_peak("heads", self._heads)
 
     def dump(self) -> dict[str, object]:
         """Returns bytes held, peaks by purpose and the largest owners."""
         return {
             "limit": self.limit,
             "refused": self.refused,
+            "heads": self._heads,
             "requests": self._requests,
             "sending": self._sending,
             "received": self._received,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -15,6 +15,7 @@
 
 from mimosastile_core import errors
 from mimosastile_core import supervision
+from mimosastile_core import unfinished_heads
 from mimosastile_core.gateway import crash_detection
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import load_balancing
@@ -108,6 +109,7 @@
         "_clock",
         "_events",
         "_forwarder",
+        "_heads",
         "_held",
         "_peer_handlers",
         "_peer_server",
@@ -273,15 +275,21 @@
         )
         self._held = held_bytes.HeldBytes(configured.requests.memory_bytes)
         self._pool.held = self._order_pool.held = self._held
+        self._heads = unfinished_heads.UnfinishedHeads[http_server.Connection](
+            configured.requests.unfinished_head_bytes
+        )
         self._caller_server = http_server.Server(
-            self._forwarder.handle, held=self._held
+            self._forwarder.handle, held=self._held, heads=self._heads
+        )
+        self._readiness_server = http_server.Server(
+            self._handle_readiness, heads=self._heads
         )
-        self._readiness_server = http_server.Server(self._handle_readiness)
         # Messages between VMs are never refused for want of memory.
         self._peer_server = http_server.Server(
             self._handle_peer_call,
             held=self._held,
             bounded=lambda incoming: bool(peer_forwarding.origin(incoming)),
+            heads=self._heads,
         )
         self._peer_handlers: dict[str, tuple[type[Any], _PeerHandler]] = {
             messages.REPORT_PATH: (messages.Report, self._handle_report),
@@ -292,7 +300,9 @@
                 self._leader_role.witness.handle_request,
             ),
         }
-        self._metrics_server = http_server.Server(self._handle_metrics)
+        self._metrics_server = http_server.Server(
+            self._handle_metrics, heads=self._heads
+        )
         self.callers_address = ""
         self._stopping = False
         self._tasks = background_tasks.BackgroundTasks(self._events)
@@ -498,6 +508,11 @@
             "gates": self._admission.dump(),
             "probes": self._prober.dump(),
             "held_bytes": self._held.dump(),
+            "unfinished_heads": {
+                "limit": self._heads.most,
+                "held": self._heads.total,
+                "refused": self._heads.evicted,
+            },
             "connections_opened": self._pool.opened,
             "responses_unmatched": self._unmatched_responses,
             "log_lines_dropped": self._events.dropped,
@@ -613,6 +628,7 @@
             },
             "vms_known": self._membership.count,
             "held_bytes": self._held.total,
+            "unfinished_head_bytes": self._heads.total,
             "memory_refusals": self._held.refused,
             "utilisation_highest": max(utilisations, default=0.0),
             "utilisation_mean": sum(utilisations) / max(len(utilisations), 1),
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -14,6 +14,7 @@
 import httptools
 
 from mimosastile_core import input_limits
+from mimosastile_core import unfinished_heads
 from mimosastile_core.gateway import body_buffer
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import routes
@@ -45,6 +46,7 @@
         target: Path with query, as received.
         headers: Names in lower case with values, as received.
         body_blocks: The body in its order.
+        head_cost: Memory of the head that is counted as held, in bytes.
         held_bytes: Bytes of the body that are counted as held.
         received_at: Time of the event loop at which its first byte arrived.
         cancellable: Whether its handler is cancelled when the caller
@@ -58,6 +60,7 @@
         "received_at",
         "body_blocks",
         "cancellable",
+        "head_cost",
         "headers",
         "held_bytes",
         "disconnected",
@@ -71,6 +74,7 @@
         self.target = target
         self.headers: list[tuple[bytes, bytes]] = []
         self.body_blocks: Sequence[bytes | bytearray] = ()
+        self.head_cost = 0
         self.held_bytes = 0
         self.received_at = received_at
         self.cancellable = True
@@ -145,6 +149,7 @@
         "_closed",
         "_current",
         "_head_bytes",
+        "_head_cost_held",
         "_held_bytes",
         "_incoming",
         "_final",
@@ -172,6 +177,7 @@
         self._url = b""
         self._body = body_buffer.BodyBuffer()
         self._head_bytes = 0
+        self._head_cost_held = 0
         self._held_bytes = 0
         self._unparsed = input_limits.UnparsedBytes()
         self._unsent_bytes = 0
@@ -213,6 +219,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def reject_for_memory(self) -> None:
+        """Refuses the request that is being received for want of memory."""
+        self._server.held.refused += 1
+        self._reject(503, _MEMORY_RETRY_AFTER, unread=True)
+
     def count_unsent(self) -> None:
         """Counts the bytes of responses that the caller has not read yet."""
         transport = self._transport
@@ -257,6 +268,8 @@
             if not self._closed:
                 self._reject(400)
         self._limit_unparsed(nbytes)
+        if self._incoming is not None:
+            self._count_head(self._incoming)
 
     def eof_received(self) -> bool:
         """Treats a half-closed connection as a disconnected caller."""
@@ -268,6 +281,7 @@
         self._can_write.set()
         self.count_unsent()
         self._stop_timer()
+        self._server.heads.release(self)
         self._server.closed(self)
         self._queue.clear()
         if self._task is None:
@@ -323,14 +337,16 @@
             return
         incoming.method = self._parser.get_method().decode("ascii")
         incoming.target = self._url
+        self._server.heads.release(self)
         length = incoming.header(b"content-length")
         size = int(length) if length is not None and length.isdigit() else 0
+        cost = self._head_cost(incoming)
         if size > self._server.limits.body_bytes:
             self._reject(413, unread=True)
-        elif not self._server.admits_request(incoming, size):
-            self._server.held.refused += 1
-            self._reject(503, _MEMORY_RETRY_AFTER, unread=True)
+        elif not self._server.admits_request(incoming, size, cost):
+            self.reject_for_memory()
         else:
+            self._hold_head(incoming, cost)
             self._hold(incoming, size)
             self._answer_expect(incoming)
 
@@ -356,8 +372,7 @@
             # A body in chunks has no announced length.
             self._hold(incoming, size - incoming.held_bytes)
             if not self._server.admits_growth(incoming):
-                self._server.held.refused += 1
-                self._reject(503, _MEMORY_RETRY_AFTER, unread=True)
+                self.reject_for_memory()
 
     def on_message_complete(self) -> None:
         """Queues a complete request; requests are served in their order."""
@@ -492,6 +507,27 @@
             self._final = True
             self._close()
 
+    def _head_cost(self, incoming: Request) -> int:
+        """Returns the memory of a request's head, or of its part so far."""
+        size = max(self._head_bytes, self._unparsed.count)
+        return unfinished_heads.head_cost(size, len(incoming.headers))
+
+    def _count_head(self, incoming: Request) -> None:
+        """Counts the memory of an unfinished head, or of trailers."""
+        cost = self._head_cost(incoming)
+        if not incoming.method:
+            for connection in self._server.heads.hold(self, cost):
+                connection.reject_for_memory()
+        elif cost > incoming.head_cost:
+            self._hold_head(incoming, cost)
+
+    def _hold_head(self, incoming: Request, cost: int) -> None:
+        """Counts the memory of a request's head as held."""
+        growth = cost - incoming.head_cost
+        incoming.head_cost = cost
+        self._head_cost_held += growth
+        self._server.held.add_heads(growth)
+
     def _hold(self, incoming: Request, size: int) -> None:
         """Counts bytes of a request's body as held."""
         if size:
@@ -500,14 +536,17 @@
             self._server.held.hold(self._owner, size)
 
     def _release(self, incoming: Request) -> None:
-        """Counts the body of a request as no longer held."""
+        """Counts head and body of a request as no longer held."""
+        self._hold_head(incoming, 0)
         if incoming.held_bytes:
             self._held_bytes -= incoming.held_bytes
             self._server.held.release(self._owner, incoming.held_bytes)
             incoming.held_bytes = 0
 
     def _release_all(self) -> None:
-        """Counts the bodies of all requests as no longer held."""
+        """Counts heads and bodies of all requests as no longer held."""
+        self._server.held.add_heads(-self._head_cost_held)
+        self._head_cost_held = 0
         if self._held_bytes:
             self._server.held.release(self._owner, self._held_bytes)
             self._held_bytes = 0
@@ -529,6 +568,7 @@
         if self._closed or self._final:
             return
         self._final = True
+        self._server.heads.release(self)
         if self._incoming is not None:
             self._release(self._incoming)
             self._incoming = None
@@ -592,6 +632,7 @@
         "_handler",
         "_listener",
         "_work",
+        "heads",
         "held",
         "limits",
         "stopping",
@@ -603,6 +644,7 @@
         limits: routes.CallerLimits | None = None,
         held: held_bytes.HeldBytes | None = None,
         bounded: Callable[[Request], bool] | None = None,
+        heads: unfinished_heads.UnfinishedHeads[Connection] | None = None,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -611,8 +653,9 @@
             limits: Limits on requests and connections; may be replaced while
                 the server runs.
             held: Counts the bytes held for callers; None for no bound.
-            bounded: Whether a request may be refused for want of memory; None
-                if all may.
+            bounded: Whether a request is refused as soon as memory is short,
+                and not only when none is left; None if all are.
+            heads: Counts the memory of unfinished heads; None for no bound.
         """
         self._bounded = bounded
         self._handler = handler
@@ -621,6 +664,7 @@
         self._work = 0
         self.limits = limits or routes.CallerLimits()
         self.held = held or held_bytes.HeldBytes()
+        self.heads = heads or unfinished_heads.UnfinishedHeads()
         self.stopping = False
 
     @property
@@ -659,12 +703,27 @@
         for connection in self._connections:
             connection.count_unsent()
 
-    def admits_request(self, incoming: Request, size: int) -> bool:
-        """Whether there is memory for a request with a body of a size."""
-        if self.held.admits(size):
+    def admits_request(
+        self, incoming: Request, size: int, head_cost: int = 0
+    ) -> bool:
+        """Whether there is memory for a request.
+
+        Args:
+            incoming: The request.
+            size: Size of its body in bytes.
+            head_cost: Memory of its head in bytes.
+        """
+        if self._has_memory(size, head_cost):
             return True
         self.sample_unsent()
-        return self.held.admits(size) or not self._is_bounded(incoming)
+        return self._has_memory(size, head_cost) or (
+            not self._is_bounded(incoming)
+        )
+
+    def _has_memory(self, size: int, head_cost: int) -> bool:
+        return self.held.admits_head(head_cost) and (
+            not size or self.held.admits(size)
+        )
 
     def admits_growth(self, incoming: Request) -> bool:
         """Whether there is memory to go on receiving a request's body."""
@@ -672,7 +731,7 @@
         if self.held.admits_growth(size):
             return True
         self.sample_unsent()
-        return self.held.admits_growth(size) or not self._is_bounded(incoming)
+        return self.held.admits_growth(size) or (not self._is_bounded(incoming))
 
     def stop_listening(self) -> None:
         """Stops accepting connections."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -227,6 +227,8 @@
             connection.
         memory_bytes: Bytes held for callers and targets up to which large
             bodies are accepted, 0 for no bound.
+        unfinished_head_bytes: Memory for heads that have not arrived whole, 0
+            for no bound. At the bound, those that began first are refused.
         stream: Longest time for which a response is streamed to a caller that
             names no earlier deadline.
     """
@@ -240,6 +242,7 @@
     own_connections: Positive = 2.0
     silent: Positive = 2.0
     memory_bytes: int = 0
+    unfinished_head_bytes: int = 0
     stream: Positive = 300.0
 
 
--- a/tests/gateway/test_held_bytes.py
+++ b/tests/gateway/test_held_bytes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mimosastile_core import unfinished_heads
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import routes
 from mimosastile_gateway import http_server
@@ -21,6 +22,10 @@
     return head + b"%x\r\n" % size + b"x" * size + b"\r\n0\r\n\r\n"
 
 
+def _head(headers):
+    return b"GET / HTTP/1.1\r\n" + b"x:y\r\n" * headers + b"\r\n"
+
+
 def _run(scenario, limit, limits=None, **options):
     async def main():
         release = asyncio.Event()
@@ -223,6 +228,78 @@
         _run(scenario, 500 * _LARGE)
 
 
+class TestHeads:
+    """Heads of requests, whole and unfinished."""
+
+    def test_small_heads_come_last(self):
+        """Guards against usual requests refused for large heads."""
+        held = held_bytes.HeldBytes(8 * _LARGE)
+        held.add_heads(8 * _LARGE)
+        assert not held.admits_head(_LARGE)
+        assert held.admits_head(_LARGE // 2)
+        held.add_heads(_LARGE)
+        assert not held.admits_head(_LARGE // 2)
+        assert held.admits_head(2000)
+
+    def test_whole_heads_count(self):
+        """Guards against heads in memory that nobody counts.
+
+        Requests wait for their responses, one behind another.
+        """
+
+        async def scenario(server, release, connect):
+            reader, writer = await connect()
+            writer.write(3 * _head(100))
+            await _until(lambda: server.held.dump()["heads"] > 3 * 100 * 160)
+            release.set()
+            for _ in range(3):
+                await reader.readuntil(b"\r\n\r\n")
+            await _until(lambda: not server.held.dump()["heads"])
+            writer.write(_head(100)[:-2])
+            await _until(lambda: server.heads.total > 100 * 160)
+            writer.close()
+            await _until(lambda: not server.heads.total)
+
+        _run(scenario, 0)
+
+    def test_trailers_count(self):
+        """Guards against trailers that are held and not counted."""
+
+        async def scenario(server, release, connect):
+            _, writer = await connect()
+            writer.write(_chunked(10)[:-2] + b"x:y\r\n" * 100)
+            await _until(lambda: server.held.dump()["heads"] > 100 * 160)
+            writer.close()
+            await _until(lambda: not server.held.dump()["heads"])
+
+        _run(scenario, 0)
+
+    def test_unfinished_heads_give_way(self):
+        """Guards against callers whose heads never end and keep out others."""
+        heads = unfinished_heads.UnfinishedHeads(250 * 160)
+
+        async def scenario(server, release, connect):
+            release.set()
+            first_reader, first = await connect()
+            first.write(_head(100)[:-2])
+            await _until(lambda: heads.total)
+            _, second = await connect()
+            second.write(_head(100)[:-2])
+            _, third = await connect()
+            third.write(_head(100)[:-2])
+            refusal = await first_reader.read()
+            assert refusal.startswith(b"HTTP/1.1 503")
+            assert b"retry-after: 1" in refusal
+            reader, whole = await connect()
+            whole.write(_head(100))
+            line = await reader.readline()
+            assert line.startswith(b"HTTP/1.1 200")
+            for writer in (first, second, third, whole):
+                writer.close()
+
+        _run(scenario, 0, heads=heads)
+
+
 class TestTargets:
     """Bodies that targets hold."""
 
