Bound bodies on the listeners without callers

A gateway's process ran out of memory through its other ports: the listeners for readiness and metrics buffered bodies of up to 64 MiB on each connection, though no handler reads one, and those for messages between VMs were never refused, whatever was held already.

Readiness and metrics now refuse a body with 413. Messages between VMs are refused only when all that is left for callers is used up and 4 MiB more, far beyond what the messages of a fleet take.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/held_bytes.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/held_bytes.py
@@ -11,6 +11,8 @@
 """Memory of a head up to which it is refused last."""
 _LAST_RESERVE_SHARE = 0.1875
 """Memory above the limit, as a share of it, that is left for small heads."""
+_MESSAGE_RESERVE_BYTES = 4 << 20
+"""Memory above all reserves that is left for messages between VMs."""
 _SHORT_SHARE = 0.5
 """Share of the limit above which responses are received more slowly."""
 _LISTED_OWNERS = 5
@@ -128,6 +130,15 @@
             small and used <= self.limit * (1 + _LAST_RESERVE_SHARE)
         ) or self._fits(cost, used)
 
+    def admits_message(self, size: int) -> bool:
+        """Whether a message from another VM may be received.
+
+        Args:
+            size: Bytes of it that are not counted yet.
+        """
+        most = self.limit * (1 + _LAST_RESERVE_SHARE) + _MESSAGE_RESERVE_BYTES
+        return not self.limit or self._used + size <= most
+
     def add_heads(self, change: int) -> None:
         """Counts the memory of heads of requests that have not ended."""
         self._heads += change
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -62,6 +62,8 @@
 _SETTINGS_POLL_SECONDS = 1.0
 """Interval at which the settings file is checked for changes: half of the time
 within which a configuration change has to be in force."""
+_CONTROL_LIMITS = routes.CallerLimits(body_bytes=0)
+"""Limits of the listeners for readiness and metrics."""
 _JSON = ((b"content-type", b"application/json"),)
 _PeerHandler = Callable[[Any], Awaitable[msgspec.Struct]]
 _TEXT = ((b"content-type", b"text/plain; version=0.0.4"),)
@@ -282,9 +284,9 @@
             self._forwarder.handle, held=self._held, heads=self._heads
         )
         self._readiness_server = http_server.Server(
-            self._handle_readiness, heads=self._heads
+            self._handle_readiness, _CONTROL_LIMITS, heads=self._heads
         )
-        # Messages between VMs are never refused for want of memory.
+        # Messages between VMs are refused only when no memory is left.
         self._peer_server = http_server.Server(
             self._handle_peer_call,
             held=self._held,
@@ -301,7 +303,7 @@
             ),
         }
         self._metrics_server = http_server.Server(
-            self._handle_metrics, heads=self._heads
+            self._handle_metrics, _CONTROL_LIMITS, heads=self._heads
         )
         self.callers_address = ""
         self._stopping = False
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -717,7 +717,7 @@
             return True
         self.sample_unsent()
         return self._has_memory(size, head_cost) or (
-            not self._is_bounded(incoming)
+            not self._is_bounded(incoming) and self.held.admits_message(size)
         )
 
     def _has_memory(self, size: int, head_cost: int) -> bool:
@@ -731,7 +731,9 @@
         if self.held.admits_growth(size):
             return True
         self.sample_unsent()
-        return self.held.admits_growth(size) or (not self._is_bounded(incoming))
+        return self.held.admits_growth(size) or (
+            not self._is_bounded(incoming) and self.held.admits_message(0)
+        )
 
     def stop_listening(self) -> None:
         """Stops accepting connections."""
--- a/tests/processes/test_gateway_crowds.py
+++ b/tests/processes/test_gateway_crowds.py
@@ -114,6 +114,26 @@
         _run(tmp_path, scenario)
 
 
+class TestHeldBodies:
+    """Callers whose bodies never end."""
+
+    @pytest.mark.parametrize("listener", _LISTENERS)
+    def test_unfinished_bodies(self, tmp_path, listener):
+        """Guards against bodies held by a listener that has no use for them."""
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+
+        async def scenario(running):
+            async with crowds.crowd(
+                running.addresses[listener], _SENDERS
+            ) as callers:
+                await callers.send_endless(
+                    head % (2 * _SENT_BYTES), b"y", _SENT_BYTES
+                )
+                await _check(running)
+
+        _run(tmp_path, scenario)
+
+
 class TestConnections:
     """Callers that open connections and send nothing."""
 
