Bound the connections of each listener

Callers saw a gateway that answered nobody: 5,000 connections that sent nothing took 5,017 descriptors of 4,100, after which a process can neither accept callers nor connect to targets.

Cause: no listener bounded its connections, and only time ended one that waits.

Each listener now keeps a share of the descriptors that the settings grant. At its bound the connection that waits for a request gives way to a new one: first one that has never sent a whole request, of the caller with the most such connections the oldest, then the one that is idle for longest. One with a request in progress or an unread response never does. A caller inside the limits is met by it only as the end of an idle connection, which may come at any time.

Ways weighed in docs/design/bounded-memory.md.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -281,10 +281,16 @@
             configured.requests.unfinished_head_bytes
         )
         self._caller_server = http_server.Server(
-            self._forwarder.handle, held=self._held, heads=self._heads
+            self._forwarder.handle,
+            held=self._held,
+            heads=self._heads,
+            most_connections=configured.connections.callers,
         )
         self._readiness_server = http_server.Server(
-            self._handle_readiness, _CONTROL_LIMITS, heads=self._heads
+            self._handle_readiness,
+            _CONTROL_LIMITS,
+            heads=self._heads,
+            most_connections=configured.connections.control,
         )
         # Messages between VMs are refused only when no memory is left.
         self._peer_server = http_server.Server(
@@ -292,6 +298,7 @@
             held=self._held,
             bounded=lambda incoming: bool(peer_forwarding.origin(incoming)),
             heads=self._heads,
+            most_connections=configured.connections.peers,
         )
         self._peer_handlers: dict[str, tuple[type[Any], _PeerHandler]] = {
             messages.REPORT_PATH: (messages.Report, self._handle_report),
@@ -303,7 +310,10 @@
             ),
         }
         self._metrics_server = http_server.Server(
-            self._handle_metrics, _CONTROL_LIMITS, heads=self._heads
+            self._handle_metrics,
+            _CONTROL_LIMITS,
+            heads=self._heads,
+            most_connections=configured.connections.control,
         )
         self.callers_address = ""
         self._stopping = False
@@ -516,10 +526,33 @@
                 "refused": self._heads.evicted,
             },
             "connections_opened": self._pool.opened,
+            "connections_accepted": {
+                name: {
+                    "open": server.connections,
+                    "most": server.limit.most,
+                    "evicted": server.limit.evicted,
+                }
+                for name, server in self._servers.items()
+            },
             "responses_unmatched": self._unmatched_responses,
             "log_lines_dropped": self._events.dropped,
         }
 
+    @property
+    def _servers(self) -> dict[str, http_server.Server]:
+        """All listeners by name."""
+        return {
+            "callers": self._caller_server,
+            "readiness": self._readiness_server,
+            "peers": self._peer_server,
+            "metrics": self._metrics_server,
+        }
+
+    @property
+    def _evicted_connections(self) -> int:
+        """Number of connections so far that gave way to others."""
+        return sum(s.limit.evicted for s in self._servers.values())
+
     @property
     def _unmatched_responses(self) -> int:
         """Number of responses so far that belonged to no pending request."""
@@ -539,7 +572,7 @@
             )
 
     async def _maintain(self) -> None:
-        refused = 0
+        refused = evicted = 0
         for cycle in itertools.count(1):
             slept_at = self._clock.now()
             await asyncio.sleep(_MAINTENANCE_SECONDS)
@@ -556,6 +589,11 @@
                 self._events.write(
                     "daemon", "memory_short", held=self._held.dump()
                 )
+            if self._evicted_connections > evicted:
+                evicted = self._evicted_connections
+                self._events.write(
+                    "daemon", "connections_evicted", evicted=evicted
+                )
             self._pool.trim(_MAX_IDLE_SECONDS)
             self._order_pool.trim(_MAX_IDLE_SECONDS)
             targets = [entry.target.id for entry in self._cluster.directory]
@@ -618,6 +656,7 @@
             "store_reached": state.store_ok,
             "log_lines_dropped": self._events.dropped,
             "connections_opened": self._pool.opened,
+            "connections_evicted": self._evicted_connections,
             "responses_unmatched": self._unmatched_responses,
             "requests_under_way": sum(own.values()),
             "targets_in_use": len(own),
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from mimosastile_core import connection_limits
 from mimosastile_core import input_limits
 from mimosastile_core import unfinished_heads
 from mimosastile_core.gateway import body_buffer
@@ -235,6 +236,8 @@
         if size != self._unsent_bytes:
             self._server.held.add_unsent(size - self._unsent_bytes)
             self._unsent_bytes = size
+            if not size and not self.busy:
+                self._server.limit.end(self)
 
     # Callbacks of the event loop.
 
@@ -249,8 +252,8 @@
         if sock is not None:
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._server.opened(self)
         self._start_timer(self._server.limits.header_seconds)
+        self._server.opened(self, self._owner)
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Returns the buffer to read into."""
@@ -384,6 +387,7 @@
         self._incoming = None
         self._body = body_buffer.BodyBuffer()
         self._stop_timer()
+        self._server.limit.begin(self)
         self._queue.append((incoming, self._parser.should_keep_alive()))
         if len(self._queue) > _MAX_PIPELINED:
             self._reject(400)
@@ -414,6 +418,8 @@
             if self._closed:
                 self._release_all()
         if not self._closed:
+            if not self.busy:
+                self._server.limit.end(self)
             self._start_timer(self._server.limits.idle_seconds)
 
     async def _respond(self, incoming: Request) -> Response:
@@ -634,6 +640,7 @@
         "_work",
         "heads",
         "held",
+        "limit",
         "limits",
         "stopping",
     )
@@ -645,6 +652,7 @@
         held: held_bytes.HeldBytes | None = None,
         bounded: Callable[[Request], bool] | None = None,
         heads: unfinished_heads.UnfinishedHeads[Connection] | None = None,
+        most_connections: int = 0,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -656,6 +664,9 @@
             bounded: Whether a request is refused as soon as memory is short,
                 and not only when none is left; None if all are.
             heads: Counts the memory of unfinished heads; None for no bound.
+            most_connections: Largest number of connections, 0 for no bound. At
+                the bound, connections that wait for requests give way to new
+                ones.
         """
         self._bounded = bounded
         self._handler = handler
@@ -665,6 +676,9 @@
         self.limits = limits or routes.CallerLimits()
         self.held = held or held_bytes.HeldBytes()
         self.heads = heads or unfinished_heads.UnfinishedHeads()
+        self.limit = connection_limits.ConnectionLimit[Connection](
+            most_connections
+        )
         self.stopping = False
 
     @property
@@ -755,13 +769,22 @@
         """Returns the handler's response to a request."""
         return await self._handler(incoming)
 
-    def opened(self, connection: Connection) -> None:
-        """Registers a new connection."""
+    def opened(self, connection: Connection, owner: str) -> None:
+        """Registers a new connection; closes one if there are too many.
+
+        Args:
+            connection: The connection.
+            owner: Address of its caller.
+        """
         self._connections.add(connection)
+        evicted = self.limit.open(connection, owner)
+        if evicted is not None:
+            evicted.abort()
 
     def closed(self, connection: Connection) -> None:
         """Unregisters a connection."""
         self._connections.discard(connection)
+        self.limit.close(connection)
 
     def _is_bounded(self, incoming: Request) -> bool:
         return self._bounded is None or self._bounded(incoming)
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -246,6 +246,22 @@
     stream: Positive = 300.0
 
 
+class ConnectionSettings(_Strict, frozen=True):
+    """Most connections that a listener keeps open, 0 for no bound.
+
+    At the bound, connections that wait for requests give way to new ones.
+
+    Attributes:
+        callers: Connections of callers.
+        peers: Connections of other entry VMs.
+        control: Connections for readiness, and as many for metrics.
+    """
+
+    callers: int = 0
+    peers: int = 0
+    control: int = 0
+
+
 class StopSettings(_Strict, frozen=True):
     """The graceful stop, in seconds.
 
@@ -272,6 +288,7 @@
     bounds: BoundSettings = BoundSettings()
     leader: LeaderSettings = LeaderSettings()
     requests: RequestSettings = RequestSettings()
+    connections: ConnectionSettings = ConnectionSettings()
     stop: StopSettings = StopSettings()
     rooms: load_balancing.Policy = load_balancing.Policy()
     balance: rebalance.Policy = rebalance.Policy()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -296,6 +296,56 @@
         _run(scenario, LIMITS_OF_HEADS)
 
 
+class TestConnectionLimit:
+    """More connections than a server keeps open."""
+
+    def test_idle_gives_way(self):
+        """Guards against callers shut out by connections that do nothing.
+
+        A request in progress is never cut off for a new connection.
+        """
+
+        async def scenario(server, handler, reader, writer):
+            server.limit.most = 2
+            host, port = writer.get_extra_info("peername")
+            handler.delay = 0.2
+            writer.write(_get(b"/slow"))
+            while not handler.requests:
+                await asyncio.sleep(0.005)
+            handler.delay = 0.0
+            idle_reader, idle = await asyncio.open_connection(host, port)
+            new_reader, new = await asyncio.open_connection(host, port)
+            new.write(_get(b"/new"))
+            assert await _read_all(idle_reader) == b""
+            for served in (new_reader, reader):
+                assert await served.readuntil(b"GET ")
+            assert server.connections == 2
+            assert server.limit.evicted == 1
+            for each in (idle, new):
+                each.close()
+
+        _run(scenario)
+
+    def test_unread_response(self):
+        """Guards against a response cut off while its caller reads slowly."""
+
+        async def body_stream():
+            yield b"x" * (8 << 20)
+
+        async def scenario(server, handler, reader, writer):
+            server.limit.most = 1
+            host, port = writer.get_extra_info("peername")
+            handler.body_stream = body_stream
+            writer.write(_get())
+            await reader.readexactly(100)
+            new_reader, new = await asyncio.open_connection(host, port)
+            assert await _read_all(new_reader) == b""
+            assert (await _read_all(reader)).endswith(b"x\r\n0\r\n\r\n")
+            new.close()
+
+        _run(scenario)
+
+
 class TestLeaving:
     """Callers that disconnect, and a server that stops."""
 
