Limit the time for a pipelined head

A caller that sent a whole request and then the beginning of another one kept its connection, and the memory of that head, as long as it liked: nothing was closed in 8 s with a limit of 3 s.

Cause: the timer of a head was started only while no request was served, and the end of service replaced it by the one for idle connections.

It is now started with each head, whatever is served, and runs on after the response. Behind a request in service, the connection ends with that response; otherwise the head is answered with 408 as before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -318,8 +318,7 @@
         self._url = b""
         self._body = body_buffer.BodyBuffer()
         self._head_bytes = 0
-        if self._task is None:
-            self._start_timer(self._server.limits.header_seconds)
+        self._start_timer(self._server.limits.header_seconds)
 
     def on_url(self, url: bytes) -> None:
         """Appends a piece of the request target."""
@@ -420,7 +419,9 @@
         if not self._closed:
             if not self.busy:
                 self._server.limit.end(self)
-            self._start_timer(self._server.limits.idle_seconds)
+            # The timer of a request that is being received runs on.
+            if self._incoming is None:
+                self._start_timer(self._server.limits.idle_seconds)
 
     async def _respond(self, incoming: Request) -> Response:
         """Returns the handler's response, 502 if the handler fails.
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -152,6 +152,25 @@
 
         _run(scenario)
 
+    @pytest.mark.parametrize("stalls", [True, False])
+    def test_slow_head_behind_a_request(self, stalls):
+        """Guards against a pipelined head for which no timer runs.
+
+        The request in service is answered, then the connection ends.
+        """
+
+        async def scenario(server, handler, reader, writer):
+            server.limits = routes.CallerLimits(
+                header_seconds=0.1, idle_seconds=60.0
+            )
+            handler.delay = 0.3 if stalls else 0.0
+            writer.write(_get() + b"GET / HTTP/1.1\r\nHo")
+            received = await _read_all(reader)
+            assert received.startswith(b"HTTP/1.1 200")
+            assert received.count(b"HTTP/1.1 408") == (not stalls)
+
+        _run(scenario)
+
     def test_idle_connection_ends(self):
         """A connection idle for too long is closed without a response."""
 
