Bound trailers on the product's own interface

Callers of the own interface took a daemon to 2,321 MB with eight connections that sent trailers without end, and operators' ports to 2,384 MB.

Cause: the limit on a head was checked only outside of bodies, and trailers stand in the body for the parser. The library added each trailer to the headers of the request, which was in service by then.

Trailers are no longer stored, as their request is served already, and count against the limit on heads. Where no request has begun, the connection is closed without a response, which its caller would take for the one to its next request.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
@@ -7,11 +7,14 @@
 from uvicorn.protocols.http import httptools_impl
 
 from mimosastile_core import errors
+from mimosastile_core import input_limits
 
 _STATE_KEY = "mimosastile.work"
 _MAX_PIPELINED = 8
 """Number of pipelined requests per connection at which reading stops."""
 
+_READ_BUFFER = bytearray(input_limits.READ_BYTES)
+"""Shared by all connections: what was read is copied before the next read."""
 _REASONS = {
     400: b"Bad Request",
     408: b"Request Timeout",
@@ -48,7 +51,7 @@
     return work
 
 
-class Protocol(httptools_impl.HttpToolsProtocol):
+class Protocol(httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol):
     """A connection that enforces limits on slow or oversized callers.
 
     Attributes:
@@ -69,7 +72,8 @@
         self._closing = False
         self._in_head = False
         self._in_body = False
-        self._head_size = 0
+        self._unparsed = input_limits.UnparsedBytes()
+        self._trailer_size = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._stall_timer: asyncio.TimerHandle | None = None
 
@@ -89,32 +93,56 @@
         self._work.cancel()
         self.pipeline.clear()
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Returns the buffer to read into."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parses the bytes that were read into the buffer."""
+        self.data_received(bytes(memoryview(_READ_BUFFER)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
-        """Parses data and enforces the limits on a head."""
-        super().data_received(data)
-        if self._in_body:
-            return
-        if not self._in_head and not self._is_idle():
-            self._stop_head_timer()
+        """Parses data and enforces the limits on what has no end."""
+        if self.transport.is_closing():
             return
+        super().data_received(data)
         # A caller that sends its head byte by byte, or endlessly, would hold
         # a connection and memory indefinitely; the library has no limit.
-        self._head_size += len(data)
-        if self._head_size > self.head_bytes:
+        self._unparsed.record_input(len(data))
+        most = self.head_bytes + input_limits.FRAMING_BYTES
+        if self._unparsed.count > most and self._in_head:
             self._refuse(431, errors.ErrorKind.HEADERS_TOO_LARGE)
-        elif self._head_timer is None:
-            self._start_head_timer()
+        elif self._unparsed.count > most:
+            self.transport.close()
+        elif self._in_head or (self._is_idle() and not self._in_body):
+            if self._head_timer is None:
+                self._start_head_timer()
+        elif not self._in_body:
+            self._stop_head_timer()
 
     def on_message_begin(self) -> None:
         """Marks the start of a request head."""
         super().on_message_begin()
         self._in_head = True
+        self._trailer_size = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores a header; drops a trailer, as its request is served already.
+
+        The library would add it to the headers of the request in service.
+        """
+        if self._in_head:
+            super().on_header(name, value)
+            return
+        self._trailer_size += len(name) + len(value)
+        if self._trailer_size > self.head_bytes:
+            self._refuse(431, errors.ErrorKind.HEADERS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Marks the end of the head and starts serving the request."""
+        self._unparsed.record_part()
         self._in_head = False
         self._in_body = True
-        self._head_size = 0
         self._stop_head_timer()
         super().on_headers_complete()
         if 0 < len(self.pipeline) < _MAX_PIPELINED:
@@ -127,8 +155,18 @@
         if self._closing or self.parser.should_upgrade():
             self.cycle.keep_alive = False
 
+    def on_chunk_header(self) -> None:
+        """Records that the size of a chunk is known."""
+        self._unparsed.record_part()
+
+    def on_body(self, body: bytes) -> None:
+        """Buffers a piece of a body."""
+        self._unparsed.record_part()
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Marks the end of the request body."""
+        self._unparsed.record_part()
         self._in_body = False
         self._stop_head_timer()
         super().on_message_complete()
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -1,8 +1,11 @@
 """Tests of the HTTP servers."""
 
 import asyncio
+import contextlib
 import socket
 
+import pytest
+
 from mimosastile_entry import serving
 
 
@@ -38,3 +41,76 @@
             return option
 
         assert asyncio.run(scenario()) != 0
+
+
+_CHUNKED = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+async def _reads_body(scope, receive, send):
+    """Responds with the number of headers once the body has arrived."""
+    while (await receive()).get("more_body"):
+        pass
+    body = b"%d" % len(scope["headers"])
+    headers = [(b"content-length", b"%d" % len(body))]
+    await send(
+        {"type": "http.response.start", "status": 200, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+class TestEndlessInput:
+    """Input that never becomes a whole head, chunk or request."""
+
+    @pytest.mark.parametrize(
+        ("first", "repeated", "status"),
+        [
+            (b"GET / HTTP/1.1\r\nX: ", b"y", b"431"),
+            (_CHUNKED + b"0\r\n", b"x: y\r\n", b""),
+            (_CHUNKED + b"0\r\nX: ", b"y", b""),
+            (_CHUNKED + b"1;", b"y", b""),
+            (b"", b"\r\n", b""),
+        ],
+    )
+    def test_ends(self, first, repeated, status):
+        """Guards against trailers that are buffered forever.
+
+        Their request is being served already, so no second response is due.
+        """
+
+        async def scenario():
+            listener = await serving.listen(
+                _reads_body, "127.0.0.1", 0, 1.0, head_bytes=400
+            )
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", listener.port
+            )
+            received = b""
+            with contextlib.suppress(ConnectionError):
+                writer.write(first)
+                for _ in range(100):
+                    writer.write(1000 * repeated)
+                    await writer.drain()
+                received = await reader.read()
+            assert received[9:12] in (status, b"")
+            assert not listener.in_flight
+            writer.transport.abort()
+            await listener.stop()
+
+        asyncio.run(asyncio.wait_for(scenario(), 20))
+
+    def test_trailers(self):
+        """A request with trailers is served without them."""
+
+        async def scenario():
+            listener = await serving.listen(_reads_body, "127.0.0.1", 0, 1.0)
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", listener.port
+            )
+            writer.write(_CHUNKED + b"1\r\na\r\n0\r\nX: y\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            assert await reader.readexactly(1) == b"2"
+            writer.close()
+            await listener.stop()
+
+        asyncio.run(scenario())
