Bound the memory of heads on the product's own interface

Callers of the own interface took a daemon to 179 MB with 400 connections that each held a head within the limit, and nothing bounded their number. Up to eight more whole heads wait on each connection behind a request.

Cause: as in the gateway, the limit counts bytes of one head and not what its headers take in memory, nor the heads of all connections.

A listener now counts the memory of all heads whose requests are not served yet, 16 MiB by default; at the bound, the one that began first is refused with 503 and Retry-After. A usual head arrives in one read and is never counted.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -143,6 +143,7 @@
             limits.head_seconds,
             tls,
             limits.stall_seconds,
+            limits.waiting_head_bytes,
         )
         self._listeners[side] = listener
         logging.info(
--- a/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
@@ -1,6 +1,7 @@
 """HTTP server protocol: limits for slow, oversized or disconnected callers."""
 
 import asyncio
+import collections
 from typing import Any
 
 import msgspec
@@ -8,6 +9,7 @@
 
 from mimosastile_core import errors
 from mimosastile_core import input_limits
+from mimosastile_core import unfinished_heads
 
 _STATE_KEY = "mimosastile.work"
 _MAX_PIPELINED = 8
@@ -19,6 +21,7 @@
     400: b"Bad Request",
     408: b"Request Timeout",
     431: b"Request Header Fields Too Large",
+    503: b"Service Unavailable",
 }
 
 
@@ -58,8 +61,11 @@
         head_bytes: Maximum size of a request head, in bytes.
         head_seconds: Timeout for receiving a request head.
         stall_seconds: Timeout for a caller that stops reading.
+        heads: Counts the memory of heads whose requests are not served yet, on
+            all connections of the listener.
     """
 
+    heads: "unfinished_heads.UnfinishedHeads[Protocol]"
     head_bytes = 64 << 10
     head_seconds = 10.0
     stall_seconds = 30.0
@@ -74,6 +80,7 @@
         self._in_body = False
         self._unparsed = input_limits.UnparsedBytes()
         self._trailer_size = 0
+        self._waiting_costs: collections.deque[int] = collections.deque()
         self._head_timer: asyncio.TimerHandle | None = None
         self._stall_timer: asyncio.TimerHandle | None = None
 
@@ -92,6 +99,7 @@
         # occupied for a caller that never reads the response.
         self._work.cancel()
         self.pipeline.clear()
+        self.heads.release(self)
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Returns the buffer to read into."""
@@ -119,6 +127,11 @@
                 self._start_head_timer()
         elif not self._in_body:
             self._stop_head_timer()
+        self._count_heads()
+
+    def refuse_for_memory(self) -> None:
+        """Ends the connection for want of memory for its heads."""
+        self._refuse(503, errors.ErrorKind.OVERLOADED)
 
     def on_message_begin(self) -> None:
         """Marks the start of a request head."""
@@ -144,7 +157,10 @@
         self._in_head = False
         self._in_body = True
         self._stop_head_timer()
+        waiting = len(self.pipeline)
         super().on_headers_complete()
+        if len(self.pipeline) > waiting:
+            self._waiting_costs.append(self._head_cost())
         if 0 < len(self.pipeline) < _MAX_PIPELINED:
             # The library stops reading when a second request arrives before
             # the first response is complete, and then does not detect that
@@ -173,7 +189,11 @@
 
     def on_response_complete(self) -> None:
         """Limits the time to discard an upload after its response."""
+        waiting = len(self.pipeline)
         super().on_response_complete()
+        if len(self.pipeline) < waiting:
+            self._waiting_costs.popleft()
+            self._count_heads()
         if self._in_body and not self.transport.is_closing():
             # The rest of a refused upload is read and discarded, so that the
             # response is not lost in a connection reset; the head timeout
@@ -209,6 +229,23 @@
         del msg
         self._refuse(400, errors.ErrorKind.BAD_REQUEST)
 
+    def _head_cost(self) -> int:
+        """Returns the memory of the latest head, or of its part so far."""
+        parsed = sum(len(name) + len(value) for name, value in self.headers)
+        size = max(len(self.url) + parsed, self._unparsed.count)
+        return unfinished_heads.head_cost(size, len(self.headers))
+
+    def _count_heads(self) -> None:
+        """Counts the memory of heads whose requests are not served yet."""
+        cost = sum(self._waiting_costs)
+        if self._in_head:
+            cost += self._head_cost()
+        if not cost or self.transport.is_closing():
+            self.heads.release(self)
+            return
+        for connection in self.heads.hold(self, cost):
+            connection.refuse_for_memory()
+
     def _is_idle(self) -> bool:
         return self.cycle is None or self.cycle.response_complete
 
@@ -239,22 +276,49 @@
         if self.transport.is_closing():
             return
         if self._is_idle():
-            body = msgspec.json.encode(errors.refusal(errors.Failure(kind), ""))
+            failure = errors.Failure(kind)
+            body = msgspec.json.encode(errors.refusal(failure, ""))
             reason = _REASONS[status]
+            wait = (
+                b"retry-after: %g\r\n" % failure.wait if failure.wait else b""
+            )
             self.transport.write(
-                b"HTTP/1.1 %d %s\r\ncontent-type: application/json\r\n"
+                b"HTTP/1.1 %d %s\r\ncontent-type: application/json\r\n%s"
                 b"content-length: %d\r\nconnection: close\r\n\r\n%s"
-                % (status, reason, len(body), body)
+                % (status, reason, wait, len(body), body)
             )
         # During a response, no second one can be sent: the caller would take
         # it for the rest of the first.
         self.transport.close()
+        self._drop_heads()
+
+    def _drop_heads(self) -> None:
+        """Frees the heads of a connection that is closed.
+
+        The event loop reports its end only after all other input that is
+        ready, which may be as many heads as there are connections.
+        """
+        if self._in_head:
+            self.headers.clear()
+        self.pipeline.clear()
+        self._waiting_costs.clear()
 
 
 def bounded(
-    head_bytes: int, head_seconds: float, stall_seconds: float
+    head_bytes: int,
+    head_seconds: float,
+    stall_seconds: float,
+    waiting_head_bytes: int = 0,
 ) -> type[Protocol]:
-    """Returns a protocol class with the given limits."""
+    """Returns a protocol class with the given limits.
+
+    Args:
+        head_bytes: Maximum size of a request head, in bytes.
+        head_seconds: Timeout for receiving a request head.
+        stall_seconds: Timeout for a caller that stops reading.
+        waiting_head_bytes: Memory for heads whose requests are not served yet,
+            on all connections together; 0 for no bound.
+    """
     return type(
         "BoundedProtocol",
         (Protocol,),
@@ -262,5 +326,6 @@
             "head_bytes": head_bytes,
             "head_seconds": head_seconds,
             "stall_seconds": stall_seconds,
+            "heads": unfinished_heads.UnfinishedHeads(waiting_head_bytes),
         },
     )
--- a/packages/mimosastile-entry/src/mimosastile_entry/serving.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/serving.py
@@ -88,6 +88,7 @@
     head_seconds: float = 10.0,
     tls: ssl.SSLContext | None = None,
     stall_seconds: float = 30.0,
+    waiting_head_bytes: int = 0,
 ) -> Listener:
     """Starts serving an application.
 
@@ -101,6 +102,8 @@
         tls: TLS context, None to serve plain HTTP.
         stall_seconds: Longest time without progress while a client reads a
             response.
+        waiting_head_bytes: Memory for heads whose requests are not served yet,
+            0 for no bound. At the bound, the one that began first is refused.
 
     Returns:
         The listener, accepting connections.
@@ -112,7 +115,9 @@
         app,
         # Not "auto": uvloop may use io_uring, which the VMs forbid.
         loop="asyncio",
-        http=_protocol.bounded(head_bytes, head_seconds, stall_seconds),
+        http=_protocol.bounded(
+            head_bytes, head_seconds, stall_seconds, waiting_head_bytes
+        ),
         lifespan="off",
         ws="none",
         access_log=False,
--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -76,6 +76,9 @@
             retries.
         header_bytes: Maximum total size of header names and values.
         url_bytes: Maximum length of path and query.
+        waiting_head_bytes: Memory of each listener for requests whose heads
+            have not arrived whole, or that wait behind another one on their
+            connection. At the bound, the one that began first is refused.
         head_seconds: Time-out for receiving the head of a request.
         stall_seconds: Longest time without progress while a body is received
             from or sent to a caller.
@@ -90,6 +93,7 @@
     replay_bytes: Annotated[int, msgspec.Meta(ge=0)] = 64 << 10
     header_bytes: Annotated[int, msgspec.Meta(ge=256)] = 16 << 10
     url_bytes: Annotated[int, msgspec.Meta(ge=64)] = 8 << 10
+    waiting_head_bytes: Annotated[int, msgspec.Meta(ge=1)] = 16 << 20
     head_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
     stall_seconds: Annotated[float, msgspec.Meta(gt=0)] = 30.0
     notice_seconds: Annotated[float, msgspec.Meta(ge=0)] = 5.0
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -114,3 +114,45 @@
             await listener.stop()
 
         asyncio.run(scenario())
+
+
+class TestWaitingHeads:
+    """Heads of requests that are not served yet."""
+
+    @pytest.mark.parametrize("behind", [False, True])
+    def test_oldest_gives_way(self, behind):
+        """Guards against heads that many connections hold without an end."""
+
+        async def scenario():
+            released = asyncio.Event()
+
+            async def waits(scope, receive, send):
+                await released.wait()
+                await _reads_body(scope, receive, send)
+
+            listener = await serving.listen(
+                waits, "127.0.0.1", 0, 1.0, waiting_head_bytes=250 * 160
+            )
+            head = b"GET / HTTP/1.1\r\n" + b"x: y\r\n" * 100
+            first = b"GET / HTTP/1.1\r\n\r\n" if behind else b""
+            rest = b"\r\n" if behind else b""
+            connections = []
+            for _ in range(3):
+                connections.append(
+                    await asyncio.open_connection("127.0.0.1", listener.port)
+                )
+                connections[-1][1].write(first + head + rest)
+                await asyncio.sleep(0.05)
+            refusal = await connections[0][0].read()
+            assert refusal[9:12] == (b"" if behind else b"503")
+            assert (b"retry-after: 1" in refusal) is not behind
+            released.set()
+            if not behind:
+                connections[1][1].write(b"\r\n")
+            line = await connections[1][0].readline()
+            assert line.startswith(b"HTTP/1.1 200")
+            for _, writer in connections:
+                writer.transport.abort()
+            await listener.stop()
+
+        asyncio.run(asyncio.wait_for(scenario(), 20))
