Bound the connections of the product's own interface

With 150 connections that sent nothing and 128 descriptors, a daemon of the own interface answered nobody: a new caller waited until a timer closed one of them, and a crowd at the operators' port left no descriptor to connect to targets.

Cause: nothing bounded the connections of a listener; at the last descriptor the event loop stops accepting for a second at a time.

Each listener now keeps 55 (callers) and 20 (peers) in 100 of the descriptors of its process, or as many as the settings say. At the bound, a connection that waits for a request gives way to a new one, by the same decisions as in the gateway.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import resource
 import ssl
 from typing import Any
 
@@ -19,6 +20,9 @@
 from mimosastile_entry import settings
 
 _PREFIX = "listeners:"
+_CONNECTION_SHARES = {"callers": 0.55, "peers": 0.2}
+"""Shares of the process's descriptors for the connections of each listener. The
+rest is for connections to targets, peers and the platform."""
 
 
 class ListenersService:
@@ -144,8 +148,15 @@
             tls,
             limits.stall_seconds,
             limits.waiting_head_bytes,
+            getattr(limits, f"{side}_connections")
+            or int(_descriptors() * _CONNECTION_SHARES[side]),
         )
         self._listeners[side] = listener
         logging.info(
             "%s listening for %s on port %d.", _PREFIX, side, listener.port
         )
+
+
+def _descriptors() -> int:
+    """Returns how many descriptors this process may open."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
--- a/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
@@ -7,6 +7,7 @@
 import msgspec
 from uvicorn.protocols.http import httptools_impl
 
+from mimosastile_core import connection_limits
 from mimosastile_core import errors
 from mimosastile_core import input_limits
 from mimosastile_core import unfinished_heads
@@ -63,9 +64,11 @@
         stall_seconds: Timeout for a caller that stops reading.
         heads: Counts the memory of heads whose requests are not served yet, on
             all connections of the listener.
+        limit: Bounds the connections of the listener.
     """
 
     heads: "unfinished_heads.UnfinishedHeads[Protocol]"
+    limit: "connection_limits.ConnectionLimit[Protocol]"
     head_bytes = 64 << 10
     head_seconds = 10.0
     stall_seconds = 30.0
@@ -88,6 +91,10 @@
         """Starts the timer for the first head."""
         super().connection_made(transport)
         self._start_head_timer()
+        owner = self.client[0] if self.client else ""
+        evicted = self.limit.open(self, owner)
+        if evicted is not None:
+            evicted.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the work for a caller that has disconnected."""
@@ -100,6 +107,7 @@
         self._work.cancel()
         self.pipeline.clear()
         self.heads.release(self)
+        self.limit.close(self)
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Returns the buffer to read into."""
@@ -157,6 +165,7 @@
         self._in_head = False
         self._in_body = True
         self._stop_head_timer()
+        self.limit.begin(self)
         waiting = len(self.pipeline)
         super().on_headers_complete()
         if len(self.pipeline) > waiting:
@@ -194,6 +203,8 @@
         if len(self.pipeline) < waiting:
             self._waiting_costs.popleft()
             self._count_heads()
+        elif not waiting and not self.transport.get_write_buffer_size():
+            self.limit.end(self)
         if self._in_body and not self.transport.is_closing():
             # The rest of a refused upload is read and discarded, so that the
             # response is not lost in a connection reset; the head timeout
@@ -214,6 +225,8 @@
         """Stops the stall timer; the caller reads again."""
         self._stop_stall_timer()
         super().resume_writing()
+        if self._is_idle():
+            self.limit.end(self)
 
     def shutdown(self) -> None:
         """Closes an idle connection, a busy one after its response."""
@@ -309,6 +322,7 @@
     head_seconds: float,
     stall_seconds: float,
     waiting_head_bytes: int = 0,
+    most_connections: int = 0,
 ) -> type[Protocol]:
     """Returns a protocol class with the given limits.
 
@@ -318,6 +332,7 @@
         stall_seconds: Timeout for a caller that stops reading.
         waiting_head_bytes: Memory for heads whose requests are not served yet,
             on all connections together; 0 for no bound.
+        most_connections: Largest number of connections, 0 for no bound.
     """
     return type(
         "BoundedProtocol",
@@ -327,5 +342,6 @@
             "head_seconds": head_seconds,
             "stall_seconds": stall_seconds,
             "heads": unfinished_heads.UnfinishedHeads(waiting_head_bytes),
+            "limit": connection_limits.ConnectionLimit(most_connections),
         },
     )
--- a/packages/mimosastile-entry/src/mimosastile_entry/serving.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/serving.py
@@ -89,6 +89,7 @@
     tls: ssl.SSLContext | None = None,
     stall_seconds: float = 30.0,
     waiting_head_bytes: int = 0,
+    most_connections: int = 0,
 ) -> Listener:
     """Starts serving an application.
 
@@ -104,6 +105,8 @@
             response.
         waiting_head_bytes: Memory for heads whose requests are not served yet,
             0 for no bound. At the bound, the one that began first is refused.
+        most_connections: Largest number of connections, 0 for no bound. At the
+            bound, connections that wait for requests give way to new ones.
 
     Returns:
         The listener, accepting connections.
@@ -116,7 +119,11 @@
         # Not "auto": uvloop may use io_uring, which the VMs forbid.
         loop="asyncio",
         http=_protocol.bounded(
-            head_bytes, head_seconds, stall_seconds, waiting_head_bytes
+            head_bytes,
+            head_seconds,
+            stall_seconds,
+            waiting_head_bytes,
+            most_connections,
         ),
         lifespan="off",
         ws="none",
--- a/packages/mimosastile-entry/src/mimosastile_entry/settings.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/settings.py
@@ -79,6 +79,10 @@
         waiting_head_bytes: Memory of each listener for requests whose heads
             have not arrived whole, or that wait behind another one on their
             connection. At the bound, the one that began first is refused.
+        callers_connections: Maximum number of connections of callers, 0 for
+            55 in 100 of the descriptors that the process may open. At the
+            bound, those that wait for a request give way to new ones.
+        peers_connections: The same for peers and operators; 0 for 20 in 100.
         head_seconds: Time-out for receiving the head of a request.
         stall_seconds: Longest time without progress while a body is received
             from or sent to a caller.
@@ -94,6 +98,8 @@
     header_bytes: Annotated[int, msgspec.Meta(ge=256)] = 16 << 10
     url_bytes: Annotated[int, msgspec.Meta(ge=64)] = 8 << 10
     waiting_head_bytes: Annotated[int, msgspec.Meta(ge=1)] = 16 << 20
+    callers_connections: Annotated[int, msgspec.Meta(ge=0)] = 0
+    peers_connections: Annotated[int, msgspec.Meta(ge=0)] = 0
     head_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
     stall_seconds: Annotated[float, msgspec.Meta(gt=0)] = 30.0
     notice_seconds: Annotated[float, msgspec.Meta(ge=0)] = 5.0
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -156,3 +156,52 @@
             await listener.stop()
 
         asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+class TestConnectionLimit:
+    """More connections than a listener keeps open."""
+
+    def test_idle_gives_way(self):
+        """Guards against callers shut out by connections that do nothing.
+
+        A request in progress is never cut off for a new connection.
+        """
+
+        async def scenario():
+            released = asyncio.Event()
+            received = asyncio.Event()
+
+            async def waits(scope, receive, send):
+                if scope["path"] == "/slow":
+                    received.set()
+                    await released.wait()
+                await _reads_body(scope, receive, send)
+
+            listener = await serving.listen(
+                waits, "127.0.0.1", 0, 1.0, most_connections=2
+            )
+
+            def connect():
+                return asyncio.open_connection("127.0.0.1", listener.port)
+
+            slow_reader, slow = await connect()
+            slow.write(b"GET /slow HTTP/1.1\r\n\r\n")
+            await received.wait()
+            silent_reader, silent = await connect()
+            writers = [slow, silent]
+            for _ in range(3):
+                reader, writer = await connect()
+                writer.write(b"GET / HTTP/1.1\r\n\r\n")
+                line = await reader.readline()
+                assert line.startswith(b"HTTP/1.1 200")
+                writers.append(writer)
+            with contextlib.suppress(ConnectionError):
+                assert await silent_reader.read() == b""
+            released.set()
+            line = await slow_reader.readline()
+            assert line.startswith(b"HTTP/1.1 200")
+            for writer in writers:
+                writer.transport.abort()
+            await listener.stop()
+
+        asyncio.run(asyncio.wait_for(scenario(), 20))
