Treat a response with an invalid status as lost

Callers of the gateway got a target's status 600 or 999 as it was, and for 000, 001 and 099 waited until the timeout of the route for a 504.

Cause: every status below 200 counted as interim, so the client waited for the response that never follows, and no status was too large.

RFC 9110, section 15, has a recipient take a status outside 100 to 599 for a server error. The client now fails such a response like one that broke off: its connection is not used again, an idempotent request may go to another target, and any other is answered with 502, which promises nothing, without the target's seal. What follows on the connection cannot be told to belong to the request and is dropped.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_client.py
@@ -22,6 +22,7 @@
 
 import httptools
 
+from mimosastile_core import response_statuses
 from mimosastile_core.gateway import body_buffer
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import reachability
@@ -555,9 +556,13 @@
         self.on_response(self._address)
         response = self._response
         status = self._parser.get_status_code()
-        if response is None or self._discarding:
+        if response is None or self._discarding or self._error is not None:
             self._discarding = self._closing = True
             return
+        if not response_statuses.is_valid(status):
+            self._discarding = True
+            self._fail(f"status {status:03d} is not within 100 to 599")
+            return
         headers = dict(self._headers)
         if status < 200 or not self._matches_echo():
             # An interim response, or a late one to an earlier request. The
--- a/tests/gateway/test_cut_responses.py
+++ b/tests/gateway/test_cut_responses.py
@@ -1,4 +1,7 @@
-"""Responses of targets that are cut off, as callers of the daemon see them."""
+"""Broken responses of targets, as callers of the daemon see them.
+
+They are cut off, or their status is none.
+"""
 
 import asyncio
 import contextlib
@@ -40,11 +43,13 @@
     Attributes:
         response: The whole response.
         size: Number of bytes that it sends of it, None for all.
+        keeps_open: Whether it leaves closing the connection to the daemon.
     """
 
     def __init__(self, response):
         self.response = response
         self.size = None
+        self.keeps_open = False
         self._tasks = set()
 
     async def start(self):
@@ -70,6 +75,8 @@
                 whole = whole.replace(b"%b", attempt[0])
             writer.write(whole[: self.size])
             await writer.drain()
+            if self.keeps_open:
+                await reader.read()
         writer.close()
         with contextlib.suppress(OSError):
             await writer.wait_closed()
@@ -143,6 +150,29 @@
         _run(scenario, _FRAMINGS[framing], through_peer=through_peer)
 
 
+class TestInvalidStatuses:
+    """A target responds with a status outside 100 to 599."""
+
+    @pytest.mark.parametrize(
+        "status", [b"000", b"001", b"099", b"600", b"999", b"00", b"2000"]
+    )
+    @pytest.mark.parametrize("through_peer", [False, True])
+    def test_no_response(self, status, through_peer):
+        """Guards against an invalid status that callers take for a response.
+
+        Nor do they wait for another response, as behind an interim one.
+        """
+
+        async def scenario(world, target):
+            target.response = target.response.replace(b"200 OK", status)
+            target.keeps_open = True
+            response = await _outcome(world)
+            assert response.status == 502
+            assert response.header(b"x-server-seal") is None
+
+        _run(scenario, _FRAMINGS["length"], through_peer=through_peer)
+
+
 class TestSeveralTargets:
     """All targets of a service cut their responses."""
 
