Treat an invalid status as a broken response on the own interface

A caller whose target responded with a status below 100 or above 599 got no response at all: its connection was closed, and the log had the traceback of the server library.

Cause: the client library passes on any number of three digits, and the server library knows no status line for those outside 100 to 599. One below 100 was also taken for an interim response, whose identifier is not checked.

The exchange now fails such a response as broken, so that its caller gets 502 with the error's name, and only 100 to 199 count as interim.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_connections.py
@@ -15,6 +15,7 @@
 from aiohttp import streams
 
 from mimosastile_core import response_matching
+from mimosastile_core import response_statuses
 from mimosastile_entry import _wire
 from mimosastile_entry import settings
 
@@ -22,8 +23,6 @@
 _KEEPALIVE_PROBES = 3
 _OPENED = "mimosastile_opened"
 """Attribute of a connection's protocol with the loop time of its opening."""
-_FIRST_FINAL_STATUS = 200
-"""Responses with a lower status are interim: another one follows."""
 
 
 class ForeignResponseError(aiohttp.ClientConnectionError):
@@ -60,7 +59,7 @@
         """
         while True:
             message, payload = await super().read()
-            if message.code < _FIRST_FINAL_STATUS:
+            if response_statuses.is_interim(message.code):
                 return message, payload
             match = self.history.match(
                 message.headers.getall(_wire.SEND_ID, ())
--- a/packages/mimosastile-entry/src/mimosastile_entry/_exchange.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_exchange.py
@@ -10,6 +10,7 @@
 import yarl
 
 from mimosastile_core import errors
+from mimosastile_core import response_statuses
 from mimosastile_entry import _alarms
 from mimosastile_entry import _client
 from mimosastile_entry import _wire
@@ -129,6 +130,11 @@
     head: _wire.ResponseHead,
     not_run: Collection[errors.ErrorKind],
 ) -> errors.Failure | None:
+    if not response_statuses.is_valid(response.status):
+        return errors.Failure(
+            errors.ErrorKind.ANSWER_BROKEN,
+            f"Its status is {response.status:03d}.",
+        )
     if head.error is not None:
         accepted = head.error in not_run
         kind = head.error if accepted else errors.ErrorKind.ANSWER_LOST
--- a/tests/entry/test_cut_heads.py
+++ b/tests/entry/test_cut_heads.py
@@ -1,4 +1,4 @@
-"""Responses that are cut in their head, as the daemon's callers see them."""
+"""Responses with a broken head, as the daemon's callers see them."""
 
 import asyncio
 
@@ -43,3 +43,22 @@
         return await _is_whole(response)
 
     assert asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "status", [b"000", b"001", b"099", b"600", b"999", b"00", b"2000"]
+)
+def test_invalid_status(status):
+    """Guards against a status outside 100 to 599 that reaches callers."""
+
+    async def main():
+        data = _FRAMINGS["length"].replace(b"200 OK", status)
+        async with (
+            rig.raw_server(lambda _: rig.Reply(data, close=True)) as peer,
+            rig.front(peer.port) as front,
+        ):
+            return rig.parse(await rig.exchange(front.port, rig.get()))
+
+    received, headers, _ = asyncio.run(main())
+    assert received == 502
+    assert headers[b"x-mimosastile-error"] in (b"answer_broken", b"answer_lost")
