Keep the connection of a refused endless head until its caller has read

A caller that sent on beyond a head over the limit lost its 431 to a reset: the bytes behind the refusal, read in the same piece, counted as input without a request, and the connection was closed at once instead of being drained for 2 s. Input behind a refusal is no longer counted.

Evidence: test_refusal_reaches_its_caller failed before.

--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -503,7 +503,7 @@
         """Ends a connection whose input the parser takes without an end."""
         self._unparsed.record_input(size)
         most = self._server.limits.header_bytes + input_limits.FRAMING_BYTES
-        if self._unparsed.count <= most:
+        if self._unparsed.count <= most or self._closed or self._final:
             return
         if self._incoming is not None:
             self._reject(431, unread=True)
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -264,6 +264,26 @@
 
         _run(scenario)
 
+    def test_refusal_reaches_its_caller(self):
+        """Guards against a refusal that is lost in a reset.
+
+        The caller sends on, beyond a head that is over the limit already.
+        """
+
+        async def scenario(server, handler, reader, writer):
+            server.limits = routes.CallerLimits(header_bytes=400)
+            writer.transport.pause_reading()
+            writer.write(_get(extra=b"X: " + b"y" * 5000 + b"\r\nZ: ")[:-2])
+            for _ in range(50):
+                writer.write(b"z" * 10_000)
+                await writer.drain()
+                await asyncio.sleep(0)
+            writer.transport.resume_reading()
+            line = await reader.readline()
+            assert line.startswith(b"HTTP/1.1 431")
+
+        _run(scenario)
+
     def test_empty_lines_behind_a_request(self):
         """Guards against empty lines that keep a connection busy forever."""
 
