--- a/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
@@ -4,6 +4,7 @@
 import collections
 from typing import Any
 
+from absl import logging
 import msgspec
 from uvicorn.protocols.http import httptools_impl
 
@@ -13,6 +14,9 @@
 from mimosastile_core import unfinished_heads
 
 _STATE_KEY = "mimosastile.work"
+_PREFIX = "listeners:"
+_LOG_SECONDS = 1.0
+"""Least time between two log lines on callers that were refused."""
 _MAX_PIPELINED = 8
 """Number of pipelined requests per connection at which reading stops."""
 
@@ -64,11 +68,11 @@
         stall_seconds: Timeout for a caller that stops reading.
         heads: Counts the memory of heads whose requests are not served yet, on
             all connections of the listener.
-        limit: Bounds the connections of the listener.
+        connection_limit: Bounds the connections of the listener.
     """
 
     heads: "unfinished_heads.UnfinishedHeads[Protocol]"
-    limit: "connection_limits.ConnectionLimit[Protocol]"
+    connection_limit: "connection_limits.ConnectionLimit[Protocol]"
     head_bytes = 64 << 10
     head_seconds = 10.0
     stall_seconds = 30.0
@@ -92,8 +96,15 @@
         super().connection_made(transport)
         self._start_head_timer()
         owner = self.client[0] if self.client else ""
-        evicted = self.limit.open(self, owner)
+        evicted = self.connection_limit.open(self, owner)
         if evicted is not None:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "%s closed a connection for a new one; %d are open.",
+                _LOG_SECONDS,
+                _PREFIX,
+                len(self.connection_limit),
+            )
             evicted.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -107,7 +118,7 @@
         self._work.cancel()
         self.pipeline.clear()
         self.heads.release(self)
-        self.limit.close(self)
+        self.connection_limit.close(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer to read into."""
@@ -139,6 +150,13 @@
 
     def refuse_for_memory(self) -> None:
         """Ends the connection for want of memory for its heads."""
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "%s refused a head; others hold %d bytes.",
+            _LOG_SECONDS,
+            _PREFIX,
+            self.heads.total,
+        )
         self._refuse(503, errors.ErrorKind.OVERLOADED)
 
     def on_message_begin(self) -> None:
@@ -165,7 +183,7 @@
         self._in_head = False
         self._in_body = True
         self._stop_head_timer()
-        self.limit.begin(self)
+        self.connection_limit.begin(self)
         waiting = len(self.pipeline)
         super().on_headers_complete()
         if len(self.pipeline) > waiting:
@@ -200,7 +218,7 @@
             self._waiting_costs.popleft()
             self._count_heads()
         elif not waiting and not self.transport.get_write_buffer_size():
-            self.limit.end(self)
+            self.connection_limit.end(self)
         if self._in_body and not self.transport.is_closing():
             # The rest of a refused upload is read and discarded, so that the
             # response is not lost in a connection reset; the head timeout
@@ -222,7 +240,7 @@
         self._stop_stall_timer()
         super().resume_writing()
         if self._is_idle():
-            self.limit.end(self)
+            self.connection_limit.end(self)
 
     def shutdown(self) -> None:
         """Closes an idle connection, a busy one after its response."""
@@ -338,6 +356,8 @@
             "head_seconds": head_seconds,
             "stall_seconds": stall_seconds,
             "heads": unfinished_heads.UnfinishedHeads(waiting_head_bytes),
-            "limit": connection_limits.ConnectionLimit(most_connections),
+            "connection_limit": connection_limits.ConnectionLimit(
+                most_connections
+            ),
         },
     )
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -529,8 +529,8 @@
             "connections_accepted": {
                 name: {
                     "open": server.connections,
-                    "most": server.limit.most,
-                    "evicted": server.limit.evicted,
+                    "most": server.connection_limit.most,
+                    "evicted": server.connection_limit.evicted,
                 }
                 for name, server in self._servers.items()
             },
@@ -551,7 +551,7 @@
     @property
     def _evicted_connections(self) -> int:
         """Number of connections so far that gave way to others."""
-        return sum(s.limit.evicted for s in self._servers.values())
+        return sum(s.connection_limit.evicted for s in self._servers.values())
 
     @property
     def _unmatched_responses(self) -> int:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -240,7 +240,7 @@
             self._server.held.add_unsent(size - self._unsent_bytes)
             self._unsent_bytes = size
             if not size and not self.busy:
-                self._server.limit.end(self)
+                self._server.connection_limit.end(self)
 
     # Callbacks of the event loop.
 
@@ -386,7 +386,7 @@
         self._incoming = None
         self._body = body_buffer.BodyBuffer()
         self._stop_timer()
-        self._server.limit.begin(self)
+        self._server.connection_limit.begin(self)
         self._queue.append((incoming, self._parser.should_keep_alive()))
         if len(self._queue) > _MAX_PIPELINED:
             self._reject(400)
@@ -418,7 +418,7 @@
                 self._release_all()
         if not self._closed:
             if not self.busy:
-                self._server.limit.end(self)
+                self._server.connection_limit.end(self)
             # The timer of a request that is being received runs on.
             if self._incoming is None:
                 self._start_timer(self._server.limits.idle_seconds)
@@ -631,7 +631,15 @@
 
 
 class Server:
-    """HTTP server on one address."""
+    """HTTP server on one address.
+
+    Attributes:
+        connection_limit: Bounds the open connections.
+        heads: Counts the memory of unfinished heads.
+        held: Counts the bytes held for callers.
+        limits: Limits on requests and on the time of connections.
+        stopping: Whether connections are closed after each response.
+    """
 
     __slots__ = (
         "_bounded",
@@ -639,9 +647,9 @@
         "_handler",
         "_listener",
         "_work",
+        "connection_limit",
         "heads",
         "held",
-        "limit",
         "limits",
         "stopping",
     )
@@ -677,7 +685,7 @@
         self.limits = limits or routes.CallerLimits()
         self.held = held or held_bytes.HeldBytes()
         self.heads = heads or unfinished_heads.UnfinishedHeads()
-        self.limit = connection_limits.ConnectionLimit[Connection](
+        self.connection_limit = connection_limits.ConnectionLimit[Connection](
             most_connections
         )
         self.stopping = False
@@ -778,14 +786,14 @@
             owner: Address of its caller.
         """
         self._connections.add(connection)
-        evicted = self.limit.open(connection, owner)
+        evicted = self.connection_limit.open(connection, owner)
         if evicted is not None:
             evicted.abort()
 
     def closed(self, connection: Connection) -> None:
         """Unregisters a connection."""
         self._connections.discard(connection)
-        self.limit.close(connection)
+        self.connection_limit.close(connection)
 
     def _is_bounded(self, incoming: Request) -> bool:
         return self._bounded is None or self._bounded(incoming)
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -345,7 +345,7 @@
         """
 
         async def scenario(server, handler, reader, writer):
-            server.limit.most = 2
+            server.connection_limit.most = 2
             host, port = writer.get_extra_info("peername")
             handler.delay = 0.2
             writer.write(_get(b"/slow"))
@@ -359,7 +359,7 @@
             for served in (new_reader, reader):
                 assert await served.readuntil(b"GET ")
             assert server.connections == 2
-            assert server.limit.evicted == 1
+            assert server.connection_limit.evicted == 1
             for each in (idle, new):
                 each.close()
 
@@ -372,7 +372,7 @@
             yield b"x" * (8 << 20)
 
         async def scenario(server, handler, reader, writer):
-            server.limit.most = 1
+            server.connection_limit.most = 1
             host, port = writer.get_extra_info("peername")
             handler.body_stream = body_stream
             writer.write(_get())
