Keep connections open while their callers read over slow links

Callers saw responses cut off in the middle 3.1 s after a SIGTERM while they were reading: 6 of 6 on links of 200 ms, on links of 100 ms with responses of 540 KB, and with windows of 16 KB.

Cause: a connection was aborted 2 s after its last response if the transport's buffer was empty. That says what this process holds, not what the caller has: the kernel takes megabytes of a response.

Evidence: TIOCOUTQ of a connection whose caller reads nothing shows 3.3 MB here, with an empty transport.

Change: one measure for both daemons, the bytes that the caller has not acknowledged, for the end of a connection, for callers that read nothing behind a response or before the next one, and for the own interface's stall time-out, which ended connections after its time whether they were read or not. The bound is the idle time without any progress, and 2 s once everything has arrived. Cut connections are logged with the bytes that are lost.

test_slow_caller (stop, close) and TestSlowCaller (both cases) fail without the change; its idle time-out case held before.

--- a/packages/mimosastile-entry/src/mimosastile_entry/_lingering.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_lingering.py
@@ -4,7 +4,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from absl import logging
+
 from mimosastile_core import lingering
+from mimosastile_core import send_queues
+
+_PREFIX = "listeners:"
+_LOG_SECONDS = 1.0
+"""Least time between two log lines on connections that were cut off."""
 
 
 class LingeringTransport:
@@ -13,7 +20,13 @@
     All else is done by the event loop's transport.
     """
 
-    __slots__ = ("_linger", "_loop", "_on_close", "_timer", "_transport")
+    __slots__ = (
+        "_loop",
+        "_on_close",
+        "_stall_seconds",
+        "_timer",
+        "_transport",
+    )
 
     def __init__(
         self,
@@ -25,13 +38,13 @@
 
         Args:
             transport: The event loop's transport.
-            stall_seconds: Longest time in which the caller reads nothing while
-                its connection is ended.
+            stall_seconds: Longest time in which the caller receives nothing
+                while its connection is ended.
             on_close: Called when the connection begins to end.
         """
         self._loop = asyncio.get_running_loop()
         self._transport = transport
-        self._linger = lingering.Linger(stall_seconds)
+        self._stall_seconds = stall_seconds
         self._on_close = on_close
         self._timer: asyncio.TimerHandle | None = None
 
@@ -61,7 +74,7 @@
         else:
             # Reading stops while requests wait.
             self._transport.resume_reading()
-            self._wait()
+            self._wait(lingering.Linger(self._stall_seconds, self._loop.time()))
         self._on_close()
 
     def stop(self) -> None:
@@ -69,10 +82,40 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def _wait(self) -> None:
-        unsent = self._transport.get_write_buffer_size()
-        seconds = self._linger.wait(unsent)
+    def undelivered_bytes(self) -> int:
+        """Returns how many bytes the caller has not acknowledged."""
+        return send_queues.undelivered_bytes(
+            self._transport, _log_unknown_queue
+        )
+
+    def cut_off(self) -> None:
+        """Ends the connection of a caller that does not read its response."""
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "%s cut off a connection with %d bytes that its caller has not"
+            " received.",
+            _LOG_SECONDS,
+            _PREFIX,
+            self.undelivered_bytes(),
+        )
+        self._transport.abort()
+
+    def _wait(self, linger: lingering.Linger) -> None:
+        undelivered = self.undelivered_bytes()
+        seconds = linger.wait(undelivered, self._loop.time())
         if seconds:
-            self._timer = self._loop.call_later(seconds, self._wait)
+            self._timer = self._loop.call_later(seconds, self._wait, linger)
+        elif undelivered:
+            self.cut_off()
         else:
             self._transport.abort()
+
+
+def _log_unknown_queue(error: OSError) -> None:
+    logging.log_first_n(
+        logging.WARNING,
+        "%s the kernel does not tell what callers have received: %s",
+        1,
+        _PREFIX,
+        error,
+    )
--- a/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_protocol.py
@@ -12,6 +12,7 @@
 from mimosastile_core import connection_limits
 from mimosastile_core import errors
 from mimosastile_core import input_limits
+from mimosastile_core import lingering
 from mimosastile_core import unfinished_heads
 from mimosastile_entry import _lingering
 
@@ -239,9 +240,17 @@
         super().pause_writing()
         # A caller that stops reading would hold its slot indefinitely. A timer
         # started only here adds no cost to all other connections.
-        self._stall_timer = self.loop.call_later(
-            self.stall_seconds, self.transport.abort
-        )
+        self._cut_off_unless_read(lingering.Progress())
+
+    def _cut_off_unless_read(self, progress: lingering.Progress) -> None:
+        """Cuts off a caller that has received nothing since the last look."""
+        closing = self._closing_transport
+        if progress.record(closing.undelivered_bytes()):
+            self._stall_timer = self.loop.call_later(
+                self.stall_seconds, self._cut_off_unless_read, progress
+            )
+        else:
+            closing.cut_off()
 
     def resume_writing(self) -> None:
         """Stops the stall timer; the caller reads again."""
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -296,6 +296,7 @@
             held=self._held,
             heads=self._heads,
             most_connections=configured.connections.callers,
+            event_log=self._events,
         )
         self._readiness_server = http_server.Server(
             self._handle_readiness,
@@ -310,6 +311,7 @@
             bounded=lambda incoming: bool(peer_forwarding.origin(incoming)),
             heads=self._heads,
             most_connections=configured.connections.peers,
+            event_log=self._events,
         )
         self._peer_handlers: dict[str, tuple[type[Any], _PeerHandler]] = {
             messages.REPORT_PATH: (messages.Report, self._handle_report),
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -7,7 +7,6 @@
 from collections.abc import Sequence
 import contextlib
 import http
-import math
 import socket
 from typing import Any
 
@@ -16,10 +15,12 @@
 from mimosastile_core import connection_limits
 from mimosastile_core import input_limits
 from mimosastile_core import lingering
+from mimosastile_core import send_queues
 from mimosastile_core import unfinished_heads
 from mimosastile_core.gateway import body_buffer
 from mimosastile_core.gateway import held_bytes
 from mimosastile_core.gateway import routes
+from mimosastile_gateway import events
 
 _BACKLOG = 1024
 """Connections that may wait to be accepted. A full queue delays each further
@@ -159,13 +160,13 @@
         "_loop",
         "_owner",
         "_parser",
+        "_progress",
         "_queue",
         "_server",
         "_task",
         "_timer",
         "_transport",
         "_unparsed",
-        "_unread_bytes",
         "_unsent_bytes",
         "_url",
     )
@@ -184,7 +185,7 @@
         self._held_bytes = 0
         self._unparsed = input_limits.UnparsedBytes()
         self._unsent_bytes = 0
-        self._unread_bytes: float = math.inf
+        self._progress = lingering.Progress()
         self._owner = ""
         self._queue: list[tuple[Request, bool]] = []
         self._current: Request | None = None
@@ -450,15 +451,14 @@
 
         The connection of a caller that reads nothing is ended.
         """
+        progress = lingering.Progress()
         while not self._can_write.is_set():
-            before = self._unsent_bytes
-            try:
+            undelivered = self._undelivered_bytes()
+            if not progress.record(undelivered):
+                self._cut_off("unread", undelivered)
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._server.limits.idle_seconds):
                     await self._can_write.wait()
-            except TimeoutError:
-                self.count_unsent()
-                if self._unsent_bytes >= before:
-                    self.abort()
 
     async def _send_response(
         self, response: Response, keep_alive: bool, *, head_only: bool
@@ -594,15 +594,12 @@
         self._timer = self._loop.call_later(seconds, self._on_timeout)
 
     def _on_timeout(self) -> None:
-        transport = self._transport
-        unread = transport.get_write_buffer_size() if transport else 0
+        undelivered = self._undelivered_bytes()
         if self._incoming is not None:
             self._reject(408)
-        elif unread and unread >= self._unread_bytes:
-            # The caller has read nothing since the last look.
-            self.abort()
-        elif unread:
-            self._unread_bytes = unread
+        elif undelivered and not self._progress.record(undelivered):
+            self._cut_off("unread", undelivered)
+        elif undelivered:
             self._start_timer(self._server.limits.idle_seconds)
         elif not self.busy:
             self._close()
@@ -619,7 +616,7 @@
             and self._linger is None
         ):
             self._transport.write(data)
-            self._unread_bytes = math.inf
+            self._progress.restart()
             self.count_unsent()
 
     def _close(self) -> None:
@@ -630,7 +627,9 @@
         self._final = True
         self._queue.clear()
         self._release_all()
-        self._linger = lingering.Linger(self._server.limits.idle_seconds)
+        self._linger = lingering.Linger(
+            self._server.limits.idle_seconds, self._loop.time()
+        )
         self._server.connection_limit.end(self)
         try:
             transport.write_eof()
@@ -643,14 +642,34 @@
     def _await_end(self) -> None:
         """Waits for the caller to close its side, up to a bound."""
         self._stop_timer()
-        transport = self._transport
-        if transport is None or self._linger is None:
+        if self._linger is None:
             return
-        seconds = self._linger.wait(transport.get_write_buffer_size())
+        undelivered = self._undelivered_bytes()
+        seconds = self._linger.wait(undelivered, self._loop.time())
         if seconds:
             self._timer = self._loop.call_later(seconds, self._await_end)
+        elif undelivered:
+            self._cut_off("unread at its end", undelivered)
         else:
-            transport.abort()
+            self.abort()
+
+    def _undelivered_bytes(self) -> int:
+        """Returns how many bytes the caller has not acknowledged."""
+        if self._transport is None or self._closed:
+            return 0
+        return send_queues.undelivered_bytes(
+            self._transport, self._server.record_unknown_queue
+        )
+
+    def _cut_off(self, why: str, undelivered_bytes: int) -> None:
+        """Ends the connection of a caller that does not read its response."""
+        self._server.write_event(
+            "connection_cut_off",
+            why=why,
+            caller=self._owner,
+            undelivered=undelivered_bytes,
+        )
+        self.abort()
 
 
 class Server:
@@ -667,6 +686,7 @@
     __slots__ = (
         "_bounded",
         "_connections",
+        "_events",
         "_handler",
         "_listener",
         "_work",
@@ -685,6 +705,7 @@
         bounded: Callable[[Request], bool] | None = None,
         heads: unfinished_heads.UnfinishedHeads[Connection] | None = None,
         most_connections: int = 0,
+        event_log: events.EventLog | None = None,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -699,8 +720,11 @@
             most_connections: Largest number of connections, 0 for no bound. At
                 the bound, connections that wait for requests give way to new
                 ones.
+            event_log: Where connections that are cut off are written; None for
+                nowhere.
         """
         self._bounded = bounded
+        self._events = event_log
         self._handler = handler
         self._listener: asyncio.Server | None = None
         self._connections: set[Connection] = set()
@@ -802,6 +826,15 @@
         for connection in list(self._connections):
             connection.abort()
 
+    def write_event(self, event: str, **fields: object) -> None:
+        """Writes an event to the log."""
+        if self._events is not None:
+            self._events.write("listeners", event, **fields)
+
+    def record_unknown_queue(self, error: OSError) -> None:
+        """Records that the kernel does not tell what callers received."""
+        self.write_event("send_queue_unknown", why=str(error))
+
     async def handle(self, incoming: Request) -> Response:
         """Returns the handler's response to a request."""
         return await self._handler(incoming)
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mimosastile_core import lingering
 from mimosastile_entry import serving
 from tests import senders
 
@@ -159,6 +160,43 @@
         asyncio.run(asyncio.wait_for(scenario(), 20))
 
 
+class TestSlowCaller:
+    """A caller that reads without a break over a slow link."""
+
+    @pytest.mark.parametrize("size", [300_000, 6_000_000], ids=["end", "stall"])
+    def test_whole_response(self, monkeypatch, size):
+        """Guards against callers cut off while the kernel holds a response."""
+        monkeypatch.setattr(lingering, "_LINGER_SECONDS", 0.2)
+
+        async def app(scope, receive, send):
+            await asyncio.sleep(0.1)
+            headers = [(b"content-length", b"%d" % size)]
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": 200,
+                    "headers": headers,
+                }
+            )
+            await send({"type": "http.response.body", "body": b"x" * size})
+
+        async def scenario():
+            listener = await serving.listen(
+                app, "127.0.0.1", 0, 5.0, stall_seconds=0.5
+            )
+            received = await senders.count_while_sending(
+                ("127.0.0.1", listener.port),
+                b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                b"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                lambda: None,
+                pause=0.1 if size < 1_000_000 else 0.01,
+            )
+            await listener.stop()
+            assert received == size
+
+        asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
 class TestWaitingHeads:
     """Heads of requests that are not served yet."""
 
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from mimosastile_core import lingering
 from mimosastile_core.gateway import routes
 from mimosastile_gateway import http_server
 from tests import senders
@@ -565,6 +566,37 @@
 
         _run(scenario, routes.CallerLimits())
 
+    @pytest.mark.parametrize(
+        ("first", "stops", "ahead"),
+        [
+            (_get(), True, _get()),
+            (_get(extra=b"Connection: close\r\n"), False, _get()),
+            (_get(), False, b""),
+        ],
+        ids=["stop", "caller asks for it", "idle time-out"],
+    )
+    def test_slow_caller(self, monkeypatch, first, stops, ahead):
+        """Guards against callers cut off while the kernel holds a response."""
+        monkeypatch.setattr(lingering, "_LINGER_SECONDS", 0.2)
+        size = 300_000
+
+        async def scenario(server, handler, reader, writer):
+            async def whole(incoming):
+                await asyncio.sleep(0.1)
+                return http_server.Response(200, body=b"x" * size)
+
+            def stop():
+                server.stopping = stops
+
+            server._handler = whole
+            address = writer.get_extra_info("peername")
+            received = await senders.count_while_sending(
+                address, first, ahead, stop, pause=0.1
+            )
+            assert received == size
+
+        _run(scenario)
+
     def test_reset_by_the_caller(self, monkeypatch):
         """Guards against a close that fails when the caller has left."""
 
--- a/tests/senders.py
+++ b/tests/senders.py
@@ -7,7 +7,7 @@
 _RECEIVE_BUFFER_BYTES = 16 << 10
 
 
-async def count_while_sending(address, first, ahead, begun):
+async def count_while_sending(address, first, ahead, begun, pause=0.001):
     """Sends requests until the connection ends, and counts what it receives.
 
     Args:
@@ -15,6 +15,7 @@
         first: What is sent at once.
         ahead: What is sent with each piece that is received.
         begun: Called when all of `first` was sent.
+        pause: Seconds between two pieces.
 
     Returns:
         Number of bytes `x` received.
@@ -37,5 +38,5 @@
             received += data.count(b"x")
             with contextlib.suppress(BrokenPipeError):
                 await loop.sock_sendall(sock, ahead)
-            await asyncio.sleep(0.001)
+            await asyncio.sleep(pause)
     return received
