Bound what the kernel holds of responses to requests sent ahead

Callers that send requests ahead over slow links lost responses at the end of the grace time: on links of 100 ms with responses of 540 KB, six of twelve clients, 7.5 s after the SIGTERM.

Cause: the kernel took the responses to all requests sent ahead (3.3 MB for one caller here), so more was under way at the SIGTERM than the link carries within the grace time. With a smaller bound alone, a request that waited behind such a response was passed on 3.2 s after the SIGTERM, and its response cut off.

Change: TCP_NOTSENT_LOWAT of 128 KB on the listeners of both daemons. A stopping gateway closes a connection behind a response that took its caller over 0.5 s to read; requests behind it are not passed on, and their callers may send them anywhere.

test_requests_behind_slow_reading fails without the change.

--- a/packages/mimosastile-entry/src/mimosastile_entry/serving.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/serving.py
@@ -13,6 +13,8 @@
 _BACKLOG = 2048
 _POLL_INTERVAL_SECONDS = 0.01
 _KEEP_ALIVE_SECONDS = 30
+_UNSENT_BYTES = 128 << 10
+"""Bytes in the kernel beyond those that a caller has room for."""
 
 
 class Listener:
@@ -167,6 +169,10 @@
         socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
     )
     listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit the option.
+    listening_socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
+    )
     listening_socket.bind((host, port))
     listening_socket.setblocking(False)
     return listening_socket
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -30,6 +30,13 @@
 after the response in progress."""
 _WRITE_BUFFER_BYTES = 64 << 10
 """Bytes buffered for a slow caller before its responses pause."""
+_UNSENT_BYTES = 128 << 10
+"""Bytes in the kernel beyond those that a caller has room for. The kernel would
+take megabytes of responses to requests sent ahead, and a daemon that stops
+would have to wait until its callers have received all of them."""
+_SLOW_READ_SECONDS = 0.5
+"""Time for reading a response from which on a caller of a stopping daemon gets
+no further one on its connection."""
 _MEMORY_RETRY_AFTER = ((b"retry-after", b"1"),)
 """Headers of a refusal for want of memory: slow callers hold theirs for
 seconds."""
@@ -403,7 +410,11 @@
     async def _serve(self) -> None:
         try:
             while self._queue and not self._closed:
-                await self._await_reading()
+                waited = await self._await_reading()
+                if self._server.stopping and waited > _SLOW_READ_SECONDS:
+                    # Its caller would not receive another response in time.
+                    self._final = True
+                    break
                 incoming, keep_alive = self._queue.pop(0)
                 self._current = incoming
                 response = await self._respond(incoming)
@@ -446,11 +457,15 @@
             )
             return Response(502, close=True)
 
-    async def _await_reading(self) -> None:
+    async def _await_reading(self) -> float:
         """Waits until the caller has read its earlier responses.
 
         The connection of a caller that reads nothing is ended.
+
+        Returns:
+            Seconds for which it has waited.
         """
+        began = self._loop.time()
         progress = lingering.Progress()
         while not self._can_write.is_set():
             undelivered = self._undelivered_bytes()
@@ -459,6 +474,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._server.limits.idle_seconds):
                     await self._can_write.wait()
+        return self._loop.time() - began
 
     async def _send_response(
         self, response: Response, keep_alive: bool, *, head_only: bool
@@ -766,7 +782,12 @@
         self._listener = await loop.create_server(
             lambda: Connection(self), host, int(port), backlog=_BACKLOG
         )
-        bound = self._listener.sockets[0].getsockname()
+        (listening,) = self._listener.sockets
+        # Accepted connections inherit the option.
+        listening.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
+        )
+        bound = listening.getsockname()
         return f"{bound[0]}:{bound[1]}"
 
     def sample_unsent(self) -> None:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -597,6 +597,35 @@
 
         _run(scenario)
 
+    def test_requests_behind_slow_reading(self):
+        """Guards against a stop that takes long for requests sent ahead.
+
+        The kernel holds megabytes of responses unless it is told otherwise.
+        """
+        size = 200_000
+
+        async def scenario(server, handler, reader, writer):
+            served = []
+
+            async def whole(incoming):
+                served.append(incoming)
+                return http_server.Response(200, body=b"x" * size)
+
+            def stop():
+                asyncio.get_running_loop().call_later(
+                    0.6, setattr, server, "stopping", True
+                )
+
+            server._handler = whole
+            address = writer.get_extra_info("peername")
+            received = await senders.count_while_sending(
+                address, _get() * 8, b"", stop, pause=0.2
+            )
+            assert len(served) < 5
+            assert received == size * len(served)
+
+        _run(scenario, routes.CallerLimits())
+
     def test_reset_by_the_caller(self, monkeypatch):
         """Guards against a close that fails when the caller has left."""
 
