Detect crashes of targets that refuse no connections

Cause: a crash was confirmed by a refused connection alone. An attempt that timed out was evidence of nothing, an accepted one evidence of life, and a request without a response no loss. The VM's own link was proven by the first target of its directory, which may have crashed too.

Change: a loss stays undecided until its target responds or its registration has had time to end. The end of the registration, or a later incarnation, shows the crash. Silence in spite of attempts and a health check counts until then and is withdrawn on all VMs if the registration stays, so that a target that is cut off, full or hangs harms no request for longer than 6.5 s.

A connection that is accepted is no evidence of life any more, so test_connection_accepted gives way to test_response: only a response is. It checks the same, and that a later loss is still confirmed.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/crash_detection.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/crash_detection.py
@@ -3,8 +3,13 @@
 Occasionally a request crashes every target that starts to run it, and is sent
 again by its caller. Responses are lost for many other reasons, though, and a
 request must not be refused because a link loses packets. The difference is that
-a target that has crashed accepts no connections for some seconds, while others
-go on to respond: if none does, the fault is this VM's own link.
+a target that has crashed responds to nothing for some seconds, while others go
+on to respond: if none does, the fault is this VM's own link.
+
+What shows a crash is decided in `lost_responses`. A target that is silent
+without refusing connections is presumed to have crashed until it responds. If
+its registration does not end either, it was cut off or hangs, and the crash is
+withdrawn on all VMs.
 
 A target may also crash for another reason while it runs a request. A request
 that crashes its targets never completes, so one that has completed is not at
@@ -13,14 +18,17 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Iterator
+import functools
+import itertools
 import math
 
 from mimosastile_core import config
 from mimosastile_core import quarantine
+from mimosastile_core.gateway import lost_responses
 
-_CONFIRMATION_SECONDS = 3.0
-"""Time after a lost response within which a refused connection confirms a
-crash; targets take seconds to restart."""
+_LAPSE_SECONDS = 6.5
+"""Usual time within which a VM knows that a target's registration has ended."""
 _COMPLETION_SECONDS = 5.0
 """Time after a complete response within which its request is not blamed for the
 crash of a target. Copies of a frequent request run on many targets at once and
@@ -39,17 +47,26 @@
         "_crashes",
         "_disproved",
         "_lost",
-        "_responses",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, lapse_seconds: float = _LAPSE_SECONDS) -> None:
+        """Creates a detector without any loss.
+
+        Args:
+            lapse_seconds: Longest time from the crash of a target until this
+                VM knows that its registration has ended.
+        """
         self._completed: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._responses: list[tuple[float, str]] = []
         self._crashes = quarantine.CrashHistory()
         self._disproved: dict[str, float] = {}
-        self._lost: dict[str, list[tuple[float, str]]] = {}
+        self._lost = lost_responses.LostResponses(lapse_seconds)
+
+    @property
+    def undecided_targets(self) -> tuple[str, ...]:
+        """Targets that may have crashed."""
+        return self._lost.targets
 
     def record_loss(self, target: str, request: str, now: float) -> bool:
         """Records that a response was lost.
@@ -64,14 +81,28 @@
         """
         if self._has_completed(request, now):
             return False
-        recent = [
-            item
-            for item in self._lost.get(target, ())
-            if now - item[0] < _CONFIRMATION_SECONDS
-        ]
-        self._lost[target] = [*recent, (now, request)]
+        self._lost.record(target, request, now)
         return True
 
+    def record_silence(
+        self, target: str, request: str, sent_at: float, now: float
+    ) -> bool:
+        """Records that no response has arrived in time.
+
+        Args:
+            target: The target.
+            request: Fingerprint of the request.
+            sent_at: Time at which the request was sent.
+            now: Current time.
+
+        Returns:
+            Whether the target may have crashed because of the request. It has
+            not if it has responded to others meanwhile.
+        """
+        if self._lost.has_responded(target, sent_at):
+            return False
+        return self.record_loss(target, request, now)
+
     def record_completion(self, request: str, now: float) -> None:
         """Records that a target has run a request and sent its response.
 
@@ -116,32 +147,25 @@
         }
         return tuple(self._disproved)
 
-    def record_connection(self, target: str, attempted_at: float) -> None:
-        """Records that a target accepts connections, so it has not crashed.
+    def is_undecided(self, target: str, now: float) -> bool:
+        """Whether attempts to connect to a target can show a crash."""
+        return self._lost.is_undecided(target, now)
 
-        Args:
-            target: The target.
-            attempted_at: Time at which the connection was attempted. Later
-                losses are not affected.
-        """
-        losses = self._lost.pop(target, [])
-        if later := [loss for loss in losses if loss[0] > attempted_at]:
-            self._lost[target] = later
-
-    def has_losses(self, target: str, now: float) -> bool:
-        """Whether a crash of a target can still be confirmed."""
-        return any(
-            now - at < _CONFIRMATION_SECONDS
-            for at, _ in self._lost.get(target, ())
-        )
+    def has_link(self, target: str, since: float) -> bool:
+        """Whether another target was reached after a time."""
+        return self._lost.has_link(target, since)
+
+    def lacks_link(self, target: str) -> bool:
+        """Whether no other target was reached after a loss."""
+        return self._lost.lacks_link(target)
+
+    def record_link(self, target: str, now: float) -> None:
+        """Records that a target was reached, though it may not respond."""
+        self._lost.record_link(target, now)
 
     def record_response(self, target: str, now: float) -> None:
         """Records that a target responds; earlier losses were no crashes."""
-        self._lost.pop(target, None)
-        # The last responses of two targets: one of them is another target than
-        # any that has crashed.
-        others = [r for r in self._responses if r[1] != target]
-        self._responses = [*others[-1:], (now, target)]
+        self._disprove(self._lost.record_response(target, now), now)
 
     def confirm_crashes(
         self, target: str, attempted_at: float, now: float, id_prefix: str
@@ -160,29 +184,51 @@
         Returns:
             The crashes that this confirms.
         """
-        linked_at = max(
-            (
-                at
-                for at, responder in self._responses
-                if responder != target and at <= attempted_at
-            ),
-            default=-math.inf,
+        lost = self._lost.take_refused(target, attempted_at, now)
+        return self._record(target, lost, now, id_prefix, ran=0.0)
+
+    def presume_crashes(
+        self, target: str, until: float, now: float, id_prefix: str
+    ) -> list[quarantine.Crash]:
+        """Records that a target has responded to nothing.
+
+        The crashes are withdrawn when it responds, or when its registration
+        has not ended in time.
+
+        Args:
+            target: The target.
+            until: Time of the losses up to which this shows a crash.
+            now: Current time.
+            id_prefix: Prefix for the identifiers of the crashes.
+
+        Returns:
+            The crashes that are presumed now.
+        """
+        new_id = functools.partial(next, _identifiers(id_prefix))
+        return self._record(
+            target, self._lost.presume(target, until, new_id), now, id_prefix
         )
-        losses = self._lost.pop(target, [])
-        lost = [loss for loss in losses if loss[0] < linked_at]
-        if pending := [loss for loss in losses if loss[0] >= linked_at]:
-            self._lost[target] = pending
-        deaths = [
-            quarantine.Crash(
-                f"{id_prefix}-{number}", request, target, 0, now - at
-            )
-            for number, (at, request) in enumerate(lost)
-            if now - at < _CONFIRMATION_SECONDS
-            and not self._has_completed(request, now)
-        ]
-        for death in deaths:
-            self._crashes.record(death, now)
-        return deaths
+
+    def confirm_end(
+        self, target: str, now: float, id_prefix: str, *, restarted: bool
+    ) -> list[quarantine.Crash]:
+        """Records that the registration of a target has ended.
+
+        Args:
+            target: The target.
+            now: Current time.
+            id_prefix: Prefix for the identifiers of the crashes.
+            restarted: Whether a later incarnation has replaced it.
+
+        Returns:
+            The crashes that this shows, without those that were presumed.
+        """
+        lost = self._lost.take_ended(target, now, restarted=restarted)
+        return self._record(target, lost, now, id_prefix)
+
+    def expire(self, now: float) -> None:
+        """Drops losses of targets whose registrations have not ended."""
+        self._disprove(self._lost.expire(now), now)
 
     def record_crash(self, death: quarantine.Crash, now: float) -> None:
         """Records a crash that another VM has confirmed."""
@@ -208,12 +254,58 @@
             if counts[crash.fingerprint] > 1
         )
 
+    def _record(
+        self,
+        target: str,
+        lost: Iterable[lost_responses.Loss],
+        now: float,
+        id_prefix: str,
+        ran: float = POLICY.seconds,
+    ) -> list[quarantine.Crash]:
+        """Records the crashes that lost responses show; returns them.
+
+        Args:
+            target: The target.
+            lost: The lost responses.
+            now: Current time.
+            id_prefix: Prefix for the identifiers of the crashes.
+            ran: Seconds for which the requests may have run. Those of one
+                incarnation count as one crash.
+        """
+        crashes = [
+            quarantine.Crash(
+                loss.crash or identifier,
+                loss.request,
+                target,
+                0,
+                now - loss.at,
+                ran,
+            )
+            for identifier, loss in zip(
+                _identifiers(id_prefix), lost, strict=False
+            )
+            if not self._has_completed(loss.request, now)
+        ]
+        for crash in crashes:
+            self._crashes.record(crash, now)
+        return crashes
+
+    def _disprove(self, crashes: list[str], now: float) -> None:
+        """Withdraws presumed crashes on all VMs."""
+        if crashes:
+            self.withdraw(crashes, now)
+            self._disproved.update(dict.fromkeys(crashes, now))
+
     def _has_completed(self, request: str, now: float) -> bool:
         """Whether a target has lately run a request to its end."""
         completed_at = self._completed.get(request, -math.inf)
         return now - completed_at < _COMPLETION_SECONDS
 
 
+def _identifiers(prefix: str) -> Iterator[str]:
+    return (f"{prefix}-{number}" for number in itertools.count())
+
+
 class CrashReports:
     """Crashes confirmed by one VM that its leader may not have.
 
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/daemon.py
@@ -55,6 +55,8 @@
 _GC_THRESHOLD_2 = 50
 """Thresholds of the garbage collector's three generations. Requests leave few
 reference cycles, and each full collection traverses all objects."""
+_REGISTRATION_NEWS_SECONDS = 2.0
+"""Time within which this VM knows that the store has removed a registration."""
 _RESPONSE_MARGIN_SECONDS = 0.15
 """Time kept at the end of a graceful stop for sending the last responses."""
 _FORWARDING_HEADER_BYTES = 1024
@@ -211,7 +213,9 @@
             self._events,
         )
         queues = wait_queues.WaitQueues()
-        detector = crash_detection.CrashDetector()
+        detector = crash_detection.CrashDetector(
+            configured.bounds.registration + _REGISTRATION_NEWS_SECONDS
+        )
         self._channel = datagrams.Channel(self._events)
         self._admission = admission_service.AdmissionService(
             configured, self._channel, self._cluster, self._clock
@@ -232,9 +236,11 @@
             self._clock,
             self._events,
         )
+        health = adapter.health(self._pool)
         self._crash_monitor = crash_monitoring.CrashMonitor(
             detector,
             self._pool,
+            health,
             configured.requests.connect,
             self._cluster,
             self._membership,
@@ -242,7 +248,7 @@
             self._events,
         )
         self._prober = load_probing.LoadProber(
-            adapter.health(self._pool),
+            health,
             self._cluster,
             self._balancer,
             self._clock,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/forwarding.py
@@ -51,6 +51,14 @@
     }
 )
 """Failures of sends that did not reach a target."""
+_RESPONSE_KINDS = frozenset(
+    {
+        errors.ErrorKind.REJECTED,
+        errors.ErrorKind.TARGET_FAILED,
+        errors.ErrorKind.WRONG_FENCE,
+    }
+)
+"""Failures of sends to which a target has responded."""
 _MAX_LOGGED_HEADER_BYTES = 64
 """Longest part of an unreadable header value that is logged."""
 _MAX_CONFIGURATION_AGE_SHARE = 0.9
@@ -402,6 +410,11 @@
             sent = self._timeout_failure(
                 call, target, earlier_sends, started_at
             )
+        except asyncio.CancelledError:
+            # The caller has left; its request may have crashed the target.
+            if call.send_count > earlier_sends:
+                self._record_silence(call, target)
+            raise
         finally:
             call.timer = None
             self._target_bodies.end(target.id, size)
@@ -462,7 +475,7 @@
         except http_client.NotSentError as error:
             self._record_unreachable(target)
             if not error.hung:
-                self._crashes.record_refused(target.id, attempted_at)
+                self._crashes.record_refused(target, attempted_at)
             return errors.failed(errors.ErrorKind.UNREACHABLE, str(error))
         outdated = self._failure_after_connecting(call)
         if outdated is not None:
@@ -680,7 +693,7 @@
         load = self._balancer.load(target.id)
         self._record_completion_time(call, sent, now)
         if isinstance(sent, result.Ok):
-            self._crashes.record_response(target.id)
+            self._crashes.record_response(target)
             self._membership.record_response(target.id)
             response = sent.ok_value
             if response.status < 500 and response.body_stream is None:
@@ -711,8 +724,7 @@
             load.failed(now)
         if call.key is not None and failure.kind in _OVERLOAD_KINDS:
             self._membership.report_full_target(target.id)
-        if failure.kind is errors.ErrorKind.ANSWER_LOST:
-            self._crashes.record_loss(target, call.fingerprint)
+        self._record_evidence(call, target, failure.kind)
         self._events.write(
             "requests",
             "send_failed",
@@ -728,6 +740,28 @@
             under_way=load.under_way(now),
         )
 
+    def _record_evidence(
+        self,
+        call: pending.Call,
+        target: directory.Target,
+        kind: errors.ErrorKind,
+    ) -> None:
+        """Records what a failure says about a crash of its target."""
+        if kind is errors.ErrorKind.ANSWER_LOST:
+            self._crashes.record_loss(target, call.fingerprint)
+        elif kind is errors.ErrorKind.DEADLINE:
+            self._record_silence(call, target)
+        elif kind is errors.ErrorKind.TARGET_REPLACED:
+            self._crashes.record_replaced(target)
+        elif kind in _RESPONSE_KINDS:
+            self._crashes.record_response(target)
+
+    def _record_silence(
+        self, call: pending.Call, target: directory.Target
+    ) -> None:
+        """Records that a target has not responded to a request."""
+        self._crashes.record_silence(target, call.fingerprint, call.sent_at)
+
     def _record_completion_time(
         self, call: pending.Call, sent: SendResult, now: float
     ) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/settings.py
@@ -64,6 +64,8 @@
             version until it applies to all requests.
         evacuation: Maximum time from the acknowledgement of a zone's
             evacuation to the last request sent to a target of the zone.
+        registration: Maximum time from the end of a target to the removal of
+            its registration.
     """
 
     drain: Positive = 2.0
@@ -74,6 +76,7 @@
     retry_fixed: float = 60.0
     configuration: Positive = 2.0
     evacuation: Positive = 5.0
+    registration: Positive = 4.5
 
 
 class LeaderSettings(_Strict, frozen=True):
--- a/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/platform_target.py
@@ -115,6 +115,7 @@
             UNMARKED, responds to requests that it has run.
         crash_path: Path of a request that crashes the target when it begins to
             run it; empty for none.
+        on_crash: Called when it crashes; `stop` unless set.
         on_grant: Called with the target, the first and the last key of each
             grant before it is taken.
     """
@@ -142,6 +143,7 @@
         "leaving",
         "limit",
         "misdirected",
+        "on_crash",
         "on_grant",
         "orders",
         "padding_bytes",
@@ -196,6 +198,7 @@
         self.padding_bytes = 0
         self.unmarked_status = 503
         self.crash_path = b""
+        self.on_crash: Callable[[], None] = self.stop
         self.born = int(time.time() * 1000)
         self._keyed = keyed
         self._work = work
@@ -378,7 +381,7 @@
         now = asyncio.get_running_loop().time()
         self.runs.append(Execution(attempt, key, self.id, now))
         if incoming.target == self.crash_path:
-            self.stop()
+            self.on_crash()
         if key is not None:
             self._active[attempt] = key, self._expiry(key)
         try:
--- a/tests/gateway/test_crash_detection.py
+++ b/tests/gateway/test_crash_detection.py
@@ -106,16 +106,54 @@
         assert observer.disproved(5.0)
         assert not observer.disproved(70.0)
 
-    def test_connection_accepted(self):
+    def test_response(self):
         """Guards against lost responses of a live target taken for crashes."""
         detector = crash_detection.CrashDetector()
         detector.record_loss("t", "r", 0.0)
+        detector.record_response("t", 0.2)
         detector.record_loss("t", "s", 0.4)
-        detector.record_connection("t", 0.2)
         detector.record_response("up", 0.5)
         crashes = detector.confirm_crashes("t", 0.6, 0.6, "id")
         assert [crash.fingerprint for crash in crashes] == ["s"]
-        assert not detector.has_losses("t", 0.7)
+        assert not detector.is_undecided("t", 0.7)
+
+    def test_responses_to_others(self):
+        """Guards against requests blamed for a full target's silence."""
+        detector = crash_detection.CrashDetector()
+        detector.record_response("t", 0.5)
+        assert not detector.record_silence("t", "r", 0.1, 2.0)
+        assert detector.record_silence("t", "r", 0.6, 2.0)
+
+    @pytest.mark.parametrize("alive", ["response", "registration"])
+    def test_silence_ends(self, alive):
+        """Guards against requests refused for targets that were cut off."""
+        observer, other = (
+            crash_detection.CrashDetector(lapse_seconds=6.0),
+            crash_detection.CrashDetector(),
+        )
+        for number in range(3):
+            observer.record_loss(f"t{number}", "r", 0.0)
+            observer.record_response("up", 1.0)
+            observer.presume_crashes(f"t{number}", 0.0, 2.5, str(number))
+        for crash in observer.repeated(2.6):
+            other.record_crash(crash, 2.6)
+        assert observer.is_held("r", 2.6) and other.is_held("r", 2.6)
+        if alive == "response":
+            observer.record_response("t1", 3.0)
+        else:
+            observer.expire(6.1)
+        other.withdraw(observer.disproved(6.1), 6.1)
+        assert not observer.is_held("r", 6.2)
+        assert not other.is_held("r", 6.2)
+
+    def test_one_incarnation(self):
+        """Guards against a target counted often that one VM can't reach."""
+        detector = crash_detection.CrashDetector()
+        for number in range(4):
+            detector.record_loss("t", "r", float(number))
+            detector.record_response("up", number + 0.5)
+            detector.presume_crashes("t", float(number), 5.0, str(number))
+        assert not detector.is_held("r", 5.0)
 
 
 class TestReports:
