End a stream whose connection was reset

Cause: a write that fails closes the transport at once, but connection_lost comes with the next turn of the event loop. A stream whose source never waits, as the stand-in's endless one, does not let the loop run: each further write only logged a warning, and pytest keeps these. The daemon's own sources wait for targets, so it was not affected.

Change: a stream ends with its transport.

Also: one list of targets that were reached, and "report" for what the kernel says.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/lost_responses.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/lost_responses.py
@@ -40,7 +40,7 @@
 class LostResponses:
     """Lost responses of one VM that still may turn out to be crashes."""
 
-    __slots__ = ("_lapse_seconds", "_lost", "_responded_at", "_responses")
+    __slots__ = ("_lapse_seconds", "_lost", "_reached", "_responded_at")
 
     def __init__(self, lapse_seconds: float) -> None:
         """Creates it without any loss.
@@ -54,7 +54,7 @@
         self._responded_at: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._responses: list[tuple[float, str]] = []
+        self._reached: list[tuple[float, str]] = []
 
     @property
     def targets(self) -> tuple[str, ...]:
@@ -86,10 +86,7 @@
         self._responded_at.move_to_end(target)
         if len(self._responded_at) > _MAX_RESPONDERS:
             self._responded_at.popitem(last=False)
-        # The last responses of two targets: one of them is another target than
-        # any that has crashed.
-        others = [r for r in self._responses if r[1] != target]
-        self._responses = [*others[-1:], (now, target)]
+        self.record_link(target, now)
         disproved = []
         for loss in self._lost.get(target, ()):
             loss.answered = True
@@ -100,18 +97,17 @@
 
     def record_link(self, target: str, now: float) -> None:
         """Records that this VM has reached a target, which may not respond."""
-        others = [r for r in self._responses if r[1] != target]
-        self._responses = [*others[-1:], (now, target)]
+        # The last two targets: one of them is another one than any that has
+        # crashed.
+        others = [r for r in self._reached if r[1] != target]
+        self._reached = [*others[-1:], (now, target)]
 
     def has_link(self, target: str, since: float) -> bool:
         """Whether another target was reached after a time.
 
         Without that, this VM may have lost its own link.
         """
-        return any(
-            at > since and responder != target
-            for at, responder in self._responses
-        )
+        return self._reached_between(target, since, math.inf)
 
     def lacks_link(self, target: str) -> bool:
         """Whether no other target was reached after an undecided loss."""
@@ -217,6 +213,6 @@
     def _reached_between(self, target: str, since: float, until: float) -> bool:
         """Whether another target was reached in a time."""
         return any(
-            since < at <= until and responder != target
-            for at, responder in self._responses
+            since < at <= until and reached != target
+            for at, reached in self._reached
         )
--- a/packages/mimosastile-core/src/mimosastile_core/send_queues.py
+++ b/packages/mimosastile-core/src/mimosastile_core/send_queues.py
@@ -34,7 +34,7 @@
 
     Args:
         transport: The connection's transport, also one that encrypts.
-        report: Called with the error if the kernel does not tell the length of
+        report: Called with the error if the kernel does not report the length of
             its queue. Only bytes that the process holds are counted then.
     """
     buffered = transport.get_write_buffer_size()
--- a/packages/mimosastile-entry/src/mimosastile_entry/_lingering.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_lingering.py
@@ -114,7 +114,7 @@
 def _log_unknown_queue(error: OSError) -> None:
     logging.log_first_n(
         logging.WARNING,
-        "%s the kernel does not tell what callers have received: %s",
+        "%s the kernel does not report its send queues: %s",
         1,
         _PREFIX,
         error,
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/http_server.py
@@ -503,7 +503,7 @@
             async with asyncio.timeout_at(deadline):
                 async for piece in body_stream:
                     await self._can_write.wait()
-                    if self._closed:
+                    if self._has_ended():
                         return
                     self._write(_format_chunk(piece))
         except Exception:
@@ -515,6 +515,15 @@
             await _close_stream(body_stream)
         self._write(b"0\r\n\r\n")
 
+    def _has_ended(self) -> bool:
+        """Whether nothing more can be sent.
+
+        A write that fails ends the connection, but its callback comes only when
+        the event loop runs. A stream that never waits would prevent that.
+        """
+        transport = self._transport
+        return self._closed or transport is None or transport.is_closing()
+
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._server.limits.header_bytes:
@@ -853,7 +862,7 @@
             self._events.write("listeners", event, **fields)
 
     def record_unknown_queue(self, error: OSError) -> None:
-        """Records that the kernel does not tell what callers received."""
+        """Records that the kernel does not report its send queues."""
         self.write_event("send_queue_unknown", why=str(error))
 
     async def handle(self, incoming: Request) -> Response:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -646,6 +646,38 @@
 
         _run(scenario)
 
+    def test_reset_in_a_stream(self, monkeypatch):
+        """Guards against a stream that goes on for ever behind a reset.
+
+        Its source never waits, so the event loop can't report the reset.
+        """
+        sent = []
+
+        async def scenario(server, handler, reader, writer):
+            async def pieces():
+                for number in range(1000):
+                    sent.append(number)
+                    yield b"x"
+
+            handler.body_stream = pieces
+            (connection,) = server._connections
+            write = connection._write
+
+            def fail_later(data):
+                write(data)
+                if len(sent) == 3:
+                    connection.abort()
+
+            monkeypatch.setattr(
+                type(connection), "_write", lambda _, data: fail_later(data)
+            )
+            writer.write(_get())
+            while server.connections:
+                await asyncio.sleep(0.01)
+            assert len(sent) < 10
+
+        _run(scenario)
+
     def test_ends_without_the_caller(self):
         """Guards against a connection that a caller keeps open for ever."""
 
