Refuse requests that would outlast a stopping daemon of the own interface

Callers of the own interface lost responses at a stop: with shutdown_seconds shorter than a request, one that was complete late in the stop was sent to its target, and its connection ended without a response.

Cause: requests were passed on until the last moment, whatever they take.

Change: a request is passed on only if the longest recent time of its service fits into what is left, its timeout if none was seen, or its own deadline is earlier. Others get 503 with Retry-After: they have not run.

--- a/packages/mimosastile-core/src/mimosastile_core/send_queues.py
+++ b/packages/mimosastile-core/src/mimosastile_core/send_queues.py
@@ -34,8 +34,8 @@
 
     Args:
         transport: The connection's transport, also one that encrypts.
-        report: Called with the error if the kernel does not report the length of
-            its queue. Only bytes that the process holds are counted then.
+        report: Called with the error if the kernel does not report the length
+            of its queue. Only bytes that the process holds are counted then.
     """
     buffered = transport.get_write_buffer_size()
     connected = transport.get_extra_info("socket")
--- a/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_asgi.py
@@ -16,6 +16,7 @@
 from mimosastile_entry import _heads
 from mimosastile_entry import _protocol
 from mimosastile_entry import _router
+from mimosastile_entry import _stop_window
 from mimosastile_entry import _uploads
 from mimosastile_entry import _wire
 from mimosastile_entry import ports
@@ -35,17 +36,19 @@
 class _ForwardingApp(abc.ABC):
     """Base application: reads a request, routes it, sends the response."""
 
-    __slots__ = ("_clock", "_limits", "_router", "_stopping")
+    __slots__ = ("_clock", "_limits", "_router", "_stop_window", "_stopping")
 
     def __init__(
         self,
         router: _router.RouterService,
         clock: ports.ClockPort,
         limits: settings.LimitSettings,
+        stop_window: _stop_window.StopWindow,
     ) -> None:
         self._router = router
         self._clock = clock
         self._limits = limits
+        self._stop_window = stop_window
         self._stopping = False
 
     def begin_stop(self) -> None:
@@ -75,8 +78,18 @@
         if isinstance(read, result.Err):
             return _calls.refuse(read.err_value, self._clock.new_id())
         request = read.ok_value
+        if not self._stop_window.fits(request):
+            failure = errors.Failure(errors.ErrorKind.SHUTTING_DOWN)
+            return _calls.refuse(failure, request.request_id)
+        began_at = self._clock.now()
+
+        async def record_end() -> None:
+            self._stop_window.record(request, began_at)
+
         try:
-            return await self._router.handle(request)
+            response = await self._router.handle(request)
+            response.on_close(record_end)
+            return response
         except Exception:
             logging.exception(
                 "%s request %s failed with an exception.",
@@ -145,9 +158,10 @@
         router: _router.RouterService,
         clock: ports.ClockPort,
         limits: settings.LimitSettings,
+        stop_window: _stop_window.StopWindow,
         credentials: _credentials.Credentials,
     ) -> None:
-        super().__init__(router, clock, limits)
+        super().__init__(router, clock, limits, stop_window)
         self._credentials = credentials
 
     async def __call__(
--- a/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
+++ b/packages/mimosastile-entry/src/mimosastile_entry/_listeners.py
@@ -14,6 +14,7 @@
 from mimosastile_entry import _guard
 from mimosastile_entry import _identified
 from mimosastile_entry import _operations
+from mimosastile_entry import _stop_window
 from mimosastile_entry import _tls
 from mimosastile_entry import kernel
 from mimosastile_entry import serving
@@ -34,6 +35,7 @@
         "_listeners",
         "_settings",
         "_signer",
+        "_stop_window",
         "name",
         "needs",
     )
@@ -60,6 +62,7 @@
         )
         self._settings = configured
         self._apps: list[_asgi.CallersApp | _asgi.ForwardApp] = []
+        self._stop_window: _stop_window.StopWindow | None = None
         self._aborted = asyncio.Event()
         self._listeners: dict[str, serving.Listener] = {}
 
@@ -77,9 +80,11 @@
         router = kernel.find("router")
         clock = kernel.find("clock")
         limits = self._settings.limits
-        credentials = _credentials.Credentials(kernel.find("state"))
-        callers = _asgi.CallersApp(router, clock, limits, credentials)
-        forward = _asgi.ForwardApp(router, clock, limits)
+        state = kernel.find("state")
+        credentials = _credentials.Credentials(state)
+        window = self._stop_window = _stop_window.StopWindow(state, clock)
+        callers = _asgi.CallersApp(router, clock, limits, window, credentials)
+        forward = _asgi.ForwardApp(router, clock, limits, window)
         internal = _identified.Identified(
             _guard.Guard(_operations.application(kernel, forward), self._signer)
         )
@@ -97,8 +102,8 @@
         Closing immediately would refuse callers that the external load
         balancer still sends here until it detects the failed health check.
         """
-        for app in self._apps:
-            app.begin_stop()
+        limits = self._settings.limits
+        self._begin_stop(limits.notice_seconds + limits.shutdown_seconds)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._settings.limits.notice_seconds):
                 await self._aborted.wait()
@@ -114,12 +119,22 @@
 
         Peers are served until the last caller has received its response.
         """
-        for app in self._apps:
-            app.begin_stop()
+        self._begin_stop(self._settings.limits.shutdown_seconds)
         for side in ("callers", "peers"):
             if side in self._listeners:
                 await self._listeners[side].stop()
 
+    def _begin_stop(self, seconds: float) -> None:
+        """Closes connections after responses, refuses what would take longer.
+
+        Args:
+            seconds: Longest time until requests in flight are cancelled.
+        """
+        for app in self._apps:
+            app.begin_stop()
+        if self._stop_window is not None:
+            self._stop_window.begin(seconds)
+
     def dump(self) -> dict[str, Any]:
         """Returns the bound ports and the requests in flight."""
         return {
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -13,6 +13,7 @@
 from mimosastile_entry import _client
 from mimosastile_entry import _clock
 from mimosastile_entry import _credentials
+from mimosastile_entry import _stop_window
 from mimosastile_entry import _targets_http
 from mimosastile_entry import _tls
 from mimosastile_entry import kernel
@@ -236,11 +237,13 @@
     async with sender(port, **timeouts) as (services, vm):
         clock = services.find("clock")
         router = Router(services.find("targets"), clock, vm)
+        state = services.find("state")
         app = _asgi.CallersApp(
             router,
             clock,
             limits,
-            _credentials.Credentials(services.find("state")),
+            _stop_window.StopWindow(state, clock),
+            _credentials.Credentials(state),
         )
         listener = await serving.listen(
             app,
