Bound the losses that a VM without path keeps undecided

Dropping the old ones compared each with all that stay, four times a second; with thousands at a target that would occupy the event loop and delay all other requests. The statuses of all targets were counted as often, though only a vanished registration needs that.

Change: at most 256 undecided losses of a target, decided in one pass; the count is made when a registration has vanished. TestBound records 100,000 losses.

--- a/packages/mimosastile-core/src/mimosastile_core/gateway/lost_responses.py
+++ b/packages/mimosastile-core/src/mimosastile_core/gateway/lost_responses.py
@@ -14,6 +14,9 @@
 _REFUSAL_SECONDS = 3.0
 """Time after a lost response within which a refused connection, or a restart
 after further responses, shows a crash; targets take seconds to restart."""
+_MAX_LOSSES = 256
+"""Undecided losses of one target. A target with more than that many requests at
+a time is cut off or full rather than crashed."""
 _MAX_RESPONDERS = 4096
 """Number of targets whose latest response is remembered."""
 
@@ -63,7 +66,9 @@
 
     def record(self, target: str, request: str, now: float) -> None:
         """Records that a response of a target was lost."""
-        self._lost.setdefault(target, []).append(Loss(now, request))
+        losses = self._lost.setdefault(target, [])
+        if len(losses) < _MAX_LOSSES:
+            losses.append(Loss(now, request))
 
     def has_responded(self, target: str, since: float) -> bool:
         """Whether a target has responded to anything since a time."""
@@ -189,19 +194,21 @@
         Returns:
             Identifiers of crashes that were presumed and are disproved.
         """
-        disproved: list[str] = []
-        for target, losses in list(self._lost.items()):
-            kept = [x for x in losses if now - x.at < self._lapse_seconds]
-            disproved.extend(
-                x.crash for x in losses if x not in kept and x.crash
-            )
-            self._keep(target, kept)
-        return disproved
+        oldest = now - self._lapse_seconds
+        return [
+            loss.crash
+            for target in self.targets
+            for loss in self._take(target, lambda loss: loss.at <= oldest)
+            if loss.crash
+        ]
 
     def _take(self, target: str, decided: Callable[[Loss], bool]) -> list[Loss]:
-        losses = self._lost.get(target, [])
-        taken = [loss for loss in losses if decided(loss)]
-        self._keep(target, [loss for loss in losses if loss not in taken])
+        """Removes and returns losses of a target that are decided."""
+        taken: list[Loss] = []
+        kept: list[Loss] = []
+        for loss in self._lost.get(target, ()):
+            (taken if decided(loss) else kept).append(loss)
+        self._keep(target, kept)
         return taken
 
     def _keep(self, target: str, losses: list[Loss]) -> None:
--- a/packages/mimosastile-gateway/src/mimosastile_gateway/crash_monitoring.py
+++ b/packages/mimosastile-gateway/src/mimosastile_gateway/crash_monitoring.py
@@ -350,23 +350,15 @@
                     for name, target in self._targets.items()
                     if name in undecided
                 }
-                lapsed = self._lapsed_together()
                 for target in tuple(self._targets.values()):
-                    await self._check_registration(target, lapsed=lapsed)
+                    await self._check_registration(target)
                 self._detector.expire(self._clock.now())
                 await asyncio.sleep(_WATCH_SECONDS)
         finally:
             self._watching = False
 
-    async def _check_registration(
-        self, target: directory.Target, *, lapsed: bool
-    ) -> None:
-        """Records a crash if the registration of a target has ended.
-
-        Args:
-            target: The target.
-            lapsed: Whether most registrations have ended.
-        """
+    async def _check_registration(self, target: directory.Target) -> None:
+        """Records a crash if the registration of a target has ended."""
         entry = self._cluster.directory.get(target.id)
         replaced = entry is not None and (
             entry.target.born > target.born
@@ -376,7 +368,7 @@
             entry.status is directory.TargetStatus.MISSING
             and not entry.target.leaving
             and entry.announced_at is None
-            and not lapsed
+            and not self._lapsed_together()
         )
         if not replaced and not gone:
             return
--- a/tests/gateway/test_lost_responses.py
+++ b/tests/gateway/test_lost_responses.py
@@ -75,6 +75,20 @@
         assert bool(responses.targets) is not bool(disproved)
 
 
+class TestBound:
+    """Many losses at once."""
+
+    def test_cut_off(self):
+        """Guards against memory and time spent on a VM that is cut off."""
+        responses = lost_responses.LostResponses(_LAPSE_SECONDS)
+        for number in range(100_000):
+            responses.record("t", f"r{number}", 1.0)
+        responses.record_link("other", 1.5)
+        lost = responses.take_ended("t", 2.0, restarted=False)
+        assert 0 < len(lost) < 1000
+        assert responses.targets == ()
+
+
 class TestLink:
     """Evidence that this VM has its link."""
 
