Give the fleet of the gateway's tests the monitor's health checks

About 200 tests of tests/gateway failed with a TypeError: the rig that builds whole gateways in one process did not pass the health checks that CrashMonitor takes since it verifies crashes.

The rig now shares one health client between the load prober and the crash monitor, as the daemon does. No check is changed.

--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -389,6 +389,7 @@
             self.log,
         )
         pool = _Pool(fleet, name)
+        health_checks = health.HealthClient(pool)
         self.dispatcher = dispatching.Dispatcher(
             configured,
             self.cluster,
@@ -398,7 +399,7 @@
             self.admission,
             timer,
             load_probing.LoadProber(
-                health.HealthClient(pool),
+                health_checks,
                 self.cluster,
                 self.balancer,
                 timer,
@@ -427,6 +428,7 @@
             crash_monitoring.CrashMonitor(
                 detector,
                 pool,
+                health_checks,
                 configured.requests.connect,
                 self.cluster,
                 self.membership,
