Replace the partition file of the soak's daemons in one step

A daemon of the soak that was told of two modes of its partition in quick succession could read the file while the second was being written. It read an empty mode, raised ValueError in its signal handler and ended, and the soak counted an unexpected exit of the product.

The mode is now written to a new file, which replaces the old one.

--- a/packages/mimosastile-standins/src/mimosastile_standins/soak_daemons.py
+++ b/packages/mimosastile-standins/src/mimosastile_standins/soak_daemons.py
@@ -91,7 +91,7 @@
         self.ready_address = f"{self._ip}:{_READY_PORT}"
         self._process: asyncio.subprocess.Process | None = None
         self._supervisor: asyncio.Task[None] | None = None
-        self._partition_file = folder
+        self._partition_file = folder / f"{self.name}{soak_start.MODE_SUFFIX}"
         self._launched_at = float("-inf")
         self._keep_running = False
         self._grace_timer: asyncio.Task[None] | None = None
@@ -103,7 +103,6 @@
         """Starts the process and restarts it whenever it exits."""
         self._folder.mkdir(parents=True, exist_ok=True)
         path = self._folder / f"{self.name}.toml"
-        self._partition_file = path.with_suffix(soak_start.MODE_SUFFIX)
         path.write_text(
             _SETTINGS.format(
                 name=self.name,
@@ -153,7 +152,10 @@
 
         A process that starts later reaches them.
         """
-        self._partition_file.write_text(mode.value, encoding="utf-8")
+        # The process may still read the previous mode.
+        new_file = self._partition_file.with_suffix(".new")
+        new_file.write_text(mode.value, encoding="utf-8")
+        new_file.replace(self._partition_file)
         if time.monotonic() - self._launched_at < _SIGNAL_READY_SECONDS:
             # Without its handler, the signal would end the process.
             return
