Share the setup of the tests of closing and of own calls

Three pairs of tests repeated their setup: the application that responds with a whole body (own interface), the count of what a caller receives while it sends ahead (gateway), and a call as health checks make it (gateway's client). Each stands once now. Tables, bounds and assertions are unchanged; no product code is touched.

--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -118,6 +118,24 @@
         asyncio.run(scenario())
 
 
+def _whole_response(size):
+    """Returns an application that responds with a body of some bytes."""
+
+    async def app(scope, receive, send):
+        await asyncio.sleep(0.1)
+        headers = [(b"content-length", b"%d" % size)]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": b"x" * size})
+
+    return app
+
+
 class TestClosing:
     """The last response on a connection, to a caller that sends ahead."""
 
@@ -126,20 +144,10 @@
         """Guards against a response that is lost in a connection reset."""
         size = 4 << 20
 
-        async def app(scope, receive, send):
-            await asyncio.sleep(0.1)
-            headers = [(b"content-length", b"%d" % size)]
-            await send(
-                {
-                    "type": "http.response.start",
-                    "status": 200,
-                    "headers": headers,
-                }
-            )
-            await send({"type": "http.response.body", "body": b"x" * size})
-
         async def scenario():
-            listener = await serving.listen(app, "127.0.0.1", 0, 5.0)
+            listener = await serving.listen(
+                _whole_response(size), "127.0.0.1", 0, 5.0
+            )
             stopping = []
 
             def stop():
@@ -168,21 +176,13 @@
         """Guards against callers cut off while the kernel holds a response."""
         monkeypatch.setattr(lingering, "_LINGER_SECONDS", 0.2)
 
-        async def app(scope, receive, send):
-            await asyncio.sleep(0.1)
-            headers = [(b"content-length", b"%d" % size)]
-            await send(
-                {
-                    "type": "http.response.start",
-                    "status": 200,
-                    "headers": headers,
-                }
-            )
-            await send({"type": "http.response.body", "body": b"x" * size})
-
         async def scenario():
             listener = await serving.listen(
-                app, "127.0.0.1", 0, 5.0, stall_seconds=0.5
+                _whole_response(size),
+                "127.0.0.1",
+                0,
+                5.0,
+                stall_seconds=0.5,
             )
             received = await senders.count_while_sending(
                 ("127.0.0.1", listener.port),
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -61,6 +61,19 @@
             writer.close()
 
 
+async def _check_health(pool, address, **options):
+    """Makes a call of this VM's own, as health checks are."""
+    return await http_client.call(
+        pool,
+        address,
+        "GET",
+        "/health",
+        timeout=5.0,
+        connect=1.0,
+        **options,
+    )
+
+
 def _run(target, scenario):
     async def main():
         server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
@@ -255,16 +268,7 @@
 
         async def scenario(pool, address):
             with pytest.raises(http_client.ResponseLostError):
-                await http_client.call(
-                    pool,
-                    address,
-                    "GET",
-                    "/health",
-                    timeout=5.0,
-                    connect=1.0,
-                    idle=5.0,
-                    echo=ECHO,
-                )
+                await _check_health(pool, address, idle=5.0, echo=ECHO)
 
         _run(target, scenario)
         assert target.sent_bytes < 16 << 20
@@ -315,16 +319,7 @@
         async def scenario(pool, address):
             pool.held = held_bytes.HeldBytes()
             with pytest.raises(http_client.ResponseLostError, match=reason):
-                await http_client.call(
-                    pool,
-                    address,
-                    "GET",
-                    "/health",
-                    timeout=5.0,
-                    connect=1.0,
-                    idle=1.0,
-                    most=64 << 10,
-                )
+                await _check_health(pool, address, idle=1.0, most=64 << 10)
             assert pool.held.dump()["peaks"]["received"] <= 192 << 10
             assert pool.held.total == 0
 
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -73,6 +73,27 @@
     return b"GET " + path + b" HTTP/1.1\r\nHost: h\r\n" + extra + b"\r\n"
 
 
+async def _count_received(server, writer, stops, first, ahead, pause=0.001):
+    """Counts what a caller receives that sends ahead.
+
+    Args:
+        server: The server.
+        writer: Of another connection to it.
+        stops: Whether the server stops when all of `first` was sent.
+        first: What is sent at once.
+        ahead: What is sent with each piece that is received.
+        pause: Seconds between two pieces.
+    """
+
+    def stop():
+        server.stopping = stops
+
+    address = writer.get_extra_info("peername")
+    return await senders.count_while_sending(
+        address, first, ahead, stop, pause=pause
+    )
+
+
 class TestRequests:
     """Parsing and rejection of requests."""
 
@@ -554,13 +575,9 @@
                     return http_server.Response(200, body_stream=pieces())
                 return http_server.Response(200, body=b"x" * size)
 
-            def stop():
-                server.stopping = stops
-
             server._handler = whole
-            address = writer.get_extra_info("peername")
-            received = await senders.count_while_sending(
-                address, first + _get() * ahead, _get(), stop
+            received = await _count_received(
+                server, writer, stops, first + _get() * ahead, _get()
             )
             assert received >= size
 
@@ -585,13 +602,9 @@
                 await asyncio.sleep(0.1)
                 return http_server.Response(200, body=b"x" * size)
 
-            def stop():
-                server.stopping = stops
-
             server._handler = whole
-            address = writer.get_extra_info("peername")
-            received = await senders.count_while_sending(
-                address, first, ahead, stop, pause=0.1
+            received = await _count_received(
+                server, writer, stops, first, ahead, pause=0.1
             )
             assert received == size
 
